--- /dev/null
+++ b/include/greengagehub/calls/call.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "greengagehub/config/content.hpp"
+#include "greengagehub/core/clock.hpp"
+#include "greengagehub/http/http_message.hpp"
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace greengagehub {
+
+/// \brief What is true of a call once it has its final answer.
+enum class CallOutcome : std::uint8_t
+{
+  /// The worker's whole answer.
+  Answered,
+  /// The worker did not start it and never will.
+  NotRun,
+  /// It may have run; nobody can say.
+  Unknown,
+};
+
+/// \brief Why a call has no answer from a worker.
+enum class RefusalReason : std::uint8_t
+{
+  None,
+  NoRoute,
+  NoWorker,
+  Overloaded,
+  DeadlineTooShort,
+  DeadlinePassed,
+  Leaving,
+  Cancelled,
+  WorkerUnreachable,
+  LinkLost,
+  AnswerLost,
+  TooDeep,
+  NotReady,
+  Restarted,
+};
+
+/// \returns The public name, such as "deadline-too-short".
+[[nodiscard]] std::string_view
+NameOf(RefusalReason aReason) noexcept;
+/// \returns "answered", "not-run" or "unknown".
+[[nodiscard]] std::string_view
+NameOf(CallOutcome aOutcome) noexcept;
+
+/// \brief Identifies one attempt of a call across the fleet: the caller's
+/// daemon process and a number that it never uses twice.
+struct CallKey
+{
+  std::uint64_t m_process{ 0 };
+  std::uint64_t m_call{ 0 };
+
+  [[nodiscard]] auto operator<=>(const CallKey&) const noexcept = default;
+};
+
+/// \brief A call on its way to a worker.
+struct CallRequest
+{
+  std::uint64_t m_call{ 0 };
+  std::string m_service;
+  std::string m_method;
+  std::string m_target;
+  std::vector<HttpHeader> m_headers;
+  std::string m_body;
+  /// Time left when it was sent; clocks of two machines are never compared.
+  std::chrono::microseconds m_timeLeft{ 0 };
+  CallClass m_class{ CallClass::Critical };
+  bool m_idempotent{ false };
+  /// Hops behind it, for the limit on depth.
+  std::uint32_t m_depth{ 0 };
+  /// Retries that it and the calls made for it may still use.
+  std::uint32_t m_triesLeft{ 0 };
+};
+
+/// \brief The final word on an attempt.
+struct CallAnswer
+{
+  std::uint64_t m_call{ 0 };
+  CallOutcome m_outcome{ CallOutcome::Unknown };
+  RefusalReason m_reason{ RefusalReason::None };
+  HttpResponse m_response{};
+  /// When to come back, worked out from the queue; 0 for no hint.
+  std::chrono::milliseconds m_retryAfter{ 0 };
+  /// Calls queued and running at the worker, for routing.
+  std::uint32_t m_load{ 0 };
+};
+
+/// \returns An answer that refuses an attempt.
+[[nodiscard]] CallAnswer
+Refuse(std::uint64_t aCall,
+       CallOutcome aOutcome,
+       RefusalReason aReason,
+       std::chrono::milliseconds aRetryAfter = {});
+
+/// \returns Whether a method may be repeated by its definition (RFC 9110).
+[[nodiscard]] bool
+IsIdempotentMethod(std::string_view aMethod) noexcept;
+
+}
--- /dev/null
+++ b/include/greengagehub/calls/calls.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+/// \file
+/// \brief Everything of the calls library.
+
+#include "greengagehub/calls/call.hpp"
+#include "greengagehub/calls/dispatcher.hpp"
+#include "greengagehub/calls/retry_budget.hpp"
+#include "greengagehub/calls/route_table.hpp"
+#include "greengagehub/calls/run_table.hpp"
+#include "greengagehub/calls/worker_table.hpp"
--- /dev/null
+++ b/include/greengagehub/calls/dispatcher.hpp
@@ -0,0 +1,159 @@
+#pragma once
+
+#include "greengagehub/calls/retry_budget.hpp"
+#include "greengagehub/calls/worker_table.hpp"
+
+#include <set>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace greengagehub {
+
+/// \brief What a caller asked for, as far as decisions need it.
+struct CallPlan
+{
+  std::string m_service;
+  CallClass m_class{ CallClass::Critical };
+  bool m_idempotent{ false };
+  TimePoint m_deadline;
+  std::uint32_t m_triesLeft{ 2 };
+};
+
+/// \brief Send attempt `m_attempt` of call `m_call` to a worker's daemon.
+struct SendAttempt
+{
+  std::uint64_t m_call{ 0 };
+  std::uint64_t m_attempt{ 0 };
+  std::string m_slot;
+  std::chrono::microseconds m_timeLeft{ 0 };
+  std::uint32_t m_triesLeft{ 0 };
+};
+
+/// \brief Ask a worker's daemon to cancel an attempt unless it started.
+struct SendCancel
+{
+  std::uint64_t m_attempt{ 0 };
+  std::string m_slot;
+  /// Nobody waits for the answer any more.
+  bool m_abandon{ false };
+};
+
+/// \brief What a worker's daemon said of an attempt in doubt.
+enum class AttemptState : std::uint8_t
+{
+  /// Never started and never will.
+  NotStarted,
+  /// Started; its answer will come.
+  Started,
+  /// Started and ended; its answer is lost.
+  Lost,
+};
+
+/// \brief The final answer to the caller.
+struct FinishCall
+{
+  std::uint64_t m_call{ 0 };
+  CallAnswer m_answer;
+};
+
+using DispatchAction = std::variant<SendAttempt, SendCancel, FinishCall>;
+using DispatchActions = std::vector<DispatchAction>;
+
+/// \brief The caller's side of calls: choice of worker, retries, what may be
+/// said when something is lost.
+///
+/// A call has one attempt at a time. Another attempt of a call that is not
+/// idempotent is made only after the worker's daemon said that the one before
+/// did not start. The caller is told "not run" on the same condition.
+class Dispatcher
+{
+public:
+  explicit Dispatcher(std::uint64_t aSeed);
+
+  [[nodiscard]] WorkerTable& Workers() noexcept { return m_workers; }
+  [[nodiscard]] const WorkerTable& Workers() const noexcept
+  {
+    return m_workers;
+  }
+  [[nodiscard]] std::size_t InFlight() const noexcept { return m_calls.size(); }
+
+  void SetRetryPercent(std::uint32_t aPercent) noexcept
+  {
+    m_budget.SetPercent(aPercent);
+  }
+
+  [[nodiscard]] DispatchActions Begin(TimePoint aNow,
+                                      std::uint64_t aCall,
+                                      CallPlan aPlan);
+  /// \brief An answer came; one of a former attempt is ignored.
+  [[nodiscard]] DispatchActions OnAnswer(TimePoint aNow, CallAnswer aAnswer);
+  [[nodiscard]] DispatchActions OnCancelResult(TimePoint aNow,
+                                               std::uint64_t aAttempt,
+                                               AttemptState aState);
+  /// \brief The connection to a daemon broke or went silent.
+  [[nodiscard]] DispatchActions OnLinkLost(TimePoint aNow,
+                                           const std::string& aSlot);
+  /// \brief A new connection to the daemon is open. What is in doubt there is
+  /// asked about, unless the process is another one, which cannot know.
+  [[nodiscard]] DispatchActions OnLinkUp(TimePoint aNow,
+                                         const std::string& aSlot,
+                                         std::uint64_t aProcess);
+  /// \brief The request could not be handed to any connection.
+  [[nodiscard]] DispatchActions OnNotSent(TimePoint aNow,
+                                          std::uint64_t aAttempt);
+  /// \brief The caller hung up.
+  [[nodiscard]] DispatchActions OnCallerGone(TimePoint aNow,
+                                             std::uint64_t aCall);
+  /// \returns When OnTick has something to do next, if ever.
+  [[nodiscard]] std::optional<TimePoint> NextDeadline() const;
+  /// \brief Ends calls whose deadline has passed.
+  [[nodiscard]] DispatchActions OnTick(TimePoint aNow);
+  /// \brief Notes which process an attempt was sent to.
+  void SentTo(std::uint64_t aAttempt, std::uint64_t aProcess);
+
+private:
+  struct Call
+  {
+    std::uint64_t m_id{ 0 };
+    CallPlan m_plan;
+    std::uint64_t m_attempt{ 0 };
+    std::string m_slot;
+    std::uint64_t m_process{ 0 };
+    std::vector<std::string> m_tried;
+    /// The link was lost and nobody knows yet whether it started.
+    bool m_inDoubt{ false };
+  };
+
+  void Try(TimePoint aNow,
+           DispatchActions& aOut,
+           Call& aCall,
+           CallAnswer aElse);
+  void Finish(DispatchActions& aOut, Call& aCall, CallAnswer aAnswer);
+  void EndAttempt(TimePoint aNow,
+                  Call& aCall,
+                  bool aFailed,
+                  std::optional<std::uint32_t> aLoad);
+  void RetryOrFinish(TimePoint aNow,
+                     DispatchActions& aOut,
+                     Call& aCall,
+                     CallAnswer aAnswer);
+  [[nodiscard]] Call* ByAttempt(std::uint64_t aAttempt);
+
+  struct Deadline
+  {
+    TimePoint m_at;
+    std::uint64_t m_call{ 0 };
+    [[nodiscard]] auto operator<=>(const Deadline&) const noexcept = default;
+  };
+
+  Random m_random;
+  WorkerTable m_workers;
+  RetryBudget m_budget{ 10 };
+  std::unordered_map<std::uint64_t, Call> m_calls;
+  std::unordered_map<std::uint64_t, std::uint64_t> m_attempts;
+  std::set<Deadline> m_deadlines;
+  std::uint64_t m_lastAttempt{ 0 };
+};
+
+}
--- /dev/null
+++ b/include/greengagehub/calls/run_table.hpp
@@ -0,0 +1,172 @@
+#pragma once
+
+#include "greengagehub/calls/call.hpp"
+
+#include <array>
+#include <boost/intrusive/list.hpp>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace greengagehub {
+
+struct RunTableSettings
+{
+  std::uint32_t m_slots{ 20 };
+  std::uint32_t m_queue{ 40 };
+  /// A cold worker's slots open evenly over this time.
+  std::chrono::milliseconds m_warmUp{ 0 };
+  /// How long the end of an attempt is remembered, so that its late or
+  /// repeated messages find it.
+  std::chrono::milliseconds m_remember{ std::chrono::seconds{ 60 } };
+  /// Taken off a queued call's deadline, so that "not run" arrives in time.
+  std::chrono::milliseconds m_margin{ 5 };
+};
+
+/// \brief What becomes of an attempt that arrives.
+struct Admission
+{
+  enum class Kind : std::uint8_t
+  {
+    Start,
+    Queued,
+    Refused,
+    /// Seen before: nothing is to be done.
+    Repeated,
+  };
+  Kind m_kind{ Kind::Refused };
+  RefusalReason m_reason{ RefusalReason::None };
+  std::chrono::milliseconds m_retryAfter{ 0 };
+};
+
+/// \brief What a cancellation met.
+enum class CancelResult : std::uint8_t
+{
+  /// Never started, and never will now.
+  NotStarted,
+  Running,
+  Finished,
+};
+
+/// \brief An attempt that will never run and must be told so.
+struct RefusedRun
+{
+  CallKey m_key;
+  RefusalReason m_reason{ RefusalReason::None };
+  std::chrono::milliseconds m_retryAfter{ 0 };
+};
+
+/// \brief What a step of the run table asks for.
+struct RunActions
+{
+  std::vector<CallKey> m_start;
+  std::vector<RefusedRun> m_refused;
+};
+
+/// \brief Every attempt at one worker: queued, running, done, or cancelled
+/// before it arrived. Its word alone decides what "not run" is said about.
+///
+/// An attempt leaves Queued once, to Running or to Refused, and only Running
+/// touches the worker. "Not run" is told only of attempts that are Refused or
+/// were marked before they came, and neither can become Running any more.
+class RunTable
+{
+public:
+  explicit RunTable(RunTableSettings aSettings);
+  ~RunTable();
+  RunTable(const RunTable&) = delete;
+  RunTable& operator=(const RunTable&) = delete;
+
+  [[nodiscard]] std::uint32_t Running() const noexcept { return m_running; }
+  [[nodiscard]] std::uint32_t Queued() const noexcept { return m_queued; }
+  [[nodiscard]] std::uint32_t Load() const noexcept
+  {
+    return m_running + m_queued;
+  }
+  [[nodiscard]] bool IsLeaving() const noexcept { return m_leaving; }
+  /// \returns Expected wait of a call that came now.
+  [[nodiscard]] std::chrono::milliseconds ExpectedWait(TimePoint aNow) const;
+
+  /// \brief An attempt arrived. A call of a higher class may push one of a
+  /// lower class out of a full queue; that one is in `aOut`.
+  [[nodiscard]] Admission Admit(TimePoint aNow,
+                                CallKey aKey,
+                                std::uint64_t aEpoch,
+                                CallClass aClass,
+                                std::chrono::microseconds aTimeLeft,
+                                RunActions& aOut);
+  /// \returns When OnTick has something to do next, if ever.
+  [[nodiscard]] std::optional<TimePoint> NextExpiry() const;
+  /// \brief Cancels an attempt that has not started, whether or not it has
+  /// arrived yet.
+  [[nodiscard]] CancelResult Cancel(TimePoint aNow, CallKey aKey);
+  /// \brief The worker is done with it, whatever came of it.
+  [[nodiscard]] RunActions Finish(TimePoint aNow, CallKey aKey);
+  /// \brief A caller opened a newer connection: what is queued from older
+  /// ones never starts.
+  void CloseEpochs(TimePoint aNow,
+                   std::uint64_t aProcess,
+                   std::uint64_t aBelowEpoch);
+  [[nodiscard]] RunActions OnTick(TimePoint aNow);
+  /// \brief Refuses what is queued and all that comes.
+  [[nodiscard]] RunActions StartLeaving(TimePoint aNow);
+  void SetLimits(std::uint32_t aSlots, std::uint32_t aQueue) noexcept;
+
+private:
+  enum class State : std::uint8_t
+  {
+    Queued,
+    Running,
+    Finished,
+    /// Never ran and never will.
+    Refused,
+  };
+  struct Run : boost::intrusive::list_base_hook<>
+  {
+    CallKey m_key;
+    std::uint64_t m_epoch{ 0 };
+    CallClass m_class{ CallClass::Critical };
+    State m_state{ State::Queued };
+    TimePoint m_deadline;
+    TimePoint m_since;
+  };
+  struct KeyHash
+  {
+    std::size_t operator()(const CallKey& aKey) const noexcept
+    {
+      return aKey.m_process * 0x9E3779B97F4A7C15U ^ aKey.m_call;
+    }
+  };
+  using RunList = boost::intrusive::list<Run>;
+  static constexpr std::size_t kClasses = 3;
+
+  [[nodiscard]] std::uint32_t OpenSlots(TimePoint aNow) const;
+  [[nodiscard]] std::uint32_t QueueLimit(CallClass aClass) const noexcept;
+  [[nodiscard]] std::uint32_t QueuedAhead(CallClass aClass) const noexcept;
+  [[nodiscard]] Duration WaitFor(TimePoint aNow, CallClass aClass) const;
+  [[nodiscard]] Admission Refused(TimePoint aNow,
+                                  CallKey aKey,
+                                  RefusalReason aReason);
+  [[nodiscard]] bool MakeRoom(TimePoint aNow,
+                              CallClass aClass,
+                              RunActions& aOut);
+  Run& Remember(TimePoint aNow, CallKey aKey, State aState);
+  void StartRun(TimePoint aNow, Run& aRun);
+  void EndQueued(TimePoint aNow, Run& aRun);
+  void StartWaiting(TimePoint aNow, RunActions& aOut);
+
+  RunTableSettings m_settings;
+  std::unordered_map<CallKey, std::unique_ptr<Run>, KeyHash> m_runs;
+  std::array<RunList, kClasses> m_queues;
+  /// Finished and refused ones, oldest first.
+  RunList m_ended;
+  std::uint32_t m_running{ 0 };
+  std::uint32_t m_queued{ 0 };
+  bool m_leaving{ false };
+  TimePoint m_firstCall{};
+  /// Moving mean of the time that the worker takes.
+  Duration m_serviceTime{ std::chrono::milliseconds{ 1 } };
+};
+
+}
--- /dev/null
+++ b/include/greengagehub/calls/worker_table.hpp
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "greengagehub/calls/call.hpp"
+#include "greengagehub/core/random.hpp"
+#include "greengagehub/core/table.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace greengagehub {
+
+/// \brief One worker as callers on this daemon see it.
+struct WorkerRow
+{
+  std::string m_slot;
+  std::string m_service;
+  std::string m_domain;
+  std::uint32_t m_slots{ 1 };
+  /// Attempts of this daemon under way there.
+  std::uint32_t m_inFlight{ 0 };
+  /// Load that its last answer told, and when.
+  std::uint32_t m_reported{ 0 };
+  TimePoint m_reportedAt{};
+  /// Moving share of failed attempts, in [0, 1].
+  double m_failures{ 0.0 };
+  TimePoint m_ejectedUntil{};
+  std::uint32_t m_ejections{ 0 };
+  bool m_leaving{ false };
+};
+
+/// \brief A choice among workers, given as rows; variation by this concept.
+template<class T>
+concept RoutingPolicy = requires(const T aPolicy,
+                                 const std::vector<const WorkerRow*>& aRows,
+                                 TimePoint aNow,
+                                 Random& aRandom)
+{
+  {
+    aPolicy.Choose(aRows, aNow, aRandom)
+    } -> std::same_as<std::size_t>;
+};
+
+/// \returns Expected load of a worker for each of its slots: what it reported
+/// lately or what this daemon has there, whichever is more, and failures on
+/// top. A worker that fails fast has empty slots, and would otherwise draw
+/// every call.
+[[nodiscard]] double
+LoadScore(const WorkerRow& aRow, TimePoint aNow) noexcept;
+
+/// \brief Any worker, equally likely.
+struct RandomChoice
+{
+  [[nodiscard]] std::size_t Choose(const std::vector<const WorkerRow*>& aRows,
+                                   TimePoint aNow,
+                                   Random& aRandom) const;
+};
+
+/// \brief The less loaded of two random ones (Mitzenmacher, 2001).
+struct TwoChoices
+{
+  [[nodiscard]] std::size_t Choose(const std::vector<const WorkerRow*>& aRows,
+                                   TimePoint aNow,
+                                   Random& aRandom) const;
+};
+
+/// \brief The least loaded of all, ties at random.
+struct ShortestQueue
+{
+  [[nodiscard]] std::size_t Choose(const std::vector<const WorkerRow*>& aRows,
+                                   TimePoint aNow,
+                                   Random& aRandom) const;
+};
+
+/// \brief Workers by service, with what calls to them have shown.
+class WorkerTable
+{
+public:
+  using Index = Table<WorkerRow>::Index;
+
+  [[nodiscard]] const WorkerRow& At(Index aIndex) const
+  {
+    return m_rows.At(aIndex);
+  }
+  [[nodiscard]] std::optional<Index> Find(const std::string& aSlot) const;
+  [[nodiscard]] std::size_t CountOf(const std::string& aService) const;
+
+  void Put(WorkerRow aRow);
+  void Remove(const std::string& aSlot);
+  void SetLeaving(const std::string& aSlot);
+
+  /// \param aExclude slots that this call tried already.
+  template<RoutingPolicy Policy>
+  [[nodiscard]] std::optional<Index> Choose(
+    const Policy& aPolicy,
+    const std::string& aService,
+    const std::vector<std::string>& aExclude,
+    TimePoint aNow,
+    Random& aRandom) const
+  {
+    const std::vector<Index> usable = Usable(aService, aExclude, aNow);
+    if (usable.empty()) {
+      return std::nullopt;
+    }
+    std::vector<const WorkerRow*> rows;
+    rows.reserve(usable.size());
+    for (const Index each : usable) {
+      rows.push_back(&m_rows.At(each));
+    }
+    return usable[aPolicy.Choose(rows, aNow, aRandom)];
+  }
+
+  void Sent(Index aIndex);
+  /// \param aFailed it gave no answer, or one that says the worker is broken.
+  void Ended(const std::string& aSlot,
+             TimePoint aNow,
+             bool aFailed,
+             std::optional<std::uint32_t> aLoad,
+             Random& aRandom);
+
+private:
+  [[nodiscard]] std::vector<Index> Usable(
+    const std::string& aService,
+    const std::vector<std::string>& aExclude,
+    TimePoint aNow) const;
+
+  Table<WorkerRow> m_rows;
+  std::map<std::string, Index, std::less<>> m_bySlot;
+  std::map<std::string, std::vector<Index>, std::less<>> m_byService;
+};
+
+}
--- /dev/null
+++ b/include/greengagehub/config/config.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+/// \file
+/// \brief Everything of the config library: patches, content, decisions.
+
+#include "greengagehub/config/config_holder.hpp"
+#include "greengagehub/config/content.hpp"
+#include "greengagehub/config/decision.hpp"
+#include "greengagehub/config/decision_process.hpp"
+#include "greengagehub/config/pack_process.hpp"
+#include "greengagehub/config/reason.hpp"
+#include "greengagehub/config/snapshot_reader.hpp"
+#include "greengagehub/config/store_layout.hpp"
--- /dev/null
+++ b/include/greengagehub/config/content.hpp
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "greengagehub/config/reason.hpp"
+#include "greengagehub/core/digest.hpp"
+
+#include <boost/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace greengagehub {
+
+/// \brief Order in which overload sheds calls: exports first.
+enum class CallClass : std::uint8_t
+{
+  Critical,
+  Lookup,
+  Export,
+};
+
+/// \brief A named group of workers; the names are what routes point at.
+struct Service
+{
+  /// Calls one worker runs at once.
+  std::uint32_t m_slots{ 20 };
+  /// Calls that may wait at one worker.
+  std::uint32_t m_queue{ 40 };
+  /// Connections one worker accepts.
+  std::uint32_t m_connections{ 100 };
+};
+
+/// \brief Which service answers a call, and what may be done with it.
+struct Route
+{
+  /// Host to match, lower case; empty matches any.
+  std::string m_host;
+  /// Path prefix to match, from "/".
+  std::string m_path{ "/" };
+  std::string m_service;
+  CallClass m_class{ CallClass::Critical };
+  /// Whether a call may be run again; "by method" when not set by the patch.
+  enum class Idempotency : std::uint8_t
+  {
+    ByMethod,
+    Yes,
+    No
+  } m_idempotency{ Idempotency::ByMethod };
+  /// Time limit of a call that brings none of its own.
+  std::chrono::milliseconds m_deadline{ 2000 };
+};
+
+/// \brief Fleet-wide limits.
+struct Limits
+{
+  /// Retries as a share of calls, in percent.
+  std::uint32_t m_retryPercent{ 10 };
+  /// Hops after which a call is refused.
+  std::uint32_t m_maxDepth{ 24 };
+};
+
+/// \brief One entity with its canonical text, shared between versions.
+template<class T>
+struct Entity
+  : boost::intrusive_ref_counter<Entity<T>, boost::thread_unsafe_counter>
+{
+  T m_value;
+  /// Canonical JSON (sorted keys, no blanks).
+  std::string m_text;
+  Digest m_digest;
+};
+
+template<class T>
+using EntityMap =
+  std::map<std::string, boost::intrusive_ptr<const Entity<T>>, std::less<>>;
+
+/// \brief The whole configuration at one version; a value that shares its
+/// unchanged entities with the version before.
+///
+/// \code
+/// Content next = current;
+/// std::vector<Reason> broken = next.Apply(R"({"services":{"a":{}}})");
+/// \endcode
+class Content
+{
+public:
+  [[nodiscard]] const EntityMap<Service>& Services() const noexcept
+  {
+    return m_services;
+  }
+  [[nodiscard]] const EntityMap<Route>& Routes() const noexcept
+  {
+    return m_routes;
+  }
+  [[nodiscard]] const Limits& GetLimits() const noexcept { return m_limits; }
+
+  /// \brief Order-independent digest over all entities.
+  [[nodiscard]] const Digest& GetDigest() const noexcept { return m_digest; }
+
+  /// \returns The whole content as canonical JSON; a merge patch that builds
+  /// it from the empty content.
+  [[nodiscard]] std::string ToJson() const;
+
+  /// \brief Applies a JSON merge patch (RFC 7396) and checks every rule.
+  /// \returns Every broken rule; when it is not empty, this content is
+  /// unspecified and must be dropped.
+  [[nodiscard]] std::vector<Reason> Apply(std::string_view aPatch);
+
+private:
+  friend class ContentPatcher;
+
+  EntityMap<Service> m_services;
+  EntityMap<Route> m_routes;
+  Limits m_limits;
+  std::string m_limitsText{ "{}" };
+  Digest m_digest;
+};
+
+/// \returns The patch as canonical JSON, so that its digest does not depend
+/// on blanks or the order of keys; or why it is no patch at all.
+[[nodiscard]] Outcome<std::string>
+CanonicalPatch(std::string_view aText);
+
+/// \returns "critical", "lookup" or "export".
+[[nodiscard]] std::string_view
+NameOf(CallClass aClass) noexcept;
+
+/// Largest patch accepted, in bytes of canonical JSON.
+inline constexpr std::size_t kMaxPatchBytes = 64UL * 1024;
+
+/// Revision of the rules in this release; recorded with each decision.
+inline constexpr std::uint32_t kRulesRevision = 1;
+
+}
--- /dev/null
+++ b/include/greengagehub/config/reason.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace greengagehub {
+
+/// \brief Why a patch was refused. Names are part of the public interface and
+/// of recorded decisions: add new ones, never rename or reuse one.
+enum class ReasonCode : std::uint8_t
+{
+  NotJson,
+  NotAnObject,
+  UnknownField,
+  WrongType,
+  OutOfRange,
+  BadName,
+  MissingField,
+  UnknownService,
+  ServiceInUse,
+  DuplicateMatch,
+  TooLarge,
+  StaleBase,
+  UnknownBase,
+  IdReused,
+};
+
+/// \brief One broken rule, with its place in the patch or content.
+struct Reason
+{
+  ReasonCode m_code{ ReasonCode::NotJson };
+  /// JSON pointer (RFC 6901); empty for the patch as a whole.
+  std::string m_place;
+  /// The facts it rests on, true at the version that the decision names.
+  std::string m_detail;
+
+  [[nodiscard]] bool operator==(const Reason&) const = default;
+};
+
+/// \returns The public name, such as "stale-base".
+[[nodiscard]] std::string_view
+NameOf(ReasonCode aCode) noexcept;
+
+/// \returns The code with this public name, or nothing.
+[[nodiscard]] std::optional<ReasonCode>
+ParseReasonCode(std::string_view aName) noexcept;
+
+}
--- /dev/null
+++ b/include/greengagehub/config/snapshot_reader.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "greengagehub/config/store_layout.hpp"
+#include "greengagehub/core/compression.hpp"
+#include "greengagehub/core/store_message.hpp"
+
+#include <variant>
+
+namespace greengagehub {
+
+/// \brief A snapshot read whole from the store.
+struct SnapshotRead
+{
+  enum class Status : std::uint8_t
+  {
+    Ok,
+    /// Dropped meanwhile: read the log again.
+    Gone,
+    Lost,
+    Corrupt,
+  };
+  Status m_status{ Status::Lost };
+  VersionEntry m_head{};
+  /// Canonical JSON of the content.
+  std::string m_text{};
+};
+
+/// \brief Reads the manifest and then all parts of a snapshot.
+class SnapshotReader
+{
+public:
+  using Step = std::variant<StoreRequest, SnapshotRead>;
+
+  explicit SnapshotReader(Version aVersion)
+    : m_version(aVersion)
+  {
+  }
+
+  [[nodiscard]] Step Start() const;
+  [[nodiscard]] Step On(const StoreReply& aReply);
+
+private:
+  Version m_version;
+  SnapshotManifest m_manifest;
+  bool m_haveManifest{ false };
+  std::string m_parts;
+  std::size_t m_part{ 0 };
+};
+
+}
--- /dev/null
+++ b/include/greengagehub/core/core.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+/// \file
+/// \brief Everything of the core library: time, errors, digests, tables.
+
+#include "greengagehub/core/clock.hpp"
+#include "greengagehub/core/compression.hpp"
+#include "greengagehub/core/digest.hpp"
+#include "greengagehub/core/error.hpp"
+#include "greengagehub/core/outcome.hpp"
+#include "greengagehub/core/random.hpp"
+#include "greengagehub/core/store_message.hpp"
+#include "greengagehub/core/table.hpp"
+#include "greengagehub/core/version.hpp"
--- /dev/null
+++ b/include/greengagehub/core/store_message.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace greengagehub {
+
+/// \brief Revision of one key, from the store; 0 stands for "no such key".
+using Revision = std::uint64_t;
+
+/// \brief One call to the platform's key-value store, as a value that decision
+/// logic returns and an adapter carries out.
+struct StoreRequest
+{
+  enum class Kind : std::uint8_t
+  {
+    Get,
+    /// Compare-and-swap against m_expected; 0 creates.
+    Put,
+    /// Unconditional.
+    Delete,
+    /// Answers when the key's revision exceeds m_expected, or with NotModified
+    /// after m_wait.
+    Watch,
+    /// Values of all keys that begin with m_key.
+    List,
+    LeaseGrant,
+    LeaseKeep,
+  };
+
+  Kind m_kind{ Kind::Get };
+  std::string m_key{};
+  std::string m_value{};
+  Revision m_expected{ 0 };
+  /// Lease that the written key dies with; 0 for none. For LeaseKeep, the
+  /// lease itself.
+  std::uint64_t m_lease{ 0 };
+  /// Wait of a watch, or time to live of a new lease.
+  std::chrono::milliseconds m_wait{ 0 };
+};
+
+struct StoreItem
+{
+  std::string m_key;
+  std::string m_value;
+};
+
+/// \brief What is known about a call to the store.
+struct StoreReply
+{
+  enum class Status : std::uint8_t
+  {
+    Ok,
+    NotFound,
+    /// The key's revision was not the expected one; nothing was written.
+    Conflict,
+    /// A watch's time ran out with no change.
+    NotModified,
+    /// Certainly not carried out: not sent, or turned away.
+    Unavailable,
+    /// Sent, no answer: a write may have taken effect.
+    Unknown,
+  };
+
+  Status m_status{ Status::Unknown };
+  Revision m_revision{ 0 };
+  std::string m_value{};
+  std::uint64_t m_lease{ 0 };
+  std::vector<StoreItem> m_items{};
+};
+
+[[nodiscard]] StoreRequest
+MakeGet(std::string aKey);
+[[nodiscard]] StoreRequest
+MakePut(std::string aKey, std::string aValue, Revision aExpected);
+[[nodiscard]] StoreRequest
+MakeDelete(std::string aKey);
+[[nodiscard]] StoreRequest
+MakeWatch(std::string aKey, Revision aAfter, std::chrono::milliseconds aWait);
+[[nodiscard]] StoreRequest
+MakeList(std::string aPrefix);
+
+}
--- /dev/null
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "greengagehub/calls/dispatcher.hpp"
+#include "greengagehub/calls/route_table.hpp"
+#include "greengagehub/config/config_holder.hpp"
+#include "greengagehub/daemon/run_service.hpp"
+#include "greengagehub/http/http_server.hpp"
+#include "greengagehub/membership/membership.hpp"
+#include "greengagehub/transport/link_pool.hpp"
+#include "greengagehub/transport/link_server.hpp"
+
+#include <asio/steady_timer.hpp>
+#include <map>
+
+namespace greengagehub {
+
+/// \brief The caller's side of calls, wired to sockets: takes requests over
+/// HTTP, has the dispatcher decide, and carries attempts over links, or
+/// straight to the own worker.
+class CallGateway
+{
+public:
+  struct Parts
+  {
+    asio::io_context& m_loop;
+    const Settings& m_settings;
+    const ConfigHolder& m_holder;
+    Metrics& m_metrics;
+    std::uint64_t m_process;
+    std::function<void(Span)> m_trace;
+    std::function<bool()> m_isReady;
+  };
+
+  CallGateway(Parts aParts, std::uint64_t aSeed);
+
+  [[nodiscard]] std::uint16_t LinkPort() const { return m_server.Port(); }
+  [[nodiscard]] std::uint16_t CallsPort() const noexcept
+  {
+    return m_http.Port();
+  }
+  [[nodiscard]] std::size_t InFlight() const noexcept
+  {
+    return m_dispatcher.InFlight();
+  }
+  [[nodiscard]] const RunTable& Runs() const noexcept
+  {
+    return m_service.Runs();
+  }
+  [[nodiscard]] const Dispatcher& GetDispatcher() const noexcept
+  {
+    return m_dispatcher;
+  }
+  [[nodiscard]] std::size_t Links() const noexcept { return m_pool.Size(); }
+
+  [[nodiscard]] Outcome<std::uint16_t> Open();
+  void OnMember(const MemberEvent& aEvent);
+  void OnVersion();
+  /// \brief The process was paused: what is unread on its connections is as
+  /// old as the pause, and must not be taken for fresh.
+  void OnWokeUp();
+  void OnTick(TimePoint aNow);
+  void StartLeaving();
+  void StopAccepting();
+
+private:
+  /// A call whose caller waits.
+  struct Waiting
+  {
+    HttpResponder m_responder;
+    CallRequest m_request;
+    std::uint64_t m_connection{ 0 };
+    TimePoint m_since;
+    std::chrono::sys_time<std::chrono::nanoseconds> m_start;
+    std::optional<TraceContext> m_parent;
+    TraceContext m_span;
+    /// The version it started with, held until it ends.
+    ActiveConfigPtr m_config;
+  };
+
+  void OnHttp(HttpRequest aRequest, HttpResponder aResponder);
+  void Begin(const Route& aRoute, HttpRequest aRequest, HttpResponder aDone);
+  void Carry(const DispatchActions& aActions);
+  void Carry(const SendAttempt& aAttempt);
+  void Carry(const SendCancel& aCancel);
+  void Carry(const FinishCall& aFinish);
+  void OnServerFrame(LinkConnection& aConnection, LinkFrame aFrame);
+  void OnPoolFrame(LinkFrame aFrame);
+  void Deliver(CallKey aKey, CallAnswer aAnswer);
+  void OnHungUp(std::uint64_t aConnection);
+  void TraceEnd(const Waiting& aCall, const CallAnswer& aAnswer);
+  void Arm();
+  [[nodiscard]] LinkPool::Handlers PoolHandlers();
+  [[nodiscard]] LinkServer::Handlers ServerHandlers();
+
+  Parts m_parts;
+  Random m_random;
+  Dispatcher m_dispatcher;
+  RunService m_service;
+  LinkServer m_server;
+  LinkPool m_pool;
+  HttpServer m_http;
+  RouteTable m_routes;
+  std::map<std::string, MemberAddress, std::less<>> m_addresses;
+  std::map<std::uint64_t, Waiting> m_waiting;
+  /// Calls by the caller's connection, to notice that it hung up.
+  std::map<std::uint64_t, std::uint64_t> m_byConnection;
+  std::uint64_t m_lastCall{ 0 };
+  asio::steady_timer m_timer;
+  std::optional<TimePoint> m_armed;
+  bool m_leaving{ false };
+};
+
+}
--- /dev/null
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "greengagehub/config/config_holder.hpp"
+#include "greengagehub/daemon/decision_service.hpp"
+#include "greengagehub/daemon/store_sync.hpp"
+#include "greengagehub/dissemination/disseminator.hpp"
+#include "greengagehub/membership/membership.hpp"
+#include "greengagehub/membership/watch_role.hpp"
+#include "greengagehub/observe/log.hpp"
+#include "greengagehub/platform/http_store.hpp"
+#include "greengagehub/settings/settings.hpp"
+#include "greengagehub/transport/bulk_channel.hpp"
+#include "greengagehub/transport/gossip_socket.hpp"
+
+#include <asio/steady_timer.hpp>
+#include <functional>
+
+namespace greengagehub {
+
+/// \brief Membership, configuration and the store, wired to sockets.
+///
+/// Runs the pure libraries: feeds them time and messages and carries out what
+/// they return.
+class ControlPlane
+{
+public:
+  struct Handlers
+  {
+    std::function<void(const MemberEvent&)> m_onMember;
+    /// A newer version is in force.
+    std::function<void()> m_onVersion;
+  };
+
+  ControlPlane(asio::io_context& aLoop,
+               const Settings& aSettings,
+               const Log& aLog,
+               std::uint64_t aProcess,
+               std::uint64_t aSeed,
+               Handlers aHandlers);
+
+  [[nodiscard]] const ConfigHolder& Holder() const noexcept { return m_holder; }
+  [[nodiscard]] const Membership& Members() const noexcept
+  {
+    return m_membership;
+  }
+  [[nodiscard]] DecisionService<HttpStore>& Decisions() noexcept
+  {
+    return m_decisions;
+  }
+  [[nodiscard]] const HttpStore& GetStore() const noexcept { return m_store; }
+  [[nodiscard]] const GossipSocket& Gossip() const noexcept { return m_gossip; }
+  [[nodiscard]] const BulkChannel& Bulk() const noexcept { return m_bulk; }
+  [[nodiscard]] bool IsWatching() const;
+  [[nodiscard]] bool IsStoreBehind() const noexcept
+  {
+    return m_sync.IsBehind();
+  }
+  /// \brief Holds an accepted version, and none below what its slot ran.
+  [[nodiscard]] bool IsReady() const noexcept;
+  /// \returns The lowest version that a present member was last seen to run.
+  [[nodiscard]] Version LowestInForce() const;
+  /// \brief Asks members that are not known to run `aVersion` what they run.
+  void RefreshBelow(Version aVersion);
+
+  /// \brief Sets the port of call links and begins to join.
+  void Start(std::uint16_t aLinkPort);
+  void Announce(MemberState aState);
+
+private:
+  void Tick();
+  void Join();
+  void OnSeeds(const StoreReply& aReply);
+  void Contact(const MemberAddress& aAddress);
+  void OnGossip(const MemberAddress& aFrom, const GossipMessage& aMessage);
+  void Carry(MembershipActions aActions);
+  void SendGossip(GossipSend aSend);
+  void StageAll(const std::vector<VersionEntry>& aEntries);
+  void OnAdvanced(Version aBefore);
+  void Push(Version aBefore);
+  void PullWhenDue(TimePoint aNow);
+  void PullFrom(const MemberAddress& aPeer, bool aMembers);
+  void OnPulled(std::optional<PullAnswer> aAnswer);
+  [[nodiscard]] PullAnswer Serve(const PullRequest& aRequest);
+  void RunWatchRole(TimePoint aNow);
+  void CarryWatch(StoreRequest aRequest);
+  void RaiseFloor(Version aFloor);
+
+  const Settings& m_settings;
+  const Log& m_log;
+  Handlers m_handlers;
+  Random m_random;
+  ConfigHolder m_holder;
+  HttpStore m_store;
+  GossipSocket m_gossip;
+  BulkChannel m_bulk;
+  Membership m_membership;
+  Disseminator m_disseminator;
+  WatchRole m_watchRole;
+  StoreSync<HttpStore> m_sync;
+  DecisionService<HttpStore> m_decisions;
+  asio::steady_timer m_tick;
+  TimePoint m_nextJoin{};
+  std::chrono::milliseconds m_joinBackoff{ 250 };
+  TimePoint m_started{};
+  /// Snapshot made for peers, kept for as long as the version is in force.
+  std::string m_packedSnapshot;
+  Version m_packedVersion;
+  Version m_floor;
+  bool m_haveMembers{ false };
+  bool m_fallbackRead{ false };
+};
+
+}
--- /dev/null
+++ b/include/greengagehub/daemon/daemon.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "greengagehub/daemon/call_gateway.hpp"
+#include "greengagehub/daemon/control_plane.hpp"
+#include "greengagehub/daemon/operators_api.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+
+namespace greengagehub {
+
+/// \brief One daemon: everything wired to one event loop.
+class Daemon
+{
+public:
+  explicit Daemon(Settings aSettings);
+
+  /// \brief Serves until drained.
+  /// \returns The process's exit code: 0 after a clean drain.
+  [[nodiscard]] int Run();
+
+private:
+  void Tick();
+  void StartDrain();
+  void ContinueDrain(TimePoint aNow);
+  void LogListening();
+
+  Settings m_settings;
+  Log m_log;
+  Metrics m_metrics;
+  asio::io_context m_loop{ 1 };
+  std::uint64_t m_process;
+  Random m_random;
+  ControlPlane m_control;
+  CallGateway m_calls;
+  OperatorsApi m_operators;
+  asio::signal_set m_signals;
+  asio::steady_timer m_tick;
+  TimePoint m_lastTick{};
+  bool m_draining{ false };
+  bool m_wasReady{ false };
+  TimePoint m_drainUntil{};
+  TimePoint m_idleSince{};
+  int m_exitCode{ 0 };
+};
+
+}
--- /dev/null
+++ b/include/greengagehub/daemon/operators_api.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "greengagehub/daemon/call_gateway.hpp"
+#include "greengagehub/daemon/control_plane.hpp"
+#include "greengagehub/http/http_server.hpp"
+
+#include <functional>
+
+namespace greengagehub {
+
+/// \brief The operators' endpoint: patches, decisions, versions, status,
+/// health and metrics, over HTTP and JSON.
+///
+/// | request                    | answer                                     |
+/// |----------------------------|--------------------------------------------|
+/// | POST /v1/patches?id&base&author | the decision: 200 accepted, 409 refused
+/// | | GET /v1/patches/ID         | the recorded decision, 404 if none | | GET
+/// /v1/version            | version here and lowest in force anywhere  | | GET
+/// /v1/config             | the content in force here                  | | GET
+/// /v1/status             | members, calls, store                      | | POST
+/// /v1/drain             | starts to leave                            | | GET
+/// /healthz, /readyz, /metrics |                                       |
+class OperatorsApi
+{
+public:
+  struct Parts
+  {
+    asio::io_context& m_loop;
+    const Settings& m_settings;
+    ControlPlane& m_control;
+    CallGateway& m_calls;
+    Metrics& m_metrics;
+    std::function<void()> m_drain;
+  };
+
+  explicit OperatorsApi(Parts aParts);
+
+  [[nodiscard]] std::uint16_t Port() const noexcept { return m_http.Port(); }
+  [[nodiscard]] Outcome<std::uint16_t> Open() { return m_http.Open(); }
+
+private:
+  void OnHttp(const HttpRequest& aRequest, HttpResponder aResponder);
+  void OnRead(const HttpRequest& aRequest, HttpResponder aResponder);
+  void OnChange(const HttpRequest& aRequest, HttpResponder aResponder);
+  void Submit(const HttpRequest& aRequest, HttpResponder aResponder);
+  void Explain(std::string aId, HttpResponder aResponder);
+  [[nodiscard]] bool IsAuthorised(const HttpRequest& aRequest) const;
+  [[nodiscard]] HttpResponse VersionNow(const HttpRequest& aRequest);
+  [[nodiscard]] HttpResponse Status() const;
+  [[nodiscard]] HttpResponse MetricsText();
+
+  Parts m_parts;
+  HttpServer m_http;
+};
+
+}
--- /dev/null
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "greengagehub/calls/run_table.hpp"
+#include "greengagehub/http/http_client.hpp"
+#include "greengagehub/observe/metrics.hpp"
+#include "greengagehub/observe/span.hpp"
+#include "greengagehub/settings/settings.hpp"
+
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+
+namespace greengagehub {
+
+/// \brief The worker's side of calls: runs attempts at the own worker as the
+/// run table allows, and answers them.
+class RunService
+{
+public:
+  using Answer = std::function<void(CallKey, CallAnswer)>;
+  using Trace = std::function<void(Span)>;
+
+  /// \param aAnswer delivers to the caller's daemon by whatever connection it
+  /// has now.
+  RunService(asio::io_context& aLoop,
+             const Settings& aSettings,
+             Metrics& aMetrics,
+             std::uint64_t aSeed,
+             Answer aAnswer,
+             Trace aTrace);
+
+  [[nodiscard]] const RunTable& Runs() const noexcept { return m_runs; }
+
+  void OnRequest(CallKey aKey, std::uint64_t aEpoch, CallRequest aRequest);
+  /// \param aAbandon the answer is not wanted even if it started.
+  /// \returns What the caller may conclude; Finished means that the answer is
+  /// lost, unless it is still kept, when it is delivered again.
+  [[nodiscard]] CancelResult OnCancel(CallKey aKey, bool aAbandon);
+  void OnEpoch(std::uint64_t aProcess, std::uint64_t aEpoch);
+  void StartLeaving();
+
+private:
+  /// A request that waits or runs.
+  struct Held
+  {
+    CallRequest m_request;
+    TimePoint m_deadline;
+    HttpClient::Ticket m_ticket{ 0 };
+    std::chrono::sys_time<std::chrono::nanoseconds> m_start;
+    std::optional<TraceContext> m_parent;
+    TraceContext m_span;
+  };
+  /// An answer kept for a caller whose connection may have been lost.
+  struct Kept
+  {
+    CallKey m_key;
+    CallAnswer m_answer;
+    TimePoint m_since;
+  };
+
+  void Run(CallKey aKey);
+  void Ended(CallKey aKey, HttpClientResult aResult);
+  void Carry(const RunActions& aActions);
+  void Deliver(CallKey aKey, CallAnswer aAnswer);
+  void Keep(CallKey aKey, const CallAnswer& aAnswer);
+  void TraceEnd(const Held& aHeld, const CallAnswer& aAnswer);
+  void Arm();
+
+  const Settings& m_settings;
+  Metrics& m_metrics;
+  Random m_random;
+  Answer m_answer;
+  Trace m_trace;
+  RunTable m_runs;
+  HttpClient m_client;
+  std::map<CallKey, Held> m_held;
+  std::vector<Kept> m_kept;
+  std::size_t m_keptBytes{ 0 };
+  asio::steady_timer m_timer;
+  std::optional<TimePoint> m_armed;
+};
+
+}
--- /dev/null
+++ b/include/greengagehub/daemon/store_sync.hpp
@@ -0,0 +1,247 @@
+#pragma once
+
+#include "greengagehub/config/config.hpp"
+#include "greengagehub/core/random.hpp"
+#include "greengagehub/observe/log.hpp"
+#include "greengagehub/platform/store.hpp"
+
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <optional>
+
+namespace greengagehub {
+
+/// \brief Reads the decision log, and the snapshot it builds on when needed,
+/// and stages what is new. While Watch is on it waits for the next change.
+///
+/// A store that is behind what runs here, or on another history, is reported
+/// and never followed.
+template<Store StoreType>
+class StoreSync
+{
+public:
+  using Advanced = std::function<void(Version aBefore)>;
+
+  struct Times
+  {
+    std::chrono::milliseconds m_watch;
+    std::chrono::milliseconds m_firstBackoff{ 200 };
+    std::chrono::milliseconds m_maxBackoff;
+  };
+
+  StoreSync(asio::io_context& aLoop,
+            StoreType& aStore,
+            ConfigHolder& aHolder,
+            const Log& aLog,
+            Times aTimes,
+            std::uint64_t aSeed,
+            Advanced aAdvanced)
+    : m_store(aStore)
+    , m_holder(aHolder)
+    , m_log(aLog)
+    , m_times(aTimes)
+    , m_random(aSeed)
+    , m_advanced(std::move(aAdvanced))
+    , m_timer(aLoop)
+    , m_backoff(aTimes.m_firstBackoff)
+  {
+  }
+
+  [[nodiscard]] bool IsBehind() const noexcept { return m_behind; }
+  [[nodiscard]] bool IsReachable() const noexcept { return m_reachable; }
+
+  /// \brief Starts or stops waiting for changes.
+  void SetWatching(bool aWatching)
+  {
+    const bool starts = aWatching && !m_watching;
+    m_watching = aWatching;
+    if (starts && !m_busy) {
+      Read();
+    }
+  }
+
+  /// \brief Reads once, unless a read is under way.
+  void ReadOnce()
+  {
+    if (!m_busy) {
+      Read();
+    }
+  }
+
+private:
+  void Read()
+  {
+    m_busy = true;
+    Carry(MakeGet(std::string{ kLogKey }),
+          [this](StoreReply aReply) { OnLog(std::move(aReply)); });
+  }
+
+  void Wait()
+  {
+    if (!m_watching) {
+      m_busy = false;
+      return;
+    }
+    Carry(MakeWatch(std::string{ kLogKey }, m_revision, m_times.m_watch),
+          [this](StoreReply aReply) {
+            if (aReply.m_status == StoreReply::Status::NotModified) {
+              Wait();
+              return;
+            }
+            OnLog(std::move(aReply));
+          });
+  }
+
+  void Carry(StoreRequest aRequest, StoreDone aDone)
+  {
+    m_store.Carry(std::move(aRequest), std::move(aDone));
+  }
+
+  void Later()
+  {
+    m_timer.expires_after(Jittered(m_random, m_backoff));
+    m_backoff = std::min(2 * m_backoff, m_times.m_maxBackoff);
+    m_timer.async_wait([this](const asio::error_code& aError) {
+      if (aError) {
+        return;
+      }
+      if (m_watching) {
+        Read();
+      } else {
+        m_busy = false;
+      }
+    });
+  }
+
+  void OnLog(StoreReply aReply)
+  {
+    using Status = StoreReply::Status;
+    const bool known =
+      aReply.m_status == Status::Ok || aReply.m_status == Status::NotFound;
+    if (known != m_reachable) {
+      m_reachable = known;
+      m_log.Warning("store", known ? "store_reachable" : "store_away");
+    }
+    if (!known) {
+      Later();
+      return;
+    }
+    m_backoff = m_times.m_firstBackoff;
+    DecisionLog log;
+    if (aReply.m_status == Status::Ok) {
+      auto parsed = ParseLog(aReply.m_value);
+      if (!parsed) {
+        m_log.Error("store",
+                    "log_unreadable",
+                    { { "detail", parsed.error().m_message } });
+        Later();
+        return;
+      }
+      log = std::move(parsed.value());
+    }
+    m_revision = aReply.m_revision;
+    Take(std::move(log));
+  }
+
+  void Take(DecisionLog aLog)
+  {
+    CheckHistory(aLog);
+    const Version before = m_holder.GetVersion();
+    if (m_behind || aLog.m_head <= before) {
+      Wait();
+      return;
+    }
+    const auto entries = aLog.EntriesAfter(before);
+    if (!entries) {
+      ReadSnapshot(std::move(aLog));
+      return;
+    }
+    Stage(*entries, before);
+  }
+
+  void Stage(const std::vector<VersionEntry>& aEntries, Version aBefore)
+  {
+    for (const VersionEntry& each : aEntries) {
+      const StageResult result = m_holder.Stage(each);
+      const bool bad =
+        result == StageResult::Forked || result == StageResult::Corrupt;
+      if (bad) {
+        m_log.Error("store",
+                    "version_not_usable",
+                    { { "version", each.m_version.m_number },
+                      { "forked", result == StageResult::Forked } });
+        break;
+      }
+    }
+    if (m_holder.GetVersion() > aBefore) {
+      m_advanced(aBefore);
+    }
+    Wait();
+  }
+
+  void CheckHistory(const DecisionLog& aLog)
+  {
+    const Version held = m_holder.GetVersion();
+    const VersionEntry* own = m_holder.Entry(aLog.m_head);
+    const bool older = aLog.m_head < held;
+    const bool other = own != nullptr && own->m_chain != aLog.m_chain;
+    const bool behind = older || other;
+    if (behind != m_behind) {
+      m_behind = behind;
+      m_log.Error("store",
+                  behind ? "store_behind" : "store_caught_up",
+                  { { "store_head", aLog.m_head.m_number },
+                    { "in_force", held.m_number } });
+    }
+  }
+
+  void ReadSnapshot(DecisionLog aLog)
+  {
+    m_snapshot = SnapshotReader{ aLog.m_snapshot };
+    m_snapshotLog = std::move(aLog);
+    OnSnapshotStep(m_snapshot.Start());
+  }
+
+  void OnSnapshotStep(SnapshotReader::Step aStep)
+  {
+    if (auto* request = std::get_if<StoreRequest>(&aStep)) {
+      Carry(std::move(*request), [this](StoreReply aReply) {
+        OnSnapshotStep(m_snapshot.On(aReply));
+      });
+      return;
+    }
+    const auto& read = std::get<SnapshotRead>(aStep);
+    if (read.m_status != SnapshotRead::Status::Ok) {
+      m_log.Warning("store", "snapshot_not_read");
+      Later();
+      return;
+    }
+    const Version before = m_holder.GetVersion();
+    if (m_holder.StageSnapshot(read.m_head, read.m_text) ==
+        StageResult::Corrupt) {
+      m_log.Error("store", "snapshot_damaged");
+      Later();
+      return;
+    }
+    const auto entries = m_snapshotLog.EntriesAfter(m_holder.GetVersion());
+    Stage(entries.value_or(std::vector<VersionEntry>{}), before);
+  }
+
+  StoreType& m_store;
+  ConfigHolder& m_holder;
+  const Log& m_log;
+  Times m_times;
+  Random m_random;
+  Advanced m_advanced;
+  asio::steady_timer m_timer;
+  std::chrono::milliseconds m_backoff;
+  Revision m_revision{ 0 };
+  SnapshotReader m_snapshot{ Version{} };
+  DecisionLog m_snapshotLog;
+  bool m_watching{ false };
+  bool m_busy{ false };
+  bool m_behind{ false };
+  bool m_reachable{ true };
+};
+
+}
--- /dev/null
+++ b/include/greengagehub/membership/gossip_message.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "greengagehub/config/decision.hpp"
+#include "greengagehub/membership/member.hpp"
+
+#include <string>
+#include <vector>
+
+namespace greengagehub {
+
+/// \brief The version a daemon runs, as told on every probe.
+struct VersionDigest
+{
+  Version m_version;
+  Digest m_chain;
+};
+
+/// \brief One datagram between daemons.
+struct GossipMessage
+{
+  enum class Kind : std::uint8_t
+  {
+    Ping,
+    Ack,
+    /// Asks the receiver to probe m_target for the sender.
+    PingRequest,
+    /// Carries entries only.
+    Push,
+  };
+
+  Kind m_kind{ Kind::Ping };
+  MemberRecord m_sender{};
+  std::uint64_t m_sequence{ 0 };
+  std::string m_target{};
+  VersionDigest m_head{};
+  std::vector<MemberRecord> m_updates{};
+  std::vector<VersionEntry> m_entries{};
+  /// Highest version that the receiver's slot was ever seen to run.
+  Version m_floor{};
+  bool m_watching{ false };
+};
+
+/// \brief A message and where it goes.
+struct GossipSend
+{
+  MemberAddress m_to;
+  GossipMessage m_message;
+};
+
+}
--- /dev/null
+++ b/include/greengagehub/membership/membership.hpp
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "greengagehub/core/random.hpp"
+#include "greengagehub/membership/gossip_message.hpp"
+#include "greengagehub/membership/member_table.hpp"
+
+#include <chrono>
+#include <vector>
+
+namespace greengagehub {
+
+/// \brief Times and sizes of failure detection.
+struct MembershipSettings
+{
+  /// One member is probed each period.
+  std::chrono::milliseconds m_period{ 1000 };
+  /// How long a direct probe may take before others are asked to probe.
+  std::chrono::milliseconds m_ackTimeout{ 300 };
+  /// Members asked to probe for us.
+  std::uint32_t m_indirect{ 3 };
+  /// A suspicion lasts this many periods times log10 of the fleet's size.
+  std::uint32_t m_suspicionFactor{ 4 };
+  /// A change is passed on this many times log2 of the fleet's size.
+  std::uint32_t m_transmitFactor{ 3 };
+  /// Records passed on in one datagram.
+  std::uint32_t m_maxUpdates{ 6 };
+  /// Lost members are tried again once in this many periods.
+  std::uint32_t m_lostEvery{ 5 };
+  /// How long a lost member is remembered and tried.
+  std::chrono::milliseconds m_forgetAfter{ std::chrono::hours{ 24 } };
+};
+
+/// \brief What a step asks the daemon to do.
+struct MembershipActions
+{
+  std::vector<GossipSend> m_sends;
+  std::vector<MemberEvent> m_events;
+};
+
+/// \brief Who is there: probes, suspicion, refutation, leaving, rejoining.
+///
+/// Each period one member is probed (in a shuffled round, so that each is
+/// probed once a round); no answer, then through others; no answer, then it
+/// is suspected, and dead after a time that grows with the log of the fleet,
+/// unless it refutes with a higher incarnation. Cost for each daemon does not
+/// grow with the fleet. After Das, Gupta and Motivala, "SWIM" (DSN 2002),
+/// with a local health score after Dadgar et al., "Lifeguard" (DSN 2018).
+class Membership
+{
+public:
+  Membership(MemberRecord aSelf,
+             MembershipSettings aSettings,
+             std::uint64_t aSeed);
+
+  [[nodiscard]] const MemberRecord& Self() const noexcept { return m_self; }
+  [[nodiscard]] const MemberTable& Members() const noexcept
+  {
+    return m_members;
+  }
+  /// \returns Up to `aCount` different present members, chosen at random.
+  [[nodiscard]] std::vector<MemberAddress> Sample(std::size_t aCount);
+  /// \returns Place of this daemon among the present ones of its failure
+  /// domain, by a hash of the slot; who watches the store follows from it.
+  [[nodiscard]] std::size_t RankInDomain() const;
+  [[nodiscard]] Version FloorOf(std::string_view aSlot) const;
+  [[nodiscard]] std::vector<MemberRecord> Records() const;
+
+  /// \brief Probes an address of which only that is known, to join.
+  [[nodiscard]] MembershipActions Contact(const MemberAddress& aAddress);
+  [[nodiscard]] MembershipActions OnTick(TimePoint aNow);
+  [[nodiscard]] MembershipActions OnMessage(TimePoint aNow,
+                                            const MemberAddress& aFrom,
+                                            const GossipMessage& aMessage);
+  /// \brief Takes in records from a peer's whole table.
+  [[nodiscard]] MembershipActions OnRecords(
+    TimePoint aNow,
+    const std::vector<MemberRecord>& aRecords);
+  /// \brief Announces Leaving or Left to many at once.
+  [[nodiscard]] MembershipActions Announce(MemberState aState);
+  /// \brief Highest version seen in force at a slot.
+  void NoteVersion(std::string_view aSlot, Version aVersion);
+
+private:
+  /// A probe under way.
+  struct Probe
+  {
+    MemberTable::Index m_target{ 0 };
+    std::string m_slot;
+    std::uint64_t m_sequence{ 0 };
+    TimePoint m_sent;
+    TimePoint m_ends;
+    bool m_active{ false };
+    bool m_indirect{ false };
+  };
+  /// A probe made on behalf of another member.
+  struct Relay
+  {
+    std::uint64_t m_sequence{ 0 };
+    std::uint64_t m_theirs{ 0 };
+    MemberAddress m_origin;
+    std::string m_target;
+    TimePoint m_expires;
+  };
+
+  [[nodiscard]] GossipMessage Make(GossipMessage::Kind aKind);
+  [[nodiscard]] std::vector<MemberRecord> TakeUpdates();
+  [[nodiscard]] std::uint32_t TransmitLimit() const;
+  [[nodiscard]] Duration SuspicionTime() const;
+  void SendTo(MembershipActions& aOut,
+              const MemberAddress& aTo,
+              GossipMessage aMessage);
+  void Adopt(TimePoint aNow,
+             MembershipActions& aOut,
+             const MemberRecord& aRecord);
+  void AdoptSelf(const MemberRecord& aRecord);
+  void MarkPending(MemberTable::Index aIndex);
+  void Suspect(TimePoint aNow,
+               MembershipActions& aOut,
+               MemberTable::Index aIndex);
+  void ExpireSuspects(TimePoint aNow, MembershipActions& aOut);
+  void ForgetLost(TimePoint aNow);
+  void ContinueProbe(TimePoint aNow, MembershipActions& aOut);
+  void StartProbe(TimePoint aNow, MembershipActions& aOut);
+  void ProbeLost(MembershipActions& aOut);
+  void OnPing(MembershipActions& aOut,
+              const MemberAddress& aFrom,
+              const GossipMessage& aMessage);
+  void OnAck(MembershipActions& aOut, const GossipMessage& aMessage);
+  void OnPingRequest(TimePoint aNow,
+                     MembershipActions& aOut,
+                     const GossipMessage& aMessage);
+  void WokeUp(TimePoint aNow);
+  [[nodiscard]] std::optional<MemberTable::Index> NextTarget();
+
+  MemberRecord m_self;
+  MembershipSettings m_settings;
+  Random m_random;
+  MemberTable m_members;
+  std::vector<MemberTable::Index> m_round;
+  std::vector<MemberTable::Index> m_pending;
+  std::vector<MemberTable::Index> m_suspects;
+  std::vector<MemberTable::Index> m_lost;
+  std::vector<Relay> m_relays;
+  Probe m_probe;
+  TimePoint m_nextProbe{};
+  TimePoint m_lastTick{};
+  std::uint64_t m_sequence{ 0 };
+  std::uint32_t m_periods{ 0 };
+  /// Own probes that failed lately: a slow process suspects later.
+  std::uint32_t m_slowness{ 0 };
+};
+
+}
--- /dev/null
+++ b/include/greengagehub/membership/membership_all.hpp
@@ -0,0 +1,10 @@
+#pragma once
+
+/// \file
+/// \brief Everything of the membership library.
+
+#include "greengagehub/membership/gossip_message.hpp"
+#include "greengagehub/membership/member.hpp"
+#include "greengagehub/membership/member_table.hpp"
+#include "greengagehub/membership/membership.hpp"
+#include "greengagehub/membership/watch_role.hpp"
--- /dev/null
+++ b/include/greengagehub/observe/log.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "greengagehub/core/clock.hpp"
+
+#include <cstdint>
+#include <initializer_list>
+#include <map>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace greengagehub {
+
+enum class LogLevel : std::uint8_t
+{
+  Debug,
+  Info,
+  Warning,
+  Error,
+};
+
+[[nodiscard]] std::string_view
+NameOf(LogLevel aLevel) noexcept;
+
+/// \brief One named value of a log line.
+struct LogField
+{
+  using Value =
+    std::variant<std::string_view, std::int64_t, std::uint64_t, double, bool>;
+
+  std::string_view m_name;
+  Value m_value;
+};
+
+/// \brief JSON lines on standard error: level, component, event, fields.
+///
+/// \code
+/// log.Info("config", "version_in_force", { { "version", version } });
+/// \endcode
+class Log
+{
+public:
+  Log(LogLevel aLevel,
+      std::map<std::string, LogLevel, std::less<>> aComponents,
+      std::string aSlot);
+
+  [[nodiscard]] bool Enabled(LogLevel aLevel,
+                             std::string_view aComponent) const;
+
+  void Write(LogLevel aLevel,
+             std::string_view aComponent,
+             std::string_view aEvent,
+             std::initializer_list<LogField> aFields = {}) const;
+  void Debug(std::string_view aComponent,
+             std::string_view aEvent,
+             std::initializer_list<LogField> aFields = {}) const
+  {
+    Write(LogLevel::Debug, aComponent, aEvent, aFields);
+  }
+  void Info(std::string_view aComponent,
+            std::string_view aEvent,
+            std::initializer_list<LogField> aFields = {}) const
+  {
+    Write(LogLevel::Info, aComponent, aEvent, aFields);
+  }
+  void Warning(std::string_view aComponent,
+               std::string_view aEvent,
+               std::initializer_list<LogField> aFields = {}) const
+  {
+    Write(LogLevel::Warning, aComponent, aEvent, aFields);
+  }
+  void Error(std::string_view aComponent,
+             std::string_view aEvent,
+             std::initializer_list<LogField> aFields = {}) const
+  {
+    Write(LogLevel::Error, aComponent, aEvent, aFields);
+  }
+
+private:
+  LogLevel m_level;
+  std::map<std::string, LogLevel, std::less<>> m_components;
+  std::string m_slot;
+};
+
+/// \returns One line as it would be written, without its end.
+[[nodiscard]] std::string
+FormatLogLine(WallTime aAt,
+              LogLevel aLevel,
+              std::string_view aSlot,
+              std::string_view aComponent,
+              std::string_view aEvent,
+              std::initializer_list<LogField> aFields);
+
+}
--- /dev/null
+++ b/include/greengagehub/transport/link_connection.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "greengagehub/core/clock.hpp"
+#include "greengagehub/transport/link_frame.hpp"
+
+#include <asio/ip/tcp.hpp>
+#include <boost/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <functional>
+#include <string>
+
+namespace greengagehub {
+
+/// \brief One TCP connection that carries frames both ways.
+///
+/// Kept alive by its own pending reads; Close() ends it, and `m_onClosed` is
+/// called once, later, on the loop.
+class LinkConnection
+  : public boost::intrusive_ref_counter<LinkConnection,
+                                        boost::thread_unsafe_counter>
+{
+public:
+  using Pointer = boost::intrusive_ptr<LinkConnection>;
+  using OnFrame = std::function<void(LinkConnection&, LinkFrame)>;
+  using OnClosed = std::function<void(LinkConnection&)>;
+
+  explicit LinkConnection(asio::ip::tcp::socket aSocket);
+
+  [[nodiscard]] bool IsOpen() const noexcept { return m_open; }
+  /// \brief When bytes last came in.
+  [[nodiscard]] TimePoint LastReceived() const noexcept
+  {
+    return m_lastReceived;
+  }
+  [[nodiscard]] std::uint64_t BytesSent() const noexcept { return m_bytesSent; }
+
+  /// \brief Who is at the other end, once its hello has come.
+  LinkHello m_peer{};
+  bool m_greeted{ false };
+  TimePoint m_opened{};
+
+  void Start(OnFrame aOnFrame, OnClosed aOnClosed);
+  void Send(const LinkFrame& aFrame);
+  void Close();
+
+private:
+  static constexpr std::size_t kReadBytes = 64UL * 1024;
+
+  void Read();
+  void OnRead(std::size_t aSize);
+  void Write();
+  void Closed();
+
+  asio::ip::tcp::socket m_socket;
+  OnFrame m_onFrame;
+  OnClosed m_onClosed;
+  std::string m_in;
+  std::string m_out;
+  std::string m_writing;
+  TimePoint m_lastReceived{};
+  std::uint64_t m_bytesSent{ 0 };
+  bool m_open{ true };
+  bool m_told{ false };
+};
+
+}
--- /dev/null
+++ b/src/calls/worker_table.cpp
@@ -0,0 +1,196 @@
+#include "greengagehub/calls/worker_table.hpp"
+
+#include <algorithm>
+
+namespace greengagehub {
+
+namespace {
+
+/// A report counts in full when fresh and nothing after this time.
+constexpr auto kReportLife = std::chrono::milliseconds{ 500 };
+constexpr double kFailureWeight = 0.125;
+/// Failures push a worker back by up to this many full loads.
+constexpr double kFailurePenalty = 4.0;
+constexpr double kEjectAbove = 0.55;
+constexpr auto kFirstEjection = std::chrono::milliseconds{ 1000 };
+constexpr std::uint32_t kMaxDoublings = 5;
+
+}
+
+double
+LoadScore(const WorkerRow& aRow, TimePoint aNow) noexcept
+{
+  const double age =
+    std::chrono::duration<double>(aNow - aRow.m_reportedAt) / kReportLife;
+  const double trust = std::clamp(1.0 - age, 0.0, 1.0);
+  const double reported = trust * aRow.m_reported;
+  const double own = aRow.m_inFlight;
+  const double slots = std::max(1U, aRow.m_slots);
+  return std::max(own, reported) / slots + aRow.m_failures * kFailurePenalty;
+}
+
+std::size_t
+RandomChoice::Choose(const std::vector<const WorkerRow*>& aRows,
+                     TimePoint /*aNow*/,
+                     Random& aRandom) const
+{
+  return Below(aRandom, aRows.size());
+}
+
+std::size_t
+TwoChoices::Choose(const std::vector<const WorkerRow*>& aRows,
+                   TimePoint aNow,
+                   Random& aRandom) const
+{
+  const std::size_t first = Below(aRandom, aRows.size());
+  if (aRows.size() == 1) {
+    return first;
+  }
+  std::size_t second = Below(aRandom, aRows.size() - 1);
+  second += second >= first ? 1 : 0;
+  const bool firstBetter =
+    LoadScore(*aRows[first], aNow) <= LoadScore(*aRows[second], aNow);
+  return firstBetter ? first : second;
+}
+
+std::size_t
+ShortestQueue::Choose(const std::vector<const WorkerRow*>& aRows,
+                      TimePoint aNow,
+                      Random& aRandom) const
+{
+  std::size_t best = Below(aRandom, aRows.size());
+  for (std::size_t i = 0; i < aRows.size(); ++i) {
+    if (LoadScore(*aRows[i], aNow) < LoadScore(*aRows[best], aNow)) {
+      best = i;
+    }
+  }
+  return best;
+}
+
+std::optional<WorkerTable::Index>
+WorkerTable::Find(const std::string& aSlot) const
+{
+  const auto found = m_bySlot.find(aSlot);
+  if (found == m_bySlot.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+std::size_t
+WorkerTable::CountOf(const std::string& aService) const
+{
+  const auto found = m_byService.find(aService);
+  return found == m_byService.end() ? 0 : found->second.size();
+}
+
+void
+WorkerTable::Put(WorkerRow aRow)
+{
+  if (const auto known = Find(aRow.m_slot)) {
+    WorkerRow& row = m_rows.At(*known);
+    if (row.m_service == aRow.m_service) {
+      row.m_domain = std::move(aRow.m_domain);
+      row.m_slots = aRow.m_slots;
+      row.m_leaving = aRow.m_leaving;
+      return;
+    }
+    Remove(aRow.m_slot);
+  }
+  const std::string slot = aRow.m_slot;
+  const std::string service = aRow.m_service;
+  const Index index = m_rows.Insert(std::move(aRow));
+  m_bySlot.emplace(slot, index);
+  m_byService[service].push_back(index);
+}
+
+void
+WorkerTable::Remove(const std::string& aSlot)
+{
+  const auto known = Find(aSlot);
+  if (!known) {
+    return;
+  }
+  const auto group = m_byService.find(m_rows.At(*known).m_service);
+  std::erase(group->second, *known);
+  if (group->second.empty()) {
+    m_byService.erase(group);
+  }
+  m_bySlot.erase(aSlot);
+  m_rows.Erase(*known);
+}
+
+void
+WorkerTable::SetLeaving(const std::string& aSlot)
+{
+  if (const auto known = Find(aSlot)) {
+    m_rows.At(*known).m_leaving = true;
+  }
+}
+
+std::vector<WorkerTable::Index>
+WorkerTable::Usable(const std::string& aService,
+                    const std::vector<std::string>& aExclude,
+                    TimePoint aNow) const
+{
+  std::vector<Index> usable;
+  std::vector<Index> ejected;
+  const auto group = m_byService.find(aService);
+  if (group == m_byService.end()) {
+    return usable;
+  }
+  for (const Index index : group->second) {
+    const WorkerRow& row = m_rows.At(index);
+    const bool tried =
+      std::find(aExclude.begin(), aExclude.end(), row.m_slot) != aExclude.end();
+    if (row.m_leaving || tried) {
+      continue;
+    }
+    (row.m_ejectedUntil > aNow ? ejected : usable).push_back(index);
+  }
+  // Never eject more than half: when most fail, the cause is elsewhere, and
+  // the few left would be crushed.
+  if (usable.size() < ejected.size()) {
+    usable.insert(usable.end(), ejected.begin(), ejected.end());
+  }
+  return usable;
+}
+
+void
+WorkerTable::Sent(Index aIndex)
+{
+  ++m_rows.At(aIndex).m_inFlight;
+}
+
+void
+WorkerTable::Ended(const std::string& aSlot,
+                   TimePoint aNow,
+                   bool aFailed,
+                   std::optional<std::uint32_t> aLoad,
+                   Random& aRandom)
+{
+  const auto known = Find(aSlot);
+  if (!known) {
+    return;
+  }
+  WorkerRow& row = m_rows.At(*known);
+  row.m_inFlight -= row.m_inFlight > 0 ? 1 : 0;
+  if (aLoad) {
+    row.m_reported = *aLoad;
+    row.m_reportedAt = aNow;
+  }
+  row.m_failures += kFailureWeight * ((aFailed ? 1.0 : 0.0) - row.m_failures);
+  if (!aFailed) {
+    row.m_ejections = row.m_failures < kFailureWeight ? 0 : row.m_ejections;
+    return;
+  }
+  if (row.m_failures > kEjectAbove && row.m_ejectedUntil <= aNow) {
+    const auto span = kFirstEjection * (1U << row.m_ejections);
+    row.m_ejectedUntil = aNow + Jittered(aRandom, span);
+    row.m_ejections = std::min(row.m_ejections + 1, kMaxDoublings);
+    // It gets a fresh chance afterwards.
+    row.m_failures = kEjectAbove / 2;
+  }
+}
+
+}
--- /dev/null
+++ b/src/config/config_holder.cpp
@@ -0,0 +1,126 @@
+#include "greengagehub/config/config_holder.hpp"
+
+namespace greengagehub {
+
+namespace {
+
+constexpr std::size_t kMaxWaiting = 256;
+constexpr std::size_t kMaxRecent = 512;
+
+}
+
+ConfigHolder::ConfigHolder()
+  : m_active(new ActiveConfig)
+{
+}
+
+const VersionEntry*
+ConfigHolder::Entry(Version aVersion) const
+{
+  const auto found = m_recent.find(aVersion);
+  return found == m_recent.end() ? nullptr : &found->second;
+}
+
+std::vector<VersionEntry>
+ConfigHolder::EntriesAfter(Version aVersion, bool& aComplete) const
+{
+  std::vector<VersionEntry> entries;
+  aComplete = aVersion >= GetVersion() || m_recent.contains(aVersion.Next());
+  if (!aComplete) {
+    return entries;
+  }
+  for (auto it = m_recent.upper_bound(aVersion); it != m_recent.end(); ++it) {
+    entries.push_back(it->second);
+  }
+  return entries;
+}
+
+StageResult
+ConfigHolder::Stage(const VersionEntry& aEntry)
+{
+  const Version current = GetVersion();
+  if (aEntry.m_version <= current) {
+    const VersionEntry* held = Entry(aEntry.m_version);
+    const bool forked = held != nullptr && held->m_chain != aEntry.m_chain;
+    return forked ? StageResult::Forked : StageResult::AlreadyHeld;
+  }
+  if (aEntry.m_version != current.Next()) {
+    if (m_waiting.size() < kMaxWaiting) {
+      m_waiting.emplace(aEntry.m_version, aEntry);
+    }
+    return StageResult::Gap;
+  }
+  const StageResult result = Apply(aEntry);
+  if (result == StageResult::Applied) {
+    ApplyWaiting();
+  }
+  return result;
+}
+
+StageResult
+ConfigHolder::Apply(const VersionEntry& aEntry)
+{
+  const Digest chain =
+    NextChain(m_active->m_chain, aEntry.m_version, aEntry.m_patch);
+  if (chain != aEntry.m_chain) {
+    return StageResult::Forked;
+  }
+  boost::intrusive_ptr<ActiveConfig> next{ new ActiveConfig };
+  next->m_version = aEntry.m_version;
+  next->m_chain = aEntry.m_chain;
+  next->m_content = m_active->m_content;
+  const bool broken = !next->m_content.Apply(aEntry.m_patch).empty();
+  if (broken || next->m_content.GetDigest() != aEntry.m_content) {
+    return StageResult::Corrupt;
+  }
+  m_active = std::move(next);
+  Keep(aEntry);
+  return StageResult::Applied;
+}
+
+void
+ConfigHolder::ApplyWaiting()
+{
+  while (!m_waiting.empty()) {
+    const auto first = m_waiting.begin();
+    if (first->first > GetVersion().Next()) {
+      return;
+    }
+    const VersionEntry entry = first->second;
+    m_waiting.erase(first);
+    if (entry.m_version == GetVersion().Next()) {
+      Apply(entry);
+    }
+  }
+}
+
+StageResult
+ConfigHolder::StageSnapshot(const VersionEntry& aHead,
+                            std::string_view aSnapshot)
+{
+  if (aHead.m_version <= GetVersion()) {
+    return StageResult::AlreadyHeld;
+  }
+  boost::intrusive_ptr<ActiveConfig> next{ new ActiveConfig };
+  next->m_version = aHead.m_version;
+  next->m_chain = aHead.m_chain;
+  const bool broken = !next->m_content.Apply(aSnapshot).empty();
+  if (broken || next->m_content.GetDigest() != aHead.m_content) {
+    return StageResult::Corrupt;
+  }
+  m_active = std::move(next);
+  m_recent.clear();
+  ApplyWaiting();
+  return StageResult::Applied;
+}
+
+void
+ConfigHolder::Keep(const VersionEntry& aEntry)
+{
+  m_recent.emplace(aEntry.m_version, aEntry);
+  if (m_recent.size() > kMaxRecent) {
+    m_recent.erase(m_recent.begin());
+  }
+}
+
+}
--- /dev/null
+++ b/src/config/content_patcher.cpp
@@ -0,0 +1,244 @@
+#include "content_patcher.hpp"
+
+#include "entity_parser.hpp"
+
+#include <fmt/format.h>
+
+namespace greengagehub {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr const char* kServices = "services";
+constexpr const char* kRoutes = "routes";
+constexpr const char* kLimits = "limits";
+
+Service
+ParseEntity(const Json& aObject,
+            const std::string& aPlace,
+            std::vector<Reason>& aReasons,
+            const Service* /*aTag*/)
+{
+  return ParseService(aObject, aPlace, aReasons);
+}
+
+Route
+ParseEntity(const Json& aObject,
+            const std::string& aPlace,
+            std::vector<Reason>& aReasons,
+            const Route* /*aTag*/)
+{
+  return ParseRoute(aObject, aPlace, aReasons);
+}
+
+Digest
+EntityDigest(const char* aKind, std::string_view aName, std::string_view aText)
+{
+  return HashOf(fmt::format("{}/{}={}", aKind, aName, aText));
+}
+
+template<class T>
+boost::intrusive_ptr<const Entity<T>>
+MakeEntity(const char* aKind,
+           const std::string& aName,
+           const Json& aObject,
+           T aValue)
+{
+  auto* entity = new Entity<T>;
+  entity->m_value = std::move(aValue);
+  entity->m_text = aObject.dump(-1, ' ', false, Json::error_handler_t::replace);
+  entity->m_digest = EntityDigest(aKind, aName, entity->m_text);
+  return boost::intrusive_ptr<const Entity<T>>{ entity };
+}
+
+}
+
+void
+ContentPatcher::Refuse(ReasonCode aCode,
+                       std::string aPlace,
+                       std::string aDetail)
+{
+  m_reasons.push_back(Reason{ aCode, std::move(aPlace), std::move(aDetail) });
+}
+
+std::vector<Reason>
+ContentPatcher::Run(const Json& aPatch)
+{
+  if (!aPatch.is_object()) {
+    Refuse(ReasonCode::NotAnObject, "", "a patch is a JSON object");
+    return m_reasons;
+  }
+  for (const auto& item : aPatch.items()) {
+    if (item.key() == kServices) {
+      PatchAll(kServices, m_content.m_services, item.value());
+    } else if (item.key() == kRoutes) {
+      PatchAll(kRoutes, m_content.m_routes, item.value());
+    } else if (item.key() == kLimits) {
+      PatchLimits(item.value());
+    } else {
+      Refuse(ReasonCode::UnknownField,
+             "/" + PointerToken(item.key()),
+             "allowed: limits, routes, services");
+    }
+  }
+  CheckReferences();
+  CheckMatches();
+  return m_reasons;
+}
+
+template<class T>
+void
+ContentPatcher::PatchAll(const char* aKind,
+                         EntityMap<T>& aEntities,
+                         const Json& aPatch)
+{
+  if (aPatch.is_null()) {
+    while (!aEntities.empty()) {
+      Remove(aKind, std::string{ aEntities.begin()->first }, aEntities);
+    }
+    return;
+  }
+  if (!aPatch.is_object()) {
+    Refuse(ReasonCode::WrongType,
+           fmt::format("/{}", aKind),
+           "an object, or null to remove all, is needed");
+    return;
+  }
+  for (const auto& item : aPatch.items()) {
+    const std::string place =
+      fmt::format("/{}/{}", aKind, PointerToken(item.key()));
+    if (!IsValidName(item.key())) {
+      Refuse(ReasonCode::BadName,
+             place,
+             "a name has 1 to 100 of a-z, 0-9, \"-\", \".\"");
+      continue;
+    }
+    PatchOne(place, aKind, item.key(), aEntities, item.value());
+  }
+}
+
+template<class T>
+void
+ContentPatcher::PatchOne(const std::string& aPlace,
+                         const char* aKind,
+                         const std::string& aName,
+                         EntityMap<T>& aEntities,
+                         const Json& aPatch)
+{
+  if (aPatch.is_null()) {
+    Remove(aKind, aName, aEntities);
+    return;
+  }
+  if (!aPatch.is_object()) {
+    Refuse(ReasonCode::WrongType,
+           aPlace,
+           "an object, or null to remove it, is needed");
+    return;
+  }
+  Json object = Json::object();
+  const auto found = aEntities.find(aName);
+  if (found != aEntities.end()) {
+    object = Json::parse(found->second->m_text);
+  }
+  object.merge_patch(aPatch);
+  T value =
+    ParseEntity(object, aPlace, m_reasons, static_cast<const T*>(nullptr));
+  Remove(aKind, aName, aEntities);
+  auto entity = MakeEntity(aKind, aName, object, std::move(value));
+  AddTo(m_content.m_digest, entity->m_digest);
+  aEntities.emplace(aName, std::move(entity));
+  if (aKind == kRoutes) {
+    m_touchedRoutes.insert(aName);
+  } else {
+    m_removedServices.erase(aName);
+  }
+}
+
+template<class T>
+void
+ContentPatcher::Remove(const char* aKind,
+                       const std::string& aName,
+                       EntityMap<T>& aEntities)
+{
+  const auto found = aEntities.find(aName);
+  if (found == aEntities.end()) {
+    return;
+  }
+  RemoveFrom(m_content.m_digest, found->second->m_digest);
+  aEntities.erase(found);
+  if (aKind == kServices) {
+    m_removedServices.insert(aName);
+  }
+}
+
+void
+ContentPatcher::PatchLimits(const Json& aPatch)
+{
+  Json object = Json::parse(m_content.m_limitsText);
+  if (!aPatch.is_object() && !aPatch.is_null()) {
+    Refuse(ReasonCode::WrongType, "/limits", "an object or null is needed");
+    return;
+  }
+  if (aPatch.is_null()) {
+    object = Json::object();
+  } else {
+    object.merge_patch(aPatch);
+  }
+  m_content.m_limits = ParseLimits(object, "/limits", m_reasons);
+  // The default "{}" counts as absent, so that a content that never had
+  // limits and one whose limits were removed have the same digest.
+  const auto digestOf = [](const std::string& aText) {
+    return aText == "{}" ? Digest{} : EntityDigest(kLimits, "", aText);
+  };
+  RemoveFrom(m_content.m_digest, digestOf(m_content.m_limitsText));
+  m_content.m_limitsText =
+    object.dump(-1, ' ', false, Json::error_handler_t::replace);
+  AddTo(m_content.m_digest, digestOf(m_content.m_limitsText));
+}
+
+void
+ContentPatcher::CheckReferences()
+{
+  if (m_touchedRoutes.empty() && m_removedServices.empty()) {
+    return;
+  }
+  for (const auto& [name, route] : m_content.m_routes) {
+    const std::string& service = route->m_value.m_service;
+    if (service.empty() || m_content.m_services.contains(service)) {
+      continue;
+    }
+    if (m_touchedRoutes.contains(name)) {
+      Refuse(ReasonCode::UnknownService,
+             fmt::format("/routes/{}/service", name),
+             fmt::format("there is no service \"{}\"", service));
+    } else {
+      Refuse(ReasonCode::ServiceInUse,
+             fmt::format("/services/{}", service),
+             fmt::format("route \"{}\" still names it", name));
+    }
+  }
+}
+
+void
+ContentPatcher::CheckMatches()
+{
+  if (m_touchedRoutes.empty()) {
+    return;
+  }
+  std::map<std::string, std::string> seen;
+  for (const auto& [name, route] : m_content.m_routes) {
+    const std::string match =
+      route->m_value.m_host + "\n" + route->m_value.m_path;
+    const auto [other, isNew] = seen.emplace(match, name);
+    if (!isNew) {
+      const bool touched = m_touchedRoutes.contains(name);
+      Refuse(ReasonCode::DuplicateMatch,
+             fmt::format("/routes/{}", touched ? name : other->second),
+             fmt::format("route \"{}\" has the same host and path",
+                         touched ? other->second : name));
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/src/config/content_patcher.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "greengagehub/config/content.hpp"
+
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace greengagehub {
+
+/// \brief Applies one merge patch to a content and collects every broken rule
+/// with its place, so that an operator mends all of them in one go.
+class ContentPatcher
+{
+public:
+  explicit ContentPatcher(Content& aContent)
+    : m_content(aContent)
+  {
+  }
+
+  [[nodiscard]] std::vector<Reason> Run(const nlohmann::json& aPatch);
+
+private:
+  template<class T>
+  void PatchAll(const char* aKind,
+                EntityMap<T>& aEntities,
+                const nlohmann::json& aPatch);
+  template<class T>
+  void PatchOne(const std::string& aPlace,
+                const char* aKind,
+                const std::string& aName,
+                EntityMap<T>& aEntities,
+                const nlohmann::json& aPatch);
+  template<class T>
+  void Remove(const char* aKind,
+              const std::string& aName,
+              EntityMap<T>& aEntities);
+  void PatchLimits(const nlohmann::json& aPatch);
+  void CheckReferences();
+  void CheckMatches();
+  void Refuse(ReasonCode aCode, std::string aPlace, std::string aDetail);
+
+  Content& m_content;
+  std::vector<Reason> m_reasons;
+  std::set<std::string> m_touchedRoutes;
+  std::set<std::string> m_removedServices;
+};
+
+}
--- /dev/null
+++ b/src/config/entity_parser.cpp
@@ -0,0 +1,232 @@
+#include "entity_parser.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace greengagehub {
+
+namespace {
+
+constexpr std::size_t kMaxName = 100;
+constexpr std::size_t kMaxPath = 500;
+constexpr std::uint32_t kMaxSlots = 100'000;
+constexpr std::uint32_t kMaxDeadlineMs = 600'000;
+constexpr std::uint32_t kMaxHops = 100;
+
+bool
+IsNameChar(char aChar) noexcept
+{
+  return (aChar >= 'a' && aChar <= 'z') || (aChar >= '0' && aChar <= '9') ||
+         aChar == '-' || aChar == '.';
+}
+
+void
+ParseClass(FieldReader& aReader, Route& aRoute)
+{
+  std::string name{ NameOf(aRoute.m_class) };
+  aReader.Text("class", name, kMaxName);
+  for (const CallClass each :
+       { CallClass::Critical, CallClass::Lookup, CallClass::Export }) {
+    if (name == NameOf(each)) {
+      aRoute.m_class = each;
+      return;
+    }
+  }
+  aReader.Refuse(ReasonCode::OutOfRange,
+                 "class",
+                 "allowed: \"critical\", \"lookup\", \"export\"");
+}
+
+}
+
+FieldReader::FieldReader(const nlohmann::json& aObject,
+                         std::string aPlace,
+                         std::vector<Reason>& aReasons)
+  : m_object(aObject)
+  , m_place(std::move(aPlace))
+  , m_reasons(aReasons)
+{
+}
+
+const nlohmann::json*
+FieldReader::Find(const char* aName)
+{
+  m_known.emplace_back(aName);
+  const auto found = m_object.find(aName);
+  return found == m_object.end() ? nullptr : &*found;
+}
+
+void
+FieldReader::Refuse(ReasonCode aCode, const char* aName, std::string aDetail)
+{
+  m_reasons.push_back(
+    Reason{ aCode, fmt::format("{}/{}", m_place, aName), std::move(aDetail) });
+}
+
+void
+FieldReader::Number(const char* aName,
+                    std::uint32_t& aTarget,
+                    std::uint32_t aLow,
+                    std::uint32_t aHigh)
+{
+  const nlohmann::json* value = Find(aName);
+  if (value == nullptr) {
+    return;
+  }
+  if (!value->is_number_integer()) {
+    Refuse(ReasonCode::WrongType, aName, "a whole number is needed");
+    return;
+  }
+  const bool tooLarge =
+    value->is_number_unsigned() && value->get<std::uint64_t>() > aHigh;
+  if (tooLarge || value->get<std::int64_t>() < aLow) {
+    Refuse(ReasonCode::OutOfRange,
+           aName,
+           fmt::format("allowed: {} to {}", aLow, aHigh));
+    return;
+  }
+  aTarget = value->get<std::uint32_t>();
+}
+
+void
+FieldReader::Text(const char* aName, std::string& aTarget, std::size_t aMax)
+{
+  const nlohmann::json* value = Find(aName);
+  if (value == nullptr) {
+    return;
+  }
+  if (!value->is_string()) {
+    Refuse(ReasonCode::WrongType, aName, "a string is needed");
+    return;
+  }
+  aTarget = value->get<std::string>();
+  if (aTarget.size() > aMax) {
+    Refuse(
+      ReasonCode::OutOfRange, aName, fmt::format("allowed: {} bytes", aMax));
+  }
+}
+
+void
+FieldReader::Flag(const char* aName, bool& aTarget, bool& aPresent)
+{
+  const nlohmann::json* value = Find(aName);
+  aPresent = value != nullptr;
+  if (value == nullptr) {
+    return;
+  }
+  if (!value->is_boolean()) {
+    Refuse(ReasonCode::WrongType, aName, "true or false is needed");
+    return;
+  }
+  aTarget = value->get<bool>();
+}
+
+void
+FieldReader::Finish()
+{
+  for (const auto& item : m_object.items()) {
+    if (std::find(m_known.begin(), m_known.end(), item.key()) ==
+        m_known.end()) {
+      m_reasons.push_back(
+        Reason{ ReasonCode::UnknownField,
+                fmt::format("{}/{}", m_place, PointerToken(item.key())),
+                fmt::format("allowed: {}", fmt::join(m_known, ", ")) });
+    }
+  }
+}
+
+Service
+ParseService(const nlohmann::json& aObject,
+             const std::string& aPlace,
+             std::vector<Reason>& aReasons)
+{
+  Service service;
+  FieldReader reader{ aObject, aPlace, aReasons };
+  reader.Number("slots", service.m_slots, 1, kMaxSlots);
+  reader.Number("queue", service.m_queue, 0, kMaxSlots);
+  reader.Number("connections", service.m_connections, 1, kMaxSlots);
+  reader.Finish();
+  return service;
+}
+
+Route
+ParseRoute(const nlohmann::json& aObject,
+           const std::string& aPlace,
+           std::vector<Reason>& aReasons)
+{
+  Route route;
+  FieldReader reader{ aObject, aPlace, aReasons };
+  reader.Text("host", route.m_host, kMaxName);
+  reader.Text("path", route.m_path, kMaxPath);
+  reader.Text("service", route.m_service, kMaxName);
+  ParseClass(reader, route);
+  bool idempotent = false;
+  bool present = false;
+  reader.Flag("idempotent", idempotent, present);
+  if (present) {
+    route.m_idempotency =
+      idempotent ? Route::Idempotency::Yes : Route::Idempotency::No;
+  }
+  auto deadline = static_cast<std::uint32_t>(route.m_deadline.count());
+  reader.Number("deadline_ms", deadline, 1, kMaxDeadlineMs);
+  route.m_deadline = std::chrono::milliseconds{ deadline };
+  if (route.m_service.empty()) {
+    reader.Refuse(
+      ReasonCode::MissingField, "service", "a route names its service");
+  }
+  if (route.m_path.empty() || route.m_path.front() != '/') {
+    reader.Refuse(ReasonCode::OutOfRange, "path", "a path starts with \"/\"");
+  }
+  const bool anyUpper =
+    std::any_of(route.m_host.begin(), route.m_host.end(), [](char aChar) {
+      return aChar >= 'A' && aChar <= 'Z';
+    });
+  if (anyUpper) {
+    reader.Refuse(ReasonCode::OutOfRange, "host", "a host is lower case");
+  }
+  reader.Finish();
+  return route;
+}
+
+Limits
+ParseLimits(const nlohmann::json& aObject,
+            const std::string& aPlace,
+            std::vector<Reason>& aReasons)
+{
+  Limits limits;
+  FieldReader reader{ aObject, aPlace, aReasons };
+  reader.Number("retry_percent", limits.m_retryPercent, 0, 100);
+  reader.Number("max_depth", limits.m_maxDepth, 1, kMaxHops);
+  reader.Finish();
+  return limits;
+}
+
+bool
+IsValidName(std::string_view aName) noexcept
+{
+  if (aName.empty() || aName.size() > kMaxName) {
+    return false;
+  }
+  if (aName.front() == '-' || aName.front() == '.') {
+    return false;
+  }
+  return std::all_of(aName.begin(), aName.end(), IsNameChar);
+}
+
+std::string
+PointerToken(std::string_view aName)
+{
+  std::string token;
+  for (const char each : aName) {
+    if (each == '~') {
+      token += "~0";
+    } else if (each == '/') {
+      token += "~1";
+    } else {
+      token += each;
+    }
+  }
+  return token;
+}
+
+}
--- /dev/null
+++ b/src/daemon/call_gateway.cpp
@@ -0,0 +1,464 @@
+#include "greengagehub/daemon/call_gateway.hpp"
+
+#include "greengagehub/daemon/call_headers.hpp"
+
+#include <algorithm>
+#include <asio/post.hpp>
+
+namespace greengagehub {
+
+namespace {
+
+HttpServerSettings
+CallsEndpoint(const Settings& aSettings)
+{
+  return { .m_address = aSettings.m_listen.m_host,
+           .m_port = aSettings.m_listen.m_callsPort,
+           .m_maxBodyBytes = aSettings.m_calls.m_maxBodyBytes };
+}
+
+/// \returns The host without its port, in lower case.
+std::string
+HostOf(const std::vector<HttpHeader>& aHeaders)
+{
+  const std::string_view value = HeaderValue(aHeaders, "host");
+  std::string host{ value.substr(0, value.rfind(':')) };
+  std::transform(host.begin(), host.end(), host.begin(), [](char aChar) {
+    const bool upper = aChar >= 'A' && aChar <= 'Z';
+    return upper ? static_cast<char>(aChar - 'A' + 'a') : aChar;
+  });
+  return host;
+}
+
+bool
+MayRepeat(const Route& aRoute, std::string_view aMethod)
+{
+  switch (aRoute.m_idempotency) {
+    case Route::Idempotency::Yes:
+      return true;
+    case Route::Idempotency::No:
+      return false;
+    case Route::Idempotency::ByMethod:
+      break;
+  }
+  return IsIdempotentMethod(aMethod);
+}
+
+AttemptState
+StateOf(const LinkCancelResult& aResult)
+{
+  if (!aResult.m_started) {
+    return AttemptState::NotStarted;
+  }
+  return aResult.m_lost ? AttemptState::Lost : AttemptState::Started;
+}
+
+LinkCancelResult
+ResultOf(std::uint64_t aCall, CancelResult aResult)
+{
+  return { aCall,
+           aResult != CancelResult::NotStarted,
+           aResult == CancelResult::Finished };
+}
+
+}
+
+CallGateway::CallGateway(Parts aParts, std::uint64_t aSeed)
+  : m_parts(std::move(aParts))
+  , m_random(aSeed)
+  , m_dispatcher(m_random())
+  , m_service(
+      m_parts.m_loop,
+      m_parts.m_settings,
+      m_parts.m_metrics,
+      m_random(),
+      [this](CallKey aKey, CallAnswer aAnswer) {
+        Deliver(aKey, std::move(aAnswer));
+      },
+      m_parts.m_trace)
+  , m_server(m_parts.m_loop,
+             m_parts.m_settings.m_listen.m_host,
+             m_parts.m_settings.m_listen.m_linkPort,
+             LinkHello{ m_parts.m_settings.m_slot, m_parts.m_process, 0 },
+             ServerHandlers())
+  , m_pool(m_parts.m_loop,
+           LinkHello{ m_parts.m_settings.m_slot, m_parts.m_process, 0 },
+           LinkPoolSettings{},
+           PoolHandlers())
+  , m_http(
+      m_parts.m_loop,
+      CallsEndpoint(m_parts.m_settings),
+      [this](HttpRequest aRequest, HttpResponder aResponder) {
+        OnHttp(std::move(aRequest), std::move(aResponder));
+      },
+      [this](std::uint64_t aConnection) { OnHungUp(aConnection); })
+  , m_routes(Content{})
+  , m_timer(m_parts.m_loop)
+{
+}
+
+LinkServer::Handlers
+CallGateway::ServerHandlers()
+{
+  return { .m_onEpoch =
+             [this](std::uint64_t aProcess, std::uint64_t aEpoch) {
+               m_service.OnEpoch(aProcess, aEpoch);
+             },
+           .m_onFrame =
+             [this](LinkConnection& aConnection, LinkFrame aFrame) {
+               OnServerFrame(aConnection, std::move(aFrame));
+             } };
+}
+
+LinkPool::Handlers
+CallGateway::PoolHandlers()
+{
+  LinkPool::Handlers handlers;
+  handlers.m_onFrame = [this](const std::string& aSlot, LinkFrame aFrame) {
+    if (std::holds_alternative<LinkLeaving>(aFrame)) {
+      m_dispatcher.Workers().SetLeaving(aSlot);
+      return;
+    }
+    OnPoolFrame(std::move(aFrame));
+  };
+  handlers.m_onUp = [this](const std::string& aSlot, std::uint64_t aProcess) {
+    Carry(m_dispatcher.OnLinkUp(Clock::now(), aSlot, aProcess));
+  };
+  handlers.m_onLost = [this](const std::string& aSlot) {
+    Carry(m_dispatcher.OnLinkLost(Clock::now(), aSlot));
+  };
+  handlers.m_onRefused = [this](const std::string& aSlot) {
+    // Nobody listens any more, so the process that knew is gone: no process
+    // has the number 0.
+    Carry(m_dispatcher.OnLinkUp(Clock::now(), aSlot, 0));
+  };
+  handlers.m_onSent = [this](std::uint64_t aAttempt, std::uint64_t aProcess) {
+    m_dispatcher.SentTo(aAttempt, aProcess);
+  };
+  handlers.m_onNotSent = [this](std::uint64_t aAttempt) {
+    Carry(m_dispatcher.OnNotSent(Clock::now(), aAttempt));
+  };
+  return handlers;
+}
+
+Outcome<std::uint16_t>
+CallGateway::Open()
+{
+  WorkerRow own;
+  own.m_slot = m_parts.m_settings.m_slot;
+  own.m_service = m_parts.m_settings.m_service;
+  own.m_domain = m_parts.m_settings.m_domain;
+  own.m_slots = m_parts.m_settings.m_runs.m_slots;
+  m_dispatcher.Workers().Put(std::move(own));
+  return m_http.Open();
+}
+
+// ---------------------------------------------------------------------------
+// Callers
+
+void
+CallGateway::OnHttp(HttpRequest aRequest, HttpResponder aResponder)
+{
+  const auto refuse = [&](RefusalReason aReason) {
+    m_parts.m_metrics.CountCall(NameOf(CallOutcome::NotRun), NameOf(aReason));
+    aResponder.Answer(ResponseFor(
+      Refuse(0, CallOutcome::NotRun, aReason, std::chrono::seconds{ 1 })));
+  };
+  if (!m_parts.m_isReady()) {
+    refuse(RefusalReason::NotReady);
+    return;
+  }
+  const Route* route =
+    m_routes.Find(HostOf(aRequest.m_headers), PathOf(aRequest.m_target));
+  if (route == nullptr) {
+    refuse(RefusalReason::NoRoute);
+    return;
+  }
+  const Limits& limits = m_parts.m_holder.Active()->m_content.GetLimits();
+  if (NumberHeader(aRequest.m_headers, kDepthHeader, 0) >= limits.m_maxDepth) {
+    refuse(RefusalReason::TooDeep);
+    return;
+  }
+  Begin(*route, std::move(aRequest), std::move(aResponder));
+}
+
+void
+CallGateway::Begin(const Route& aRoute,
+                   HttpRequest aRequest,
+                   HttpResponder aDone)
+{
+  const TimePoint now = Clock::now();
+  const auto& headers = aRequest.m_headers;
+  const auto asked = std::chrono::milliseconds{ NumberHeader(
+    headers,
+    kDeadlineHeader,
+    static_cast<std::uint64_t>(aRoute.m_deadline.count())) };
+  const std::uint32_t tries = m_parts.m_settings.m_calls.m_tries;
+  CallPlan plan;
+  plan.m_service = aRoute.m_service;
+  plan.m_class = aRoute.m_class;
+  plan.m_idempotent = MayRepeat(aRoute, aRequest.m_method);
+  plan.m_deadline = now + std::min(asked, aRoute.m_deadline);
+  plan.m_triesLeft = static_cast<std::uint32_t>(
+    std::min<std::uint64_t>(tries, NumberHeader(headers, kTriesHeader, tries)));
+
+  Waiting call{
+    std::move(aDone),         {}, aRequest.m_connection, now, {}, {}, {},
+    m_parts.m_holder.Active()
+  };
+  call.m_parent = ParseTraceparent(HeaderValue(headers, kTraceparentHeader));
+  const bool sample =
+    Below(m_random, 100) < m_parts.m_settings.m_log.m_tracePercent;
+  call.m_span = NewSpan(call.m_parent, sample, m_random);
+  call.m_start = std::chrono::time_point_cast<std::chrono::nanoseconds>(
+    std::chrono::system_clock::now());
+  CallRequest& request = call.m_request;
+  request.m_service = aRoute.m_service;
+  request.m_method = std::move(aRequest.m_method);
+  request.m_target = std::move(aRequest.m_target);
+  request.m_depth =
+    static_cast<std::uint32_t>(NumberHeader(headers, kDepthHeader, 0));
+  request.m_headers = HeadersFromCaller(std::move(aRequest.m_headers));
+  request.m_headers.push_back(HttpHeader{ std::string{ kTraceparentHeader },
+                                          FormatTraceparent(call.m_span) });
+  request.m_body = std::move(aRequest.m_body);
+  request.m_class = plan.m_class;
+  request.m_idempotent = plan.m_idempotent;
+
+  const std::uint64_t id = ++m_lastCall;
+  m_byConnection[call.m_connection] = id;
+  m_waiting.emplace(id, std::move(call));
+  Carry(m_dispatcher.Begin(now, id, std::move(plan)));
+}
+
+void
+CallGateway::OnHungUp(std::uint64_t aConnection)
+{
+  const auto found = m_byConnection.find(aConnection);
+  if (found == m_byConnection.end()) {
+    return;
+  }
+  const std::uint64_t call = found->second;
+  m_byConnection.erase(found);
+  Carry(m_dispatcher.OnCallerGone(Clock::now(), call));
+}
+
+// ---------------------------------------------------------------------------
+// Actions of the dispatcher
+
+void
+CallGateway::Carry(const DispatchActions& aActions)
+{
+  for (const DispatchAction& each : aActions) {
+    std::visit([this](const auto& aAction) { Carry(aAction); }, each);
+  }
+  Arm();
+}
+
+void
+CallGateway::Carry(const SendAttempt& aAttempt)
+{
+  const auto call = m_waiting.find(aAttempt.m_call);
+  if (call == m_waiting.end()) {
+    return;
+  }
+  CallRequest request = call->second.m_request;
+  request.m_call = aAttempt.m_attempt;
+  request.m_timeLeft = aAttempt.m_timeLeft;
+  request.m_triesLeft = aAttempt.m_triesLeft;
+  if (aAttempt.m_slot == m_parts.m_settings.m_slot) {
+    m_dispatcher.SentTo(aAttempt.m_attempt, m_parts.m_process);
+    m_service.OnRequest(
+      { m_parts.m_process, aAttempt.m_attempt }, 0, std::move(request));
+    return;
+  }
+  const auto address = m_addresses.find(aAttempt.m_slot);
+  if (address == m_addresses.end()) {
+    Carry(m_dispatcher.OnNotSent(Clock::now(), aAttempt.m_attempt));
+    return;
+  }
+  m_pool.Send(aAttempt.m_slot, address->second, std::move(request));
+}
+
+void
+CallGateway::Carry(const SendCancel& aCancel)
+{
+  if (aCancel.m_slot == m_parts.m_settings.m_slot) {
+    const CallKey key{ m_parts.m_process, aCancel.m_attempt };
+    static_cast<void>(m_service.OnCancel(key, aCancel.m_abandon));
+    return;
+  }
+  m_pool.SendIfOpen(aCancel.m_slot,
+                    LinkCancel{ aCancel.m_attempt, aCancel.m_abandon });
+}
+
+void
+CallGateway::Carry(const FinishCall& aFinish)
+{
+  const auto found = m_waiting.find(aFinish.m_call);
+  if (found == m_waiting.end()) {
+    return;
+  }
+  Waiting call = std::move(found->second);
+  m_waiting.erase(found);
+  const auto connection = m_byConnection.find(call.m_connection);
+  if (connection != m_byConnection.end() &&
+      connection->second == aFinish.m_call) {
+    m_byConnection.erase(connection);
+  }
+  const CallAnswer& answer = aFinish.m_answer;
+  m_parts.m_metrics.CountCall(NameOf(answer.m_outcome),
+                              NameOf(answer.m_reason));
+  m_parts.m_metrics.ObserveLatency(
+    std::chrono::duration<double>(Clock::now() - call.m_since).count());
+  TraceEnd(call, answer);
+  call.m_responder.Answer(ResponseFor(answer), m_leaving);
+}
+
+void
+CallGateway::TraceEnd(const Waiting& aCall, const CallAnswer& aAnswer)
+{
+  if (!aCall.m_span.m_sampled) {
+    return;
+  }
+  Span span;
+  span.m_context = aCall.m_span;
+  span.m_parent = aCall.m_parent ? aCall.m_parent->m_span : 0;
+  span.m_kind = Span::Kind::Server;
+  span.m_name = aCall.m_request.m_method;
+  span.m_service = m_parts.m_settings.m_service;
+  span.m_slot = m_parts.m_settings.m_slot;
+  span.m_start = aCall.m_start;
+  span.m_end = std::chrono::time_point_cast<std::chrono::nanoseconds>(
+    std::chrono::system_clock::now());
+  span.m_outcome = std::string{ NameOf(aAnswer.m_outcome) };
+  span.m_status = aAnswer.m_response.m_status;
+  m_parts.m_trace(std::move(span));
+}
+
+// ---------------------------------------------------------------------------
+// Links
+
+void
+CallGateway::OnServerFrame(LinkConnection& aConnection, LinkFrame aFrame)
+{
+  const std::uint64_t process = aConnection.m_peer.m_process;
+  if (auto* request = std::get_if<CallRequest>(&aFrame)) {
+    const CallKey key{ process, request->m_call };
+    m_service.OnRequest(key, aConnection.m_peer.m_epoch, std::move(*request));
+    return;
+  }
+  if (const auto* cancel = std::get_if<LinkCancel>(&aFrame)) {
+    const CancelResult result =
+      m_service.OnCancel({ process, cancel->m_call }, cancel->m_abandon);
+    if (!cancel->m_abandon) {
+      aConnection.Send(ResultOf(cancel->m_call, result));
+    }
+  }
+}
+
+void
+CallGateway::OnPoolFrame(LinkFrame aFrame)
+{
+  if (auto* answer = std::get_if<CallAnswer>(&aFrame)) {
+    Carry(m_dispatcher.OnAnswer(Clock::now(), std::move(*answer)));
+    return;
+  }
+  if (const auto* result = std::get_if<LinkCancelResult>(&aFrame)) {
+    Carry(m_dispatcher.OnCancelResult(
+      Clock::now(), result->m_call, StateOf(*result)));
+  }
+}
+
+void
+CallGateway::Deliver(CallKey aKey, CallAnswer aAnswer)
+{
+  if (aKey.m_process == m_parts.m_process) {
+    // Posted, as the dispatcher may be under way further up the stack.
+    asio::post(m_parts.m_loop, [this, answer = std::move(aAnswer)]() mutable {
+      Carry(m_dispatcher.OnAnswer(Clock::now(), std::move(answer)));
+    });
+    return;
+  }
+  if (LinkConnection* connection = m_server.Find(aKey.m_process)) {
+    connection->Send(std::move(aAnswer));
+  }
+}
+
+void
+CallGateway::OnMember(const MemberEvent& aEvent)
+{
+  const MemberRecord& record = aEvent.m_record;
+  WorkerTable& workers = m_dispatcher.Workers();
+  if (aEvent.m_kind == MemberEvent::Kind::Gone) {
+    workers.Remove(record.m_slot);
+    m_addresses.erase(record.m_slot);
+    return;
+  }
+  WorkerRow row;
+  row.m_slot = record.m_slot;
+  row.m_service = record.m_service;
+  row.m_domain = record.m_domain;
+  row.m_slots = std::max(1U, record.m_slots);
+  row.m_leaving = !TakesCalls(record.m_state);
+  workers.Put(std::move(row));
+  m_addresses[record.m_slot] = record.m_address;
+}
+
+void
+CallGateway::OnVersion()
+{
+  const Content& content = m_parts.m_holder.Active()->m_content;
+  m_routes = RouteTable{ content };
+  m_dispatcher.SetRetryPercent(content.GetLimits().m_retryPercent);
+}
+
+void
+CallGateway::OnWokeUp()
+{
+  m_server.CloseAll();
+}
+
+// ---------------------------------------------------------------------------
+// Time and leaving
+
+void
+CallGateway::OnTick(TimePoint aNow)
+{
+  m_pool.OnTick(aNow);
+}
+
+void
+CallGateway::Arm()
+{
+  const auto next = m_dispatcher.NextDeadline();
+  if (!next || (m_armed && *m_armed <= *next)) {
+    return;
+  }
+  m_armed = next;
+  m_timer.expires_at(*next);
+  m_timer.async_wait([this](const asio::error_code& aError) {
+    if (aError) {
+      return;
+    }
+    m_armed.reset();
+    Carry(m_dispatcher.OnTick(Clock::now()));
+  });
+}
+
+void
+CallGateway::StartLeaving()
+{
+  m_leaving = true;
+  m_dispatcher.Workers().SetLeaving(m_parts.m_settings.m_slot);
+  m_service.StartLeaving();
+  m_server.Broadcast(LinkLeaving{});
+}
+
+void
+CallGateway::StopAccepting()
+{
+  m_http.StopAccepting();
+}
+
+}
--- /dev/null
+++ b/src/daemon/control_plane.cpp
@@ -0,0 +1,425 @@
+#include "greengagehub/daemon/control_plane.hpp"
+
+#include <algorithm>
+
+namespace greengagehub {
+
+namespace {
+
+constexpr auto kTick = std::chrono::milliseconds{ 100 };
+constexpr auto kMaxJoinBackoff = std::chrono::seconds{ 15 };
+constexpr auto kPullTimeout = std::chrono::milliseconds{ 3000 };
+/// A daemon with no peer and no version reads the store itself after this.
+constexpr auto kAloneAfter = std::chrono::milliseconds{ 1500 };
+/// Members asked at once for the version they run, for one operator.
+constexpr std::size_t kRefreshAtOnce = 64;
+
+MemberRecord
+MakeSelf(const Settings& aSettings,
+         std::uint64_t aProcess,
+         std::uint16_t aGossipPort,
+         std::uint16_t aBulkPort)
+{
+  MemberRecord self;
+  self.m_slot = aSettings.m_slot;
+  self.m_incarnation = aProcess << 16U;
+  self.m_service = aSettings.m_service;
+  self.m_domain = aSettings.m_domain;
+  self.m_region = aSettings.m_region;
+  self.m_slots = aSettings.m_runs.m_slots;
+  self.m_address = { aSettings.m_listen.m_host, aGossipPort, aBulkPort, 0 };
+  return self;
+}
+
+}
+
+ControlPlane::ControlPlane(asio::io_context& aLoop,
+                           const Settings& aSettings,
+                           const Log& aLog,
+                           std::uint64_t aProcess,
+                           std::uint64_t aSeed,
+                           Handlers aHandlers)
+  : m_settings(aSettings)
+  , m_log(aLog)
+  , m_handlers(std::move(aHandlers))
+  , m_random(aSeed)
+  , m_store(aLoop, aSettings.m_store.m_url, aSettings.m_store.m_timeout)
+  , m_gossip(aLoop,
+             aSettings.m_listen.m_host,
+             aSettings.m_listen.m_gossipPort,
+             [this](const MemberAddress& aFrom, const GossipMessage& aMessage) {
+               OnGossip(aFrom, aMessage);
+             })
+  , m_bulk(aLoop,
+           aSettings.m_listen.m_host,
+           aSettings.m_listen.m_bulkPort,
+           [this](const PullRequest& aRequest) { return Serve(aRequest); })
+  , m_membership(MakeSelf(aSettings, aProcess, m_gossip.Port(), m_bulk.Port()),
+                 aSettings.m_membership,
+                 m_random())
+  , m_disseminator(aSettings.m_dissemination, m_random())
+  , m_watchRole(aSettings.m_watch, m_membership.Self(), m_random())
+  , m_sync(aLoop,
+           m_store,
+           m_holder,
+           aLog,
+           { .m_watch = aSettings.m_store.m_watch,
+             .m_maxBackoff = aSettings.m_store.m_maxBackoff },
+           m_random(),
+           [this](Version aBefore) { OnAdvanced(aBefore); })
+  , m_decisions(
+      m_store,
+      m_holder,
+      aLog,
+      PackLimits{},
+      [this](const std::vector<VersionEntry>& aEntries) { StageAll(aEntries); })
+  , m_tick(aLoop)
+{
+}
+
+// ---------------------------------------------------------------------------
+// Observers
+
+bool
+ControlPlane::IsWatching() const
+{
+  return m_watchRole.Holds(Clock::now());
+}
+
+bool
+ControlPlane::IsReady() const noexcept
+{
+  const Version version = m_holder.GetVersion();
+  return version > Version{} && version >= m_floor;
+}
+
+Version
+ControlPlane::LowestInForce() const
+{
+  Version lowest = m_holder.GetVersion();
+  m_membership.Members().Rows().Each(
+    [&lowest](MemberTable::Index, const MemberRow& aRow) {
+      if (IsPresent(aRow.m_record.m_state)) {
+        lowest = std::min(lowest, aRow.m_version);
+      }
+    });
+  return lowest;
+}
+
+void
+ControlPlane::RefreshBelow(Version aVersion)
+{
+  std::vector<MemberAddress> lagging;
+  m_membership.Members().Rows().Each(
+    [&](MemberTable::Index, const MemberRow& aRow) {
+      const bool asks = IsPresent(aRow.m_record.m_state) &&
+                        aRow.m_version < aVersion &&
+                        lagging.size() < kRefreshAtOnce;
+      if (asks) {
+        lagging.push_back(aRow.m_record.m_address);
+      }
+    });
+  for (const MemberAddress& each : lagging) {
+    Contact(each);
+  }
+}
+
+// ---------------------------------------------------------------------------
+// Start and time
+
+void
+ControlPlane::Start(std::uint16_t aLinkPort)
+{
+  MemberRecord self = m_membership.Self();
+  self.m_address.m_linkPort = aLinkPort;
+  m_membership = Membership{ self, m_settings.m_membership, m_random() };
+  m_watchRole = WatchRole{ m_settings.m_watch, self, m_random() };
+  m_started = Clock::now();
+  // Herds restart together: spread the first call to the store as well.
+  m_nextJoin = m_started + Jittered(m_random, m_joinBackoff);
+  for (const MemberAddress& each : m_settings.m_seeds) {
+    Contact(each);
+  }
+  Tick();
+}
+
+void
+ControlPlane::Tick()
+{
+  const TimePoint now = Clock::now();
+  Carry(m_membership.OnTick(now));
+  if (now >= m_nextJoin && m_membership.Members().Present() == 0) {
+    Join();
+  }
+  PullWhenDue(now);
+  RunWatchRole(now);
+  const bool alone =
+    m_holder.GetVersion() == Version{} && now - m_started > kAloneAfter;
+  if (alone && !m_fallbackRead) {
+    m_fallbackRead = true;
+    m_sync.ReadOnce();
+  }
+  m_tick.expires_after(kTick);
+  m_tick.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      Tick();
+    }
+  });
+}
+
+void
+ControlPlane::Join()
+{
+  m_nextJoin = Clock::now() + Jittered(m_random, m_joinBackoff);
+  m_joinBackoff =
+    std::min<std::chrono::milliseconds>(2 * m_joinBackoff, kMaxJoinBackoff);
+  for (const MemberAddress& each : m_settings.m_seeds) {
+    Contact(each);
+  }
+  m_store.Carry(MakeList(std::string{ kSeedPrefix }),
+                [this](const StoreReply& aReply) { OnSeeds(aReply); });
+}
+
+void
+ControlPlane::OnSeeds(const StoreReply& aReply)
+{
+  for (const StoreItem& each : aReply.m_items) {
+    const auto address = ParseSeed(each.m_value);
+    const bool other = address && !(*address == m_membership.Self().m_address);
+    if (other) {
+      Contact(*address);
+    }
+  }
+}
+
+void
+ControlPlane::Contact(const MemberAddress& aAddress)
+{
+  Carry(m_membership.Contact(aAddress));
+}
+
+void
+ControlPlane::Announce(MemberState aState)
+{
+  Carry(m_membership.Announce(aState));
+}
+
+// ---------------------------------------------------------------------------
+// Messages
+
+void
+ControlPlane::SendGossip(GossipSend aSend)
+{
+  aSend.m_message.m_head = { m_holder.GetVersion(),
+                             m_holder.Active()->m_chain };
+  aSend.m_message.m_watching = IsWatching();
+  m_gossip.Send(aSend);
+}
+
+void
+ControlPlane::Carry(MembershipActions aActions)
+{
+  for (const MemberEvent& each : aActions.m_events) {
+    m_log.Debug(
+      "membership",
+      "member",
+      { { "member", each.m_record.m_slot },
+        { "state", static_cast<std::int64_t>(each.m_record.m_state) } });
+    m_handlers.m_onMember(each);
+  }
+  for (GossipSend& each : aActions.m_sends) {
+    SendGossip(std::move(each));
+  }
+}
+
+void
+ControlPlane::OnGossip(const MemberAddress& aFrom,
+                       const GossipMessage& aMessage)
+{
+  const TimePoint now = Clock::now();
+  RaiseFloor(aMessage.m_floor);
+  StageAll(aMessage.m_entries);
+  MembershipActions actions = m_membership.OnMessage(now, aFrom, aMessage);
+  // A peer that lags gets what fits beside the answer to its probe.
+  const Version theirs = aMessage.m_head.m_version;
+  if (theirs < m_holder.GetVersion()) {
+    for (GossipSend& each : actions.m_sends) {
+      if (each.m_message.m_kind == GossipMessage::Kind::Ack) {
+        each.m_message.m_entries = m_disseminator.ToRepair(m_holder, theirs);
+      }
+    }
+  }
+  Carry(std::move(actions));
+  const VersionEntry* own = m_holder.Entry(theirs);
+  if (own != nullptr && own->m_chain != aMessage.m_head.m_chain) {
+    m_log.Error("config",
+                "peer_on_another_history",
+                { { "member", aMessage.m_sender.m_slot },
+                  { "version", theirs.m_number } });
+    return;
+  }
+  m_disseminator.OnDigest(
+    now, m_holder, aMessage.m_head, aMessage.m_sender.m_address);
+  if (!m_haveMembers) {
+    m_haveMembers = true;
+    PullFrom(aMessage.m_sender.m_address, true);
+  }
+}
+
+void
+ControlPlane::RaiseFloor(Version aFloor)
+{
+  if (aFloor > m_floor) {
+    m_floor = aFloor;
+  }
+}
+
+// ---------------------------------------------------------------------------
+// Versions
+
+void
+ControlPlane::StageAll(const std::vector<VersionEntry>& aEntries)
+{
+  const Version before = m_holder.GetVersion();
+  for (const VersionEntry& each : aEntries) {
+    const StageResult result = m_holder.Stage(each);
+    if (result == StageResult::Forked || result == StageResult::Corrupt) {
+      m_log.Error("config",
+                  "version_not_usable",
+                  { { "version", each.m_version.m_number },
+                    { "forked", result == StageResult::Forked } });
+    }
+  }
+  if (m_holder.GetVersion() > before) {
+    OnAdvanced(before);
+  }
+}
+
+void
+ControlPlane::OnAdvanced(Version aBefore)
+{
+  m_log.Info("config",
+             "version_in_force",
+             { { "version", m_holder.GetVersion().m_number },
+               { "before", aBefore.m_number } });
+  m_handlers.m_onVersion();
+  Push(aBefore);
+}
+
+void
+ControlPlane::Push(Version aBefore)
+{
+  const auto entries = m_disseminator.ToPush(m_holder, aBefore);
+  const std::uint32_t fanout = m_disseminator.Settings().m_fanout;
+  for (const MemberAddress& each : m_membership.Sample(fanout)) {
+    GossipMessage message;
+    message.m_kind = GossipMessage::Kind::Push;
+    message.m_sender = m_membership.Self();
+    message.m_entries = entries;
+    SendGossip(GossipSend{ each, std::move(message) });
+  }
+}
+
+void
+ControlPlane::PullWhenDue(TimePoint aNow)
+{
+  if (const auto peer = m_disseminator.DuePull(aNow, m_holder)) {
+    PullFrom(*peer, false);
+  }
+}
+
+void
+ControlPlane::PullFrom(const MemberAddress& aPeer, bool aMembers)
+{
+  if (aPeer.m_bulkPort == 0) {
+    return;
+  }
+  const PullRequest request{ m_settings.m_slot,
+                             m_holder.GetVersion(),
+                             aMembers };
+  m_bulk.Pull(aPeer,
+              request,
+              kPullTimeout,
+              [this, aMembers](std::optional<PullAnswer> aAnswer) {
+                if (aMembers && !aAnswer) {
+                  m_haveMembers = false;
+                }
+                OnPulled(std::move(aAnswer));
+              });
+}
+
+void
+ControlPlane::OnPulled(std::optional<PullAnswer> aAnswer)
+{
+  m_disseminator.PullEnded();
+  if (!aAnswer) {
+    return;
+  }
+  RaiseFloor(aAnswer->m_floor);
+  Carry(m_membership.OnRecords(Clock::now(), aAnswer->m_members));
+  if (!aAnswer->m_snapshot.empty()) {
+    const Version before = m_holder.GetVersion();
+    const auto text = Decompress(aAnswer->m_snapshot, kMaxUnpackedBytes);
+    const StageResult result =
+      text ? m_holder.StageSnapshot(aAnswer->m_snapshotHead, text.value())
+           : StageResult::Corrupt;
+    if (result == StageResult::Corrupt) {
+      m_log.Error("config", "snapshot_damaged");
+    }
+    if (m_holder.GetVersion() > before) {
+      OnAdvanced(before);
+    }
+  }
+  StageAll(aAnswer->m_entries);
+}
+
+PullAnswer
+ControlPlane::Serve(const PullRequest& aRequest)
+{
+  PullAnswer answer;
+  answer.m_head = { m_holder.GetVersion(), m_holder.Active()->m_chain };
+  answer.m_floor = m_membership.FloorOf(aRequest.m_slot);
+  if (aRequest.m_wantMembers) {
+    answer.m_members = m_membership.Records();
+  }
+  bool complete = false;
+  answer.m_entries = m_holder.EntriesAfter(aRequest.m_have, complete);
+  if (!complete) {
+    const ActiveConfig& active = *m_holder.Active();
+    if (m_packedVersion != active.m_version) {
+      m_packedSnapshot = Compress(active.m_content.ToJson());
+      m_packedVersion = active.m_version;
+    }
+    answer.m_snapshot = m_packedSnapshot;
+    answer.m_snapshotHead = VersionEntry{
+      active.m_version, {}, active.m_chain, active.m_content.GetDigest()
+    };
+  }
+  return answer;
+}
+
+// ---------------------------------------------------------------------------
+// Watching the store
+
+void
+ControlPlane::RunWatchRole(TimePoint aNow)
+{
+  const std::size_t rank =
+    m_watchRole.NeedsRank(aNow) ? m_membership.RankInDomain() : 0;
+  if (auto request = m_watchRole.OnTick(aNow, rank)) {
+    CarryWatch(std::move(*request));
+  }
+  m_sync.SetWatching(m_watchRole.Holds(aNow));
+}
+
+void
+ControlPlane::CarryWatch(StoreRequest aRequest)
+{
+  m_store.Carry(std::move(aRequest), [this](const StoreReply& aReply) {
+    if (auto next = m_watchRole.OnReply(Clock::now(), aReply)) {
+      CarryWatch(std::move(*next));
+    }
+  });
+}
+
+}
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,198 @@
+#include "greengagehub/daemon/daemon.hpp"
+
+#include <csignal>
+#include <cstdio>
+#include <fmt/format.h>
+#include <random>
+
+namespace greengagehub {
+
+namespace {
+
+constexpr auto kTick = std::chrono::milliseconds{ 100 };
+/// A tick this late means that the process was paused.
+constexpr auto kPause = std::chrono::milliseconds{ 1000 };
+constexpr int kUncleanDrain = 1;
+
+LogLevel
+LevelFrom(std::string_view aName)
+{
+  for (const LogLevel each : { LogLevel::Debug,
+                               LogLevel::Info,
+                               LogLevel::Warning,
+                               LogLevel::Error }) {
+    if (NameOf(each) == aName) {
+      return each;
+    }
+  }
+  return LogLevel::Info;
+}
+
+Log
+MakeLog(const Settings& aSettings)
+{
+  std::map<std::string, LogLevel, std::less<>> components;
+  for (const LogSettings::Component& each : aSettings.m_log.m_components) {
+    components.emplace(each.m_name, LevelFrom(each.m_level));
+  }
+  return { LevelFrom(aSettings.m_log.m_level),
+           std::move(components),
+           aSettings.m_slot };
+}
+
+/// Milliseconds at start, so that a restart is later than what it replaces.
+std::uint64_t
+ProcessNumber()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+void
+PrintSpan(const Span& aSpan)
+{
+  fmt::print(stdout, "{}\n", SpanToOtlp(aSpan));
+  std::fflush(stdout);
+}
+
+}
+
+Daemon::Daemon(Settings aSettings)
+  : m_settings(std::move(aSettings))
+  , m_log(MakeLog(m_settings))
+  , m_process(ProcessNumber())
+  , m_random(std::random_device{}())
+  , m_control(
+      m_loop,
+      m_settings,
+      m_log,
+      m_process,
+      m_random(),
+      { .m_onMember =
+          [this](const MemberEvent& aEvent) { m_calls.OnMember(aEvent); },
+        .m_onVersion = [this] { m_calls.OnVersion(); } })
+  , m_calls({ .m_loop = m_loop,
+              .m_settings = m_settings,
+              .m_holder = m_control.Holder(),
+              .m_metrics = m_metrics,
+              .m_process = m_process ^ m_random(),
+              .m_trace = PrintSpan,
+              .m_isReady = [this] { return m_control.IsReady(); } },
+            m_random())
+  , m_operators({ .m_loop = m_loop,
+                  .m_settings = m_settings,
+                  .m_control = m_control,
+                  .m_calls = m_calls,
+                  .m_metrics = m_metrics,
+                  .m_drain = [this] { StartDrain(); } })
+  , m_signals(m_loop, SIGTERM, SIGINT)
+  , m_tick(m_loop)
+{
+}
+
+int
+Daemon::Run()
+{
+  const auto calls = m_calls.Open();
+  const auto operators = m_operators.Open();
+  if (!calls || !operators) {
+    const Error& error = calls ? operators.error() : calls.error();
+    m_log.Error("daemon", "cannot_listen", { { "detail", error.m_message } });
+    return kUncleanDrain;
+  }
+  m_signals.async_wait([this](const asio::error_code& aError, int) {
+    if (!aError) {
+      StartDrain();
+    }
+  });
+  m_control.Start(m_calls.LinkPort());
+  LogListening();
+  Tick();
+  m_loop.run();
+  return m_exitCode;
+}
+
+void
+Daemon::LogListening()
+{
+  const auto port = [](std::uint16_t aPort) {
+    return static_cast<std::uint64_t>(aPort);
+  };
+  m_log.Info("daemon",
+             "listening",
+             { { "calls_port", port(m_calls.CallsPort()) },
+               { "operators_port", port(m_operators.Port()) },
+               { "gossip_port", port(m_control.Gossip().Port()) },
+               { "bulk_port", port(m_control.Bulk().Port()) },
+               { "link_port", port(m_calls.LinkPort()) } });
+}
+
+void
+Daemon::Tick()
+{
+  const TimePoint now = Clock::now();
+  if (m_lastTick != TimePoint{} && now - m_lastTick > kPause) {
+    m_log.Warning("daemon",
+                  "was_paused",
+                  { { "milliseconds",
+                      std::chrono::duration_cast<std::chrono::milliseconds>(
+                        now - m_lastTick)
+                        .count() } });
+    m_calls.OnWokeUp();
+  }
+  m_lastTick = now;
+  m_calls.OnTick(now);
+  if (m_control.IsReady() != m_wasReady) {
+    m_wasReady = !m_wasReady;
+    m_log.Info("daemon", m_wasReady ? "ready" : "not_ready");
+  }
+  if (m_draining) {
+    ContinueDrain(now);
+  }
+  m_tick.expires_after(kTick);
+  m_tick.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      Tick();
+    }
+  });
+}
+
+// ---------------------------------------------------------------------------
+// Drain
+
+void
+Daemon::StartDrain()
+{
+  if (m_draining) {
+    return;
+  }
+  m_draining = true;
+  m_log.Info("daemon", "drain_started");
+  m_drainUntil = Clock::now() + m_settings.m_calls.m_drain;
+  m_control.Announce(MemberState::Leaving);
+  m_calls.StartLeaving();
+}
+
+void
+Daemon::ContinueDrain(TimePoint aNow)
+{
+  const bool busy = m_calls.Runs().Load() > 0 || m_calls.InFlight() > 0;
+  if (busy) {
+    m_idleSince = TimePoint{};
+  } else if (m_idleSince == TimePoint{}) {
+    m_idleSince = aNow;
+  }
+  const bool done = m_idleSince != TimePoint{} &&
+                    aNow - m_idleSince >= m_settings.m_calls.m_linger;
+  if (!done && aNow < m_drainUntil) {
+    return;
+  }
+  m_exitCode = done ? 0 : kUncleanDrain;
+  m_log.Info("daemon", "drain_ended", { { "clean", done } });
+  m_control.Announce(MemberState::Left);
+  m_calls.StopAccepting();
+  m_loop.stop();
+}
+
+}
--- /dev/null
+++ b/src/daemon/operators_api.cpp
@@ -0,0 +1,313 @@
+#include "greengagehub/daemon/operators_api.hpp"
+
+#include <charconv>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <openssl/crypto.h>
+
+namespace greengagehub {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kPatches = "/v1/patches";
+constexpr std::string_view kPatchPrefix = "/v1/patches/";
+constexpr std::size_t kMaxId = 200;
+constexpr std::size_t kMaxBody = 256UL * 1024;
+
+std::string
+Dump(const Json& aJson)
+{
+  return aJson.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+HttpResponse
+Problem(std::uint16_t aStatus, std::string_view aCode, std::string_view aDetail)
+{
+  return JsonResponse(aStatus,
+                      Dump(Json{ { "error", aCode }, { "detail", aDetail } }));
+}
+
+std::optional<std::uint64_t>
+ParseNumber(std::string_view aText)
+{
+  std::uint64_t number = 0;
+  const char* end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data(), end, number);
+  if (aText.empty() || parsed.ec != std::errc{} || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+/// Ids stand in paths and logs: printable ASCII without blanks or slashes.
+bool
+IsValidId(std::string_view aId)
+{
+  return !aId.empty() && aId.size() <= kMaxId &&
+         std::all_of(aId.begin(), aId.end(), [](char aChar) {
+           return aChar > ' ' && aChar < 0x7F && aChar != '/' && aChar != '?' &&
+                  aChar != '#' && aChar != '%';
+         });
+}
+
+HttpResponse
+ResponseFor(const DecisionAnswer& aAnswer)
+{
+  using Kind = DecisionAnswer::Kind;
+  switch (aAnswer.m_kind) {
+    case Kind::Decided:
+      return JsonResponse(aAnswer.m_decision.m_accepted ? 200 : 409,
+                          DecisionToJson(aAnswer.m_decision));
+    case Kind::NotDecided:
+      return Problem(404, "not-decided", aAnswer.m_detail);
+    case Kind::IdReused:
+      return Problem(422, "id-reused", aAnswer.m_detail);
+    case Kind::StoreBehind:
+      return Problem(500, "store-behind", aAnswer.m_detail);
+    case Kind::StoreCorrupt:
+      return Problem(500, "store-unreadable", aAnswer.m_detail);
+    case Kind::NotKnown:
+      break;
+  }
+  HttpResponse response = Problem(503, "not-known", aAnswer.m_detail);
+  response.m_headers.push_back(HttpHeader{ "Retry-After", "2" });
+  return response;
+}
+
+HttpServerSettings
+Endpoint(const Settings& aSettings)
+{
+  return { .m_address = aSettings.m_listen.m_host,
+           .m_port = aSettings.m_listen.m_operatorsPort,
+           .m_maxBodyBytes = kMaxBody };
+}
+
+}
+
+OperatorsApi::OperatorsApi(Parts aParts)
+  : m_parts(std::move(aParts))
+  , m_http(m_parts.m_loop,
+           Endpoint(m_parts.m_settings),
+           [this](const HttpRequest& aRequest, HttpResponder aResponder) {
+             OnHttp(aRequest, std::move(aResponder));
+           })
+{
+}
+
+bool
+OperatorsApi::IsAuthorised(const HttpRequest& aRequest) const
+{
+  const std::string expected = "Bearer " + m_parts.m_settings.m_operatorToken;
+  const std::string_view given =
+    HeaderValue(aRequest.m_headers, "authorization");
+  return given.size() == expected.size() &&
+         CRYPTO_memcmp(given.data(), expected.data(), expected.size()) == 0;
+}
+
+void
+OperatorsApi::OnHttp(const HttpRequest& aRequest, HttpResponder aResponder)
+{
+  if (aRequest.m_method == "GET") {
+    OnRead(aRequest, std::move(aResponder));
+    return;
+  }
+  if (aRequest.m_method != "POST") {
+    aResponder.Answer(Problem(405, "method-not-allowed", "allowed: GET, POST"));
+    return;
+  }
+  if (!IsAuthorised(aRequest)) {
+    aResponder.Answer(Problem(
+      401, "unauthorised", "a change needs the operators' bearer token"));
+    return;
+  }
+  OnChange(aRequest, std::move(aResponder));
+}
+
+void
+OperatorsApi::OnChange(const HttpRequest& aRequest, HttpResponder aResponder)
+{
+  const std::string_view path = PathOf(aRequest.m_target);
+  if (path == kPatches) {
+    Submit(aRequest, std::move(aResponder));
+  } else if (path == "/v1/drain") {
+    aResponder.Answer(JsonResponse(202, R"({"draining":true})"));
+    m_parts.m_drain();
+  } else {
+    aResponder.Answer(Problem(404, "not-found", path));
+  }
+}
+
+void
+OperatorsApi::Submit(const HttpRequest& aRequest, HttpResponder aResponder)
+{
+  const std::string id = QueryValue(aRequest.m_target, "id");
+  const auto base = ParseNumber(QueryValue(aRequest.m_target, "base"));
+  if (!IsValidId(id)) {
+    aResponder.Answer(Problem(
+      400, "bad-id", "id: 1 to 200 printable characters without / ? # %"));
+    return;
+  }
+  if (!base) {
+    aResponder.Answer(
+      Problem(400, "bad-base", "base: the version that the patch is against"));
+    return;
+  }
+  auto patch = CanonicalPatch(aRequest.m_body);
+  if (!patch) {
+    const bool large = patch.error().m_code == ErrorCode::TooLarge;
+    aResponder.Answer(
+      Problem(400, large ? "too-large" : "not-json", Describe(patch.error())));
+    return;
+  }
+  Submission submission;
+  submission.m_id = id;
+  submission.m_base = Version{ *base };
+  submission.m_author = QueryValue(aRequest.m_target, "author");
+  submission.m_patch = std::move(patch.value());
+  submission.m_at = std::chrono::time_point_cast<std::chrono::milliseconds>(
+    std::chrono::system_clock::now());
+  m_parts.m_control.Decisions().Submit(
+    std::move(submission),
+    [responder = std::move(aResponder)](const DecisionAnswer& aAnswer) mutable {
+      responder.Answer(ResponseFor(aAnswer));
+    });
+}
+
+void
+OperatorsApi::Explain(std::string aId, HttpResponder aResponder)
+{
+  m_parts.m_control.Decisions().Explain(
+    std::move(aId),
+    [responder = std::move(aResponder)](const DecisionAnswer& aAnswer) mutable {
+      HttpResponse response = ResponseFor(aAnswer);
+      if (aAnswer.m_kind == DecisionAnswer::Kind::Decided) {
+        // The question was answered, whatever the decision was.
+        response.m_status = 200;
+      }
+      responder.Answer(std::move(response));
+    });
+}
+
+void
+OperatorsApi::OnRead(const HttpRequest& aRequest, HttpResponder aResponder)
+{
+  const std::string_view path = PathOf(aRequest.m_target);
+  const ControlPlane& control = m_parts.m_control;
+  if (path.starts_with(kPatchPrefix)) {
+    Explain(std::string{ path.substr(kPatchPrefix.size()) },
+            std::move(aResponder));
+  } else if (path == "/v1/version") {
+    aResponder.Answer(VersionNow(aRequest));
+  } else if (path == "/v1/config") {
+    aResponder.Answer(
+      JsonResponse(200, control.Holder().Active()->m_content.ToJson()));
+  } else if (path == "/v1/status") {
+    aResponder.Answer(Status());
+  } else if (path == "/metrics") {
+    aResponder.Answer(MetricsText());
+  } else if (path == "/healthz") {
+    aResponder.Answer(JsonResponse(200, R"({"alive":true})"));
+  } else if (path == "/readyz") {
+    const bool ready = control.IsReady();
+    aResponder.Answer(JsonResponse(
+      ready ? 200 : 503, ready ? R"({"ready":true})" : R"({"ready":false})"));
+  } else {
+    aResponder.Answer(Problem(404, "not-found", path));
+  }
+}
+
+HttpResponse
+OperatorsApi::VersionNow(const HttpRequest& aRequest)
+{
+  ControlPlane& control = m_parts.m_control;
+  const auto wanted = ParseNumber(QueryValue(aRequest.m_target, "refresh"));
+  if (wanted) {
+    control.RefreshBelow(Version{ *wanted });
+  }
+  const ActiveConfig& active = *control.Holder().Active();
+  return JsonResponse(
+    200,
+    Dump(Json{ { "version", active.m_version.m_number },
+               { "lowest_in_force", control.LowestInForce().m_number },
+               { "members", control.Members().Members().Present() + 1 },
+               { "chain", ToHex(active.m_chain) },
+               { "content", ToHex(active.m_content.GetDigest()) } }));
+}
+
+HttpResponse
+OperatorsApi::Status() const
+{
+  const ControlPlane& control = m_parts.m_control;
+  const MemberRecord& self = control.Members().Self();
+  Json members = Json::array();
+  control.Members().Members().Rows().Each(
+    [&members](MemberTable::Index, const MemberRow& aRow) {
+      members.push_back({ { "slot", aRow.m_record.m_slot },
+                          { "service", aRow.m_record.m_service },
+                          { "domain", aRow.m_record.m_domain },
+                          { "state", static_cast<int>(aRow.m_record.m_state) },
+                          { "version", aRow.m_version.m_number } });
+    });
+  const RunTable& runs = m_parts.m_calls.Runs();
+  return JsonResponse(
+    200,
+    Dump(Json{ { "slot", self.m_slot },
+               { "service", self.m_service },
+               { "region", self.m_region },
+               { "domain", self.m_domain },
+               { "version", control.Holder().GetVersion().m_number },
+               { "ready", control.IsReady() },
+               { "leaving", runs.IsLeaving() },
+               { "watching", control.IsWatching() },
+               { "store_behind", control.IsStoreBehind() },
+               { "running", runs.Running() },
+               { "queued", runs.Queued() },
+               { "in_flight", m_parts.m_calls.InFlight() },
+               { "members", std::move(members) } }));
+}
+
+HttpResponse
+OperatorsApi::MetricsText()
+{
+  Metrics& metrics = m_parts.m_metrics;
+  const ControlPlane& control = m_parts.m_control;
+  const TrafficCounts& gossip = control.Gossip().Counts();
+  const TrafficCounts& bulk = control.Bulk().Counts();
+  const StoreCounts& store = control.GetStore().Counts();
+  metrics.SetBytes("gossip", "sent", gossip.m_bytesSent);
+  metrics.SetBytes("gossip", "received", gossip.m_bytesReceived);
+  metrics.SetBytes("bulk", "sent", bulk.m_bytesSent);
+  metrics.SetBytes("bulk", "received", bulk.m_bytesReceived);
+  metrics.SetBytes("store", "received", store.m_bytesIn);
+  metrics.SetStoreCalls("read", store.m_reads);
+  metrics.SetStoreCalls("write", store.m_writes);
+  metrics.SetStoreCalls("watch", store.m_watches);
+  metrics.SetStoreCalls("failed", store.m_failures);
+  metrics.SetGauge("version",
+                   "Configuration version in force here",
+                   static_cast<double>(control.Holder().GetVersion().m_number));
+  metrics.SetGauge("members",
+                   "Other daemons believed to run",
+                   static_cast<double>(control.Members().Members().Present()));
+  metrics.SetGauge(
+    "watching", "Whether it watches the store", control.IsWatching() ? 1 : 0);
+  metrics.SetGauge("store_behind",
+                   "Whether the store is behind the fleet",
+                   control.IsStoreBehind() ? 1 : 0);
+  metrics.SetGauge("runs_running",
+                   "Attempts running at the own worker",
+                   m_parts.m_calls.Runs().Running());
+  metrics.SetGauge("runs_queued",
+                   "Attempts waiting for the own worker",
+                   m_parts.m_calls.Runs().Queued());
+  metrics.SetGauge("malformed_messages",
+                   "Messages dropped as garbage",
+                   static_cast<double>(gossip.m_malformed + bulk.m_malformed));
+  return { 200,
+           { HttpHeader{ "Content-Type", "text/plain; version=0.0.4" } },
+           metrics.Expose() };
+}
+
+}
--- /dev/null
+++ b/src/greengagehub.cpp
@@ -0,0 +1,432 @@
+#include "greengagehub/http/blocking_client.hpp"
+#include "greengagehub/settings/settings.hpp"
+
+#include <boost/program_options.hpp>
+#include <cstdio>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <random>
+#include <sstream>
+#include <thread>
+
+/// \file
+/// \brief The operators' command line: patches, decisions, versions, status.
+
+namespace {
+
+using greengagehub::HttpClientRequest;
+using greengagehub::HttpClientResult;
+using greengagehub::HttpHeader;
+using greengagehub::SendAndWait;
+using Json = nlohmann::json;
+namespace po = boost::program_options;
+
+constexpr const char* kVersion = "0.1.0";
+constexpr const char* kUsage = R"(greengagehub COMMAND [OPTIONS]
+
+  submit PATCH_FILE     hand in a patch against --base
+  version               the version in force; with --wait N, until N is in
+                        force everywhere or --timeout seconds are over
+  explain PATCH_ID      the recorded decision on a patch
+  status                one daemon's state
+  drain                 ask a daemon to leave
+  check-settings FILE   check a daemon's settings
+
+Exit codes: 0 accepted or done, 1 refused, 2 wrong use or bad settings,
+3 unknown (ask again about the same id), 4 unreachable, 5 not in force in time.
+)";
+
+enum ExitCode : int
+{
+  Done = 0,
+  Refused = 1,
+  WrongUse = 2,
+  Unknown = 3,
+  Unreachable = 4,
+  TimedOut = 5,
+};
+
+struct Options
+{
+  std::string m_command;
+  std::string m_argument;
+  std::string m_daemon;
+  std::string m_token;
+  std::string m_id;
+  std::string m_author;
+  std::optional<std::uint64_t> m_base;
+  std::optional<std::uint64_t> m_wait;
+  std::chrono::seconds m_timeout{ 10 };
+  bool m_rebase{ false };
+  bool m_json{ false };
+};
+
+HttpClientRequest
+Request(const Options& aOptions, std::string aMethod, const std::string& aPath)
+{
+  HttpClientRequest request;
+  request.m_method = std::move(aMethod);
+  request.m_url = aOptions.m_daemon + aPath;
+  request.m_timeout = aOptions.m_timeout;
+  if (!aOptions.m_token.empty()) {
+    request.m_headers.push_back(
+      HttpHeader{ "Authorization", "Bearer " + aOptions.m_token });
+  }
+  return request;
+}
+
+std::string
+PercentEncoded(std::string_view aText)
+{
+  std::string out;
+  for (const char each : aText) {
+    const bool plain =
+      (each >= 'a' && each <= 'z') || (each >= 'A' && each <= 'Z') ||
+      (each >= '0' && each <= '9') || each == '-' || each == '.' || each == '_';
+    out += plain ? std::string{ each }
+                 : fmt::format("%{:02X}", static_cast<unsigned char>(each));
+  }
+  return out;
+}
+
+std::string
+RandomId()
+{
+  std::random_device source;
+  return fmt::format("{:08x}{:08x}", source(), source());
+}
+
+void
+PrintDecision(const Json& aDecision)
+{
+  const std::string id = aDecision.value("id", "");
+  if (aDecision.value("accepted", false)) {
+    fmt::print("patch {}: accepted as version {}\n",
+               id,
+               aDecision.value("version", 0ULL));
+    return;
+  }
+  fmt::print(
+    "patch {}: refused at version {}\n", id, aDecision.value("head", 0ULL));
+  for (const Json& each : aDecision.value("reasons", Json::array())) {
+    const std::string place = each.value("place", "");
+    fmt::print("  {}{}{}: {}\n",
+               each.value("code", ""),
+               place.empty() ? "" : " at ",
+               place,
+               each.value("detail", ""));
+  }
+}
+
+int
+TellUnreachable(const Options& aOptions, const HttpClientResult& aResult)
+{
+  fmt::print(stderr, "{}: {}\n", aOptions.m_daemon, aResult.m_detail);
+  return aResult.m_kind == HttpClientResult::Kind::NotSent ? Unreachable
+                                                           : Unknown;
+}
+
+/// Shows the answer of a patch or a question about one.
+int
+TellDecision(const Options& aOptions, const HttpClientResult& aResult)
+{
+  if (aResult.m_kind != HttpClientResult::Kind::Answered) {
+    if (!aOptions.m_id.empty()) {
+      fmt::print(stderr, "ask again about patch id {}\n", aOptions.m_id);
+    }
+    return TellUnreachable(aOptions, aResult);
+  }
+  const auto& response = aResult.m_response;
+  const Json body = Json::parse(response.m_body, nullptr, false);
+  if (aOptions.m_json) {
+    fmt::print("{}\n", response.m_body);
+  } else if (body.contains("accepted")) {
+    PrintDecision(body);
+  } else {
+    fmt::print("{}: {}\n", body.value("error", ""), body.value("detail", ""));
+  }
+  if (body.contains("accepted")) {
+    return body.value("accepted", false) ? Done : Refused;
+  }
+  if (response.m_status == 503 || response.m_status == 404) {
+    return Unknown;
+  }
+  return response.m_status >= 500 ? Unreachable : WrongUse;
+}
+
+std::optional<Json>
+GetJson(const Options& aOptions, const std::string& aPath)
+{
+  const HttpClientResult result = SendAndWait(Request(aOptions, "GET", aPath));
+  if (result.m_kind != HttpClientResult::Kind::Answered) {
+    TellUnreachable(aOptions, result);
+    return std::nullopt;
+  }
+  Json body = Json::parse(result.m_response.m_body, nullptr, false);
+  if (body.is_discarded()) {
+    return std::nullopt;
+  }
+  return body;
+}
+
+// ---------------------------------------------------------------------------
+// Commands
+
+/// Shows what was accepted since the patch's own base, before it is handed in
+/// again against the head.
+std::optional<std::uint64_t>
+Rebase(const Options& aOptions)
+{
+  const auto now = GetJson(aOptions, "/v1/version");
+  if (!now) {
+    return std::nullopt;
+  }
+  const auto head = now->value("version", std::uint64_t{ 0 });
+  fmt::print(stderr,
+             "rebasing from version {} to {}; the content now:\n",
+             aOptions.m_base.value_or(0),
+             head);
+  if (const auto content = GetJson(aOptions, "/v1/config")) {
+    fmt::print(stderr, "{}\n", content->dump(2));
+  }
+  return head;
+}
+
+int
+Submit(Options aOptions)
+{
+  std::ifstream file{ aOptions.m_argument };
+  if (!file) {
+    fmt::print(stderr, "{}: cannot be read\n", aOptions.m_argument);
+    return WrongUse;
+  }
+  std::ostringstream patch;
+  patch << file.rdbuf();
+  std::optional<std::uint64_t> base = aOptions.m_base;
+  if (!base || aOptions.m_rebase) {
+    base = Rebase(aOptions);
+  }
+  if (!base) {
+    return Unreachable;
+  }
+  if (aOptions.m_id.empty()) {
+    aOptions.m_id = RandomId();
+  }
+  HttpClientRequest request =
+    Request(aOptions,
+            "POST",
+            fmt::format("/v1/patches?id={}&base={}&author={}",
+                        PercentEncoded(aOptions.m_id),
+                        *base,
+                        PercentEncoded(aOptions.m_author)));
+  request.m_body = patch.str();
+  return TellDecision(aOptions, SendAndWait(std::move(request)));
+}
+
+int
+WaitFor(const Options& aOptions, std::uint64_t aVersion)
+{
+  const auto until = std::chrono::steady_clock::now() + aOptions.m_timeout;
+  constexpr auto kPause = std::chrono::milliseconds{ 100 };
+  while (std::chrono::steady_clock::now() < until) {
+    const auto now =
+      GetJson(aOptions, fmt::format("/v1/version?refresh={}", aVersion));
+    if (!now) {
+      return Unreachable;
+    }
+    if (now->value("lowest_in_force", std::uint64_t{ 0 }) >= aVersion) {
+      fmt::print("version {} is in force on {} daemons\n",
+                 aVersion,
+                 now->value("members", 0));
+      return Done;
+    }
+    std::this_thread::sleep_for(kPause);
+  }
+  fmt::print("version {} is not in force everywhere yet\n", aVersion);
+  return TimedOut;
+}
+
+int
+ShowVersion(const Options& aOptions)
+{
+  if (aOptions.m_wait) {
+    return WaitFor(aOptions, *aOptions.m_wait);
+  }
+  const auto now = GetJson(aOptions, "/v1/version");
+  if (!now) {
+    return Unreachable;
+  }
+  if (aOptions.m_json) {
+    fmt::print("{}\n", now->dump());
+  } else {
+    fmt::print("{}\n", now->value("version", std::uint64_t{ 0 }));
+  }
+  return Done;
+}
+
+int
+Explain(Options aOptions)
+{
+  aOptions.m_id = aOptions.m_argument;
+  return TellDecision(
+    aOptions,
+    SendAndWait(Request(
+      aOptions, "GET", "/v1/patches/" + PercentEncoded(aOptions.m_argument))));
+}
+
+int
+Status(const Options& aOptions)
+{
+  const auto status = GetJson(aOptions, "/v1/status");
+  if (!status) {
+    return Unreachable;
+  }
+  fmt::print("{}\n", status->dump(aOptions.m_json ? -1 : 2));
+  return Done;
+}
+
+int
+Drain(const Options& aOptions)
+{
+  const HttpClientResult result =
+    SendAndWait(Request(aOptions, "POST", "/v1/drain"));
+  if (result.m_kind != HttpClientResult::Kind::Answered) {
+    return TellUnreachable(aOptions, result);
+  }
+  fmt::print("{}\n", result.m_response.m_body);
+  return result.m_response.m_status == 202 ? Done : WrongUse;
+}
+
+int
+CheckSettings(const Options& aOptions)
+{
+  const auto settings = greengagehub::LoadSettings(aOptions.m_argument);
+  if (settings) {
+    fmt::print("{}: good\n", aOptions.m_argument);
+    return Done;
+  }
+  for (const auto& each : settings.error()) {
+    fmt::print(stderr, "{}\n", greengagehub::Describe(each));
+  }
+  return WrongUse;
+}
+
+int
+Dispatch(const Options& aOptions)
+{
+  const std::string& command = aOptions.m_command;
+  const bool needsArgument =
+    command == "submit" || command == "explain" || command == "check-settings";
+  if (needsArgument && aOptions.m_argument.empty()) {
+    fmt::print(stderr, "{} needs an argument; see --help\n", command);
+    return WrongUse;
+  }
+  if (command == "check-settings") {
+    return CheckSettings(aOptions);
+  }
+  if (aOptions.m_daemon.empty()) {
+    fmt::print(stderr,
+               "--daemon URL or GREENGAGEHUB_DAEMON is needed; see --help\n");
+    return WrongUse;
+  }
+  if (command == "submit") {
+    return Submit(aOptions);
+  }
+  if (command == "version") {
+    return ShowVersion(aOptions);
+  }
+  if (command == "explain") {
+    return Explain(aOptions);
+  }
+  if (command == "status") {
+    return Status(aOptions);
+  }
+  if (command == "drain") {
+    return Drain(aOptions);
+  }
+  fmt::print(stderr, "unknown command \"{}\"; see --help\n", command);
+  return WrongUse;
+}
+
+std::string
+Environment(const char* aName)
+{
+  const char* value = std::getenv(aName);
+  return value == nullptr ? std::string{} : std::string{ value };
+}
+
+Options
+OptionsFrom(const po::variables_map& aGiven)
+{
+  Options options;
+  options.m_command = aGiven["command"].as<std::string>();
+  options.m_argument = aGiven["argument"].as<std::string>();
+  options.m_daemon = aGiven["daemon"].as<std::string>();
+  options.m_token = aGiven["token"].as<std::string>();
+  options.m_id = aGiven["id"].as<std::string>();
+  options.m_author = aGiven["author"].as<std::string>();
+  options.m_timeout =
+    std::chrono::seconds{ aGiven["timeout"].as<std::uint32_t>() };
+  options.m_rebase = aGiven.count("rebase") != 0;
+  options.m_json = aGiven.count("json") != 0;
+  if (aGiven.count("base") != 0) {
+    options.m_base = aGiven["base"].as<std::uint64_t>();
+  }
+  if (aGiven.count("wait") != 0) {
+    options.m_wait = aGiven["wait"].as<std::uint64_t>();
+  }
+  return options;
+}
+
+}
+
+int
+main(int aCount, char** aArguments)
+{
+  po::options_description options{ "Options" };
+  const auto text = [](const std::string& aDefault) {
+    return po::value<std::string>()->default_value(aDefault);
+  };
+  options.add_options()("daemon",
+                        text(Environment("GREENGAGEHUB_DAEMON")),
+                        "URL of any daemon's operators' endpoint")(
+    "token", text(Environment("GREENGAGEHUB_TOKEN")), "operators' token")(
+    "id", text(""), "id of the patch")(
+    "author", text(Environment("USER")), "recorded with the decision")(
+    "base", po::value<std::uint64_t>(), "version the patch is against")(
+    "rebase", "show what changed, then hand in against the head")(
+    "wait", po::value<std::uint64_t>(), "version to wait for")(
+    "timeout",
+    po::value<std::uint32_t>()->default_value(10),
+    "seconds to wait")("json", "print JSON")("help", "show this")(
+    "version",
+    "show the version")("command", text(""), "")("argument", text(""), "");
+  po::positional_options_description positions;
+  positions.add("command", 1).add("argument", 1);
+  try {
+    po::variables_map given;
+    po::store(po::command_line_parser(aCount, aArguments)
+                .options(options)
+                .positional(positions)
+                .run(),
+              given);
+    if (given.count("version") != 0) {
+      fmt::print("greengagehub {}\n", kVersion);
+      return Done;
+    }
+    if (given.count("help") != 0 ||
+        given["command"].as<std::string>().empty()) {
+      std::ostringstream shown;
+      shown << options;
+      fmt::print("{}\n{}", kUsage, shown.str());
+      return given.count("help") != 0 ? Done : WrongUse;
+    }
+    return Dispatch(OptionsFrom(given));
+  } catch (const std::exception& fault) {
+    fmt::print(stderr, "{}\n", fault.what());
+    return WrongUse;
+  }
+}
--- /dev/null
+++ b/src/greengagehubd.cpp
@@ -0,0 +1,62 @@
+#include "greengagehub/daemon/daemon.hpp"
+
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <cstdio>
+#include <fmt/format.h>
+
+/// \file
+/// \brief The daemon beside each backend server.
+
+namespace {
+
+constexpr int kBadSettings = 2;
+constexpr const char* kVersion = "0.1.0";
+
+int
+RunWith(const std::string& aFile)
+{
+  auto settings = greengagehub::LoadSettings(aFile);
+  if (!settings) {
+    for (const greengagehub::Error& each : settings.error()) {
+      fmt::print(stderr, "{}\n", greengagehub::Describe(each));
+    }
+    return kBadSettings;
+  }
+  greengagehub::Daemon daemon{ std::move(settings.value()) };
+  return daemon.Run();
+}
+
+}
+
+int
+main(int aCount, char** aArguments)
+{
+  namespace po = boost::program_options;
+  std::signal(SIGPIPE, SIG_IGN);
+  po::options_description options{ "greengagehubd --settings FILE" };
+  options.add_options()("settings", po::value<std::string>(), "TOML file")(
+    "help", "show this")("version", "show the version");
+  try {
+    po::variables_map given;
+    po::store(po::parse_command_line(aCount, aArguments, options), given);
+    if (given.count("help") != 0) {
+      std::ostringstream text;
+      text << options;
+      fmt::print("{}", text.str());
+      return 0;
+    }
+    if (given.count("version") != 0) {
+      fmt::print("greengagehubd {}\n", kVersion);
+      return 0;
+    }
+    if (given.count("settings") == 0) {
+      fmt::print(stderr, "--settings FILE is needed; see --help\n");
+      return kBadSettings;
+    }
+    return RunWith(given["settings"].as<std::string>());
+  } catch (const std::exception& fault) {
+    fmt::print(stderr, "{}\n", fault.what());
+    return kBadSettings;
+  }
+}
--- /dev/null
+++ b/src/http/http_client.cpp
@@ -0,0 +1,382 @@
+#include "greengagehub/http/http_client.hpp"
+
+#include <asio/posix/stream_descriptor.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <charconv>
+#include <curl/curl.h>
+#include <map>
+#include <unordered_map>
+
+namespace greengagehub {
+
+namespace {
+
+/// Easy handles kept for reuse: setting one up costs more than a call.
+constexpr std::size_t kMaxSpareHandles = 64;
+
+struct Transfer
+{
+  CURL* m_easy{ nullptr };
+  curl_slist* m_headers{ nullptr };
+  HttpClientRequest m_request;
+  HttpClient::Done m_done;
+  HttpClient::Ticket m_ticket{ 0 };
+  HttpResponse m_response;
+  /// How often the library was about to put the request on a connection.
+  int m_sends{ 0 };
+};
+
+std::size_t
+OnBody(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf)
+{
+  auto* transfer = static_cast<Transfer*>(aSelf);
+  const std::size_t bytes = aSize * aCount;
+  std::string& body = transfer->m_response.m_body;
+  if (body.size() + bytes > transfer->m_request.m_maxAnswerBytes) {
+    return 0;
+  }
+  body.append(aData, bytes);
+  return bytes;
+}
+
+std::size_t
+OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf)
+{
+  auto* transfer = static_cast<Transfer*>(aSelf);
+  std::string_view line{ aData, aSize * aCount };
+  if (line.starts_with("HTTP/")) {
+    transfer->m_response.m_headers.clear();
+    return line.size();
+  }
+  const std::size_t colon = line.find(':');
+  if (colon == std::string_view::npos) {
+    return line.size();
+  }
+  std::string_view value = line.substr(colon + 1);
+  value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
+  value = value.substr(0, value.find_last_not_of(" \t\r\n") + 1);
+  transfer->m_response.m_headers.push_back(
+    HttpHeader{ std::string{ line.substr(0, colon) }, std::string{ value } });
+  return line.size();
+}
+
+/// Called before a request is put on a connection. The second time it is the
+/// library's own repeat after a kept connection died: the server may have run
+/// the request already, so a release could open a compartment twice.
+int
+BeforeSend(void* aSelf, char* /*unused*/, char* /*unused*/, int, int)
+{
+  auto* transfer = static_cast<Transfer*>(aSelf);
+  ++transfer->m_sends;
+  return transfer->m_sends == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+void
+SetBody(CURL* aEasy, const HttpClientRequest& aRequest)
+{
+  const bool hasBody =
+    !aRequest.m_body.empty() || aRequest.m_method == "POST" ||
+    aRequest.m_method == "PUT" || aRequest.m_method == "PATCH";
+  if (hasBody) {
+    curl_easy_setopt(aEasy, CURLOPT_POSTFIELDS, aRequest.m_body.data());
+    curl_easy_setopt(aEasy,
+                     CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(aRequest.m_body.size()));
+  }
+  if (aRequest.m_method == "HEAD") {
+    curl_easy_setopt(aEasy, CURLOPT_NOBODY, 1L);
+  } else {
+    curl_easy_setopt(aEasy, CURLOPT_CUSTOMREQUEST, aRequest.m_method.c_str());
+  }
+}
+
+void
+SetOptions(Transfer& aTransfer)
+{
+  CURL* easy = aTransfer.m_easy;
+  const HttpClientRequest& request = aTransfer.m_request;
+  for (const HttpHeader& each : request.m_headers) {
+    // A header with an empty value needs ";" or the library drops it.
+    const std::string line = each.m_value.empty()
+                               ? each.m_name + ";"
+                               : each.m_name + ": " + each.m_value;
+    aTransfer.m_headers = curl_slist_append(aTransfer.m_headers, line.c_str());
+  }
+  aTransfer.m_headers = curl_slist_append(aTransfer.m_headers, "Expect:");
+  curl_easy_setopt(easy, CURLOPT_URL, request.m_url.c_str());
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, aTransfer.m_headers);
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, &aTransfer);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aTransfer);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aTransfer);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, BeforeSend);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aTransfer);
+  curl_easy_setopt(
+    easy, CURLOPT_TIMEOUT_MS, static_cast<long>(request.m_timeout.count()));
+  SetBody(easy, request);
+}
+
+HttpClientResult
+ResultOf(Transfer& aTransfer, CURLcode aCode)
+{
+  if (aCode == CURLE_OK) {
+    long status = 0;
+    curl_easy_getinfo(aTransfer.m_easy, CURLINFO_RESPONSE_CODE, &status);
+    aTransfer.m_response.m_status = static_cast<std::uint16_t>(status);
+    return { HttpClientResult::Kind::Answered,
+             std::move(aTransfer.m_response),
+             {} };
+  }
+  const auto kind = aTransfer.m_sends == 0 ? HttpClientResult::Kind::NotSent
+                                           : HttpClientResult::Kind::Lost;
+  return { kind, {}, curl_easy_strerror(aCode) };
+}
+
+}
+
+/// Drives libcurl's multi interface by the loop's readiness events.
+class HttpClient::Impl
+{
+public:
+  Impl(asio::io_context& aLoop, std::size_t aMaxIdle)
+    : m_loop(aLoop)
+    , m_timer(aLoop)
+    , m_multi(curl_multi_init())
+  {
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &Impl::OnSocket);
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &Impl::OnTimer);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(
+      m_multi, CURLMOPT_MAXCONNECTS, static_cast<long>(aMaxIdle));
+  }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+  ~Impl()
+  {
+    m_closing = true;
+    for (auto& [ticket, transfer] : m_transfers) {
+      curl_multi_remove_handle(m_multi, transfer->m_easy);
+      curl_slist_free_all(transfer->m_headers);
+      curl_easy_cleanup(transfer->m_easy);
+    }
+    for (CURL* each : m_spare) {
+      curl_easy_cleanup(each);
+    }
+    curl_multi_cleanup(m_multi);
+    for (auto& [socket, watch] : m_sockets) {
+      watch->m_descriptor.release();
+    }
+  }
+
+  Ticket Send(HttpClientRequest aRequest, Done aDone)
+  {
+    auto transfer = std::make_unique<Transfer>();
+    transfer->m_request = std::move(aRequest);
+    transfer->m_done = std::move(aDone);
+    transfer->m_ticket = ++m_lastTicket;
+    transfer->m_easy = TakeHandle();
+    SetOptions(*transfer);
+    curl_multi_add_handle(m_multi, transfer->m_easy);
+    m_transfers.emplace(m_lastTicket, std::move(transfer));
+    return m_lastTicket;
+  }
+
+  void Abandon(Ticket aTicket)
+  {
+    const auto found = m_transfers.find(aTicket);
+    if (found != m_transfers.end()) {
+      Release(found);
+    }
+  }
+
+private:
+  /// One socket of the library, watched for the directions it asked for.
+  struct Watch
+  {
+    explicit Watch(asio::io_context& aLoop, int aSocket)
+      : m_descriptor(aLoop, aSocket)
+    {
+    }
+    asio::posix::stream_descriptor m_descriptor;
+    int m_wanted{ 0 };
+    bool m_reading{ false };
+    bool m_writing{ false };
+  };
+  using Transfers = std::unordered_map<Ticket, std::unique_ptr<Transfer>>;
+
+  CURL* TakeHandle()
+  {
+    if (m_spare.empty()) {
+      return curl_easy_init();
+    }
+    CURL* easy = m_spare.back();
+    m_spare.pop_back();
+    return easy;
+  }
+
+  void Release(Transfers::iterator aTransfer)
+  {
+    Transfer& transfer = *aTransfer->second;
+    curl_multi_remove_handle(m_multi, transfer.m_easy);
+    curl_slist_free_all(transfer.m_headers);
+    if (m_spare.size() < kMaxSpareHandles) {
+      curl_easy_reset(transfer.m_easy);
+      m_spare.push_back(transfer.m_easy);
+    } else {
+      curl_easy_cleanup(transfer.m_easy);
+    }
+    m_transfers.erase(aTransfer);
+  }
+
+  static int OnSocket(CURL* /*unused*/,
+                      curl_socket_t aSocket,
+                      int aWhat,
+                      void* aSelf,
+                      void* /*unused*/)
+  {
+    static_cast<Impl*>(aSelf)->Want(aSocket, aWhat);
+    return 0;
+  }
+
+  static int OnTimer(CURLM* /*unused*/, long aTimeoutMs, void* aSelf)
+  {
+    static_cast<Impl*>(aSelf)->SetTimer(aTimeoutMs);
+    return 0;
+  }
+
+  void SetTimer(long aTimeoutMs)
+  {
+    if (m_closing) {
+      return;
+    }
+    if (aTimeoutMs < 0) {
+      m_timer.cancel();
+      return;
+    }
+    m_timer.expires_after(std::chrono::milliseconds{ aTimeoutMs });
+    m_timer.async_wait([this](const asio::error_code& aError) {
+      if (!aError) {
+        Act(CURL_SOCKET_TIMEOUT, 0);
+      }
+    });
+  }
+
+  void Want(curl_socket_t aSocket, int aWhat)
+  {
+    const auto found = m_sockets.find(aSocket);
+    if (aWhat == CURL_POLL_REMOVE) {
+      // The library closes the socket next and the number is used again at
+      // once: the loop must have let go of it by then.
+      if (found != m_sockets.end()) {
+        found->second->m_descriptor.release();
+        m_sockets.erase(found);
+      }
+      return;
+    }
+    std::shared_ptr<Watch> watch;
+    if (found == m_sockets.end()) {
+      watch = std::make_shared<Watch>(m_loop, aSocket);
+      m_sockets.emplace(aSocket, watch);
+    } else {
+      watch = found->second;
+    }
+    watch->m_wanted = aWhat;
+    Arm(aSocket, watch);
+  }
+
+  void Arm(curl_socket_t aSocket, const std::shared_ptr<Watch>& aWatch)
+  {
+    if ((aWatch->m_wanted & CURL_POLL_IN) != 0 && !aWatch->m_reading) {
+      aWatch->m_reading = true;
+      Wait(aSocket, aWatch, asio::posix::descriptor_base::wait_read);
+    }
+    if ((aWatch->m_wanted & CURL_POLL_OUT) != 0 && !aWatch->m_writing) {
+      aWatch->m_writing = true;
+      Wait(aSocket, aWatch, asio::posix::descriptor_base::wait_write);
+    }
+  }
+
+  void Wait(curl_socket_t aSocket,
+            const std::shared_ptr<Watch>& aWatch,
+            asio::posix::descriptor_base::wait_type aType)
+  {
+    const bool reading = aType == asio::posix::descriptor_base::wait_read;
+    aWatch->m_descriptor.async_wait(
+      aType,
+      [this, aSocket, reading, weak = std::weak_ptr<Watch>{ aWatch }](
+        const asio::error_code& aError) {
+        const auto watch = weak.lock();
+        if (!watch || aError) {
+          return;
+        }
+        (reading ? watch->m_reading : watch->m_writing) = false;
+        const int wanted = reading ? CURL_POLL_IN : CURL_POLL_OUT;
+        if ((watch->m_wanted & wanted) != 0) {
+          Act(aSocket, reading ? CURL_CSELECT_IN : CURL_CSELECT_OUT);
+        }
+        const auto still = m_sockets.find(aSocket);
+        if (still != m_sockets.end() && still->second == watch) {
+          Arm(aSocket, watch);
+        }
+      });
+  }
+
+  void Act(curl_socket_t aSocket, int aEvents)
+  {
+    int running = 0;
+    curl_multi_socket_action(m_multi, aSocket, aEvents, &running);
+    Collect();
+  }
+
+  void Collect()
+  {
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(m_multi, &left)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      Transfer* transfer = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+      HttpClientResult result = ResultOf(*transfer, message->data.result);
+      Done done = std::move(transfer->m_done);
+      Release(m_transfers.find(transfer->m_ticket));
+      done(std::move(result));
+    }
+  }
+
+  asio::io_context& m_loop;
+  asio::steady_timer m_timer;
+  CURLM* m_multi;
+  Transfers m_transfers;
+  std::unordered_map<curl_socket_t, std::shared_ptr<Watch>> m_sockets;
+  std::vector<CURL*> m_spare;
+  Ticket m_lastTicket{ 0 };
+  bool m_closing{ false };
+};
+
+HttpClient::HttpClient(asio::io_context& aLoop, std::size_t aMaxIdle)
+  : m_impl(std::make_unique<Impl>(aLoop, aMaxIdle))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+HttpClient::Ticket
+HttpClient::Send(HttpClientRequest aRequest, Done aDone)
+{
+  return m_impl->Send(std::move(aRequest), std::move(aDone));
+}
+
+void
+HttpClient::Abandon(Ticket aTicket)
+{
+  m_impl->Abandon(aTicket);
+}
+
+}
--- /dev/null
+++ b/src/membership/watch_role.cpp
@@ -0,0 +1,151 @@
+#include "greengagehub/membership/watch_role.hpp"
+
+#include "greengagehub/config/store_layout.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace greengagehub {
+
+namespace {
+
+using Status = StoreReply::Status;
+
+constexpr int kRenewalsPerLease = 3;
+
+}
+
+WatchRole::WatchRole(WatchRoleSettings aSettings,
+                     MemberRecord aSelf,
+                     std::uint64_t aSeed)
+  : m_settings(aSettings)
+  , m_self(std::move(aSelf))
+  , m_random(aSeed)
+  , m_backoff(aSettings.m_retry)
+{
+}
+
+void
+WatchRole::BackOff(TimePoint aNow)
+{
+  m_state = State::Idle;
+  m_held = false;
+  m_nextTry = aNow + Jittered(m_random, m_backoff);
+  m_backoff = std::min(2 * m_backoff, m_settings.m_maxRetry);
+}
+
+StoreRequest
+WatchRole::WriteSeed()
+{
+  StoreRequest request =
+    MakePut(SeedKey(m_self.m_domain, m_place), SeedToJson(m_self.m_address), 0);
+  request.m_lease = m_lease;
+  m_state = State::Writing;
+  return request;
+}
+
+bool
+WatchRole::NeedsRank(TimePoint aNow) const noexcept
+{
+  return m_state == State::Idle && !Holds(aNow) && aNow >= m_nextTry &&
+         m_nextTry != TimePoint{};
+}
+
+std::optional<StoreRequest>
+WatchRole::OnTick(TimePoint aNow, std::size_t aRank)
+{
+  if (m_nextTry == TimePoint{}) {
+    m_nextTry = aNow + Jittered(m_random, m_settings.m_retry);
+  }
+  if (m_held && aNow >= m_expires) {
+    // Paused or cut off for longer than the lease: presume that it lapsed.
+    m_held = false;
+  }
+  if (m_state != State::Idle || aNow < m_nextTry) {
+    return std::nullopt;
+  }
+  if (m_held) {
+    m_state = State::Keeping;
+    m_asked = aNow;
+    return StoreRequest{ .m_kind = StoreRequest::Kind::LeaseKeep,
+                         .m_lease = m_lease };
+  }
+  if (aRank >= m_settings.m_watchers) {
+    m_nextTry = aNow + Jittered(m_random, m_settings.m_retry);
+    return std::nullopt;
+  }
+  m_state = State::Granting;
+  m_asked = aNow;
+  m_placesTried = 0;
+  m_place = static_cast<std::uint32_t>(Below(m_random, m_settings.m_watchers));
+  return StoreRequest{ .m_kind = StoreRequest::Kind::LeaseGrant,
+                       .m_wait = m_settings.m_leaseTime };
+}
+
+std::optional<StoreRequest>
+WatchRole::OnReply(TimePoint aNow, const StoreReply& aReply)
+{
+  const bool ok = aReply.m_status == Status::Ok;
+  if (m_state == State::Granting && ok) {
+    m_lease = aReply.m_lease;
+    return WriteSeed();
+  }
+  if (m_state == State::Writing && aReply.m_status == Status::Conflict &&
+      ++m_placesTried < m_settings.m_watchers) {
+    m_place = (m_place + 1) % m_settings.m_watchers;
+    return WriteSeed();
+  }
+  if (!ok || m_state == State::Idle) {
+    BackOff(aNow);
+    return std::nullopt;
+  }
+  m_state = State::Idle;
+  m_held = true;
+  m_backoff = m_settings.m_retry;
+  // Counted from when it was asked for: the store cannot have started later.
+  m_expires = m_asked + m_settings.m_leaseTime;
+  m_nextTry = aNow + m_settings.m_leaseTime / kRenewalsPerLease;
+  return std::nullopt;
+}
+
+std::string
+SeedToJson(const MemberAddress& aAddress)
+{
+  return nlohmann::json{
+    { "host", aAddress.m_host },
+    { "gossip_port", aAddress.m_gossipPort },
+    { "bulk_port", aAddress.m_bulkPort },
+    { "link_port", aAddress.m_linkPort }
+  }.dump();
+}
+
+std::optional<MemberAddress>
+ParseSeed(std::string_view aText)
+{
+  const auto json = nlohmann::json::parse(aText, nullptr, false);
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  const auto port = [&json](const char* aName) -> std::uint16_t {
+    const auto found = json.find(aName);
+    const bool fits = found != json.end() && found->is_number_unsigned() &&
+                      found->get<std::uint64_t>() <= UINT16_MAX;
+    return fits ? found->get<std::uint16_t>() : std::uint16_t{ 0 };
+  };
+  const auto host = json.find("host");
+  if (host == json.end() || !host->is_string() || port("gossip_port") == 0) {
+    return std::nullopt;
+  }
+  return MemberAddress{ host->get<std::string>(),
+                        port("gossip_port"),
+                        port("bulk_port"),
+                        port("link_port") };
+}
+
+std::string
+SeedKey(std::string_view aDomain, std::uint32_t aPlace)
+{
+  return fmt::format("{}{}/{}", kSeedPrefix, aDomain, aPlace);
+}
+
+}
--- /dev/null
+++ b/src/settings/settings.cpp
@@ -0,0 +1,250 @@
+#include "greengagehub/settings/settings.hpp"
+
+#include "settings_reader.hpp"
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace greengagehub {
+
+namespace {
+
+constexpr std::int64_t kHourMs = 3'600'000;
+constexpr std::int64_t kMaxSlots = 100'000;
+constexpr std::int64_t kMaxBody = 16L * 1024 * 1024;
+const std::vector<std::string> kLevels{ "debug", "info", "warning", "error" };
+const std::vector<std::string> kSections{
+  "daemon",     "listen",        "operators", "worker", "store",
+  "membership", "dissemination", "calls",     "log"
+};
+
+/// One parse of one file: all sections report into the same list of faults.
+class SettingsParser
+{
+public:
+  SettingsParser(const toml::table& aRoot, std::string aFile)
+    : m_root(aRoot)
+    , m_file(std::move(aFile))
+  {
+  }
+
+  SettingsResult Run()
+  {
+    CheckSections();
+    ReadDaemon();
+    ReadListen();
+    ReadOperators();
+    ReadWorker();
+    ReadStore();
+    ReadMembership();
+    ReadDissemination();
+    ReadCalls();
+    ReadLog();
+    if (!m_faults.empty()) {
+      return m_faults;
+    }
+    return m_settings;
+  }
+
+private:
+  [[nodiscard]] SettingsReader Section(const char* aName)
+  {
+    return { m_root, m_file, aName, m_faults };
+  }
+
+  void CheckSections()
+  {
+    for (const auto& [key, node] : m_root) {
+      const std::string name{ key.str() };
+      if (std::find(kSections.begin(), kSections.end(), name) ==
+          kSections.end()) {
+        m_faults.push_back(Error{ ErrorCode::Invalid,
+                                  "unknown section or key \"" + name + "\"",
+                                  SourceRegion{ m_file,
+                                                node.source().begin.line,
+                                                node.source().begin.column } });
+      }
+    }
+  }
+
+  void ReadDaemon()
+  {
+    SettingsReader reader = Section("daemon");
+    reader.NeededText("slot", m_settings.m_slot);
+    reader.NeededText("service", m_settings.m_service);
+    reader.NeededText("region", m_settings.m_region);
+    reader.NeededText("domain", m_settings.m_domain);
+    reader.Finish();
+  }
+
+  void ReadListen()
+  {
+    SettingsReader reader = Section("listen");
+    ListenSettings& listen = m_settings.m_listen;
+    reader.Text("host", listen.m_host);
+    reader.Port("calls_port", listen.m_callsPort);
+    reader.Port("operators_port", listen.m_operatorsPort);
+    reader.Port("gossip_port", listen.m_gossipPort);
+    reader.Port("bulk_port", listen.m_bulkPort);
+    reader.Port("link_port", listen.m_linkPort);
+    reader.Finish();
+  }
+
+  void ReadOperators()
+  {
+    SettingsReader reader = Section("operators");
+    reader.NeededText("token", m_settings.m_operatorToken);
+    reader.Finish();
+  }
+
+  void ReadWorker()
+  {
+    SettingsReader reader = Section("worker");
+    RunTableSettings& runs = m_settings.m_runs;
+    reader.NeededText("url", m_settings.m_workerUrl);
+    if (!m_settings.m_workerUrl.starts_with("http://")) {
+      reader.Fault("url", "an address that starts with http://");
+    }
+    reader.Count("slots", runs.m_slots, 1, kMaxSlots);
+    reader.Count("queue", runs.m_queue, 0, kMaxSlots);
+    reader.Count("connections", m_settings.m_workerConnections, 1, kMaxSlots);
+    reader.Millis("warm_up_ms", runs.m_warmUp, 0, kHourMs);
+    reader.Finish();
+  }
+
+  void ReadStore()
+  {
+    SettingsReader reader = Section("store");
+    StoreSettings& store = m_settings.m_store;
+    reader.NeededText("url", store.m_url);
+    if (!store.m_url.starts_with("http://")) {
+      reader.Fault("url", "an address that starts with http://");
+    }
+    reader.Millis("timeout_ms", store.m_timeout, 1, kHourMs);
+    reader.Millis("watch_ms", store.m_watch, 1, kHourMs);
+    reader.Millis("max_backoff_ms", store.m_maxBackoff, 1, kHourMs);
+    reader.Millis("lease_ms", m_settings.m_watch.m_leaseTime, 100, kHourMs);
+    reader.Count("watchers_per_domain", m_settings.m_watch.m_watchers, 1, 16);
+    reader.Millis("watch_retry_ms", m_settings.m_watch.m_retry, 10, kHourMs);
+    reader.Finish();
+  }
+
+  void ReadMembership()
+  {
+    SettingsReader reader = Section("membership");
+    MembershipSettings& membership = m_settings.m_membership;
+    std::vector<std::string> seeds;
+    reader.Texts("seeds", seeds);
+    for (const std::string& each : seeds) {
+      ReadSeed(reader, each);
+    }
+    reader.Millis("period_ms", membership.m_period, 10, 60'000);
+    reader.Millis("ack_timeout_ms", membership.m_ackTimeout, 5, 60'000);
+    reader.Count("indirect", membership.m_indirect, 0, 16);
+    reader.Count("suspicion_factor", membership.m_suspicionFactor, 1, 1000);
+    reader.Count("lost_every", membership.m_lostEvery, 1, 1000);
+    reader.Finish();
+  }
+
+  void ReadSeed(SettingsReader& aReader, const std::string& aText)
+  {
+    const std::size_t colon = aText.rfind(':');
+    std::uint16_t port = 0;
+    if (colon != std::string::npos) {
+      std::from_chars(
+        aText.data() + colon + 1, aText.data() + aText.size(), port);
+    }
+    if (port == 0) {
+      aReader.Fault("seeds", "each \"IP:PORT\"");
+      return;
+    }
+    m_settings.m_seeds.push_back(
+      MemberAddress{ aText.substr(0, colon), port, 0, 0 });
+  }
+
+  void ReadDissemination()
+  {
+    SettingsReader reader = Section("dissemination");
+    DisseminationSettings& target = m_settings.m_dissemination;
+    reader.Count("fanout", target.m_fanout, 0, 64);
+    reader.Millis("pull_delay_ms", target.m_pullDelay, 0, 60'000);
+    reader.Millis("pull_timeout_ms", target.m_pullTimeout, 10, 60'000);
+    reader.Finish();
+  }
+
+  void ReadCalls()
+  {
+    SettingsReader reader = Section("calls");
+    CallSettings& calls = m_settings.m_calls;
+    reader.Count("max_body_bytes", calls.m_maxBodyBytes, 1, kMaxBody);
+    reader.Count("tries", calls.m_tries, 0, 16);
+    reader.Millis("drain_ms", calls.m_drain, 0, kHourMs);
+    reader.Millis("linger_ms", calls.m_linger, 0, 60'000);
+    reader.Finish();
+  }
+
+  void ReadLog()
+  {
+    SettingsReader reader = Section("log");
+    LogSettings& log = m_settings.m_log;
+    reader.OneOf("level", log.m_level, kLevels);
+    reader.Count("trace_percent", log.m_tracePercent, 0, 100);
+    reader.Finish({ "components" });
+    const toml::table* table = reader.Table();
+    const toml::node* node =
+      table == nullptr ? nullptr : table->get("components");
+    if (node == nullptr) {
+      return;
+    }
+    if (!node->is_table()) {
+      reader.Fault("components", "a table of levels");
+      return;
+    }
+    for (const auto& [key, value] : *node->as_table()) {
+      const std::string name{ key.str() };
+      std::string level = value.value_or(std::string{});
+      if (std::find(kLevels.begin(), kLevels.end(), level) == kLevels.end()) {
+        reader.Fault("components", "debug, info, warning, error");
+      }
+      log.m_components.push_back({ name, std::move(level) });
+    }
+  }
+
+  const toml::table& m_root;
+  std::string m_file;
+  std::vector<Error> m_faults;
+  Settings m_settings;
+};
+
+}
+
+SettingsResult
+ParseSettings(std::string_view aToml, const std::string& aFile)
+{
+  try {
+    const toml::table root = toml::parse(aToml, aFile);
+    return SettingsParser{ root, aFile }.Run();
+  } catch (const toml::parse_error& fault) {
+    return std::vector<Error>{ Error{
+      ErrorCode::Invalid,
+      std::string{ fault.description() },
+      SourceRegion{
+        aFile, fault.source().begin.line, fault.source().begin.column } } };
+  }
+}
+
+SettingsResult
+LoadSettings(const std::string& aFile)
+{
+  std::ifstream file{ aFile };
+  if (!file) {
+    return std::vector<Error>{ Error{
+      ErrorCode::Io, "cannot be read", SourceRegion{ aFile } } };
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return ParseSettings(text.str(), aFile);
+}
+
+}
--- /dev/null
+++ b/src/transport/bulk_channel.cpp
@@ -0,0 +1,280 @@
+#include "greengagehub/transport/bulk_channel.hpp"
+
+#include <asio/posix/stream_descriptor.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <charconv>
+#include <fmt/format.h>
+#include <list>
+#include <optional>
+#include <zmq.hpp>
+
+namespace greengagehub {
+
+namespace {
+
+constexpr std::int64_t kMaxMessageBytes = 64L * 1024 * 1024;
+/// Waiting messages to one slow peer; more are dropped, and asked for again.
+constexpr int kHighWater = 16;
+
+std::uint16_t
+PortOf(const std::string& aEndpoint)
+{
+  std::uint16_t port = 0;
+  const std::size_t colon = aEndpoint.rfind(':');
+  const char* first = aEndpoint.data() + colon + 1;
+  std::from_chars(first, aEndpoint.data() + aEndpoint.size(), port);
+  return port;
+}
+
+void
+SetLimits(zmq::socket_t& aSocket)
+{
+  aSocket.set(zmq::sockopt::linger, 0);
+  aSocket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+  aSocket.set(zmq::sockopt::sndhwm, kHighWater);
+  aSocket.set(zmq::sockopt::rcvhwm, kHighWater);
+}
+
+std::string_view
+TextOf(const zmq::message_t& aMessage)
+{
+  return { static_cast<const char*>(aMessage.data()), aMessage.size() };
+}
+
+/// Watches the descriptor of a ZeroMQ socket. It is edge-triggered: after each
+/// event, and after each send, the socket must be drained, or a message waits
+/// for the next one.
+class Readiness
+{
+public:
+  Readiness(asio::io_context& aLoop,
+            zmq::socket_t& aSocket,
+            std::function<void()> aDrain)
+    : m_descriptor(aLoop, aSocket.get(zmq::sockopt::fd))
+    , m_drain(std::move(aDrain))
+  {
+    Wait();
+  }
+  Readiness(const Readiness&) = delete;
+  Readiness& operator=(const Readiness&) = delete;
+  ~Readiness()
+  {
+    *m_alive = false;
+    m_descriptor.release();
+  }
+
+private:
+  void Wait()
+  {
+    m_descriptor.async_wait(
+      asio::posix::descriptor_base::wait_read,
+      [this, alive = m_alive](const asio::error_code& aError) {
+        // An event that was ready before the release still comes.
+        if (aError || !*alive) {
+          return;
+        }
+        Wait();
+        m_drain();
+      });
+  }
+
+  asio::posix::stream_descriptor m_descriptor;
+  std::function<void()> m_drain;
+  std::shared_ptr<bool> m_alive{ std::make_shared<bool>(true) };
+};
+
+}
+
+class BulkChannel::Impl
+{
+public:
+  Impl(asio::io_context& aLoop,
+       const std::string& aHost,
+       std::uint16_t aPort,
+       Serve aServe)
+    : m_loop(aLoop)
+    , m_serve(std::move(aServe))
+    , m_context(1)
+    , m_router(m_context, zmq::socket_type::router)
+  {
+    SetLimits(m_router);
+    m_router.bind(aPort == 0 ? fmt::format("tcp://{}:*", aHost)
+                             : fmt::format("tcp://{}:{}", aHost, aPort));
+    m_port = PortOf(m_router.get(zmq::sockopt::last_endpoint));
+    m_ready.emplace(aLoop, m_router, [this] { DrainRouter(); });
+  }
+
+  /// One pull under way, with a connection of its own.
+  struct Pending
+  {
+    Pending(asio::io_context& aLoop, zmq::context_t& aContext)
+      : m_socket(aContext, zmq::socket_type::dealer)
+      , m_timer(aLoop)
+    {
+    }
+    zmq::socket_t m_socket;
+    asio::steady_timer m_timer;
+    std::optional<Readiness> m_ready{};
+    Done m_done{};
+    bool m_ended{ false };
+  };
+  using Position = std::list<Pending>::iterator;
+
+  void Pull(const MemberAddress& aPeer,
+            const PullRequest& aRequest,
+            std::chrono::milliseconds aTimeout,
+            Done aDone)
+  {
+    m_pending.emplace_back(m_loop, m_context);
+    const Position pull = std::prev(m_pending.end());
+    pull->m_done = std::move(aDone);
+    SetLimits(pull->m_socket);
+    pull->m_socket.connect(
+      fmt::format("tcp://{}:{}", aPeer.m_host, aPeer.m_bulkPort));
+    pull->m_ready.emplace(
+      m_loop, pull->m_socket, [this, pull] { DrainPull(pull); });
+    pull->m_timer.expires_after(aTimeout);
+    pull->m_timer.async_wait([this, pull](const asio::error_code& aError) {
+      if (!aError) {
+        End(pull, std::nullopt);
+      }
+    });
+    const std::string bytes = EncodePullRequest(aRequest);
+    ++m_counts.m_sent;
+    m_counts.m_bytesSent += bytes.size();
+    pull->m_socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+    // The send may have raised the one edge that the descriptor will show.
+    asio::post(m_loop, [this, pull, alive = m_alive] {
+      if (*alive && !pull->m_ended) {
+        DrainPull(pull);
+      }
+    });
+  }
+
+  ~Impl() { *m_alive = false; }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  [[nodiscard]] std::uint16_t Port() const noexcept { return m_port; }
+  [[nodiscard]] const TrafficCounts& Counts() const noexcept
+  {
+    return m_counts;
+  }
+
+private:
+  void DrainRouter()
+  {
+    for (;;) {
+      zmq::message_t peer;
+      zmq::message_t body;
+      if (!m_router.recv(peer, zmq::recv_flags::dontwait)) {
+        return;
+      }
+      if (!peer.more() || !m_router.recv(body, zmq::recv_flags::dontwait)) {
+        ++m_counts.m_malformed;
+        continue;
+      }
+      Answer(peer, body);
+    }
+  }
+
+  void Answer(zmq::message_t& aPeer, const zmq::message_t& aBody)
+  {
+    ++m_counts.m_received;
+    m_counts.m_bytesReceived += aBody.size();
+    const auto request = DecodePullRequest(TextOf(aBody));
+    if (!request) {
+      ++m_counts.m_malformed;
+      return;
+    }
+    const std::string bytes = EncodePullAnswer(m_serve(request.value()));
+    ++m_counts.m_sent;
+    m_counts.m_bytesSent += bytes.size();
+    try {
+      m_router.send(aPeer, zmq::send_flags::sndmore);
+      m_router.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+    } catch (const zmq::error_t&) {
+      // The asker is gone; it will ask another peer.
+      ++m_counts.m_malformed;
+    }
+  }
+
+  void DrainPull(Position aPull)
+  {
+    zmq::message_t body;
+    if (aPull->m_ended ||
+        !aPull->m_socket.recv(body, zmq::recv_flags::dontwait)) {
+      return;
+    }
+    ++m_counts.m_received;
+    m_counts.m_bytesReceived += body.size();
+    auto answer = DecodePullAnswer(TextOf(body));
+    if (!answer) {
+      ++m_counts.m_malformed;
+      End(aPull, std::nullopt);
+      return;
+    }
+    End(aPull, std::move(answer.value()));
+  }
+
+  void End(Position aPull, std::optional<PullAnswer> aAnswer)
+  {
+    if (aPull->m_ended) {
+      return;
+    }
+    aPull->m_ended = true;
+    aPull->m_timer.cancel();
+    Done done = std::move(aPull->m_done);
+    // The socket's own event may be on the stack: remove it afterwards.
+    asio::post(m_loop, [this, aPull, alive = m_alive] {
+      if (*alive) {
+        m_pending.erase(aPull);
+      }
+    });
+    done(std::move(aAnswer));
+  }
+
+  asio::io_context& m_loop;
+  Serve m_serve;
+  zmq::context_t m_context;
+  zmq::socket_t m_router;
+  std::uint16_t m_port{ 0 };
+  std::optional<Readiness> m_ready;
+  std::list<Pending> m_pending;
+  TrafficCounts m_counts;
+  std::shared_ptr<bool> m_alive{ std::make_shared<bool>(true) };
+};
+
+BulkChannel::BulkChannel(asio::io_context& aLoop,
+                         const std::string& aHost,
+                         std::uint16_t aPort,
+                         Serve aServe)
+  : m_impl(std::make_unique<Impl>(aLoop, aHost, aPort, std::move(aServe)))
+{
+}
+
+BulkChannel::~BulkChannel() = default;
+
+std::uint16_t
+BulkChannel::Port() const noexcept
+{
+  return m_impl->Port();
+}
+
+const TrafficCounts&
+BulkChannel::Counts() const noexcept
+{
+  return m_impl->Counts();
+}
+
+void
+BulkChannel::Pull(const MemberAddress& aPeer,
+                  const PullRequest& aRequest,
+                  std::chrono::milliseconds aTimeout,
+                  Done aDone)
+{
+  m_impl->Pull(aPeer, aRequest, aTimeout, std::move(aDone));
+}
+
+}
--- /dev/null
+++ b/src/transport/gossip_codec.cpp
@@ -0,0 +1,250 @@
+#include "greengagehub/transport/codec.hpp"
+
+#include "control.pb.h"
+
+// Typed messages to and from protobuf, for all that is not calls.
+
+namespace greengagehub {
+
+namespace {
+
+constexpr std::uint32_t kLastState =
+  static_cast<std::uint32_t>(MemberState::Left);
+
+Error
+Malformed(const char* aWhat)
+{
+  return Error{ ErrorCode::Corrupt, aWhat };
+}
+
+void
+ToWire(const MemberRecord& aRecord, wire::MemberRecord& aOut)
+{
+  aOut.set_slot(aRecord.m_slot);
+  aOut.set_incarnation(aRecord.m_incarnation);
+  aOut.set_state(static_cast<std::uint32_t>(aRecord.m_state));
+  aOut.set_service(aRecord.m_service);
+  aOut.set_domain(aRecord.m_domain);
+  aOut.set_region(aRecord.m_region);
+  aOut.set_host(aRecord.m_address.m_host);
+  aOut.set_gossip_port(aRecord.m_address.m_gossipPort);
+  aOut.set_bulk_port(aRecord.m_address.m_bulkPort);
+  aOut.set_link_port(aRecord.m_address.m_linkPort);
+  aOut.set_slots(aRecord.m_slots);
+}
+
+Outcome<MemberRecord>
+FromWire(const wire::MemberRecord& aWire)
+{
+  const bool valid = !aWire.slot().empty() && aWire.state() <= kLastState &&
+                     aWire.gossip_port() <= UINT16_MAX &&
+                     aWire.bulk_port() <= UINT16_MAX &&
+                     aWire.link_port() <= UINT16_MAX;
+  if (!valid) {
+    return Malformed("a member record out of range");
+  }
+  MemberRecord record;
+  record.m_slot = aWire.slot();
+  record.m_incarnation = aWire.incarnation();
+  record.m_state = static_cast<MemberState>(aWire.state());
+  record.m_service = aWire.service();
+  record.m_domain = aWire.domain();
+  record.m_region = aWire.region();
+  record.m_address = { aWire.host(),
+                       static_cast<std::uint16_t>(aWire.gossip_port()),
+                       static_cast<std::uint16_t>(aWire.bulk_port()),
+                       static_cast<std::uint16_t>(aWire.link_port()) };
+  record.m_slots = aWire.slots();
+  return record;
+}
+
+void
+ToWire(const VersionEntry& aEntry, wire::VersionEntry& aOut)
+{
+  aOut.set_version(aEntry.m_version.m_number);
+  aOut.set_patch(aEntry.m_patch);
+  aOut.set_chain(std::string{ aEntry.m_chain.View() });
+  aOut.set_content_digest(std::string{ aEntry.m_content.View() });
+}
+
+Outcome<VersionEntry>
+FromWire(const wire::VersionEntry& aWire)
+{
+  const auto chain = DigestFromBytes(aWire.chain());
+  const auto content = DigestFromBytes(aWire.content_digest());
+  if (!chain || !content) {
+    return Malformed("an entry without its digests");
+  }
+  return VersionEntry{
+    Version{ aWire.version() }, aWire.patch(), chain.value(), content.value()
+  };
+}
+
+void
+ToWire(const VersionDigest& aHead, wire::VersionDigest& aOut)
+{
+  aOut.set_version(aHead.m_version.m_number);
+  aOut.set_chain(std::string{ aHead.m_chain.View() });
+}
+
+Outcome<VersionDigest>
+FromWire(const wire::VersionDigest& aWire)
+{
+  const auto chain = DigestFromBytes(aWire.chain());
+  if (!chain) {
+    return Malformed("a head without its digest");
+  }
+  return VersionDigest{ Version{ aWire.version() }, chain.value() };
+}
+
+template<class Typed, class Repeated>
+Outcome<std::vector<Typed>>
+AllFromWire(const Repeated& aWire)
+{
+  std::vector<Typed> all;
+  all.reserve(static_cast<std::size_t>(aWire.size()));
+  for (const auto& each : aWire) {
+    auto one = FromWire(each);
+    if (!one) {
+      return one.error();
+    }
+    all.push_back(std::move(one.value()));
+  }
+  return all;
+}
+
+wire::Datagram
+ToWire(const GossipMessage& aMessage)
+{
+  wire::Datagram out;
+  out.set_kind(static_cast<wire::Datagram::Kind>(aMessage.m_kind));
+  ToWire(aMessage.m_sender, *out.mutable_sender());
+  out.set_sequence(aMessage.m_sequence);
+  out.set_target(aMessage.m_target);
+  ToWire(aMessage.m_head, *out.mutable_head());
+  for (const MemberRecord& each : aMessage.m_updates) {
+    ToWire(each, *out.add_updates());
+  }
+  for (const VersionEntry& each : aMessage.m_entries) {
+    ToWire(each, *out.add_entries());
+  }
+  out.set_floor(aMessage.m_floor.m_number);
+  out.set_watching(aMessage.m_watching);
+  return out;
+}
+
+}
+
+std::string
+EncodeGossip(const GossipMessage& aMessage, std::size_t aMaxBytes)
+{
+  wire::Datagram out = ToWire(aMessage);
+  while (out.ByteSizeLong() > aMaxBytes && out.updates_size() > 0) {
+    out.mutable_updates()->RemoveLast();
+  }
+  while (out.ByteSizeLong() > aMaxBytes && out.entries_size() > 0) {
+    out.mutable_entries()->RemoveLast();
+  }
+  return out.SerializeAsString();
+}
+
+Outcome<GossipMessage>
+DecodeGossip(std::string_view aBytes)
+{
+  wire::Datagram in;
+  const bool parsed =
+    in.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()));
+  if (!parsed || !wire::Datagram::Kind_IsValid(in.kind())) {
+    return Malformed("not a datagram of this protocol");
+  }
+  auto sender = FromWire(in.sender());
+  auto head = FromWire(in.head());
+  auto updates = AllFromWire<MemberRecord>(in.updates());
+  auto entries = AllFromWire<VersionEntry>(in.entries());
+  if (!sender || !head || !updates || !entries) {
+    return Malformed("a datagram with a field out of range");
+  }
+  GossipMessage message;
+  message.m_kind = static_cast<GossipMessage::Kind>(in.kind());
+  message.m_sender = std::move(sender.value());
+  message.m_sequence = in.sequence();
+  message.m_target = in.target();
+  message.m_head = head.value();
+  message.m_updates = std::move(updates.value());
+  message.m_entries = std::move(entries.value());
+  message.m_floor = Version{ in.floor() };
+  message.m_watching = in.watching();
+  return message;
+}
+
+std::string
+EncodePullRequest(const PullRequest& aRequest)
+{
+  wire::PullRequest out;
+  out.set_slot(aRequest.m_slot);
+  out.set_have_version(aRequest.m_have.m_number);
+  out.set_want_members(aRequest.m_wantMembers);
+  return out.SerializeAsString();
+}
+
+Outcome<PullRequest>
+DecodePullRequest(std::string_view aBytes)
+{
+  wire::PullRequest in;
+  if (!in.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()))) {
+    return Malformed("not a pull request");
+  }
+  return PullRequest{ in.slot(),
+                      Version{ in.have_version() },
+                      in.want_members() };
+}
+
+std::string
+EncodePullAnswer(const PullAnswer& aAnswer)
+{
+  wire::PullAnswer out;
+  for (const VersionEntry& each : aAnswer.m_entries) {
+    ToWire(each, *out.add_entries());
+  }
+  if (!aAnswer.m_snapshot.empty()) {
+    out.set_snapshot(aAnswer.m_snapshot);
+    ToWire(aAnswer.m_snapshotHead, *out.mutable_snapshot_head());
+  }
+  for (const MemberRecord& each : aAnswer.m_members) {
+    ToWire(each, *out.add_members());
+  }
+  out.set_floor(aAnswer.m_floor.m_number);
+  ToWire(aAnswer.m_head, *out.mutable_head());
+  return out.SerializeAsString();
+}
+
+Outcome<PullAnswer>
+DecodePullAnswer(std::string_view aBytes)
+{
+  wire::PullAnswer in;
+  if (!in.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()))) {
+    return Malformed("not a pull answer");
+  }
+  auto entries = AllFromWire<VersionEntry>(in.entries());
+  auto members = AllFromWire<MemberRecord>(in.members());
+  auto head = FromWire(in.head());
+  if (!entries || !members || !head) {
+    return Malformed("a pull answer with a field out of range");
+  }
+  PullAnswer answer;
+  if (!in.snapshot().empty()) {
+    auto snapshotHead = FromWire(in.snapshot_head());
+    if (!snapshotHead) {
+      return Malformed("a snapshot without its version");
+    }
+    answer.m_snapshot = in.snapshot();
+    answer.m_snapshotHead = std::move(snapshotHead.value());
+  }
+  answer.m_entries = std::move(entries.value());
+  answer.m_members = std::move(members.value());
+  answer.m_floor = Version{ in.floor() };
+  answer.m_head = head.value();
+  return answer;
+}
+
+}
--- /dev/null
+++ b/src/transport/link_codec.cpp
@@ -0,0 +1,216 @@
+#include "greengagehub/transport/codec.hpp"
+
+#include "link.pb.h"
+
+#include <array>
+
+// Frames of call links to and from protobuf.
+
+namespace greengagehub {
+
+namespace {
+
+constexpr std::uint32_t kLastClass =
+  static_cast<std::uint32_t>(CallClass::Export);
+constexpr std::uint32_t kLastOutcome =
+  static_cast<std::uint32_t>(CallOutcome::Unknown);
+constexpr std::uint32_t kLastReason =
+  static_cast<std::uint32_t>(RefusalReason::Restarted);
+constexpr unsigned kByteBits = 8;
+
+Error
+Malformed(const char* aWhat)
+{
+  return Error{ ErrorCode::Corrupt, aWhat };
+}
+
+template<class Message>
+void
+HeadersToWire(const std::vector<HttpHeader>& aHeaders, Message& aOut)
+{
+  for (const HttpHeader& each : aHeaders) {
+    wire::Header& header = *aOut.add_headers();
+    header.set_name(each.m_name);
+    header.set_value(each.m_value);
+  }
+}
+
+template<class Message>
+std::vector<HttpHeader>
+HeadersFromWire(const Message& aWire)
+{
+  std::vector<HttpHeader> headers;
+  headers.reserve(static_cast<std::size_t>(aWire.headers_size()));
+  for (const auto& each : aWire.headers()) {
+    headers.push_back(HttpHeader{ each.name(), each.value() });
+  }
+  return headers;
+}
+
+struct ToWire
+{
+  wire::Frame& m_out;
+
+  void operator()(const LinkHello& aHello) const
+  {
+    wire::Hello& out = *m_out.mutable_hello();
+    out.set_slot(aHello.m_slot);
+    out.set_incarnation(aHello.m_process);
+    out.set_epoch(aHello.m_epoch);
+  }
+  void operator()(const CallRequest& aRequest) const
+  {
+    wire::CallRequest& out = *m_out.mutable_request();
+    out.set_call(aRequest.m_call);
+    out.set_service(aRequest.m_service);
+    out.set_method(aRequest.m_method);
+    out.set_target(aRequest.m_target);
+    HeadersToWire(aRequest.m_headers, out);
+    out.set_body(aRequest.m_body);
+    out.set_deadline_us(
+      static_cast<std::uint64_t>(aRequest.m_timeLeft.count()));
+    out.set_call_class(static_cast<std::uint32_t>(aRequest.m_class));
+    out.set_idempotent(aRequest.m_idempotent);
+    out.set_depth(aRequest.m_depth);
+    out.set_tries(aRequest.m_triesLeft);
+  }
+  void operator()(const CallAnswer& aAnswer) const
+  {
+    wire::CallAnswer& out = *m_out.mutable_answer();
+    out.set_call(aAnswer.m_call);
+    out.set_outcome(static_cast<std::uint32_t>(aAnswer.m_outcome));
+    out.set_reason(static_cast<std::uint32_t>(aAnswer.m_reason));
+    out.set_status(aAnswer.m_response.m_status);
+    HeadersToWire(aAnswer.m_response.m_headers, out);
+    out.set_body(aAnswer.m_response.m_body);
+    out.set_retry_after_ms(
+      static_cast<std::uint64_t>(aAnswer.m_retryAfter.count()));
+    out.set_load(aAnswer.m_load);
+  }
+  void operator()(const LinkCancel& aCancel) const
+  {
+    m_out.mutable_cancel()->set_call(aCancel.m_call);
+    m_out.mutable_cancel()->set_abandon(aCancel.m_abandon);
+  }
+  void operator()(const LinkCancelResult& aResult) const
+  {
+    m_out.mutable_cancel_result()->set_call(aResult.m_call);
+    m_out.mutable_cancel_result()->set_started(aResult.m_started);
+    m_out.mutable_cancel_result()->set_lost(aResult.m_lost);
+  }
+  void operator()(const LinkPing& aPing) const
+  {
+    m_out.set_ping(aPing.m_number);
+  }
+  void operator()(const LinkPong& aPong) const
+  {
+    m_out.set_pong(aPong.m_number);
+  }
+  void operator()(const LinkLeaving& /*aLeaving*/) const
+  {
+    m_out.set_leaving(true);
+  }
+};
+
+Outcome<LinkFrame>
+RequestFrom(const wire::CallRequest& aWire)
+{
+  if (aWire.call_class() > kLastClass) {
+    return Malformed("an unknown class of call");
+  }
+  CallRequest request;
+  request.m_call = aWire.call();
+  request.m_service = aWire.service();
+  request.m_method = aWire.method();
+  request.m_target = aWire.target();
+  request.m_headers = HeadersFromWire(aWire);
+  request.m_body = aWire.body();
+  request.m_timeLeft = std::chrono::microseconds{ aWire.deadline_us() };
+  request.m_class = static_cast<CallClass>(aWire.call_class());
+  request.m_idempotent = aWire.idempotent();
+  request.m_depth = aWire.depth();
+  request.m_triesLeft = aWire.tries();
+  return LinkFrame{ std::move(request) };
+}
+
+Outcome<LinkFrame>
+AnswerFrom(const wire::CallAnswer& aWire)
+{
+  const bool valid = aWire.outcome() <= kLastOutcome &&
+                     aWire.reason() <= kLastReason &&
+                     aWire.status() <= UINT16_MAX;
+  if (!valid) {
+    return Malformed("an answer with a field out of range");
+  }
+  CallAnswer answer;
+  answer.m_call = aWire.call();
+  answer.m_outcome = static_cast<CallOutcome>(aWire.outcome());
+  answer.m_reason = static_cast<RefusalReason>(aWire.reason());
+  answer.m_response.m_status = static_cast<std::uint16_t>(aWire.status());
+  answer.m_response.m_headers = HeadersFromWire(aWire);
+  answer.m_response.m_body = aWire.body();
+  answer.m_retryAfter = std::chrono::milliseconds{ aWire.retry_after_ms() };
+  answer.m_load = aWire.load();
+  return LinkFrame{ std::move(answer) };
+}
+
+}
+
+void
+AppendFrame(std::string& aOut, const LinkFrame& aFrame)
+{
+  wire::Frame frame;
+  std::visit(ToWire{ frame }, aFrame);
+  const auto size = static_cast<std::uint32_t>(frame.ByteSizeLong());
+  for (unsigned shift = 3; shift < kFrameHeader; --shift) {
+    aOut += static_cast<char>((size >> (shift * kByteBits)) & 0xFFU);
+  }
+  frame.AppendToString(&aOut);
+}
+
+std::size_t
+FrameLength(const char* aHeader) noexcept
+{
+  std::size_t length = 0;
+  for (std::size_t i = 0; i < kFrameHeader; ++i) {
+    length = (length << kByteBits) | static_cast<unsigned char>(aHeader[i]);
+  }
+  return length;
+}
+
+Outcome<LinkFrame>
+DecodeFrame(std::string_view aBytes)
+{
+  wire::Frame frame;
+  if (!frame.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()))) {
+    return Malformed("not a frame of this protocol");
+  }
+  switch (frame.kind_case()) {
+    case wire::Frame::kHello:
+      return LinkFrame{ LinkHello{ frame.hello().slot(),
+                                   frame.hello().incarnation(),
+                                   frame.hello().epoch() } };
+    case wire::Frame::kRequest:
+      return RequestFrom(frame.request());
+    case wire::Frame::kAnswer:
+      return AnswerFrom(frame.answer());
+    case wire::Frame::kCancel:
+      return LinkFrame{ LinkCancel{ frame.cancel().call(),
+                                    frame.cancel().abandon() } };
+    case wire::Frame::kCancelResult:
+      return LinkFrame{ LinkCancelResult{ frame.cancel_result().call(),
+                                          frame.cancel_result().started(),
+                                          frame.cancel_result().lost() } };
+    case wire::Frame::kPing:
+      return LinkFrame{ LinkPing{ frame.ping() } };
+    case wire::Frame::kPong:
+      return LinkFrame{ LinkPong{ frame.pong() } };
+    case wire::Frame::kLeaving:
+      return LinkFrame{ LinkLeaving{} };
+    case wire::Frame::KIND_NOT_SET:
+      break;
+  }
+  return Malformed("a frame of an unknown kind");
+}
+
+}
--- /dev/null
+++ b/src/transport/link_connection.cpp
@@ -0,0 +1,135 @@
+#include "greengagehub/transport/link_connection.hpp"
+
+#include "greengagehub/transport/codec.hpp"
+
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+
+namespace greengagehub {
+
+LinkConnection::LinkConnection(asio::ip::tcp::socket aSocket)
+  : m_socket(std::move(aSocket))
+{
+}
+
+void
+LinkConnection::Start(OnFrame aOnFrame, OnClosed aOnClosed)
+{
+  m_onFrame = std::move(aOnFrame);
+  m_onClosed = std::move(aOnClosed);
+  m_opened = Clock::now();
+  m_lastReceived = m_opened;
+  asio::error_code ignored;
+  m_socket.set_option(asio::ip::tcp::no_delay{ true }, ignored);
+  Read();
+}
+
+void
+LinkConnection::Read()
+{
+  const std::size_t before = m_in.size();
+  m_in.resize(before + kReadBytes);
+  m_socket.async_read_some(
+    asio::buffer(m_in.data() + before, kReadBytes),
+    [self = Pointer{ this }, before](const asio::error_code& aError,
+                                     std::size_t aSize) {
+      self->m_in.resize(before + aSize);
+      if (aError) {
+        self->Close();
+        return;
+      }
+      self->OnRead(aSize);
+    });
+}
+
+void
+LinkConnection::OnRead(std::size_t /*aSize*/)
+{
+  m_lastReceived = Clock::now();
+  std::size_t at = 0;
+  while (m_open && m_in.size() - at >= kFrameHeader) {
+    const std::size_t length = FrameLength(m_in.data() + at);
+    if (length > kMaxFrame) {
+      Close();
+      return;
+    }
+    if (m_in.size() - at - kFrameHeader < length) {
+      break;
+    }
+    auto frame =
+      DecodeFrame(std::string_view{ m_in }.substr(at + kFrameHeader, length));
+    if (!frame) {
+      // Garbage: nothing after it can be trusted to be a frame.
+      Close();
+      return;
+    }
+    at += kFrameHeader + length;
+    m_onFrame(*this, std::move(frame.value()));
+  }
+  m_in.erase(0, at);
+  if (m_open) {
+    Read();
+  }
+}
+
+void
+LinkConnection::Send(const LinkFrame& aFrame)
+{
+  if (!m_open) {
+    return;
+  }
+  AppendFrame(m_out, aFrame);
+  if (m_writing.empty()) {
+    Write();
+  }
+}
+
+void
+LinkConnection::Write()
+{
+  m_writing.swap(m_out);
+  asio::async_write(m_socket,
+                    asio::buffer(m_writing),
+                    [self = Pointer{ this }](const asio::error_code& aError,
+                                             std::size_t aSize) {
+                      self->m_writing.clear();
+                      self->m_bytesSent += aSize;
+                      if (aError) {
+                        self->Close();
+                        return;
+                      }
+                      if (!self->m_out.empty() && self->m_open) {
+                        self->Write();
+                      }
+                    });
+}
+
+void
+LinkConnection::Close()
+{
+  if (!m_open) {
+    return;
+  }
+  m_open = false;
+  asio::error_code ignored;
+  m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  m_socket.close(ignored);
+  asio::post(m_socket.get_executor(),
+             [self = Pointer{ this }] { self->Closed(); });
+}
+
+void
+LinkConnection::Closed()
+{
+  if (m_told) {
+    return;
+  }
+  m_told = true;
+  const OnClosed onClosed = std::move(m_onClosed);
+  m_onFrame = nullptr;
+  if (onClosed) {
+    onClosed(*this);
+  }
+}
+
+}
