--- /dev/null
+++ b/src/transport/link_pool.cpp
@@ -0,0 +1,269 @@
+#include "greengagehub/transport/link_pool.hpp"
+
+#include <asio/ip/address.hpp>
+#include <asio/post.hpp>
+
+namespace greengagehub {
+
+using asio::ip::tcp;
+
+struct LinkPool::Link
+{
+  std::string m_slot;
+  MemberAddress m_address;
+  LinkConnection::Pointer m_connection;
+  std::unique_ptr<tcp::socket> m_connecting;
+  std::uint64_t m_epoch{ 0 };
+  std::uint64_t m_process{ 0 };
+  /// Open and greeted.
+  bool m_up{ false };
+  std::vector<LinkFrame> m_waiting;
+  TimePoint m_since{};
+  TimePoint m_lastUse{};
+  TimePoint m_lastPing{};
+  /// Set after a loss: until when to try again, and when next.
+  std::optional<TimePoint> m_retryUntil;
+  TimePoint m_retryAt{};
+};
+
+LinkPool::LinkPool(asio::io_context& aLoop,
+                   LinkHello aSelf,
+                   LinkPoolSettings aSettings,
+                   Handlers aHandlers)
+  : m_loop(aLoop)
+  , m_self(std::move(aSelf))
+  , m_settings(aSettings)
+  , m_handlers(std::move(aHandlers))
+{
+}
+
+LinkPool::~LinkPool() = default;
+
+// ---------------------------------------------------------------------------
+// Sending
+
+void
+LinkPool::Write(Link& aLink, const LinkFrame& aFrame)
+{
+  if (const auto* request = std::get_if<CallRequest>(&aFrame)) {
+    m_handlers.m_onSent(request->m_call, aLink.m_process);
+  }
+  aLink.m_connection->Send(aFrame);
+}
+
+void
+LinkPool::Send(const std::string& aSlot,
+               const MemberAddress& aAddress,
+               LinkFrame aFrame)
+{
+  LinkPtr& link = m_links[aSlot];
+  if (link && !(link->m_address == aAddress)) {
+    // The slot moved, so it is another process; what is in doubt on the old
+    // connection ends with it.
+    if (link->m_connection) {
+      link->m_connection->Close();
+    }
+    DropWaiting(link);
+    link = nullptr;
+  }
+  if (!link) {
+    link = std::make_shared<Link>();
+    link->m_slot = aSlot;
+    link->m_address = aAddress;
+  }
+  link->m_lastUse = Clock::now();
+  if (link->m_up) {
+    Write(*link, aFrame);
+    return;
+  }
+  link->m_waiting.push_back(std::move(aFrame));
+  if (!link->m_connecting && !link->m_connection) {
+    Connect(link);
+  }
+}
+
+void
+LinkPool::SendIfOpen(const std::string& aSlot, const LinkFrame& aFrame)
+{
+  const auto found = m_links.find(aSlot);
+  if (found != m_links.end() && found->second->m_up) {
+    found->second->m_connection->Send(aFrame);
+  }
+}
+
+void
+LinkPool::DropWaiting(const LinkPtr& aLink)
+{
+  std::vector<LinkFrame> waiting;
+  waiting.swap(aLink->m_waiting);
+  for (const LinkFrame& each : waiting) {
+    if (const auto* request = std::get_if<CallRequest>(&each)) {
+      m_handlers.m_onNotSent(request->m_call);
+    }
+  }
+}
+
+// ---------------------------------------------------------------------------
+// Connecting
+
+void
+LinkPool::Connect(const LinkPtr& aLink)
+{
+  asio::error_code error;
+  const auto host = asio::ip::make_address(aLink->m_address.m_host, error);
+  if (error) {
+    DropWaiting(aLink);
+    return;
+  }
+  aLink->m_epoch = ++m_lastEpoch;
+  aLink->m_since = Clock::now();
+  aLink->m_connecting = std::make_unique<tcp::socket>(m_loop);
+  aLink->m_connecting->async_connect(
+    tcp::endpoint{ host, aLink->m_address.m_linkPort },
+    [this, weak = std::weak_ptr<Link>{ aLink }, epoch = aLink->m_epoch](
+      const asio::error_code& aError) {
+      const LinkPtr link = weak.lock();
+      if (!link || link->m_epoch != epoch || !link->m_connecting) {
+        return;
+      }
+      if (aError) {
+        link->m_connecting.reset();
+        OnConnectFailed(link, aError == asio::error::connection_refused);
+        return;
+      }
+      tcp::socket socket = std::move(*link->m_connecting);
+      link->m_connecting.reset();
+      OnConnected(link, epoch, std::move(socket));
+    });
+}
+
+void
+LinkPool::OnConnected(const LinkPtr& aLink,
+                      std::uint64_t aEpoch,
+                      tcp::socket aSocket)
+{
+  aLink->m_connection = new LinkConnection(std::move(aSocket));
+  const std::weak_ptr<Link> weak = aLink;
+  aLink->m_connection->Start(
+    [this, weak](LinkConnection& aConnection, LinkFrame aFrame) {
+      if (const LinkPtr link = weak.lock()) {
+        OnFrame(link, aConnection, std::move(aFrame));
+      }
+    },
+    [this, weak](LinkConnection& aConnection) {
+      if (const LinkPtr link = weak.lock()) {
+        OnClosed(link, aConnection);
+      }
+    });
+  LinkHello hello = m_self;
+  hello.m_epoch = aEpoch;
+  aLink->m_connection->Send(hello);
+}
+
+void
+LinkPool::OnConnectFailed(const LinkPtr& aLink, bool aRefused)
+{
+  DropWaiting(aLink);
+  if (aRefused) {
+    m_handlers.m_onRefused(aLink->m_slot);
+  }
+  aLink->m_retryAt = Clock::now() + m_settings.m_reconnectEvery;
+}
+
+void
+LinkPool::OnHello(const LinkPtr& aLink, const LinkHello& aHello)
+{
+  aLink->m_up = true;
+  aLink->m_process = aHello.m_process;
+  aLink->m_retryUntil.reset();
+  m_handlers.m_onUp(aLink->m_slot, aHello.m_process);
+  std::vector<LinkFrame> waiting;
+  waiting.swap(aLink->m_waiting);
+  for (const LinkFrame& each : waiting) {
+    Write(*aLink, each);
+  }
+}
+
+void
+LinkPool::OnFrame(const LinkPtr& aLink,
+                  LinkConnection& aConnection,
+                  LinkFrame aFrame)
+{
+  if (aLink->m_connection.get() != &aConnection) {
+    return;
+  }
+  if (const auto* hello = std::get_if<LinkHello>(&aFrame)) {
+    OnHello(aLink, *hello);
+    return;
+  }
+  if (std::holds_alternative<LinkPong>(aFrame)) {
+    return;
+  }
+  m_handlers.m_onFrame(aLink->m_slot, std::move(aFrame));
+}
+
+void
+LinkPool::OnClosed(const LinkPtr& aLink, LinkConnection& aConnection)
+{
+  if (aLink->m_connection.get() != &aConnection) {
+    return;
+  }
+  aLink->m_connection.reset();
+  const bool wasUp = aLink->m_up;
+  aLink->m_up = false;
+  DropWaiting(aLink);
+  const TimePoint now = Clock::now();
+  aLink->m_retryAt = now;
+  if (wasUp) {
+    aLink->m_retryUntil = now + m_settings.m_reconnectFor;
+    m_handlers.m_onLost(aLink->m_slot);
+  }
+}
+
+// ---------------------------------------------------------------------------
+// Time
+
+void
+LinkPool::OnTick(TimePoint aNow)
+{
+  const auto links = m_links;
+  for (const auto& [slot, link] : links) {
+    if (link->m_connecting &&
+        aNow - link->m_since > m_settings.m_connectTimeout) {
+      link->m_connecting.reset();
+      OnConnectFailed(link, false);
+    }
+    if (link->m_connection && !link->m_up &&
+        aNow - link->m_since > m_settings.m_connectTimeout) {
+      link->m_connection->Close();
+    }
+    if (link->m_up) {
+      const Duration silent = aNow - link->m_connection->LastReceived();
+      if (silent > m_settings.m_silence) {
+        // Something between the two ends may have lost track of this
+        // connection while new ones work: waiting longer would help nobody.
+        link->m_connection->Close();
+      } else if (aNow - link->m_lastUse > m_settings.m_idle) {
+        link->m_up = false;
+        link->m_connection->Close();
+      } else if (aNow - link->m_lastPing > m_settings.m_heartbeat) {
+        link->m_lastPing = aNow;
+        link->m_connection->Send(LinkPing{ ++m_lastPing });
+      }
+    }
+    const bool idle = !link->m_connecting && !link->m_connection;
+    if (idle && link->m_retryUntil && aNow >= link->m_retryAt) {
+      if (aNow < *link->m_retryUntil) {
+        Connect(link);
+      } else {
+        link->m_retryUntil.reset();
+      }
+    }
+    if (idle && !link->m_connecting && !link->m_retryUntil &&
+        aNow - link->m_lastUse > m_settings.m_idle) {
+      m_links.erase(slot);
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/src/transport/link_server.cpp
@@ -0,0 +1,128 @@
+#include "greengagehub/transport/link_server.hpp"
+
+#include <asio/ip/address.hpp>
+
+namespace greengagehub {
+
+using asio::ip::tcp;
+
+LinkServer::LinkServer(asio::io_context& aLoop,
+                       const std::string& aHost,
+                       std::uint16_t aPort,
+                       LinkHello aSelf,
+                       Handlers aHandlers)
+  : m_acceptor(aLoop, tcp::endpoint{ asio::ip::make_address(aHost), aPort })
+  , m_self(std::move(aSelf))
+  , m_handlers(std::move(aHandlers))
+{
+  Accept();
+}
+
+std::uint16_t
+LinkServer::Port() const
+{
+  asio::error_code error;
+  return m_acceptor.local_endpoint(error).port();
+}
+
+LinkConnection*
+LinkServer::Find(std::uint64_t aProcess) const
+{
+  const auto found = m_byProcess.find(aProcess);
+  return found == m_byProcess.end() ? nullptr : found->second.get();
+}
+
+void
+LinkServer::Accept()
+{
+  m_acceptor.async_accept(
+    [this](const asio::error_code& aError, tcp::socket aSocket) {
+      if (aError == asio::error::operation_aborted) {
+        return;
+      }
+      if (!aError) {
+        LinkConnection::Pointer connection{ new LinkConnection(
+          std::move(aSocket)) };
+        m_connections.insert(connection);
+        connection->Start(
+          [this](LinkConnection& aConnection, LinkFrame aFrame) {
+            OnFrame(aConnection, std::move(aFrame));
+          },
+          [this](LinkConnection& aConnection) {
+            const auto current = m_byProcess.find(aConnection.m_peer.m_process);
+            if (current != m_byProcess.end() &&
+                current->second.get() == &aConnection) {
+              m_byProcess.erase(current);
+            }
+            m_connections.erase(LinkConnection::Pointer{ &aConnection });
+          });
+      }
+      Accept();
+    });
+}
+
+void
+LinkServer::Greet(LinkConnection& aConnection, const LinkHello& aHello)
+{
+  const auto older = m_byProcess.find(aHello.m_process);
+  if (older != m_byProcess.end()) {
+    if (older->second->m_peer.m_epoch >= aHello.m_epoch) {
+      // A hello that was stuck on the way while a newer connection opened.
+      aConnection.Close();
+      return;
+    }
+    older->second->Close();
+  }
+  aConnection.m_peer = aHello;
+  aConnection.m_greeted = true;
+  m_byProcess[aHello.m_process] = LinkConnection::Pointer{ &aConnection };
+  m_handlers.m_onEpoch(aHello.m_process, aHello.m_epoch);
+  LinkHello answer = m_self;
+  answer.m_epoch = aHello.m_epoch;
+  aConnection.Send(answer);
+}
+
+void
+LinkServer::OnFrame(LinkConnection& aConnection, LinkFrame aFrame)
+{
+  if (const auto* hello = std::get_if<LinkHello>(&aFrame)) {
+    Greet(aConnection, *hello);
+    return;
+  }
+  if (!aConnection.m_greeted) {
+    aConnection.Close();
+    return;
+  }
+  if (const auto* ping = std::get_if<LinkPing>(&aFrame)) {
+    aConnection.Send(LinkPong{ ping->m_number });
+    return;
+  }
+  m_handlers.m_onFrame(aConnection, std::move(aFrame));
+}
+
+void
+LinkServer::Broadcast(const LinkFrame& aFrame)
+{
+  for (const auto& each : m_connections) {
+    if (each->m_greeted) {
+      each->Send(aFrame);
+    }
+  }
+}
+
+void
+LinkServer::StopAccepting()
+{
+  asio::error_code ignored;
+  m_acceptor.close(ignored);
+}
+
+void
+LinkServer::CloseAll()
+{
+  for (const auto& each : m_connections) {
+    each->Close();
+  }
+}
+
+}
--- /dev/null
+++ b/standins/backend_server.cpp
@@ -0,0 +1,209 @@
+#include "greengagehub/core/clock.hpp"
+#include "greengagehub/http/http_server.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <cstdio>
+#include <deque>
+#include <fmt/format.h>
+#include <map>
+#include <nlohmann/json.hpp>
+
+/// \file
+/// \brief Stand-in for a backend server: slots, service time, cold start,
+/// faults switched over HTTP, and a count of how often each request id ran.
+///
+/// A request's id is its X-Request-Id header; the answer carries it back in
+/// header and body. Faults: PUT /faults with any of {"service_ms": N,
+/// "fail": true, "cut_after_run": N, "health": "..."}. Counts: GET /runs.
+
+namespace {
+
+using namespace greengagehub; // NOLINT: a stand-in, one file
+using Json = nlohmann::json;
+
+struct Options
+{
+  HttpServerSettings m_http;
+  std::uint32_t m_slots{ 20 };
+  std::uint32_t m_serviceMs{ 2 };
+  std::uint32_t m_coldMs{ 0 };
+};
+
+class BackendServer
+{
+public:
+  BackendServer(asio::io_context& aLoop, const Options& aOptions)
+    : m_loop(aLoop)
+    , m_options(aOptions)
+    , m_started(Clock::now())
+    , m_http(aLoop,
+             aOptions.m_http,
+             [this](HttpRequest aRequest, HttpResponder aResponder) {
+               OnHttp(std::move(aRequest), std::move(aResponder));
+             })
+  {
+  }
+
+  [[nodiscard]] Outcome<std::uint16_t> Open() { return m_http.Open(); }
+
+private:
+  struct Run
+  {
+    HttpRequest m_request;
+    HttpResponder m_responder;
+  };
+
+  void OnHttp(HttpRequest aRequest, HttpResponder aResponder)
+  {
+    const std::string_view path = PathOf(aRequest.m_target);
+    if (path == "/faults") {
+      SetFaults(aRequest.m_body);
+      aResponder.Answer(JsonResponse(200, "{}"));
+    } else if (path == "/runs") {
+      aResponder.Answer(JsonResponse(200, Runs()));
+    } else if (path == "/health") {
+      aResponder.Answer(
+        JsonResponse(200, Json{ { "health", m_health } }.dump()));
+    } else {
+      m_queue.push_back({ std::move(aRequest), std::move(aResponder) });
+      StartWaiting();
+    }
+  }
+
+  void StartWaiting()
+  {
+    while (!m_queue.empty() && m_running < m_options.m_slots) {
+      Run run = std::move(m_queue.front());
+      m_queue.pop_front();
+      ++m_running;
+      m_mostRunning = std::max(m_mostRunning, m_running);
+      Start(std::move(run));
+    }
+  }
+
+  [[nodiscard]] std::chrono::milliseconds ServiceTime() const
+  {
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Clock::now() - m_started);
+    const bool cold = age.count() < m_options.m_coldMs;
+    constexpr int kColdFactor = 5;
+    return std::chrono::milliseconds{ m_options.m_serviceMs } *
+           (cold ? kColdFactor : 1);
+  }
+
+  void Start(Run aRun)
+  {
+    const std::string id{ HeaderValue(aRun.m_request.m_headers,
+                                      "x-request-id") };
+    ++m_runs[id];
+    m_lastStart = std::chrono::system_clock::now();
+    if (m_cutAfterRun > 0) {
+      // Ran, and the connection dies before a byte of the answer.
+      --m_cutAfterRun;
+      --m_running;
+      Cut(std::move(aRun));
+      return;
+    }
+    const auto time = m_fail ? std::chrono::milliseconds{ 0 } : ServiceTime();
+    if (time.count() == 0) {
+      Finish(std::move(aRun), id);
+      return;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(m_loop);
+    timer->expires_after(time);
+    timer->async_wait(
+      [this, timer, id, run = std::move(aRun)](
+        const asio::error_code&) mutable { Finish(std::move(run), id); });
+  }
+
+  void Finish(Run aRun, const std::string& aId)
+  {
+    --m_running;
+    const Json body{ { "id", aId },
+                     { "method", aRun.m_request.m_method },
+                     { "target", aRun.m_request.m_target },
+                     { "body", aRun.m_request.m_body } };
+    HttpResponse response =
+      JsonResponse(m_fail ? 500 : 200,
+                   body.dump(-1, ' ', false, Json::error_handler_t::replace));
+    response.m_headers.push_back(HttpHeader{ "X-Request-Id", aId });
+    aRun.m_responder.Answer(std::move(response));
+    StartWaiting();
+  }
+
+  /// Answers nothing; the server's time limit then closes the connection.
+  static void Cut(Run aRun) { static_cast<void>(aRun); }
+
+  void SetFaults(const std::string& aBody)
+  {
+    const Json wanted = Json::parse(aBody, nullptr, false);
+    if (!wanted.is_object()) {
+      return;
+    }
+    m_options.m_serviceMs = wanted.value("service_ms", m_options.m_serviceMs);
+    m_fail = wanted.value("fail", m_fail);
+    m_cutAfterRun = wanted.value("cut_after_run", 0U);
+    m_health = wanted.value("health", m_health);
+  }
+
+  [[nodiscard]] std::string Runs() const
+  {
+    const auto last = std::chrono::duration_cast<std::chrono::milliseconds>(
+      m_lastStart.time_since_epoch());
+    return Json{
+      { "runs", m_runs },
+      { "most_running", m_mostRunning },
+      { "last_start_ms", last.count() }
+    }.dump(-1, ' ', false, Json::error_handler_t::replace);
+  }
+
+  asio::io_context& m_loop;
+  Options m_options;
+  TimePoint m_started;
+  HttpServer m_http;
+  std::deque<Run> m_queue;
+  std::map<std::string, std::uint32_t> m_runs;
+  std::uint32_t m_running{ 0 };
+  std::uint32_t m_mostRunning{ 0 };
+  std::uint32_t m_cutAfterRun{ 0 };
+  bool m_fail{ false };
+  std::string m_health{ "good" };
+  std::chrono::system_clock::time_point m_lastStart{};
+};
+
+}
+
+int
+main(int aCount, char** aArguments)
+{
+  namespace po = boost::program_options;
+  Options given;
+  po::options_description options{ "backend_server" };
+  options.add_options()(
+    "host", po::value(&given.m_http.m_address)->default_value("127.0.0.1"), "")(
+    "port", po::value(&given.m_http.m_port)->default_value(0), "")(
+    "slots", po::value(&given.m_slots)->default_value(20), "")(
+    "service-ms", po::value(&given.m_serviceMs)->default_value(2), "")(
+    "cut-ms", po::value<std::uint32_t>()->default_value(0), "")(
+    "cold-ms", po::value(&given.m_coldMs)->default_value(0), "");
+  po::variables_map values;
+  po::store(po::parse_command_line(aCount, aArguments, options), values);
+  po::notify(values);
+  if (const auto cut = values["cut-ms"].as<std::uint32_t>(); cut > 0) {
+    given.m_http.m_handleTimeout = std::chrono::milliseconds{ cut };
+  }
+  given.m_http.m_maxBodyBytes = 32UL * 1024 * 1024;
+  asio::io_context loop;
+  BackendServer server{ loop, given };
+  const auto port = server.Open();
+  if (!port) {
+    fmt::print(stderr, "{}\n", port.error().m_message);
+    return 1;
+  }
+  fmt::print(stderr, "{{\"event\":\"listening\",\"port\":{}}}\n", port.value());
+  loop.run();
+  return 0;
+}
--- /dev/null
+++ b/tests/end_to_end/whole_path.cpp
@@ -0,0 +1,74 @@
+#include "testkit/fleet.hpp"
+
+#include <csignal>
+#include <doctest/doctest.h>
+
+using namespace greengagehub;
+using namespace greengagehub::testkit;
+
+namespace {
+
+constexpr const char* kPatch = R"({
+  "services":{"locker-app":{},"ledger":{}},
+  "routes":{"release":{"path":"/release","service":"locker-app",
+                       "idempotent":false},
+            "compartments":{"path":"/compartments","service":"ledger"}}})";
+
+std::string
+SubmitPath(const std::string& aId, std::uint64_t aBase)
+{
+  return "/v1/patches?id=" + aId + "&base=" + std::to_string(aBase);
+}
+
+}
+
+TEST_CASE("a patch from a file comes into force and calls follow its routes, "
+          "while a daemon and the store are killed in the middle")
+{
+  // An operator's patch is accepted; then one daemon dies and the store goes
+  // away. Calls go on by the accepted routes, an operator hears "not known"
+  // and not a guess, and when both are back every daemon has the right
+  // version.
+  Fleet fleet;
+  for (const char* slot : { "locker-app-1", "locker-app-2", "locker-app-3" }) {
+    fleet.Add({ .m_slot = slot, .m_service = "locker-app" });
+  }
+  fleet.Add(
+    { .m_slot = "ledger-1", .m_service = "ledger", .m_domain = "kista" });
+  REQUIRE(fleet.WaitForMembers());
+
+  const std::string file = fleet.WriteFile("patch.json", kPatch);
+  const CommandResult submitted = fleet.Command(
+    "ledger-1", { "submit", file, "--base", "0", "--id", "first" });
+  CHECK(submitted.m_exitCode == 0);
+  REQUIRE(fleet.WaitForVersion(1));
+  CHECK(fleet.Call("ledger-1", "POST", "/release").Status() == 200);
+  CHECK(fleet.Call("locker-app-1", "GET", "/compartments").Status() == 200);
+
+  const CallResult stale =
+    fleet.Operate("locker-app-1", "POST", SubmitPath("late", 0), "{}");
+  CHECK(stale.Status() == 409);
+  CHECK(stale.Json()["reasons"][0]["code"] == "stale-base");
+
+  fleet.Daemon("locker-app-3").Kill();
+  fleet.SetStoreFaults({ { "outage", "refuse" } });
+  CHECK(fleet.Operate("locker-app-1", "POST", SubmitPath("away", 1), "{}")
+          .Status() == 503);
+  for (int i = 0; i < 20; ++i) {
+    const CallResult call = fleet.Call("ledger-1", "GET", "/release");
+    CHECK(call.Status() == 200);
+  }
+
+  fleet.SetStoreFaults({ { "outage", "none" } });
+  CHECK(fleet
+          .Operate("locker-app-1",
+                   "POST",
+                   SubmitPath("second", 1),
+                   R"({"routes":{"more":{"path":"/more","service":"ledger"}}})")
+          .Status() == 200);
+  fleet.Restart("locker-app-3");
+  CHECK(fleet.WaitForVersion(2));
+  CHECK(fleet.Call("locker-app-3", "GET", "/more").Status() == 200);
+  CHECK(fleet.Operate("locker-app-3", "GET", "/v1/patches/late")
+          .Json()["reasons"][0]["code"] == "stale-base");
+}
--- /dev/null
+++ b/tools/local_fleet.cpp
@@ -0,0 +1,117 @@
+#include "testkit/fleet.hpp"
+
+#include <csignal>
+#include <cstdio>
+#include <fmt/format.h>
+
+/// \file
+/// \brief The main job end to end on this machine: two services, a patch
+/// accepted, one refused and explained, calls, a drain. Prints what happened.
+
+namespace {
+
+using namespace greengagehub::testkit; // NOLINT: an example in one file
+using greengagehub::HttpHeader;
+
+constexpr const char* kFirstPatch = R"({
+  "services": { "locker-app": { "slots": 20 }, "ledger": { "slots": 20 } },
+  "routes": {
+    "release": { "path": "/release", "service": "locker-app",
+                 "class": "critical", "idempotent": false },
+    "compartments": { "path": "/compartments", "service": "ledger",
+                      "class": "lookup" } } })";
+constexpr const char* kBadPatch = R"({
+  "routes": { "export": { "path": "/export", "service": "audit" } } })";
+
+void
+Say(const std::string& aText)
+{
+  fmt::print("{}\n", aText);
+}
+
+void
+ShowCommand(Fleet& aFleet,
+            const std::string& aSlot,
+            const std::vector<std::string>& aArguments)
+{
+  std::string line = "$ greengagehub";
+  for (const std::string& each : aArguments) {
+    line += " " + each;
+  }
+  Say(line);
+  const CommandResult result = aFleet.Command(aSlot, aArguments);
+  fmt::print("{}(exit code {})\n\n", result.m_output, result.m_exitCode);
+}
+
+void
+StartWorkers(Fleet& aFleet)
+{
+  for (const char* slot : { "locker-app-1", "locker-app-2", "locker-app-3" }) {
+    aFleet.Add({ .m_slot = slot, .m_service = "locker-app" });
+  }
+  for (const char* slot : { "ledger-1", "ledger-2" }) {
+    aFleet.Add({ .m_slot = slot, .m_service = "ledger", .m_domain = "kista" });
+  }
+}
+
+void
+ShowCall(const Fleet& aFleet,
+         const std::string& aSlot,
+         const std::string& aMethod,
+         const std::string& aTarget)
+{
+  const CallResult result = aFleet.Call(
+    aSlot, aMethod, aTarget, { HttpHeader{ "X-Request-Id", "example-1" } });
+  fmt::print("{} {} at {}: {} {}\n\n",
+             aMethod,
+             aTarget,
+             aSlot,
+             result.Status(),
+             result.m_result.m_response.m_body);
+}
+
+int
+RunExample()
+{
+  Fleet fleet;
+  Say("Starting a store, three workers of locker-app and two of ledger, each "
+      "with its daemon.");
+  StartWorkers(fleet);
+  if (!fleet.WaitForMembers()) {
+    Say("The daemons did not find each other.");
+    return 1;
+  }
+  Say("All daemons know each other.\n");
+  const std::string first = fleet.WriteFile("first.json", kFirstPatch);
+  const std::string bad = fleet.WriteFile("bad.json", kBadPatch);
+  ShowCommand(fleet,
+              "ledger-1",
+              { "submit", first, "--base", "0", "--id", "first-routes" });
+  ShowCommand(fleet, "locker-app-1", { "version", "--wait", "1" });
+  ShowCall(fleet, "ledger-1", "POST", "/release/17");
+  ShowCall(fleet, "locker-app-1", "GET", "/compartments/17");
+  ShowCall(fleet, "locker-app-1", "GET", "/nowhere");
+  ShowCommand(fleet,
+              "locker-app-2",
+              { "submit", bad, "--base", "1", "--id", "export-route" });
+  ShowCommand(fleet, "ledger-2", { "explain", "export-route" });
+  ShowCommand(fleet, "ledger-2", { "explain", "first-routes" });
+  Say("Draining locker-app-3.");
+  fleet.Daemon("locker-app-3").Signal(SIGTERM);
+  const auto code = fleet.Daemon("locker-app-3").Wait();
+  fmt::print("locker-app-3 ended with exit code {}\n", code.value_or(-1));
+  return code == 0 ? 0 : 1;
+}
+
+}
+
+int
+main()
+{
+  try {
+    return RunExample();
+  } catch (const std::exception& fault) {
+    fmt::print(stderr, "{}\n", fault.what());
+    return 1;
+  }
+}
--- /dev/null
+++ b/tools/testkit/fleet.cpp
@@ -0,0 +1,319 @@
+#include "testkit/fleet.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace greengagehub::testkit {
+
+using Json = nlohmann::json;
+
+namespace {
+
+/// Waits for the line with the event "listening".
+Json
+ListeningLine(const Process& aProcess)
+{
+  Json found;
+  const bool listens = WaitUntil([&] {
+    std::istringstream lines{ aProcess.Log() };
+    for (std::string line; std::getline(lines, line);) {
+      Json parsed = Json::parse(line, nullptr, false);
+      if (parsed.is_object() && parsed.value("event", "") == "listening") {
+        found = std::move(parsed);
+        return true;
+      }
+    }
+    return false;
+  });
+  if (!listens) {
+    throw std::runtime_error{ "a process does not listen: " + aProcess.Log() };
+  }
+  return found;
+}
+
+std::string
+ReadFile(const std::string& aFile)
+{
+  std::ifstream file{ aFile };
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+}
+
+Fleet::Fleet()
+{
+  m_store = std::make_unique<Process>(std::vector<std::string>{ STORE_PROGRAM },
+                                      m_directory.File("store.log"));
+  const Json line = ListeningLine(*m_store);
+  m_storeUrl =
+    fmt::format("http://127.0.0.1:{}", line["port"].get<std::uint16_t>());
+}
+
+std::string
+Fleet::SettingsFor(const Node& aNode) const
+{
+  const WorkerSpec& spec = aNode.m_spec;
+  return fmt::format("[daemon]\nslot = \"{}\"\nservice = \"{}\"\n"
+                     "region = \"{}\"\ndomain = \"{}\"\n"
+                     "[operators]\ntoken = \"{}\"\n"
+                     "[worker]\nurl = \"http://127.0.0.1:{}\"\n"
+                     "slots = {}\nqueue = {}\n"
+                     "[store]\nurl = \"{}\"\n{}",
+                     spec.m_slot,
+                     spec.m_service,
+                     spec.m_region,
+                     spec.m_domain,
+                     kToken,
+                     aNode.m_backendPort,
+                     spec.m_slots,
+                     spec.m_queue,
+                     m_storeUrl,
+                     spec.m_settings);
+}
+
+void
+Fleet::Add(const WorkerSpec& aSpec)
+{
+  Node& node = m_nodes[aSpec.m_slot];
+  node.m_spec = aSpec;
+  if (aSpec.m_withBackend) {
+    std::vector<std::string> arguments{ BACKEND_PROGRAM,
+                                        "--slots",
+                                        std::to_string(aSpec.m_slots),
+                                        "--service-ms",
+                                        std::to_string(aSpec.m_serviceMs) };
+    arguments.insert(arguments.end(),
+                     aSpec.m_backendArguments.begin(),
+                     aSpec.m_backendArguments.end());
+    node.m_backend = std::make_unique<Process>(
+      std::move(arguments), m_directory.File(aSpec.m_slot + ".backend.log"));
+    node.m_backendPort =
+      ListeningLine(*node.m_backend)["port"].get<std::uint16_t>();
+  } else {
+    // A port where nobody listens.
+    node.m_backendPort = 1;
+  }
+  node.m_settingsFile = WriteFile(aSpec.m_slot + ".toml", SettingsFor(node));
+  StartDaemon(node);
+}
+
+void
+Fleet::StartDaemon(Node& aNode)
+{
+  const std::string log = m_directory.File(
+    fmt::format("{}.{}.log", aNode.m_spec.m_slot, ++m_started));
+  aNode.m_daemon = std::make_unique<Process>(
+    std::vector<std::string>{
+      DAEMON_PROGRAM, "--settings", aNode.m_settingsFile },
+    log);
+  const Json line = ListeningLine(*aNode.m_daemon);
+  aNode.m_callsPort = line["calls_port"].get<std::uint16_t>();
+  aNode.m_operatorsPort = line["operators_port"].get<std::uint16_t>();
+}
+
+void
+Fleet::Restart(const std::string& aSlot)
+{
+  Node& node = m_nodes.at(aSlot);
+  node.m_daemon->Kill();
+  StartDaemon(node);
+}
+
+const Fleet::Node&
+Fleet::At(const std::string& aSlot) const
+{
+  return m_nodes.at(aSlot);
+}
+
+Process&
+Fleet::Daemon(const std::string& aSlot)
+{
+  return *m_nodes.at(aSlot).m_daemon;
+}
+
+Process&
+Fleet::Backend(const std::string& aSlot)
+{
+  return *m_nodes.at(aSlot).m_backend;
+}
+
+std::vector<std::string>
+Fleet::Slots() const
+{
+  std::vector<std::string> slots;
+  for (const auto& [slot, node] : m_nodes) {
+    slots.push_back(slot);
+  }
+  return slots;
+}
+
+std::string
+Fleet::OperatorsUrl(const std::string& aSlot) const
+{
+  return fmt::format("http://127.0.0.1:{}", At(aSlot).m_operatorsPort);
+}
+
+std::string
+Fleet::CallsUrl(const std::string& aSlot) const
+{
+  return fmt::format("http://127.0.0.1:{}", At(aSlot).m_callsPort);
+}
+
+std::string
+Fleet::BackendUrl(const std::string& aSlot) const
+{
+  return fmt::format("http://127.0.0.1:{}", At(aSlot).m_backendPort);
+}
+
+CallResult
+Fleet::Call(const std::string& aSlot,
+            const std::string& aMethod,
+            const std::string& aTarget,
+            std::vector<HttpHeader> aHeaders,
+            std::string aBody) const
+{
+  HttpClientRequest request;
+  request.m_method = aMethod;
+  request.m_url = CallsUrl(aSlot) + aTarget;
+  request.m_headers = std::move(aHeaders);
+  request.m_body = std::move(aBody);
+  request.m_timeout = std::chrono::seconds{ 30 };
+  return { SendAndWait(std::move(request)) };
+}
+
+CallResult
+Fleet::Operate(const std::string& aSlot,
+               const std::string& aMethod,
+               const std::string& aPath,
+               std::string aBody) const
+{
+  HttpClientRequest request;
+  request.m_method = aMethod;
+  request.m_url = OperatorsUrl(aSlot) + aPath;
+  request.m_headers.push_back(
+    HttpHeader{ "Authorization", std::string{ "Bearer " } + kToken });
+  request.m_body = std::move(aBody);
+  request.m_timeout = std::chrono::seconds{ 10 };
+  return { SendAndWait(std::move(request)) };
+}
+
+CommandResult
+Fleet::Command(const std::string& aSlot, std::vector<std::string> aArguments)
+{
+  aArguments.insert(aArguments.begin(), CLI_PROGRAM);
+  aArguments.insert(aArguments.end(),
+                    { "--daemon", OperatorsUrl(aSlot), "--token", kToken });
+  const std::string log =
+    m_directory.File(fmt::format("command.{}.log", ++m_started));
+  Process process{ std::move(aArguments), log };
+  CommandResult result;
+  result.m_exitCode = process.Wait().value_or(-1);
+  result.m_output = ReadFile(log + ".out") + ReadFile(log);
+  return result;
+}
+
+void
+Fleet::SetStoreFaults(const Json& aFaults) const
+{
+  HttpClientRequest request;
+  request.m_method = "PUT";
+  request.m_url = m_storeUrl + "/faults";
+  request.m_body = aFaults.dump();
+  static_cast<void>(SendAndWait(std::move(request)));
+}
+
+void
+Fleet::StoreAction(const std::string& aPath) const
+{
+  HttpClientRequest request;
+  request.m_method = "POST";
+  request.m_url = m_storeUrl + aPath;
+  static_cast<void>(SendAndWait(std::move(request)));
+}
+
+void
+Fleet::SetBackendFaults(const std::string& aSlot, const Json& aFaults) const
+{
+  HttpClientRequest request;
+  request.m_method = "PUT";
+  request.m_url = BackendUrl(aSlot) + "/faults";
+  request.m_body = aFaults.dump();
+  static_cast<void>(SendAndWait(std::move(request)));
+}
+
+Json
+Fleet::StoreStats() const
+{
+  HttpClientRequest request;
+  request.m_url = m_storeUrl + "/stats";
+  return CallResult{ SendAndWait(std::move(request)) }.Json();
+}
+
+Json
+Fleet::Runs(const std::string& aSlot) const
+{
+  HttpClientRequest request;
+  request.m_url = BackendUrl(aSlot) + "/runs";
+  return CallResult{ SendAndWait(std::move(request)) }.Json();
+}
+
+Json
+Fleet::Status(const std::string& aSlot) const
+{
+  return Operate(aSlot, "GET", "/v1/status").Json();
+}
+
+std::uint64_t
+Fleet::VersionAt(const std::string& aSlot) const
+{
+  const Json version = Operate(aSlot, "GET", "/v1/version").Json();
+  return version.is_object() ? version.value("version", std::uint64_t{ 0 }) : 0;
+}
+
+bool
+Fleet::WaitForVersion(std::uint64_t aVersion, std::chrono::milliseconds aLimit)
+{
+  return WaitUntil(
+    [&] {
+      return std::all_of(m_nodes.begin(), m_nodes.end(), [&](auto& aEach) {
+        return !aEach.second.m_daemon->IsRunning() ||
+               VersionAt(aEach.first) >= aVersion;
+      });
+    },
+    aLimit);
+}
+
+bool
+Fleet::WaitForMembers()
+{
+  std::size_t running = 0;
+  for (auto& [slot, node] : m_nodes) {
+    running += node.m_daemon->IsRunning() ? 1 : 0;
+  }
+  return WaitUntil([&] {
+    return std::all_of(m_nodes.begin(), m_nodes.end(), [&](auto& aEach) {
+      if (!aEach.second.m_daemon->IsRunning()) {
+        return true;
+      }
+      const Json version = Operate(aEach.first, "GET", "/v1/version").Json();
+      return version.is_object() &&
+             version.value("members", std::size_t{ 0 }) == running;
+    });
+  });
+}
+
+std::string
+Fleet::WriteFile(const std::string& aName, const std::string& aText) const
+{
+  std::string path = m_directory.File(aName);
+  std::ofstream file{ path };
+  file << aText;
+  return path;
+}
+
+}
--- /dev/null
+++ b/tools/testkit/fleet.hpp
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "greengagehub/http/blocking_client.hpp"
+#include "testkit/process.hpp"
+
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace greengagehub::testkit {
+
+/// \brief One worker with its daemon.
+struct WorkerSpec
+{
+  std::string m_slot;
+  std::string m_service;
+  std::string m_domain{ "solna" };
+  std::string m_region{ "stockholm" };
+  std::uint32_t m_slots{ 20 };
+  std::uint32_t m_queue{ 40 };
+  std::uint32_t m_serviceMs{ 2 };
+  /// Extra lines of settings, whole sections.
+  std::string m_settings{};
+  /// Extra arguments of the backend server.
+  std::vector<std::string> m_backendArguments{};
+  bool m_withBackend{ true };
+};
+
+struct CallResult
+{
+  HttpClientResult m_result;
+  [[nodiscard]] int Status() const { return m_result.m_response.m_status; }
+  [[nodiscard]] std::string Header(std::string_view aName) const
+  {
+    return std::string{ HeaderValue(m_result.m_response.m_headers, aName) };
+  }
+  [[nodiscard]] nlohmann::json Json() const
+  {
+    return nlohmann::json::parse(m_result.m_response.m_body, nullptr, false);
+  }
+};
+
+/// What the command line printed and how it ended.
+struct CommandResult
+{
+  int m_exitCode{ -1 };
+  std::string m_output;
+};
+
+/// \brief A store stand-in and workers with their daemons, as real processes
+/// on ephemeral loopback ports.
+class Fleet
+{
+public:
+  static constexpr const char* kToken = "operators-secret";
+
+  Fleet();
+
+  /// \brief Starts a backend server and its daemon, and waits until the
+  /// daemon listens.
+  void Add(const WorkerSpec& aSpec);
+  /// \brief Starts a daemon that was killed again, beside its backend.
+  void Restart(const std::string& aSlot);
+
+  [[nodiscard]] Process& Daemon(const std::string& aSlot);
+  [[nodiscard]] Process& Backend(const std::string& aSlot);
+  [[nodiscard]] std::vector<std::string> Slots() const;
+  [[nodiscard]] std::string OperatorsUrl(const std::string& aSlot) const;
+  [[nodiscard]] std::string CallsUrl(const std::string& aSlot) const;
+  [[nodiscard]] std::string BackendUrl(const std::string& aSlot) const;
+  [[nodiscard]] std::string StoreUrl() const { return m_storeUrl; }
+
+  [[nodiscard]] CallResult Call(const std::string& aSlot,
+                                const std::string& aMethod,
+                                const std::string& aTarget,
+                                std::vector<HttpHeader> aHeaders = {},
+                                std::string aBody = {}) const;
+  [[nodiscard]] CallResult Operate(const std::string& aSlot,
+                                   const std::string& aMethod,
+                                   const std::string& aPath,
+                                   std::string aBody = {}) const;
+  [[nodiscard]] CommandResult Command(const std::string& aSlot,
+                                      std::vector<std::string> aArguments);
+  void SetStoreFaults(const nlohmann::json& aFaults) const;
+  void StoreAction(const std::string& aPath) const;
+  void SetBackendFaults(const std::string& aSlot,
+                        const nlohmann::json& aFaults) const;
+  [[nodiscard]] nlohmann::json StoreStats() const;
+  [[nodiscard]] nlohmann::json Runs(const std::string& aSlot) const;
+  /// \returns Version in force at a daemon; 0 when it does not answer.
+  [[nodiscard]] std::uint64_t VersionAt(const std::string& aSlot) const;
+  [[nodiscard]] nlohmann::json Status(const std::string& aSlot) const;
+  /// \brief Waits until every running daemon has this version in force.
+  [[nodiscard]] bool WaitForVersion(
+    std::uint64_t aVersion,
+    std::chrono::milliseconds aLimit = std::chrono::seconds{ 30 });
+  /// \brief Waits until every running daemon sees all the others.
+  [[nodiscard]] bool WaitForMembers();
+  /// \returns A file of this fleet's directory with this text.
+  [[nodiscard]] std::string WriteFile(const std::string& aName,
+                                      const std::string& aText) const;
+
+private:
+  struct Node
+  {
+    WorkerSpec m_spec;
+    std::string m_settingsFile;
+    std::unique_ptr<Process> m_backend;
+    std::unique_ptr<Process> m_daemon;
+    std::uint16_t m_backendPort{ 0 };
+    std::uint16_t m_callsPort{ 0 };
+    std::uint16_t m_operatorsPort{ 0 };
+  };
+
+  void StartDaemon(Node& aNode);
+  [[nodiscard]] std::string SettingsFor(const Node& aNode) const;
+  [[nodiscard]] const Node& At(const std::string& aSlot) const;
+
+  TemporaryDirectory m_directory;
+  std::unique_ptr<Process> m_store;
+  std::string m_storeUrl;
+  std::map<std::string, Node> m_nodes;
+  int m_started{ 0 };
+};
+
+}
