A forgotten run is never told as not run; answers are kept in a queue

Cause: RunTable forgot ended attempts after 60 s, and a cancellation of one it did not know was answered 'not started'. A caller cut off for longer would have been told a false 'not run' of a release that ran.

Change: for each caller process the highest forgotten attempt number; what is unknown at or below it counts as forgotten, outcome unknown, and its request is not run. Attempt numbers only grow and arrive in order on a connection.

Also found: answers kept for lost connections stood in a vector that was shifted on each call. Only answers of calls that may not be repeated are kept now.

--- a/include/greengagehub/calls/run_table.hpp
+++ b/include/greengagehub/calls/run_table.hpp
@@ -19,7 +19,9 @@
   std::chrono::milliseconds m_warmUp{ 0 };
   /// How long the end of an attempt is remembered, so that its late or
   /// repeated messages find it.
-  std::chrono::milliseconds m_remember{ std::chrono::seconds{ 60 } };
+  std::chrono::milliseconds m_remember{ std::chrono::seconds{ 30 } };
+  /// Ended attempts remembered at most.
+  std::size_t m_maxRemembered{ 50'000 };
   /// Taken off a queued call's deadline, so that "not run" arrives in time.
   std::chrono::milliseconds m_margin{ 5 };
 };
@@ -47,6 +49,8 @@
   NotStarted,
   Running,
   Finished,
+  /// So long ago that nothing is remembered: it may have run.
+  Forgotten,
 };
 
 /// \brief An attempt that will never run and must be told so.
@@ -84,6 +88,11 @@
   {
     return m_running + m_queued;
   }
+  /// \returns How many ended attempts are remembered.
+  [[nodiscard]] std::size_t Remembered() const noexcept
+  {
+    return m_ended.size();
+  }
   [[nodiscard]] bool IsLeaving() const noexcept { return m_leaving; }
   /// \returns Expected wait of a call that came now.
   [[nodiscard]] std::chrono::milliseconds ExpectedWait(TimePoint aNow) const;
@@ -151,6 +160,8 @@
   [[nodiscard]] bool MakeRoom(TimePoint aNow,
                               CallClass aClass,
                               RunActions& aOut);
+  [[nodiscard]] bool IsForgotten(CallKey aKey) const;
+  void Forget(TimePoint aNow);
   Run& Remember(TimePoint aNow, CallKey aKey, State aState);
   void StartRun(TimePoint aNow, Run& aRun);
   void EndQueued(TimePoint aNow, Run& aRun);
@@ -161,6 +172,15 @@
   std::array<RunList, kClasses> m_queues;
   /// Finished and refused ones, oldest first.
   RunList m_ended;
+  /// For each caller process, the highest number that was forgotten. Numbers
+  /// of a process only grow, and reach a worker in order on each connection,
+  /// so that whatever is unknown at or below it is old, and may have run.
+  struct Horizon
+  {
+    std::uint64_t m_call{ 0 };
+    TimePoint m_since;
+  };
+  std::unordered_map<std::uint64_t, Horizon> m_horizons;
   std::uint32_t m_running{ 0 };
   std::uint32_t m_queued{ 0 };
   bool m_leaving{ false };
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -7,6 +7,7 @@
 #include "greengagehub/settings/settings.hpp"
 
 #include <asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <map>
 
@@ -62,6 +63,8 @@
   void Ended(CallKey aKey, HttpClientResult aResult);
   void Carry(const RunActions& aActions);
   void Deliver(CallKey aKey, CallAnswer aAnswer);
+  /// \brief Keeps the answer of a call that may not be run again, for a caller
+  /// whose connection was lost with the answer on it.
   void Keep(CallKey aKey, const CallAnswer& aAnswer);
   void TraceEnd(const Held& aHeld, const CallAnswer& aAnswer);
   void Arm();
@@ -74,7 +77,7 @@
   RunTable m_runs;
   HttpClient m_client;
   std::map<CallKey, Held> m_held;
-  std::vector<Kept> m_kept;
+  std::deque<Kept> m_kept;
   std::size_t m_keptBytes{ 0 };
   asio::steady_timer m_timer;
   std::optional<TimePoint> m_armed;
--- a/src/calls/run_table.cpp
+++ b/src/calls/run_table.cpp
@@ -8,8 +8,9 @@
 
 /// Weight of one sample in the moving mean of service times, as a shift.
 constexpr int kMeanShift = 4;
-/// Ended attempts kept at most, to bound memory under a flood.
-constexpr std::size_t kMaxEnded = 100'000;
+/// A caller process that has been silent for longer than any connection lives
+/// cannot ask any more.
+constexpr auto kHorizonLife = std::chrono::hours{ 1 };
 constexpr auto kLeastRetryAfter = std::chrono::milliseconds{ 10 };
 
 std::chrono::milliseconds
@@ -158,6 +159,9 @@
              RefusalReason::Cancelled,
              {} };
   }
+  if (IsForgotten(aKey)) {
+    return { Admission::Kind::Repeated, RefusalReason::None, {} };
+  }
   if (m_leaving) {
     return Refused(aNow, aKey, RefusalReason::Leaving);
   }
@@ -206,6 +210,9 @@
 RunTable::Cancel(TimePoint aNow, CallKey aKey)
 {
   const auto known = m_runs.find(aKey);
+  if (known == m_runs.end() && IsForgotten(aKey)) {
+    return CancelResult::Forgotten;
+  }
   if (known == m_runs.end()) {
     // The cancellation overtook its request: leave a mark, so that the
     // request is not run when it arrives.
@@ -254,6 +261,7 @@
   m_ended.push_back(run);
   --m_running;
   StartWaiting(aNow, out);
+  Forget(aNow);
   return out;
 }
 
@@ -307,16 +315,35 @@
     }
   }
   StartWaiting(aNow, out);
+  Forget(aNow);
+  std::erase_if(m_horizons, [aNow](const auto& aHorizon) {
+    return aNow - aHorizon.second.m_since > kHorizonLife;
+  });
+  return out;
+}
+
+bool
+RunTable::IsForgotten(CallKey aKey) const
+{
+  const auto horizon = m_horizons.find(aKey.m_process);
+  return horizon != m_horizons.end() && aKey.m_call <= horizon->second.m_call;
+}
+
+void
+RunTable::Forget(TimePoint aNow)
+{
   while (!m_ended.empty()) {
     Run& oldest = m_ended.front();
     const bool old = aNow - oldest.m_since >= m_settings.m_remember;
-    if (!old && m_ended.size() <= kMaxEnded) {
-      break;
+    if (!old && m_ended.size() <= m_settings.m_maxRemembered) {
+      return;
     }
+    Horizon& horizon = m_horizons[oldest.m_key.m_process];
+    horizon.m_call = std::max(horizon.m_call, oldest.m_key.m_call);
+    horizon.m_since = aNow;
     m_ended.pop_front();
     m_runs.erase(oldest.m_key);
   }
-  return out;
 }
 
 RunActions
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -58,7 +58,8 @@
 {
   return { aCall,
            aResult != CancelResult::NotStarted,
-           aResult == CancelResult::Finished };
+           aResult == CancelResult::Finished ||
+             aResult == CancelResult::Forgotten };
 }
 
 }
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -14,6 +14,13 @@
 /// Members asked at once for the version they run, for one operator.
 constexpr std::size_t kRefreshAtOnce = 64;
 
+std::int64_t
+WallMillis()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 MemberRecord
 MakeSelf(const Settings& aSettings,
          std::uint64_t aProcess,
@@ -308,7 +315,8 @@
   m_log.Info("config",
              "version_in_force",
              { { "version", m_holder.GetVersion().m_number },
-               { "before", aBefore.m_number } });
+               { "before", aBefore.m_number },
+               { "time_ms", WallMillis() } });
   m_handlers.m_onVersion();
   Push(aBefore);
 }
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -110,9 +110,11 @@
   const auto held = m_held.find(aKey);
   if (held != m_held.end()) {
     TraceEnd(held->second, answer);
+    if (!held->second.m_request.m_idempotent) {
+      Keep(aKey, answer);
+    }
     m_held.erase(held);
   }
-  Keep(aKey, answer);
   Deliver(aKey, std::move(answer));
   Carry(next);
 }
@@ -123,14 +125,11 @@
   const TimePoint now = Clock::now();
   m_kept.push_back({ aKey, aAnswer, now });
   m_keptBytes += aAnswer.m_response.m_body.size();
-  std::size_t drop = 0;
-  while (drop < m_kept.size() && (now - m_kept[drop].m_since > kKeepAnswers ||
-                                  m_keptBytes > kMaxKeptBytes)) {
-    m_keptBytes -= m_kept[drop].m_answer.m_response.m_body.size();
-    ++drop;
+  while (!m_kept.empty() && (now - m_kept.front().m_since > kKeepAnswers ||
+                             m_keptBytes > kMaxKeptBytes)) {
+    m_keptBytes -= m_kept.front().m_answer.m_response.m_body.size();
+    m_kept.pop_front();
   }
-  m_kept.erase(m_kept.begin(),
-               m_kept.begin() + static_cast<std::ptrdiff_t>(drop));
 }
 
 void
--- /dev/null
+++ b/tools/testkit/distribution.cpp
@@ -0,0 +1,61 @@
+#include "testkit/distribution.hpp"
+
+#include <algorithm>
+#include <boost/histogram.hpp>
+
+namespace greengagehub::testkit {
+
+namespace {
+constexpr unsigned kBins = 60;
+constexpr double kLowestMicros = 10.0;
+constexpr double kHighestMicros = 10'000'000.0;
+}
+
+double
+Micros(std::chrono::nanoseconds aSpan) noexcept
+{
+  return std::chrono::duration<double, std::micro>(aSpan).count();
+}
+
+Distribution::Distribution(std::vector<std::chrono::nanoseconds> aSample)
+  : m_sample(std::move(aSample))
+{
+  std::sort(m_sample.begin(), m_sample.end());
+}
+
+std::chrono::nanoseconds
+Distribution::Quantile(double aShare) const
+{
+  if (m_sample.empty()) {
+    return {};
+  }
+  const auto last = static_cast<double>(m_sample.size() - 1);
+  return m_sample[static_cast<std::size_t>(aShare * last + 0.5)];
+}
+
+nlohmann::json
+Distribution::ToJson() const
+{
+  namespace bh = boost::histogram;
+  auto histogram =
+    bh::make_histogram(bh::axis::regular<double, bh::axis::transform::log>(
+      kBins, kLowestMicros, kHighestMicros));
+  for (const auto& each : m_sample) {
+    histogram(Micros(each));
+  }
+  nlohmann::json bins = nlohmann::json::array();
+  for (const auto& bin : bh::indexed(histogram)) {
+    if (*bin > 0) {
+      bins.push_back({ { "from_us", bin.bin().lower() },
+                       { "count", static_cast<std::uint64_t>(*bin) } });
+    }
+  }
+  return { { "count", Count() },
+           { "p50_us", Micros(Quantile(0.5)) },
+           { "p99_us", Micros(Quantile(0.99)) },
+           { "p999_us", Micros(Quantile(0.999)) },
+           { "max_us", Micros(Quantile(1.0)) },
+           { "histogram", std::move(bins) } };
+}
+
+}
