Members meet by digests; refusals weigh on routing; replayed traces

Cause: 50 daemons started together did not find each other in 20 s. A joiner passed on every record of the table it had pulled, so that each datagram's room went to records that were no news; and news lost to a full packet was never made good.

Cause: a worker whose report claims no load drew calls that it then refused. Change: refusals seen on calls push a worker back.

--- a/include/greengagehub/calls/dispatcher.hpp
+++ b/include/greengagehub/calls/dispatcher.hpp
@@ -66,10 +66,11 @@
 /// A call has one attempt at a time. Another attempt of a call that is not
 /// idempotent is made only after the worker's daemon said that the one before
 /// did not start. The caller is told "not run" on the same condition.
-class Dispatcher
+template<RoutingPolicy Policy>
+class BasicDispatcher
 {
 public:
-  explicit Dispatcher(std::uint64_t aSeed);
+  explicit BasicDispatcher(std::uint64_t aSeed);
 
   [[nodiscard]] WorkerTable& Workers() noexcept { return m_workers; }
   [[nodiscard]] const WorkerTable& Workers() const noexcept
@@ -132,7 +133,7 @@
   void Finish(DispatchActions& aOut, Call& aCall, CallAnswer aAnswer);
   void EndAttempt(TimePoint aNow,
                   Call& aCall,
-                  bool aFailed,
+                  WorkerTable::Verdict aVerdict,
                   std::optional<std::uint32_t> aLoad);
   void RetryOrFinish(TimePoint aNow,
                      DispatchActions& aOut,
@@ -148,6 +149,7 @@
   };
 
   Random m_random;
+  Policy m_policy;
   WorkerTable m_workers;
   RetryBudget m_budget{ 10 };
   std::unordered_map<std::uint64_t, Call> m_calls;
@@ -156,4 +158,7 @@
   std::uint64_t m_lastAttempt{ 0 };
 };
 
+/// The policy that won on measurement, see docs/design/overload.md.
+using Dispatcher = BasicDispatcher<TwoChoices>;
+
 }
--- a/include/greengagehub/calls/worker_table.hpp
+++ b/include/greengagehub/calls/worker_table.hpp
@@ -25,6 +25,8 @@
   TimePoint m_reportedAt{};
   /// Moving share of failed attempts, in [0, 1].
   double m_failures{ 0.0 };
+  /// Moving share of attempts that it refused for overload, in [0, 1].
+  double m_refusals{ 0.0 };
   TimePoint m_ejectedUntil{};
   std::uint32_t m_ejections{ 0 };
   bool m_leaving{ false };
@@ -32,7 +34,7 @@
 
 /// \brief A choice among workers, given as rows; variation by this concept.
 template<class T>
-concept RoutingPolicy = requires(const T aPolicy,
+concept RoutingPolicy = requires(T aPolicy,
                                  const std::vector<const WorkerRow*>& aRows,
                                  TimePoint aNow,
                                  Random& aRandom)
@@ -43,9 +45,10 @@
 };
 
 /// \returns Expected load of a worker for each of its slots: what it reported
-/// lately or what this daemon has there, whichever is more, and failures on
-/// top. A worker that fails fast has empty slots, and would otherwise draw
-/// every call.
+/// lately or what this daemon has there, whichever is more, with failures and
+/// refusals seen on calls on top. A worker that fails fast has empty slots, and
+/// one that misreports claims to have them: either would otherwise draw every
+/// call.
 [[nodiscard]] double
 LoadScore(const WorkerRow& aRow, TimePoint aNow) noexcept;
 
@@ -73,6 +76,31 @@
                                    Random& aRandom) const;
 };
 
+/// \brief Join the shortest queue with tagging (Li, Paschos, Tassiulas and
+/// Modiano, "Dynamic overload balancing in server farms", IFIP Networking
+/// 2014), weighted min-max fair: overflow is spread in proportion to capacity.
+///
+/// Kept for comparison; docs/design/overload.md says why it is not used.
+class JoinWithTagging
+{
+public:
+  [[nodiscard]] std::size_t Choose(const std::vector<const WorkerRow*>& aRows,
+                                   TimePoint aNow,
+                                   Random& aRandom);
+
+private:
+  /// The paper's virtual queue: tagged arrivals in, a decided rate out.
+  struct VirtualQueue
+  {
+    double m_length{ 0.0 };
+    TimePoint m_updated{};
+  };
+
+  void Drain(VirtualQueue& aQueue, double aSlots, TimePoint aNow) const;
+
+  std::map<std::string, VirtualQueue, std::less<>> m_virtual;
+};
+
 /// \brief Workers by service, with what calls to them have shown.
 class WorkerTable
 {
@@ -93,7 +121,7 @@
   /// \param aExclude slots that this call tried already.
   template<RoutingPolicy Policy>
   [[nodiscard]] std::optional<Index> Choose(
-    const Policy& aPolicy,
+    Policy& aPolicy,
     const std::string& aService,
     const std::vector<std::string>& aExclude,
     TimePoint aNow,
@@ -112,10 +140,18 @@
   }
 
   void Sent(Index aIndex);
-  /// \param aFailed it gave no answer, or one that says the worker is broken.
+  /// \brief What an attempt says of its worker.
+  enum class Verdict : std::uint8_t
+  {
+    Good,
+    /// Refused for overload.
+    Refused,
+    /// No answer, or one that says the worker is broken.
+    Failed,
+  };
   void Ended(const std::string& aSlot,
              TimePoint aNow,
-             bool aFailed,
+             Verdict aVerdict,
              std::optional<std::uint32_t> aLoad,
              Random& aRandom);
 
--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -84,6 +84,7 @@
   void RunWatchRole(TimePoint aNow);
   void CarryWatch(StoreRequest aRequest);
   void RaiseFloor(Version aFloor);
+  void SyncMembers(TimePoint aNow, const GossipMessage& aMessage);
 
   const Settings& m_settings;
   const Log& m_log;
@@ -106,6 +107,7 @@
   std::string m_packedSnapshot;
   Version m_packedVersion;
   Version m_floor;
+  TimePoint m_nextSync{};
   bool m_haveMembers{ false };
   /// The whole member table of a peer has been taken in.
   bool m_joined{ false };
--- a/include/greengagehub/membership/gossip_message.hpp
+++ b/include/greengagehub/membership/gossip_message.hpp
@@ -38,6 +38,8 @@
   /// Highest version that the receiver's slot was ever seen to run.
   Version m_floor{};
   bool m_watching{ false };
+  /// MemberDigests::Summary() of what the sender knows, itself included.
+  std::uint64_t m_members{ 0 };
 };
 
 /// \brief A message and where it goes.
--- a/include/greengagehub/membership/member_table.hpp
+++ b/include/greengagehub/membership/member_table.hpp
@@ -3,6 +3,7 @@
 #include "greengagehub/core/table.hpp"
 #include "greengagehub/membership/member.hpp"
 
+#include <array>
 #include <optional>
 #include <string_view>
 #include <unordered_map>
@@ -43,6 +44,24 @@
   MemberRecord m_record;
 };
 
+/// \brief Digests of the members present, in buckets by slot. Two daemons that
+/// compare them need to exchange only the buckets that differ.
+struct MemberDigests
+{
+  static constexpr std::size_t kBuckets = 256;
+
+  std::array<std::uint64_t, kBuckets> m_sums{};
+
+  [[nodiscard]] bool operator==(const MemberDigests&) const noexcept = default;
+
+  /// \brief Adds a member; order does not matter.
+  void Add(const MemberRecord& aRecord);
+  void Remove(const MemberRecord& aRecord);
+  /// \returns One value over all buckets, small enough for every probe.
+  [[nodiscard]] std::uint64_t Summary() const noexcept;
+  [[nodiscard]] static std::size_t BucketOf(std::string_view aSlot);
+};
+
 /// \brief All known members but oneself, by slot.
 class MemberTable
 {
@@ -51,6 +70,10 @@
 
   [[nodiscard]] std::size_t Size() const noexcept { return m_rows.Size(); }
   [[nodiscard]] std::size_t Present() const noexcept { return m_present; }
+  [[nodiscard]] const MemberDigests& Digests() const noexcept
+  {
+    return m_digests;
+  }
   [[nodiscard]] std::optional<Index> Find(std::string_view aSlot) const;
   [[nodiscard]] MemberRow& At(Index aIndex) { return m_rows.At(aIndex); }
   [[nodiscard]] const MemberRow& At(Index aIndex) const
@@ -76,10 +99,12 @@
     }
   };
 
-  void Count(MemberState aBefore, MemberState aAfter);
+  void CountIn(const MemberRecord& aRecord);
+  void CountOut(const MemberRecord& aRecord);
 
   Table<MemberRow> m_rows;
   std::unordered_map<std::string, Index, Hash, std::equal_to<>> m_bySlot;
+  MemberDigests m_digests;
   std::size_t m_present{ 0 };
 };
 
--- a/include/greengagehub/membership/membership.hpp
+++ b/include/greengagehub/membership/membership.hpp
@@ -63,7 +63,11 @@
   /// domain, by a hash of the slot; who watches the store follows from it.
   [[nodiscard]] std::size_t RankInDomain() const;
   [[nodiscard]] Version FloorOf(std::string_view aSlot) const;
-  [[nodiscard]] std::vector<MemberRecord> Records() const;
+  /// \returns Digests of all present members, this one included.
+  [[nodiscard]] MemberDigests Digests() const;
+  /// \returns Records of the buckets in which the other's digests differ.
+  [[nodiscard]] std::vector<MemberRecord> RecordsFor(
+    const MemberDigests& aTheirs) const;
 
   /// \brief Probes an address of which only that is known, to join.
   [[nodiscard]] MembershipActions Contact(const MemberAddress& aAddress);
@@ -111,7 +115,8 @@
               GossipMessage aMessage);
   void Adopt(TimePoint aNow,
              MembershipActions& aOut,
-             const MemberRecord& aRecord);
+             const MemberRecord& aRecord,
+             bool aPassOn);
   void AdoptSelf(const MemberRecord& aRecord);
   void MarkPending(MemberTable::Index aIndex);
   void Suspect(TimePoint aNow,
--- a/include/greengagehub/transport/bulk_message.hpp
+++ b/include/greengagehub/transport/bulk_message.hpp
@@ -2,6 +2,7 @@
 
 #include "greengagehub/config/decision.hpp"
 #include "greengagehub/membership/gossip_message.hpp"
+#include "greengagehub/membership/member_table.hpp"
 
 #include <string>
 #include <vector>
@@ -14,6 +15,7 @@
   std::string m_slot;
   Version m_have;
   bool m_wantMembers{ false };
+  MemberDigests m_members{};
 };
 
 struct PullAnswer
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -9,6 +9,27 @@
 constexpr auto kGrace = std::chrono::milliseconds{ 2 };
 constexpr std::uint16_t kFirstServerError = 500;
 
+using Verdict = WorkerTable::Verdict;
+
+/// What an answer that is not the worker's own says of the worker.
+Verdict
+VerdictOf(const CallAnswer& aAnswer)
+{
+  if (aAnswer.m_outcome == CallOutcome::Unknown) {
+    return Verdict::Failed;
+  }
+  switch (aAnswer.m_reason) {
+    case RefusalReason::WorkerUnreachable:
+      return Verdict::Failed;
+    case RefusalReason::Overloaded:
+    case RefusalReason::DeadlineTooShort:
+    case RefusalReason::DeadlinePassed:
+      return Verdict::Refused;
+    default:
+      return Verdict::Good;
+  }
+}
+
 std::chrono::microseconds
 TimeLeft(TimePoint aNow, TimePoint aDeadline)
 {
@@ -18,13 +39,15 @@
 
 }
 
-Dispatcher::Dispatcher(std::uint64_t aSeed)
+template<RoutingPolicy Policy>
+BasicDispatcher<Policy>::BasicDispatcher(std::uint64_t aSeed)
   : m_random(aSeed)
 {
 }
 
-Dispatcher::Call*
-Dispatcher::ByAttempt(std::uint64_t aAttempt)
+template<RoutingPolicy Policy>
+typename BasicDispatcher<Policy>::Call*
+BasicDispatcher<Policy>::ByAttempt(std::uint64_t aAttempt)
 {
   const auto attempt = m_attempts.find(aAttempt);
   if (attempt == m_attempts.end()) {
@@ -34,8 +57,11 @@
   return call == m_calls.end() ? nullptr : &call->second;
 }
 
+template<RoutingPolicy Policy>
 void
-Dispatcher::Finish(DispatchActions& aOut, Call& aCall, CallAnswer aAnswer)
+BasicDispatcher<Policy>::Finish(DispatchActions& aOut,
+                                Call& aCall,
+                                CallAnswer aAnswer)
 {
   const std::uint64_t call = aCall.m_id;
   aAnswer.m_call = call;
@@ -45,23 +71,25 @@
   aOut.emplace_back(FinishCall{ call, std::move(aAnswer) });
 }
 
+template<RoutingPolicy Policy>
 void
-Dispatcher::EndAttempt(TimePoint aNow,
-                       Call& aCall,
-                       bool aFailed,
-                       std::optional<std::uint32_t> aLoad)
+BasicDispatcher<Policy>::EndAttempt(TimePoint aNow,
+                                    Call& aCall,
+                                    Verdict aVerdict,
+                                    std::optional<std::uint32_t> aLoad)
 {
-  m_workers.Ended(aCall.m_slot, aNow, aFailed, aLoad, m_random);
+  m_workers.Ended(aCall.m_slot, aNow, aVerdict, aLoad, m_random);
 }
 
+template<RoutingPolicy Policy>
 void
-Dispatcher::Try(TimePoint aNow,
-                DispatchActions& aOut,
-                Call& aCall,
-                CallAnswer aElse)
+BasicDispatcher<Policy>::Try(TimePoint aNow,
+                             DispatchActions& aOut,
+                             Call& aCall,
+                             CallAnswer aElse)
 {
   const auto chosen = m_workers.Choose(
-    TwoChoices{}, aCall.m_plan.m_service, aCall.m_tried, aNow, m_random);
+    m_policy, aCall.m_plan.m_service, aCall.m_tried, aNow, m_random);
   if (!chosen) {
     Finish(aOut, aCall, std::move(aElse));
     return;
@@ -81,8 +109,11 @@
                                  aCall.m_plan.m_triesLeft });
 }
 
+template<RoutingPolicy Policy>
 DispatchActions
-Dispatcher::Begin(TimePoint aNow, std::uint64_t aCall, CallPlan aPlan)
+BasicDispatcher<Policy>::Begin(TimePoint aNow,
+                               std::uint64_t aCall,
+                               CallPlan aPlan)
 {
   DispatchActions out;
   m_budget.Deposit();
@@ -101,11 +132,12 @@
   return out;
 }
 
+template<RoutingPolicy Policy>
 void
-Dispatcher::RetryOrFinish(TimePoint aNow,
-                          DispatchActions& aOut,
-                          Call& aCall,
-                          CallAnswer aAnswer)
+BasicDispatcher<Policy>::RetryOrFinish(TimePoint aNow,
+                                       DispatchActions& aOut,
+                                       Call& aCall,
+                                       CallAnswer aAnswer)
 {
   const bool safe =
     aAnswer.m_outcome == CallOutcome::NotRun || aCall.m_plan.m_idempotent;
@@ -119,8 +151,9 @@
   Try(aNow, aOut, aCall, std::move(aAnswer));
 }
 
+template<RoutingPolicy Policy>
 DispatchActions
-Dispatcher::OnAnswer(TimePoint aNow, CallAnswer aAnswer)
+BasicDispatcher<Policy>::OnAnswer(TimePoint aNow, CallAnswer aAnswer)
 {
   DispatchActions out;
   Call* call = ByAttempt(aAnswer.m_call);
@@ -129,24 +162,24 @@
   }
   if (aAnswer.m_outcome == CallOutcome::Answered) {
     const bool broken = aAnswer.m_response.m_status >= kFirstServerError;
-    EndAttempt(aNow, *call, broken, aAnswer.m_load);
+    EndAttempt(
+      aNow, *call, broken ? Verdict::Failed : Verdict::Good, aAnswer.m_load);
     Finish(out, *call, std::move(aAnswer));
     return out;
   }
   if (aAnswer.m_reason == RefusalReason::Leaving) {
     m_workers.SetLeaving(call->m_slot);
   }
-  const bool broken = aAnswer.m_outcome == CallOutcome::Unknown ||
-                      aAnswer.m_reason == RefusalReason::WorkerUnreachable;
-  EndAttempt(aNow, *call, broken, aAnswer.m_load);
+  EndAttempt(aNow, *call, VerdictOf(aAnswer), aAnswer.m_load);
   RetryOrFinish(aNow, out, *call, std::move(aAnswer));
   return out;
 }
 
+template<RoutingPolicy Policy>
 DispatchActions
-Dispatcher::OnCancelResult(TimePoint aNow,
-                           std::uint64_t aAttempt,
-                           AttemptState aState)
+BasicDispatcher<Policy>::OnCancelResult(TimePoint aNow,
+                                        std::uint64_t aAttempt,
+                                        AttemptState aState)
 {
   DispatchActions out;
   Call* call = ByAttempt(aAttempt);
@@ -158,7 +191,7 @@
     call->m_inDoubt = false;
     return out;
   }
-  EndAttempt(aNow, *call, true, std::nullopt);
+  EndAttempt(aNow, *call, Verdict::Failed, std::nullopt);
   const auto outcome = aState == AttemptState::NotStarted
                          ? CallOutcome::NotRun
                          : CallOutcome::Unknown;
@@ -166,8 +199,9 @@
   return out;
 }
 
+template<RoutingPolicy Policy>
 DispatchActions
-Dispatcher::OnLinkLost(TimePoint aNow, const std::string& aSlot)
+BasicDispatcher<Policy>::OnLinkLost(TimePoint aNow, const std::string& aSlot)
 {
   DispatchActions out;
   std::vector<std::uint64_t> hit;
@@ -184,7 +218,7 @@
       call.m_inDoubt = true;
       continue;
     }
-    EndAttempt(aNow, call, true, std::nullopt);
+    EndAttempt(aNow, call, Verdict::Failed, std::nullopt);
     RetryOrFinish(aNow,
                   out,
                   call,
@@ -193,10 +227,11 @@
   return out;
 }
 
+template<RoutingPolicy Policy>
 DispatchActions
-Dispatcher::OnLinkUp(TimePoint aNow,
-                     const std::string& aSlot,
-                     std::uint64_t aProcess)
+BasicDispatcher<Policy>::OnLinkUp(TimePoint aNow,
+                                  const std::string& aSlot,
+                                  std::uint64_t aProcess)
 {
   DispatchActions out;
   std::vector<std::uint64_t> doubted;
@@ -213,7 +248,7 @@
     }
     // Another process: the one that knew is gone, and its worker may have run
     // the call.
-    EndAttempt(aNow, call, true, std::nullopt);
+    EndAttempt(aNow, call, Verdict::Failed, std::nullopt);
     RetryOrFinish(aNow,
                   out,
                   call,
@@ -222,12 +257,13 @@
   return out;
 }
 
+template<RoutingPolicy Policy>
 DispatchActions
-Dispatcher::OnNotSent(TimePoint aNow, std::uint64_t aAttempt)
+BasicDispatcher<Policy>::OnNotSent(TimePoint aNow, std::uint64_t aAttempt)
 {
   DispatchActions out;
   if (Call* call = ByAttempt(aAttempt)) {
-    EndAttempt(aNow, *call, true, std::nullopt);
+    EndAttempt(aNow, *call, Verdict::Failed, std::nullopt);
     RetryOrFinish(aNow,
                   out,
                   *call,
@@ -236,8 +272,9 @@
   return out;
 }
 
+template<RoutingPolicy Policy>
 DispatchActions
-Dispatcher::OnCallerGone(TimePoint aNow, std::uint64_t aCall)
+BasicDispatcher<Policy>::OnCallerGone(TimePoint aNow, std::uint64_t aCall)
 {
   DispatchActions out;
   const auto found = m_calls.find(aCall);
@@ -248,14 +285,15 @@
   if (!call.m_inDoubt) {
     out.emplace_back(SendCancel{ call.m_attempt, call.m_slot, true });
   }
-  EndAttempt(aNow, call, false, std::nullopt);
+  EndAttempt(aNow, call, Verdict::Good, std::nullopt);
   Finish(
     out, call, Refuse(aCall, CallOutcome::Unknown, RefusalReason::Cancelled));
   return out;
 }
 
+template<RoutingPolicy Policy>
 DispatchActions
-Dispatcher::OnTick(TimePoint aNow)
+BasicDispatcher<Policy>::OnTick(TimePoint aNow)
 {
   DispatchActions out;
   while (!m_deadlines.empty() && m_deadlines.begin()->m_at <= aNow) {
@@ -264,7 +302,7 @@
     if (!call.m_inDoubt) {
       out.emplace_back(SendCancel{ call.m_attempt, call.m_slot, true });
     }
-    EndAttempt(aNow, call, true, std::nullopt);
+    EndAttempt(aNow, call, Verdict::Failed, std::nullopt);
     Finish(out,
            call,
            Refuse(id, CallOutcome::Unknown, RefusalReason::DeadlinePassed));
@@ -272,8 +310,9 @@
   return out;
 }
 
+template<RoutingPolicy Policy>
 std::optional<TimePoint>
-Dispatcher::NextDeadline() const
+BasicDispatcher<Policy>::NextDeadline() const
 {
   if (m_deadlines.empty()) {
     return std::nullopt;
@@ -281,12 +320,18 @@
   return m_deadlines.begin()->m_at;
 }
 
+template<RoutingPolicy Policy>
 void
-Dispatcher::SentTo(std::uint64_t aAttempt, std::uint64_t aProcess)
+BasicDispatcher<Policy>::SentTo(std::uint64_t aAttempt, std::uint64_t aProcess)
 {
   if (Call* call = ByAttempt(aAttempt)) {
     call->m_process = aProcess;
   }
 }
 
+template class BasicDispatcher<RandomChoice>;
+template class BasicDispatcher<TwoChoices>;
+template class BasicDispatcher<ShortestQueue>;
+template class BasicDispatcher<JoinWithTagging>;
+
 }
--- a/src/calls/worker_table.cpp
+++ b/src/calls/worker_table.cpp
@@ -1,6 +1,8 @@
 #include "greengagehub/calls/worker_table.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace greengagehub {
 
@@ -11,6 +13,7 @@
 constexpr double kFailureWeight = 0.125;
 /// Failures push a worker back by up to this many full loads.
 constexpr double kFailurePenalty = 4.0;
+constexpr double kRefusalPenalty = 4.0;
 constexpr double kEjectAbove = 0.55;
 constexpr auto kFirstEjection = std::chrono::milliseconds{ 1000 };
 constexpr std::uint32_t kMaxDoublings = 5;
@@ -26,7 +29,8 @@
   const double reported = trust * aRow.m_reported;
   const double own = aRow.m_inFlight;
   const double slots = std::max(1U, aRow.m_slots);
-  return std::max(own, reported) / slots + aRow.m_failures * kFailurePenalty;
+  return std::max(own, reported) / slots + aRow.m_failures * kFailurePenalty +
+         aRow.m_refusals * kRefusalPenalty;
 }
 
 std::size_t
@@ -67,6 +71,52 @@
   return best;
 }
 
+void
+JoinWithTagging::Drain(VirtualQueue& aQueue,
+                       double aSlots,
+                       TimePoint aNow) const
+{
+  // One slot of the paper's time is the mean service time of a call.
+  constexpr double kTradeOff = 100.0;
+  constexpr double kAlpha = 100.0;
+  constexpr std::chrono::duration<double> kSlotTime{ 0.01 };
+  const double slots =
+    std::chrono::duration<double>(aNow - aQueue.m_updated) / kSlotTime;
+  const double rate =
+    aSlots * std::pow(aQueue.m_length * aSlots / kTradeOff, 1.0 / kAlpha);
+  aQueue.m_length = std::max(0.0, aQueue.m_length - rate * slots);
+  aQueue.m_updated = aNow;
+}
+
+std::size_t
+JoinWithTagging::Choose(const std::vector<const WorkerRow*>& aRows,
+                        TimePoint aNow,
+                        Random& aRandom)
+{
+  std::size_t best = 0;
+  double least = std::numeric_limits<double>::infinity();
+  double bestQueue = 0;
+  const std::size_t offset = Below(aRandom, aRows.size());
+  for (std::size_t i = 0; i < aRows.size(); ++i) {
+    const std::size_t at = (i + offset) % aRows.size();
+    const WorkerRow& row = *aRows[at];
+    VirtualQueue& tagged = m_virtual[row.m_slot];
+    Drain(tagged, row.m_slots, aNow);
+    const double queue = LoadScore(row, aNow) * row.m_slots;
+    const double key = std::min(queue, tagged.m_length);
+    if (key < least) {
+      least = key;
+      best = at;
+      bestQueue = queue;
+    }
+  }
+  VirtualQueue& chosen = m_virtual[aRows[best]->m_slot];
+  if (bestQueue > chosen.m_length) {
+    chosen.m_length += 1.0;
+  }
+  return best;
+}
+
 std::optional<WorkerTable::Index>
 WorkerTable::Find(const std::string& aSlot) const
 {
@@ -165,7 +215,7 @@
 void
 WorkerTable::Ended(const std::string& aSlot,
                    TimePoint aNow,
-                   bool aFailed,
+                   Verdict aVerdict,
                    std::optional<std::uint32_t> aLoad,
                    Random& aRandom)
 {
@@ -179,8 +229,11 @@
     row.m_reported = *aLoad;
     row.m_reportedAt = aNow;
   }
-  row.m_failures += kFailureWeight * ((aFailed ? 1.0 : 0.0) - row.m_failures);
-  if (!aFailed) {
+  const bool failed = aVerdict == Verdict::Failed;
+  const bool refused = aVerdict == Verdict::Refused;
+  row.m_failures += kFailureWeight * ((failed ? 1.0 : 0.0) - row.m_failures);
+  row.m_refusals += kFailureWeight * ((refused ? 1.0 : 0.0) - row.m_refusals);
+  if (!failed) {
     row.m_ejections = row.m_failures < kFailureWeight ? 0 : row.m_ejections;
     return;
   }
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -8,6 +8,8 @@
 
 constexpr auto kTick = std::chrono::milliseconds{ 100 };
 constexpr auto kMaxJoinBackoff = std::chrono::seconds{ 15 };
+/// Between two comparisons of members with a peer whose view differs.
+constexpr auto kMemberSync = std::chrono::seconds{ 10 };
 constexpr auto kPullTimeout = std::chrono::milliseconds{ 3000 };
 /// A daemon with no peer and no version reads the store itself after this.
 constexpr auto kAloneAfter = std::chrono::milliseconds{ 1500 };
@@ -274,10 +276,22 @@
   }
   m_disseminator.OnDigest(
     now, m_holder, aMessage.m_head, aMessage.m_sender.m_address);
-  if (!m_haveMembers) {
-    m_haveMembers = true;
-    PullFrom(aMessage.m_sender.m_address, true);
+  SyncMembers(now, aMessage);
+}
+
+void
+ControlPlane::SyncMembers(TimePoint aNow, const GossipMessage& aMessage)
+{
+  // News that was lost on the way (a full packet, a passed-on limit) leaves
+  // views that differ for good; comparing digests now and then heals them.
+  const bool differs = aMessage.m_members != m_membership.Digests().Summary();
+  const bool due = !m_haveMembers || aNow >= m_nextSync;
+  if (!differs || !due) {
+    return;
   }
+  m_haveMembers = true;
+  m_nextSync = aNow + Jittered(m_random, kMemberSync);
+  PullFrom(aMessage.m_sender.m_address, true);
 }
 
 void
@@ -351,7 +365,9 @@
   }
   const PullRequest request{ m_settings.m_slot,
                              m_holder.GetVersion(),
-                             aMembers };
+                             aMembers,
+                             aMembers ? m_membership.Digests()
+                                      : MemberDigests{} };
   m_bulk.Pull(aPeer,
               request,
               kPullTimeout,
@@ -396,7 +412,7 @@
   answer.m_head = { m_holder.GetVersion(), m_holder.Active()->m_chain };
   answer.m_floor = m_membership.FloorOf(aRequest.m_slot);
   if (aRequest.m_wantMembers) {
-    answer.m_members = m_membership.Records();
+    answer.m_members = m_membership.RecordsFor(aRequest.m_members);
   }
   bool complete = false;
   answer.m_entries = m_holder.EntriesAfter(aRequest.m_have, complete);
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -2,6 +2,8 @@
 
 #include "greengagehub/core/digest.hpp"
 
+#include <fmt/format.h>
+
 namespace greengagehub {
 
 std::optional<MemberTable::Index>
@@ -17,8 +19,8 @@
 MemberTable::Index
 MemberTable::Insert(MemberRecord aRecord)
 {
+  CountIn(aRecord);
   const std::string slot = aRecord.m_slot;
-  m_present += IsPresent(aRecord.m_state) ? 1 : 0;
   MemberRow row;
   row.m_rankKey = RankKey(slot);
   row.m_record = std::move(aRecord);
@@ -28,25 +30,38 @@
 }
 
 void
-MemberTable::Count(MemberState aBefore, MemberState aAfter)
+MemberTable::CountIn(const MemberRecord& aRecord)
+{
+  if (IsPresent(aRecord.m_state)) {
+    ++m_present;
+    m_digests.Add(aRecord);
+  }
+}
+
+void
+MemberTable::CountOut(const MemberRecord& aRecord)
 {
-  m_present += IsPresent(aAfter) ? 1 : 0;
-  m_present -= IsPresent(aBefore) ? 1 : 0;
+  if (IsPresent(aRecord.m_state)) {
+    --m_present;
+    m_digests.Remove(aRecord);
+  }
 }
 
 void
 MemberTable::SetState(Index aIndex, MemberState aState)
 {
   MemberRecord& record = m_rows.At(aIndex).m_record;
-  Count(record.m_state, aState);
+  CountOut(record);
   record.m_state = aState;
+  CountIn(record);
 }
 
 void
 MemberTable::Replace(Index aIndex, MemberRecord aRecord)
 {
   MemberRow& row = m_rows.At(aIndex);
-  Count(row.m_record.m_state, aRecord.m_state);
+  CountOut(row.m_record);
+  CountIn(aRecord);
   if (ProcessOf(row.m_record.m_incarnation) !=
       ProcessOf(aRecord.m_incarnation)) {
     row.m_version = Version{};
@@ -58,11 +73,54 @@
 MemberTable::Erase(Index aIndex)
 {
   const MemberRecord& record = m_rows.At(aIndex).m_record;
-  m_present -= IsPresent(record.m_state) ? 1 : 0;
+  CountOut(record);
   m_bySlot.erase(record.m_slot);
   m_rows.Erase(aIndex);
 }
 
+// ---------------------------------------------------------------------------
+// Digests
+
+namespace {
+
+/// State counts only as "present": suspicions come and go too fast to be worth
+/// a synchronisation.
+std::uint64_t
+ElementOf(const MemberRecord& aRecord)
+{
+  return RankKey(fmt::format("{}/{}", aRecord.m_slot, aRecord.m_incarnation));
+}
+
+}
+
+std::size_t
+MemberDigests::BucketOf(std::string_view aSlot)
+{
+  return RankKey(aSlot) % kBuckets;
+}
+
+void
+MemberDigests::Add(const MemberRecord& aRecord)
+{
+  m_sums[BucketOf(aRecord.m_slot)] += ElementOf(aRecord);
+}
+
+void
+MemberDigests::Remove(const MemberRecord& aRecord)
+{
+  m_sums[BucketOf(aRecord.m_slot)] -= ElementOf(aRecord);
+}
+
+std::uint64_t
+MemberDigests::Summary() const noexcept
+{
+  std::uint64_t summary = 0;
+  for (const std::uint64_t each : m_sums) {
+    summary += each;
+  }
+  return summary;
+}
+
 std::uint64_t
 RankKey(std::string_view aSlot)
 {
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -16,6 +16,14 @@
 /// paused, not that everyone else fell silent.
 constexpr int kPausePeriods = 3;
 
+std::uint64_t
+MemberSummary(const MemberRecord& aRecord)
+{
+  MemberDigests digests;
+  digests.Add(aRecord);
+  return digests.Summary();
+}
+
 }
 
 Membership::Membership(MemberRecord aSelf,
@@ -77,12 +85,30 @@
   return index ? m_members.At(*index).m_floor : Version{};
 }
 
+MemberDigests
+Membership::Digests() const
+{
+  MemberDigests digests = m_members.Digests();
+  digests.Add(m_self);
+  return digests;
+}
+
 std::vector<MemberRecord>
-Membership::Records() const
+Membership::RecordsFor(const MemberDigests& aTheirs) const
 {
-  std::vector<MemberRecord> records{ m_self };
+  const MemberDigests own = Digests();
+  const auto differs = [&](const MemberRecord& aRecord) {
+    const std::size_t bucket = MemberDigests::BucketOf(aRecord.m_slot);
+    return own.m_sums[bucket] != aTheirs.m_sums[bucket];
+  };
+  std::vector<MemberRecord> records;
+  if (differs(m_self)) {
+    records.push_back(m_self);
+  }
   m_members.Rows().Each([&](MemberTable::Index, const MemberRow& aRow) {
-    records.push_back(aRow.m_record);
+    if (differs(aRow.m_record)) {
+      records.push_back(aRow.m_record);
+    }
   });
   return records;
 }
@@ -115,6 +141,7 @@
   message.m_kind = aKind;
   message.m_sender = m_self;
   message.m_updates = TakeUpdates();
+  message.m_members = m_members.Digests().Summary() + MemberSummary(m_self);
   return message;
 }
 
@@ -189,7 +216,8 @@
 void
 Membership::Adopt(TimePoint aNow,
                   MembershipActions& aOut,
-                  const MemberRecord& aRecord)
+                  const MemberRecord& aRecord,
+                  bool aPassOn)
 {
   if (aRecord.m_slot == m_self.m_slot) {
     AdoptSelf(aRecord);
@@ -198,7 +226,9 @@
   const auto known = m_members.Find(aRecord.m_slot);
   if (!known) {
     const auto index = m_members.Insert(aRecord);
-    MarkPending(index);
+    if (aPassOn) {
+      MarkPending(index);
+    }
     if (IsPresent(aRecord.m_state)) {
       m_round.push_back(index);
       aOut.m_events.push_back({ MemberEvent::Kind::Joined, aRecord });
@@ -218,7 +248,9 @@
   }
   const bool wasPresent = IsPresent(row.m_record.m_state);
   m_members.Replace(*known, aRecord);
-  MarkPending(*known);
+  if (aPassOn) {
+    MarkPending(*known);
+  }
   if (aRecord.m_state == MemberState::Suspect) {
     row.m_suspectUntil = aNow + SuspicionTime();
     m_suspects.push_back(*known);
@@ -243,8 +275,10 @@
 Membership::OnRecords(TimePoint aNow, const std::vector<MemberRecord>& aRecords)
 {
   MembershipActions out;
+  // From a peer's whole table: others have it too. Passing it all on would
+  // bury the news among thousands of records that are none.
   for (const MemberRecord& each : aRecords) {
-    Adopt(aNow, out, each);
+    Adopt(aNow, out, each, false);
   }
   return out;
 }
@@ -255,9 +289,9 @@
                       const GossipMessage& aMessage)
 {
   MembershipActions out;
-  Adopt(aNow, out, aMessage.m_sender);
+  Adopt(aNow, out, aMessage.m_sender, true);
   for (const MemberRecord& each : aMessage.m_updates) {
-    Adopt(aNow, out, each);
+    Adopt(aNow, out, each, true);
   }
   if (const auto index = m_members.Find(aMessage.m_sender.m_slot)) {
     m_members.At(*index).m_watching = aMessage.m_watching;
--- a/src/transport/gossip_codec.cpp
+++ b/src/transport/gossip_codec.cpp
@@ -130,6 +130,7 @@
   }
   out.set_floor(aMessage.m_floor.m_number);
   out.set_watching(aMessage.m_watching);
+  out.set_members(aMessage.m_members);
   return out;
 }
 
@@ -174,6 +175,7 @@
   message.m_entries = std::move(entries.value());
   message.m_floor = Version{ in.floor() };
   message.m_watching = in.watching();
+  message.m_members = in.members();
   return message;
 }
 
@@ -184,6 +186,11 @@
   out.set_slot(aRequest.m_slot);
   out.set_have_version(aRequest.m_have.m_number);
   out.set_want_members(aRequest.m_wantMembers);
+  if (aRequest.m_wantMembers) {
+    for (const std::uint64_t each : aRequest.m_members.m_sums) {
+      out.add_member_digests(each);
+    }
+  }
   return out.SerializeAsString();
 }
 
@@ -194,9 +201,18 @@
   if (!in.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()))) {
     return Malformed("not a pull request");
   }
-  return PullRequest{ in.slot(),
-                      Version{ in.have_version() },
-                      in.want_members() };
+  PullRequest request;
+  request.m_slot = in.slot();
+  request.m_have = Version{ in.have_version() };
+  request.m_wantMembers = in.want_members();
+  const auto buckets = static_cast<std::size_t>(in.member_digests_size());
+  if (request.m_wantMembers && buckets != MemberDigests::kBuckets) {
+    return Malformed("member digests of another size");
+  }
+  for (std::size_t i = 0; i < buckets && request.m_wantMembers; ++i) {
+    request.m_members.m_sums[i] = in.member_digests(static_cast<int>(i));
+  }
+  return request;
 }
 
 std::string
--- /dev/null
+++ b/tests/calls/trace_replay.cpp
@@ -0,0 +1,134 @@
+#include "support/trace_file.hpp"
+
+#include "greengagehub/calls/run_table.hpp"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+// Replays recorded traces of attempts at one worker against their stated
+// outcomes; the format is described in tests/traces/README.md.
+
+using namespace greengagehub;
+using namespace greengagehub::testkit;
+
+namespace {
+
+class Replay
+{
+public:
+  [[nodiscard]] std::string Step(const std::string& aLine)
+  {
+    std::istringstream words{ aLine };
+    std::string verb;
+    std::uint64_t number = 0;
+    words >> verb >> number;
+    RunActions out;
+    if (verb == "slots") {
+      std::uint32_t queue = 0;
+      words >> queue;
+      m_runs.SetLimits(static_cast<std::uint32_t>(number), queue);
+      return "ok";
+    }
+    if (verb == "at") {
+      m_now = kStart + std::chrono::milliseconds{ number };
+      return "ok";
+    }
+    if (verb == "admit") {
+      return Admit(number, words);
+    }
+    if (verb == "cancel") {
+      return NameOfResult(m_runs.Cancel(m_now, { 1, number }));
+    }
+    if (verb == "epoch") {
+      m_runs.CloseEpochs(m_now, 1, number);
+      return "ok";
+    }
+    if (verb == "finish") {
+      return Told("finished", m_runs.Finish(m_now, { 1, number }));
+    }
+    if (verb == "tick") {
+      return Told("ticked", m_runs.OnTick(m_now));
+    }
+    return Told("left", m_runs.StartLeaving(m_now));
+  }
+
+private:
+  static constexpr TimePoint kStart{ std::chrono::hours{ 1 } };
+
+  std::string Admit(std::uint64_t aCall, std::istringstream& aWords)
+  {
+    std::string callClass;
+    std::int64_t left = 0;
+    std::uint64_t epoch = 0;
+    aWords >> callClass >> left >> epoch;
+    CallClass parsed = CallClass::Critical;
+    for (const auto each :
+         { CallClass::Critical, CallClass::Lookup, CallClass::Export }) {
+      parsed = NameOf(each) == callClass ? each : parsed;
+    }
+    RunActions out;
+    const Admission admission = m_runs.Admit(m_now,
+                                             { 1, aCall },
+                                             epoch,
+                                             parsed,
+                                             std::chrono::milliseconds{ left },
+                                             out);
+    switch (admission.m_kind) {
+      case Admission::Kind::Start:
+        return Told("started", out);
+      case Admission::Kind::Queued:
+        return Told("queued", out);
+      case Admission::Kind::Repeated:
+        return "repeated";
+      case Admission::Kind::Refused:
+        return fmt::format("refused {}", NameOf(admission.m_reason));
+    }
+    return "?";
+  }
+
+  static std::string NameOfResult(CancelResult aResult)
+  {
+    switch (aResult) {
+      case CancelResult::NotStarted:
+        return "not-started";
+      case CancelResult::Running:
+        return "running";
+      case CancelResult::Finished:
+        return "finished";
+      case CancelResult::Forgotten:
+        return "forgotten";
+    }
+    return "?";
+  }
+
+  static std::string Told(std::string aWhat, const RunActions& aActions)
+  {
+    for (const CallKey& each : aActions.m_start) {
+      aWhat += fmt::format(", start {}", each.m_call);
+    }
+    for (const RefusedRun& each : aActions.m_refused) {
+      aWhat +=
+        fmt::format(", refuse {} {}", each.m_key.m_call, NameOf(each.m_reason));
+    }
+    return aWhat;
+  }
+
+  TimePoint m_now{ kStart };
+  RunTable m_runs{ {} };
+};
+
+}
+
+TEST_CASE("recorded traces of attempts at a worker")
+{
+  const auto files = TracesIn(std::string{ TRACE_DIRECTORY } + "/calls");
+  REQUIRE(files.size() >= 2);
+  for (const auto& file : files) {
+    Replay replay;
+    for (const TraceLine& line : ReadTrace(file)) {
+      INFO(line.m_where, ": ", line.m_step);
+      CHECK(replay.Step(line.m_step) == line.m_outcome);
+    }
+  }
+}
--- /dev/null
+++ b/tests/config/trace_replay.cpp
@@ -0,0 +1,120 @@
+#include "support/trace_file.hpp"
+
+#include "greengagehub/config/config_holder.hpp"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+// Replays recorded traces of decisions and deliveries against their stated
+// outcomes; the format is described in tests/traces/README.md.
+
+using namespace greengagehub;
+using namespace greengagehub::testkit;
+
+namespace {
+
+class Replay
+{
+public:
+  [[nodiscard]] std::string Step(const std::string& aLine)
+  {
+    std::istringstream words{ aLine };
+    std::string verb;
+    words >> verb;
+    if (verb == "submit") {
+      return Submit(words);
+    }
+    if (verb == "restart") {
+      m_holder = ConfigHolder{};
+      return InForce("empty");
+    }
+    std::uint64_t version = 0;
+    words >> version;
+    VersionEntry entry = m_history.at(version - 1).m_entry;
+    if (verb == "snapshot") {
+      return Told(m_holder.StageSnapshot(
+        entry, m_history.at(version - 1).m_content.ToJson()));
+    }
+    if (verb == "damaged") {
+      entry.m_patch = R"({"services":{"intruder":{}}})";
+    } else if (verb == "other-history") {
+      entry.m_patch = R"({"services":{"intruder":{}}})";
+      entry.m_chain = NextChain(Digest{}, entry.m_version, entry.m_patch);
+    }
+    return Told(m_holder.Stage(entry));
+  }
+
+private:
+  struct Accepted
+  {
+    VersionEntry m_entry;
+    Content m_content;
+  };
+
+  std::string Submit(std::istringstream& aWords)
+  {
+    Submission submission;
+    aWords >> submission.m_id >> submission.m_base.m_number;
+    std::getline(aWords >> std::ws, submission.m_patch);
+    const Content head =
+      m_history.empty() ? Content{} : m_history.back().m_content;
+    const Decision decision = Decide(m_log, head, submission);
+    m_log = WithDecision(std::move(m_log), decision);
+    if (!decision.m_accepted) {
+      std::string reasons = "refused";
+      for (const Reason& each : decision.m_reasons) {
+        reasons += fmt::format(" {}{}{}",
+                               NameOf(each.m_code),
+                               each.m_place.empty() ? "" : "@",
+                               each.m_place);
+      }
+      return reasons;
+    }
+    Content next = head;
+    static_cast<void>(next.Apply(submission.m_patch));
+    m_history.push_back({ decision.m_entry, std::move(next) });
+    return fmt::format("accepted {}", decision.m_entry.m_version.m_number);
+  }
+
+  [[nodiscard]] std::string InForce(const char* aWhat) const
+  {
+    return fmt::format(
+      "{}, in force {}", aWhat, m_holder.GetVersion().m_number);
+  }
+
+  [[nodiscard]] std::string Told(StageResult aResult) const
+  {
+    switch (aResult) {
+      case StageResult::Applied:
+        return InForce("applied");
+      case StageResult::AlreadyHeld:
+        return InForce("held");
+      case StageResult::Gap:
+        return InForce("gap");
+      case StageResult::Forked:
+        return InForce("forked");
+      case StageResult::Corrupt:
+        return InForce("corrupt");
+    }
+    return "?";
+  }
+
+  DecisionLog m_log;
+  std::vector<Accepted> m_history;
+  ConfigHolder m_holder;
+};
+
+}
+
+TEST_CASE("recorded traces of decisions and deliveries")
+{
+  const auto files = TracesIn(std::string{ TRACE_DIRECTORY } + "/config");
+  REQUIRE(files.size() >= 3);
+  for (const auto& file : files) {
+    Replay replay;
+    for (const TraceLine& line : ReadTrace(file)) {
+      INFO(line.m_where, ": ", line.m_step);
+      CHECK(replay.Step(line.m_step) == line.m_outcome);
+    }
+  }
+}
--- /dev/null
+++ b/tests/membership/membership.cpp
@@ -0,0 +1,253 @@
+#include "greengagehub/membership/membership.hpp"
+
+#include <deque>
+#include <doctest/doctest.h>
+#include <functional>
+#include <map>
+#include <set>
+
+// A handful of members that exchange messages in memory; a filter drops what
+// a cut would drop.
+
+using namespace greengagehub;
+using namespace std::chrono_literals;
+
+namespace {
+
+MemberRecord
+Record(std::uint16_t aNumber, std::uint64_t aStart = 1)
+{
+  MemberRecord record;
+  record.m_slot = "m" + std::to_string(aNumber);
+  record.m_incarnation = aStart << 16U;
+  record.m_domain = "solna";
+  record.m_address = { "127.0.0.1", aNumber, 0, 0 };
+  return record;
+}
+
+class Group
+{
+public:
+  explicit Group(std::uint16_t aCount)
+  {
+    for (std::uint16_t i = 1; i <= aCount; ++i) {
+      Start(i, 1);
+    }
+    for (std::uint16_t i = 2; i <= aCount; ++i) {
+      Carry(i, At(i).Contact(At(1).Self().m_address));
+    }
+    Run(20s);
+  }
+
+  [[nodiscard]] Membership& At(std::uint16_t aNumber)
+  {
+    return m_members.at(aNumber);
+  }
+
+  void Start(std::uint16_t aNumber, std::uint64_t aStart)
+  {
+    m_members.erase(aNumber);
+    m_members.emplace(aNumber,
+                      Membership{ Record(aNumber, aStart), {}, aNumber });
+    m_paused.erase(aNumber);
+  }
+  void Pause(std::uint16_t aNumber) { m_paused.insert(aNumber); }
+  void Resume(std::uint16_t aNumber) { m_paused.erase(aNumber); }
+  void SetCut(std::function<bool(std::uint16_t, std::uint16_t)> aCut)
+  {
+    m_cut = std::move(aCut);
+  }
+
+  void Carry(std::uint16_t aFrom, const MembershipActions& aActions)
+  {
+    for (const GossipSend& each : aActions.m_sends) {
+      m_messages.push_back({ aFrom, each.m_to.m_gossipPort, each.m_message });
+    }
+  }
+
+  void Run(Duration aSpan)
+  {
+    const TimePoint end = m_now + aSpan;
+    while (m_now < end) {
+      m_now += 100ms;
+      for (auto& [number, member] : m_members) {
+        if (!m_paused.contains(number)) {
+          Carry(number, member.OnTick(m_now));
+        }
+      }
+      Deliver();
+    }
+  }
+
+  [[nodiscard]] MemberState StateOf(std::uint16_t aSeenBy,
+                                    std::uint16_t aNumber)
+  {
+    const auto index =
+      At(aSeenBy).Members().Find("m" + std::to_string(aNumber));
+    return index ? At(aSeenBy).Members().At(*index).m_record.m_state
+                 : MemberState::Left;
+  }
+
+private:
+  struct Message
+  {
+    std::uint16_t m_from;
+    std::uint16_t m_to;
+    GossipMessage m_message;
+  };
+
+  void Deliver()
+  {
+    while (!m_messages.empty()) {
+      const Message message = m_messages.front();
+      m_messages.pop_front();
+      const bool lost = (m_cut && m_cut(message.m_from, message.m_to)) ||
+                        !m_members.contains(message.m_to) ||
+                        m_paused.contains(message.m_to);
+      if (!lost) {
+        Carry(message.m_to,
+              At(message.m_to)
+                .OnMessage(m_now,
+                           { "127.0.0.1", message.m_from, 0, 0 },
+                           message.m_message));
+      }
+    }
+  }
+
+  TimePoint m_now{ 1h };
+  std::map<std::uint16_t, Membership> m_members;
+  std::set<std::uint16_t> m_paused;
+  std::deque<Message> m_messages;
+  std::function<bool(std::uint16_t, std::uint16_t)> m_cut;
+};
+
+}
+
+TEST_CASE("members find each other through one address")
+{
+  Group group{ 8 };
+  for (std::uint16_t i = 1; i <= 8; ++i) {
+    CHECK(group.At(i).Members().Present() == 7);
+  }
+}
+
+TEST_CASE("a member that died is found out by all")
+{
+  Group group{ 6 };
+  group.Pause(6);
+  group.Run(60s);
+  for (std::uint16_t i = 1; i <= 5; ++i) {
+    CHECK(group.StateOf(i, 6) == MemberState::Dead);
+  }
+}
+
+TEST_CASE("a member that only one other cannot reach stays")
+{
+  // The way between two members is cut, all others reach both: probes through
+  // others keep either from taking the other for dead.
+  Group group{ 6 };
+  group.SetCut([](std::uint16_t aFrom, std::uint16_t aTo) {
+    return (aFrom == 1 && aTo == 2) || (aFrom == 2 && aTo == 1);
+  });
+  group.Run(120s);
+  CHECK(IsPresent(group.StateOf(1, 2)));
+  CHECK(IsPresent(group.StateOf(3, 2)));
+}
+
+TEST_CASE("a paused member does not take the others for dead when it wakes")
+{
+  // A process stands still for half a minute. What it sees on waking is its
+  // own silence; it must not spread suspicions of everyone else.
+  Group group{ 6 };
+  group.Pause(1);
+  group.Run(30s);
+  group.Resume(1);
+  group.Run(1s);
+  for (std::uint16_t i = 2; i <= 6; ++i) {
+    CHECK(group.StateOf(1, i) == MemberState::Alive);
+  }
+  group.Run(60s);
+  for (std::uint16_t i = 2; i <= 6; ++i) {
+    CHECK(group.StateOf(i, 1) == MemberState::Alive);
+  }
+}
+
+TEST_CASE("two sides that lost each other find each other again")
+{
+  // Regions are cut off for ten minutes. Each side takes the other for dead;
+  // nothing outside helps when the way is open again.
+  Group group{ 8 };
+  group.SetCut([](std::uint16_t aFrom, std::uint16_t aTo) {
+    return (aFrom <= 4) != (aTo <= 4);
+  });
+  group.Run(600s);
+  CHECK(group.StateOf(1, 8) == MemberState::Dead);
+  CHECK(group.StateOf(8, 1) == MemberState::Dead);
+  group.SetCut({});
+  group.Run(120s);
+  for (std::uint16_t i = 1; i <= 8; ++i) {
+    CHECK(group.At(i).Members().Present() == 7);
+  }
+}
+
+TEST_CASE("a rack restarted while nothing else helps is found by its peers")
+{
+  // Members come back at their addresses with no memory and no store to ask.
+  // Peers still probe the addresses that they lost.
+  Group group{ 8 };
+  for (std::uint16_t i = 5; i <= 8; ++i) {
+    group.Pause(i);
+  }
+  group.Run(120s);
+  for (std::uint16_t i = 5; i <= 8; ++i) {
+    group.Start(i, 2);
+  }
+  group.Run(180s);
+  for (std::uint16_t i = 1; i <= 8; ++i) {
+    CHECK(group.At(i).Members().Present() == 7);
+  }
+}
+
+TEST_CASE("a restart with the clock set back is still believed")
+{
+  Group group{ 4 };
+  group.Start(4, 0);
+  group.Carry(4, group.At(4).Contact(group.At(1).Self().m_address));
+  group.Run(60s);
+  CHECK(group.StateOf(1, 4) == MemberState::Alive);
+  CHECK(group.StateOf(2, 4) == MemberState::Alive);
+}
+
+TEST_CASE("a member that leaves takes no calls from its announcement on")
+{
+  Group group{ 6 };
+  group.Carry(1, group.At(1).Announce(MemberState::Leaving));
+  group.Run(2s);
+  for (std::uint16_t i = 2; i <= 6; ++i) {
+    CHECK(group.StateOf(i, 1) == MemberState::Leaving);
+    CHECK_FALSE(TakesCalls(group.StateOf(i, 1)));
+  }
+  group.Carry(1, group.At(1).Announce(MemberState::Left));
+  group.Pause(1);
+  group.Run(5s);
+  CHECK(group.StateOf(2, 1) == MemberState::Left);
+}
+
+TEST_CASE("what a slot ran is remembered over its restarts")
+{
+  Group group{ 3 };
+  group.At(1).NoteVersion("m3", Version{ 7 });
+  group.Start(3, 2);
+  group.Carry(3, group.At(3).Contact(group.At(1).Self().m_address));
+  group.Run(5s);
+  CHECK(group.At(1).FloorOf("m3") == Version{ 7 });
+}
+
+TEST_CASE("digests tell which members two views do not share")
+{
+  Group group{ 5 };
+  CHECK(group.At(1).Digests() == group.At(2).Digests());
+  CHECK(group.At(1).RecordsFor(group.At(2).Digests()).empty());
+  const Membership stranger{ Record(9), {}, 9 };
+  CHECK(group.At(1).RecordsFor(stranger.Digests()).size() >= 5);
+}
