--- /dev/null
+++ b/bench/footprint.cpp
@@ -0,0 +1,138 @@
+#include "greengagehub/calls/route_table.hpp"
+#include "greengagehub/calls/run_table.hpp"
+#include "greengagehub/calls/worker_table.hpp"
+#include "greengagehub/config/config_holder.hpp"
+#include "greengagehub/membership/membership.hpp"
+
+#include <fmt/format.h>
+#include <fstream>
+#include <malloc.h>
+
+/// \file
+/// \brief Memory that a daemon's tables take at the target's size, from the
+/// allocator's own accounts.
+
+namespace {
+
+using namespace greengagehub; // NOLINT: a program in one file
+using namespace std::chrono_literals;
+
+double
+UsedMb()
+{
+  const auto info = mallinfo2();
+  return static_cast<double>(info.uordblks + info.hblkhd) / 1e6;
+}
+
+MemberRecord
+Record(int aNumber)
+{
+  MemberRecord record;
+  record.m_slot = fmt::format("stockholm-solna-{:05}", aNumber);
+  record.m_incarnation = 123456789ULL << 16U;
+  record.m_service = fmt::format("service-{}", aNumber % 6800);
+  record.m_domain = fmt::format("domain-{}", aNumber % 7);
+  record.m_region = fmt::format("region-{}", aNumber % 3);
+  record.m_address = { "10.123.231.17", 7001, 7002, 7003 };
+  return record;
+}
+
+std::string
+PatchOf(int aServices)
+{
+  std::string services;
+  std::string routes;
+  for (int i = 0; i < aServices; ++i) {
+    const char* comma = i == 0 ? "" : ",";
+    services +=
+      fmt::format(R"({}"service-{}":{{"slots":20,"queue":40}})", comma, i);
+    routes += fmt::format(
+      R"({}"route-{}":{{"path":"/service/{}","service":"service-{}"}})",
+      comma,
+      i,
+      i,
+      i);
+  }
+  return fmt::format(
+    R"({{"services":{{{}}},"routes":{{{}}}}})", services, routes);
+}
+
+template<class Build>
+void
+Measure(const char* aWhat, double aCount, Build aBuild)
+{
+  const double before = UsedMb();
+  const auto kept = aBuild();
+  const double used = UsedMb() - before;
+  fmt::print(
+    "{:36} {:8.2f} MB {:8.0f} B each\n", aWhat, used, used * 1e6 / aCount);
+  static_cast<void>(kept);
+}
+
+std::unique_ptr<Membership>
+Members(int aCount)
+{
+  auto membership =
+    std::make_unique<Membership>(Record(0), MembershipSettings{}, 1);
+  std::vector<MemberRecord> records;
+  for (int i = 1; i < aCount; ++i) {
+    records.push_back(Record(i));
+  }
+  static_cast<void>(membership->OnRecords(TimePoint{ 1h }, records));
+  return membership;
+}
+
+std::unique_ptr<WorkerTable>
+Workers(int aCount)
+{
+  auto workers = std::make_unique<WorkerTable>();
+  for (int i = 0; i < aCount; ++i) {
+    WorkerRow row;
+    row.m_slot = Record(i).m_slot;
+    row.m_service = Record(i).m_service;
+    row.m_domain = Record(i).m_domain;
+    workers->Put(std::move(row));
+  }
+  return workers;
+}
+
+}
+
+int
+main()
+{
+  for (const int count : { 1000, 10'000, 38'000 }) {
+    Measure(fmt::format("members, {}", count).c_str(), count, [count] {
+      return Members(count);
+    });
+    Measure(fmt::format("workers, {}", count).c_str(), count, [count] {
+      return Workers(count);
+    });
+  }
+  for (const int count : { 1000, 6800 }) {
+    Content content;
+    Measure(fmt::format("content, {} services and routes", count).c_str(),
+            count,
+            [&] {
+              static_cast<void>(content.Apply(PatchOf(count)));
+              return 0;
+            });
+    Measure(fmt::format("route table, {}", count).c_str(), count, [&] {
+      return std::make_unique<RouteTable>(content);
+    });
+  }
+  for (const int count : { 10'000, 50'000 }) {
+    Measure(fmt::format("ended attempts, {}", count).c_str(), count, [count] {
+      auto runs = std::make_unique<RunTable>(RunTableSettings{});
+      RunActions out;
+      for (int call = 1; call <= count; ++call) {
+        const CallKey key{ 1, static_cast<std::uint64_t>(call) };
+        static_cast<void>(
+          runs->Admit(TimePoint{ 1h }, key, 1, CallClass::Critical, 1s, out));
+        static_cast<void>(runs->Finish(TimePoint{ 1h }, key));
+      }
+      return runs;
+    });
+  }
+  return 0;
+}
--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -108,6 +108,7 @@
   Version m_packedVersion;
   Version m_floor;
   TimePoint m_nextSync{};
+  std::chrono::milliseconds m_syncEvery{ 1000 };
   bool m_haveMembers{ false };
   /// The whole member table of a peer has been taken in.
   bool m_joined{ false };
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -8,8 +8,12 @@
 
 constexpr auto kTick = std::chrono::milliseconds{ 100 };
 constexpr auto kMaxJoinBackoff = std::chrono::seconds{ 15 };
-/// Between two comparisons of members with a peer whose view differs.
-constexpr auto kMemberSync = std::chrono::seconds{ 10 };
+/// Between two comparisons of members with a peer whose view differs: often
+/// while they bring much, as after a start or a partition, then ever more
+/// seldom, since a plain day's news travels on the probes.
+constexpr auto kFirstSync = std::chrono::milliseconds{ 1000 };
+constexpr auto kLastSync = std::chrono::milliseconds{ 30'000 };
+constexpr std::size_t kMuchNews = 8;
 constexpr auto kPullTimeout = std::chrono::milliseconds{ 3000 };
 /// A daemon with no peer and no version reads the store itself after this.
 constexpr auto kAloneAfter = std::chrono::milliseconds{ 1500 };
@@ -290,7 +294,8 @@
     return;
   }
   m_haveMembers = true;
-  m_nextSync = aNow + Jittered(m_random, kMemberSync);
+  m_nextSync = aNow + Jittered(m_random, m_syncEvery);
+  m_syncEvery = std::min(2 * m_syncEvery, kLastSync);
   PullFrom(aMessage.m_sender.m_address, true);
 }
 
@@ -388,7 +393,12 @@
   }
   RaiseFloor(aAnswer->m_floor);
   m_joined = m_joined || !aAnswer->m_members.empty();
-  Carry(m_membership.OnRecords(Clock::now(), aAnswer->m_members));
+  MembershipActions news =
+    m_membership.OnRecords(Clock::now(), aAnswer->m_members);
+  if (news.m_events.size() >= kMuchNews) {
+    m_syncEvery = kFirstSync;
+  }
+  Carry(std::move(news));
   if (!aAnswer->m_snapshot.empty()) {
     const Version before = m_holder.GetVersion();
     const auto text = Decompress(aAnswer->m_snapshot, kMaxUnpackedBytes);
--- /dev/null
+++ b/tests/calls/dispatcher.cpp
@@ -0,0 +1,168 @@
+#include "greengagehub/calls/dispatcher.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace greengagehub;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kStart{ 1h };
+
+/// A dispatcher with two workers and one call under way.
+class OneCall
+{
+public:
+  explicit OneCall(bool aIdempotent)
+  {
+    for (const char* slot : { "a", "b" }) {
+      WorkerRow row;
+      row.m_slot = slot;
+      row.m_service = "locker-app";
+      m_dispatcher.Workers().Put(std::move(row));
+    }
+    CallPlan plan;
+    plan.m_service = "locker-app";
+    plan.m_idempotent = aIdempotent;
+    plan.m_deadline = kStart + 1s;
+    Take(m_dispatcher.Begin(kStart, 1, std::move(plan)));
+    m_dispatcher.SentTo(m_attempt, kProcess);
+  }
+
+  static constexpr std::uint64_t kProcess = 77;
+
+  void Take(const DispatchActions& aActions)
+  {
+    for (const DispatchAction& each : aActions) {
+      if (const auto* send = std::get_if<SendAttempt>(&each)) {
+        ++m_sends;
+        m_attempt = send->m_attempt;
+        m_slot = send->m_slot;
+      } else if (std::get_if<SendCancel>(&each) != nullptr) {
+        ++m_cancels;
+      } else {
+        m_final = std::get<FinishCall>(each).m_answer;
+      }
+    }
+  }
+
+  Dispatcher m_dispatcher{ 1 };
+  int m_sends{ 0 };
+  int m_cancels{ 0 };
+  std::uint64_t m_attempt{ 0 };
+  std::string m_slot;
+  std::optional<CallAnswer> m_final;
+};
+
+}
+
+TEST_CASE("a release whose link is lost is not sent again before its fate is "
+          "known")
+{
+  // The connection to the worker's daemon breaks with a release on it.
+  // Sending it elsewhere at once would open the compartment twice.
+  OneCall call{ false };
+  call.Take(call.m_dispatcher.OnLinkLost(kStart, call.m_slot));
+  CHECK(call.m_sends == 1);
+  CHECK_FALSE(call.m_final);
+  call.Take(call.m_dispatcher.OnLinkUp(kStart, call.m_slot, OneCall::kProcess));
+  CHECK(call.m_cancels == 1);
+
+  SUBCASE("not started: it goes elsewhere")
+  {
+    call.Take(call.m_dispatcher.OnCancelResult(
+      kStart, call.m_attempt, AttemptState::NotStarted));
+    CHECK(call.m_sends == 2);
+  }
+  SUBCASE("started: its answer still comes")
+  {
+    const auto attempt = call.m_attempt;
+    call.Take(
+      call.m_dispatcher.OnCancelResult(kStart, attempt, AttemptState::Started));
+    CHECK_FALSE(call.m_final);
+    CallAnswer answer;
+    answer.m_call = attempt;
+    answer.m_outcome = CallOutcome::Answered;
+    call.Take(call.m_dispatcher.OnAnswer(kStart, answer));
+    REQUIRE(call.m_final);
+    CHECK(call.m_final->m_outcome == CallOutcome::Answered);
+  }
+  SUBCASE("lost: unknown, and not sent again")
+  {
+    call.Take(call.m_dispatcher.OnCancelResult(
+      kStart, call.m_attempt, AttemptState::Lost));
+    REQUIRE(call.m_final);
+    CHECK(call.m_final->m_outcome == CallOutcome::Unknown);
+    CHECK(call.m_sends == 1);
+  }
+}
+
+TEST_CASE("a release at a process that is gone is unknown, at once")
+{
+  OneCall call{ false };
+  call.Take(call.m_dispatcher.OnLinkLost(kStart, call.m_slot));
+  call.Take(call.m_dispatcher.OnLinkUp(kStart, call.m_slot, 78));
+  REQUIRE(call.m_final);
+  CHECK(call.m_final->m_outcome == CallOutcome::Unknown);
+  CHECK(call.m_sends == 1);
+}
+
+TEST_CASE("a lookup whose link is lost goes elsewhere at once")
+{
+  OneCall call{ true };
+  call.Take(call.m_dispatcher.OnLinkLost(kStart, call.m_slot));
+  CHECK(call.m_sends == 2);
+}
+
+TEST_CASE("an answer of an abandoned attempt is not given to the caller")
+{
+  OneCall call{ true };
+  const auto first = call.m_attempt;
+  call.Take(call.m_dispatcher.OnLinkLost(kStart, call.m_slot));
+  CallAnswer late;
+  late.m_call = first;
+  late.m_outcome = CallOutcome::Answered;
+  call.Take(call.m_dispatcher.OnAnswer(kStart, late));
+  CHECK_FALSE(call.m_final);
+}
+
+TEST_CASE("a call without a word by its deadline is unknown, at once")
+{
+  OneCall call{ false };
+  REQUIRE(call.m_dispatcher.NextDeadline());
+  call.Take(call.m_dispatcher.OnTick(*call.m_dispatcher.NextDeadline()));
+  REQUIRE(call.m_final);
+  CHECK(call.m_final->m_outcome == CallOutcome::Unknown);
+  CHECK(call.m_final->m_reason == RefusalReason::DeadlinePassed);
+  CHECK(call.m_cancels == 1);
+  CHECK(call.m_dispatcher.InFlight() == 0);
+}
+
+TEST_CASE("retries are a share of live calls")
+{
+  // Every worker refuses: callers must not send many times the load.
+  Dispatcher dispatcher{ 1 };
+  for (int i = 0; i < 10; ++i) {
+    WorkerRow row;
+    row.m_slot = std::to_string(i);
+    row.m_service = "s";
+    dispatcher.Workers().Put(std::move(row));
+  }
+  std::size_t sends = 0;
+  constexpr std::uint64_t kCalls = 10'000;
+  for (std::uint64_t id = 1; id <= kCalls; ++id) {
+    CallPlan plan;
+    plan.m_service = "s";
+    plan.m_deadline = kStart + 1s;
+    plan.m_triesLeft = 5;
+    DispatchActions actions = dispatcher.Begin(kStart, id, std::move(plan));
+    while (const auto* send = std::get_if<SendAttempt>(&actions.front())) {
+      ++sends;
+      actions = dispatcher.OnAnswer(kStart,
+                                    Refuse(send->m_attempt,
+                                           CallOutcome::NotRun,
+                                           RefusalReason::Overloaded));
+    }
+  }
+  CHECK(sends <= kCalls * 111 / 100);
+}
--- /dev/null
+++ b/tests/dissemination/disseminator.cpp
@@ -0,0 +1,84 @@
+#include "greengagehub/dissemination/disseminator.hpp"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+using namespace greengagehub;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kStart{ 1h };
+const MemberAddress kPeer{ "127.0.0.1", 1, 2, 3 };
+
+void
+Advance(ConfigHolder& aHolder, int aCount, std::size_t aPadding = 0)
+{
+  for (int i = 0; i < aCount; ++i) {
+    const ActiveConfig& active = *aHolder.Active();
+    const Version next = active.m_version.Next();
+    const std::string patch = fmt::format(R"({{"services":{{"s{}":{{}}}}{}}})",
+                                          next.m_number,
+                                          std::string(aPadding, ' '));
+    Content content = active.m_content;
+    REQUIRE(content.Apply(patch).empty());
+    REQUIRE(aHolder.Stage({ next,
+                            patch,
+                            NextChain(active.m_chain, next, patch),
+                            content.GetDigest() }) == StageResult::Applied);
+  }
+}
+
+}
+
+TEST_CASE("new versions are pushed, as many as fit a datagram")
+{
+  ConfigHolder holder;
+  Advance(holder, 3);
+  const Disseminator disseminator{ {}, 1 };
+  CHECK(disseminator.ToPush(holder, Version{ 1 }).size() == 2);
+  ConfigHolder large;
+  Advance(large, 3, 2000);
+  CHECK(disseminator.ToPush(large, Version{ 0 }).empty());
+}
+
+TEST_CASE("a peer that lags is sent the next versions in order")
+{
+  ConfigHolder holder;
+  Advance(holder, 40);
+  const Disseminator disseminator{ {}, 1 };
+  const auto repair = disseminator.ToRepair(holder, Version{ 10 });
+  REQUIRE(repair.size() > 2);
+  CHECK(repair.front().m_version.m_number == 11);
+}
+
+TEST_CASE("a pull waits a moment, for the push that is under way")
+{
+  // Pulling at once would send every version twice.
+  ConfigHolder holder;
+  Disseminator disseminator{ {}, 1 };
+  disseminator.OnDigest(kStart, holder, { Version{ 1 }, {} }, kPeer);
+  CHECK_FALSE(disseminator.DuePull(kStart, holder));
+  CHECK(disseminator.DuePull(kStart + 200ms, holder));
+}
+
+TEST_CASE("a pull that brings nothing is tried again from another peer")
+{
+  ConfigHolder holder;
+  Disseminator disseminator{ {}, 1 };
+  disseminator.OnDigest(kStart, holder, { Version{ 1 }, {} }, kPeer);
+  REQUIRE(disseminator.DuePull(kStart + 200ms, holder));
+  CHECK_FALSE(disseminator.DuePull(kStart + 300ms, holder));
+  disseminator.PullEnded();
+  disseminator.OnDigest(kStart + 1s, holder, { Version{ 1 }, {} }, kPeer);
+  CHECK(disseminator.DuePull(kStart + 2s, holder));
+}
+
+TEST_CASE("nothing is pulled once the version has come by push")
+{
+  ConfigHolder holder;
+  Disseminator disseminator{ {}, 1 };
+  disseminator.OnDigest(kStart, holder, { Version{ 1 }, {} }, kPeer);
+  Advance(holder, 1);
+  CHECK_FALSE(disseminator.DuePull(kStart + 1s, holder));
+}
--- /dev/null
+++ b/tests/settings/settings.cpp
@@ -0,0 +1,89 @@
+#include "greengagehub/settings/settings.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace greengagehub;
+
+namespace {
+
+constexpr const char* kGood = R"(
+[daemon]
+slot = "a"
+service = "locker-app"
+region = "stockholm"
+domain = "solna"
+[operators]
+token = "secret"
+[worker]
+url = "http://127.0.0.1:9000"
+[store]
+url = "http://127.0.0.1:9001"
+)";
+
+}
+
+TEST_CASE("good settings are read, with defaults for the rest")
+{
+  const auto settings = ParseSettings(kGood, "good.toml");
+  REQUIRE(settings);
+  CHECK(settings.value().m_slot == "a");
+  CHECK(settings.value().m_runs.m_slots == 20);
+  CHECK(settings.value().m_store.m_timeout == std::chrono::seconds{ 2 });
+}
+
+TEST_CASE("every fault is told in one go, each with its line")
+{
+  const std::string bad = std::string{ kGood } + R"([calls]
+tries = 99
+colour = "red"
+[listen]
+calls_port = "http"
+[nonsense]
+)";
+  const auto settings = ParseSettings(bad, "bad.toml");
+  REQUIRE_FALSE(settings);
+  REQUIRE(settings.error().size() == 4);
+  for (const Error& each : settings.error()) {
+    REQUIRE(each.m_source);
+    CHECK(each.m_source->m_file == "bad.toml");
+    CHECK(each.m_source->m_line > 12);
+  }
+}
+
+TEST_CASE("what must be given is missed by name")
+{
+  const auto settings = ParseSettings("", "empty.toml");
+  REQUIRE_FALSE(settings);
+  std::string all;
+  for (const Error& each : settings.error()) {
+    all += each.m_message + "\n";
+  }
+  for (const char* key : { "daemon.slot",
+                           "daemon.service",
+                           "operators.token",
+                           "worker.url",
+                           "store.url" }) {
+    CHECK(all.find(key) != std::string::npos);
+  }
+}
+
+TEST_CASE("what is no TOML is told with its place")
+{
+  const auto settings = ParseSettings("[daemon\nslot = 1", "cut.toml");
+  REQUIRE_FALSE(settings);
+  REQUIRE(settings.error().size() == 1);
+  CHECK(settings.error()[0].m_source->m_line == 1);
+}
+
+TEST_CASE("seeds are addresses")
+{
+  const std::string with =
+    std::string{ kGood } + "[membership]\nseeds = [\"127.0.0.1:7001\"]\n";
+  const auto settings = ParseSettings(with, "seeds.toml");
+  REQUIRE(settings);
+  REQUIRE(settings.value().m_seeds.size() == 1);
+  CHECK(settings.value().m_seeds[0].m_gossipPort == 7001);
+  const std::string wrong =
+    std::string{ kGood } + "[membership]\nseeds = [\"nowhere\"]\n";
+  CHECK_FALSE(ParseSettings(wrong, "seeds.toml"));
+}
