--- a/tests/config/decision_interleavings.cpp
+++ b/tests/config/decision_interleavings.cpp
@@ -156,6 +156,7 @@
     add(ParseLog(log->second.m_value).value().m_decisions);
   }
   std::vector<Decision> all;
+  all.reserve(bySequence.size());
   for (auto& [sequence, decision] : bySequence) {
     all.push_back(std::move(decision));
   }
--- a/tools/experiment.cpp
+++ b/tools/experiment.cpp
@@ -18,9 +18,6 @@
 namespace {
 
 using namespace greengagehub::testkit; // NOLINT: a program in one file
-using greengagehub::HttpClientRequest;
-using greengagehub::HttpHeader;
-using greengagehub::SendAndWait;
 using Json = nlohmann::json;
 using ClockType = std::chrono::steady_clock;
 
@@ -76,6 +73,7 @@
 Latencies(const std::vector<CallRecord>& aRecords)
 {
   std::vector<std::chrono::nanoseconds> latencies;
+  latencies.reserve(aRecords.size());
   for (const CallRecord& each : aRecords) {
     latencies.push_back(each.m_latency);
   }
--- a/tools/testkit/distribution.cpp
+++ b/tools/testkit/distribution.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/histogram.hpp>
+#include <cmath>
 
 namespace greengagehub::testkit {
 
@@ -30,7 +31,7 @@
     return {};
   }
   const auto last = static_cast<double>(m_sample.size() - 1);
-  return m_sample[static_cast<std::size_t>(aShare * last + 0.5)];
+  return m_sample[static_cast<std::size_t>(std::lround(aShare * last))];
 }
 
 nlohmann::json
