--- a/bench/footprint.cpp
+++ b/bench/footprint.cpp
@@ -1,3 +1,5 @@
+#include "target_size.hpp"
+
 #include "greengagehub/calls/route_table.hpp"
 #include "greengagehub/calls/run_table.hpp"
 #include "greengagehub/calls/worker_table.hpp"
@@ -24,19 +26,6 @@
   return static_cast<double>(info.uordblks + info.hblkhd) / 1e6;
 }
 
-MemberRecord
-Record(int aNumber)
-{
-  MemberRecord record;
-  record.m_slot = fmt::format("stockholm-solna-{:05}", aNumber);
-  record.m_incarnation = 123456789ULL << 16U;
-  record.m_service = fmt::format("service-{}", aNumber % 6800);
-  record.m_domain = fmt::format("domain-{}", aNumber % 7);
-  record.m_region = fmt::format("region-{}", aNumber % 3);
-  record.m_address = { "10.123.231.17", 7001, 7002, 7003 };
-  return record;
-}
-
 std::string
 PatchOf(int aServices)
 {
--- a/bench/hot_path.cpp
+++ b/bench/hot_path.cpp
@@ -1,3 +1,5 @@
+#include "target_size.hpp"
+
 #include "greengagehub/calls/route_table.hpp"
 #include "greengagehub/calls/run_table.hpp"
 #include "greengagehub/calls/worker_table.hpp"
@@ -128,20 +130,6 @@
 }
 BENCHMARK(AdmitAndFinish);
 
-MemberRecord
-Record(std::int64_t aNumber)
-{
-  MemberRecord record;
-  record.m_slot = fmt::format("stockholm-solna-{:05}", aNumber);
-  record.m_incarnation = 123456789ULL << 16U;
-  record.m_service = fmt::format("service-{}", aNumber % 6800);
-  record.m_domain = fmt::format("domain-{}", aNumber % 7);
-  record.m_region = fmt::format("region-{}", aNumber % 3);
-  record.m_address = { "10.123.231.17", 7001, 7002, 7003 };
-  record.m_slots = 20;
-  return record;
-}
-
 Membership
 MembershipOf(std::int64_t aCount)
 {
--- a/include/greengagehub/config/forward.hpp
+++ b/include/greengagehub/config/forward.hpp
@@ -4,8 +4,10 @@
 
 class Content;
 class ConfigHolder;
-class SubmitProcess;
+class DecisionProcess;
 class PackProcess;
+class ReadyGate;
+class SnapshotReader;
 struct Decision;
 struct DecisionLog;
 struct Reason;
--- a/include/greengagehub/daemon/operators_api.hpp
+++ b/include/greengagehub/daemon/operators_api.hpp
@@ -11,15 +11,17 @@
 /// \brief The operators' endpoint: patches, decisions, versions, status,
 /// health and metrics, over HTTP and JSON.
 ///
-/// | request                    | answer                                     |
-/// |----------------------------|--------------------------------------------|
-/// | POST /v1/patches?id&base&author | the decision: 200 accepted, 409 refused
-/// | | GET /v1/patches/ID         | the recorded decision, 404 if none | | GET
-/// /v1/version            | version here and lowest in force anywhere  | | GET
-/// /v1/config             | the content in force here                  | | GET
-/// /v1/status             | members, calls, store                      | | POST
-/// /v1/drain             | starts to leave                            | | GET
-/// /healthz, /readyz, /metrics |                                       |
+/// | request                 | answer                             |
+/// |-------------------------|------------------------------------|
+/// | POST /v1/patches        | the decision: 200, or 409 refused  |
+/// | GET /v1/patches/ID      | the recorded decision, 404 if none |
+/// | GET /v1/version         | here, and lowest in force anywhere |
+/// | GET /v1/config          | the content in force here          |
+/// | GET /v1/changes?after=N | patches accepted after N, if held  |
+/// | GET /v1/status          | members, calls, store              |
+/// | POST /v1/drain          | starts to leave                    |
+/// | GET /healthz, /readyz   | alive; may take calls              |
+/// | GET /metrics            | Prometheus text                    |
 class OperatorsApi
 {
 public:
@@ -46,6 +48,7 @@
   void Explain(std::string aId, HttpResponder aResponder);
   [[nodiscard]] bool IsAuthorised(const HttpRequest& aRequest) const;
   [[nodiscard]] HttpResponse VersionNow(const HttpRequest& aRequest);
+  [[nodiscard]] HttpResponse Changes(const HttpRequest& aRequest) const;
   [[nodiscard]] HttpResponse Status() const;
   [[nodiscard]] HttpResponse MetricsText();
 
--- a/include/greengagehub/transport/link_connection.hpp
+++ b/include/greengagehub/transport/link_connection.hpp
@@ -44,17 +44,21 @@
   void Close();
 
 private:
-  static constexpr std::size_t kReadBytes = 64UL * 1024;
+  /// Room for one read; grows for a longer frame and shrinks again after it.
+  static constexpr std::size_t kReadBytes = 16UL * 1024;
 
   void Read();
-  void OnRead(std::size_t aSize);
+  void OnRead();
+  void MakeRoom();
   void Write();
   void Closed();
 
   asio::ip::tcp::socket m_socket;
   OnFrame m_onFrame;
   OnClosed m_onClosed;
+  /// Received and not yet taken apart: the first m_filled bytes.
   std::string m_in;
+  std::size_t m_filled{ 0 };
   std::string m_out;
   std::string m_writing;
   TimePoint m_lastReceived{};
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -203,6 +203,8 @@
   } else if (path == "/v1/config") {
     aResponder.Answer(
       JsonResponse(200, control.Holder().Active()->m_content.ToJson()));
+  } else if (path == "/v1/changes") {
+    aResponder.Answer(Changes(aRequest));
   } else if (path == "/v1/status") {
     aResponder.Answer(Status());
   } else if (path == "/metrics") {
@@ -236,6 +238,26 @@
                { "content", ToHex(active.m_content.GetDigest()) } }));
 }
 
+HttpResponse
+OperatorsApi::Changes(const HttpRequest& aRequest) const
+{
+  const auto after = ParseNumber(QueryValue(aRequest.m_target, "after"));
+  if (!after) {
+    return Problem(400, "bad-after", "after: a version number");
+  }
+  bool complete = false;
+  const auto entries =
+    m_parts.m_control.Holder().EntriesAfter(Version{ *after }, complete);
+  Json changes = Json::array();
+  for (const VersionEntry& each : entries) {
+    changes.push_back(
+      { { "version", each.m_version.m_number }, { "patch", each.m_patch } });
+  }
+  return JsonResponse(
+    200,
+    Dump(Json{ { "complete", complete }, { "changes", std::move(changes) } }));
+}
+
 HttpResponse
 OperatorsApi::Status() const
 {
--- a/src/greengagehub.cpp
+++ b/src/greengagehub.cpp
@@ -185,12 +185,21 @@
     return std::nullopt;
   }
   const auto head = now->value("version", std::uint64_t{ 0 });
-  fmt::print(stderr,
-             "rebasing from version {} to {}; the content now:\n",
-             aOptions.m_base.value_or(0),
-             head);
-  if (const auto content = GetJson(aOptions, "/v1/config")) {
-    fmt::print(stderr, "{}\n", content->dump(2));
+  const std::uint64_t base = aOptions.m_base.value_or(head);
+  const auto between =
+    GetJson(aOptions, fmt::format("/v1/changes?after={}", base));
+  if (!between) {
+    return std::nullopt;
+  }
+  fmt::print(stderr, "from version {} to {}:\n", base, head);
+  for (const Json& each : between->value("changes", Json::array())) {
+    fmt::print(stderr,
+               "  version {}: {}\n",
+               each.value("version", std::uint64_t{ 0 }),
+               each.value("patch", ""));
+  }
+  if (!between->value("complete", false)) {
+    fmt::print(stderr, "  (older changes are not held here any more)\n");
   }
   return head;
 }
--- a/src/transport/link_connection.cpp
+++ b/src/transport/link_connection.cpp
@@ -2,8 +2,10 @@
 
 #include "greengagehub/transport/codec.hpp"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
+#include <cstring>
 
 namespace greengagehub {
 
@@ -24,40 +26,51 @@
   Read();
 }
 
+void
+LinkConnection::MakeRoom()
+{
+  if (m_filled == 0 && m_in.size() > kReadBytes) {
+    m_in.resize(kReadBytes);
+    m_in.shrink_to_fit();
+  }
+  if (m_in.size() - m_filled < kReadBytes / 2) {
+    m_in.resize(std::max(kReadBytes, 2 * m_in.size()));
+  }
+}
+
 void
 LinkConnection::Read()
 {
-  const std::size_t before = m_in.size();
-  m_in.resize(before + kReadBytes);
+  MakeRoom();
   m_socket.async_read_some(
-    asio::buffer(m_in.data() + before, kReadBytes),
-    [self = Pointer{ this }, before](const asio::error_code& aError,
-                                     std::size_t aSize) {
-      self->m_in.resize(before + aSize);
+    asio::buffer(m_in.data() + m_filled, m_in.size() - m_filled),
+    [self = Pointer{ this }](const asio::error_code& aError,
+                             std::size_t aSize) {
       if (aError) {
         self->Close();
         return;
       }
-      self->OnRead(aSize);
+      self->m_filled += aSize;
+      self->OnRead();
     });
 }
 
 void
-LinkConnection::OnRead(std::size_t /*aSize*/)
+LinkConnection::OnRead()
 {
   m_lastReceived = Clock::now();
+  const std::string_view received{ m_in.data(), m_filled };
   std::size_t at = 0;
-  while (m_open && m_in.size() - at >= kFrameHeader) {
-    const std::size_t length = FrameLength(m_in.data() + at);
+  while (m_open && received.size() - at >= kFrameHeader) {
+    const std::size_t length = FrameLength(received.data() + at);
     if (length > kMaxFrame) {
       Close();
       return;
     }
-    if (m_in.size() - at - kFrameHeader < length) {
+    if (received.size() - at - kFrameHeader < length) {
       break;
     }
-    auto frame =
-      DecodeFrame(std::string_view{ m_in }.substr(at + kFrameHeader, length));
+    auto frame = DecodeFrame(received.substr(at + kFrameHeader, length));
     if (!frame) {
       // Garbage: nothing after it can be trusted to be a frame.
       Close();
@@ -66,7 +79,8 @@
     at += kFrameHeader + length;
     m_onFrame(*this, std::move(frame.value()));
   }
-  m_in.erase(0, at);
+  m_filled -= at;
+  std::memmove(m_in.data(), m_in.data() + at, m_filled);
   if (m_open) {
     Read();
   }
--- a/tests/calls/trace_replay.cpp
+++ b/tests/calls/trace_replay.cpp
@@ -122,13 +122,5 @@
 
 TEST_CASE("recorded traces of attempts at a worker")
 {
-  const auto files = TracesIn(std::string{ TRACE_DIRECTORY } + "/calls");
-  REQUIRE(files.size() >= 2);
-  for (const auto& file : files) {
-    Replay replay;
-    for (const TraceLine& line : ReadTrace(file)) {
-      INFO(line.m_where, ": ", line.m_step);
-      CHECK(replay.Step(line.m_step) == line.m_outcome);
-    }
-  }
+  ReplayAll<Replay>(std::string{ TRACE_DIRECTORY } + "/calls", 2);
 }
--- a/tests/config/trace_replay.cpp
+++ b/tests/config/trace_replay.cpp
@@ -108,13 +108,5 @@
 
 TEST_CASE("recorded traces of decisions and deliveries")
 {
-  const auto files = TracesIn(std::string{ TRACE_DIRECTORY } + "/config");
-  REQUIRE(files.size() >= 3);
-  for (const auto& file : files) {
-    Replay replay;
-    for (const TraceLine& line : ReadTrace(file)) {
-      INFO(line.m_where, ": ", line.m_step);
-      CHECK(replay.Step(line.m_step) == line.m_outcome);
-    }
-  }
+  ReplayAll<Replay>(std::string{ TRACE_DIRECTORY } + "/config", 3);
 }
--- a/tests/end_to_end/whole_path.cpp
+++ b/tests/end_to_end/whole_path.cpp
@@ -50,9 +50,17 @@
   CHECK(stale.Status() == 409);
   CHECK(stale.Json()["reasons"][0]["code"] == "stale-base");
 
+  // The same patch again under a new id, after a look at what came between.
+  const CommandResult rebased = fleet.Command(
+    "ledger-1",
+    { "submit", file, "--base", "0", "--rebase", "--id", "rebased" });
+  CHECK(rebased.m_exitCode == 0);
+  CHECK(rebased.m_output.find("from version 0 to 1") != std::string::npos);
+  REQUIRE(fleet.WaitForVersion(2));
+
   fleet.Daemon("locker-app-3").Kill();
   fleet.SetStoreFaults({ { "outage", "refuse" } });
-  CHECK(fleet.Operate("locker-app-1", "POST", SubmitPath("away", 1), "{}")
+  CHECK(fleet.Operate("locker-app-1", "POST", SubmitPath("away", 2), "{}")
           .Status() == 503);
   for (int i = 0; i < 20; ++i) {
     const CallResult call = fleet.Call("ledger-1", "GET", "/release");
@@ -63,11 +71,11 @@
   CHECK(fleet
           .Operate("locker-app-1",
                    "POST",
-                   SubmitPath("second", 1),
+                   SubmitPath("second", 2),
                    R"({"routes":{"more":{"path":"/more","service":"ledger"}}})")
           .Status() == 200);
   fleet.Restart("locker-app-3");
-  CHECK(fleet.WaitForVersion(2));
+  CHECK(fleet.WaitForVersion(3));
   CHECK(fleet.Call("locker-app-3", "GET", "/more").Status() == 200);
   CHECK(fleet.Operate("locker-app-3", "GET", "/v1/patches/late")
           .Json()["reasons"][0]["code"] == "stale-base");
--- a/tests/support/trace_file.hpp
+++ b/tests/support/trace_file.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <doctest/doctest.h>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -53,4 +54,21 @@
   return files;
 }
 
+/// \brief Replays each trace of a directory through a fresh Replay, whose
+/// Step(text) returns the outcome.
+template<class Replay>
+void
+ReplayAll(const std::string& aDirectory, std::size_t aAtLeast)
+{
+  const auto files = TracesIn(aDirectory);
+  REQUIRE(files.size() >= aAtLeast);
+  for (const auto& file : files) {
+    Replay replay;
+    for (const TraceLine& line : ReadTrace(file)) {
+      INFO(line.m_where, ": ", line.m_step);
+      CHECK(replay.Step(line.m_step) == line.m_outcome);
+    }
+  }
+}
+
 }
