Say each thing once: digests, seed prefix, time of day

Read of the whole change; behaviour stays as it is.

Not timed again.
- The summary of a view was put together in two places: Digests().Summary().
- The prefix of a domain's seed keys was cut out of a key twice: SeedPrefix.
- The time of day was cast in six places: wall_clock.hpp.
- 'have members' could be derived from when the next comparison is due.

Looked at and left: racing cases in decision_interleavings that differ in their actors only, aggregates of the same shape in the kit and the stand-in, stories of tests that share a set-up.

--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -110,7 +110,6 @@
   ReadyGate m_gate;
   TimePoint m_nextSync{};
   std::chrono::milliseconds m_syncEvery{ 1000 };
-  bool m_haveMembers{ false };
   bool m_joined{ false };
   bool m_fallbackRead{ false };
 };
--- a/include/greengagehub/membership/member_table.hpp
+++ b/include/greengagehub/membership/member_table.hpp
@@ -59,7 +59,8 @@
   void Remove(const MemberRecord& aRecord);
   /// \returns One value over all buckets, small enough for every probe.
   [[nodiscard]] std::uint64_t Summary() const noexcept;
-  [[nodiscard]] static std::size_t BucketOf(std::string_view aSlot);
+  /// \param aRankKey RankKey() of the member's slot.
+  [[nodiscard]] static std::size_t BucketOf(std::uint64_t aRankKey) noexcept;
 };
 
 /// \brief All known members but oneself, by slot.
--- a/include/greengagehub/membership/watch_role.hpp
+++ b/include/greengagehub/membership/watch_role.hpp
@@ -92,6 +92,9 @@
 /// \returns The address, or nothing for a value that makes no sense.
 [[nodiscard]] std::optional<MemberAddress>
 ParseSeed(std::string_view aText);
+/// \returns What the keys of all places of a domain begin with.
+[[nodiscard]] std::string
+SeedPrefix(std::string_view aDomain);
 [[nodiscard]] std::string
 SeedKey(std::string_view aDomain, std::uint32_t aPlace);
 
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -1,6 +1,7 @@
 #include "greengagehub/daemon/call_gateway.hpp"
 
 #include "greengagehub/daemon/call_headers.hpp"
+#include "greengagehub/daemon/wall_clock.hpp"
 
 #include <algorithm>
 #include <asio/post.hpp>
@@ -211,8 +212,7 @@
   const bool sample =
     Below(m_random, 100) < m_parts.m_settings.m_log.m_tracePercent;
   call.m_span = NewSpan(call.m_parent, sample, m_random);
-  call.m_start = std::chrono::time_point_cast<std::chrono::nanoseconds>(
-    std::chrono::system_clock::now());
+  call.m_start = WallNanos();
   CallRequest& request = call.m_request;
   request.m_service = aRoute.m_service;
   request.m_method = std::move(aRequest.m_method);
@@ -331,8 +331,7 @@
   span.m_service = m_parts.m_settings.m_service;
   span.m_slot = m_parts.m_settings.m_slot;
   span.m_start = aCall.m_start;
-  span.m_end = std::chrono::time_point_cast<std::chrono::nanoseconds>(
-    std::chrono::system_clock::now());
+  span.m_end = WallNanos();
   span.m_outcome = std::string{ NameOf(aAnswer.m_outcome) };
   span.m_status = aAnswer.m_response.m_status;
   m_parts.m_trace(std::move(span));
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -1,5 +1,7 @@
 #include "greengagehub/daemon/control_plane.hpp"
 
+#include "greengagehub/daemon/wall_clock.hpp"
+
 #include <algorithm>
 
 namespace greengagehub {
@@ -20,13 +22,6 @@
 /// Members asked at once for the version they run, for one operator.
 constexpr std::size_t kRefreshAtOnce = 64;
 
-std::int64_t
-WallMillis()
-{
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 MemberRecord
 MakeSelf(const Settings& aSettings,
          std::uint64_t aProcess,
@@ -196,8 +191,7 @@
 void
 ControlPlane::OnSeeds(const StoreReply& aReply)
 {
-  const std::string own = SeedKey(m_settings.m_domain, 0);
-  const std::string domain = own.substr(0, own.rfind('/') + 1);
+  const std::string domain = SeedPrefix(m_settings.m_domain);
   std::uint32_t taken = 0;
   for (const StoreItem& each : aReply.m_items) {
     taken += each.m_key.starts_with(domain) ? 1 : 0;
@@ -307,11 +301,9 @@
   if (!differs) {
     SetJoined();
   }
-  const bool due = !m_haveMembers || aNow >= m_nextSync;
-  if (!differs || !due) {
+  if (!differs || aNow < m_nextSync) {
     return;
   }
-  m_haveMembers = true;
   m_nextSync = aNow + Jittered(m_random, m_syncEvery);
   m_syncEvery = std::min(2 * m_syncEvery, kLastSync);
   PullFrom(aMessage.m_sender.m_address, true);
@@ -341,11 +333,13 @@
 void
 ControlPlane::OnAdvanced(Version aBefore)
 {
-  m_log.Info("config",
-             "version_in_force",
-             { { "version", m_holder.GetVersion().m_number },
-               { "before", aBefore.m_number },
-               { "time_ms", WallMillis() } });
+  m_log.Info(
+    "config",
+    "version_in_force",
+    { { "version", m_holder.GetVersion().m_number },
+      { "before", aBefore.m_number },
+      { "time_ms",
+        static_cast<std::int64_t>(WallNow().time_since_epoch().count()) } });
   m_handlers.m_onVersion();
   Push(aBefore);
 }
@@ -388,7 +382,7 @@
               kPullTimeout,
               [this, aMembers](std::optional<PullAnswer> aAnswer) {
                 if (aMembers && !aAnswer) {
-                  m_haveMembers = false;
+                  m_nextSync = TimePoint{};
                 }
                 OnPulled(std::move(aAnswer));
               });
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,5 +1,7 @@
 #include "greengagehub/daemon/daemon.hpp"
 
+#include "greengagehub/daemon/wall_clock.hpp"
+
 #include <csignal>
 #include <cstdio>
 #include <fmt/format.h>
@@ -44,9 +46,7 @@
 std::uint64_t
 ProcessNumber()
 {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<std::uint64_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+  return static_cast<std::uint64_t>(WallNow().time_since_epoch().count());
 }
 
 void
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -1,5 +1,7 @@
 #include "greengagehub/daemon/operators_api.hpp"
 
+#include "greengagehub/daemon/wall_clock.hpp"
+
 #include <charconv>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -166,8 +168,7 @@
   submission.m_base = Version{ *base };
   submission.m_author = QueryValue(aRequest.m_target, "author");
   submission.m_patch = std::move(patch.value());
-  submission.m_at = std::chrono::time_point_cast<std::chrono::milliseconds>(
-    std::chrono::system_clock::now());
+  submission.m_at = WallNow();
   m_parts.m_control.Decisions().Submit(
     std::move(submission),
     [responder = std::move(aResponder)](const DecisionAnswer& aAnswer) mutable {
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -1,6 +1,7 @@
 #include "greengagehub/daemon/run_service.hpp"
 
 #include "greengagehub/daemon/call_headers.hpp"
+#include "greengagehub/daemon/wall_clock.hpp"
 
 namespace greengagehub {
 
@@ -9,13 +10,6 @@
 constexpr auto kKeepAnswers = std::chrono::seconds{ 5 };
 constexpr std::size_t kMaxKeptBytes = 2UL * 1024 * 1024;
 
-std::chrono::sys_time<std::chrono::nanoseconds>
-WallNow()
-{
-  return std::chrono::time_point_cast<std::chrono::nanoseconds>(
-    std::chrono::system_clock::now());
-}
-
 }
 
 RunService::RunService(asio::io_context& aLoop,
@@ -69,7 +63,7 @@
   const TimePoint now = Clock::now();
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
     held.m_deadline - now);
-  held.m_start = WallNow();
+  held.m_start = WallNanos();
   held.m_parent =
     ParseTraceparent(HeaderValue(call.m_headers, kTraceparentHeader));
   held.m_span = NewSpan(held.m_parent, false, m_random);
@@ -211,7 +205,7 @@
   span.m_service = m_settings.m_service;
   span.m_slot = m_settings.m_slot;
   span.m_start = aHeld.m_start;
-  span.m_end = WallNow();
+  span.m_end = WallNanos();
   span.m_outcome = std::string{ NameOf(aAnswer.m_outcome) };
   span.m_status = aAnswer.m_response.m_status;
   m_trace(std::move(span));
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -94,21 +94,21 @@
 }
 
 std::size_t
-MemberDigests::BucketOf(std::string_view aSlot)
+MemberDigests::BucketOf(std::uint64_t aRankKey) noexcept
 {
-  return RankKey(aSlot) % kBuckets;
+  return aRankKey % kBuckets;
 }
 
 void
 MemberDigests::Add(const MemberRecord& aRecord)
 {
-  m_sums[BucketOf(aRecord.m_slot)] += ElementOf(aRecord);
+  m_sums[BucketOf(RankKey(aRecord.m_slot))] += ElementOf(aRecord);
 }
 
 void
 MemberDigests::Remove(const MemberRecord& aRecord)
 {
-  m_sums[BucketOf(aRecord.m_slot)] -= ElementOf(aRecord);
+  m_sums[BucketOf(RankKey(aRecord.m_slot))] -= ElementOf(aRecord);
 }
 
 std::uint64_t
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -12,14 +12,6 @@
 
 constexpr std::size_t kMaxRelays = 256;
 
-std::uint64_t
-MemberSummary(const MemberRecord& aRecord)
-{
-  MemberDigests digests;
-  digests.Add(aRecord);
-  return digests.Summary();
-}
-
 }
 
 Membership::Membership(MemberRecord aSelf,
@@ -95,15 +87,16 @@
   const MemberDigests own = Digests();
   std::array<std::vector<const MemberRecord*>, MemberDigests::kBuckets> buckets;
   std::size_t known = 0;
-  const auto take = [&](const MemberRecord& aRecord) {
-    const std::size_t bucket = MemberDigests::BucketOf(aRecord.m_slot);
+  const auto take = [&](const MemberRecord& aRecord, std::uint64_t aRankKey) {
+    const std::size_t bucket = MemberDigests::BucketOf(aRankKey);
     if (own.m_sums[bucket] != aTheirs.m_sums[bucket]) {
       buckets[bucket].push_back(&aRecord);
     }
   };
-  take(m_self);
-  m_members.Rows().Each(
-    [&](MemberTable::Index, const MemberRow& aRow) { take(aRow.m_record); });
+  take(m_self, RankKey(m_self.m_slot));
+  m_members.Rows().Each([&](MemberTable::Index, const MemberRow& aRow) {
+    take(aRow.m_record, aRow.m_rankKey);
+  });
   for (const std::uint64_t each : aTheirs.m_sums) {
     known += each != 0 ? 1 : 0;
   }
@@ -150,7 +143,7 @@
   message.m_kind = aKind;
   message.m_sender = m_self;
   message.m_updates = TakeUpdates();
-  message.m_members = m_members.Digests().Summary() + MemberSummary(m_self);
+  message.m_members = Digests().Summary();
   return message;
 }
 
--- a/src/membership/watch_role.cpp
+++ b/src/membership/watch_role.cpp
@@ -87,8 +87,7 @@
     return std::nullopt;
   }
   m_state = State::Looking;
-  const std::string place = SeedKey(m_self.m_domain, 0);
-  return MakeList(place.substr(0, place.rfind('/') + 1));
+  return MakeList(SeedPrefix(m_self.m_domain));
 }
 
 std::optional<StoreRequest>
@@ -181,10 +180,16 @@
                         port("link_port") };
 }
 
+std::string
+SeedPrefix(std::string_view aDomain)
+{
+  return fmt::format("{}{}/", kSeedPrefix, aDomain);
+}
+
 std::string
 SeedKey(std::string_view aDomain, std::uint32_t aPlace)
 {
-  return fmt::format("{}{}/{}", kSeedPrefix, aDomain, aPlace);
+  return fmt::format("{}{}", SeedPrefix(aDomain), aPlace);
 }
 
 }
