--- a/cmake/library.cmake
+++ b/cmake/library.cmake
@@ -2,7 +2,8 @@
 
 function(greengagehub_settings target scope)
   target_include_directories(${target} ${scope}
-                             ${PROJECT_SOURCE_DIR}/include)
+                             ${PROJECT_SOURCE_DIR}/include
+                             ${PROJECT_SOURCE_DIR})
   target_compile_definitions(${target} ${scope} ASIO_STANDALONE)
   if(GREENGAGEHUB_SANITIZE)
     target_compile_options(${target} ${scope}
@@ -22,10 +23,13 @@
   endif()
 endfunction()
 
-# greengagehub_library(NAME LINKS ...): every .cpp in src/NAME.
+# greengagehub_library(NAME [FOLDER F] LINKS ...): every .cpp in src/NAME or F.
 function(greengagehub_library name)
-  cmake_parse_arguments(ARG "" "" "LINKS" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/src/${name}/*.cpp)
+  cmake_parse_arguments(ARG "" "FOLDER" "LINKS" ${ARGN})
+  if(NOT ARG_FOLDER)
+    set(ARG_FOLDER src/${name})
+  endif()
+  file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/${ARG_FOLDER}/*.cpp)
   add_library(greengagehub_${name} STATIC ${sources})
   greengagehub_settings(greengagehub_${name} PUBLIC)
   greengagehub_warnings(greengagehub_${name})
--- a/include/greengagehub/calls/call.hpp
+++ b/include/greengagehub/calls/call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "greengagehub/calls/call_dialect.hpp"
 #include "greengagehub/config/content.hpp"
 #include "greengagehub/core/clock.hpp"
 #include "greengagehub/http/http_message.hpp"
@@ -41,6 +42,10 @@
   TooDeep,
   NotReady,
   Restarted,
+  /// The worker turned it away before it began.
+  WorkerRefused,
+  /// Another worker has the address.
+  WorkerReplaced,
 };
 
 /// \returns The public name, such as "deadline-too-short".
@@ -72,6 +77,10 @@
   /// Time left when it was sent; clocks of two machines are never compared.
   std::chrono::microseconds m_timeLeft{ 0 };
   CallClass m_class{ CallClass::Critical };
+  /// Rank among the calls that wait at a worker, 0 first.
+  std::uint32_t m_priority{ 0 };
+  /// Until an answer stops being as good as an immediate one.
+  std::chrono::microseconds m_targetLeft{ 0 };
   bool m_idempotent{ false };
   /// Hops behind it, for the limit on depth.
   std::uint32_t m_depth{ 0 };
@@ -90,6 +99,12 @@
   std::chrono::milliseconds m_retryAfter{ 0 };
   /// Calls queued and running at the worker, for routing.
   std::uint32_t m_load{ 0 };
+  /// The request was put on a connection to the worker, whatever came of it.
+  bool m_reachedWorker{ false };
+  /// Calls the worker runs at once; 0 while no worker is known there.
+  std::uint32_t m_slots{ 0 };
+  /// Moving mean of the worker's service time.
+  std::chrono::microseconds m_serviceTime{ 0 };
 };
 
 /// \returns An answer that refuses an attempt.
--- a/include/greengagehub/calls/dispatcher.hpp
+++ b/include/greengagehub/calls/dispatcher.hpp
@@ -79,6 +79,8 @@
   }
   [[nodiscard]] std::size_t InFlight() const noexcept { return m_calls.size(); }
 
+  [[nodiscard]] Policy& Routing() noexcept { return m_policy; }
+
   void SetRetryPercent(std::uint32_t aPercent) noexcept
   {
     m_budget.SetPercent(aPercent);
@@ -124,6 +126,8 @@
     std::vector<std::string> m_tried;
     /// The link was lost and nobody knows yet whether it started.
     bool m_inDoubt{ false };
+    /// An attempt of it was sent whose fate nobody knows.
+    bool m_mayHaveRun{ false };
   };
 
   void Try(TimePoint aNow,
@@ -159,6 +163,6 @@
 };
 
 /// The policy that won on measurement, see docs/design/overload.md.
-using Dispatcher = BasicDispatcher<TwoChoices>;
+using Dispatcher = BasicDispatcher<NearestFit>;
 
 }
--- a/include/greengagehub/calls/run_table.hpp
+++ b/include/greengagehub/calls/run_table.hpp
@@ -120,6 +120,14 @@
   [[nodiscard]] RunActions OnTick(TimePoint aNow);
   /// \brief Refuses what is queued and all that comes.
   [[nodiscard]] RunActions StartLeaving(TimePoint aNow);
+  /// \brief Takes calls again, for another worker at the same place.
+  void Reopen() noexcept { m_leaving = false; }
+  /// \returns Moving mean of the time that the worker takes.
+  [[nodiscard]] Duration ServiceTime() const noexcept { return m_serviceTime; }
+  [[nodiscard]] std::uint32_t Slots() const noexcept
+  {
+    return m_settings.m_slots;
+  }
   void SetLimits(std::uint32_t aSlots, std::uint32_t aQueue) noexcept;
 
 private:
--- a/include/greengagehub/calls/worker_table.hpp
+++ b/include/greengagehub/calls/worker_table.hpp
@@ -76,6 +76,20 @@
                                    Random& aRandom) const;
 };
 
+/// \brief The least loaded one, where one in another failure domain counts as
+/// more loaded, for what its answers cost on the way.
+struct NearestFit
+{
+  /// Own failure domain; empty: all are alike.
+  std::string m_domain{};
+  /// Load for each slot that a crossing between domains is worth.
+  double m_crossing{ 0.5 };
+
+  [[nodiscard]] std::size_t Choose(const std::vector<const WorkerRow*>& aRows,
+                                   TimePoint aNow,
+                                   Random& aRandom) const;
+};
+
 /// \brief Join the shortest queue with tagging (Li, Paschos, Tassiulas and
 /// Modiano, "Dynamic overload balancing in server farms", IFIP Networking
 /// 2014), weighted min-max fair: overflow is spread in proportion to capacity.
--- a/include/greengagehub/config/config_holder.hpp
+++ b/include/greengagehub/config/config_holder.hpp
@@ -56,6 +56,8 @@
   [[nodiscard]] const VersionEntry* Entry(Version aVersion) const;
 
   StageResult Stage(const VersionEntry& aEntry);
+  /// \brief A whole content from a source that keeps no chain of patches.
+  StageResult StageContent(Version aVersion, std::string_view aContent);
   /// \param aSnapshot canonical JSON of the content at `aHead`.
   StageResult StageSnapshot(const VersionEntry& aHead,
                             std::string_view aSnapshot);
--- a/include/greengagehub/config/content.hpp
+++ b/include/greengagehub/config/content.hpp
@@ -32,6 +32,15 @@
   std::uint32_t m_queue{ 40 };
   /// Connections one worker accepts.
   std::uint32_t m_connections{ 100 };
+  /// Path of the worker's own health check; empty when it has none.
+  std::string m_healthPath{};
+};
+
+/// \brief One part of a route whose calls are split over services.
+struct RouteShare
+{
+  std::string m_service;
+  std::uint32_t m_weight{ 0 };
 };
 
 /// \brief Which service answers a call, and what may be done with it.
@@ -41,8 +50,13 @@
   std::string m_host;
   /// Path prefix to match, from "/".
   std::string m_path{ "/" };
+  /// Empty when the calls are split.
   std::string m_service;
+  /// In proportion to the weights; empty when one service answers all.
+  std::vector<RouteShare> m_split{};
   CallClass m_class{ CallClass::Critical };
+  /// Rank among the calls that wait at a worker, 0 before all others.
+  std::uint32_t m_priority{ 0 };
   /// Whether a call may be run again; "by method" when not set by the patch.
   enum class Idempotency : std::uint8_t
   {
@@ -52,6 +66,10 @@
   } m_idempotency{ Idempotency::ByMethod };
   /// Time limit of a call that brings none of its own.
   std::chrono::milliseconds m_deadline{ 2000 };
+  /// An answer within this is as good as an immediate one; 0: as m_deadline.
+  std::chrono::milliseconds m_targetLatency{ 0 };
+  /// Workers that one call may be sent to; 0: as the daemon's settings say.
+  std::uint32_t m_attempts{ 0 };
 };
 
 /// \brief Fleet-wide limits.
@@ -61,6 +79,12 @@
   std::uint32_t m_retryPercent{ 10 };
   /// Hops after which a call is refused.
   std::uint32_t m_maxDepth{ 24 };
+  /// What callers may send, and how long they may take or stay idle; 0: as the
+  /// daemon's settings say.
+  std::uint32_t m_maxHeadBytes{ 0 };
+  std::uint32_t m_maxBodyBytes{ 0 };
+  std::chrono::milliseconds m_headTimeout{ 0 };
+  std::chrono::milliseconds m_idleTimeout{ 0 };
 };
 
 /// \brief One entity with its canonical text, shared between versions.
--- a/include/greengagehub/config/ready_gate.hpp
+++ b/include/greengagehub/config/ready_gate.hpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <set>
 #include <string>
 
@@ -25,6 +26,20 @@
   /// Peers to hear from when the store does not answer.
   static constexpr std::size_t kPeers = 3;
 
+  /// \brief Whose word is enough.
+  enum class Trust : std::uint8_t
+  {
+    /// Peers; the store only where there is no peer.
+    PeersFirst,
+    /// The store, which never goes back; peers while it does not answer.
+    StoreFirst,
+  };
+
+  explicit ReadyGate(Trust aTrust = Trust::PeersFirst) noexcept
+    : m_trust(aTrust)
+  {
+  }
+
   /// \brief A peer was heard.
   /// \param aFloor highest version that this slot was seen to run.
   void HeardPeer(const std::string& aSlot, Version aHead, Version aFloor)
@@ -50,14 +65,17 @@
   /// only grow.
   [[nodiscard]] bool IsOpen(Version aInForce, std::size_t aPresent)
   {
-    const bool heard =
-      aPresent == 0 ? m_storeHeard
-                    : m_joined && m_peers.size() >= std::min(kPeers, aPresent);
+    const bool byPeers =
+      aPresent > 0 && m_joined && m_peers.size() >= std::min(kPeers, aPresent);
+    const bool byStore =
+      m_storeHeard && (aPresent == 0 || m_trust == Trust::StoreFirst);
+    const bool heard = byPeers || byStore;
     m_open = m_open || (heard && aInForce > Version{} && aInForce >= m_needed);
     return m_open;
   }
 
 private:
+  Trust m_trust;
   std::set<std::string> m_peers;
   Version m_needed;
   bool m_storeHeard{ false };
--- a/include/greengagehub/core/store_message.hpp
+++ b/include/greengagehub/core/store_message.hpp
@@ -22,8 +22,8 @@
     Put,
     /// Unconditional.
     Delete,
-    /// Answers when the key's revision exceeds m_expected, or with NotModified
-    /// after m_wait.
+    /// Answers when the key changed after the store's revision m_expected, or
+    /// with NotModified after m_wait.
     Watch,
     /// Values of all keys that begin with m_key.
     List,
@@ -61,12 +61,17 @@
     NotModified,
     /// Certainly not carried out: not sent, or turned away.
     Unavailable,
+    /// A watch began at a revision that the store has forgotten: read again.
+    HistoryGone,
     /// Sent, no answer: a write may have taken effect.
     Unknown,
   };
 
   Status m_status{ Status::Unknown };
+  /// The key's own.
   Revision m_revision{ 0 };
+  /// The whole store's when it answered; a watch goes on from here.
+  Revision m_storeRevision{ 0 };
   std::string m_value{};
   std::uint64_t m_lease{ 0 };
   std::vector<StoreItem> m_items{};
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -25,6 +25,7 @@
   {
     asio::io_context& m_loop;
     const Settings& m_settings;
+    const CallDialect& m_dialect;
     const ConfigHolder& m_holder;
     Metrics& m_metrics;
     std::uint64_t m_process;
@@ -57,6 +58,8 @@
 
   [[nodiscard]] Outcome<std::uint16_t> Open();
   void OnMember(const MemberEvent& aEvent);
+  /// \brief The own worker came, changed or leaves.
+  void OnWorker(const WorkerPresence& aPresence);
   void OnVersion();
   /// \brief The process was paused: what is unread on its connections is as
   /// old as the pause, and must not be taken for fresh.
@@ -82,6 +85,7 @@
 
   void OnHttp(HttpRequest aRequest, HttpResponder aResponder);
   void Begin(const Route& aRoute, HttpRequest aRequest, HttpResponder aDone);
+  [[nodiscard]] std::string ServiceOf(const Route& aRoute);
   void Carry(const DispatchActions& aActions);
   void Carry(const SendAttempt& aAttempt);
   void Carry(const SendCancel& aCancel);
--- a/include/greengagehub/daemon/call_headers.hpp
+++ b/include/greengagehub/daemon/call_headers.hpp
@@ -11,8 +11,6 @@
 
 /// Headers that callers, workers and daemons exchange.
 inline constexpr std::string_view kTraceparentHeader = "traceparent";
-/// Time left for the call, in milliseconds.
-inline constexpr std::string_view kDeadlineHeader = "Greengagehub-Deadline-Ms";
 /// Hops behind the call; a worker passes it on with the calls it makes.
 inline constexpr std::string_view kDepthHeader = "Greengagehub-Depth";
 /// Retries that the call may still use; passed on likewise.
@@ -26,14 +24,19 @@
 
 /// \returns Headers for the worker: the caller's, without those of the
 /// connection, and the call's own values.
+/// \param aInstance the backend server that must run it; empty: any.
 [[nodiscard]] std::vector<HttpHeader>
-HeadersToWorker(const CallRequest& aCall,
+HeadersToWorker(const CallDialect& aDialect,
+                const CallRequest& aCall,
                 std::chrono::milliseconds aLeft,
-                const TraceContext& aSpan);
+                const TraceContext& aSpan,
+                const std::string& aInstance);
 
-/// \returns The caller's headers, without those that daemons set.
+/// \returns The caller's headers, without those that daemons set and those
+/// that concern only the caller's connection.
 [[nodiscard]] std::vector<HttpHeader>
-HeadersFromCaller(std::vector<HttpHeader> aHeaders);
+HeadersFromCaller(const CallDialect& aDialect,
+                  std::vector<HttpHeader> aHeaders);
 
 /// \returns A whole number from a header, or the default when it is missing
 /// or makes no sense.
@@ -45,6 +48,6 @@
 /// \returns The answer for the caller: the worker's own, or a refusal with
 /// status, Retry-After, outcome header and JSON body.
 [[nodiscard]] HttpResponse
-ResponseFor(CallAnswer aAnswer);
+ResponseFor(const CallDialect& aDialect, CallAnswer aAnswer);
 
 }
--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -1,16 +1,17 @@
 #pragma once
 
 #include "greengagehub/config/config_holder.hpp"
+#include "greengagehub/daemon/config_feed.hpp"
 #include "greengagehub/daemon/decision_service.hpp"
 #include "greengagehub/daemon/store_sync.hpp"
 #include "greengagehub/dissemination/disseminator.hpp"
 #include "greengagehub/membership/membership.hpp"
 #include "greengagehub/membership/watch_role.hpp"
 #include "greengagehub/observe/log.hpp"
-#include "greengagehub/platform/http_store.hpp"
 #include "greengagehub/settings/settings.hpp"
 #include "greengagehub/transport/bulk_channel.hpp"
 #include "greengagehub/transport/gossip_socket.hpp"
+#include "platform/kv_store.hpp"
 
 #include <asio/steady_timer.hpp>
 #include <functional>
@@ -43,11 +44,11 @@
   {
     return m_membership;
   }
-  [[nodiscard]] DecisionService<HttpStore>& Decisions() noexcept
+  [[nodiscard]] DecisionService<platform::KvStore>& Decisions() noexcept
   {
     return m_decisions;
   }
-  [[nodiscard]] const HttpStore& GetStore() const noexcept { return m_store; }
+  [[nodiscard]] const platform::KvStore& GetStore() const noexcept { return m_store; }
   [[nodiscard]] const GossipSocket& Gossip() const noexcept { return m_gossip; }
   [[nodiscard]] const BulkChannel& Bulk() const noexcept { return m_bulk; }
   [[nodiscard]] bool IsWatching() const;
@@ -65,6 +66,10 @@
   /// \brief Sets the port of call links and begins to join.
   void Start(std::uint16_t aLinkPort);
   void Announce(MemberState aState);
+  /// \brief The worker beside this daemon came, changed or leaves.
+  void Announce(MemberState aState, std::uint32_t aSlots);
+  /// \brief The process was paused: what is believed may be old.
+  void OnWokeUp();
 
 private:
   void Tick();
@@ -92,14 +97,15 @@
   Handlers m_handlers;
   Random m_random;
   ConfigHolder m_holder;
-  HttpStore m_store;
+  platform::KvStore m_store;
   GossipSocket m_gossip;
   BulkChannel m_bulk;
   Membership m_membership;
   Disseminator m_disseminator;
   WatchRole m_watchRole;
-  StoreSync<HttpStore> m_sync;
-  DecisionService<HttpStore> m_decisions;
+  StoreSync<platform::KvStore> m_sync;
+  ConfigFeed<platform::KvStore> m_feed;
+  DecisionService<platform::KvStore> m_decisions;
   asio::steady_timer m_tick;
   TimePoint m_nextJoin{};
   std::chrono::milliseconds m_joinBackoff{ 250 };
--- a/include/greengagehub/daemon/daemon.hpp
+++ b/include/greengagehub/daemon/daemon.hpp
@@ -3,6 +3,7 @@
 #include "greengagehub/daemon/call_gateway.hpp"
 #include "greengagehub/daemon/control_plane.hpp"
 #include "greengagehub/daemon/operators_api.hpp"
+#include "greengagehub/daemon/platform_endpoints.hpp"
 #include "greengagehub/daemon/spin_budget.hpp"
 
 #include <asio/io_context.hpp>
@@ -27,6 +28,9 @@
   void StartDrain();
   void ContinueDrain(TimePoint aNow);
   void LogListening();
+  [[nodiscard]] Outcome<std::uint16_t> Open();
+  void OnWorker(const WorkerPresence& aPresence);
+  [[nodiscard]] const CallDialect& Dialect() const noexcept;
 
   Settings m_settings;
   Log m_log;
@@ -37,12 +41,15 @@
   ControlPlane m_control;
   CallGateway m_calls;
   OperatorsApi m_operators;
+  std::optional<PlatformEndpoints> m_platform;
   asio::signal_set m_signals;
   asio::steady_timer m_tick;
   SpinBudget m_spin;
   TimePoint m_lastTick{};
+  std::chrono::nanoseconds m_lastBootTime{};
   bool m_draining{ false };
   bool m_wasReady{ false };
+  TimePoint m_drainFrom{};
   TimePoint m_drainUntil{};
   TimePoint m_idleSince{};
   int m_exitCode{ 0 };
--- a/include/greengagehub/daemon/decision_service.hpp
+++ b/include/greengagehub/daemon/decision_service.hpp
@@ -2,7 +2,7 @@
 
 #include "greengagehub/config/config.hpp"
 #include "greengagehub/observe/log.hpp"
-#include "greengagehub/platform/store.hpp"
+#include "greengagehub/core/store.hpp"
 
 #include <functional>
 #include <memory>
--- /dev/null
+++ b/include/greengagehub/daemon/platform_endpoints.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "greengagehub/calls/worker_presence.hpp"
+#include "greengagehub/http/http_server.hpp"
+#include "greengagehub/observe/log.hpp"
+#include "greengagehub/settings/settings.hpp"
+
+#include <functional>
+
+namespace greengagehub {
+
+/// \brief Where the platform asks whether this daemon is ready, and where the
+/// backend server beside it sends its heartbeats.
+class PlatformEndpoints
+{
+public:
+  struct Parts
+  {
+    asio::io_context& m_loop;
+    const Settings& m_settings;
+    const Log& m_log;
+    std::function<bool()> m_isReady;
+    /// What is believed of the worker changed.
+    std::function<void(const WorkerPresence&)> m_onWorker;
+  };
+
+  explicit PlatformEndpoints(Parts aParts);
+
+  [[nodiscard]] const WorkerPresence& Worker() const noexcept
+  {
+    return m_worker;
+  }
+  [[nodiscard]] Outcome<std::uint16_t> Open();
+
+private:
+  void OnReadiness(const HttpRequest& aRequest, HttpResponder aResponder);
+  void OnHeartbeat(const HttpRequest& aRequest, HttpResponder aResponder);
+  [[nodiscard]] WorkerPresence::Change Take(const WorkerReport& aReport);
+
+  Parts m_parts;
+  WorkerPresence m_worker;
+  HttpServer m_readiness;
+  HttpServer m_heartbeats;
+};
+
+}
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "greengagehub/calls/run_table.hpp"
-#include "greengagehub/http/http_client.hpp"
+#include "greengagehub/calls/worker_presence.hpp"
+#include "greengagehub/http/backend_client.hpp"
 #include "greengagehub/observe/metrics.hpp"
 #include "greengagehub/observe/span.hpp"
 #include "greengagehub/settings/settings.hpp"
@@ -25,6 +26,7 @@
   /// has now.
   RunService(asio::io_context& aLoop,
              const Settings& aSettings,
+             const CallDialect& aDialect,
              Metrics& aMetrics,
              std::uint64_t aSeed,
              Answer aAnswer,
@@ -39,6 +41,9 @@
   [[nodiscard]] CancelResult OnCancel(CallKey aKey, bool aAbandon);
   void OnEpoch(std::uint64_t aProcess, std::uint64_t aEpoch);
   void StartLeaving();
+  /// \brief A heartbeat told what the worker is; until the first one, and once
+  /// it leaves, nothing is sent to it.
+  void OnWorker(const WorkerPresence& aPresence);
 
 private:
   /// A request that waits or runs.
@@ -46,7 +51,7 @@
   {
     CallRequest m_request;
     TimePoint m_deadline;
-    HttpClient::Ticket m_ticket{ 0 };
+    BackendClient::Ticket m_ticket{ 0 };
     std::chrono::sys_time<std::chrono::nanoseconds> m_start;
     std::optional<TraceContext> m_parent;
     TraceContext m_span;
@@ -60,7 +65,12 @@
   };
 
   void Run(CallKey aKey);
-  void Ended(CallKey aKey, HttpClientResult aResult);
+  void Ended(CallKey aKey, BackendResult aResult);
+  /// \returns What the worker's answer means for the attempt.
+  [[nodiscard]] CallAnswer AnswerFrom(CallKey aKey,
+                                      BackendResult aResult,
+                                      const CallRequest& aRequest);
+  [[nodiscard]] CallAnswer AnswerFrom(CallKey aKey, HttpResponse aResponse);
   void Carry(const RunActions& aActions);
   void Deliver(CallKey aKey, CallAnswer aAnswer);
   /// \brief Keeps the answer of a call that may not be run again, for a caller
@@ -70,12 +80,16 @@
   void Arm();
 
   const Settings& m_settings;
+  const CallDialect& m_dialect;
   Metrics& m_metrics;
   Random m_random;
   Answer m_answer;
   Trace m_trace;
   RunTable m_runs;
-  HttpClient m_client;
+  BackendClient m_client;
+  /// The only worker that requests are for; empty: whichever is there.
+  std::string m_instance;
+  bool m_hasWorker;
   std::map<CallKey, Held> m_held;
   std::deque<Kept> m_kept;
   std::size_t m_keptBytes{ 0 };
--- a/include/greengagehub/daemon/store_sync.hpp
+++ b/include/greengagehub/daemon/store_sync.hpp
@@ -3,7 +3,7 @@
 #include "greengagehub/config/config.hpp"
 #include "greengagehub/core/random.hpp"
 #include "greengagehub/observe/log.hpp"
-#include "greengagehub/platform/store.hpp"
+#include "greengagehub/core/store.hpp"
 
 #include <asio/steady_timer.hpp>
 #include <functional>
@@ -91,9 +91,14 @@
     Carry(MakeWatch(std::string{ kLogKey }, m_revision, m_times.m_watch),
           [this](StoreReply aReply) {
             if (aReply.m_status == StoreReply::Status::NotModified) {
+              m_revision = std::max(m_revision, aReply.m_storeRevision);
               Wait();
               return;
             }
+            if (aReply.m_status == StoreReply::Status::HistoryGone) {
+              Read();
+              return;
+            }
             OnLog(std::move(aReply));
           });
   }
@@ -145,7 +150,7 @@
       }
       log = std::move(parsed.value());
     }
-    m_revision = aReply.m_revision;
+    m_revision = aReply.m_storeRevision;
     Take(std::move(log));
   }
 
--- a/include/greengagehub/http/http_server.hpp
+++ b/include/greengagehub/http/http_server.hpp
@@ -12,7 +12,7 @@
 
 /// \brief Sends the one answer to one request; may be kept and used later, on
 /// the loop's thread. Dropped without an answer, the connection stays silent
-/// until the server's time limit closes it.
+/// until its client closes it.
 class HttpResponder
 {
 public:
@@ -31,19 +31,36 @@
   Send m_send;
 };
 
+/// \brief What a client may send and how long it may take; may change while
+/// connections are open, and binds them from then on.
+struct HttpServerLimits
+{
+  /// Larger heads are answered 431.
+  std::size_t m_maxHeadBytes{ 64UL * 1024 };
+  /// Larger bodies are answered 413.
+  std::size_t m_maxBodyBytes{ 1024UL * 1024 };
+  /// From the first byte of a head to its end; then 408.
+  std::chrono::milliseconds m_headTimeout{ std::chrono::seconds{ 10 } };
+  /// Connections without a request are closed after this.
+  std::chrono::milliseconds m_idleTimeout{ std::chrono::seconds{ 60 } };
+};
+
 struct HttpServerSettings
 {
   std::string m_address{ "127.0.0.1" };
   /// 0 lets the system choose.
   std::uint16_t m_port{ 0 };
-  std::size_t m_maxBodyBytes{ 1024UL * 1024 };
-  std::chrono::milliseconds m_idleTimeout{ std::chrono::seconds{ 60 } };
+  HttpServerLimits m_limits{};
   /// Connections of requests left without an answer are closed after this;
   /// daemons have time limits of their own, which must come first.
   std::chrono::milliseconds m_handleTimeout{ std::chrono::hours{ 24 } };
 };
 
 /// \brief HTTP/1.1 server on the caller's event loop.
+///
+/// Goes on reading while a request waits for its answer, so that a caller who
+/// leaves is noticed at once. Requests of one connection are handed out one
+/// at a time, in order.
 class HttpServer
 {
 public:
@@ -62,6 +79,7 @@
   [[nodiscard]] std::uint16_t Port() const noexcept;
 
   [[nodiscard]] Outcome<std::uint16_t> Open();
+  void SetLimits(HttpServerLimits aLimits);
   /// \brief Takes no new connections; open ones go on.
   void StopAccepting();
 
--- a/include/greengagehub/membership/membership.hpp
+++ b/include/greengagehub/membership/membership.hpp
@@ -86,6 +86,10 @@
     const std::vector<MemberRecord>& aRecords);
   /// \brief Announces Leaving or Left to many at once.
   [[nodiscard]] MembershipActions Announce(MemberState aState);
+  /// \brief As above, with what the worker can do now; the record gets a
+  /// higher incarnation, so that it overrides every earlier one.
+  [[nodiscard]] MembershipActions Announce(MemberState aState,
+                                           std::uint32_t aSlots);
   /// \brief Highest version seen in force at a slot.
   void NoteVersion(std::string_view aSlot, Version aVersion);
 
--- a/include/greengagehub/settings/settings.hpp
+++ b/include/greengagehub/settings/settings.hpp
@@ -13,9 +13,22 @@
 
 namespace greengagehub {
 
+/// \brief An IP number and a port.
+struct HostPort
+{
+  std::string m_host;
+  std::uint16_t m_port{ 0 };
+};
+
 struct ListenSettings
 {
   std::string m_host{ "127.0.0.1" };
+  /// Where the platform asks whether this daemon is ready, and where the
+  /// backend server beside it sends heartbeats; port 0: nowhere.
+  HostPort m_readiness{};
+  HostPort m_heartbeats{};
+  /// Where callers connect; empty: m_host.
+  std::string m_callsHost{};
   std::uint16_t m_callsPort{ 0 };
   std::uint16_t m_operatorsPort{ 0 };
   std::uint16_t m_gossipPort{ 0 };
@@ -49,6 +62,28 @@
   std::uint32_t m_spinPercent{ 5 };
 };
 
+/// \brief What a platform that hosts the fleet lays down. Without it, daemons
+/// take configuration from operators' patches and know their backend server
+/// from the settings alone.
+struct PlatformSettings
+{
+  bool m_enabled{ false };
+  /// Between two heartbeats of a backend server.
+  std::chrono::milliseconds m_heartbeat{ 1500 };
+  /// After an acknowledged leave, no request may reach the backend server
+  /// later than this.
+  std::chrono::milliseconds m_workerDrain{ 2000 };
+  /// Between SIGTERM and SIGKILL.
+  std::chrono::milliseconds m_grace{ 6000 };
+  /// A new configuration is in force everywhere within this.
+  std::chrono::milliseconds m_configApply{ 2000 };
+  /// Attempts beyond the first of each request that a service may get, in the
+  /// window, from the whole fleet: a share of its requests, and some.
+  double m_retryShare{ 0.2 };
+  std::chrono::milliseconds m_retryWindow{ 10'000 };
+  std::uint32_t m_retrySlack{ 50 };
+};
+
 struct LogSettings
 {
   std::string m_level{ "info" };
@@ -70,9 +105,9 @@
   std::string m_region{};
   std::string m_domain{};
   ListenSettings m_listen{};
-  /// Guards what changes something; never logged.
+  /// Guards what changes something; never logged. Empty: nothing is changed.
   std::string m_operatorToken{};
-  std::string m_workerUrl{};
+  HostPort m_worker{};
   RunTableSettings m_runs{};
   std::uint32_t m_workerConnections{ 100 };
   StoreSettings m_store{};
@@ -83,6 +118,7 @@
   DisseminationSettings m_dissemination{};
   CallSettings m_calls{};
   LogSettings m_log{};
+  PlatformSettings m_platform{};
 };
 
 /// \brief Settings, or every fault in them with its place.
--- a/src/calls/call.cpp
+++ b/src/calls/call.cpp
@@ -34,6 +34,10 @@
       return "not-ready";
     case RefusalReason::Restarted:
       return "restarted";
+    case RefusalReason::WorkerRefused:
+      return "worker-refused";
+    case RefusalReason::WorkerReplaced:
+      return "worker-replaced";
   }
   return "none";
 }
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -24,6 +24,7 @@
     case RefusalReason::Overloaded:
     case RefusalReason::DeadlineTooShort:
     case RefusalReason::DeadlinePassed:
+    case RefusalReason::WorkerRefused:
       return Verdict::Refused;
     default:
       return Verdict::Good;
@@ -65,6 +66,11 @@
 {
   const std::uint64_t call = aCall.m_id;
   aAnswer.m_call = call;
+  if (aAnswer.m_outcome == CallOutcome::NotRun && aCall.m_mayHaveRun) {
+    // The last attempt was refused, but an earlier one was sent: "not run"
+    // would be false.
+    aAnswer.m_outcome = CallOutcome::Unknown;
+  }
   m_attempts.erase(aCall.m_attempt);
   m_deadlines.erase({ aCall.m_plan.m_deadline + kGrace, call });
   m_calls.erase(call);
@@ -139,11 +145,16 @@
                                        Call& aCall,
                                        CallAnswer aAnswer)
 {
+  aCall.m_mayHaveRun =
+    aCall.m_mayHaveRun || aAnswer.m_outcome == CallOutcome::Unknown;
   const bool safe =
     aAnswer.m_outcome == CallOutcome::NotRun || aCall.m_plan.m_idempotent;
   const bool wanted =
     safe && aNow < aCall.m_plan.m_deadline && aCall.m_plan.m_triesLeft > 0;
-  if (!wanted || !m_budget.Withdraw()) {
+  // A refusal before the worker was reached puts no load on any worker.
+  const bool free = aAnswer.m_outcome == CallOutcome::NotRun &&
+                    !aAnswer.m_reachedWorker;
+  if (!wanted || (!free && !m_budget.Withdraw())) {
     Finish(aOut, aCall, std::move(aAnswer));
     return;
   }
@@ -333,5 +344,6 @@
 template class BasicDispatcher<TwoChoices>;
 template class BasicDispatcher<ShortestQueue>;
 template class BasicDispatcher<JoinWithTagging>;
+template class BasicDispatcher<NearestFit>;
 
 }
--- a/src/calls/worker_table.cpp
+++ b/src/calls/worker_table.cpp
@@ -71,6 +71,26 @@
   return best;
 }
 
+std::size_t
+NearestFit::Choose(const std::vector<const WorkerRow*>& aRows,
+                   TimePoint aNow,
+                   Random& aRandom) const
+{
+  const auto cost = [&](const WorkerRow& aRow) {
+    const bool crosses = !m_domain.empty() && aRow.m_domain != m_domain;
+    return LoadScore(aRow, aNow) + (crosses ? m_crossing : 0.0);
+  };
+  const std::size_t offset = Below(aRandom, aRows.size());
+  std::size_t best = offset;
+  for (std::size_t i = 0; i < aRows.size(); ++i) {
+    const std::size_t at = (i + offset) % aRows.size();
+    if (cost(*aRows[at]) < cost(*aRows[best])) {
+      best = at;
+    }
+  }
+  return best;
+}
+
 void
 JoinWithTagging::Drain(VirtualQueue& aQueue,
                        double aSlots,
--- a/src/config/config_holder.cpp
+++ b/src/config/config_holder.cpp
@@ -94,6 +94,24 @@
   }
 }
 
+StageResult
+ConfigHolder::StageContent(Version aVersion, std::string_view aContent)
+{
+  if (aVersion <= GetVersion()) {
+    return StageResult::AlreadyHeld;
+  }
+  boost::intrusive_ptr<ActiveConfig> next{ new ActiveConfig };
+  next->m_version = aVersion;
+  if (!next->m_content.Apply(aContent).empty()) {
+    return StageResult::Corrupt;
+  }
+  next->m_chain = next->m_content.GetDigest();
+  m_active = std::move(next);
+  m_recent.clear();
+  m_waiting.clear();
+  return StageResult::Applied;
+}
+
 StageResult
 ConfigHolder::StageSnapshot(const VersionEntry& aHead,
                             std::string_view aSnapshot)
--- a/src/config/content_patcher.cpp
+++ b/src/config/content_patcher.cpp
@@ -204,22 +204,35 @@
     return;
   }
   for (const auto& [name, route] : m_content.m_routes) {
-    const std::string& service = route->m_value.m_service;
-    if (service.empty() || m_content.m_services.contains(service)) {
-      continue;
+    const Route& value = route->m_value;
+    if (!value.m_service.empty()) {
+      CheckReference(name, "service", value.m_service);
     }
-    if (m_touchedRoutes.contains(name)) {
-      Refuse(ReasonCode::UnknownService,
-             fmt::format("/routes/{}/service", name),
-             fmt::format("there is no service \"{}\"", service));
-    } else {
-      Refuse(ReasonCode::ServiceInUse,
-             fmt::format("/services/{}", service),
-             fmt::format("route \"{}\" still names it", name));
+    for (const RouteShare& each : value.m_split) {
+      CheckReference(name, "split", each.m_service);
     }
   }
 }
 
+void
+ContentPatcher::CheckReference(const std::string& aRoute,
+                               const char* aField,
+                               const std::string& aService)
+{
+  if (m_content.m_services.contains(aService)) {
+    return;
+  }
+  if (m_touchedRoutes.contains(aRoute)) {
+    Refuse(ReasonCode::UnknownService,
+           fmt::format("/routes/{}/{}", aRoute, aField),
+           fmt::format("there is no service \"{}\"", aService));
+  } else {
+    Refuse(ReasonCode::ServiceInUse,
+           fmt::format("/services/{}", aService),
+           fmt::format("route \"{}\" still names it", aRoute));
+  }
+}
+
 void
 ContentPatcher::CheckMatches()
 {
--- a/src/config/content_patcher.hpp
+++ b/src/config/content_patcher.hpp
@@ -36,6 +36,9 @@
               EntityMap<T>& aEntities);
   void PatchLimits(const nlohmann::json& aPatch);
   void CheckReferences();
+  void CheckReference(const std::string& aRoute,
+                      const char* aField,
+                      const std::string& aService);
   void CheckMatches();
   void Refuse(ReasonCode aCode, std::string aPlace, std::string aDetail);
 
--- a/src/config/entity_parser.cpp
+++ b/src/config/entity_parser.cpp
@@ -12,6 +12,10 @@
 constexpr std::uint32_t kMaxSlots = 100'000;
 constexpr std::uint32_t kMaxDeadlineMs = 600'000;
 constexpr std::uint32_t kMaxHops = 100;
+constexpr std::uint32_t kMaxAttempts = 16;
+constexpr std::uint32_t kMaxPriority = 100;
+constexpr std::uint32_t kMaxWeight = 1'000'000;
+constexpr std::uint32_t kMaxBytes = 1'000'000'000;
 
 bool
 IsNameChar(char aChar) noexcept
@@ -37,6 +41,33 @@
                  "allowed: \"critical\", \"lookup\", \"export\"");
 }
 
+void
+ParseSplit(FieldReader& aReader, Route& aRoute)
+{
+  constexpr const char* kName = "split";
+  const nlohmann::json* split = aReader.Value(kName);
+  if (split == nullptr) {
+    return;
+  }
+  if (!split->is_object() || split->empty()) {
+    aReader.Refuse(
+      ReasonCode::WrongType, kName, "an object of services and their weights");
+    return;
+  }
+  for (const auto& part : split->items()) {
+    const bool fits =
+      part.value().is_number_unsigned() &&
+      part.value().get<std::uint64_t>() <= kMaxWeight;
+    if (!fits) {
+      aReader.Refuse(ReasonCode::OutOfRange,
+                     kName,
+                     fmt::format("allowed as a weight: 0 to {}", kMaxWeight));
+      return;
+    }
+    aRoute.m_split.push_back({ part.key(), part.value().get<std::uint32_t>() });
+  }
+}
+
 }
 
 FieldReader::FieldReader(const nlohmann::json& aObject,
@@ -145,6 +176,7 @@
   reader.Number("slots", service.m_slots, 1, kMaxSlots);
   reader.Number("queue", service.m_queue, 0, kMaxSlots);
   reader.Number("connections", service.m_connections, 1, kMaxSlots);
+  reader.Text("health_path", service.m_healthPath, kMaxPath);
   reader.Finish();
   return service;
 }
@@ -170,9 +202,17 @@
   auto deadline = static_cast<std::uint32_t>(route.m_deadline.count());
   reader.Number("deadline_ms", deadline, 1, kMaxDeadlineMs);
   route.m_deadline = std::chrono::milliseconds{ deadline };
-  if (route.m_service.empty()) {
-    reader.Refuse(
-      ReasonCode::MissingField, "service", "a route names its service");
+  auto target = static_cast<std::uint32_t>(route.m_targetLatency.count());
+  reader.Number("target_latency_ms", target, 0, kMaxDeadlineMs);
+  route.m_targetLatency = std::chrono::milliseconds{ target };
+  reader.Number("attempts", route.m_attempts, 0, kMaxAttempts);
+  route.m_priority = static_cast<std::uint32_t>(route.m_class);
+  reader.Number("priority", route.m_priority, 0, kMaxPriority);
+  ParseSplit(reader, route);
+  if (route.m_service.empty() == route.m_split.empty()) {
+    reader.Refuse(ReasonCode::MissingField,
+                  "service",
+                  "a route names its service, or else a split");
   }
   if (route.m_path.empty() || route.m_path.front() != '/') {
     reader.Refuse(ReasonCode::OutOfRange, "path", "a path starts with \"/\"");
@@ -197,6 +237,14 @@
   FieldReader reader{ aObject, aPlace, aReasons };
   reader.Number("retry_percent", limits.m_retryPercent, 0, 100);
   reader.Number("max_depth", limits.m_maxDepth, 1, kMaxHops);
+  reader.Number("max_head_bytes", limits.m_maxHeadBytes, 0, kMaxBytes);
+  reader.Number("max_body_bytes", limits.m_maxBodyBytes, 0, kMaxBytes);
+  std::uint32_t head = 0;
+  reader.Number("head_timeout_ms", head, 0, kMaxDeadlineMs);
+  limits.m_headTimeout = std::chrono::milliseconds{ head };
+  std::uint32_t idle = 0;
+  reader.Number("idle_timeout_ms", idle, 0, kMaxDeadlineMs);
+  limits.m_idleTimeout = std::chrono::milliseconds{ idle };
   reader.Finish();
   return limits;
 }
--- a/src/config/entity_parser.hpp
+++ b/src/config/entity_parser.hpp
@@ -23,6 +23,11 @@
               std::uint32_t aHigh);
   void Text(const char* aName, std::string& aTarget, std::size_t aMax);
   void Flag(const char* aName, bool& aTarget, bool& aPresent);
+  /// \returns The field as it is, or nullptr when it is not there.
+  [[nodiscard]] const nlohmann::json* Value(const char* aName)
+  {
+    return Find(aName);
+  }
   /// \brief Reports every field that was not read.
   void Finish();
   void Refuse(ReasonCode aCode, const char* aName, std::string aDetail);
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -13,9 +13,30 @@
 HttpServerSettings
 CallsEndpoint(const Settings& aSettings)
 {
-  return { .m_address = aSettings.m_listen.m_host,
+  const ListenSettings& listen = aSettings.m_listen;
+  return { .m_address =
+             listen.m_callsHost.empty() ? listen.m_host : listen.m_callsHost,
            .m_port = aSettings.m_listen.m_callsPort,
-           .m_maxBodyBytes = aSettings.m_calls.m_maxBodyBytes };
+           .m_limits = { .m_maxBodyBytes = aSettings.m_calls.m_maxBodyBytes } };
+}
+
+/// \returns What the configuration says, and the settings where it is silent.
+HttpServerLimits
+LimitsFrom(HttpServerLimits aOwn, const Limits& aGiven)
+{
+  if (aGiven.m_maxHeadBytes > 0) {
+    aOwn.m_maxHeadBytes = aGiven.m_maxHeadBytes;
+  }
+  if (aGiven.m_maxBodyBytes > 0) {
+    aOwn.m_maxBodyBytes = aGiven.m_maxBodyBytes;
+  }
+  if (aGiven.m_headTimeout.count() > 0) {
+    aOwn.m_headTimeout = aGiven.m_headTimeout;
+  }
+  if (aGiven.m_idleTimeout.count() > 0) {
+    aOwn.m_idleTimeout = aGiven.m_idleTimeout;
+  }
+  return aOwn;
 }
 
 /// \returns The host without its port, in lower case.
@@ -72,6 +93,7 @@
   , m_service(
       m_parts.m_loop,
       m_parts.m_settings,
+      m_parts.m_dialect,
       m_parts.m_metrics,
       m_random(),
       [this](CallKey aKey, CallAnswer aAnswer) {
@@ -151,6 +173,10 @@
   own.m_service = m_parts.m_settings.m_service;
   own.m_domain = m_parts.m_settings.m_domain;
   own.m_slots = m_parts.m_settings.m_runs.m_slots;
+  own.m_leaving = m_parts.m_settings.m_platform.m_enabled;
+  if (m_parts.m_settings.m_platform.m_enabled) {
+    m_dispatcher.Routing().m_domain = own.m_domain;
+  }
   m_dispatcher.Workers().Put(std::move(own));
   return m_http.Open();
 }
@@ -164,6 +190,7 @@
   const auto refuse = [&](RefusalReason aReason) {
     m_parts.m_metrics.CountCall(NameOf(CallOutcome::NotRun), NameOf(aReason));
     aResponder.Answer(ResponseFor(
+      m_parts.m_dialect,
       Refuse(0, CallOutcome::NotRun, aReason, std::chrono::seconds{ 1 })));
   };
   if (!m_parts.m_isReady()) {
@@ -193,11 +220,13 @@
   const auto& headers = aRequest.m_headers;
   const auto asked = std::chrono::milliseconds{ NumberHeader(
     headers,
-    kDeadlineHeader,
+    m_parts.m_dialect.m_deadline,
     static_cast<std::uint64_t>(aRoute.m_deadline.count())) };
-  const std::uint32_t tries = m_parts.m_settings.m_calls.m_tries;
+  const std::uint32_t tries = aRoute.m_attempts > 0
+                                ? aRoute.m_attempts - 1
+                                : m_parts.m_settings.m_calls.m_tries;
   CallPlan plan;
-  plan.m_service = aRoute.m_service;
+  plan.m_service = ServiceOf(aRoute);
   plan.m_class = aRoute.m_class;
   plan.m_idempotent = MayRepeat(aRoute, aRequest.m_method);
   plan.m_deadline = now + std::min(asked, aRoute.m_deadline);
@@ -214,14 +243,23 @@
   call.m_span = NewSpan(call.m_parent, sample, m_random);
   call.m_start = WallNanos();
   CallRequest& request = call.m_request;
-  request.m_service = aRoute.m_service;
+  request.m_service = plan.m_service;
   request.m_method = std::move(aRequest.m_method);
   request.m_target = std::move(aRequest.m_target);
   request.m_depth =
     static_cast<std::uint32_t>(NumberHeader(headers, kDepthHeader, 0));
-  request.m_headers = HeadersFromCaller(std::move(aRequest.m_headers));
-  request.m_headers.push_back(HttpHeader{ std::string{ kTraceparentHeader },
-                                          FormatTraceparent(call.m_span) });
+  request.m_headers =
+    HeadersFromCaller(m_parts.m_dialect, std::move(aRequest.m_headers));
+  if (m_parts.m_dialect.m_tracesHops) {
+    request.m_headers.push_back(HttpHeader{ std::string{ kTraceparentHeader },
+                                            FormatTraceparent(call.m_span) });
+  }
+  if (!m_parts.m_dialect.m_callerService.empty()) {
+    request.m_headers.push_back(
+      HttpHeader{ std::string{ m_parts.m_dialect.m_callerService },
+                  m_parts.m_settings.m_service });
+  }
+  request.m_priority = aRoute.m_priority;
   request.m_body = std::move(aRequest.m_body);
   request.m_class = plan.m_class;
   request.m_idempotent = plan.m_idempotent;
@@ -233,6 +271,26 @@
   Carry(m_dispatcher.Begin(now, id, std::move(plan)));
 }
 
+std::string
+CallGateway::ServiceOf(const Route& aRoute)
+{
+  if (aRoute.m_split.empty()) {
+    return aRoute.m_service;
+  }
+  std::uint64_t total = 0;
+  for (const RouteShare& each : aRoute.m_split) {
+    total += each.m_weight;
+  }
+  std::uint64_t drawn = Below(m_random, total);
+  for (const RouteShare& each : aRoute.m_split) {
+    if (drawn < each.m_weight) {
+      return each.m_service;
+    }
+    drawn -= each.m_weight;
+  }
+  return aRoute.m_split.front().m_service;
+}
+
 void
 CallGateway::OnHungUp(std::uint64_t aConnection)
 {
@@ -314,7 +372,7 @@
   m_parts.m_metrics.ObserveLatency(
     std::chrono::duration<double>(Clock::now() - call.m_since).count());
   TraceEnd(call, answer);
-  call.m_responder.Answer(ResponseFor(answer), m_leaving);
+  call.m_responder.Answer(ResponseFor(m_parts.m_dialect, answer), m_leaving);
 }
 
 void
@@ -403,6 +461,22 @@
   }
 }
 
+void
+CallGateway::OnWorker(const WorkerPresence& aPresence)
+{
+  m_service.OnWorker(aPresence);
+  WorkerRow own;
+  own.m_slot = m_parts.m_settings.m_slot;
+  own.m_service = m_parts.m_settings.m_service;
+  own.m_domain = m_parts.m_settings.m_domain;
+  own.m_slots = aPresence.Current()->m_slots;
+  own.m_leaving = !aPresence.TakesCalls() || m_leaving;
+  m_dispatcher.Workers().Put(std::move(own));
+  if (!aPresence.TakesCalls()) {
+    m_server.Broadcast(LinkLeaving{});
+  }
+}
+
 void
 CallGateway::PutWorker(const MemberRecord& aRecord)
 {
@@ -411,7 +485,7 @@
   row.m_service = aRecord.m_service;
   row.m_domain = aRecord.m_domain;
   row.m_slots = std::max(1U, aRecord.m_slots);
-  row.m_leaving = !TakesCalls(aRecord.m_state);
+  row.m_leaving = !TakesCalls(aRecord.m_state) || aRecord.m_slots == 0;
   m_dispatcher.Workers().Put(std::move(row));
   m_addresses[aRecord.m_slot] = aRecord.m_address;
 }
@@ -437,6 +511,8 @@
   const Content& content = m_parts.m_holder.Active()->m_content;
   m_routes = RouteTable{ content };
   m_dispatcher.SetRetryPercent(content.GetLimits().m_retryPercent);
+  m_http.SetLimits(
+    LimitsFrom(CallsEndpoint(m_parts.m_settings).m_limits, content.GetLimits()));
 }
 
 void
--- a/src/daemon/call_headers.cpp
+++ b/src/daemon/call_headers.cpp
@@ -9,12 +9,11 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 8> kConnectionHeaders{
-  "connection", "keep-alive", "transfer-encoding", "content-length",
-  "te",         "trailer",    "upgrade",           "proxy-connection"
+constexpr std::array<std::string_view, 9> kConnectionHeaders{
+  "connection", "keep-alive", "transfer-encoding", "content-length",  "te",
+  "trailer",    "upgrade",    "proxy-connection",  "expect"
 };
-constexpr std::array<std::string_view, 4> kOwnHeaders{ kTraceparentHeader,
-                                                       kDeadlineHeader,
+constexpr std::array<std::string_view, 3> kOwnHeaders{ kTraceparentHeader,
                                                        kDepthHeader,
                                                        kTriesHeader };
 
@@ -29,6 +28,24 @@
     });
 }
 
+/// \returns Whether a comma-separated list, such as the value of Connection,
+/// names a header.
+bool
+IsInList(std::string_view aList, std::string_view aName)
+{
+  while (!aList.empty()) {
+    const std::size_t comma = std::min(aList.find(','), aList.size());
+    std::string_view item = aList.substr(0, comma);
+    item.remove_prefix(std::min(item.find_first_not_of(' '), item.size()));
+    item = item.substr(0, item.find_last_not_of(' ') + 1);
+    if (SameHeader(item, aName)) {
+      return true;
+    }
+    aList.remove_prefix(std::min(comma + 1, aList.size()));
+  }
+  return false;
+}
+
 std::uint16_t
 StatusFor(const CallAnswer& aAnswer)
 {
@@ -51,6 +68,16 @@
   }
 }
 
+std::string
+RetryAfterText(const CallDialect& aDialect, std::chrono::milliseconds aSpan)
+{
+  if (aDialect.m_fractionalRetryAfter) {
+    const std::chrono::duration<double> seconds = aSpan;
+    return fmt::format("{:.3f}", seconds.count());
+  }
+  return std::to_string(std::chrono::ceil<std::chrono::seconds>(aSpan).count());
+}
+
 HttpHeader
 Header(std::string_view aName, std::string aValue)
 {
@@ -60,27 +87,40 @@
 }
 
 std::vector<HttpHeader>
-HeadersToWorker(const CallRequest& aCall,
+HeadersToWorker(const CallDialect& aDialect,
+                const CallRequest& aCall,
                 std::chrono::milliseconds aLeft,
-                const TraceContext& aSpan)
+                const TraceContext& aSpan,
+                const std::string& aInstance)
 {
   std::vector<HttpHeader> headers = aCall.m_headers;
   std::erase_if(headers, [](const HttpHeader& aHeader) {
     return SameHeader(aHeader.m_name, kTraceparentHeader);
   });
-  headers.push_back(Header(kTraceparentHeader, FormatTraceparent(aSpan)));
-  headers.push_back(Header(kDeadlineHeader, std::to_string(aLeft.count())));
-  headers.push_back(Header(kDepthHeader, std::to_string(aCall.m_depth + 1)));
-  headers.push_back(Header(kTriesHeader, std::to_string(aCall.m_triesLeft)));
+  headers.push_back(
+    Header(aDialect.m_deadline, std::to_string(aLeft.count())));
+  if (!aInstance.empty()) {
+    headers.push_back(Header(aDialect.m_expectInstance, aInstance));
+  }
+  if (aDialect.m_tracesHops) {
+    headers.push_back(Header(kTraceparentHeader, FormatTraceparent(aSpan)));
+    headers.push_back(Header(kDepthHeader, std::to_string(aCall.m_depth + 1)));
+    headers.push_back(Header(kTriesHeader, std::to_string(aCall.m_triesLeft)));
+  }
   return headers;
 }
 
 std::vector<HttpHeader>
-HeadersFromCaller(std::vector<HttpHeader> aHeaders)
+HeadersFromCaller(const CallDialect& aDialect, std::vector<HttpHeader> aHeaders)
 {
-  std::erase_if(aHeaders, [](const HttpHeader& aHeader) {
-    return IsOneOf(aHeader.m_name, kConnectionHeaders) ||
-           IsOneOf(aHeader.m_name, kOwnHeaders);
+  const std::string named{ HeaderValue(aHeaders, "connection") };
+  std::erase_if(aHeaders, [&](const HttpHeader& aHeader) {
+    const std::string& name = aHeader.m_name;
+    return IsOneOf(name, kConnectionHeaders) || IsOneOf(name, kOwnHeaders) ||
+           SameHeader(name, aDialect.m_deadline) ||
+           SameHeader(name, aDialect.m_callerService) ||
+           SameHeader(name, aDialect.m_expectInstance) ||
+           IsInList(named, name);
   });
   return aHeaders;
 }
@@ -100,7 +140,7 @@
 }
 
 HttpResponse
-ResponseFor(CallAnswer aAnswer)
+ResponseFor(const CallDialect& aDialect, CallAnswer aAnswer)
 {
   if (aAnswer.m_outcome == CallOutcome::Answered) {
     std::erase_if(aAnswer.m_response.m_headers, [](const HttpHeader& aHeader) {
@@ -118,10 +158,8 @@
   response.m_headers.push_back(
     Header(kReasonHeader, std::string{ NameOf(aAnswer.m_reason) }));
   if (aAnswer.m_retryAfter.count() > 0) {
-    const auto seconds =
-      std::chrono::ceil<std::chrono::seconds>(aAnswer.m_retryAfter);
     response.m_headers.push_back(
-      Header("Retry-After", std::to_string(seconds.count())));
+      Header("Retry-After", RetryAfterText(aDialect, aAnswer.m_retryAfter)));
     response.m_headers.push_back(
       Header(kRetryAfterHeader, std::to_string(aAnswer.m_retryAfter.count())));
   }
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -1,6 +1,7 @@
 #include "greengagehub/daemon/control_plane.hpp"
 
 #include "greengagehub/daemon/wall_clock.hpp"
+#include "platform/names.hpp"
 
 #include <algorithm>
 
@@ -10,6 +11,11 @@
 
 constexpr auto kTick = std::chrono::milliseconds{ 100 };
 constexpr auto kMaxJoinBackoff = std::chrono::seconds{ 15 };
+/// Changes of the configuration are taken together for this part of the time
+/// in which one must be in force.
+constexpr int kSettleShare = 8;
+/// Longest pause between reads of the configuration while the store is away.
+constexpr auto kMaxFeedBackoff = std::chrono::milliseconds{ 500 };
 /// Between two comparisons of members with a peer whose view differs: often
 /// while they bring much, as after a start or a partition, then ever more
 /// seldom, since a plain day's news travels on the probes.
@@ -34,7 +40,8 @@
   self.m_service = aSettings.m_service;
   self.m_domain = aSettings.m_domain;
   self.m_region = aSettings.m_region;
-  self.m_slots = aSettings.m_runs.m_slots;
+  // On the platform a worker is known only once it has reported.
+  self.m_slots = aSettings.m_platform.m_enabled ? 0 : aSettings.m_runs.m_slots;
   self.m_address = { aSettings.m_listen.m_host, aGossipPort, aBulkPort, 0 };
   return self;
 }
@@ -76,6 +83,17 @@
            m_random(),
            { .m_onAdvanced = [this](Version aBefore) { OnAdvanced(aBefore); },
              .m_onHead = [this](Version aHead) { m_gate.HeardStore(aHead); } })
+  , m_feed(aLoop,
+           m_store,
+           m_holder,
+           aLog,
+           std::string{ platform::kConfigKey },
+           { .m_watch = aSettings.m_store.m_watch,
+             .m_settle = aSettings.m_platform.m_configApply / kSettleShare,
+             .m_maxBackoff = kMaxFeedBackoff },
+           m_random(),
+           { .m_onAdvanced = [this](Version aBefore) { OnAdvanced(aBefore); },
+             .m_onHead = [this](Version aHead) { m_gate.HeardStore(aHead); } })
   , m_decisions(
       m_store,
       m_holder,
@@ -83,6 +101,8 @@
       PackLimits{},
       [this](const std::vector<VersionEntry>& aEntries) { StageAll(aEntries); })
   , m_tick(aLoop)
+  , m_gate(aSettings.m_platform.m_enabled ? ReadyGate::Trust::StoreFirst
+                                          : ReadyGate::Trust::PeersFirst)
 {
 }
 
@@ -148,6 +168,9 @@
   for (const MemberAddress& each : m_settings.m_seeds) {
     Contact(each);
   }
+  if (m_settings.m_platform.m_enabled) {
+    m_feed.Read();
+  }
   Tick();
 }
 
@@ -163,7 +186,7 @@
   RunWatchRole(now);
   const bool alone =
     m_holder.GetVersion() == Version{} && now - m_started > kAloneAfter;
-  if (alone && !m_fallbackRead) {
+  if (alone && !m_fallbackRead && !m_settings.m_platform.m_enabled) {
     m_fallbackRead = true;
     m_sync.ReadOnce();
   }
@@ -218,6 +241,20 @@
   Carry(m_membership.Announce(aState));
 }
 
+void
+ControlPlane::Announce(MemberState aState, std::uint32_t aSlots)
+{
+  Carry(m_membership.Announce(aState, aSlots));
+}
+
+void
+ControlPlane::OnWokeUp()
+{
+  if (m_settings.m_platform.m_enabled) {
+    m_feed.Read();
+  }
+}
+
 // ---------------------------------------------------------------------------
 // Messages
 
@@ -462,7 +499,9 @@
   if (auto request = m_watchRole.OnTick(aNow, rank)) {
     CarryWatch(std::move(*request));
   }
-  m_sync.SetWatching(m_watchRole.Holds(aNow));
+  if (!m_settings.m_platform.m_enabled) {
+    m_sync.SetWatching(m_watchRole.Holds(aNow));
+  }
 }
 
 void
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,8 +1,10 @@
 #include "greengagehub/daemon/daemon.hpp"
 
 #include "greengagehub/daemon/wall_clock.hpp"
+#include "platform/dialect.hpp"
 
 #include <csignal>
+#include <ctime>
 #include <cstdio>
 #include <fmt/format.h>
 #include <random>
@@ -15,6 +17,22 @@
 /// A tick this late means that the process was paused.
 constexpr auto kPause = std::chrono::milliseconds{ 1000 };
 constexpr int kUncleanDrain = 1;
+/// Left of the grace time when a drain that is not done gives up.
+constexpr auto kKillMargin = std::chrono::milliseconds{ 400 };
+/// The platform asks for readiness once a second, and takes callers away after
+/// two misses.
+constexpr auto kNoticed = std::chrono::milliseconds{ 2500 };
+
+/// \returns Time since the machine started. Unlike the steady clock it counts
+/// a suspension of the machine, which must be noticed as any other pause.
+std::chrono::nanoseconds
+BootTime()
+{
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return std::chrono::seconds{ now.tv_sec } +
+         std::chrono::nanoseconds{ now.tv_nsec };
+}
 
 LogLevel
 LevelFrom(std::string_view aName)
@@ -74,6 +92,7 @@
         .m_onVersion = [this] { m_calls.OnVersion(); } })
   , m_calls({ .m_loop = m_loop,
               .m_settings = m_settings,
+              .m_dialect = Dialect(),
               .m_holder = m_control.Holder(),
               .m_metrics = m_metrics,
               .m_process = m_process ^ m_random(),
@@ -99,11 +118,11 @@
 int
 Daemon::Run()
 {
-  const auto calls = m_calls.Open();
-  const auto operators = m_operators.Open();
-  if (!calls || !operators) {
-    const Error& error = calls ? operators.error() : calls.error();
-    m_log.Error("daemon", "cannot_listen", { { "detail", error.m_message } });
+  const auto opened = Open();
+  if (!opened) {
+    m_log.Error("daemon",
+                "cannot_listen",
+                { { "detail", opened.error().m_message } });
     return kUncleanDrain;
   }
   m_signals.async_wait([this](const asio::error_code& aError, int) {
@@ -118,6 +137,42 @@
   return m_exitCode;
 }
 
+Outcome<std::uint16_t>
+Daemon::Open()
+{
+  auto opened = m_calls.Open();
+  if (opened) {
+    opened = m_operators.Open();
+  }
+  if (opened && m_settings.m_platform.m_enabled) {
+    m_platform.emplace(PlatformEndpoints::Parts{
+      .m_loop = m_loop,
+      .m_settings = m_settings,
+      .m_log = m_log,
+      .m_isReady = [this] { return m_control.IsReady() && !m_draining; },
+      .m_onWorker =
+        [this](const WorkerPresence& aPresence) { OnWorker(aPresence); } });
+    opened = m_platform->Open();
+  }
+  return opened;
+}
+
+const CallDialect&
+Daemon::Dialect() const noexcept
+{
+  static constexpr CallDialect kOwn{};
+  return m_settings.m_platform.m_enabled ? platform::kDialect : kOwn;
+}
+
+void
+Daemon::OnWorker(const WorkerPresence& aPresence)
+{
+  m_calls.OnWorker(aPresence);
+  const bool leaves = m_draining || !aPresence.TakesCalls();
+  m_control.Announce(leaves ? MemberState::Leaving : MemberState::Alive,
+                     aPresence.Current()->m_slots);
+}
+
 void
 Daemon::RunLoop()
 {
@@ -167,16 +222,20 @@
 Daemon::Tick()
 {
   const TimePoint now = Clock::now();
-  if (m_lastTick != TimePoint{} && now - m_lastTick > kPause) {
-    m_log.Warning("daemon",
-                  "was_paused",
-                  { { "milliseconds",
-                      std::chrono::duration_cast<std::chrono::milliseconds>(
-                        now - m_lastTick)
-                        .count() } });
+  const std::chrono::nanoseconds bootTime = BootTime();
+  const auto since = bootTime - m_lastBootTime;
+  if (m_lastTick != TimePoint{} && since > kPause) {
+    m_log.Warning(
+      "daemon",
+      "was_paused",
+      { { "milliseconds",
+          std::chrono::duration_cast<std::chrono::milliseconds>(since)
+            .count() } });
     m_calls.OnWokeUp();
+    m_control.OnWokeUp();
   }
   m_lastTick = now;
+  m_lastBootTime = bootTime;
   m_calls.OnTick(now);
   if (m_control.IsReady() != m_wasReady) {
     m_wasReady = !m_wasReady;
@@ -204,7 +263,11 @@
   }
   m_draining = true;
   m_log.Info("daemon", "drain_started");
-  m_drainUntil = Clock::now() + m_settings.m_calls.m_drain;
+  m_drainFrom = Clock::now();
+  m_drainUntil = m_drainFrom + m_settings.m_calls.m_drain;
+  if (m_settings.m_platform.m_enabled) {
+    m_drainUntil = m_drainFrom + m_settings.m_platform.m_grace - kKillMargin;
+  }
   m_control.Announce(MemberState::Leaving);
   m_calls.StartLeaving();
 }
@@ -218,7 +281,10 @@
   } else if (m_idleSince == TimePoint{}) {
     m_idleSince = aNow;
   }
-  const bool done = m_idleSince != TimePoint{} &&
+  // Callers come until two questions for readiness have gone unanswered.
+  const bool noticed = !m_settings.m_platform.m_enabled ||
+                       aNow - m_drainFrom >= kNoticed;
+  const bool done = noticed && m_idleSince != TimePoint{} &&
                     aNow - m_idleSince >= m_settings.m_calls.m_linger;
   if (!done && aNow < m_drainUntil) {
     return;
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -83,7 +83,7 @@
 {
   return { .m_address = aSettings.m_listen.m_host,
            .m_port = aSettings.m_listen.m_operatorsPort,
-           .m_maxBodyBytes = kMaxBody };
+           .m_limits = { .m_maxBodyBytes = kMaxBody } };
 }
 
 }
@@ -298,7 +298,7 @@
   const ControlPlane& control = m_parts.m_control;
   const TrafficCounts& gossip = control.Gossip().Counts();
   const TrafficCounts& bulk = control.Bulk().Counts();
-  const StoreCounts& store = control.GetStore().Counts();
+  const platform::StoreCounts& store = control.GetStore().Counts();
   metrics.SetBytes("gossip", "sent", gossip.m_bytesSent);
   metrics.SetBytes("gossip", "received", gossip.m_bytesReceived);
   metrics.SetBytes("bulk", "sent", bulk.m_bytesSent);
--- /dev/null
+++ b/src/daemon/platform_endpoints.cpp
@@ -0,0 +1,123 @@
+#include "greengagehub/daemon/platform_endpoints.hpp"
+
+#include "platform/heartbeat.hpp"
+#include "platform/names.hpp"
+
+namespace greengagehub {
+
+namespace {
+
+HttpServerSettings
+ServerAt(const HostPort& aAddress)
+{
+  HttpServerSettings settings;
+  settings.m_address = aAddress.m_host;
+  settings.m_port = aAddress.m_port;
+  return settings;
+}
+
+std::string_view
+NameOf(WorkerPresence::Change aChange)
+{
+  switch (aChange) {
+    case WorkerPresence::Change::None:
+      return "none";
+    case WorkerPresence::Change::Arrived:
+      return "arrived";
+    case WorkerPresence::Change::Updated:
+      return "updated";
+    case WorkerPresence::Change::Leaving:
+      return "leaving";
+  }
+  return "none";
+}
+
+}
+
+PlatformEndpoints::PlatformEndpoints(Parts aParts)
+  : m_parts(std::move(aParts))
+  , m_worker(m_parts.m_settings.m_platform.m_heartbeat)
+  , m_readiness(m_parts.m_loop,
+                ServerAt(m_parts.m_settings.m_listen.m_readiness),
+                [this](const HttpRequest& aRequest, HttpResponder aResponder) {
+                  OnReadiness(aRequest, std::move(aResponder));
+                })
+  , m_heartbeats(m_parts.m_loop,
+                 ServerAt(m_parts.m_settings.m_listen.m_heartbeats),
+                 [this](const HttpRequest& aRequest, HttpResponder aResponder) {
+                   OnHeartbeat(aRequest, std::move(aResponder));
+                 })
+{
+}
+
+Outcome<std::uint16_t>
+PlatformEndpoints::Open()
+{
+  auto readiness = m_readiness.Open();
+  if (!readiness) {
+    return readiness;
+  }
+  return m_heartbeats.Open();
+}
+
+void
+PlatformEndpoints::OnReadiness(const HttpRequest& aRequest,
+                               HttpResponder aResponder)
+{
+  if (PathOf(aRequest.m_target) != platform::kReadyPath) {
+    aResponder.Answer({ 404 });
+    return;
+  }
+  aResponder.Answer(HttpResponse{
+    m_parts.m_isReady() ? std::uint16_t{ 200 } : std::uint16_t{ 503 } });
+}
+
+void
+PlatformEndpoints::OnHeartbeat(const HttpRequest& aRequest,
+                               HttpResponder aResponder)
+{
+  const auto notice = platform::ParseNotice(aRequest);
+  if (!notice) {
+    m_parts.m_log.Warning("worker",
+                          "heartbeat_unreadable",
+                          { { "detail", notice.error().m_message } });
+    aResponder.Answer(JsonResponse(400, "{}"));
+    return;
+  }
+  const auto* left = std::get_if<platform::WorkerLeft>(&notice.value());
+  const WorkerPresence::Change change =
+    left != nullptr ? m_worker.OnLeft(left->m_id)
+                    : Take(std::get<WorkerReport>(notice.value()));
+  if (change != WorkerPresence::Change::None) {
+    m_parts.m_log.Info("worker",
+                       "worker_changed",
+                       { { "change", NameOf(change) },
+                         { "instance", m_worker.Current()->m_id },
+                         { "slots", std::uint64_t{ m_worker.Current()->m_slots } },
+                         { "sequence", m_worker.Current()->m_sequence } });
+    m_parts.m_onWorker(m_worker);
+  }
+  // Answered after the change is in force here: nothing reaches the worker but
+  // through this daemon.
+  aResponder.Answer(JsonResponse(200, "{}"));
+}
+
+WorkerPresence::Change
+PlatformEndpoints::Take(const WorkerReport& aReport)
+{
+  const HostPort& own = m_parts.m_settings.m_worker;
+  const bool isOwn =
+    aReport.m_service == m_parts.m_settings.m_service &&
+    aReport.m_address == own.m_host + ":" + std::to_string(own.m_port);
+  if (!isOwn) {
+    m_parts.m_log.Warning("worker",
+                          "heartbeat_of_another",
+                          { { "instance", aReport.m_id },
+                            { "address", aReport.m_address },
+                            { "service", aReport.m_service } });
+    return WorkerPresence::Change::None;
+  }
+  return m_worker.OnReport(Clock::now(), aReport);
+}
+
+}
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -9,22 +9,51 @@
 
 constexpr auto kKeepAnswers = std::chrono::seconds{ 5 };
 constexpr std::size_t kMaxKeptBytes = 2UL * 1024 * 1024;
+/// Calls that wait here for each slot of the worker.
+constexpr std::uint32_t kQueuePerSlot = 4;
+/// A request that may run only once goes on a connection that was used just
+/// now or on a new one: on one that the worker has forgotten it would be
+/// reset, with no way to tell whether it ran.
+constexpr auto kMaxIdleOnce = std::chrono::milliseconds{ 250 };
+constexpr auto kMaxIdle = std::chrono::seconds{ 5 };
+/// The worker ends a request at its deadline by itself; this much later its
+/// connection is dropped.
+constexpr auto kDeadlineGrace = std::chrono::milliseconds{ 20 };
+
+BackendClientSettings
+ClientSettings(const Settings& aSettings)
+{
+  BackendClientSettings settings;
+  settings.m_address = { asio::ip::make_address(aSettings.m_worker.m_host),
+                         aSettings.m_worker.m_port };
+  settings.m_maxAnswerBytes = aSettings.m_calls.m_maxBodyBytes;
+  return settings;
+}
+
+bool
+IsSuccess(std::uint16_t aStatus)
+{
+  return aStatus >= 200 && aStatus < 300;
+}
 
 }
 
 RunService::RunService(asio::io_context& aLoop,
                        const Settings& aSettings,
+                       const CallDialect& aDialect,
                        Metrics& aMetrics,
                        std::uint64_t aSeed,
                        Answer aAnswer,
                        Trace aTrace)
   : m_settings(aSettings)
+  , m_dialect(aDialect)
   , m_metrics(aMetrics)
   , m_random(aSeed)
   , m_answer(std::move(aAnswer))
   , m_trace(std::move(aTrace))
   , m_runs(aSettings.m_runs)
-  , m_client(aLoop, aSettings.m_workerConnections)
+  , m_client(aLoop, ClientSettings(aSettings))
+  , m_hasWorker(!aSettings.m_platform.m_enabled)
   , m_timer(aLoop)
 {
 }
@@ -33,6 +62,12 @@
 RunService::OnRequest(CallKey aKey, std::uint64_t aEpoch, CallRequest aRequest)
 {
   const TimePoint now = Clock::now();
+  if (!m_hasWorker) {
+    Deliver(
+      aKey,
+      Refuse(aKey.m_call, CallOutcome::NotRun, RefusalReason::NoWorker));
+    return;
+  }
   RunActions pushedOut;
   const Admission admission = m_runs.Admit(
     now, aKey, aEpoch, aRequest.m_class, aRequest.m_timeLeft, pushedOut);
@@ -67,48 +102,99 @@
   held.m_parent =
     ParseTraceparent(HeaderValue(call.m_headers, kTraceparentHeader));
   held.m_span = NewSpan(held.m_parent, false, m_random);
-  HttpClientRequest request;
+  BackendRequest request;
   request.m_method = call.m_method;
-  request.m_url = m_settings.m_workerUrl + call.m_target;
-  request.m_headers = HeadersToWorker(call, left, held.m_span);
+  request.m_target = call.m_target;
+  request.m_headers =
+    HeadersToWorker(m_dialect,
+                    call,
+                    std::max(left, std::chrono::milliseconds{ 1 }),
+                    held.m_span,
+                    m_instance);
   request.m_body = call.m_body;
-  request.m_timeout = std::max(left, std::chrono::milliseconds{ 1 });
-  request.m_maxAnswerBytes = m_settings.m_calls.m_maxBodyBytes;
+  request.m_echoHeader = m_dialect.m_requestId;
+  request.m_echo = HeaderValue(call.m_headers, m_dialect.m_requestId);
+  request.m_deadline = held.m_deadline + kDeadlineGrace;
+  request.m_maxIdle = call.m_idempotent ? kMaxIdle : kMaxIdleOnce;
   held.m_ticket =
-    m_client.Send(std::move(request), [this, aKey](HttpClientResult aResult) {
+    m_client.Send(std::move(request), [this, aKey](BackendResult aResult) {
       Ended(aKey, std::move(aResult));
     });
 }
 
-void
-RunService::Ended(CallKey aKey, HttpClientResult aResult)
+CallAnswer
+RunService::AnswerFrom(CallKey aKey, HttpResponse aResponse)
 {
-  const RunActions next = m_runs.Finish(Clock::now(), aKey);
+  constexpr std::uint16_t kMisdirected = 421;
+  const auto& headers = aResponse.m_headers;
+  if (aResponse.m_status == kMisdirected) {
+    return Refuse(
+      aKey.m_call, CallOutcome::NotRun, RefusalReason::WorkerReplaced);
+  }
+  const bool notExecuted = !m_dialect.m_notExecuted.empty() &&
+                           !HeaderValue(headers, m_dialect.m_notExecuted).empty();
+  if (notExecuted) {
+    return Refuse(
+      aKey.m_call, CallOutcome::NotRun, RefusalReason::WorkerRefused);
+  }
+  // A success without the signature is not the worker's, whatever it looks
+  // like.
+  const bool unsigned_ = IsSuccess(aResponse.m_status) &&
+                         !m_dialect.m_seal.empty() &&
+                         HeaderValue(headers, m_dialect.m_seal).empty();
+  if (unsigned_) {
+    return Refuse(aKey.m_call, CallOutcome::Unknown, RefusalReason::AnswerLost);
+  }
   CallAnswer answer;
   answer.m_call = aKey.m_call;
+  answer.m_outcome = CallOutcome::Answered;
+  answer.m_response = std::move(aResponse);
+  return answer;
+}
+
+CallAnswer
+RunService::AnswerFrom(CallKey aKey,
+                       BackendResult aResult,
+                       const CallRequest& /*aRequest*/)
+{
+  CallAnswer answer;
   switch (aResult.m_kind) {
-    case HttpClientResult::Kind::Answered:
-      answer.m_outcome = CallOutcome::Answered;
-      answer.m_response = std::move(aResult.m_response);
+    case BackendResult::Kind::Answered:
+      answer = AnswerFrom(aKey, std::move(aResult.m_response));
       break;
-    case HttpClientResult::Kind::NotSent:
-      answer = Refuse(
+    case BackendResult::Kind::NotSent:
+      return Refuse(
         aKey.m_call, CallOutcome::NotRun, RefusalReason::WorkerUnreachable);
-      break;
-    case HttpClientResult::Kind::Lost:
+    case BackendResult::Kind::Lost:
       answer =
         Refuse(aKey.m_call, CallOutcome::Unknown, RefusalReason::AnswerLost);
       break;
+    case BackendResult::Kind::TimedOut:
+      answer = Refuse(
+        aKey.m_call, CallOutcome::Unknown, RefusalReason::DeadlinePassed);
+      break;
   }
-  m_metrics.CountRun(NameOf(answer.m_outcome));
+  answer.m_reachedWorker = true;
+  return answer;
+}
+
+void
+RunService::Ended(CallKey aKey, BackendResult aResult)
+{
+  const RunActions next = m_runs.Finish(Clock::now(), aKey);
   const auto held = m_held.find(aKey);
-  if (held != m_held.end()) {
-    TraceEnd(held->second, answer);
-    if (!held->second.m_request.m_idempotent) {
-      Keep(aKey, answer);
-    }
-    m_held.erase(held);
+  if (held == m_held.end()) {
+    Carry(next);
+    return;
   }
+  CallAnswer answer =
+    AnswerFrom(aKey, std::move(aResult), held->second.m_request);
+  m_metrics.CountRun(NameOf(answer.m_outcome));
+  TraceEnd(held->second, answer);
+  if (!held->second.m_request.m_idempotent) {
+    Keep(aKey, answer);
+  }
+  m_held.erase(held);
   Deliver(aKey, std::move(answer));
   Carry(next);
 }
@@ -130,6 +216,9 @@
 RunService::Deliver(CallKey aKey, CallAnswer aAnswer)
 {
   aAnswer.m_load = m_runs.Load();
+  aAnswer.m_slots = m_hasWorker ? m_runs.Slots() : 0;
+  aAnswer.m_serviceTime =
+    std::chrono::duration_cast<std::chrono::microseconds>(m_runs.ServiceTime());
   m_answer(aKey, std::move(aAnswer));
 }
 
@@ -161,7 +250,9 @@
   }
   if (result == CancelResult::Running && aAbandon) {
     const auto held = m_held.find(aKey);
-    if (held != m_held.end()) {
+    // One that may run only once is left to end: breaking it off would leave
+    // the caller's next question without an answer.
+    if (held != m_held.end() && held->second.m_request.m_idempotent) {
       // Closing the connection tells the worker that nobody waits.
       m_client.Abandon(held->second.m_ticket);
       m_held.erase(held);
@@ -191,6 +282,25 @@
   Carry(m_runs.StartLeaving(Clock::now()));
 }
 
+void
+RunService::OnWorker(const WorkerPresence& aPresence)
+{
+  const auto& worker = aPresence.Current();
+  if (!aPresence.TakesCalls()) {
+    if (m_hasWorker) {
+      StartLeaving();
+    }
+    return;
+  }
+  if (m_instance != worker->m_id) {
+    m_client.CloseIdle();
+    m_instance = worker->m_id;
+  }
+  m_hasWorker = true;
+  m_runs.Reopen();
+  m_runs.SetLimits(worker->m_slots, kQueuePerSlot * worker->m_slots);
+}
+
 void
 RunService::TraceEnd(const Held& aHeld, const CallAnswer& aAnswer)
 {
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,80 +1,44 @@
 #include "greengagehub/http/http_server.hpp"
 
-#include <restinio/all.hpp>
+#include "message_parser.hpp"
 
-namespace greengagehub {
-
-namespace {
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <boost/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <fmt/format.h>
+#include <map>
 
-constexpr auto kWriteTimeout = std::chrono::seconds{ 60 };
+namespace greengagehub {
 
-/// Tells the daemon that a caller's connection is gone.
-class ConnectionListener
-{
-public:
-  explicit ConnectionListener(HttpServer::Closed aClosed)
-    : m_closed(std::move(aClosed))
-  {
-  }
+using asio::ip::tcp;
 
-  // NOLINTNEXTLINE(readability-identifier-naming): name set by the library
-  void state_changed(
-    const restinio::connection_state::notice_t& aNotice) noexcept
-  {
-    const auto cause = aNotice.cause();
-    const bool closed =
-      restinio::holds_alternative<restinio::connection_state::closed_t>(cause);
-    if (closed && m_closed) {
-      m_closed(aNotice.connection_id());
-    }
-  }
+namespace {
 
-private:
-  HttpServer::Closed m_closed;
-};
+using SteadyClock = std::chrono::steady_clock;
 
-struct Traits : restinio::default_single_thread_traits_t
-{
-  // NOLINTNEXTLINE(readability-identifier-naming): name set by the library
-  using connection_state_listener_t = ConnectionListener;
-};
-
-HttpRequest
-FromLibrary(const restinio::request_handle_t& aRequest)
-{
-  HttpRequest request;
-  const auto& header = aRequest->header();
-  const auto method = header.method();
-  request.m_method = method.c_str();
-  request.m_target = header.request_target();
-  header.for_each_field([&request](const auto& aField) {
-    request.m_headers.push_back(HttpHeader{ aField.name(), aField.value() });
-  });
-  request.m_body = aRequest->body();
-  request.m_connection = aRequest->connection_id();
-  return request;
-}
+constexpr std::size_t kReadBytes = 8UL * 1024;
+/// A client that sends ahead of its answers is not read beyond this.
+constexpr std::size_t kMaxReadAhead = 64UL * 1024;
+/// Precision of the limits on time, well below any of them.
+constexpr auto kSweep = std::chrono::milliseconds{ 250 };
+/// After a refusal the rest of the request is read and dropped for this long:
+/// closing with unread bytes would reset the connection and lose the answer.
+constexpr auto kLinger = std::chrono::milliseconds{ 1000 };
+/// A client that does not take its answer for this long is given up.
+constexpr auto kWriteTimeout = std::chrono::seconds{ 60 };
 
-std::string
+std::string_view
 ReasonPhrase(std::uint16_t aStatus)
 {
-  switch (aStatus) {
-    case 200:
-      return "OK";
-    case 404:
-      return "Not Found";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return "Status";
-  }
+  return http_status_str(static_cast<http_status>(aStatus));
 }
 
-/// Headers of the connection itself, which the library writes.
+/// Headers that describe the connection or the length, which are set here.
 bool
-IsHopHeader(std::string_view aName)
+IsFramingHeader(std::string_view aName)
 {
   return SameHeader(aName, "connection") ||
          SameHeader(aName, "content-length") ||
@@ -82,77 +46,389 @@
          SameHeader(aName, "keep-alive");
 }
 
-void
-SendResponse(const restinio::request_handle_t& aRequest,
-             HttpResponse aResponse,
-             bool aClose)
+std::string
+Serialize(const HttpResponse& aResponse, bool aHead, bool aClose)
 {
-  auto builder = aRequest->create_response(restinio::http_status_line_t{
-    restinio::http_status_code_t{ aResponse.m_status },
-    ReasonPhrase(aResponse.m_status) });
-  for (HttpHeader& each : aResponse.m_headers) {
-    if (!IsHopHeader(each.m_name)) {
-      builder.append_header(std::move(each.m_name), std::move(each.m_value));
+  std::string out = fmt::format(
+    "HTTP/1.1 {} {}\r\n", aResponse.m_status, ReasonPhrase(aResponse.m_status));
+  for (const HttpHeader& each : aResponse.m_headers) {
+    if (!IsFramingHeader(each.m_name)) {
+      out += fmt::format("{}: {}\r\n", each.m_name, each.m_value);
     }
   }
-  if (aClose) {
-    builder.connection_close();
+  out += fmt::format("Content-Length: {}\r\n", aResponse.m_body.size());
+  out += aClose ? "Connection: close\r\n\r\n" : "\r\n";
+  if (!aHead) {
+    out += aResponse.m_body;
   }
-  builder.set_body(std::move(aResponse.m_body));
-  builder.done();
+  return out;
 }
 
 }
 
 struct HttpServer::Impl
 {
-  using Server = restinio::http_server_t<Traits>;
+  class Connection;
+  using Pointer = boost::intrusive_ptr<Connection>;
 
+  explicit Impl(asio::io_context& aLoop)
+    : m_loop(aLoop)
+    , m_acceptor(aLoop)
+    , m_sweeper(aLoop)
+  {
+  }
+
+  void Accept();
+  void Sweep();
+
+  asio::io_context& m_loop;
   HttpServerSettings m_settings;
+  Handler m_handler;
+  Closed m_closed;
+  tcp::acceptor m_acceptor;
+  asio::steady_timer m_sweeper;
+  std::map<std::uint64_t, Pointer> m_connections;
+  std::uint64_t m_lastConnection{ 0 };
   std::uint16_t m_port{ 0 };
-  std::unique_ptr<Server> m_server;
+  bool m_stopped{ false };
+};
+
+/// One client's connection: reading, one request under way, its answer.
+class HttpServer::Impl::Connection
+  : public boost::intrusive_ref_counter<Connection,
+                                        boost::thread_unsafe_counter>
+{
+public:
+  Connection(Impl& aServer, tcp::socket aSocket, std::uint64_t aId)
+    : m_server(&aServer)
+    , m_socket(std::move(aSocket))
+    , m_id(aId)
+    , m_since(SteadyClock::now())
+  {
+  }
+
+  void Start()
+  {
+    asio::error_code ignored;
+    m_socket.set_option(tcp::no_delay{ true }, ignored);
+    Read();
+  }
+
+  /// The server is gone; whatever completes later finds nothing to do.
+  void Detach()
+  {
+    m_server = nullptr;
+    asio::error_code ignored;
+    m_socket.close(ignored);
+  }
+
+  void CheckTime(SteadyClock::time_point aNow)
+  {
+    const HttpServerLimits& limits = m_server->m_settings.m_limits;
+    const auto age = aNow - m_since;
+    switch (m_state) {
+      case State::Idle:
+        if (age > limits.m_idleTimeout) {
+          Close();
+        }
+        return;
+      case State::Receiving:
+        // The limit is on heads; a body may take as long as it moves.
+        if (!m_parser.HasHead() && age > limits.m_headTimeout) {
+          constexpr std::uint16_t kRequestTimeout = 408;
+          Refuse(kRequestTimeout);
+        } else if (age > limits.m_headTimeout + limits.m_idleTimeout) {
+          Close();
+        }
+        return;
+      case State::Handling:
+        if (age > m_server->m_settings.m_handleTimeout) {
+          Close();
+        }
+        return;
+      case State::Answering:
+        if (age > kWriteTimeout) {
+          Close();
+        }
+        return;
+      case State::Lingering:
+        if (age > kLinger) {
+          Close();
+        }
+        return;
+    }
+  }
+
+  void Answer(std::uint64_t aRequest, const HttpResponse& aResponse, bool aClose)
+  {
+    if (m_server == nullptr || m_state != State::Handling ||
+        aRequest != m_requests) {
+      return;
+    }
+    m_closes = m_closes || aClose;
+    Write(Serialize(aResponse, m_isHead, m_closes));
+  }
+
+private:
+  enum class State : std::uint8_t
+  {
+    Idle,
+    Receiving,
+    Handling,
+    Answering,
+    /// Answered with a refusal; the rest of the request is dropped.
+    Lingering,
+  };
+
+  void Enter(State aState)
+  {
+    m_state = aState;
+    m_since = SteadyClock::now();
+  }
+
+  void Read()
+  {
+    if (m_reading || m_in.size() >= kMaxReadAhead) {
+      return;
+    }
+    m_reading = true;
+    m_socket.async_read_some(
+      asio::buffer(m_buffer),
+      [self = Pointer{ this }](const asio::error_code& aError,
+                               std::size_t aSize) {
+        self->m_reading = false;
+        if (self->m_server == nullptr) {
+          return;
+        }
+        if (aError) {
+          self->Close();
+          return;
+        }
+        self->OnBytes({ self->m_buffer.data(), aSize });
+      });
+  }
+
+  void OnBytes(std::string_view aBytes)
+  {
+    if (m_state != State::Lingering) {
+      m_in.append(aBytes);
+      Parse();
+    }
+    if (m_server != nullptr) {
+      Read();
+    }
+  }
+
+  void Parse()
+  {
+    while (!m_in.empty() &&
+           (m_state == State::Idle || m_state == State::Receiving)) {
+      if (m_state == State::Idle) {
+        const HttpServerLimits& limits = m_server->m_settings.m_limits;
+        m_parser.Reset();
+        m_parser.SetLimits({ limits.m_maxHeadBytes, limits.m_maxBodyBytes });
+        m_continued = false;
+        Enter(State::Receiving);
+      }
+      std::size_t consumed = 0;
+      const auto status = m_parser.Feed(m_in, consumed);
+      m_in.erase(0, consumed);
+      if (!OnParsed(status)) {
+        return;
+      }
+    }
+  }
+
+  /// \returns Whether there may be more to take out of what was received.
+  bool OnParsed(MessageParser::Status aStatus)
+  {
+    constexpr std::uint16_t kBadRequest = 400;
+    constexpr std::uint16_t kBodyTooLarge = 413;
+    constexpr std::uint16_t kHeadTooLarge = 431;
+    switch (aStatus) {
+      case MessageParser::Status::NeedsMore:
+        ContinueWhenAsked();
+        return false;
+      case MessageParser::Status::Complete:
+        HandOut();
+        return true;
+      case MessageParser::Status::HeadTooLarge:
+        Refuse(kHeadTooLarge);
+        return false;
+      case MessageParser::Status::BodyTooLarge:
+        Refuse(kBodyTooLarge);
+        return false;
+      case MessageParser::Status::Malformed:
+        Refuse(kBadRequest);
+        return false;
+    }
+    return false;
+  }
+
+  void ContinueWhenAsked()
+  {
+    const bool asked =
+      m_parser.HasHead() && !m_continued &&
+      SameHeader(HeaderValue(m_parser.Headers(), "expect"), "100-continue");
+    if (!asked) {
+      return;
+    }
+    m_continued = true;
+    asio::error_code ignored;
+    asio::write(m_socket,
+                asio::buffer(std::string_view{ "HTTP/1.1 100 Continue\r\n\r\n" }),
+                ignored);
+  }
+
+  void HandOut()
+  {
+    Enter(State::Handling);
+    ++m_requests;
+    HttpRequest request;
+    request.m_method = m_parser.Method();
+    request.m_target = std::move(m_parser.Target());
+    request.m_headers = std::move(m_parser.Headers());
+    request.m_body = std::move(m_parser.Body());
+    request.m_connection = m_id;
+    m_isHead = request.m_method == "HEAD";
+    m_closes = !m_parser.KeepsAlive();
+    m_server->m_handler(
+      std::move(request),
+      HttpResponder{ [self = Pointer{ this }, number = m_requests](
+                       HttpResponse aResponse, bool aClose) {
+        self->Answer(number, aResponse, aClose);
+      } });
+  }
+
+  void Refuse(std::uint16_t aStatus)
+  {
+    m_closes = true;
+    m_in.clear();
+    Write(Serialize({ aStatus }, false, true));
+  }
+
+  void Write(std::string aText)
+  {
+    Enter(State::Answering);
+    m_out = std::move(aText);
+    asio::async_write(
+      m_socket,
+      asio::buffer(m_out),
+      [self = Pointer{ this }](const asio::error_code& aError, std::size_t) {
+        if (self->m_server == nullptr) {
+          return;
+        }
+        if (aError) {
+          self->Close();
+          return;
+        }
+        self->OnWritten();
+      });
+  }
+
+  void OnWritten()
+  {
+    m_out.clear();
+    if (m_closes) {
+      asio::error_code ignored;
+      m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+      Enter(State::Lingering);
+      m_in.clear();
+      Read();
+      return;
+    }
+    Enter(State::Idle);
+    Parse();
+    if (m_server != nullptr) {
+      Read();
+    }
+  }
+
+  void Close()
+  {
+    if (m_server == nullptr) {
+      return;
+    }
+    Impl& server = *m_server;
+    const bool handling = m_state == State::Handling;
+    const Pointer self{ this };
+    Detach();
+    server.m_connections.erase(m_id);
+    if (handling && server.m_closed) {
+      server.m_closed(m_id);
+    }
+  }
+
+  Impl* m_server;
+  tcp::socket m_socket;
+  std::uint64_t m_id;
+  SteadyClock::time_point m_since;
+  MessageParser m_parser{ MessageParser::Side::Requests };
+  std::array<char, kReadBytes> m_buffer{};
+  std::string m_in;
+  std::string m_out;
+  std::uint64_t m_requests{ 0 };
+  State m_state{ State::Idle };
+  bool m_reading{ false };
+  bool m_isHead{ false };
+  bool m_closes{ false };
+  bool m_continued{ false };
 };
 
+void
+HttpServer::Impl::Accept()
+{
+  m_acceptor.async_accept(
+    [this](const asio::error_code& aError, tcp::socket aSocket) {
+      if (aError == asio::error::operation_aborted || m_stopped) {
+        return;
+      }
+      if (!aError) {
+        const std::uint64_t id = ++m_lastConnection;
+        const Pointer connection{ new Connection(
+          *this, std::move(aSocket), id) };
+        m_connections.emplace(id, connection);
+        connection->Start();
+      }
+      Accept();
+    });
+}
+
+void
+HttpServer::Impl::Sweep()
+{
+  m_sweeper.expires_after(kSweep);
+  m_sweeper.async_wait([this](const asio::error_code& aError) {
+    if (aError) {
+      return;
+    }
+    const auto now = SteadyClock::now();
+    const auto connections = m_connections;
+    for (const auto& [id, connection] : connections) {
+      connection->CheckTime(now);
+    }
+    Sweep();
+  });
+}
+
 HttpServer::HttpServer(asio::io_context& aLoop,
                        HttpServerSettings aSettings,
                        Handler aHandler,
                        Closed aClosed)
-  : m_impl(std::make_unique<Impl>())
+  : m_impl(std::make_unique<Impl>(aLoop))
 {
-  m_impl->m_settings = aSettings;
-  const auto onRequest = [handler = std::move(aHandler)](
-                           restinio::request_handle_t aRequest) {
-    HttpRequest request = FromLibrary(aRequest);
-    handler(std::move(request),
-            HttpResponder{ [kept = std::move(aRequest)](HttpResponse aResponse,
-                                                        bool aClose) {
-              SendResponse(kept, std::move(aResponse), aClose);
-            } });
-    return restinio::request_accepted();
-  };
-  m_impl->m_server = std::make_unique<Impl::Server>(
-    restinio::external_io_context(aLoop), [&](auto& aOut) {
-      aOut.address(aSettings.m_address)
-        .port(aSettings.m_port)
-        .handle_request_timeout(aSettings.m_handleTimeout)
-        .write_http_response_timelimit(kWriteTimeout)
-        .read_next_http_message_timelimit(aSettings.m_idleTimeout)
-        .incoming_http_msg_limits(
-          restinio::incoming_http_msg_limits_t{}.max_body_size(
-            aSettings.m_maxBodyBytes))
-        .connection_state_listener(
-          std::make_shared<ConnectionListener>(std::move(aClosed)))
-        .socket_options_setter([](auto& aOptions) {
-          aOptions.set_option(asio::ip::tcp::no_delay{ true });
-        })
-        .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& aAcceptor) {
-          m_impl->m_port = aAcceptor.local_endpoint().port();
-        })
-        .request_handler(onRequest);
-    });
+  m_impl->m_settings = std::move(aSettings);
+  m_impl->m_handler = std::move(aHandler);
+  m_impl->m_closed = std::move(aClosed);
 }
 
-HttpServer::~HttpServer() = default;
+HttpServer::~HttpServer()
+{
+  StopAccepting();
+  for (const auto& [id, connection] : m_impl->m_connections) {
+    connection->Detach();
+  }
+}
 
 std::uint16_t
 HttpServer::Port() const noexcept
@@ -163,23 +439,44 @@
 Outcome<std::uint16_t>
 HttpServer::Open()
 {
-  try {
-    m_impl->m_server->open_sync();
-  } catch (const std::exception& fault) {
-    return Error{ ErrorCode::Io, fault.what() };
+  asio::error_code error;
+  const auto address =
+    asio::ip::make_address(m_impl->m_settings.m_address, error);
+  const tcp::endpoint endpoint{ address, m_impl->m_settings.m_port };
+  tcp::acceptor& acceptor = m_impl->m_acceptor;
+  if (!error) {
+    acceptor.open(endpoint.protocol(), error);
+  }
+  if (!error) {
+    acceptor.set_option(tcp::acceptor::reuse_address{ true }, error);
+  }
+  if (!error) {
+    acceptor.bind(endpoint, error);
   }
+  if (!error) {
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Error{ ErrorCode::Io, error.message() };
+  }
+  m_impl->m_port = acceptor.local_endpoint(error).port();
+  m_impl->Accept();
+  m_impl->Sweep();
   return m_impl->m_port;
 }
 
+void
+HttpServer::SetLimits(HttpServerLimits aLimits)
+{
+  m_impl->m_settings.m_limits = aLimits;
+}
+
 void
 HttpServer::StopAccepting()
 {
-  try {
-    m_impl->m_server->close_sync();
-  } catch (const std::exception&) {
-    // Already closed: nothing is left to stop.
-    return;
-  }
+  m_impl->m_stopped = true;
+  asio::error_code ignored;
+  m_impl->m_acceptor.close(ignored);
 }
 
 }
--- a/src/membership/membership_time.cpp
+++ b/src/membership/membership_time.cpp
@@ -225,6 +225,14 @@
   SendTo(aOut, record.m_address, std::move(ping));
 }
 
+MembershipActions
+Membership::Announce(MemberState aState, std::uint32_t aSlots)
+{
+  ++m_self.m_incarnation;
+  m_self.m_slots = aSlots;
+  return Announce(aState);
+}
+
 MembershipActions
 Membership::Announce(MemberState aState)
 {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -4,6 +4,7 @@
 
 #include <charconv>
 #include <fstream>
+#include <optional>
 #include <sstream>
 
 namespace greengagehub {
@@ -16,9 +17,27 @@
 const std::vector<std::string> kLevels{ "debug", "info", "warning", "error" };
 const std::vector<std::string> kSections{
   "daemon",     "listen",        "operators", "worker", "store",
-  "membership", "dissemination", "calls",     "log"
+  "membership", "dissemination", "calls",     "log",
+  "platform"
 };
 
+/// \returns Host and port of "IP:PORT", or nothing.
+std::optional<HostPort>
+ParseHostPort(std::string_view aText)
+{
+  const std::size_t colon = aText.rfind(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::uint16_t port = 0;
+  const char* end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data() + colon + 1, end, port);
+  if (parsed.ptr != end || port == 0) {
+    return std::nullopt;
+  }
+  return HostPort{ std::string{ aText.substr(0, colon) }, port };
+}
+
 /// One parse of one file: all sections report into the same list of faults.
 class SettingsParser
 {
@@ -41,6 +60,7 @@
     ReadDissemination();
     ReadCalls();
     ReadLog();
+    ReadPlatform();
     if (!m_faults.empty()) {
       return m_faults;
     }
@@ -88,13 +108,54 @@
     reader.Port("gossip_port", listen.m_gossipPort);
     reader.Port("bulk_port", listen.m_bulkPort);
     reader.Port("link_port", listen.m_linkPort);
+    ReadPortRange(reader);
+    HostPort calls;
+    if (ReadAddress(reader, "calls", calls)) {
+      listen.m_callsHost = calls.m_host;
+      listen.m_callsPort = calls.m_port;
+    }
+    ReadAddress(reader, "readiness", listen.m_readiness);
+    ReadAddress(reader, "heartbeats", listen.m_heartbeats);
     reader.Finish();
   }
 
+  /// Ports between daemons, one after the other from the first on.
+  void ReadPortRange(SettingsReader& aReader)
+  {
+    ListenSettings& listen = m_settings.m_listen;
+    std::uint16_t first = 0;
+    aReader.Port("first_port", first);
+    if (first == 0) {
+      return;
+    }
+    listen.m_gossipPort = first;
+    listen.m_bulkPort = first + 1;
+    listen.m_linkPort = first + 2;
+    listen.m_operatorsPort = first + 3;
+  }
+
+  static bool ReadAddress(SettingsReader& aReader,
+                          const char* aKey,
+                          HostPort& aTarget)
+  {
+    std::string text;
+    aReader.Text(aKey, text);
+    if (text.empty()) {
+      return false;
+    }
+    const auto address = ParseHostPort(text);
+    if (!address) {
+      aReader.Fault(aKey, "\"IP:PORT\"");
+      return false;
+    }
+    aTarget = *address;
+    return true;
+  }
+
   void ReadOperators()
   {
     SettingsReader reader = Section("operators");
-    reader.NeededText("token", m_settings.m_operatorToken);
+    reader.Text("token", m_settings.m_operatorToken);
     reader.Finish();
   }
 
@@ -102,9 +163,17 @@
   {
     SettingsReader reader = Section("worker");
     RunTableSettings& runs = m_settings.m_runs;
-    reader.NeededText("url", m_settings.m_workerUrl);
-    if (!m_settings.m_workerUrl.starts_with("http://")) {
-      reader.Fault("url", "an address that starts with http://");
+    std::string url;
+    reader.NeededText("url", url);
+    constexpr std::string_view kScheme = "http://";
+    const auto address =
+      url.starts_with(kScheme)
+        ? ParseHostPort(std::string_view{ url }.substr(kScheme.size()))
+        : std::nullopt;
+    if (address) {
+      m_settings.m_worker = *address;
+    } else {
+      reader.Fault("url", "\"http://IP:PORT\"");
     }
     reader.Count("slots", runs.m_slots, 1, kMaxSlots);
     reader.Count("queue", runs.m_queue, 0, kMaxSlots);
@@ -151,18 +220,13 @@
 
   void ReadSeed(SettingsReader& aReader, const std::string& aText)
   {
-    const std::size_t colon = aText.rfind(':');
-    std::uint16_t port = 0;
-    if (colon != std::string::npos) {
-      std::from_chars(
-        aText.data() + colon + 1, aText.data() + aText.size(), port);
-    }
-    if (port == 0) {
+    const auto address = ParseHostPort(aText);
+    if (!address) {
       aReader.Fault("seeds", "each \"IP:PORT\"");
       return;
     }
     m_settings.m_seeds.push_back(
-      MemberAddress{ aText.substr(0, colon), port, 0, 0 });
+      MemberAddress{ address->m_host, address->m_port, 0, 0 });
   }
 
   void ReadDissemination()
@@ -190,6 +254,21 @@
     reader.Finish();
   }
 
+  void ReadPlatform()
+  {
+    PlatformSettings& platform = m_settings.m_platform;
+    platform.m_enabled = m_root.contains("platform");
+    SettingsReader reader = Section("platform");
+    reader.Millis("heartbeat_ms", platform.m_heartbeat, 1, kHourMs);
+    reader.Millis("worker_drain_ms", platform.m_workerDrain, 0, kHourMs);
+    reader.Millis("grace_ms", platform.m_grace, 0, kHourMs);
+    reader.Millis("config_apply_ms", platform.m_configApply, 1, kHourMs);
+    reader.Share("retry_share", platform.m_retryShare);
+    reader.Millis("retry_window_ms", platform.m_retryWindow, 1, kHourMs);
+    reader.Count("retry_slack", platform.m_retrySlack, 0, kMaxSlots);
+    reader.Finish();
+  }
+
   void ReadLog()
   {
     SettingsReader reader = Section("log");
--- a/src/settings/settings_reader.cpp
+++ b/src/settings/settings_reader.cpp
@@ -168,4 +168,19 @@
   }
 }
 
+void
+SettingsReader::Share(const char* aKey, double& aTarget)
+{
+  const toml::node* node = Find(aKey);
+  if (node == nullptr) {
+    return;
+  }
+  const std::optional<double> value = node->value<double>();
+  if (!value || *value < 0.0 || *value > 1.0) {
+    Fault(aKey, "a number from 0 to 1");
+    return;
+  }
+  aTarget = *value;
+}
+
 }
--- a/src/settings/settings_reader.hpp
+++ b/src/settings/settings_reader.hpp
@@ -34,6 +34,8 @@
               std::chrono::milliseconds& aTarget,
               std::int64_t aLow,
               std::int64_t aHigh);
+  /// \brief A number in [0, 1].
+  void Share(const char* aKey, double& aTarget);
   template<class Number>
   void Count(const char* aKey,
              Number& aTarget,
--- a/src/transport/link_codec.cpp
+++ b/src/transport/link_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "link.pb.h"
 
+#include <algorithm>
 #include <array>
 
 // Frames of call links to and from protobuf.
@@ -15,7 +16,7 @@
 constexpr std::uint32_t kLastOutcome =
   static_cast<std::uint32_t>(CallOutcome::Unknown);
 constexpr std::uint32_t kLastReason =
-  static_cast<std::uint32_t>(RefusalReason::Restarted);
+  static_cast<std::uint32_t>(RefusalReason::WorkerReplaced);
 constexpr unsigned kByteBits = 8;
 
 Error
@@ -73,6 +74,9 @@
     out.set_idempotent(aRequest.m_idempotent);
     out.set_depth(aRequest.m_depth);
     out.set_tries(aRequest.m_triesLeft);
+    out.set_priority(aRequest.m_priority);
+    out.set_target_us(static_cast<std::uint64_t>(
+      std::max<std::int64_t>(0, aRequest.m_targetLeft.count())));
   }
   void operator()(const CallAnswer& aAnswer) const
   {
@@ -86,6 +90,10 @@
     out.set_retry_after_ms(
       static_cast<std::uint64_t>(aAnswer.m_retryAfter.count()));
     out.set_load(aAnswer.m_load);
+    out.set_reached_worker(aAnswer.m_reachedWorker);
+    out.set_slots(aAnswer.m_slots);
+    out.set_service_us(
+      static_cast<std::uint64_t>(aAnswer.m_serviceTime.count()));
   }
   void operator()(const LinkCancel& aCancel) const
   {
@@ -130,6 +138,8 @@
   request.m_idempotent = aWire.idempotent();
   request.m_depth = aWire.depth();
   request.m_triesLeft = aWire.tries();
+  request.m_priority = aWire.priority();
+  request.m_targetLeft = std::chrono::microseconds{ aWire.target_us() };
   return LinkFrame{ std::move(request) };
 }
 
@@ -151,6 +161,9 @@
   answer.m_response.m_body = aWire.body();
   answer.m_retryAfter = std::chrono::milliseconds{ aWire.retry_after_ms() };
   answer.m_load = aWire.load();
+  answer.m_reachedWorker = aWire.reached_worker();
+  answer.m_slots = aWire.slots();
+  answer.m_serviceTime = std::chrono::microseconds{ aWire.service_us() };
   return LinkFrame{ std::move(answer) };
 }
 
--- a/standins/backend_server.cpp
+++ b/standins/backend_server.cpp
@@ -195,7 +195,7 @@
   if (const auto cut = values["cut-ms"].as<std::uint32_t>(); cut > 0) {
     given.m_http.m_handleTimeout = std::chrono::milliseconds{ cut };
   }
-  given.m_http.m_maxBodyBytes = 32UL * 1024 * 1024;
+  given.m_http.m_limits.m_maxBodyBytes = 32UL * 1024 * 1024;
   asio::io_context loop;
   BackendServer server{ loop, given };
   const auto port = server.Open();
--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -1,11 +1,13 @@
 #include "greengagehub/core/clock.hpp"
 #include "greengagehub/http/http_server.hpp"
+#include "platform/base64.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <boost/program_options.hpp>
 #include <charconv>
 #include <cstdio>
+#include <deque>
 #include <fmt/format.h>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -36,19 +38,28 @@
 {
   std::string m_value;
   std::uint64_t m_revision{ 0 };
+  std::uint64_t m_created{ 0 };
   std::uint64_t m_lease{ 0 };
 };
 
+/// A change, as watches are told of it.
+struct Event
+{
+  std::uint64_t m_revision{ 0 };
+  std::string m_key;
+  Json m_body;
+};
+
 struct Lease
 {
   std::chrono::milliseconds m_time{};
   TimePoint m_expires{};
 };
 
-/// A watch that waits for a key to pass a revision.
+/// A watch that waits for a change after a revision.
 struct Watch
 {
-  std::string m_key;
+  std::string m_prefix;
   std::uint64_t m_after{ 0 };
   TimePoint m_until;
   HttpResponder m_responder;
@@ -112,6 +123,8 @@
         m_backup = m_keys;
       } else {
         m_keys = m_backup;
+        m_history.clear();
+        m_forgotten = m_revision;
       }
       aResponder.Answer(JsonResponse(200, "{}"));
       return;
@@ -149,22 +162,31 @@
   void Serve(HttpRequest aRequest, HttpResponder aResponder)
   {
     const std::string_view path = PathOf(aRequest.m_target);
-    constexpr std::string_view kKeys = "/v1/kv/";
-    constexpr std::string_view kLeases = "/v1/leases";
-    if (path.starts_with(kKeys)) {
-      OnKey(std::string{ path.substr(kKeys.size()) },
-            aRequest,
-            std::move(aResponder));
-    } else if (path.starts_with(kLeases)) {
-      ++m_counts.m_leaseCalls;
+    constexpr std::string_view kKeep = "/kv-keep/";
+    if (path == "/kv-key") {
+      ++m_counts.m_reads;
       Send(std::move(aResponder),
-           OnLease(path.substr(kLeases.size()), aRequest),
-           true);
-    } else if (path == "/v1/list") {
+           Read(QueryValue(aRequest.m_target, "key")),
+           false);
+    } else if (path == "/kv-range") {
       ++m_counts.m_lists;
       Send(std::move(aResponder),
-           List(QueryValue(aRequest.m_target, "prefix")),
+           List(QueryValue(aRequest.m_target, "prefix"),
+                QueryValue(aRequest.m_target, "after")),
            false);
+    } else if (path == "/kv-watch") {
+      OnWatch(aRequest, std::move(aResponder));
+    } else if (path == "/kv-txn") {
+      ++m_counts.m_writes;
+      Send(std::move(aResponder), Transact(aRequest.m_body), true);
+    } else if (path == "/kv-lease") {
+      ++m_counts.m_leaseCalls;
+      Send(std::move(aResponder), Grant(aRequest.m_body), true);
+    } else if (path.starts_with(kKeep)) {
+      ++m_counts.m_leaseCalls;
+      Send(std::move(aResponder),
+           Keep(Number(path.substr(kKeep.size()))),
+           true);
     } else {
       aResponder.Answer({ 400 });
     }
@@ -182,117 +204,200 @@
     aResponder.Answer(std::move(aResponse));
   }
 
-  static HttpResponse WithRevision(std::uint16_t aStatus,
-                                   std::uint64_t aRevision,
-                                   std::string aBody = {})
+  [[nodiscard]] Json ItemOf(const std::string& aKey, const Key& aItem) const
   {
-    return { aStatus,
-             { HttpHeader{ "X-Revision", std::to_string(aRevision) } },
-             std::move(aBody) };
+    return { { "key", aKey },
+             { "value", platform::ToBase64(aItem.m_value) },
+             { "revision", aItem.m_revision },
+             { "created_rev", aItem.m_created },
+             { "lease_id", aItem.m_lease } };
   }
 
-  void OnKey(const std::string& aKey,
-             const HttpRequest& aRequest,
-             HttpResponder aResponder)
+  [[nodiscard]] HttpResponse Read(const std::string& aKey) const
   {
-    if (aRequest.m_method == "PUT") {
-      ++m_counts.m_writes;
-      Send(std::move(aResponder), Put(aKey, aRequest), true);
-      return;
+    const auto key = m_keys.find(aKey);
+    Json body = key == m_keys.end() ? Json::object()
+                                    : ItemOf(aKey, key->second);
+    body["store_revision"] = m_revision;
+    return JsonResponse(key == m_keys.end() ? 404 : 200, body.dump());
+  }
+
+  [[nodiscard]] HttpResponse List(const std::string& aPrefix,
+                                  const std::string& aAfter) const
+  {
+    constexpr std::size_t kPage = 500;
+    Json items = Json::array();
+    bool more = false;
+    auto it = aAfter.empty() ? m_keys.lower_bound(aPrefix)
+                             : m_keys.upper_bound(aAfter);
+    for (; it != m_keys.end() && it->first.starts_with(aPrefix); ++it) {
+      if (items.size() == kPage) {
+        more = true;
+        break;
+      }
+      items.push_back(ItemOf(it->first, it->second));
     }
-    if (aRequest.m_method == "DELETE") {
-      ++m_counts.m_writes;
-      const bool there = m_keys.erase(aKey) > 0;
-      Send(std::move(aResponder), WithRevision(there ? 200 : 404, 0), true);
+    return JsonResponse(200,
+                        Json{ { "items", items },
+                              { "has_more", more },
+                              { "store_revision", m_revision } }
+                          .dump());
+  }
+
+  void OnWatch(const HttpRequest& aRequest, HttpResponder aResponder)
+  {
+    ++m_counts.m_watches;
+    const std::chrono::milliseconds wait{ Number(
+      QueryValue(aRequest.m_target, "wait_ms")) };
+    Watch watch{ QueryValue(aRequest.m_target, "prefix"),
+                 Number(QueryValue(aRequest.m_target, "after")),
+                 Clock::now() + wait,
+                 std::move(aResponder) };
+    if (watch.m_after < m_forgotten) {
+      watch.m_responder.Answer(JsonResponse(410, "{}"));
       return;
     }
-    const std::string after = QueryValue(aRequest.m_target, "after");
-    const auto key = m_keys.find(aKey);
-    const std::uint64_t now = key == m_keys.end() ? 0 : key->second.m_revision;
-    if (!after.empty() && now == Number(after)) {
-      ++m_counts.m_watches;
-      const std::chrono::milliseconds wait{ Number(
-        QueryValue(aRequest.m_target, "wait_ms")) };
-      m_watches.push_back(
-        { aKey, now, Clock::now() + wait, std::move(aResponder) });
+    if (!AnswerWatch(watch, false)) {
+      m_watches.push_back(std::move(watch));
       m_counts.m_mostWatches =
         std::max<std::uint64_t>(m_counts.m_mostWatches, m_watches.size());
-      return;
     }
-    ++m_counts.m_reads;
-    Send(std::move(aResponder), Read(aKey), false);
   }
 
-  [[nodiscard]] HttpResponse Read(const std::string& aKey) const
+  /// \returns Whether it was answered.
+  bool AnswerWatch(Watch& aWatch, bool aDue)
   {
-    const auto key = m_keys.find(aKey);
-    if (key == m_keys.end()) {
-      return WithRevision(404, 0);
+    Json events = Json::array();
+    for (const Event& each : m_history) {
+      const bool wanted = each.m_revision > aWatch.m_after &&
+                          each.m_key.starts_with(aWatch.m_prefix);
+      if (wanted) {
+        events.push_back(each.m_body);
+      }
+    }
+    if (events.empty() && !aDue) {
+      return false;
+    }
+    Send(std::move(aWatch.m_responder),
+         JsonResponse(200,
+                      Json{ { "events", events },
+                            { "store_revision", m_revision } }
+                        .dump()),
+         false);
+    return true;
+  }
+
+  void Remember(const std::string& aKey, Json aBody)
+  {
+    constexpr std::size_t kHistory = 1000;
+    m_history.push_back({ m_revision, aKey, std::move(aBody) });
+    if (m_history.size() > kHistory) {
+      m_forgotten = m_history.front().m_revision;
+      m_history.pop_front();
+    }
+  }
+
+  void Remove(const std::string& aKey)
+  {
+    if (m_keys.erase(aKey) > 0) {
+      Remember(aKey,
+               { { "key", aKey },
+                 { "revision", m_revision },
+                 { "tombstone", true } });
     }
-    return WithRevision(200, key->second.m_revision, key->second.m_value);
   }
 
-  HttpResponse Put(const std::string& aKey, const HttpRequest& aRequest)
+  HttpResponse Transact(const std::string& aBody)
   {
     constexpr std::size_t kMaxValue = 1024UL * 1024;
-    const auto key = m_keys.find(aKey);
-    const std::uint64_t now = key == m_keys.end() ? 0 : key->second.m_revision;
-    const std::uint64_t lease = Number(QueryValue(aRequest.m_target, "lease"));
-    if (Number(HeaderValue(aRequest.m_headers, "If-Match")) != now) {
+    const Json body = Json::parse(aBody, nullptr, false);
+    if (!body.is_object()) {
+      return { 400 };
+    }
+    Json current = Json::array();
+    bool conflict = false;
+    for (const Json& each : body.value("expected", Json::array())) {
+      const std::string key = each.value("key", "");
+      const auto found = m_keys.find(key);
+      const bool there = found != m_keys.end();
+      const std::uint64_t now = there ? found->second.m_revision : 0;
+      conflict = conflict || now != each.value("revision", 0ULL);
+      if (there) {
+        current.push_back(ItemOf(key, found->second));
+      }
+    }
+    if (conflict) {
       ++m_counts.m_conflicts;
-      return WithRevision(412, now);
+      return JsonResponse(412, Json{ { "items", current } }.dump());
+    }
+    const Json puts = body.value("puts", Json::array());
+    for (const Json& each : puts) {
+      const std::uint64_t lease = each.value("lease_id", 0ULL);
+      const auto value = platform::FromBase64(each.value("value", ""));
+      if (lease != 0 && !m_leases.contains(lease)) {
+        return JsonResponse(404, "{}");
+      }
+      if (!value || value->size() > kMaxValue) {
+        return { 400 };
+      }
     }
-    const bool refused = aRequest.m_body.size() > kMaxValue ||
-                         (lease != 0 && !m_leases.contains(lease));
-    if (refused) {
-      return WithRevision(400, now);
+    ++m_revision;
+    for (const Json& each : puts) {
+      PutOne(each);
     }
-    m_keys[aKey] = Key{ aRequest.m_body, ++m_revision, lease };
-    Wake(aKey);
-    return WithRevision(200, m_revision);
+    for (const Json& each : body.value("deletes", Json::array())) {
+      Remove(each.get<std::string>());
+    }
+    Wake();
+    return JsonResponse(200, Json{ { "revision", m_revision } }.dump());
+  }
+
+  void PutOne(const Json& aPut)
+  {
+    const std::string key = aPut.value("key", "");
+    const auto found = m_keys.find(key);
+    const std::uint64_t created =
+      found == m_keys.end() ? m_revision : found->second.m_created;
+    Key item{ platform::FromBase64(aPut.value("value", "")).value(),
+              m_revision,
+              created,
+              aPut.value("lease_id", 0ULL) };
+    Remember(key, ItemOf(key, item));
+    m_keys[key] = std::move(item);
   }
 
-  void Wake(const std::string& aKey)
+  void Wake()
   {
     std::vector<Watch> waiting;
     waiting.swap(m_watches);
     for (Watch& each : waiting) {
-      if (each.m_key == aKey) {
-        Send(std::move(each.m_responder), Read(aKey), false);
-      } else {
+      if (!AnswerWatch(each, false)) {
         m_watches.push_back(std::move(each));
       }
     }
   }
 
-  HttpResponse OnLease(std::string_view aRest, const HttpRequest& aRequest)
+  HttpResponse Grant(const std::string& aBody)
   {
-    const TimePoint now = Clock::now();
-    if (aRequest.m_method == "POST") {
-      const std::chrono::milliseconds time{ Number(
-        QueryValue(aRequest.m_target, "ttl_ms")) };
-      m_leases[++m_lastLease] = { time, now + time };
-      return { 200, {}, std::to_string(m_lastLease) };
-    }
-    const auto lease =
-      m_leases.find(aRest.empty() ? 0 : Number(aRest.substr(1)));
-    if (lease == m_leases.end()) {
-      return { 404 };
-    }
-    lease->second.m_expires = now + lease->second.m_time;
-    return { 200 };
+    const Json body = Json::parse(aBody, nullptr, false);
+    const std::chrono::milliseconds time{
+      body.is_object() ? body.value("ttl_ms", 0LL) : 0LL
+    };
+    m_leases[++m_lastLease] = { time, Clock::now() + time };
+    return JsonResponse(
+      200,
+      Json{ { "lease_id", m_lastLease }, { "ttl_ms", time.count() } }.dump());
   }
 
-  [[nodiscard]] HttpResponse List(const std::string& aPrefix) const
+  HttpResponse Keep(std::uint64_t aLease)
   {
-    Json items = Json::array();
-    for (auto it = m_keys.lower_bound(aPrefix);
-         it != m_keys.end() && it->first.starts_with(aPrefix);
-         ++it) {
-      items.push_back(
-        { { "key", it->first }, { "value", it->second.m_value } });
+    const auto lease = m_leases.find(aLease);
+    if (lease == m_leases.end()) {
+      return JsonResponse(404, "{}");
     }
-    return JsonResponse(200, items.dump());
+    lease->second.m_expires = Clock::now() + lease->second.m_time;
+    return JsonResponse(
+      200, Json{ { "ttl_ms", lease->second.m_time.count() } }.dump());
   }
 
   void ExpireLeases(TimePoint aNow)
@@ -302,9 +407,16 @@
         ++lease;
         continue;
       }
-      std::erase_if(m_keys, [&](const auto& aKey) {
-        return aKey.second.m_lease == lease->first;
-      });
+      std::vector<std::string> gone;
+      for (const auto& [key, item] : m_keys) {
+        if (item.m_lease == lease->first) {
+          gone.push_back(key);
+        }
+      }
+      m_revision += gone.empty() ? 0 : 1;
+      for (const std::string& each : gone) {
+        Remove(each);
+      }
       lease = m_leases.erase(lease);
     }
   }
@@ -316,9 +428,7 @@
     std::vector<Watch> waiting;
     waiting.swap(m_watches);
     for (Watch& each : waiting) {
-      if (each.m_until <= now) {
-        each.m_responder.Answer(WithRevision(304, each.m_after));
-      } else {
+      if (!AnswerWatch(each, each.m_until <= now)) {
         m_watches.push_back(std::move(each));
       }
     }
@@ -384,6 +494,9 @@
   std::map<std::string, Key> m_keys;
   std::map<std::string, Key> m_backup;
   std::map<std::uint64_t, Lease> m_leases;
+  std::deque<Event> m_history;
+  /// Changes at or below this revision are not told any more.
+  std::uint64_t m_forgotten{ 0 };
   std::vector<Watch> m_watches;
   std::vector<HttpResponder> m_silenced;
   Faults m_faults;
@@ -406,7 +519,7 @@
   po::variables_map given;
   po::store(po::parse_command_line(aCount, aArguments, options), given);
   po::notify(given);
-  settings.m_maxBodyBytes = 2UL * 1024 * 1024;
+  settings.m_limits.m_maxBodyBytes = 2UL * 1024 * 1024;
   asio::io_context loop;
   PlatformStore store{ loop, settings };
   const auto port = store.Open();
