An address that changed hands gets no calls; a leaving daemon answers what it took

Change: the greeting's slot and the request's service are checked; from 2.9 s after SIGTERM on no request is read, and the process ends without destructors. Ruled out: membership that lags (the rows were right, the link was old).

--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -66,7 +66,13 @@
   void OnWokeUp();
   void OnTick(TimePoint aNow);
   void StartLeaving();
-  void StopAccepting();
+  /// \brief Takes no more requests from callers.
+  void FinishCallers();
+  /// \returns Callers whose request is not yet answered whole.
+  [[nodiscard]] std::size_t WaitingCallers() const noexcept
+  {
+    return m_http.Busy();
+  }
 
 private:
   /// A call whose caller waits.
--- a/include/greengagehub/daemon/daemon.hpp
+++ b/include/greengagehub/daemon/daemon.hpp
@@ -27,6 +27,8 @@
   void Spin();
   void StartDrain();
   void ContinueDrain(TimePoint aNow);
+  void EndDrain(bool aClean);
+  [[nodiscard]] bool IsBusy() const;
   void LogListening();
   [[nodiscard]] Outcome<std::uint16_t> Open();
   void OnWorker(const WorkerPresence& aPresence);
@@ -49,6 +51,8 @@
   std::chrono::nanoseconds m_lastBootTime{};
   bool m_draining{ false };
   bool m_wasReady{ false };
+  /// Leaving, and callers are not taken any more.
+  bool m_finishing{ false };
   TimePoint m_drainFrom{};
   TimePoint m_drainUntil{};
   TimePoint m_idleSince{};
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -558,9 +558,9 @@
 }
 
 void
-CallGateway::StopAccepting()
+CallGateway::FinishCallers()
 {
-  m_http.StopAccepting();
+  m_http.Finish();
 }
 
 }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -19,9 +19,10 @@
 constexpr int kUncleanDrain = 1;
 /// Left of the grace time when a drain that is not done gives up.
 constexpr auto kKillMargin = std::chrono::milliseconds{ 400 };
-/// The platform asks for readiness once a second, and takes callers away after
-/// two misses.
-constexpr auto kNoticed = std::chrono::milliseconds{ 2500 };
+/// How long a leaving daemon takes requests. The platform asks for readiness
+/// once a second and takes callers away after two misses, and a caller may be
+/// under way with its next request by then.
+constexpr auto kTakesCallers = std::chrono::milliseconds{ 2900 };
 
 /// \returns Time since the machine started. Unlike the steady clock it counts
 /// a suspension of the machine, which must be noticed as any other pause.
@@ -272,27 +273,49 @@
   m_calls.StartLeaving();
 }
 
+bool
+Daemon::IsBusy() const
+{
+  return m_calls.Runs().Load() > 0 || m_calls.InFlight() > 0 ||
+         m_calls.WaitingCallers() > 0;
+}
+
 void
 Daemon::ContinueDrain(TimePoint aNow)
 {
-  const bool busy = m_calls.Runs().Load() > 0 || m_calls.InFlight() > 0;
-  if (busy) {
+  if (IsBusy()) {
     m_idleSince = TimePoint{};
   } else if (m_idleSince == TimePoint{}) {
     m_idleSince = aNow;
   }
-  // Callers come until two questions for readiness have gone unanswered.
-  const bool noticed = !m_settings.m_platform.m_enabled ||
-                       aNow - m_drainFrom >= kNoticed;
-  const bool done = noticed && m_idleSince != TimePoint{} &&
-                    aNow - m_idleSince >= m_settings.m_calls.m_linger;
-  if (!done && aNow < m_drainUntil) {
+  const bool idle = m_idleSince != TimePoint{};
+  const bool lingered =
+    idle && aNow - m_idleSince >= m_settings.m_calls.m_linger;
+  if (m_settings.m_platform.m_enabled) {
+    // Callers come until two questions for readiness have gone unanswered, and
+    // where most of a failure domain leaves they come to the end. What is
+    // taken after that might not be answered within the grace time.
+    if (!m_finishing && aNow - m_drainFrom >= kTakesCallers) {
+      m_finishing = true;
+      m_calls.FinishCallers();
+    }
+    if (m_finishing && (idle || aNow >= m_drainUntil)) {
+      EndDrain(idle);
+    }
     return;
   }
-  m_exitCode = done ? 0 : kUncleanDrain;
-  m_log.Info("daemon", "drain_ended", { { "clean", done } });
+  if (lingered || aNow >= m_drainUntil) {
+    m_calls.FinishCallers();
+    EndDrain(lingered);
+  }
+}
+
+void
+Daemon::EndDrain(bool aClean)
+{
+  m_exitCode = aClean ? 0 : kUncleanDrain;
+  m_log.Info("daemon", "drain_ended", { { "clean", aClean } });
   m_control.Announce(MemberState::Left);
-  m_calls.StopAccepting();
   m_loop.stop();
 }
 
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -62,6 +62,14 @@
 RunService::OnRequest(CallKey aKey, std::uint64_t aEpoch, CallRequest aRequest)
 {
   const TimePoint now = Clock::now();
+  if (aRequest.m_service != m_settings.m_service) {
+    // Sent to the instance that had this address before: the worker here is
+    // another service's, and would run whatever it is given.
+    Deliver(
+      aKey,
+      Refuse(aKey.m_call, CallOutcome::NotRun, RefusalReason::WorkerReplaced));
+    return;
+  }
   if (!m_hasWorker) {
     Deliver(
       aKey,
--- a/src/greengagehubd.cpp
+++ b/src/greengagehubd.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/program_options.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <cstdio>
 #include <fmt/format.h>
 
@@ -24,7 +25,12 @@
     return kBadSettings;
   }
   greengagehub::Daemon daemon{ std::move(settings.value()) };
-  return daemon.Run();
+  const int code = daemon.Run();
+  std::fflush(nullptr);
+  // Without destructors: the messaging library's threads take seconds to end
+  // while peers cannot be reached, past the time until the process is killed,
+  // and callers' connections would stay open with nobody behind them.
+  std::_Exit(code);
 }
 
 }
--- a/src/http/http_message.cpp
+++ b/src/http/http_message.cpp
@@ -47,7 +47,7 @@
     return {};
   }
   const std::string_view text = aTarget.substr(mark + 1);
-  using Traits = restinio::parse_query_traits::javascript_compatible;
+  using Traits = restinio::parse_query_traits::relaxed;
   const auto query = restinio::try_parse_query<Traits>(
     restinio::string_view_t{ text.data(), text.size() });
   if (!query) {
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -159,6 +159,21 @@
     }
   }
 
+  [[nodiscard]] bool IsBusy() const noexcept
+  {
+    return m_state == State::Receiving || m_state == State::Handling ||
+           m_state == State::Answering;
+  }
+
+  /// No request after the one that is under way.
+  void Finish()
+  {
+    m_closes = true;
+    if (m_state == State::Idle) {
+      Close();
+    }
+  }
+
   void Answer(std::uint64_t aRequest, const HttpResponse& aResponse, bool aClose)
   {
     if (m_server == nullptr || m_state != State::Handling ||
@@ -291,7 +306,7 @@
     request.m_body = std::move(m_parser.Body());
     request.m_connection = m_id;
     m_isHead = request.m_method == "HEAD";
-    m_closes = !m_parser.KeepsAlive();
+    m_closes = !m_parser.KeepsAlive() || m_server->m_stopped;
     m_server->m_handler(
       std::move(request),
       HttpResponder{ [self = Pointer{ this }, number = m_requests](
@@ -471,6 +486,26 @@
   m_impl->m_settings.m_limits = aLimits;
 }
 
+void
+HttpServer::Finish()
+{
+  StopAccepting();
+  const auto connections = m_impl->m_connections;
+  for (const auto& [id, connection] : connections) {
+    connection->Finish();
+  }
+}
+
+std::size_t
+HttpServer::Busy() const noexcept
+{
+  std::size_t busy = 0;
+  for (const auto& [id, connection] : m_impl->m_connections) {
+    busy += connection->IsBusy() ? 1 : 0;
+  }
+  return busy;
+}
+
 void
 HttpServer::StopAccepting()
 {
--- a/src/transport/link_pool.cpp
+++ b/src/transport/link_pool.cpp
@@ -173,6 +173,14 @@
 void
 LinkPool::OnHello(const LinkPtr& aLink, const LinkHello& aHello)
 {
+  if (aHello.m_slot != aLink->m_slot) {
+    // Another instance has the address now; the one that was meant is gone.
+    LinkConnection::Pointer stranger = std::move(aLink->m_connection);
+    aLink->m_connection = nullptr;
+    stranger->Close();
+    OnConnectFailed(aLink, true);
+    return;
+  }
   aLink->m_up = true;
   aLink->m_process = aHello.m_process;
   aLink->m_retryUntil.reset();
--- /dev/null
+++ b/tests/http/http_server.cpp
@@ -0,0 +1,176 @@
+#include "greengagehub/http/http_server.hpp"
+
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <doctest/doctest.h>
+
+using namespace greengagehub;
+using asio::ip::tcp;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A server whose requests the test answers by hand, and one client.
+class OneClient
+{
+public:
+  explicit OneClient(HttpServerLimits aLimits = {})
+    : m_server(
+        m_loop,
+        { .m_limits = aLimits },
+        [this](HttpRequest aRequest, HttpResponder aResponder) {
+          m_requests.push_back(std::move(aRequest));
+          m_responders.push_back(std::move(aResponder));
+        },
+        [this](std::uint64_t aConnection) { m_gone.push_back(aConnection); })
+    , m_socket(m_loop)
+  {
+    const std::uint16_t port = m_server.Open().value();
+    m_socket.connect({ asio::ip::address_v4::loopback(), port });
+    Receive();
+  }
+
+  void Send(std::string_view aText)
+  {
+    asio::write(m_socket, asio::buffer(aText));
+  }
+
+  template<class Condition>
+  [[nodiscard]] bool RunUntil(Condition aCondition)
+  {
+    const auto until = std::chrono::steady_clock::now() + 10s;
+    while (!aCondition() && std::chrono::steady_clock::now() < until) {
+      m_loop.run_one_for(50ms);
+    }
+    return aCondition();
+  }
+
+  asio::io_context m_loop;
+  HttpServer m_server;
+  tcp::socket m_socket;
+  std::vector<HttpRequest> m_requests;
+  std::vector<HttpResponder> m_responders;
+  std::vector<std::uint64_t> m_gone;
+  std::string m_received;
+  bool m_closed{ false };
+
+private:
+  void Receive()
+  {
+    m_socket.async_read_some(
+      asio::buffer(m_buffer),
+      [this](const asio::error_code& aError, std::size_t aSize) {
+        if (aError) {
+          m_closed = true;
+          return;
+        }
+        m_received.append(m_buffer.data(), aSize);
+        Receive();
+      });
+  }
+
+  std::array<char, 4096> m_buffer{};
+};
+
+constexpr std::string_view kGet = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+}
+
+TEST_CASE("a caller that leaves while its request is handled is noticed")
+{
+  // A tenant closes the app while the lookup runs. Without a read in progress
+  // the server would hear of it only when it writes the answer, and the
+  // worker would go on for nobody.
+  OneClient client;
+  client.Send(kGet);
+  REQUIRE(client.RunUntil([&] { return client.m_requests.size() == 1; }));
+  client.m_socket.close();
+  CHECK(client.RunUntil([&] { return client.m_gone.size() == 1; }));
+}
+
+TEST_CASE("limits are answered, not just enforced")
+{
+  HttpServerLimits limits;
+  limits.m_maxHeadBytes = 200;
+  limits.m_maxBodyBytes = 10;
+  limits.m_headTimeout = 300ms;
+  OneClient client{ limits };
+  SUBCASE("a body over the limit")
+  {
+    client.Send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n");
+    CHECK(client.RunUntil([&] { return client.m_closed; }));
+    CHECK(client.m_received.starts_with("HTTP/1.1 413 "));
+  }
+  SUBCASE("a chunked body over the limit")
+  {
+    client.Send("POST /a HTTP/1.1\r\nHost: h\r\n"
+                "Transfer-Encoding: chunked\r\n\r\nb\r\n12345678901\r\n");
+    CHECK(client.RunUntil([&] { return client.m_closed; }));
+    CHECK(client.m_received.starts_with("HTTP/1.1 413 "));
+  }
+  SUBCASE("a head over the limit")
+  {
+    client.Send("GET /a HTTP/1.1\r\nX: " + std::string(300, 'x'));
+    CHECK(client.RunUntil([&] { return client.m_closed; }));
+    CHECK(client.m_received.starts_with("HTTP/1.1 431 "));
+  }
+  SUBCASE("a head that does not come to an end")
+  {
+    client.Send("GET /a HTTP/1.1\r\nX: ");
+    CHECK(client.RunUntil([&] { return client.m_closed; }));
+    CHECK(client.m_received.starts_with("HTTP/1.1 408 "));
+  }
+  SUBCASE("two lengths that differ: one of them smuggles a request")
+  {
+    client.Send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    CHECK(client.RunUntil([&] { return client.m_closed; }));
+    CHECK(client.m_received.starts_with("HTTP/1.1 400 "));
+    CHECK(client.m_requests.empty());
+  }
+}
+
+TEST_CASE("limits that change bind open connections")
+{
+  OneClient client;
+  client.m_server.SetLimits({ .m_idleTimeout = 300ms });
+  CHECK(client.RunUntil([&] { return client.m_closed; }));
+}
+
+TEST_CASE("requests sent together are handed out one after the other")
+{
+  OneClient client;
+  client.Send(std::string{ kGet } + std::string{ kGet });
+  REQUIRE(client.RunUntil([&] { return client.m_requests.size() == 1; }));
+  client.m_loop.poll();
+  CHECK(client.m_requests.size() == 1);
+  client.m_responders[0].Answer({ 200, {}, "one" });
+  REQUIRE(client.RunUntil([&] { return client.m_requests.size() == 2; }));
+  client.m_responders[1].Answer({ 200, {}, "two" });
+  CHECK(client.RunUntil([&] { return client.m_received.ends_with("two"); }));
+}
+
+TEST_CASE("a server that finishes answers what it has taken, and takes no more")
+{
+  // A daemon leaves. A caller whose request it has read gets the whole answer
+  // and hears that the connection ends; an idle connection ends at once.
+  OneClient client;
+  SUBCASE("idle")
+  {
+    client.m_server.Finish();
+    CHECK(client.RunUntil([&] { return client.m_closed; }));
+  }
+  SUBCASE("under way")
+  {
+    client.Send(kGet);
+    REQUIRE(client.RunUntil([&] { return client.m_requests.size() == 1; }));
+    client.m_server.Finish();
+    CHECK(client.m_server.Busy() == 1);
+    client.m_responders[0].Answer({ 200, {}, "whole" });
+    CHECK(client.RunUntil([&] { return client.m_closed; }));
+    CHECK(client.m_received.ends_with("whole"));
+    CHECK(client.m_received.find("Connection: close") != std::string::npos);
+    CHECK(client.m_server.Busy() == 0);
+  }
+}
