Retries within the fleet's budget, service by service; SIGHUP reloads

Change: retries are counted by service in a sliding window, the slack divided by the daemons present, and refusals that did not reach a worker are not counted; where the next worker is known to refuse, it is not asked. SIGHUP reads the settings again.

--- a/include/greengagehub/calls/dispatcher.hpp
+++ b/include/greengagehub/calls/dispatcher.hpp
@@ -81,9 +81,9 @@
 
   [[nodiscard]] Policy& Routing() noexcept { return m_policy; }
 
-  void SetRetryPercent(std::uint32_t aPercent) noexcept
+  void SetRetryLimits(RetryLimits aLimits) noexcept
   {
-    m_budget.SetPercent(aPercent);
+    m_budget.SetLimits(aLimits);
   }
 
   [[nodiscard]] DispatchActions Begin(TimePoint aNow,
@@ -155,7 +155,7 @@
   Random m_random;
   Policy m_policy;
   WorkerTable m_workers;
-  RetryBudget m_budget{ 10 };
+  RetryBudget m_budget;
   std::unordered_map<std::uint64_t, Call> m_calls;
   std::unordered_map<std::uint64_t, std::uint64_t> m_attempts;
   std::set<Deadline> m_deadlines;
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -104,6 +104,7 @@
   void PutWorker(const MemberRecord& aRecord);
   void TraceEnd(const Waiting& aCall, const CallAnswer& aAnswer);
   void Arm();
+  [[nodiscard]] RetryLimits RetryLimitsNow() const;
   [[nodiscard]] LinkPool::Handlers PoolHandlers();
   [[nodiscard]] LinkServer::Handlers ServerHandlers();
 
--- a/include/greengagehub/daemon/daemon.hpp
+++ b/include/greengagehub/daemon/daemon.hpp
@@ -15,7 +15,8 @@
 class Daemon
 {
 public:
-  explicit Daemon(Settings aSettings);
+  /// \param aFile where the settings came from; read again on SIGHUP.
+  Daemon(Settings aSettings, std::string aFile);
 
   /// \brief Serves until drained.
   /// \returns The process's exit code: 0 after a clean drain.
@@ -25,6 +26,9 @@
   void Tick();
   void RunLoop();
   void Spin();
+  void AwaitReload();
+  /// \brief Takes over those settings that may change while running.
+  void Reload();
   void StartDrain();
   void ContinueDrain(TimePoint aNow);
   void EndDrain(bool aClean);
@@ -34,6 +38,7 @@
   void OnWorker(const WorkerPresence& aPresence);
   [[nodiscard]] const CallDialect& Dialect() const noexcept;
 
+  std::string m_file;
   Settings m_settings;
   Log m_log;
   Metrics m_metrics;
@@ -45,6 +50,7 @@
   OperatorsApi m_operators;
   std::optional<PlatformEndpoints> m_platform;
   asio::signal_set m_signals;
+  asio::signal_set m_reloads;
   asio::steady_timer m_tick;
   SpinBudget m_spin;
   TimePoint m_lastTick{};
--- a/include/greengagehub/observe/log.hpp
+++ b/include/greengagehub/observe/log.hpp
@@ -44,6 +44,9 @@
       std::map<std::string, LogLevel, std::less<>> aComponents,
       std::string aSlot);
 
+  /// \brief Other levels from now on.
+  void SetLevels(LogLevel aLevel,
+                 std::map<std::string, LogLevel, std::less<>> aComponents);
   [[nodiscard]] bool Enabled(LogLevel aLevel,
                              std::string_view aComponent) const;
 
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -8,6 +8,9 @@
 /// then the caller is told that the outcome is unknown.
 constexpr auto kGrace = std::chrono::milliseconds{ 2 };
 constexpr std::uint16_t kFirstServerError = 500;
+/// A worker that refused more than this share of its last attempts, about the
+/// last eight, is not tried after another one's refusal.
+constexpr double kKnownToRefuse = 0.5;
 
 using Verdict = WorkerTable::Verdict;
 
@@ -96,7 +99,12 @@
 {
   const auto chosen = m_workers.Choose(
     m_policy, aCall.m_plan.m_service, aCall.m_tried, aNow, m_random);
-  if (!chosen) {
+  const bool again = !aCall.m_tried.empty();
+  // Where all refuse, asking one after the other multiplies the messages just
+  // when there is most to do.
+  const bool hopeless =
+    chosen && again && m_workers.At(*chosen).m_refusals > kKnownToRefuse;
+  if (!chosen || hopeless) {
     Finish(aOut, aCall, std::move(aElse));
     return;
   }
@@ -122,7 +130,7 @@
                                CallPlan aPlan)
 {
   DispatchActions out;
-  m_budget.Deposit();
+  m_budget.Deposit(aNow, aPlan.m_service);
   Call call;
   call.m_id = aCall;
   call.m_plan = std::move(aPlan);
@@ -154,7 +162,7 @@
   // A refusal before the worker was reached puts no load on any worker.
   const bool free = aAnswer.m_outcome == CallOutcome::NotRun &&
                     !aAnswer.m_reachedWorker;
-  if (!wanted || (!free && !m_budget.Withdraw())) {
+  if (!wanted || (!free && !m_budget.Withdraw(aNow, aCall.m_plan.m_service))) {
     Finish(aOut, aCall, std::move(aAnswer));
     return;
   }
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+/// Part of the fleet's retry budget that daemons use. The rest is for what they
+/// cannot count: calls made by a run that was itself a repeat, and daemons that
+/// have died since they were counted.
+constexpr double kRetryReserve = 0.7;
+
 HttpServerSettings
 CallsEndpoint(const Settings& aSettings)
 {
@@ -510,11 +515,31 @@
 {
   const Content& content = m_parts.m_holder.Active()->m_content;
   m_routes = RouteTable{ content };
-  m_dispatcher.SetRetryPercent(content.GetLimits().m_retryPercent);
+  m_dispatcher.SetRetryLimits(RetryLimitsNow());
   m_http.SetLimits(
     LimitsFrom(CallsEndpoint(m_parts.m_settings).m_limits, content.GetLimits()));
 }
 
+RetryLimits
+CallGateway::RetryLimitsNow() const
+{
+  const PlatformSettings& platform = m_parts.m_settings.m_platform;
+  RetryLimits limits;
+  if (!platform.m_enabled) {
+    constexpr double kPercent = 100.0;
+    const Content& content = m_parts.m_holder.Active()->m_content;
+    limits.m_share = content.GetLimits().m_retryPercent / kPercent;
+    return limits;
+  }
+  // The limit is the fleet's. A share of calls adds up over daemons by itself;
+  // the slack is divided among them.
+  const auto daemons = static_cast<double>(m_parts.m_members().Present() + 1);
+  limits.m_share = kRetryReserve * platform.m_retryShare;
+  limits.m_slack = kRetryReserve * platform.m_retrySlack / daemons;
+  limits.m_window = platform.m_retryWindow;
+  return limits;
+}
+
 void
 CallGateway::OnWokeUp()
 {
@@ -528,6 +553,7 @@
 CallGateway::OnTick(TimePoint aNow)
 {
   m_pool.OnTick(aNow);
+  m_dispatcher.SetRetryLimits(RetryLimitsNow());
 }
 
 void
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -49,15 +49,21 @@
   return LogLevel::Info;
 }
 
-Log
-MakeLog(const Settings& aSettings)
+std::map<std::string, LogLevel, std::less<>>
+ComponentLevels(const LogSettings& aSettings)
 {
   std::map<std::string, LogLevel, std::less<>> components;
-  for (const LogSettings::Component& each : aSettings.m_log.m_components) {
+  for (const LogSettings::Component& each : aSettings.m_components) {
     components.emplace(each.m_name, LevelFrom(each.m_level));
   }
+  return components;
+}
+
+Log
+MakeLog(const Settings& aSettings)
+{
   return { LevelFrom(aSettings.m_log.m_level),
-           std::move(components),
+           ComponentLevels(aSettings.m_log),
            aSettings.m_slot };
 }
 
@@ -77,8 +83,9 @@
 
 }
 
-Daemon::Daemon(Settings aSettings)
-  : m_settings(std::move(aSettings))
+Daemon::Daemon(Settings aSettings, std::string aFile)
+  : m_file(std::move(aFile))
+  , m_settings(std::move(aSettings))
   , m_log(MakeLog(m_settings))
   , m_process(ProcessNumber())
   , m_random(std::random_device{}())
@@ -110,6 +117,7 @@
                   .m_metrics = m_metrics,
                   .m_drain = [this] { StartDrain(); } })
   , m_signals(m_loop, SIGTERM, SIGINT)
+  , m_reloads(m_loop, SIGHUP)
   , m_tick(m_loop)
   , m_spin(SpinSettings{ m_settings.m_calls.m_spin,
                          m_settings.m_calls.m_spinPercent })
@@ -131,6 +139,7 @@
       StartDrain();
     }
   });
+  AwaitReload();
   m_control.Start(m_calls.LinkPort());
   LogListening();
   Tick();
@@ -253,6 +262,40 @@
   });
 }
 
+// ---------------------------------------------------------------------------
+// Reload
+
+void
+Daemon::AwaitReload()
+{
+  m_reloads.async_wait([this](const asio::error_code& aError, int) {
+    if (!aError) {
+      Reload();
+      AwaitReload();
+    }
+  });
+}
+
+void
+Daemon::Reload()
+{
+  auto settings = LoadSettings(m_file);
+  if (!settings) {
+    for (const Error& each : settings.error()) {
+      m_log.Error(
+        "daemon", "reload_refused", { { "detail", Describe(each) } });
+    }
+    return;
+  }
+  // What sockets, tables and peers were set up with stays until a restart.
+  m_settings.m_log = settings.value().m_log;
+  m_settings.m_platform = settings.value().m_platform;
+  m_settings.m_operatorToken = settings.value().m_operatorToken;
+  m_log.SetLevels(LevelFrom(m_settings.m_log.m_level),
+                  ComponentLevels(m_settings.m_log));
+  m_log.Info("daemon", "reloaded");
+}
+
 // ---------------------------------------------------------------------------
 // Drain
 
--- a/src/greengagehubd.cpp
+++ b/src/greengagehubd.cpp
@@ -24,7 +24,7 @@
     }
     return kBadSettings;
   }
-  greengagehub::Daemon daemon{ std::move(settings.value()) };
+  greengagehub::Daemon daemon{ std::move(settings.value()), aFile };
   const int code = daemon.Run();
   std::fflush(nullptr);
   // Without destructors: the messaging library's threads take seconds to end
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -80,6 +80,14 @@
 {
 }
 
+void
+Log::SetLevels(LogLevel aLevel,
+               std::map<std::string, LogLevel, std::less<>> aComponents)
+{
+  m_level = aLevel;
+  m_components = std::move(aComponents);
+}
+
 bool
 Log::Enabled(LogLevel aLevel, std::string_view aComponent) const
 {
--- /dev/null
+++ b/tests/calls/retry_budget.cpp
@@ -0,0 +1,56 @@
+#include "greengagehub/calls/retry_budget.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace greengagehub;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kStart{ 1h };
+
+/// Makes calls at an even rate and asks for a retry after each.
+std::uint32_t
+RetriesOf(RetryBudget& aBudget, TimePoint aFrom, int aCalls, Duration aEvery)
+{
+  std::uint32_t retries = 0;
+  for (int i = 0; i < aCalls; ++i) {
+    const TimePoint now = aFrom + i * aEvery;
+    aBudget.Deposit(now, "ledger");
+    retries += aBudget.Withdraw(now, "ledger") ? 1 : 0;
+  }
+  return retries;
+}
+
+}
+
+TEST_CASE("where every worker sheds, retries stay a share of the window's calls")
+{
+  // The workers of a service shed half of what they get. Each daemon sends
+  // what was shed to another worker, and the service gets half again as many
+  // requests as there are calls, which makes it shed more.
+  RetryBudget budget{ { .m_share = 0.2, .m_slack = 3.0, .m_window = 10s } };
+  CHECK(RetriesOf(budget, kStart, 1000, 10ms) <= 203);
+  CHECK(RetriesOf(budget, kStart + 10s, 1000, 10ms) <= 203);
+}
+
+TEST_CASE("a quiet time does not save up retries for a storm")
+{
+  // A budget that saves unused retries lets an hour's worth go out in the
+  // first second of an outage.
+  RetryBudget budget{ { .m_share = 0.2, .m_slack = 3.0, .m_window = 10s } };
+  for (int i = 0; i < 10'000; ++i) {
+    budget.Deposit(kStart + i * 10ms, "ledger");
+  }
+  CHECK(RetriesOf(budget, kStart + 100s, 1000, 1ms) <= 403);
+}
+
+TEST_CASE("services do not use each other's retries")
+{
+  RetryBudget budget{ { .m_share = 0.5, .m_slack = 0.0, .m_window = 10s } };
+  for (int i = 0; i < 10; ++i) {
+    budget.Deposit(kStart, "locker-app");
+  }
+  CHECK_FALSE(budget.Withdraw(kStart, "ledger"));
+  CHECK(budget.Withdraw(kStart, "locker-app"));
+}
