Calls take turns by what can still meet its target, and go where an answer is expected first

Change: rank = late or not, priority, time to spare; calls that are late already get what the others leave, measured over a second, and are refused at once when that is nothing; placing by expected time (reported load, slots and service time), a crossing between failure domains counted as wait; a refusal before the worker is reached may be offered to two more; a worker's failure is tried once more where an answer can still be in time.

--- a/bench/hot_path.cpp
+++ b/bench/hot_path.cpp
@@ -108,8 +108,8 @@
   TwoChoices policy;
   const std::vector<std::string> none;
   for (auto _ : aState) {
-    benchmark::DoNotOptimize(
-      workers.Choose(policy, "s", none, TimePoint{ 1h }, random));
+    benchmark::DoNotOptimize(workers.Choose(
+      policy, "s", none, RoutingContext{ TimePoint{ 1h } }, random));
   }
 }
 BENCHMARK(ChooseWorker)->Arg(6)->Arg(60)->Arg(600);
@@ -124,7 +124,7 @@
   for (auto _ : aState) {
     const CallKey key{ 1, ++call };
     benchmark::DoNotOptimize(
-      runs.Admit(now, key, 1, CallClass::Critical, 1s, out));
+      runs.Admit(now, key, 1, { .m_timeLeft = 1s, .m_targetLeft = 1s }, out));
     benchmark::DoNotOptimize(runs.Finish(now, key));
   }
 }
--- a/bench/routing_lab.hpp
+++ b/bench/routing_lab.hpp
@@ -184,7 +184,14 @@
     m_owners[key] = aCaller;
     RunActions out;
     const Admission admission = m_runs[worker]->Admit(
-      m_now, key, 1, callClass, aAttempt.m_timeLeft - kNetwork, out);
+      m_now,
+      key,
+      1,
+      { .m_class = callClass,
+        .m_priority = static_cast<std::uint32_t>(callClass),
+        .m_timeLeft = aAttempt.m_timeLeft - kNetwork,
+        .m_targetLeft = aAttempt.m_timeLeft - kNetwork },
+      out);
     if (admission.m_kind == Admission::Kind::Start) {
       Start(worker, key);
     } else if (admission.m_kind == Admission::Kind::Refused) {
--- a/include/greengagehub/calls/dispatcher.hpp
+++ b/include/greengagehub/calls/dispatcher.hpp
@@ -17,7 +17,11 @@
   CallClass m_class{ CallClass::Critical };
   bool m_idempotent{ false };
   TimePoint m_deadline;
+  /// When an answer stops being as good as an immediate one.
+  TimePoint m_target{ TimePoint::max() };
   std::uint32_t m_triesLeft{ 2 };
+  /// Added wait that it is worth to keep the call in its failure domain.
+  Duration m_crossing{ Duration::zero() };
 };
 
 /// \brief Send attempt `m_attempt` of call `m_call` to a worker's daemon.
@@ -27,6 +31,7 @@
   std::uint64_t m_attempt{ 0 };
   std::string m_slot;
   std::chrono::microseconds m_timeLeft{ 0 };
+  std::chrono::microseconds m_targetLeft{ 0 };
   std::uint32_t m_triesLeft{ 0 };
 };
 
@@ -128,6 +133,10 @@
     bool m_inDoubt{ false };
     /// An attempt of it was sent whose fate nobody knows.
     bool m_mayHaveRun{ false };
+    /// Refusals that did not reach a worker, after which it went elsewhere.
+    std::uint32_t m_redirects{ 0 };
+    /// A worker's failure, told if no other worker does better.
+    std::optional<CallAnswer> m_fallback{};
   };
 
   void Try(TimePoint aNow,
@@ -135,10 +144,17 @@
            Call& aCall,
            CallAnswer aElse);
   void Finish(DispatchActions& aOut, Call& aCall, CallAnswer aAnswer);
+  void OnWorkersAnswer(TimePoint aNow,
+                       DispatchActions& aOut,
+                       Call& aCall,
+                       CallAnswer aAnswer);
+  [[nodiscard]] bool MayTryAgain(TimePoint aNow,
+                                 Call& aCall,
+                                 const CallAnswer& aAnswer);
   void EndAttempt(TimePoint aNow,
                   Call& aCall,
                   WorkerTable::Verdict aVerdict,
-                  std::optional<std::uint32_t> aLoad);
+                  const std::optional<LoadReport>& aReport);
   void RetryOrFinish(TimePoint aNow,
                      DispatchActions& aOut,
                      Call& aCall,
--- a/include/greengagehub/calls/run_table.hpp
+++ b/include/greengagehub/calls/run_table.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "greengagehub/calls/call.hpp"
+#include "greengagehub/calls/work_order.hpp"
 
-#include <array>
 #include <boost/intrusive/list.hpp>
 #include <memory>
 #include <optional>
@@ -97,13 +97,12 @@
   /// \returns Expected wait of a call that came now.
   [[nodiscard]] std::chrono::milliseconds ExpectedWait(TimePoint aNow) const;
 
-  /// \brief An attempt arrived. A call of a higher class may push one of a
-  /// lower class out of a full queue; that one is in `aOut`.
+  /// \brief An attempt arrived. One that goes before others may push the last
+  /// of them out of a full queue; that one is in `aOut`.
   [[nodiscard]] Admission Admit(TimePoint aNow,
                                 CallKey aKey,
                                 std::uint64_t aEpoch,
-                                CallClass aClass,
-                                std::chrono::microseconds aTimeLeft,
+                                const WorkDemand& aDemand,
                                 RunActions& aOut);
   /// \returns When OnTick has something to do next, if ever.
   [[nodiscard]] std::optional<TimePoint> NextExpiry() const;
@@ -123,7 +122,10 @@
   /// \brief Takes calls again, for another worker at the same place.
   void Reopen() noexcept { m_leaving = false; }
   /// \returns Moving mean of the time that the worker takes.
-  [[nodiscard]] Duration ServiceTime() const noexcept { return m_serviceTime; }
+  [[nodiscard]] Duration ServiceTime() const noexcept
+  {
+    return m_services.Mean();
+  }
   [[nodiscard]] std::uint32_t Slots() const noexcept
   {
     return m_settings.m_slots;
@@ -144,8 +146,13 @@
     CallKey m_key;
     std::uint64_t m_epoch{ 0 };
     CallClass m_class{ CallClass::Critical };
+    std::uint32_t m_priority{ 0 };
+    std::chrono::milliseconds m_profile{ 0 };
     State m_state{ State::Queued };
+    TimePoint m_target;
     TimePoint m_deadline;
+    /// While queued: when waiting on stops making sense.
+    TimePoint m_expires;
     TimePoint m_since;
   };
   struct KeyHash
@@ -156,28 +163,41 @@
     }
   };
   using RunList = boost::intrusive::list<Run>;
-  static constexpr std::size_t kClasses = 3;
 
   [[nodiscard]] std::uint32_t OpenSlots(TimePoint aNow) const;
   [[nodiscard]] std::uint32_t QueueLimit(CallClass aClass) const noexcept;
-  [[nodiscard]] std::uint32_t QueuedAhead(CallClass aClass) const noexcept;
-  [[nodiscard]] Duration WaitFor(TimePoint aNow, CallClass aClass) const;
+  [[nodiscard]] std::uint32_t QueuedOf(CallClass aClass) const noexcept;
+  [[nodiscard]] WorkRank Rank(TimePoint aNow, const Run& aRun) const;
+  /// \returns Work that waits and goes before a call of this rank.
+  [[nodiscard]] Duration WorkBefore(TimePoint aNow, const WorkRank& aRank) const;
+  [[nodiscard]] Duration WaitFor(TimePoint aNow, const WorkRank& aRank) const;
+  /// \returns As WaitFor, for one that can only use what the calls leave that
+  /// can still meet their target; nothing when they leave nothing.
+  [[nodiscard]] std::optional<Duration> LateWait(TimePoint aNow) const;
   [[nodiscard]] Admission Refused(TimePoint aNow,
                                   CallKey aKey,
                                   RefusalReason aReason);
+  [[nodiscard]] std::optional<RefusalReason> ReasonToRefuse(
+    TimePoint aNow,
+    const Run& aRun) const;
   [[nodiscard]] bool MakeRoom(TimePoint aNow,
-                              CallClass aClass,
+                              const Run& aFor,
                               RunActions& aOut);
+  [[nodiscard]] Run* NextInTurn(TimePoint aNow);
   [[nodiscard]] bool IsForgotten(CallKey aKey) const;
   void Forget(TimePoint aNow);
   Run& Remember(TimePoint aNow, CallKey aKey, State aState);
   void StartRun(TimePoint aNow, Run& aRun);
   void EndQueued(TimePoint aNow, Run& aRun);
   void StartWaiting(TimePoint aNow, RunActions& aOut);
+  void ExpireWaiting(TimePoint aNow, RunActions& aOut);
+  static void CopyDemand(const Run& aFrom, Run& aTo);
+  [[nodiscard]] TimePoint ExpiryOf(TimePoint aNow, const Run& aRun) const;
 
   RunTableSettings m_settings;
   std::unordered_map<CallKey, std::unique_ptr<Run>, KeyHash> m_runs;
-  std::array<RunList, kClasses> m_queues;
+  /// In order of arrival.
+  RunList m_waiting;
   /// Finished and refused ones, oldest first.
   RunList m_ended;
   /// For each caller process, the highest number that was forgotten. Numbers
@@ -193,8 +213,8 @@
   std::uint32_t m_queued{ 0 };
   bool m_leaving{ false };
   TimePoint m_firstCall{};
-  /// Moving mean of the time that the worker takes.
-  Duration m_serviceTime{ std::chrono::milliseconds{ 1 } };
+  ServiceTimes m_services;
+  OnTimeLoad m_onTime;
 };
 
 }
--- a/include/greengagehub/calls/worker_table.hpp
+++ b/include/greengagehub/calls/worker_table.hpp
@@ -23,6 +23,8 @@
   /// Load that its last answer told, and when.
   std::uint32_t m_reported{ 0 };
   TimePoint m_reportedAt{};
+  /// Mean time that its calls run, as its last answer told; 0: not known.
+  std::chrono::microseconds m_serviceTime{ 0 };
   /// Moving share of failed attempts, in [0, 1].
   double m_failures{ 0.0 };
   /// Moving share of attempts that it refused for overload, in [0, 1].
@@ -32,15 +34,33 @@
   bool m_leaving{ false };
 };
 
+/// \brief What an answer tells of the worker it comes from.
+struct LoadReport
+{
+  /// Calls queued and running.
+  std::uint32_t m_load{ 0 };
+  /// Calls it runs at once; 0: it runs none now.
+  std::uint32_t m_slots{ 0 };
+  std::chrono::microseconds m_serviceTime{ 0 };
+};
+
+/// \brief What a choice rests on beside the workers themselves.
+struct RoutingContext
+{
+  TimePoint m_now;
+  /// Added wait that it is worth to keep this call in its failure domain.
+  Duration m_crossing{ Duration::zero() };
+};
+
 /// \brief A choice among workers, given as rows; variation by this concept.
 template<class T>
 concept RoutingPolicy = requires(T aPolicy,
                                  const std::vector<const WorkerRow*>& aRows,
-                                 TimePoint aNow,
+                                 const RoutingContext& aContext,
                                  Random& aRandom)
 {
   {
-    aPolicy.Choose(aRows, aNow, aRandom)
+    aPolicy.Choose(aRows, aContext, aRandom)
     } -> std::same_as<std::size_t>;
 };
 
@@ -56,7 +76,7 @@
 struct RandomChoice
 {
   [[nodiscard]] std::size_t Choose(const std::vector<const WorkerRow*>& aRows,
-                                   TimePoint aNow,
+                                   const RoutingContext& aContext,
                                    Random& aRandom) const;
 };
 
@@ -64,7 +84,7 @@
 struct TwoChoices
 {
   [[nodiscard]] std::size_t Choose(const std::vector<const WorkerRow*>& aRows,
-                                   TimePoint aNow,
+                                   const RoutingContext& aContext,
                                    Random& aRandom) const;
 };
 
@@ -72,24 +92,27 @@
 struct ShortestQueue
 {
   [[nodiscard]] std::size_t Choose(const std::vector<const WorkerRow*>& aRows,
-                                   TimePoint aNow,
+                                   const RoutingContext& aContext,
                                    Random& aRandom) const;
 };
 
-/// \brief The least loaded one, where one in another failure domain counts as
-/// more loaded, for what its answers cost on the way.
+/// \brief The worker from which an answer is expected first, where a crossing
+/// between failure domains counts as time, for what its bytes cost.
 struct NearestFit
 {
   /// Own failure domain; empty: all are alike.
   std::string m_domain{};
-  /// Load for each slot that a crossing between domains is worth.
-  double m_crossing{ 0.5 };
 
   [[nodiscard]] std::size_t Choose(const std::vector<const WorkerRow*>& aRows,
-                                   TimePoint aNow,
+                                   const RoutingContext& aContext,
                                    Random& aRandom) const;
 };
 
+/// \returns Time until a call sent now is expected to be answered, with what
+/// failures and refusals seen there cost on average.
+[[nodiscard]] Duration
+ExpectedTime(const WorkerRow& aRow, TimePoint aNow) noexcept;
+
 /// \brief Join the shortest queue with tagging (Li, Paschos, Tassiulas and
 /// Modiano, "Dynamic overload balancing in server farms", IFIP Networking
 /// 2014), weighted min-max fair: overflow is spread in proportion to capacity.
@@ -99,7 +122,7 @@
 {
 public:
   [[nodiscard]] std::size_t Choose(const std::vector<const WorkerRow*>& aRows,
-                                   TimePoint aNow,
+                                   const RoutingContext& aContext,
                                    Random& aRandom);
 
 private:
@@ -138,10 +161,11 @@
     Policy& aPolicy,
     const std::string& aService,
     const std::vector<std::string>& aExclude,
-    TimePoint aNow,
+    const RoutingContext& aContext,
     Random& aRandom) const
   {
-    const std::vector<Index> usable = Usable(aService, aExclude, aNow);
+    const std::vector<Index> usable =
+      Usable(aService, aExclude, aContext.m_now);
     if (usable.empty()) {
       return std::nullopt;
     }
@@ -150,7 +174,7 @@
     for (const Index each : usable) {
       rows.push_back(&m_rows.At(each));
     }
-    return usable[aPolicy.Choose(rows, aNow, aRandom)];
+    return usable[aPolicy.Choose(rows, aContext, aRandom)];
   }
 
   void Sent(Index aIndex);
@@ -166,10 +190,13 @@
   void Ended(const std::string& aSlot,
              TimePoint aNow,
              Verdict aVerdict,
-             std::optional<std::uint32_t> aLoad,
+             const std::optional<LoadReport>& aReport,
              Random& aRandom);
 
 private:
+  /// \returns Least share of failures among the service's workers.
+  [[nodiscard]] double LeastFailures(const std::string& aService) const;
+
   [[nodiscard]] std::vector<Index> Usable(
     const std::string& aService,
     const std::vector<std::string>& aExclude,
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -12,6 +12,7 @@
 #include <asio/steady_timer.hpp>
 #include <map>
 #include <set>
+#include <unordered_map>
 
 namespace greengagehub {
 
@@ -87,11 +88,23 @@
     TraceContext m_span;
     /// The version it started with, held until it ends.
     ActiveConfigPtr m_config;
+    /// Key of its route's figures.
+    std::string m_route;
+  };
+  /// What calls of a route have shown.
+  struct RouteFigures
+  {
+    /// Longest time that a caller brought: that of first tries. What a call
+    /// falls short of it, its caller has waited already.
+    std::chrono::milliseconds m_longestDeadline{ 0 };
+    /// Moving mean of the answers' bodies.
+    double m_answerBytes{ 1024.0 };
   };
 
   void OnHttp(HttpRequest aRequest, HttpResponder aResponder);
   void Begin(const Route& aRoute, HttpRequest aRequest, HttpResponder aDone);
   [[nodiscard]] std::string ServiceOf(const Route& aRoute);
+  [[nodiscard]] RouteFigures& FiguresOf(const std::string& aKey);
   void Carry(const DispatchActions& aActions);
   void Carry(const SendAttempt& aAttempt);
   void Carry(const SendCancel& aCancel);
@@ -123,6 +136,7 @@
   std::map<std::uint64_t, Waiting> m_waiting;
   /// Calls by the caller's connection, to notice that it hung up.
   std::map<std::uint64_t, std::uint64_t> m_byConnection;
+  std::unordered_map<std::string, RouteFigures> m_figures;
   std::uint64_t m_lastCall{ 0 };
   asio::steady_timer m_timer;
   std::optional<TimePoint> m_armed;
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -11,6 +11,9 @@
 /// A worker that refused more than this share of its last attempts, about the
 /// last eight, is not tried after another one's refusal.
 constexpr double kKnownToRefuse = 0.5;
+/// Workers' daemons that a call is offered to after the first refused it. Each
+/// costs a way there and back; the third has the same news as the ones before.
+constexpr std::uint32_t kMaxRedirects = 2;
 
 using Verdict = WorkerTable::Verdict;
 
@@ -68,6 +71,9 @@
                                 CallAnswer aAnswer)
 {
   const std::uint64_t call = aCall.m_id;
+  if (aAnswer.m_outcome != CallOutcome::Answered && aCall.m_fallback) {
+    aAnswer = std::move(*aCall.m_fallback);
+  }
   aAnswer.m_call = call;
   if (aAnswer.m_outcome == CallOutcome::NotRun && aCall.m_mayHaveRun) {
     // The last attempt was refused, but an earlier one was sent: "not run"
@@ -85,9 +91,9 @@
 BasicDispatcher<Policy>::EndAttempt(TimePoint aNow,
                                     Call& aCall,
                                     Verdict aVerdict,
-                                    std::optional<std::uint32_t> aLoad)
+                                    const std::optional<LoadReport>& aReport)
 {
-  m_workers.Ended(aCall.m_slot, aNow, aVerdict, aLoad, m_random);
+  m_workers.Ended(aCall.m_slot, aNow, aVerdict, aReport, m_random);
 }
 
 template<RoutingPolicy Policy>
@@ -98,7 +104,11 @@
                              CallAnswer aElse)
 {
   const auto chosen = m_workers.Choose(
-    m_policy, aCall.m_plan.m_service, aCall.m_tried, aNow, m_random);
+    m_policy,
+    aCall.m_plan.m_service,
+    aCall.m_tried,
+    RoutingContext{ aNow, aCall.m_plan.m_crossing },
+    m_random);
   const bool again = !aCall.m_tried.empty();
   // Where all refuse, asking one after the other multiplies the messages just
   // when there is most to do.
@@ -120,6 +130,9 @@
                                  aCall.m_attempt,
                                  aCall.m_slot,
                                  TimeLeft(aNow, aCall.m_plan.m_deadline),
+                                 TimeLeft(aNow,
+                                          std::min(aCall.m_plan.m_target,
+                                                   aCall.m_plan.m_deadline)),
                                  aCall.m_plan.m_triesLeft });
 }
 
@@ -146,6 +159,31 @@
   return out;
 }
 
+template<RoutingPolicy Policy>
+bool
+BasicDispatcher<Policy>::MayTryAgain(TimePoint aNow,
+                                     Call& aCall,
+                                     const CallAnswer& aAnswer)
+{
+  const bool safe =
+    aAnswer.m_outcome == CallOutcome::NotRun || aCall.m_plan.m_idempotent;
+  if (!safe || aNow >= aCall.m_plan.m_deadline) {
+    return false;
+  }
+  const bool reachedNone =
+    aAnswer.m_outcome == CallOutcome::NotRun && !aAnswer.m_reachedWorker;
+  if (reachedNone) {
+    // Puts no load on any worker, so that only the messages count.
+    return ++aCall.m_redirects <= kMaxRedirects;
+  }
+  if (aCall.m_plan.m_triesLeft == 0 ||
+      !m_budget.Withdraw(aNow, aCall.m_plan.m_service)) {
+    return false;
+  }
+  --aCall.m_plan.m_triesLeft;
+  return true;
+}
+
 template<RoutingPolicy Policy>
 void
 BasicDispatcher<Policy>::RetryOrFinish(TimePoint aNow,
@@ -155,19 +193,30 @@
 {
   aCall.m_mayHaveRun =
     aCall.m_mayHaveRun || aAnswer.m_outcome == CallOutcome::Unknown;
-  const bool safe =
-    aAnswer.m_outcome == CallOutcome::NotRun || aCall.m_plan.m_idempotent;
-  const bool wanted =
-    safe && aNow < aCall.m_plan.m_deadline && aCall.m_plan.m_triesLeft > 0;
-  // A refusal before the worker was reached puts no load on any worker.
-  const bool free = aAnswer.m_outcome == CallOutcome::NotRun &&
-                    !aAnswer.m_reachedWorker;
-  if (!wanted || (!free && !m_budget.Withdraw(aNow, aCall.m_plan.m_service))) {
+  if (MayTryAgain(aNow, aCall, aAnswer)) {
+    Try(aNow, aOut, aCall, std::move(aAnswer));
+  } else {
+    Finish(aOut, aCall, std::move(aAnswer));
+  }
+}
+
+template<RoutingPolicy Policy>
+void
+BasicDispatcher<Policy>::OnWorkersAnswer(TimePoint aNow,
+                                         DispatchActions& aOut,
+                                         Call& aCall,
+                                         CallAnswer aAnswer)
+{
+  const bool failed = aAnswer.m_response.m_status >= kFirstServerError;
+  // Another worker may do better, if an answer can still be in time.
+  const bool again = failed && aCall.m_plan.m_idempotent &&
+                     aNow + 2 * aAnswer.m_serviceTime < aCall.m_plan.m_target;
+  if (!again) {
     Finish(aOut, aCall, std::move(aAnswer));
     return;
   }
-  --aCall.m_plan.m_triesLeft;
-  Try(aNow, aOut, aCall, std::move(aAnswer));
+  aCall.m_fallback = aAnswer;
+  RetryOrFinish(aNow, aOut, aCall, std::move(aAnswer));
 }
 
 template<RoutingPolicy Policy>
@@ -179,17 +228,19 @@
   if (call == nullptr) {
     return out;
   }
+  const LoadReport report{ aAnswer.m_load,
+                           aAnswer.m_slots,
+                           aAnswer.m_serviceTime };
   if (aAnswer.m_outcome == CallOutcome::Answered) {
     const bool broken = aAnswer.m_response.m_status >= kFirstServerError;
-    EndAttempt(
-      aNow, *call, broken ? Verdict::Failed : Verdict::Good, aAnswer.m_load);
-    Finish(out, *call, std::move(aAnswer));
+    EndAttempt(aNow, *call, broken ? Verdict::Failed : Verdict::Good, report);
+    OnWorkersAnswer(aNow, out, *call, std::move(aAnswer));
     return out;
   }
   if (aAnswer.m_reason == RefusalReason::Leaving) {
     m_workers.SetLeaving(call->m_slot);
   }
-  EndAttempt(aNow, *call, VerdictOf(aAnswer), aAnswer.m_load);
+  EndAttempt(aNow, *call, VerdictOf(aAnswer), report);
   RetryOrFinish(aNow, out, *call, std::move(aAnswer));
   return out;
 }
--- a/src/calls/run_table.cpp
+++ b/src/calls/run_table.cpp
@@ -6,12 +6,17 @@
 
 namespace {
 
-/// Weight of one sample in the moving mean of service times, as a shift.
-constexpr int kMeanShift = 4;
 /// A caller process that has been silent for longer than any connection lives
 /// cannot ask any more.
 constexpr auto kHorizonLife = std::chrono::hours{ 1 };
 constexpr auto kLeastRetryAfter = std::chrono::milliseconds{ 10 };
+/// A call that will miss its target waits for at most this part of the time
+/// that its caller has left: then it is told, while the caller can still do
+/// something else.
+constexpr int kLatePart = 3;
+/// Calls that can meet their target use all of a worker from this share on:
+/// what they leave is within the error of the estimate.
+constexpr double kNothingLeft = 0.95;
 
 std::chrono::milliseconds
 RoundUp(Duration aSpan)
@@ -28,9 +33,7 @@
 
 RunTable::~RunTable()
 {
-  for (RunList& each : m_queues) {
-    each.clear();
-  }
+  m_waiting.clear();
   m_ended.clear();
 }
 
@@ -70,29 +73,67 @@
 }
 
 std::uint32_t
-RunTable::QueuedAhead(CallClass aClass) const noexcept
+RunTable::QueuedOf(CallClass aClass) const noexcept
 {
-  std::size_t ahead = 0;
-  for (std::size_t each = 0; each <= static_cast<std::size_t>(aClass); ++each) {
-    ahead += m_queues[each].size();
+  // Those of higher classes count too: a class may fill only its part of the
+  // queue, and not on top of what is before it.
+  std::uint32_t queued = 0;
+  for (const Run& each : m_waiting) {
+    queued += each.m_class <= aClass ? 1 : 0;
   }
-  return static_cast<std::uint32_t>(ahead);
+  return queued;
+}
+
+WorkRank
+RunTable::Rank(TimePoint aNow, const Run& aRun) const
+{
+  return RankOf(aNow,
+                m_services.Of(aRun.m_profile),
+                aRun.m_priority,
+                aRun.m_target,
+                aRun.m_deadline);
 }
 
 Duration
-RunTable::WaitFor(TimePoint aNow, CallClass aClass) const
+RunTable::WorkBefore(TimePoint aNow, const WorkRank& aRank) const
+{
+  Duration work = Duration::zero();
+  for (const Run& each : m_waiting) {
+    if (Rank(aNow, each) <= aRank) {
+      work += m_services.Of(each.m_profile);
+    }
+  }
+  return work;
+}
+
+Duration
+RunTable::WaitFor(TimePoint aNow, const WorkRank& aRank) const
 {
   const std::uint32_t slots = OpenSlots(aNow);
   if (m_running < slots) {
     return Duration::zero();
   }
-  return m_serviceTime * (QueuedAhead(aClass) + 1) / slots;
+  // A slot comes free after a part of a mean run, and one for each call before
+  // it after that.
+  return (m_services.Mean() + WorkBefore(aNow, aRank)) / slots;
+}
+
+std::optional<Duration>
+RunTable::LateWait(TimePoint aNow) const
+{
+  const double share = m_onTime.Share(aNow, m_settings.m_slots);
+  if (share >= kNothingLeft) {
+    return std::nullopt;
+  }
+  const WorkRank last{ true, UINT32_MAX, TimePoint::max() };
+  return std::chrono::duration_cast<Duration>(WaitFor(aNow, last) /
+                                              (1.0 - share));
 }
 
 std::chrono::milliseconds
 RunTable::ExpectedWait(TimePoint aNow) const
 {
-  return RoundUp(WaitFor(aNow, CallClass::Export));
+  return RoundUp(WaitFor(aNow, { true, UINT32_MAX, TimePoint::max() }));
 }
 
 RunTable::Run&
@@ -116,36 +157,55 @@
 }
 
 bool
-RunTable::MakeRoom(TimePoint aNow, CallClass aClass, RunActions& aOut)
+RunTable::MakeRoom(TimePoint aNow, const Run& aFor, RunActions& aOut)
 {
-  if (QueuedAhead(aClass) >= QueueLimit(aClass)) {
+  if (QueuedOf(aFor.m_class) >= QueueLimit(aFor.m_class)) {
     return false;
   }
   if (m_queued < m_settings.m_queue) {
     return true;
   }
-  for (std::size_t lower = kClasses - 1;
-       lower > static_cast<std::size_t>(aClass);
-       --lower) {
-    if (!m_queues[lower].empty()) {
-      Run& victim = m_queues[lower].back();
-      aOut.m_refused.push_back(
-        { victim.m_key,
-          RefusalReason::Overloaded,
-          std::max(ExpectedWait(aNow), kLeastRetryAfter) });
-      EndQueued(aNow, victim);
-      return true;
+  Run* last = nullptr;
+  for (Run& each : m_waiting) {
+    if (last == nullptr || Rank(aNow, *last) <= Rank(aNow, each)) {
+      last = &each;
     }
   }
-  return false;
+  if (last == nullptr || Rank(aNow, *last) <= Rank(aNow, aFor)) {
+    return false;
+  }
+  aOut.m_refused.push_back(
+    { last->m_key,
+      RefusalReason::Overloaded,
+      std::max(ExpectedWait(aNow), kLeastRetryAfter) });
+  EndQueued(aNow, *last);
+  return true;
+}
+
+std::optional<RefusalReason>
+RunTable::ReasonToRefuse(TimePoint aNow, const Run& aRun) const
+{
+  const WorkRank rank = Rank(aNow, aRun);
+  const Duration service = m_services.Of(aRun.m_profile);
+  const Duration wait = WaitFor(aNow, rank);
+  if (aNow + wait + service + m_settings.m_margin > aRun.m_deadline) {
+    return RefusalReason::DeadlineTooShort;
+  }
+  const bool late = rank.m_late || aNow + wait + service > aRun.m_target;
+  if (!late || aRun.m_target >= aRun.m_deadline) {
+    return std::nullopt;
+  }
+  const auto lateWait = LateWait(aNow);
+  const Duration left = aRun.m_deadline - aNow;
+  const bool inVain = !lateWait || *lateWait > left / kLatePart;
+  return inVain ? std::optional{ RefusalReason::Overloaded } : std::nullopt;
 }
 
 Admission
 RunTable::Admit(TimePoint aNow,
                 CallKey aKey,
                 std::uint64_t aEpoch,
-                CallClass aClass,
-                std::chrono::microseconds aTimeLeft,
+                const WorkDemand& aDemand,
                 RunActions& aOut)
 {
   if (m_firstCall == TimePoint{}) {
@@ -165,28 +225,64 @@
   if (m_leaving) {
     return Refused(aNow, aKey, RefusalReason::Leaving);
   }
-  const Duration wait = WaitFor(aNow, aClass);
-  if (wait + m_settings.m_margin > aTimeLeft) {
+  if (aDemand.m_timeLeft <= m_settings.m_margin) {
     return Refused(aNow, aKey, RefusalReason::DeadlineTooShort);
   }
-  if (m_running < OpenSlots(aNow)) {
-    Run& run = Remember(aNow, aKey, State::Queued);
-    run.m_epoch = aEpoch;
-    StartRun(aNow, run);
-    return { Admission::Kind::Start };
+  Run offered;
+  offered.m_key = aKey;
+  offered.m_epoch = aEpoch;
+  offered.m_class = aDemand.m_class;
+  offered.m_priority = aDemand.m_priority;
+  offered.m_profile = aDemand.m_profile;
+  offered.m_target = aNow + aDemand.m_targetLeft;
+  offered.m_deadline = aNow + aDemand.m_timeLeft;
+  const bool starts = m_running < OpenSlots(aNow);
+  if (!starts) {
+    if (const auto reason = ReasonToRefuse(aNow, offered)) {
+      return Refused(aNow, aKey, *reason);
+    }
+    if (!MakeRoom(aNow, offered, aOut)) {
+      return Refused(aNow, aKey, RefusalReason::Overloaded);
+    }
   }
-  if (!MakeRoom(aNow, aClass, aOut)) {
-    return Refused(aNow, aKey, RefusalReason::Overloaded);
+  if (!Rank(aNow, offered).m_late) {
+    m_onTime.Add(aNow, m_services.Of(offered.m_profile));
   }
   Run& run = Remember(aNow, aKey, State::Queued);
-  run.m_epoch = aEpoch;
-  run.m_class = aClass;
-  run.m_deadline = aNow + aTimeLeft - m_settings.m_margin;
-  m_queues[static_cast<std::size_t>(aClass)].push_back(run);
+  CopyDemand(offered, run);
+  if (starts) {
+    StartRun(aNow, run);
+    return { Admission::Kind::Start };
+  }
+  run.m_expires = ExpiryOf(aNow, run);
+  m_waiting.push_back(run);
   ++m_queued;
   return { Admission::Kind::Queued };
 }
 
+void
+RunTable::CopyDemand(const Run& aFrom, Run& aTo)
+{
+  aTo.m_epoch = aFrom.m_epoch;
+  aTo.m_class = aFrom.m_class;
+  aTo.m_priority = aFrom.m_priority;
+  aTo.m_profile = aFrom.m_profile;
+  aTo.m_target = aFrom.m_target;
+  aTo.m_deadline = aFrom.m_deadline;
+}
+
+TimePoint
+RunTable::ExpiryOf(TimePoint aNow, const Run& aRun) const
+{
+  // Past the first it could not be answered in time; past the second it is
+  // late already, and its caller has better things to do than wait.
+  const TimePoint inVain = aRun.m_deadline - m_settings.m_margin -
+                           m_services.Of(aRun.m_profile);
+  const TimePoint patience =
+    std::max(aRun.m_target, aNow + (aRun.m_deadline - aNow) / kLatePart);
+  return std::max(aNow, std::min(inVain, patience));
+}
+
 void
 RunTable::StartRun(TimePoint aNow, Run& aRun)
 {
@@ -198,8 +294,7 @@
 void
 RunTable::EndQueued(TimePoint aNow, Run& aRun)
 {
-  RunList& queue = m_queues[static_cast<std::size_t>(aRun.m_class)];
-  queue.erase(queue.iterator_to(aRun));
+  m_waiting.erase(m_waiting.iterator_to(aRun));
   --m_queued;
   aRun.m_state = State::Refused;
   aRun.m_since = aNow;
@@ -237,10 +332,8 @@
 RunTable::NextExpiry() const
 {
   std::optional<TimePoint> next;
-  for (const RunList& queue : m_queues) {
-    for (const Run& run : queue) {
-      next = next ? std::min(*next, run.m_deadline) : run.m_deadline;
-    }
+  for (const Run& run : m_waiting) {
+    next = next ? std::min(*next, run.m_expires) : run.m_expires;
   }
   return next;
 }
@@ -254,8 +347,7 @@
     return out;
   }
   Run& run = *known->second;
-  const Duration took = aNow - run.m_since;
-  m_serviceTime += (took - m_serviceTime) / (1 << kMeanShift);
+  m_services.Note(run.m_profile, aNow - run.m_since);
   run.m_state = State::Finished;
   run.m_since = aNow;
   m_ended.push_back(run);
@@ -265,22 +357,45 @@
   return out;
 }
 
+RunTable::Run*
+RunTable::NextInTurn(TimePoint aNow)
+{
+  Run* next = nullptr;
+  for (Run& each : m_waiting) {
+    if (next == nullptr || Rank(aNow, each) < Rank(aNow, *next)) {
+      next = &each;
+    }
+  }
+  return next;
+}
+
 void
 RunTable::StartWaiting(TimePoint aNow, RunActions& aOut)
 {
-  for (RunList& queue : m_queues) {
-    while (!queue.empty() && m_running < OpenSlots(aNow)) {
-      Run& run = queue.front();
-      if (run.m_deadline <= aNow) {
-        aOut.m_refused.push_back(
-          { run.m_key, RefusalReason::DeadlinePassed, {} });
-        EndQueued(aNow, run);
-        continue;
-      }
-      queue.pop_front();
-      --m_queued;
-      StartRun(aNow, run);
-      aOut.m_start.push_back(run.m_key);
+  ExpireWaiting(aNow, aOut);
+  while (m_running < OpenSlots(aNow)) {
+    Run* run = NextInTurn(aNow);
+    if (run == nullptr) {
+      return;
+    }
+    m_waiting.erase(m_waiting.iterator_to(*run));
+    --m_queued;
+    StartRun(aNow, *run);
+    aOut.m_start.push_back(run->m_key);
+  }
+}
+
+void
+RunTable::ExpireWaiting(TimePoint aNow, RunActions& aOut)
+{
+  for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+    Run& run = *it++;
+    if (run.m_expires <= aNow) {
+      aOut.m_refused.push_back(
+        { run.m_key,
+          RefusalReason::DeadlinePassed,
+          std::max(ExpectedWait(aNow), kLeastRetryAfter) });
+      EndQueued(aNow, run);
     }
   }
 }
@@ -290,12 +405,10 @@
                       std::uint64_t aProcess,
                       std::uint64_t aBelowEpoch)
 {
-  for (RunList& queue : m_queues) {
-    for (auto it = queue.begin(); it != queue.end();) {
-      Run& run = *it++;
-      if (run.m_key.m_process == aProcess && run.m_epoch < aBelowEpoch) {
-        EndQueued(aNow, run);
-      }
+  for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+    Run& run = *it++;
+    if (run.m_key.m_process == aProcess && run.m_epoch < aBelowEpoch) {
+      EndQueued(aNow, run);
     }
   }
 }
@@ -304,16 +417,6 @@
 RunTable::OnTick(TimePoint aNow)
 {
   RunActions out;
-  for (RunList& queue : m_queues) {
-    for (auto it = queue.begin(); it != queue.end();) {
-      Run& run = *it++;
-      if (run.m_deadline <= aNow) {
-        out.m_refused.push_back(
-          { run.m_key, RefusalReason::DeadlinePassed, {} });
-        EndQueued(aNow, run);
-      }
-    }
-  }
   StartWaiting(aNow, out);
   Forget(aNow);
   std::erase_if(m_horizons, [aNow](const auto& aHorizon) {
@@ -351,12 +454,10 @@
 {
   RunActions out;
   m_leaving = true;
-  for (RunList& queue : m_queues) {
-    while (!queue.empty()) {
-      Run& run = queue.front();
-      out.m_refused.push_back({ run.m_key, RefusalReason::Leaving, {} });
-      EndQueued(aNow, run);
-    }
+  while (!m_waiting.empty()) {
+    Run& run = m_waiting.front();
+    out.m_refused.push_back({ run.m_key, RefusalReason::Leaving, {} });
+    EndQueued(aNow, run);
   }
   return out;
 }
--- a/src/calls/worker_table.cpp
+++ b/src/calls/worker_table.cpp
@@ -15,6 +15,15 @@
 constexpr double kFailurePenalty = 4.0;
 constexpr double kRefusalPenalty = 4.0;
 constexpr double kEjectAbove = 0.55;
+/// Service time of a worker that has not told one yet.
+constexpr auto kUnknownService = std::chrono::milliseconds{ 50 };
+/// Part of the service time by which a full worker is slower than an empty one;
+/// it also spreads calls over workers that are all far from full.
+constexpr double kCrowding = 0.3;
+/// A failure costs the whole call, a refusal the way there and another try; both
+/// as time beside service times of some 100 ms.
+constexpr auto kFailureCost = std::chrono::milliseconds{ 1000 };
+constexpr auto kRefusalCost = std::chrono::milliseconds{ 250 };
 constexpr auto kFirstEjection = std::chrono::milliseconds{ 1000 };
 constexpr std::uint32_t kMaxDoublings = 5;
 
@@ -35,7 +44,7 @@
 
 std::size_t
 RandomChoice::Choose(const std::vector<const WorkerRow*>& aRows,
-                     TimePoint /*aNow*/,
+                     const RoutingContext& /*aContext*/,
                      Random& aRandom) const
 {
   return Below(aRandom, aRows.size());
@@ -43,7 +52,7 @@
 
 std::size_t
 TwoChoices::Choose(const std::vector<const WorkerRow*>& aRows,
-                   TimePoint aNow,
+                   const RoutingContext& aContext,
                    Random& aRandom) const
 {
   const std::size_t first = Below(aRandom, aRows.size());
@@ -53,39 +62,65 @@
   std::size_t second = Below(aRandom, aRows.size() - 1);
   second += second >= first ? 1 : 0;
   const bool firstBetter =
-    LoadScore(*aRows[first], aNow) <= LoadScore(*aRows[second], aNow);
+    LoadScore(*aRows[first], aContext.m_now) <=
+    LoadScore(*aRows[second], aContext.m_now);
   return firstBetter ? first : second;
 }
 
 std::size_t
 ShortestQueue::Choose(const std::vector<const WorkerRow*>& aRows,
-                      TimePoint aNow,
+                      const RoutingContext& aContext,
                       Random& aRandom) const
 {
   std::size_t best = Below(aRandom, aRows.size());
   for (std::size_t i = 0; i < aRows.size(); ++i) {
-    if (LoadScore(*aRows[i], aNow) < LoadScore(*aRows[best], aNow)) {
+    if (LoadScore(*aRows[i], aContext.m_now) <
+        LoadScore(*aRows[best], aContext.m_now)) {
       best = i;
     }
   }
   return best;
 }
 
+Duration
+ExpectedTime(const WorkerRow& aRow, TimePoint aNow) noexcept
+{
+  const double age =
+    std::chrono::duration<double>(aNow - aRow.m_reportedAt) / kReportLife;
+  const double trust = std::clamp(1.0 - age, 0.0, 1.0);
+  const double load =
+    std::max<double>(aRow.m_inFlight, trust * aRow.m_reported);
+  const double slots = std::max(1U, aRow.m_slots);
+  const bool known = aRow.m_serviceTime.count() > 0;
+  const std::chrono::duration<double> service =
+    known ? aRow.m_serviceTime : kUnknownService;
+  const double waits = std::max(0.0, load + 1.0 - slots) / slots;
+  const double crowded = kCrowding * std::min(1.0, load / slots);
+  const std::chrono::duration<double> expected =
+    service * (1.0 + waits + crowded) + aRow.m_failures * kFailureCost +
+    aRow.m_refusals * kRefusalCost;
+  return std::chrono::duration_cast<Duration>(expected);
+}
+
 std::size_t
 NearestFit::Choose(const std::vector<const WorkerRow*>& aRows,
-                   TimePoint aNow,
+                   const RoutingContext& aContext,
                    Random& aRandom) const
 {
   const auto cost = [&](const WorkerRow& aRow) {
     const bool crosses = !m_domain.empty() && aRow.m_domain != m_domain;
-    return LoadScore(aRow, aNow) + (crosses ? m_crossing : 0.0);
+    return ExpectedTime(aRow, aContext.m_now) +
+           (crosses ? aContext.m_crossing : Duration::zero());
   };
   const std::size_t offset = Below(aRandom, aRows.size());
   std::size_t best = offset;
-  for (std::size_t i = 0; i < aRows.size(); ++i) {
+  Duration least = cost(*aRows[best]);
+  for (std::size_t i = 1; i < aRows.size(); ++i) {
     const std::size_t at = (i + offset) % aRows.size();
-    if (cost(*aRows[at]) < cost(*aRows[best])) {
+    const Duration here = cost(*aRows[at]);
+    if (here < least) {
       best = at;
+      least = here;
     }
   }
   return best;
@@ -110,7 +145,7 @@
 
 std::size_t
 JoinWithTagging::Choose(const std::vector<const WorkerRow*>& aRows,
-                        TimePoint aNow,
+                        const RoutingContext& aContext,
                         Random& aRandom)
 {
   std::size_t best = 0;
@@ -121,8 +156,8 @@
     const std::size_t at = (i + offset) % aRows.size();
     const WorkerRow& row = *aRows[at];
     VirtualQueue& tagged = m_virtual[row.m_slot];
-    Drain(tagged, row.m_slots, aNow);
-    const double queue = LoadScore(row, aNow) * row.m_slots;
+    Drain(tagged, row.m_slots, aContext.m_now);
+    const double queue = LoadScore(row, aContext.m_now) * row.m_slots;
     const double key = std::min(queue, tagged.m_length);
     if (key < least) {
       least = key;
@@ -232,11 +267,25 @@
   ++m_rows.At(aIndex).m_inFlight;
 }
 
+double
+WorkerTable::LeastFailures(const std::string& aService) const
+{
+  const auto group = m_byService.find(aService);
+  if (group == m_byService.end() || group->second.size() < 2) {
+    return 0.0;
+  }
+  double least = 1.0;
+  for (const Index index : group->second) {
+    least = std::min(least, m_rows.At(index).m_failures);
+  }
+  return least;
+}
+
 void
 WorkerTable::Ended(const std::string& aSlot,
                    TimePoint aNow,
                    Verdict aVerdict,
-                   std::optional<std::uint32_t> aLoad,
+                   const std::optional<LoadReport>& aReport,
                    Random& aRandom)
 {
   const auto known = Find(aSlot);
@@ -245,9 +294,11 @@
   }
   WorkerRow& row = m_rows.At(*known);
   row.m_inFlight -= row.m_inFlight > 0 ? 1 : 0;
-  if (aLoad) {
-    row.m_reported = *aLoad;
+  if (aReport) {
+    row.m_reported = aReport->m_load;
     row.m_reportedAt = aNow;
+    row.m_slots = aReport->m_slots > 0 ? aReport->m_slots : row.m_slots;
+    row.m_serviceTime = aReport->m_serviceTime;
   }
   const bool failed = aVerdict == Verdict::Failed;
   const bool refused = aVerdict == Verdict::Refused;
@@ -257,7 +308,10 @@
     row.m_ejections = row.m_failures < kFailureWeight ? 0 : row.m_ejections;
     return;
   }
-  if (row.m_failures > kEjectAbove && row.m_ejectedUntil <= aNow) {
+  // Where all fail alike, as when a service that they call is away, the cause is
+  // not in this one.
+  const double beyondOthers = row.m_failures - LeastFailures(row.m_service);
+  if (beyondOthers > kEjectAbove && row.m_ejectedUntil <= aNow) {
     const auto span = kFirstEjection * (1U << row.m_ejections);
     row.m_ejectedUntil = aNow + Jittered(aRandom, span);
     row.m_ejections = std::min(row.m_ejections + 1, kMaxDoublings);
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -15,6 +15,26 @@
 /// have died since they were counted.
 constexpr double kRetryReserve = 0.7;
 
+/// Routes whose figures are kept.
+constexpr std::size_t kMaxFigures = 10'000;
+/// Weight of one answer in the mean size of a route's answers.
+constexpr double kBytesWeight = 0.05;
+/// Bytes of a call beside its answer's body: both heads, frames, packets.
+constexpr double kCallOverheadBytes = 700.0;
+/// What a crossing between failure domains is worth in added wait. Links between
+/// them are what operators pay most for; a call that waits this much longer for
+/// each KiB saved still meets its target in most cases.
+constexpr auto kCrossingPerKib = std::chrono::milliseconds{ 70 };
+
+Duration
+CrossingWorth(double aAnswerBytes)
+{
+  constexpr double kKib = 1024.0;
+  const std::chrono::duration<double> worth =
+    kCrossingPerKib * ((aAnswerBytes + kCallOverheadBytes) / kKib);
+  return std::chrono::duration_cast<Duration>(worth);
+}
+
 HttpServerSettings
 CallsEndpoint(const Settings& aSettings)
 {
@@ -235,12 +255,20 @@
   plan.m_class = aRoute.m_class;
   plan.m_idempotent = MayRepeat(aRoute, aRequest.m_method);
   plan.m_deadline = now + std::min(asked, aRoute.m_deadline);
+  const std::string routeKey = aRoute.m_host + aRoute.m_path;
+  RouteFigures& figures = FiguresOf(routeKey);
+  figures.m_longestDeadline = std::max(figures.m_longestDeadline, asked);
+  if (aRoute.m_targetLatency.count() > 0) {
+    const auto age = figures.m_longestDeadline - asked;
+    plan.m_target = now + aRoute.m_targetLatency - age;
+  }
+  plan.m_crossing = CrossingWorth(figures.m_answerBytes);
   plan.m_triesLeft = static_cast<std::uint32_t>(
     std::min<std::uint64_t>(tries, NumberHeader(headers, kTriesHeader, tries)));
 
   Waiting call{
     std::move(aDone),         {}, aRequest.m_connection, now, {}, {}, {},
-    m_parts.m_holder.Active()
+    m_parts.m_holder.Active(), routeKey
   };
   call.m_parent = ParseTraceparent(HeaderValue(headers, kTraceparentHeader));
   const bool sample =
@@ -265,6 +293,7 @@
                   m_parts.m_settings.m_service });
   }
   request.m_priority = aRoute.m_priority;
+  request.m_profile = aRoute.m_targetLatency;
   request.m_body = std::move(aRequest.m_body);
   request.m_class = plan.m_class;
   request.m_idempotent = plan.m_idempotent;
@@ -276,6 +305,16 @@
   Carry(m_dispatcher.Begin(now, id, std::move(plan)));
 }
 
+CallGateway::RouteFigures&
+CallGateway::FiguresOf(const std::string& aKey)
+{
+  if (m_figures.size() > kMaxFigures) {
+    // Mostly of routes that are gone; the others are learned again at once.
+    m_figures.clear();
+  }
+  return m_figures[aKey];
+}
+
 std::string
 CallGateway::ServiceOf(const Route& aRoute)
 {
@@ -330,6 +369,7 @@
   CallRequest request = call->second.m_request;
   request.m_call = aAttempt.m_attempt;
   request.m_timeLeft = aAttempt.m_timeLeft;
+  request.m_targetLeft = aAttempt.m_targetLeft;
   request.m_triesLeft = aAttempt.m_triesLeft;
   if (aAttempt.m_slot == m_parts.m_settings.m_slot) {
     m_dispatcher.SentTo(aAttempt.m_attempt, m_parts.m_process);
@@ -371,7 +411,19 @@
       connection->second == aFinish.m_call) {
     m_byConnection.erase(connection);
   }
-  const CallAnswer& answer = aFinish.m_answer;
+  CallAnswer answer = aFinish.m_answer;
+  if (answer.m_outcome == CallOutcome::Answered) {
+    RouteFigures& figures = FiguresOf(call.m_route);
+    figures.m_answerBytes +=
+      kBytesWeight *
+      (static_cast<double>(answer.m_response.m_body.size()) -
+       figures.m_answerBytes);
+  }
+  if (answer.m_retryAfter.count() > 0) {
+    // Spread, or those refused together come back together.
+    answer.m_retryAfter +=
+      std::chrono::milliseconds{ Below(m_random, answer.m_retryAfter.count()) };
+  }
   m_parts.m_metrics.CountCall(NameOf(answer.m_outcome),
                               NameOf(answer.m_reason));
   m_parts.m_metrics.ObserveLatency(
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -30,6 +30,17 @@
   return settings;
 }
 
+WorkDemand
+DemandOf(const CallRequest& aRequest)
+{
+  return { .m_class = aRequest.m_class,
+           .m_priority = aRequest.m_priority,
+           .m_profile = aRequest.m_profile,
+           .m_timeLeft = aRequest.m_timeLeft,
+           .m_targetLeft =
+             std::min(aRequest.m_targetLeft, aRequest.m_timeLeft) };
+}
+
 bool
 IsSuccess(std::uint16_t aStatus)
 {
@@ -78,7 +89,7 @@
   }
   RunActions pushedOut;
   const Admission admission = m_runs.Admit(
-    now, aKey, aEpoch, aRequest.m_class, aRequest.m_timeLeft, pushedOut);
+    now, aKey, aEpoch, DemandOf(aRequest), pushedOut);
   if (admission.m_kind == Admission::Kind::Refused) {
     m_metrics.CountRun(NameOf(admission.m_reason));
     Deliver(aKey,
--- a/src/transport/link_codec.cpp
+++ b/src/transport/link_codec.cpp
@@ -75,6 +75,7 @@
     out.set_depth(aRequest.m_depth);
     out.set_tries(aRequest.m_triesLeft);
     out.set_priority(aRequest.m_priority);
+    out.set_profile_ms(static_cast<std::uint64_t>(aRequest.m_profile.count()));
     out.set_target_us(static_cast<std::uint64_t>(
       std::max<std::int64_t>(0, aRequest.m_targetLeft.count())));
   }
@@ -139,6 +140,7 @@
   request.m_depth = aWire.depth();
   request.m_triesLeft = aWire.tries();
   request.m_priority = aWire.priority();
+  request.m_profile = std::chrono::milliseconds{ aWire.profile_ms() };
   request.m_targetLeft = std::chrono::microseconds{ aWire.target_us() };
   return LinkFrame{ std::move(request) };
 }
--- a/tests/calls/run_table.cpp
+++ b/tests/calls/run_table.cpp
@@ -9,6 +9,17 @@
 
 const TimePoint kStart{ 1h };
 
+/// A call without a target of its own.
+WorkDemand
+Demand(CallClass aClass, std::chrono::microseconds aTimeLeft)
+{
+  return { aClass,
+           static_cast<std::uint32_t>(aClass),
+           0ms,
+           aTimeLeft,
+           aTimeLeft };
+}
+
 Admission
 Admit(RunTable& aTable,
       std::uint64_t aCall,
@@ -16,7 +27,7 @@
       std::chrono::microseconds aTimeLeft = 1s)
 {
   RunActions out;
-  return aTable.Admit(kStart, { 1, aCall }, 1, aClass, aTimeLeft, out);
+  return aTable.Admit(kStart, { 1, aCall }, 1, Demand(aClass, aTimeLeft), out);
 }
 
 }
@@ -65,7 +76,7 @@
   REQUIRE(Admit(table, 6).m_kind == Admission::Kind::Queued);
   RunActions out;
   const auto last =
-    table.Admit(kStart, { 1, 7 }, 1, CallClass::Critical, 1s, out);
+    table.Admit(kStart, { 1, 7 }, 1, Demand(CallClass::Critical, 1s), out);
   CHECK(last.m_kind == Admission::Kind::Queued);
   REQUIRE(out.m_refused.size() == 1);
   CHECK(out.m_refused[0].m_key.m_call == 2);
@@ -112,7 +123,7 @@
   CHECK(table.OnTick(kStart + 5s).m_start.empty());
   RunActions out;
   const auto later =
-    table.Admit(kStart + 6s, { 1, 9 }, 1, CallClass::Critical, 1s, out);
+    table.Admit(kStart + 6s, { 1, 9 }, 1, Demand(CallClass::Critical, 1s), out);
   CHECK(later.m_kind == Admission::Kind::Start);
 }
 
@@ -131,7 +142,7 @@
   // Nor may a copy of its request run again.
   RunActions out;
   const auto repeated =
-    table.Admit(kStart + 11s, { 1, 5 }, 1, CallClass::Critical, 1s, out);
+    table.Admit(kStart + 11s, { 1, 5 }, 1, Demand(CallClass::Critical, 1s), out);
   CHECK(repeated.m_kind == Admission::Kind::Repeated);
   // Later attempts and other processes are not touched by that.
   CHECK(Admit(table, 6).m_kind == Admission::Kind::Start);
--- a/tests/calls/trace_replay.cpp
+++ b/tests/calls/trace_replay.cpp
@@ -56,6 +56,15 @@
 private:
   static constexpr TimePoint kStart{ std::chrono::hours{ 1 } };
 
+  static WorkDemand DemandOf(CallClass aClass, std::int64_t aLeftMs)
+  {
+    const std::chrono::milliseconds left{ aLeftMs };
+    return { .m_class = aClass,
+             .m_priority = static_cast<std::uint32_t>(aClass),
+             .m_timeLeft = left,
+             .m_targetLeft = left };
+  }
+
   std::string Admit(std::uint64_t aCall, std::istringstream& aWords)
   {
     std::string callClass;
@@ -71,8 +80,7 @@
     const Admission admission = m_runs.Admit(m_now,
                                              { 1, aCall },
                                              epoch,
-                                             parsed,
-                                             std::chrono::milliseconds{ left },
+                                             DemandOf(parsed, left),
                                              out);
     switch (admission.m_kind) {
       case Admission::Kind::Start:
