A worker's time is told by kind of call

Cause: workers of one service run calls of 30 ms beside calls of 300 ms; by the mean over both, every lookup seemed to miss its target at home, and 2,100 of 2,131 lookups of one daemon crossed domains. Change: each answer tells the service time of its kind and what another such call would wait; routing keeps them by kind.

--- a/bench/footprint.cpp
+++ b/bench/footprint.cpp
@@ -116,8 +116,11 @@
       RunActions out;
       for (int call = 1; call <= count; ++call) {
         const CallKey key{ 1, static_cast<std::uint64_t>(call) };
-        static_cast<void>(
-          runs->Admit(TimePoint{ 1h }, key, 1, { .m_timeLeft = 1s, .m_targetLeft = 1s }, out));
+        static_cast<void>(runs->Admit(TimePoint{ 1h },
+                                      key,
+                                      1,
+                                      { .m_timeLeft = 1s, .m_targetLeft = 1s },
+                                      out));
         static_cast<void>(runs->Finish(TimePoint{ 1h }, key));
       }
       return runs;
--- a/include/greengagehub/calls/call.hpp
+++ b/include/greengagehub/calls/call.hpp
@@ -105,8 +105,10 @@
   bool m_reachedWorker{ false };
   /// Calls the worker runs at once; 0 while no worker is known there.
   std::uint32_t m_slots{ 0 };
-  /// Moving mean of the worker's service time.
+  /// Moving mean of the worker's service time for calls of this route's kind.
   std::chrono::microseconds m_serviceTime{ 0 };
+  /// What another call like this one would wait there.
+  std::chrono::microseconds m_wait{ 0 };
 };
 
 /// \returns An answer that refuses an attempt.
--- a/include/greengagehub/calls/run_table.hpp
+++ b/include/greengagehub/calls/run_table.hpp
@@ -121,11 +121,15 @@
   [[nodiscard]] RunActions StartLeaving(TimePoint aNow);
   /// \brief Takes calls again, for another worker at the same place.
   void Reopen() noexcept { m_leaving = false; }
-  /// \returns Moving mean of the time that the worker takes.
-  [[nodiscard]] Duration ServiceTime() const noexcept
+  /// \returns Moving mean of the time that the worker takes for such calls.
+  [[nodiscard]] Duration ServiceTime(std::chrono::milliseconds aProfile) const
   {
-    return m_services.Mean();
+    return m_services.Of(aProfile);
   }
+  /// \returns What such a call would wait if it came now.
+  [[nodiscard]] Duration WaitOf(TimePoint aNow,
+                                std::uint32_t aPriority,
+                                std::chrono::milliseconds aProfile) const;
   [[nodiscard]] std::uint32_t Slots() const noexcept
   {
     return m_settings.m_slots;
@@ -169,7 +173,8 @@
   [[nodiscard]] std::uint32_t QueuedOf(CallClass aClass) const noexcept;
   [[nodiscard]] WorkRank Rank(TimePoint aNow, const Run& aRun) const;
   /// \returns Work that waits and goes before a call of this rank.
-  [[nodiscard]] Duration WorkBefore(TimePoint aNow, const WorkRank& aRank) const;
+  [[nodiscard]] Duration WorkBefore(TimePoint aNow,
+                                    const WorkRank& aRank) const;
   [[nodiscard]] Duration WaitFor(TimePoint aNow, const WorkRank& aRank) const;
   /// \returns As WaitFor, for one that can only use what the calls leave that
   /// can still meet their target; nothing when they leave nothing.
--- a/include/greengagehub/calls/worker_table.hpp
+++ b/include/greengagehub/calls/worker_table.hpp
@@ -23,8 +23,17 @@
   /// Load that its last answer told, and when.
   std::uint32_t m_reported{ 0 };
   TimePoint m_reportedAt{};
-  /// Mean time that its calls run, as its last answer told; 0: not known.
-  std::chrono::microseconds m_serviceTime{ 0 };
+  /// What its answers to calls of one kind told, by the kind's target latency:
+  /// a worker that runs long exports may still answer lookups at once.
+  struct Profile
+  {
+    std::chrono::milliseconds m_profile{ 0 };
+    std::chrono::microseconds m_serviceTime{ 0 };
+    /// What another call of the kind would have waited, and when.
+    std::chrono::microseconds m_wait{ 0 };
+    TimePoint m_at{};
+  };
+  std::vector<Profile> m_profiles{};
   /// Moving share of failed attempts, in [0, 1].
   double m_failures{ 0.0 };
   /// Moving share of attempts that it refused for overload, in [0, 1].
@@ -41,13 +50,18 @@
   std::uint32_t m_load{ 0 };
   /// Calls it runs at once; 0: it runs none now.
   std::uint32_t m_slots{ 0 };
+  /// Of calls with this target latency, as the answered one.
+  std::chrono::milliseconds m_profile{ 0 };
   std::chrono::microseconds m_serviceTime{ 0 };
+  std::chrono::microseconds m_wait{ 0 };
 };
 
 /// \brief What a choice rests on beside the workers themselves.
 struct RoutingContext
 {
   TimePoint m_now;
+  /// Target latency of the call's route, by which its kind goes.
+  std::chrono::milliseconds m_profile{ 0 };
   /// Until an answer stops being as good as an immediate one.
   Duration m_targetLeft{ std::chrono::seconds{ 1 } };
   /// Price of a crossing between failure domains, as a share of what the call
@@ -124,7 +138,9 @@
 /// \returns Time until a call sent now is expected to be answered, with what
 /// failures and refusals seen there cost on average.
 [[nodiscard]] Duration
-ExpectedTime(const WorkerRow& aRow, TimePoint aNow) noexcept;
+ExpectedTime(const WorkerRow& aRow,
+             TimePoint aNow,
+             std::chrono::milliseconds aProfile) noexcept;
 
 /// \brief Join the shortest queue with tagging (Li, Paschos, Tassiulas and
 /// Modiano, "Dynamic overload balancing in server farms", IFIP Networking
@@ -207,6 +223,9 @@
              Random& aRandom);
 
 private:
+  static void TakeProfile(WorkerRow& aRow,
+                          TimePoint aNow,
+                          const LoadReport& aReport);
   /// \returns Least share of failures among the service's workers.
   [[nodiscard]] double LeastFailures(const std::string& aService) const;
 
--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -48,7 +48,10 @@
   {
     return m_decisions;
   }
-  [[nodiscard]] const platform::KvStore& GetStore() const noexcept { return m_store; }
+  [[nodiscard]] const platform::KvStore& GetStore() const noexcept
+  {
+    return m_store;
+  }
   [[nodiscard]] const GossipSocket& Gossip() const noexcept { return m_gossip; }
   [[nodiscard]] const BulkChannel& Bulk() const noexcept { return m_bulk; }
   [[nodiscard]] bool IsWatching() const;
--- a/include/greengagehub/daemon/decision_service.hpp
+++ b/include/greengagehub/daemon/decision_service.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "greengagehub/config/config.hpp"
-#include "greengagehub/observe/log.hpp"
 #include "greengagehub/core/store.hpp"
+#include "greengagehub/observe/log.hpp"
 
 #include <functional>
 #include <memory>
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -72,7 +72,8 @@
                                       const CallRequest& aRequest);
   [[nodiscard]] CallAnswer AnswerFrom(CallKey aKey, HttpResponse aResponse);
   void Carry(const RunActions& aActions);
-  void Deliver(CallKey aKey, CallAnswer aAnswer);
+  /// \brief Adds what the caller's daemon learns of the worker, and answers.
+  void Deliver(CallKey aKey, const CallRequest& aRequest, CallAnswer aAnswer);
   /// \brief Keeps the answer of a call that may not be run again, for a caller
   /// whose connection was lost with the answer on it.
   void Keep(CallKey aKey, const CallAnswer& aAnswer);
--- a/include/greengagehub/daemon/store_sync.hpp
+++ b/include/greengagehub/daemon/store_sync.hpp
@@ -2,8 +2,8 @@
 
 #include "greengagehub/config/config.hpp"
 #include "greengagehub/core/random.hpp"
-#include "greengagehub/observe/log.hpp"
 #include "greengagehub/core/store.hpp"
+#include "greengagehub/observe/log.hpp"
 
 #include <asio/steady_timer.hpp>
 #include <functional>
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -107,10 +107,11 @@
     m_policy,
     aCall.m_plan.m_service,
     aCall.m_tried,
-    RoutingContext{
-      aNow,
-      std::min(aCall.m_plan.m_target, aCall.m_plan.m_deadline) - aNow,
-      aCall.m_plan.m_crossing },
+    RoutingContext{ aNow,
+                    aCall.m_plan.m_profile,
+                    std::min(aCall.m_plan.m_target, aCall.m_plan.m_deadline) -
+                      aNow,
+                    aCall.m_plan.m_crossing },
     m_random);
   const bool again = !aCall.m_tried.empty();
   // Where all refuse, asking one after the other multiplies the messages just
@@ -129,14 +130,13 @@
   aCall.m_inDoubt = false;
   aCall.m_tried.push_back(aCall.m_slot);
   m_attempts.emplace(aCall.m_attempt, aCall.m_id);
-  aOut.emplace_back(SendAttempt{ aCall.m_id,
-                                 aCall.m_attempt,
-                                 aCall.m_slot,
-                                 TimeLeft(aNow, aCall.m_plan.m_deadline),
-                                 TimeLeft(aNow,
-                                          std::min(aCall.m_plan.m_target,
-                                                   aCall.m_plan.m_deadline)),
-                                 aCall.m_plan.m_triesLeft });
+  aOut.emplace_back(SendAttempt{
+    aCall.m_id,
+    aCall.m_attempt,
+    aCall.m_slot,
+    TimeLeft(aNow, aCall.m_plan.m_deadline),
+    TimeLeft(aNow, std::min(aCall.m_plan.m_target, aCall.m_plan.m_deadline)),
+    aCall.m_plan.m_triesLeft });
 }
 
 template<RoutingPolicy Policy>
@@ -233,7 +233,9 @@
   }
   const LoadReport report{ aAnswer.m_load,
                            aAnswer.m_slots,
-                           aAnswer.m_serviceTime };
+                           call->m_plan.m_profile,
+                           aAnswer.m_serviceTime,
+                           aAnswer.m_wait };
   if (aAnswer.m_outcome == CallOutcome::Answered) {
     const bool broken = aAnswer.m_response.m_status >= kFirstServerError;
     EndAttempt(aNow, *call, broken ? Verdict::Failed : Verdict::Good, report);
--- a/src/calls/retry_budget.cpp
+++ b/src/calls/retry_budget.cpp
@@ -17,8 +17,7 @@
 WindowCount::Add(TimePoint aNow, Duration aWindow)
 {
   const std::int64_t number = SliceNumber(aNow, aWindow);
-  Slice& slice =
-    m_slices[static_cast<std::size_t>(number) % m_slices.size()];
+  Slice& slice = m_slices[static_cast<std::size_t>(number) % m_slices.size()];
   if (slice.m_number != number) {
     slice = Slice{ number, 0 };
   }
--- a/src/calls/run_table.cpp
+++ b/src/calls/run_table.cpp
@@ -118,6 +118,14 @@
   return (m_services.Mean() + WorkBefore(aNow, aRank)) / slots;
 }
 
+Duration
+RunTable::WaitOf(TimePoint aNow,
+                 std::uint32_t aPriority,
+                 std::chrono::milliseconds aProfile) const
+{
+  return WaitFor(aNow, { false, aPriority, aNow + aProfile });
+}
+
 std::optional<Duration>
 RunTable::LateWait(TimePoint aNow) const
 {
@@ -174,10 +182,9 @@
   if (last == nullptr || Rank(aNow, *last) <= Rank(aNow, aFor)) {
     return false;
   }
-  aOut.m_refused.push_back(
-    { last->m_key,
-      RefusalReason::Overloaded,
-      std::max(ExpectedWait(aNow), kLeastRetryAfter) });
+  aOut.m_refused.push_back({ last->m_key,
+                             RefusalReason::Overloaded,
+                             std::max(ExpectedWait(aNow), kLeastRetryAfter) });
   EndQueued(aNow, *last);
   return true;
 }
@@ -276,8 +283,8 @@
 {
   // Past the first it could not be answered in time; past the second it is
   // late already, and its caller has better things to do than wait.
-  const TimePoint inVain = aRun.m_deadline - m_settings.m_margin -
-                           m_services.Of(aRun.m_profile);
+  const TimePoint inVain =
+    aRun.m_deadline - m_settings.m_margin - m_services.Of(aRun.m_profile);
   const TimePoint patience =
     std::max(aRun.m_target, aNow + (aRun.m_deadline - aNow) / kLatePart);
   return std::max(aNow, std::min(inVain, patience));
--- a/src/calls/worker_table.cpp
+++ b/src/calls/worker_table.cpp
@@ -17,6 +17,8 @@
 constexpr double kEjectAbove = 0.55;
 /// Service time of a worker that has not told one yet.
 constexpr auto kUnknownService = std::chrono::milliseconds{ 50 };
+/// Kinds of calls remembered for each worker.
+constexpr std::size_t kMaxProfiles = 16;
 /// Part of the service time by which a full worker is slower than an empty one;
 /// it also spreads calls over workers that are all far from full.
 constexpr double kCrowding = 0.3;
@@ -25,8 +27,8 @@
 constexpr double kLateLoss = 0.6;
 /// A target that is over or nearly so: the sooner the better, still.
 constexpr auto kLeastTarget = std::chrono::milliseconds{ 100 };
-/// A failure costs the whole call, a refusal the way there and another try; both
-/// as time beside service times of some 100 ms.
+/// A failure costs the whole call, a refusal the way there and another try;
+/// both as time beside service times of some 100 ms.
 constexpr auto kFailureCost = std::chrono::milliseconds{ 1000 };
 constexpr auto kRefusalCost = std::chrono::milliseconds{ 250 };
 constexpr auto kFirstEjection = std::chrono::milliseconds{ 1000 };
@@ -66,9 +68,8 @@
   }
   std::size_t second = Below(aRandom, aRows.size() - 1);
   second += second >= first ? 1 : 0;
-  const bool firstBetter =
-    LoadScore(*aRows[first], aContext.m_now) <=
-    LoadScore(*aRows[second], aContext.m_now);
+  const bool firstBetter = LoadScore(*aRows[first], aContext.m_now) <=
+                           LoadScore(*aRows[second], aContext.m_now);
   return firstBetter ? first : second;
 }
 
@@ -88,22 +89,29 @@
 }
 
 Duration
-ExpectedTime(const WorkerRow& aRow, TimePoint aNow) noexcept
+ExpectedTime(const WorkerRow& aRow,
+             TimePoint aNow,
+             std::chrono::milliseconds aProfile) noexcept
 {
-  const double age =
-    std::chrono::duration<double>(aNow - aRow.m_reportedAt) / kReportLife;
-  const double trust = std::clamp(1.0 - age, 0.0, 1.0);
-  const double load =
-    std::max<double>(aRow.m_inFlight, trust * aRow.m_reported);
+  using Seconds = std::chrono::duration<double>;
+  const auto known = std::find_if(
+    aRow.m_profiles.begin(), aRow.m_profiles.end(), [&](const auto& aEach) {
+      return aEach.m_profile == aProfile;
+    });
+  Seconds service = kUnknownService;
+  Seconds wait{ 0.0 };
+  if (known != aRow.m_profiles.end()) {
+    const double age = Seconds(aNow - known->m_at) / Seconds(kReportLife);
+    service = known->m_serviceTime;
+    wait = std::clamp(1.0 - age, 0.0, 1.0) * Seconds(known->m_wait);
+  }
   const double slots = std::max(1U, aRow.m_slots);
-  const bool known = aRow.m_serviceTime.count() > 0;
-  const std::chrono::duration<double> service =
-    known ? aRow.m_serviceTime : kUnknownService;
-  const double waits = std::max(0.0, load + 1.0 - slots) / slots;
-  const double crowded = kCrowding * std::min(1.0, load / slots);
-  const std::chrono::duration<double> expected =
-    service * (1.0 + waits + crowded) + aRow.m_failures * kFailureCost +
-    aRow.m_refusals * kRefusalCost;
+  const double load = aRow.m_inFlight / slots;
+  const double beyond = std::max(0.0, load - 1.0);
+  const double crowded = kCrowding * std::min(1.0, load);
+  const Seconds expected = service * (1.0 + beyond + crowded) + wait +
+                           aRow.m_failures * kFailureCost +
+                           aRow.m_refusals * kRefusalCost;
   return std::chrono::duration_cast<Duration>(expected);
 }
 
@@ -127,7 +135,8 @@
 {
   const auto cost = [&](const WorkerRow& aRow) {
     const bool crosses = !m_domain.empty() && aRow.m_domain != m_domain;
-    const Duration expected = ExpectedTime(aRow, aContext.m_now);
+    const Duration expected =
+      ExpectedTime(aRow, aContext.m_now, aContext.m_profile);
     return kLateLoss * RiskOfLateness(expected, aContext.m_targetLeft) +
            (crosses ? aContext.m_crossing : 0.0);
   };
@@ -286,6 +295,28 @@
   ++m_rows.At(aIndex).m_inFlight;
 }
 
+void
+WorkerTable::TakeProfile(WorkerRow& aRow,
+                         TimePoint aNow,
+                         const LoadReport& aReport)
+{
+  if (aReport.m_slots == 0) {
+    return;
+  }
+  const WorkerRow::Profile profile{
+    aReport.m_profile, aReport.m_serviceTime, aReport.m_wait, aNow
+  };
+  const auto known = std::find_if(
+    aRow.m_profiles.begin(), aRow.m_profiles.end(), [&](const auto& aEach) {
+      return aEach.m_profile == aReport.m_profile;
+    });
+  if (known != aRow.m_profiles.end()) {
+    *known = profile;
+  } else if (aRow.m_profiles.size() < kMaxProfiles) {
+    aRow.m_profiles.push_back(profile);
+  }
+}
+
 double
 WorkerTable::LeastFailures(const std::string& aService) const
 {
@@ -317,7 +348,7 @@
     row.m_reported = aReport->m_load;
     row.m_reportedAt = aNow;
     row.m_slots = aReport->m_slots > 0 ? aReport->m_slots : row.m_slots;
-    row.m_serviceTime = aReport->m_serviceTime;
+    TakeProfile(row, aNow, *aReport);
   }
   const bool failed = aVerdict == Verdict::Failed;
   const bool refused = aVerdict == Verdict::Refused;
@@ -327,8 +358,8 @@
     row.m_ejections = row.m_failures < kFailureWeight ? 0 : row.m_ejections;
     return;
   }
-  // Where all fail alike, as when a service that they call is away, the cause is
-  // not in this one.
+  // Where all fail alike, as when a service that they call is away, the cause
+  // is not in this one.
   const double beyondOthers = row.m_failures - LeastFailures(row.m_service);
   if (beyondOthers > kEjectAbove && row.m_ejectedUntil <= aNow) {
     const auto span = kFirstEjection * (1U << row.m_ejections);
--- a/src/config/entity_parser.cpp
+++ b/src/config/entity_parser.cpp
@@ -55,9 +55,8 @@
     return;
   }
   for (const auto& part : split->items()) {
-    const bool fits =
-      part.value().is_number_unsigned() &&
-      part.value().get<std::uint64_t>() <= kMaxWeight;
+    const bool fits = part.value().is_number_unsigned() &&
+                      part.value().get<std::uint64_t>() <= kMaxWeight;
     if (!fits) {
       aReader.Refuse(ReasonCode::OutOfRange,
                      kName,
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -259,12 +259,13 @@
     const auto age = figures.m_longestDeadline - asked;
     plan.m_target = now + aRoute.m_targetLatency - age;
   }
+  plan.m_profile = aRoute.m_targetLatency;
   plan.m_crossing = CrossingPrice(figures.m_answerBytes);
   plan.m_triesLeft = static_cast<std::uint32_t>(
     std::min<std::uint64_t>(tries, NumberHeader(headers, kTriesHeader, tries)));
 
   Waiting call{
-    std::move(aDone),         {}, aRequest.m_connection, now, {}, {}, {},
+    std::move(aDone),          {},      aRequest.m_connection, now, {}, {}, {},
     m_parts.m_holder.Active(), routeKey
   };
   call.m_parent = ParseTraceparent(HeaderValue(headers, kTraceparentHeader));
@@ -412,9 +413,8 @@
   if (answer.m_outcome == CallOutcome::Answered) {
     RouteFigures& figures = FiguresOf(call.m_route);
     figures.m_answerBytes +=
-      kBytesWeight *
-      (static_cast<double>(answer.m_response.m_body.size()) -
-       figures.m_answerBytes);
+      kBytesWeight * (static_cast<double>(answer.m_response.m_body.size()) -
+                      figures.m_answerBytes);
   }
   if (answer.m_retryAfter.count() > 0) {
     // Spread, or those refused together come back together.
@@ -565,8 +565,8 @@
   const Content& content = m_parts.m_holder.Active()->m_content;
   m_routes = RouteTable{ content };
   m_dispatcher.SetRetryLimits(RetryLimitsNow());
-  m_http.SetLimits(
-    LimitsFrom(CallsEndpoint(m_parts.m_settings).m_limits, content.GetLimits()));
+  m_http.SetLimits(LimitsFrom(CallsEndpoint(m_parts.m_settings).m_limits,
+                              content.GetLimits()));
 }
 
 RetryLimits
--- a/src/daemon/call_headers.cpp
+++ b/src/daemon/call_headers.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> kConnectionHeaders{
-  "connection", "keep-alive", "transfer-encoding", "content-length",  "te",
+  "connection", "keep-alive", "transfer-encoding", "content-length", "te",
   "trailer",    "upgrade",    "proxy-connection",  "expect"
 };
 constexpr std::array<std::string_view, 3> kOwnHeaders{ kTraceparentHeader,
@@ -97,8 +97,7 @@
   std::erase_if(headers, [](const HttpHeader& aHeader) {
     return SameHeader(aHeader.m_name, kTraceparentHeader);
   });
-  headers.push_back(
-    Header(aDialect.m_deadline, std::to_string(aLeft.count())));
+  headers.push_back(Header(aDialect.m_deadline, std::to_string(aLeft.count())));
   if (!aInstance.empty()) {
     headers.push_back(Header(aDialect.m_expectInstance, aInstance));
   }
@@ -119,8 +118,7 @@
     return IsOneOf(name, kConnectionHeaders) || IsOneOf(name, kOwnHeaders) ||
            SameHeader(name, aDialect.m_deadline) ||
            SameHeader(name, aDialect.m_callerService) ||
-           SameHeader(name, aDialect.m_expectInstance) ||
-           IsInList(named, name);
+           SameHeader(name, aDialect.m_expectInstance) || IsInList(named, name);
   });
   return aHeaders;
 }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -4,8 +4,8 @@
 #include "platform/dialect.hpp"
 
 #include <csignal>
-#include <ctime>
 #include <cstdio>
+#include <ctime>
 #include <fmt/format.h>
 #include <random>
 
@@ -129,9 +129,8 @@
 {
   const auto opened = Open();
   if (!opened) {
-    m_log.Error("daemon",
-                "cannot_listen",
-                { { "detail", opened.error().m_message } });
+    m_log.Error(
+      "daemon", "cannot_listen", { { "detail", opened.error().m_message } });
     return kUncleanDrain;
   }
   m_signals.async_wait([this](const asio::error_code& aError, int) {
@@ -282,8 +281,7 @@
   auto settings = LoadSettings(m_file);
   if (!settings) {
     for (const Error& each : settings.error()) {
-      m_log.Error(
-        "daemon", "reload_refused", { { "detail", Describe(each) } });
+      m_log.Error("daemon", "reload_refused", { { "detail", Describe(each) } });
     }
     return;
   }
--- a/src/daemon/platform_endpoints.cpp
+++ b/src/daemon/platform_endpoints.cpp
@@ -68,8 +68,8 @@
     aResponder.Answer({ 404 });
     return;
   }
-  aResponder.Answer(HttpResponse{
-    m_parts.m_isReady() ? std::uint16_t{ 200 } : std::uint16_t{ 503 } });
+  aResponder.Answer(HttpResponse{ m_parts.m_isReady() ? std::uint16_t{ 200 }
+                                                      : std::uint16_t{ 503 } });
 }
 
 void
@@ -89,12 +89,13 @@
     left != nullptr ? m_worker.OnLeft(left->m_id)
                     : Take(std::get<WorkerReport>(notice.value()));
   if (change != WorkerPresence::Change::None) {
-    m_parts.m_log.Info("worker",
-                       "worker_changed",
-                       { { "change", NameOf(change) },
-                         { "instance", m_worker.Current()->m_id },
-                         { "slots", std::uint64_t{ m_worker.Current()->m_slots } },
-                         { "sequence", m_worker.Current()->m_sequence } });
+    m_parts.m_log.Info(
+      "worker",
+      "worker_changed",
+      { { "change", NameOf(change) },
+        { "instance", m_worker.Current()->m_id },
+        { "slots", std::uint64_t{ m_worker.Current()->m_slots } },
+        { "sequence", m_worker.Current()->m_sequence } });
     m_parts.m_onWorker(m_worker);
   }
   // Answered after the change is in force here: nothing reaches the worker but
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -78,21 +78,23 @@
     // another service's, and would run whatever it is given.
     Deliver(
       aKey,
+      aRequest,
       Refuse(aKey.m_call, CallOutcome::NotRun, RefusalReason::WorkerReplaced));
     return;
   }
   if (!m_hasWorker) {
-    Deliver(
-      aKey,
-      Refuse(aKey.m_call, CallOutcome::NotRun, RefusalReason::NoWorker));
+    Deliver(aKey,
+            aRequest,
+            Refuse(aKey.m_call, CallOutcome::NotRun, RefusalReason::NoWorker));
     return;
   }
   RunActions pushedOut;
-  const Admission admission = m_runs.Admit(
-    now, aKey, aEpoch, DemandOf(aRequest), pushedOut);
+  const Admission admission =
+    m_runs.Admit(now, aKey, aEpoch, DemandOf(aRequest), pushedOut);
   if (admission.m_kind == Admission::Kind::Refused) {
     m_metrics.CountRun(NameOf(admission.m_reason));
     Deliver(aKey,
+            aRequest,
             Refuse(aKey.m_call,
                    CallOutcome::NotRun,
                    admission.m_reason,
@@ -150,8 +152,9 @@
     return Refuse(
       aKey.m_call, CallOutcome::NotRun, RefusalReason::WorkerReplaced);
   }
-  const bool notExecuted = !m_dialect.m_notExecuted.empty() &&
-                           !HeaderValue(headers, m_dialect.m_notExecuted).empty();
+  const bool notExecuted =
+    !m_dialect.m_notExecuted.empty() &&
+    !HeaderValue(headers, m_dialect.m_notExecuted).empty();
   if (notExecuted) {
     return Refuse(
       aKey.m_call, CallOutcome::NotRun, RefusalReason::WorkerRefused);
@@ -213,8 +216,9 @@
   if (!held->second.m_request.m_idempotent) {
     Keep(aKey, answer);
   }
+  const CallRequest request = std::move(held->second.m_request);
   m_held.erase(held);
-  Deliver(aKey, std::move(answer));
+  Deliver(aKey, request, std::move(answer));
   Carry(next);
 }
 
@@ -232,12 +236,19 @@
 }
 
 void
-RunService::Deliver(CallKey aKey, CallAnswer aAnswer)
+RunService::Deliver(CallKey aKey,
+                    const CallRequest& aRequest,
+                    CallAnswer aAnswer)
 {
+  using std::chrono::duration_cast;
+  using std::chrono::microseconds;
+  const std::chrono::milliseconds profile = aRequest.m_profile;
   aAnswer.m_load = m_runs.Load();
   aAnswer.m_slots = m_hasWorker ? m_runs.Slots() : 0;
   aAnswer.m_serviceTime =
-    std::chrono::duration_cast<std::chrono::microseconds>(m_runs.ServiceTime());
+    duration_cast<microseconds>(m_runs.ServiceTime(profile));
+  aAnswer.m_wait = duration_cast<microseconds>(
+    m_runs.WaitOf(Clock::now(), aRequest.m_priority, profile));
   m_answer(aKey, std::move(aAnswer));
 }
 
@@ -245,9 +256,15 @@
 RunService::Carry(const RunActions& aActions)
 {
   for (const RefusedRun& each : aActions.m_refused) {
-    m_held.erase(each.m_key);
     m_metrics.CountRun(NameOf(each.m_reason));
+    const auto held = m_held.find(each.m_key);
+    if (held == m_held.end()) {
+      continue;
+    }
+    const CallRequest request = std::move(held->second.m_request);
+    m_held.erase(held);
     Deliver(each.m_key,
+            request,
             Refuse(each.m_key.m_call,
                    CallOutcome::NotRun,
                    each.m_reason,
@@ -281,7 +298,7 @@
   if (result == CancelResult::Finished && !aAbandon) {
     for (const Kept& each : m_kept) {
       if (each.m_key == aKey) {
-        Deliver(aKey, each.m_answer);
+        m_answer(aKey, each.m_answer);
         return CancelResult::Running;
       }
     }
--- a/src/greengagehubd.cpp
+++ b/src/greengagehubd.cpp
@@ -2,8 +2,8 @@
 
 #include <boost/program_options.hpp>
 #include <csignal>
-#include <cstdlib>
 #include <cstdio>
+#include <cstdlib>
 #include <fmt/format.h>
 
 /// \file
--- a/src/http/backend_client.cpp
+++ b/src/http/backend_client.cpp
@@ -34,9 +34,9 @@
   for (const HttpHeader& each : aRequest.m_headers) {
     out += fmt::format("{}: {}\r\n", each.m_name, each.m_value);
   }
-  const bool hasBody = !aRequest.m_body.empty() || aRequest.m_method == "POST" ||
-                       aRequest.m_method == "PUT" ||
-                       aRequest.m_method == "PATCH";
+  const bool hasBody =
+    !aRequest.m_body.empty() || aRequest.m_method == "POST" ||
+    aRequest.m_method == "PUT" || aRequest.m_method == "PATCH";
   if (hasBody) {
     out += fmt::format("Content-Length: {}\r\n", aRequest.m_body.size());
   }
@@ -125,7 +125,8 @@
     m_request = std::move(aRequest);
     m_done = std::move(aDone);
     m_parser.Reset(m_request.m_method == "HEAD");
-    m_parser.SetLimits({ .m_bodyBytes = m_client->m_settings.m_maxAnswerBytes });
+    m_parser.SetLimits(
+      { .m_bodyBytes = m_client->m_settings.m_maxAnswerBytes });
     m_sent = false;
     m_written = false;
     m_sawBytes = false;
@@ -151,9 +152,9 @@
   void Connect()
   {
     ++m_client->m_opened;
-    const auto limit = std::min<TimePoint>(
-      Clock::now() + m_client->m_settings.m_connectTimeout,
-      m_request.m_deadline);
+    const auto limit =
+      std::min<TimePoint>(Clock::now() + m_client->m_settings.m_connectTimeout,
+                          m_request.m_deadline);
     m_timer.expires_at(limit);
     m_timer.async_wait(
       [self = Pointer{ this }](const asio::error_code& aError) {
@@ -190,15 +191,14 @@
   void ArmDeadline()
   {
     m_timer.expires_at(m_request.m_deadline);
-    m_timer.async_wait(
-      [self = Pointer{ this },
-       ticket = m_ticket](const asio::error_code& aError) {
-        const bool due =
-          !aError && self->m_client != nullptr && self->m_ticket == ticket;
-        if (due) {
-          self->End({ BackendResult::Kind::TimedOut }, true);
-        }
-      });
+    m_timer.async_wait([self = Pointer{ this },
+                        ticket = m_ticket](const asio::error_code& aError) {
+      const bool due =
+        !aError && self->m_client != nullptr && self->m_ticket == ticket;
+      if (due) {
+        self->End({ BackendResult::Kind::TimedOut }, true);
+      }
+    });
   }
 
   void Write()
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -174,7 +174,9 @@
     }
   }
 
-  void Answer(std::uint64_t aRequest, const HttpResponse& aResponse, bool aClose)
+  void Answer(std::uint64_t aRequest,
+              const HttpResponse& aResponse,
+              bool aClose)
   {
     if (m_server == nullptr || m_state != State::Handling ||
         aRequest != m_requests) {
@@ -290,9 +292,10 @@
     }
     m_continued = true;
     asio::error_code ignored;
-    asio::write(m_socket,
-                asio::buffer(std::string_view{ "HTTP/1.1 100 Continue\r\n\r\n" }),
-                ignored);
+    asio::write(
+      m_socket,
+      asio::buffer(std::string_view{ "HTTP/1.1 100 Continue\r\n\r\n" }),
+      ignored);
   }
 
   void HandOut()
@@ -393,20 +396,19 @@
 void
 HttpServer::Impl::Accept()
 {
-  m_acceptor.async_accept(
-    [this](const asio::error_code& aError, tcp::socket aSocket) {
-      if (aError == asio::error::operation_aborted || m_stopped) {
-        return;
-      }
-      if (!aError) {
-        const std::uint64_t id = ++m_lastConnection;
-        const Pointer connection{ new Connection(
-          *this, std::move(aSocket), id) };
-        m_connections.emplace(id, connection);
-        connection->Start();
-      }
-      Accept();
-    });
+  m_acceptor.async_accept([this](const asio::error_code& aError,
+                                 tcp::socket aSocket) {
+    if (aError == asio::error::operation_aborted || m_stopped) {
+      return;
+    }
+    if (!aError) {
+      const std::uint64_t id = ++m_lastConnection;
+      const Pointer connection{ new Connection(*this, std::move(aSocket), id) };
+      m_connections.emplace(id, connection);
+      connection->Start();
+    }
+    Accept();
+  });
 }
 
 void
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -17,8 +17,7 @@
 const std::vector<std::string> kLevels{ "debug", "info", "warning", "error" };
 const std::vector<std::string> kSections{
   "daemon",     "listen",        "operators", "worker", "store",
-  "membership", "dissemination", "calls",     "log",
-  "platform"
+  "membership", "dissemination", "calls",     "log",    "platform"
 };
 
 /// \returns Host and port of "IP:PORT", or nothing.
--- a/src/transport/link_codec.cpp
+++ b/src/transport/link_codec.cpp
@@ -93,6 +93,7 @@
     out.set_load(aAnswer.m_load);
     out.set_reached_worker(aAnswer.m_reachedWorker);
     out.set_slots(aAnswer.m_slots);
+    out.set_wait_us(static_cast<std::uint64_t>(aAnswer.m_wait.count()));
     out.set_service_us(
       static_cast<std::uint64_t>(aAnswer.m_serviceTime.count()));
   }
@@ -165,6 +166,7 @@
   answer.m_load = aWire.load();
   answer.m_reachedWorker = aWire.reached_worker();
   answer.m_slots = aWire.slots();
+  answer.m_wait = std::chrono::microseconds{ aWire.wait_us() };
   answer.m_serviceTime = std::chrono::microseconds{ aWire.service_us() };
   return LinkFrame{ std::move(answer) };
 }
--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -184,9 +184,8 @@
       Send(std::move(aResponder), Grant(aRequest.m_body), true);
     } else if (path.starts_with(kKeep)) {
       ++m_counts.m_leaseCalls;
-      Send(std::move(aResponder),
-           Keep(Number(path.substr(kKeep.size()))),
-           true);
+      Send(
+        std::move(aResponder), Keep(Number(path.substr(kKeep.size()))), true);
     } else {
       aResponder.Answer({ 400 });
     }
@@ -216,8 +215,8 @@
   [[nodiscard]] HttpResponse Read(const std::string& aKey) const
   {
     const auto key = m_keys.find(aKey);
-    Json body = key == m_keys.end() ? Json::object()
-                                    : ItemOf(aKey, key->second);
+    Json body =
+      key == m_keys.end() ? Json::object() : ItemOf(aKey, key->second);
     body["store_revision"] = m_revision;
     return JsonResponse(key == m_keys.end() ? 404 : 200, body.dump());
   }
@@ -228,8 +227,8 @@
     constexpr std::size_t kPage = 500;
     Json items = Json::array();
     bool more = false;
-    auto it = aAfter.empty() ? m_keys.lower_bound(aPrefix)
-                             : m_keys.upper_bound(aAfter);
+    auto it =
+      aAfter.empty() ? m_keys.lower_bound(aPrefix) : m_keys.upper_bound(aAfter);
     for (; it != m_keys.end() && it->first.starts_with(aPrefix); ++it) {
       if (items.size() == kPage) {
         more = true;
@@ -278,12 +277,12 @@
     if (events.empty() && !aDue) {
       return false;
     }
-    Send(std::move(aWatch.m_responder),
-         JsonResponse(200,
-                      Json{ { "events", events },
-                            { "store_revision", m_revision } }
-                        .dump()),
-         false);
+    Send(
+      std::move(aWatch.m_responder),
+      JsonResponse(
+        200,
+        Json{ { "events", events }, { "store_revision", m_revision } }.dump()),
+      false);
     return true;
   }
 
@@ -300,10 +299,9 @@
   void Remove(const std::string& aKey)
   {
     if (m_keys.erase(aKey) > 0) {
-      Remember(aKey,
-               { { "key", aKey },
-                 { "revision", m_revision },
-                 { "tombstone", true } });
+      Remember(
+        aKey,
+        { { "key", aKey }, { "revision", m_revision }, { "tombstone", true } });
     }
   }
 
@@ -380,9 +378,9 @@
   HttpResponse Grant(const std::string& aBody)
   {
     const Json body = Json::parse(aBody, nullptr, false);
-    const std::chrono::milliseconds time{
-      body.is_object() ? body.value("ttl_ms", 0LL) : 0LL
-    };
+    const std::chrono::milliseconds time{ body.is_object()
+                                            ? body.value("ttl_ms", 0LL)
+                                            : 0LL };
     m_leases[++m_lastLease] = { time, Clock::now() + time };
     return JsonResponse(
       200,
--- a/tests/calls/retry_budget.cpp
+++ b/tests/calls/retry_budget.cpp
@@ -24,7 +24,8 @@
 
 }
 
-TEST_CASE("where every worker sheds, retries stay a share of the window's calls")
+TEST_CASE(
+  "where every worker sheds, retries stay a share of the window's calls")
 {
   // The workers of a service shed half of what they get. Each daemon sends
   // what was shed to another worker, and the service gets half again as many
--- a/tests/calls/run_table.cpp
+++ b/tests/calls/run_table.cpp
@@ -13,11 +13,9 @@
 WorkDemand
 Demand(CallClass aClass, std::chrono::microseconds aTimeLeft)
 {
-  return { aClass,
-           static_cast<std::uint32_t>(aClass),
-           0ms,
-           aTimeLeft,
-           aTimeLeft };
+  return {
+    aClass, static_cast<std::uint32_t>(aClass), 0ms, aTimeLeft, aTimeLeft
+  };
 }
 
 Admission
@@ -141,8 +139,8 @@
   CHECK(table.Cancel(kStart + 11s, { 1, 5 }) == CancelResult::Forgotten);
   // Nor may a copy of its request run again.
   RunActions out;
-  const auto repeated =
-    table.Admit(kStart + 11s, { 1, 5 }, 1, Demand(CallClass::Critical, 1s), out);
+  const auto repeated = table.Admit(
+    kStart + 11s, { 1, 5 }, 1, Demand(CallClass::Critical, 1s), out);
   CHECK(repeated.m_kind == Admission::Kind::Repeated);
   // Later attempts and other processes are not touched by that.
   CHECK(Admit(table, 6).m_kind == Admission::Kind::Start);
--- a/tests/calls/trace_replay.cpp
+++ b/tests/calls/trace_replay.cpp
@@ -77,11 +77,8 @@
       parsed = NameOf(each) == callClass ? each : parsed;
     }
     RunActions out;
-    const Admission admission = m_runs.Admit(m_now,
-                                             { 1, aCall },
-                                             epoch,
-                                             DemandOf(parsed, left),
-                                             out);
+    const Admission admission =
+      m_runs.Admit(m_now, { 1, aCall }, epoch, DemandOf(parsed, left), out);
     switch (admission.m_kind) {
       case Admission::Kind::Start:
         return Told("started", out);
--- a/tests/end_to_end/reload.cpp
+++ b/tests/end_to_end/reload.cpp
@@ -6,8 +6,9 @@
 using namespace greengagehub;
 using namespace greengagehub::testkit;
 
-TEST_CASE("a daemon told that its settings changed goes on, with a good file and "
-          "with a bad one")
+TEST_CASE(
+  "a daemon told that its settings changed goes on, with a good file and "
+  "with a bad one")
 {
   // The platform rewrites the settings file and sends SIGHUP. The default
   // action of the signal ends the process with all calls on it, and a file
--- a/tests/transport/link_pool.cpp
+++ b/tests/transport/link_pool.cpp
@@ -14,14 +14,13 @@
   // instance: the request is reported as not sent, and the old one as gone.
   asio::io_context loop;
   int received = 0;
-  LinkServer stranger{
-    loop,
-    "127.0.0.1",
-    0,
-    LinkHello{ "new-instance", 2, 0 },
-    { .m_onEpoch = [](std::uint64_t, std::uint64_t) {},
-      .m_onFrame = [&](LinkConnection&, const LinkFrame&) { ++received; } }
-  };
+  LinkServer stranger{ loop,
+                       "127.0.0.1",
+                       0,
+                       LinkHello{ "new-instance", 2, 0 },
+                       { .m_onEpoch = [](std::uint64_t, std::uint64_t) {},
+                         .m_onFrame = [&](LinkConnection&,
+                                          const LinkFrame&) { ++received; } } };
   std::vector<std::uint64_t> notSent;
   std::vector<std::string> gone;
   LinkPool::Handlers handlers;
