Changes of the configuration travel as patches; a document is translated once

Change: two daemons of each failure domain, those with the fastest links, follow the store; the others get the change as a patch on the version that they run, by push and pull as our own versions travel. The reader keeps its translations and works out the patch.

--- a/include/greengagehub/config/config_holder.hpp
+++ b/include/greengagehub/config/config_holder.hpp
@@ -56,14 +56,17 @@
   [[nodiscard]] const VersionEntry* Entry(Version aVersion) const;
 
   StageResult Stage(const VersionEntry& aEntry);
-  /// \brief A whole content from a source that keeps no chain of patches.
-  StageResult StageContent(Version aVersion, std::string_view aContent);
+  /// \brief A version from a source that keeps whole contents and numbers them
+  /// as it likes.
+  /// \param aPatch what differs from the content in force.
+  StageResult StageChange(Version aVersion, std::string aPatch);
   /// \param aSnapshot canonical JSON of the content at `aHead`.
   StageResult StageSnapshot(const VersionEntry& aHead,
                             std::string_view aSnapshot);
 
 private:
   StageResult Apply(const VersionEntry& aEntry);
+  StageResult ApplyChange(VersionEntry aEntry, bool aCheckDigest);
   void ApplyWaiting();
   void Keep(const VersionEntry& aEntry);
 
--- a/include/greengagehub/config/content.hpp
+++ b/include/greengagehub/config/content.hpp
@@ -122,6 +122,11 @@
   }
   [[nodiscard]] const Limits& GetLimits() const noexcept { return m_limits; }
 
+  /// \returns The limits as canonical JSON.
+  [[nodiscard]] const std::string& LimitsText() const noexcept
+  {
+    return m_limitsText;
+  }
   /// \brief Order-independent digest over all entities.
   [[nodiscard]] const Digest& GetDigest() const noexcept { return m_digest; }
 
--- a/include/greengagehub/config/decision.hpp
+++ b/include/greengagehub/config/decision.hpp
@@ -5,6 +5,7 @@
 #include "greengagehub/core/version.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,7 +22,14 @@
   Digest m_chain;
   /// Digest of the content that the patch must lead to.
   Digest m_content;
-
+  /// The version that the patch is on, where a source numbers its versions as
+  /// it likes; else the one before.
+  std::optional<Version> m_base{};
+
+  [[nodiscard]] bool Follows(Version aVersion) const noexcept
+  {
+    return m_base ? *m_base == aVersion : m_version == aVersion.Next();
+  }
   [[nodiscard]] bool operator==(const VersionEntry&) const = default;
 };
 
--- a/include/greengagehub/daemon/config_feed.hpp
+++ b/include/greengagehub/daemon/config_feed.hpp
@@ -58,10 +58,21 @@
   {
   }
 
+  /// \brief Whether to wait for changes; else others of the failure domain do,
+  /// and tell.
+  void SetWatching(bool aWatching)
+  {
+    m_watching = aWatching;
+    if (m_watching && m_idle) {
+      Read();
+    }
+  }
+
   /// \brief Reads now, whatever is under way: at the start, and after a pause
   /// in which changes may have been missed.
   void Read()
   {
+    m_idle = false;
     const std::uint64_t round = ++m_round;
     m_timer.cancel();
     m_store.Carry(MakeGet(m_key), [this, round](StoreReply aReply) {
@@ -92,6 +103,10 @@
 
   void Watch()
   {
+    m_idle = !m_watching;
+    if (m_idle) {
+      return;
+    }
     const std::uint64_t round = m_round;
     m_store.Carry(MakeWatch(m_key, m_revision, m_times.m_watch),
                   [this, round](StoreReply aReply) {
@@ -122,7 +137,7 @@
 
   void Take(const StoreReply& aReply)
   {
-    auto document = platform::ParseConfigDocument(aReply.m_value);
+    const auto document = m_reader.Read(aReply.m_value);
     if (!document) {
       m_log.Error("config",
                   "document_unreadable",
@@ -131,12 +146,17 @@
       return;
     }
     const Version before = m_holder.GetVersion();
-    const StageResult result = m_holder.StageContent(
-      document.value().m_version, document.value().m_content);
+    const Version version = document.value().m_version;
+    if (version <= before) {
+      return;
+    }
+    const StageResult result = m_holder.StageChange(
+      version,
+      PatchBetween(m_holder.Active()->m_content, document.value().m_content));
     if (result == StageResult::Corrupt) {
       m_log.Error("config",
                   "version_not_usable",
-                  { { "version", document.value().m_version.m_number },
+                  { { "version", version.m_number },
                     { "revision", aReply.m_revision } });
     }
     if (result == StageResult::Applied) {
@@ -178,7 +198,11 @@
   /// Answers that belong to an earlier round are dropped.
   std::uint64_t m_round{ 0 };
   Revision m_revision{ 0 };
+  platform::ConfigReader m_reader;
   bool m_reachable{ true };
+  bool m_watching{ true };
+  /// Nothing is under way and nobody waits for changes.
+  bool m_idle{ false };
 };
 
 }
--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -85,6 +85,7 @@
   void StageAll(const std::vector<VersionEntry>& aEntries);
   void OnAdvanced(Version aBefore);
   void Push(Version aBefore);
+  [[nodiscard]] std::vector<MemberAddress> PushTargets(std::uint32_t aFanout);
   void PullWhenDue(TimePoint aNow);
   void PullFrom(const MemberAddress& aPeer, bool aMembers);
   void OnPulled(std::optional<PullAnswer> aAnswer);
@@ -118,6 +119,7 @@
   Version m_packedVersion;
   ReadyGate m_gate;
   TimePoint m_nextSync{};
+  TimePoint m_nextRank{};
   std::chrono::milliseconds m_syncEvery{ 1000 };
   bool m_joined{ false };
   bool m_fallbackRead{ false };
--- a/include/greengagehub/dissemination/disseminator.hpp
+++ b/include/greengagehub/dissemination/disseminator.hpp
@@ -48,7 +48,8 @@
   void OnDigest(TimePoint aNow,
                 const ConfigHolder& aHolder,
                 const VersionDigest& aHead,
-                const MemberAddress& aPeer);
+                const MemberAddress& aPeer,
+                bool aNear = false);
   /// \returns Whom to pull from now, if anyone.
   [[nodiscard]] std::optional<MemberAddress> DuePull(
     TimePoint aNow,
@@ -65,6 +66,8 @@
   Random m_random;
   Version m_heard;
   std::vector<MemberAddress> m_sources;
+  /// The last one heard of in the own failure domain, asked before others.
+  std::optional<MemberAddress> m_nearSource;
   std::optional<TimePoint> m_pullAt;
   std::optional<TimePoint> m_pullUntil;
 };
--- a/include/greengagehub/membership/member.hpp
+++ b/include/greengagehub/membership/member.hpp
@@ -47,6 +47,8 @@
   MemberAddress m_address;
   /// Calls the worker runs at once, as its settings say.
   std::uint32_t m_slots{ 0 };
+  /// Rate of its own link; the fastest of a domain read the store.
+  std::uint32_t m_linkMbps{ 0 };
 };
 
 /// \returns Whether calls may be sent there: known and neither leaving nor
--- a/include/greengagehub/membership/membership.hpp
+++ b/include/greengagehub/membership/membership.hpp
@@ -59,6 +59,8 @@
   }
   /// \returns Up to `aCount` different present members, chosen at random.
   [[nodiscard]] std::vector<MemberAddress> Sample(std::size_t aCount);
+  /// \returns The same, all of the own failure domain.
+  [[nodiscard]] std::vector<MemberAddress> SampleNear(std::size_t aCount);
   /// \returns Place of this daemon among the present ones of its failure
   /// domain, by a hash of the slot; who watches the store follows from it.
   [[nodiscard]] std::size_t RankInDomain() const;
--- a/include/greengagehub/settings/settings.hpp
+++ b/include/greengagehub/settings/settings.hpp
@@ -104,6 +104,8 @@
   std::string m_service{};
   std::string m_region{};
   std::string m_domain{};
+  /// Rate of this machine's link, in Mbit/s; 0: not known.
+  std::uint32_t m_linkMbps{ 0 };
   ListenSettings m_listen{};
   /// Guards what changes something; never logged. Empty: nothing is changed.
   std::string m_operatorToken{};
--- a/src/config/config_holder.cpp
+++ b/src/config/config_holder.cpp
@@ -25,11 +25,13 @@
 ConfigHolder::EntriesAfter(Version aVersion, bool& aComplete) const
 {
   std::vector<VersionEntry> entries;
-  aComplete = aVersion >= GetVersion() || m_recent.contains(aVersion.Next());
+  auto it = m_recent.upper_bound(aVersion);
+  aComplete = aVersion >= GetVersion() ||
+              (it != m_recent.end() && it->second.Follows(aVersion));
   if (!aComplete) {
     return entries;
   }
-  for (auto it = m_recent.upper_bound(aVersion); it != m_recent.end(); ++it) {
+  for (; it != m_recent.end(); ++it) {
     entries.push_back(it->second);
   }
   return entries;
@@ -44,6 +46,10 @@
     const bool forked = held != nullptr && held->m_chain != aEntry.m_chain;
     return forked ? StageResult::Forked : StageResult::AlreadyHeld;
   }
+  if (aEntry.m_base) {
+    return *aEntry.m_base == current ? ApplyChange(aEntry, true)
+                                     : StageResult::Gap;
+  }
   if (aEntry.m_version != current.Next()) {
     if (m_waiting.size() < kMaxWaiting) {
       m_waiting.emplace(aEntry.m_version, aEntry);
@@ -95,20 +101,36 @@
 }
 
 StageResult
-ConfigHolder::StageContent(Version aVersion, std::string_view aContent)
+ConfigHolder::StageChange(Version aVersion, std::string aPatch)
 {
   if (aVersion <= GetVersion()) {
     return StageResult::AlreadyHeld;
   }
+  VersionEntry entry;
+  entry.m_version = aVersion;
+  entry.m_base = GetVersion();
+  entry.m_patch = std::move(aPatch);
+  return ApplyChange(std::move(entry), false);
+}
+
+StageResult
+ConfigHolder::ApplyChange(VersionEntry aEntry, bool aCheckDigest)
+{
   boost::intrusive_ptr<ActiveConfig> next{ new ActiveConfig };
-  next->m_version = aVersion;
-  if (!next->m_content.Apply(aContent).empty()) {
+  next->m_version = aEntry.m_version;
+  next->m_content = m_active->m_content;
+  if (!next->m_content.Apply(aEntry.m_patch).empty()) {
+    return StageResult::Corrupt;
+  }
+  const Digest& digest = next->m_content.GetDigest();
+  if (aCheckDigest && digest != aEntry.m_content) {
     return StageResult::Corrupt;
   }
-  next->m_chain = next->m_content.GetDigest();
+  aEntry.m_content = digest;
+  aEntry.m_chain = digest;
+  next->m_chain = digest;
   m_active = std::move(next);
-  m_recent.clear();
-  m_waiting.clear();
+  Keep(aEntry);
   return StageResult::Applied;
 }
 
@@ -135,6 +157,11 @@
 void
 ConfigHolder::Keep(const VersionEntry& aEntry)
 {
+  if (aEntry.m_patch.size() > kMaxPatchBytes) {
+    // As large as a content: a peer that lacks it is better served with one.
+    m_recent.clear();
+    return;
+  }
   m_recent.emplace(aEntry.m_version, aEntry);
   if (m_recent.size() > kMaxRecent) {
     m_recent.erase(m_recent.begin());
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -14,6 +14,12 @@
 /// Changes of the configuration are taken together for this part of the time
 /// in which one must be in force.
 constexpr int kSettleShare = 8;
+/// Daemons of a failure domain that follow the store; the others hear from
+/// them. One may be lost with a change on its way before it takes a peer of
+/// another domain.
+constexpr std::size_t kReaders = 2;
+/// Between two looks at who is among them, which passes over all members.
+constexpr auto kRankEvery = std::chrono::milliseconds{ 500 };
 /// Longest pause between reads of the configuration while the store is away.
 constexpr auto kMaxFeedBackoff = std::chrono::milliseconds{ 500 };
 /// Between two comparisons of members with a peer whose view differs: often
@@ -42,6 +48,7 @@
   self.m_region = aSettings.m_region;
   // On the platform a worker is known only once it has reported.
   self.m_slots = aSettings.m_platform.m_enabled ? 0 : aSettings.m_runs.m_slots;
+  self.m_linkMbps = aSettings.m_linkMbps;
   self.m_address = { aSettings.m_listen.m_host, aGossipPort, aBulkPort, 0 };
   return self;
 }
@@ -311,7 +318,11 @@
     return;
   }
   m_disseminator.OnDigest(
-    now, m_holder, aMessage.m_head, aMessage.m_sender.m_address);
+    now,
+    m_holder,
+    aMessage.m_head,
+    aMessage.m_sender.m_address,
+    aMessage.m_sender.m_domain == m_settings.m_domain);
   SyncMembers(now, aMessage);
 }
 
@@ -386,7 +397,7 @@
 {
   const auto entries = m_disseminator.ToPush(m_holder, aBefore);
   const std::uint32_t fanout = m_disseminator.Settings().m_fanout;
-  for (const MemberAddress& each : m_membership.Sample(fanout)) {
+  for (const MemberAddress& each : PushTargets(fanout)) {
     GossipMessage message;
     message.m_kind = GossipMessage::Kind::Push;
     message.m_sender = m_membership.Self();
@@ -395,6 +406,20 @@
   }
 }
 
+std::vector<MemberAddress>
+ControlPlane::PushTargets(std::uint32_t aFanout)
+{
+  if (!m_settings.m_platform.m_enabled || aFanout == 0) {
+    return m_membership.Sample(aFanout);
+  }
+  // Each domain reads the store itself; one push beyond it covers for a domain
+  // whose readers are lost at that moment.
+  std::vector<MemberAddress> targets = m_membership.SampleNear(aFanout - 1);
+  const auto any = m_membership.Sample(1);
+  targets.insert(targets.end(), any.begin(), any.end());
+  return targets;
+}
+
 void
 ControlPlane::PullWhenDue(TimePoint aNow)
 {
@@ -499,7 +524,12 @@
   if (auto request = m_watchRole.OnTick(aNow, rank)) {
     CarryWatch(std::move(*request));
   }
-  if (!m_settings.m_platform.m_enabled) {
+  if (m_settings.m_platform.m_enabled) {
+    if (aNow >= m_nextRank) {
+      m_nextRank = aNow + kRankEvery;
+      m_feed.SetWatching(m_membership.RankInDomain() < kReaders);
+    }
+  } else {
     m_sync.SetWatching(m_watchRole.Holds(aNow));
   }
 }
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -161,10 +161,10 @@
   }
   // A success without the signature is not the worker's, whatever it looks
   // like.
-  const bool unsigned_ = IsSuccess(aResponse.m_status) &&
+  const bool lacksSeal = IsSuccess(aResponse.m_status) &&
                          !m_dialect.m_seal.empty() &&
                          HeaderValue(headers, m_dialect.m_seal).empty();
-  if (unsigned_) {
+  if (lacksSeal) {
     return Refuse(aKey.m_call, CallOutcome::Unknown, RefusalReason::AnswerLost);
   }
   CallAnswer answer;
--- a/src/dissemination/disseminator.cpp
+++ b/src/dissemination/disseminator.cpp
@@ -23,17 +23,18 @@
                       Version aAfter,
                       std::size_t aBytes) const
 {
-  std::vector<VersionEntry> entries;
+  bool complete = false;
+  std::vector<VersionEntry> entries = aHolder.EntriesAfter(aAfter, complete);
   std::size_t room = aBytes;
-  for (Version next = aAfter.Next(); next <= aHolder.GetVersion();
-       next = next.Next()) {
-    const VersionEntry* entry = aHolder.Entry(next);
-    if (entry == nullptr || entry->m_patch.size() + kEntryOverhead > room) {
+  std::size_t fitting = 0;
+  for (const VersionEntry& each : entries) {
+    if (each.m_patch.size() + kEntryOverhead > room) {
       break;
     }
-    room -= entry->m_patch.size() + kEntryOverhead;
-    entries.push_back(*entry);
+    room -= each.m_patch.size() + kEntryOverhead;
+    ++fitting;
   }
+  entries.resize(fitting);
   return entries;
 }
 
@@ -54,12 +55,16 @@
 Disseminator::OnDigest(TimePoint aNow,
                        const ConfigHolder& aHolder,
                        const VersionDigest& aHead,
-                       const MemberAddress& aPeer)
+                       const MemberAddress& aPeer,
+                       bool aNear)
 {
   m_heard = std::max(m_heard, aHead.m_version);
   if (aHead.m_version <= aHolder.GetVersion()) {
     return;
   }
+  if (aNear) {
+    m_nearSource = aPeer;
+  }
   if (m_sources.size() < kMaxSources) {
     m_sources.push_back(aPeer);
   } else {
@@ -78,6 +83,7 @@
   }
   if (m_heard <= aHolder.GetVersion()) {
     m_sources.clear();
+    m_nearSource.reset();
     m_pullAt.reset();
     return std::nullopt;
   }
@@ -85,6 +91,12 @@
   if (!due || m_sources.empty()) {
     return std::nullopt;
   }
+  if (m_nearSource) {
+    const MemberAddress source = *m_nearSource;
+    m_nearSource.reset();
+    m_pullUntil = aNow + m_settings.m_pullTimeout;
+    return source;
+  }
   const std::size_t chosen = Below(m_random, m_sources.size());
   const MemberAddress source = m_sources[chosen];
   m_sources.erase(m_sources.begin() + static_cast<std::ptrdiff_t>(chosen));
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -26,6 +26,21 @@
 // ---------------------------------------------------------------------------
 // Observers
 
+std::vector<MemberAddress>
+Membership::SampleNear(std::size_t aCount)
+{
+  std::vector<MemberAddress> near;
+  m_members.Rows().Each([&](MemberTable::Index, const MemberRow& aRow) {
+    const MemberRecord& record = aRow.m_record;
+    if (IsPresent(record.m_state) && record.m_domain == m_self.m_domain) {
+      near.push_back(record.m_address);
+    }
+  });
+  std::shuffle(near.begin(), near.end(), m_random);
+  near.resize(std::min(near.size(), aCount));
+  return near;
+}
+
 std::vector<MemberAddress>
 Membership::Sample(std::size_t aCount)
 {
@@ -59,7 +74,10 @@
     const MemberRecord& record = aRow.m_record;
     const bool counts = record.m_state == MemberState::Alive &&
                         record.m_domain == m_self.m_domain;
-    if (counts && aRow.m_rankKey < own) {
+    const bool before = record.m_linkMbps != m_self.m_linkMbps
+                          ? record.m_linkMbps > m_self.m_linkMbps
+                          : aRow.m_rankKey < own;
+    if (counts && before) {
       ++rank;
     }
   });
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::int64_t kHourMs = 3'600'000;
 constexpr std::int64_t kMaxSlots = 100'000;
+constexpr double kMaxMbps = 1'000'000.0;
 constexpr std::int64_t kMaxBody = 16L * 1024 * 1024;
 const std::vector<std::string> kLevels{ "debug", "info", "warning", "error" };
 const std::vector<std::string> kSections{
@@ -94,6 +95,9 @@
     reader.NeededText("service", m_settings.m_service);
     reader.NeededText("region", m_settings.m_region);
     reader.NeededText("domain", m_settings.m_domain);
+    double rate = 0.0;
+    reader.Number("link_mbps", rate, 0.0, kMaxMbps);
+    m_settings.m_linkMbps = static_cast<std::uint32_t>(rate);
     reader.Finish();
   }
 
@@ -154,7 +158,12 @@
   void ReadOperators()
   {
     SettingsReader reader = Section("operators");
-    reader.Text("token", m_settings.m_operatorToken);
+    // On a platform the operators write to its store, and need no way in here.
+    if (m_root.contains("platform")) {
+      reader.Text("token", m_settings.m_operatorToken);
+    } else {
+      reader.NeededText("token", m_settings.m_operatorToken);
+    }
     reader.Finish();
   }
 
@@ -262,7 +271,7 @@
     reader.Millis("worker_drain_ms", platform.m_workerDrain, 0, kHourMs);
     reader.Millis("grace_ms", platform.m_grace, 0, kHourMs);
     reader.Millis("config_apply_ms", platform.m_configApply, 1, kHourMs);
-    reader.Share("retry_share", platform.m_retryShare);
+    reader.Number("retry_share", platform.m_retryShare, 0.0, 1.0);
     reader.Millis("retry_window_ms", platform.m_retryWindow, 1, kHourMs);
     reader.Count("retry_slack", platform.m_retrySlack, 0, kMaxSlots);
     reader.Finish();
--- a/src/settings/settings_reader.cpp
+++ b/src/settings/settings_reader.cpp
@@ -169,15 +169,18 @@
 }
 
 void
-SettingsReader::Share(const char* aKey, double& aTarget)
+SettingsReader::Number(const char* aKey,
+                       double& aTarget,
+                       double aLow,
+                       double aHigh)
 {
   const toml::node* node = Find(aKey);
   if (node == nullptr) {
     return;
   }
   const std::optional<double> value = node->value<double>();
-  if (!value || *value < 0.0 || *value > 1.0) {
-    Fault(aKey, "a number from 0 to 1");
+  if (!value || *value < aLow || *value > aHigh) {
+    Fault(aKey, fmt::format("a number from {} to {}", aLow, aHigh));
     return;
   }
   aTarget = *value;
--- a/src/settings/settings_reader.hpp
+++ b/src/settings/settings_reader.hpp
@@ -34,8 +34,8 @@
               std::chrono::milliseconds& aTarget,
               std::int64_t aLow,
               std::int64_t aHigh);
-  /// \brief A number in [0, 1].
-  void Share(const char* aKey, double& aTarget);
+  /// \brief A number in [aLow, aHigh], whole or not.
+  void Number(const char* aKey, double& aTarget, double aLow, double aHigh);
   template<class Number>
   void Count(const char* aKey,
              Number& aTarget,
--- a/src/transport/gossip_codec.cpp
+++ b/src/transport/gossip_codec.cpp
@@ -31,6 +31,7 @@
   aOut.set_bulk_port(aRecord.m_address.m_bulkPort);
   aOut.set_link_port(aRecord.m_address.m_linkPort);
   aOut.set_slots(aRecord.m_slots);
+  aOut.set_link_mbps(aRecord.m_linkMbps);
 }
 
 Outcome<MemberRecord>
@@ -55,6 +56,7 @@
                        static_cast<std::uint16_t>(aWire.bulk_port()),
                        static_cast<std::uint16_t>(aWire.link_port()) };
   record.m_slots = aWire.slots();
+  record.m_linkMbps = aWire.link_mbps();
   return record;
 }
 
@@ -65,6 +67,9 @@
   aOut.set_patch(aEntry.m_patch);
   aOut.set_chain(std::string{ aEntry.m_chain.View() });
   aOut.set_content_digest(std::string{ aEntry.m_content.View() });
+  if (aEntry.m_base) {
+    aOut.set_base(aEntry.m_base->m_number);
+  }
 }
 
 Outcome<VersionEntry>
@@ -75,9 +80,13 @@
   if (!chain || !content) {
     return Malformed("an entry without its digests");
   }
-  return VersionEntry{
+  VersionEntry entry{
     Version{ aWire.version() }, aWire.patch(), chain.value(), content.value()
   };
+  if (aWire.has_base()) {
+    entry.m_base = Version{ aWire.base() };
+  }
+  return entry;
 }
 
 void
--- a/tests/http/http_server.cpp
+++ b/tests/http/http_server.cpp
@@ -161,6 +161,15 @@
     client.m_server.Finish();
     CHECK(client.RunUntil([&] { return client.m_closed; }));
   }
+  SUBCASE("sent, and not read yet")
+  {
+    client.Send(kGet);
+    client.m_server.Finish();
+    REQUIRE(client.RunUntil([&] { return client.m_requests.size() == 1; }));
+    client.m_responders[0].Answer({ 200, {}, "whole" });
+    CHECK(client.RunUntil([&] { return client.m_closed; }));
+    CHECK(client.m_received.ends_with("whole"));
+  }
   SUBCASE("under way")
   {
     client.Send(kGet);
--- /dev/null
+++ b/tests/platform/config_document.cpp
@@ -0,0 +1,76 @@
+#include "platform/config_document.hpp"
+
+#include "greengagehub/config/config_holder.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace greengagehub;
+
+namespace {
+
+constexpr const char* kDocument = R"({
+  "version":"0000000c",
+  "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,
+            "header_timeout_ms":3000,"idle_timeout_ms":15000},
+  "base_version":"00000005",
+  "listeners":[{"host":"lockers.example","rules":[
+    {"name":"r-release","kind":"unsafe","target_latency_ms":500,"priority":1,
+     "match":{"prefix":"/release/"},
+     "action":{"service":"lockers","timeout_ms":1500,"attempts":2}},
+    {"name":"r-status","kind":"safe","target_latency_ms":400,"priority":2,
+     "match":{"prefix":"/status/"},
+     "action":{"weighted_clusters":[{"service":"lockers","weight":90},
+                                    {"service":"ledger","weight":10}],
+               "timeout_ms":1200,"attempts":3}}]}],
+  "clusters":[{"name":"lockers","health_check_path":"/healthz",
+               "max_connections":110,"protocol":"h1","tls":false},
+              {"name":"ledger","health_check_path":"/healthz",
+               "max_connections":110,"protocol":"h1","tls":false}]})";
+
+}
+
+TEST_CASE("a document becomes a content of ours")
+{
+  platform::ConfigReader reader;
+  const auto document = reader.Read(kDocument);
+  REQUIRE(document);
+  CHECK(document.value().m_version == Version{ 12 });
+  Content content;
+  REQUIRE(
+    content.Apply(PatchBetween(content, document.value().m_content)).empty());
+  CHECK(content.GetLimits().m_maxHeadBytes == 16384);
+  CHECK(content.GetLimits().m_idleTimeout == std::chrono::seconds{ 15 });
+  CHECK(content.Services().at("lockers")->m_value.m_connections == 110);
+  const Route& release = content.Routes().at("r-release")->m_value;
+  CHECK(release.m_host == "lockers.example");
+  CHECK(release.m_path == "/release/");
+  CHECK(release.m_service == "lockers");
+  CHECK(release.m_idempotency == Route::Idempotency::No);
+  CHECK(release.m_deadline == std::chrono::milliseconds{ 1500 });
+  CHECK(release.m_targetLatency == std::chrono::milliseconds{ 500 });
+  CHECK(release.m_attempts == 2);
+  CHECK(release.m_priority == 1);
+  const Route& status = content.Routes().at("r-status")->m_value;
+  CHECK(status.m_service.empty());
+  REQUIRE(status.m_split.size() == 2);
+  CHECK(status.m_split[1].m_weight == 90);
+  // The same document again differs in nothing.
+  const auto again = reader.Read(kDocument);
+  REQUIRE(again);
+  CHECK(PatchBetween(content, again.value().m_content) == "{}");
+}
+
+TEST_CASE("a document that makes no sense is an error, never a part of one")
+{
+  platform::ConfigReader reader;
+  for (const char* text : { "",
+                            "{",
+                            "[]",
+                            R"({"version":"xyz","listeners":[],"clusters":[]})",
+                            R"({"version":"01","clusters":[]})",
+                            R"({"version":"01","listeners":[{}],"clusters":[]})",
+                            R"({"version":1,"listeners":[],"clusters":[]})" }) {
+    CAPTURE(text);
+    CHECK_FALSE(reader.Read(text));
+  }
+}
