--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -79,6 +79,9 @@
   }
 
   void Accept();
+  /// Takes in what waits to be accepted, without waiting for more.
+  void AcceptWaiting();
+  void Serve(tcp::socket aSocket);
   void Sweep();
 
   asio::io_context& m_loop;
@@ -165,11 +168,13 @@
            m_state == State::Answering;
   }
 
-  /// No request after the one that is under way.
+  /// No request after the one that is under way, or has come and is not read
+  /// yet: on a slow machine that can be half a second's worth.
   void Finish()
   {
     m_closes = true;
-    if (m_state == State::Idle) {
+    asio::error_code error;
+    if (m_state == State::Idle && m_socket.available(error) == 0) {
       Close();
     }
   }
@@ -402,15 +407,36 @@
       return;
     }
     if (!aError) {
-      const std::uint64_t id = ++m_lastConnection;
-      const Pointer connection{ new Connection(*this, std::move(aSocket), id) };
-      m_connections.emplace(id, connection);
-      connection->Start();
+      Serve(std::move(aSocket));
     }
     Accept();
   });
 }
 
+void
+HttpServer::Impl::AcceptWaiting()
+{
+  asio::error_code error;
+  m_acceptor.cancel(error);
+  m_acceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket{ m_loop };
+    m_acceptor.accept(socket, error);
+    if (!error) {
+      Serve(std::move(socket));
+    }
+  }
+}
+
+void
+HttpServer::Impl::Serve(tcp::socket aSocket)
+{
+  const std::uint64_t id = ++m_lastConnection;
+  const Pointer connection{ new Connection(*this, std::move(aSocket), id) };
+  m_connections.emplace(id, connection);
+  connection->Start();
+}
+
 void
 HttpServer::Impl::Sweep()
 {
@@ -491,6 +517,8 @@
 void
 HttpServer::Finish()
 {
+  // Connections that wait to be accepted may have sent a request by now.
+  m_impl->AcceptWaiting();
   StopAccepting();
   const auto connections = m_impl->m_connections;
   for (const auto& [id, connection] : connections) {
