--- a/include/greengagehub/http/http_server.hpp
+++ b/include/greengagehub/http/http_server.hpp
@@ -83,7 +83,7 @@
   /// \brief Takes no new connections; open ones go on.
   void StopAccepting();
   /// \brief Takes no new connections and no new requests: idle connections are
-  /// closed now, the others with the answer to the request they are at.
+  /// closed within moments, the others with the answer to their request.
   void Finish();
   /// \returns Connections with a request that is not yet answered.
   [[nodiscard]] std::size_t Busy() const noexcept;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -131,7 +131,7 @@
     const auto age = aNow - m_since;
     switch (m_state) {
       case State::Idle:
-        if (age > limits.m_idleTimeout) {
+        if (m_closes || age > limits.m_idleTimeout) {
           Close();
         }
         return;
@@ -169,15 +169,9 @@
   }
 
   /// No request after the one that is under way, or has come and is not read
-  /// yet: on a slow machine that can be half a second's worth.
-  void Finish()
-  {
-    m_closes = true;
-    asio::error_code error;
-    if (m_state == State::Idle && m_socket.available(error) == 0) {
-      Close();
-    }
-  }
+  /// yet: on a slow machine that can be half a second's worth. Idle connections
+  /// are closed by the next look at the time, after what waits to be read.
+  void Finish() { m_closes = true; }
 
   void Answer(std::uint64_t aRequest,
               const HttpResponse& aResponse,
@@ -403,13 +397,15 @@
 {
   m_acceptor.async_accept([this](const asio::error_code& aError,
                                  tcp::socket aSocket) {
-    if (aError == asio::error::operation_aborted || m_stopped) {
+    if (aError == asio::error::operation_aborted) {
       return;
     }
     if (!aError) {
       Serve(std::move(aSocket));
     }
-    Accept();
+    if (!m_stopped) {
+      Accept();
+    }
   });
 }
 
@@ -431,6 +427,8 @@
 void
 HttpServer::Impl::Serve(tcp::socket aSocket)
 {
+  // One that was accepted just as the server stopped may have sent a request:
+  // it is served, and closed with the answer.
   const std::uint64_t id = ++m_lastConnection;
   const Pointer connection{ new Connection(*this, std::move(aSocket), id) };
   m_connections.emplace(id, connection);
