Log lines that follow a request, on standard output, bounded and never waited for

The buffer is bounded, a reader that stalls costs lines that are counted. Spans go to standard error. A finding on the way: a store that was restored from a backup was noticed only by luck of timing since watches go by the store's revision (seen once in the end-to-end test); a watch that runs out below where it began is now read as that, and the stand-in's revisions go back as a real store's do.

--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -3,6 +3,7 @@
 #include "greengagehub/calls/dispatcher.hpp"
 #include "greengagehub/calls/route_table.hpp"
 #include "greengagehub/config/config_holder.hpp"
+#include "greengagehub/daemon/request_log.hpp"
 #include "greengagehub/daemon/run_service.hpp"
 #include "greengagehub/http/http_server.hpp"
 #include "greengagehub/membership/membership.hpp"
@@ -29,6 +30,7 @@
     const CallDialect& m_dialect;
     const ConfigHolder& m_holder;
     Metrics& m_metrics;
+    RequestLog& m_requests;
     std::uint64_t m_process;
     std::function<void(Span)> m_trace;
     std::function<bool()> m_isReady;
@@ -90,6 +92,10 @@
     ActiveConfigPtr m_config;
     /// Key of its route's figures.
     std::string m_route;
+    std::string m_id;
+    /// Where it was sent last, and how often.
+    std::string m_slot;
+    std::uint32_t m_sends{ 0 };
   };
   /// What calls of a route have shown.
   struct RouteFigures
--- a/include/greengagehub/daemon/config_feed.hpp
+++ b/include/greengagehub/daemon/config_feed.hpp
@@ -124,6 +124,12 @@
         Take(aReply);
         break;
       case Status::NotModified:
+        if (aReply.m_storeRevision < m_revision) {
+          // The store has gone back: no change would be told until it has
+          // caught up.
+          Read();
+          return;
+        }
         break;
       default:
         // Cut, turned away, or the history is gone: only a read tells what
@@ -131,7 +137,7 @@
         Read();
         return;
     }
-    m_revision = std::max(m_revision, aReply.m_storeRevision);
+    m_revision = aReply.m_storeRevision;
     Later(m_times.m_settle, [this] { Watch(); });
   }
 
@@ -154,10 +160,10 @@
       version,
       PatchBetween(m_holder.Active()->m_content, document.value().m_content));
     if (result == StageResult::Corrupt) {
-      m_log.Error("config",
-                  "version_not_usable",
-                  { { "version", version.m_number },
-                    { "revision", aReply.m_revision } });
+      m_log.Error(
+        "config",
+        "version_not_usable",
+        { { "version", version.m_number }, { "revision", aReply.m_revision } });
     }
     if (result == StageResult::Applied) {
       m_handlers.m_onAdvanced(before);
--- a/include/greengagehub/daemon/daemon.hpp
+++ b/include/greengagehub/daemon/daemon.hpp
@@ -4,6 +4,7 @@
 #include "greengagehub/daemon/control_plane.hpp"
 #include "greengagehub/daemon/operators_api.hpp"
 #include "greengagehub/daemon/platform_endpoints.hpp"
+#include "greengagehub/daemon/request_log.hpp"
 #include "greengagehub/daemon/spin_budget.hpp"
 
 #include <asio/io_context.hpp>
@@ -41,6 +42,7 @@
   std::string m_file;
   Settings m_settings;
   Log m_log;
+  RequestLog m_requests;
   Metrics m_metrics;
   asio::io_context m_loop{ 1 };
   std::uint64_t m_process;
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -2,6 +2,7 @@
 
 #include "greengagehub/calls/run_table.hpp"
 #include "greengagehub/calls/worker_presence.hpp"
+#include "greengagehub/daemon/request_log.hpp"
 #include "greengagehub/http/backend_client.hpp"
 #include "greengagehub/observe/metrics.hpp"
 #include "greengagehub/observe/span.hpp"
@@ -28,6 +29,7 @@
              const Settings& aSettings,
              const CallDialect& aDialect,
              Metrics& aMetrics,
+             RequestLog& aRequests,
              std::uint64_t aSeed,
              Answer aAnswer,
              Trace aTrace);
@@ -52,6 +54,7 @@
     CallRequest m_request;
     TimePoint m_deadline;
     BackendClient::Ticket m_ticket{ 0 };
+    TimePoint m_started;
     std::chrono::sys_time<std::chrono::nanoseconds> m_start;
     std::optional<TraceContext> m_parent;
     TraceContext m_span;
@@ -77,12 +80,16 @@
   /// \brief Keeps the answer of a call that may not be run again, for a caller
   /// whose connection was lost with the answer on it.
   void Keep(CallKey aKey, const CallAnswer& aAnswer);
+  [[nodiscard]] std::string_view IdOf(const CallRequest& aRequest) const;
+  [[nodiscard]] RequestLog::WorkerState StateNow(
+    const CallRequest& aRequest) const;
   void TraceEnd(const Held& aHeld, const CallAnswer& aAnswer);
   void Arm();
 
   const Settings& m_settings;
   const CallDialect& m_dialect;
   Metrics& m_metrics;
+  RequestLog& m_requests;
   Random m_random;
   Answer m_answer;
   Trace m_trace;
--- a/include/greengagehub/daemon/store_sync.hpp
+++ b/include/greengagehub/daemon/store_sync.hpp
@@ -91,8 +91,7 @@
     Carry(MakeWatch(std::string{ kLogKey }, m_revision, m_times.m_watch),
           [this](StoreReply aReply) {
             if (aReply.m_status == StoreReply::Status::NotModified) {
-              m_revision = std::max(m_revision, aReply.m_storeRevision);
-              Wait();
+              OnQuiet(aReply.m_storeRevision);
               return;
             }
             if (aReply.m_status == StoreReply::Status::HistoryGone) {
@@ -103,6 +102,19 @@
           });
   }
 
+  /// A watch ran out with no change.
+  void OnQuiet(Revision aStoreRevision)
+  {
+    if (aStoreRevision < m_revision) {
+      // The store has gone back, as one that was restored from a backup: no
+      // change will be told until it has caught up with what was waited for.
+      Read();
+      return;
+    }
+    m_revision = aStoreRevision;
+    Wait();
+  }
+
   void Carry(StoreRequest aRequest, StoreDone aDone)
   {
     m_store.Carry(std::move(aRequest), std::move(aDone));
--- a/include/greengagehub/observe/log.hpp
+++ b/include/greengagehub/observe/log.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "greengagehub/core/clock.hpp"
+#include "greengagehub/observe/log_sink.hpp"
 
 #include <cstdint>
 #include <initializer_list>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -32,7 +34,7 @@
   Value m_value;
 };
 
-/// \brief JSON lines on standard error: level, component, event, fields.
+/// \brief JSON lines on standard output: level, component, event, fields.
 ///
 /// \code
 /// log.Info("config", "version_in_force", { { "version", version } });
@@ -44,6 +46,8 @@
       std::map<std::string, LogLevel, std::less<>> aComponents,
       std::string aSlot);
 
+  /// \brief Writes what waits, as far as the reader takes it.
+  void Flush() const { m_sink->Flush(); }
   /// \brief Other levels from now on.
   void SetLevels(LogLevel aLevel,
                  std::map<std::string, LogLevel, std::less<>> aComponents);
@@ -80,6 +84,7 @@
   }
 
 private:
+  std::unique_ptr<LogSink> m_sink;
   LogLevel m_level;
   std::map<std::string, LogLevel, std::less<>> m_components;
   std::string m_slot;
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -123,6 +123,7 @@
       m_parts.m_settings,
       m_parts.m_dialect,
       m_parts.m_metrics,
+      m_parts.m_requests,
       m_random(),
       [this](CallKey aKey, CallAnswer aAnswer) {
         Deliver(aKey, std::move(aAnswer));
@@ -217,9 +218,15 @@
 {
   const auto refuse = [&](RefusalReason aReason) {
     m_parts.m_metrics.CountCall(NameOf(CallOutcome::NotRun), NameOf(aReason));
-    aResponder.Answer(ResponseFor(
-      m_parts.m_dialect,
-      Refuse(0, CallOutcome::NotRun, aReason, std::chrono::seconds{ 1 })));
+    const CallAnswer answer =
+      Refuse(0, CallOutcome::NotRun, aReason, std::chrono::seconds{ 1 });
+    m_parts.m_requests.OnFinished(
+      Clock::now(),
+      { .m_id = HeaderValue(aRequest.m_headers, m_parts.m_dialect.m_requestId),
+        .m_route = aRequest.m_target,
+        .m_answer = answer,
+        .m_version = m_parts.m_holder.GetVersion() });
+    aResponder.Answer(ResponseFor(m_parts.m_dialect, answer));
   };
   if (!m_parts.m_isReady()) {
     refuse(RefusalReason::NotReady);
@@ -270,10 +277,13 @@
   plan.m_triesLeft = static_cast<std::uint32_t>(
     std::min<std::uint64_t>(tries, NumberHeader(headers, kTriesHeader, tries)));
 
-  Waiting call{
-    std::move(aDone),          {},      aRequest.m_connection, now, {}, {}, {},
-    m_parts.m_holder.Active(), routeKey
-  };
+  Waiting call{ .m_responder = std::move(aDone),
+                .m_connection = aRequest.m_connection,
+                .m_since = now,
+                .m_config = m_parts.m_holder.Active(),
+                .m_route = routeKey,
+                .m_id = std::string{
+                  HeaderValue(headers, m_parts.m_dialect.m_requestId) } };
   call.m_parent = ParseTraceparent(HeaderValue(headers, kTraceparentHeader));
   const bool sample =
     Below(m_random, 100) < m_parts.m_settings.m_log.m_tracePercent;
@@ -370,7 +380,16 @@
   if (call == m_waiting.end()) {
     return;
   }
-  CallRequest request = call->second.m_request;
+  Waiting& waiting = call->second;
+  waiting.m_slot = aAttempt.m_slot;
+  if (++waiting.m_sends > 1) {
+    m_parts.m_requests.OnPlacedAgain(Clock::now(),
+                                     waiting.m_id,
+                                     aAttempt.m_slot,
+                                     waiting.m_sends,
+                                     aAttempt.m_timeLeft);
+  }
+  CallRequest request = waiting.m_request;
   request.m_call = aAttempt.m_attempt;
   request.m_timeLeft = aAttempt.m_timeLeft;
   request.m_targetLeft = aAttempt.m_targetLeft;
@@ -432,6 +451,16 @@
   m_parts.m_metrics.ObserveLatency(
     std::chrono::duration<double>(Clock::now() - call.m_since).count());
   TraceEnd(call, answer);
+  const TimePoint now = Clock::now();
+  m_parts.m_requests.OnFinished(now,
+                                { .m_id = call.m_id,
+                                  .m_route = call.m_route,
+                                  .m_service = call.m_request.m_service,
+                                  .m_slot = call.m_slot,
+                                  .m_answer = answer,
+                                  .m_sends = call.m_sends,
+                                  .m_took = now - call.m_since,
+                                  .m_version = call.m_config->m_version });
   call.m_responder.Answer(ResponseFor(m_parts.m_dialect, answer), m_leaving);
 }
 
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -317,12 +317,11 @@
                   { "version", theirs.m_number } });
     return;
   }
-  m_disseminator.OnDigest(
-    now,
-    m_holder,
-    aMessage.m_head,
-    aMessage.m_sender.m_address,
-    aMessage.m_sender.m_domain == m_settings.m_domain);
+  m_disseminator.OnDigest(now,
+                          m_holder,
+                          aMessage.m_head,
+                          aMessage.m_sender.m_address,
+                          aMessage.m_sender.m_domain == m_settings.m_domain);
   SyncMembers(now, aMessage);
 }
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -77,8 +77,8 @@
 void
 PrintSpan(const Span& aSpan)
 {
-  fmt::print(stdout, "{}\n", SpanToOtlp(aSpan));
-  std::fflush(stdout);
+  // Apart from the log, which has standard output to itself.
+  fmt::print(stderr, "{}\n", SpanToOtlp(aSpan));
 }
 
 }
@@ -87,6 +87,7 @@
   : m_file(std::move(aFile))
   , m_settings(std::move(aSettings))
   , m_log(MakeLog(m_settings))
+  , m_requests(m_log)
   , m_process(ProcessNumber())
   , m_random(std::random_device{}())
   , m_control(
@@ -103,6 +104,7 @@
               .m_dialect = Dialect(),
               .m_holder = m_control.Holder(),
               .m_metrics = m_metrics,
+              .m_requests = m_requests,
               .m_process = m_process ^ m_random(),
               .m_trace = PrintSpan,
               .m_isReady = [this] { return m_control.IsReady(); },
@@ -131,6 +133,7 @@
   if (!opened) {
     m_log.Error(
       "daemon", "cannot_listen", { { "detail", opened.error().m_message } });
+    m_log.Flush();
     return kUncleanDrain;
   }
   m_signals.async_wait([this](const asio::error_code& aError, int) {
@@ -141,6 +144,7 @@
   AwaitReload();
   m_control.Start(m_calls.LinkPort());
   LogListening();
+  m_log.Flush();
   Tick();
   RunLoop();
   return m_exitCode;
@@ -246,6 +250,8 @@
   m_lastTick = now;
   m_lastBootTime = bootTime;
   m_calls.OnTick(now);
+  m_requests.OnTick();
+  m_log.Flush();
   if (m_control.IsReady() != m_wasReady) {
     m_wasReady = !m_wasReady;
     m_log.Info("daemon", m_wasReady ? "ready" : "not_ready");
@@ -356,6 +362,7 @@
 {
   m_exitCode = aClean ? 0 : kUncleanDrain;
   m_log.Info("daemon", "drain_ended", { { "clean", aClean } });
+  m_log.Flush();
   m_control.Announce(MemberState::Left);
   m_loop.stop();
 }
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -53,12 +53,14 @@
                        const Settings& aSettings,
                        const CallDialect& aDialect,
                        Metrics& aMetrics,
+                       RequestLog& aRequests,
                        std::uint64_t aSeed,
                        Answer aAnswer,
                        Trace aTrace)
   : m_settings(aSettings)
   , m_dialect(aDialect)
   , m_metrics(aMetrics)
+  , m_requests(aRequests)
   , m_random(aSeed)
   , m_answer(std::move(aAnswer))
   , m_trace(std::move(aTrace))
@@ -92,6 +94,11 @@
   const Admission admission =
     m_runs.Admit(now, aKey, aEpoch, DemandOf(aRequest), pushedOut);
   if (admission.m_kind == Admission::Kind::Refused) {
+    m_requests.OnRunRefused(now,
+                            IdOf(aRequest),
+                            admission.m_reason,
+                            aRequest.m_timeLeft,
+                            StateNow(aRequest));
     m_metrics.CountRun(NameOf(admission.m_reason));
     Deliver(aKey,
             aRequest,
@@ -119,6 +126,7 @@
   const TimePoint now = Clock::now();
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
     held.m_deadline - now);
+  held.m_started = now;
   held.m_start = WallNanos();
   held.m_parent =
     ParseTraceparent(HeaderValue(call.m_headers, kTraceparentHeader));
@@ -213,6 +221,14 @@
     AnswerFrom(aKey, std::move(aResult), held->second.m_request);
   m_metrics.CountRun(NameOf(answer.m_outcome));
   TraceEnd(held->second, answer);
+  if (answer.m_outcome != CallOutcome::Answered) {
+    const TimePoint now = Clock::now();
+    m_requests.OnRunLost(now,
+                         IdOf(held->second.m_request),
+                         answer.m_reason,
+                         now - held->second.m_started,
+                         StateNow(held->second.m_request));
+  }
   if (!held->second.m_request.m_idempotent) {
     Keep(aKey, answer);
   }
@@ -262,6 +278,14 @@
       continue;
     }
     const CallRequest request = std::move(held->second.m_request);
+    const TimePoint now = Clock::now();
+    m_requests.OnRunRefused(
+      now,
+      IdOf(request),
+      each.m_reason,
+      std::chrono::duration_cast<std::chrono::microseconds>(
+        held->second.m_deadline - now),
+      StateNow(request));
     m_held.erase(held);
     Deliver(each.m_key,
             request,
@@ -289,6 +313,8 @@
     // One that may run only once is left to end: breaking it off would leave
     // the caller's next question without an answer.
     if (held != m_held.end() && held->second.m_request.m_idempotent) {
+      m_requests.OnRunCancelled(
+        Clock::now(), IdOf(held->second.m_request), true);
       // Closing the connection tells the worker that nobody waits.
       m_client.Abandon(held->second.m_ticket);
       m_held.erase(held);
@@ -318,6 +344,24 @@
   Carry(m_runs.StartLeaving(Clock::now()));
 }
 
+std::string_view
+RunService::IdOf(const CallRequest& aRequest) const
+{
+  return HeaderValue(aRequest.m_headers, m_dialect.m_requestId);
+}
+
+RequestLog::WorkerState
+RunService::StateNow(const CallRequest& aRequest) const
+{
+  return { .m_instance = m_instance,
+           .m_running = m_runs.Running(),
+           .m_queued = m_runs.Queued(),
+           .m_slots = m_hasWorker ? m_runs.Slots() : 0,
+           .m_wait = std::chrono::duration_cast<std::chrono::microseconds>(
+             m_runs.WaitOf(
+               Clock::now(), aRequest.m_priority, aRequest.m_profile)) };
+}
+
 void
 RunService::OnWorker(const WorkerPresence& aPresence)
 {
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -395,18 +395,18 @@
 void
 HttpServer::Impl::Accept()
 {
-  m_acceptor.async_accept([this](const asio::error_code& aError,
-                                 tcp::socket aSocket) {
-    if (aError == asio::error::operation_aborted) {
-      return;
-    }
-    if (!aError) {
-      Serve(std::move(aSocket));
-    }
-    if (!m_stopped) {
-      Accept();
-    }
-  });
+  m_acceptor.async_accept(
+    [this](const asio::error_code& aError, tcp::socket aSocket) {
+      if (aError == asio::error::operation_aborted) {
+        return;
+      }
+      if (!aError) {
+        Serve(std::move(aSocket));
+      }
+      if (!m_stopped) {
+        Accept();
+      }
+    });
 }
 
 void
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -1,9 +1,9 @@
 #include "greengagehub/observe/log.hpp"
 
-#include <cstdio>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace greengagehub {
 
@@ -74,7 +74,8 @@
 Log::Log(LogLevel aLevel,
          std::map<std::string, LogLevel, std::less<>> aComponents,
          std::string aSlot)
-  : m_level(aLevel)
+  : m_sink(std::make_unique<LogSink>(STDOUT_FILENO))
+  , m_level(aLevel)
   , m_components(std::move(aComponents))
   , m_slot(std::move(aSlot))
 {
@@ -106,9 +107,8 @@
   }
   const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
     std::chrono::system_clock::now());
-  fmt::print(stderr,
-             "{}\n",
-             FormatLogLine(now, aLevel, m_slot, aComponent, aEvent, aFields));
+  m_sink->Append(
+    FormatLogLine(now, aLevel, m_slot, aComponent, aEvent, aFields));
 }
 
 }
--- a/src/transport/link_codec.cpp
+++ b/src/transport/link_codec.cpp
@@ -198,9 +198,7 @@
 }
 
 void
-AppendFrame(std::string& aOut,
-            const LinkFrame& aFrame,
-            LinkDeflater* aDeflater)
+AppendFrame(std::string& aOut, const LinkFrame& aFrame, LinkDeflater* aDeflater)
 {
   wire::Frame frame;
   std::visit(ToWire{ frame }, aFrame);
--- a/src/transport/link_connection.cpp
+++ b/src/transport/link_connection.cpp
@@ -73,8 +73,8 @@
     if (!m_inflater) {
       m_inflater = std::make_unique<LinkInflater>();
     }
-    auto frame = DecodeFrame(received.substr(at + kFrameHeader, length),
-                             m_inflater.get());
+    auto frame =
+      DecodeFrame(received.substr(at + kFrameHeader, length), m_inflater.get());
     if (!frame) {
       // Garbage: nothing after it can be trusted to be a frame.
       Close();
--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -121,8 +121,11 @@
     if (path == "/backup" || path == "/restore") {
       if (path == "/backup") {
         m_backup = m_keys;
+        m_backupRevision = m_revision;
       } else {
+        // Revisions go back too, and will be given out a second time.
         m_keys = m_backup;
+        m_revision = m_backupRevision;
         m_history.clear();
         m_forgotten = m_revision;
       }
@@ -500,6 +503,7 @@
   Faults m_faults;
   Counts m_counts;
   std::uint64_t m_revision{ 0 };
+  std::uint64_t m_backupRevision{ 0 };
   std::uint64_t m_lastLease{ 0 };
 };
 
--- a/tests/config/content_diff.cpp
+++ b/tests/config/content_diff.cpp
@@ -1,5 +1,5 @@
-#include "greengagehub/config/config_holder.hpp"
 #include "greengagehub/config/content_diff.hpp"
+#include "greengagehub/config/config_holder.hpp"
 
 #include <doctest/doctest.h>
 
@@ -20,9 +20,8 @@
 StageResult
 Stage(ConfigHolder& aHolder, std::uint64_t aVersion, const ContentTexts& aTexts)
 {
-  return aHolder.StageChange(
-    Version{ aVersion },
-    PatchBetween(aHolder.Active()->m_content, aTexts));
+  return aHolder.StageChange(Version{ aVersion },
+                             PatchBetween(aHolder.Active()->m_content, aTexts));
 }
 
 }
@@ -33,8 +32,7 @@
   REQUIRE(Stage(source, 3, Texts({ { "a", kRoute } })) == StageResult::Applied);
   ConfigHolder peer;
   bool complete = false;
-  for (const VersionEntry& each :
-       source.EntriesAfter(Version{ 0 }, complete)) {
+  for (const VersionEntry& each : source.EntriesAfter(Version{ 0 }, complete)) {
     CHECK(peer.Stage(each) == StageResult::Applied);
   }
   REQUIRE(complete);
--- a/tests/daemon/run_service.cpp
+++ b/tests/daemon/run_service.cpp
@@ -27,6 +27,7 @@
         MakeSettings(),
         kDialect,
         m_metrics,
+        m_requests,
         1,
         [this](CallKey, CallAnswer aAnswer) {
           m_answers.push_back(std::move(aAnswer));
@@ -68,6 +69,8 @@
   asio::io_context m_loop;
   Settings m_settings;
   Metrics m_metrics;
+  Log m_log{ LogLevel::Error, {}, "test" };
+  RequestLog m_requests{ m_log };
   HttpServer m_worker;
   std::vector<CallAnswer> m_answers;
   std::uint64_t m_lastCall{ 0 };
--- /dev/null
+++ b/tests/observe/log_sink.cpp
@@ -0,0 +1,66 @@
+#include "greengagehub/observe/log_sink.hpp"
+
+#include "greengagehub/observe/line_budget.hpp"
+
+#include <array>
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+using namespace greengagehub;
+using namespace std::chrono_literals;
+
+TEST_CASE("a reader of the log that stalls costs lines, not calls or memory")
+{
+  // Whoever collects standard output hangs. A plain write would block the loop
+  // with every call on it once the pipe is full, and an unbounded buffer would
+  // end the process when memory runs out.
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  LogSink sink{ ends[1], 10'000 };
+  const std::string line(100, 'x');
+  for (int i = 0; i < 5000; ++i) {
+    sink.Append(line);
+    sink.Flush();
+  }
+  CHECK(sink.Waiting() <= 10'000);
+  CHECK(sink.Dropped() > 3000);
+
+  // The reader wakes up: what waited comes, and then how much is missing.
+  std::string received;
+  std::array<char, 4096> buffer{};
+  const auto drain = [&] {
+    while (sink.Waiting() > 0) {
+      received.append(
+        buffer.data(),
+        static_cast<std::size_t>(read(ends[0], buffer.data(), buffer.size())));
+      sink.Flush();
+    }
+  };
+  drain();
+  const std::string told =
+    "\"lines_dropped\",\"count\":" + std::to_string(sink.Dropped());
+  sink.Append(line);
+  drain();
+  close(ends[1]);
+  for (ssize_t size = 1; size > 0;) {
+    size = read(ends[0], buffer.data(), buffer.size());
+    received.append(buffer.data(), static_cast<std::size_t>(size));
+  }
+  close(ends[0]);
+  CHECK(received.find(told) != std::string::npos);
+  CHECK(received.starts_with(line + "\n"));
+}
+
+TEST_CASE("lines have a rate and a burst")
+{
+  LineBudget budget{ 10.0, 5.0 };
+  const TimePoint start{ 1h };
+  int taken = 0;
+  for (int i = 0; i < 1000; ++i) {
+    taken += budget.Take(start + i * 10ms) ? 1 : 0;
+  }
+  CHECK(taken >= 100);
+  CHECK(taken <= 106);
+  CHECK(budget.TakeLeftOut() == static_cast<std::uint64_t>(1000 - taken));
+  CHECK(budget.TakeLeftOut() == 0);
+}
--- a/tests/platform/config_document.cpp
+++ b/tests/platform/config_document.cpp
@@ -63,13 +63,14 @@
 TEST_CASE("a document that makes no sense is an error, never a part of one")
 {
   platform::ConfigReader reader;
-  for (const char* text : { "",
-                            "{",
-                            "[]",
-                            R"({"version":"xyz","listeners":[],"clusters":[]})",
-                            R"({"version":"01","clusters":[]})",
-                            R"({"version":"01","listeners":[{}],"clusters":[]})",
-                            R"({"version":1,"listeners":[],"clusters":[]})" }) {
+  for (const char* text :
+       { "",
+         "{",
+         "[]",
+         R"({"version":"xyz","listeners":[],"clusters":[]})",
+         R"({"version":"01","clusters":[]})",
+         R"({"version":"01","listeners":[{}],"clusters":[]})",
+         R"({"version":1,"listeners":[],"clusters":[]})" }) {
     CAPTURE(text);
     CHECK_FALSE(reader.Read(text));
   }
--- a/tests/transport/link_deflate.cpp
+++ b/tests/transport/link_deflate.cpp
@@ -32,12 +32,11 @@
   request.m_service = "ledger";
   request.m_method = "GET";
   request.m_target = "/lookup/" + id.substr(0, 6);
-  request.m_headers = { { "Host", "lockers.example" },
-                        { "User-Agent", "sdk-client/1.9.3" },
-                        { "Accept", "*/*" },
-                        { "Accept-Encoding", "identity" },
-                        { "X-Request-Id", id },
-                        { "X-Caller-Service", "locker-app" } };
+  request.m_headers = {
+    { "Host", "lockers.example" }, { "User-Agent", "sdk-client/1.9.3" },
+    { "Accept", "*/*" },           { "Accept-Encoding", "identity" },
+    { "X-Request-Id", id },        { "X-Caller-Service", "locker-app" }
+  };
   request.m_body = Bytes(aRandom, 600);
   return request;
 }
--- a/tools/testkit/process.cpp
+++ b/tools/testkit/process.cpp
@@ -109,9 +109,13 @@
 std::string
 Process::Log() const
 {
-  std::ifstream file{ m_logFile };
   std::ostringstream text;
-  text << file.rdbuf();
+  for (const std::string& name : { m_logFile + ".out", m_logFile }) {
+    std::ifstream file{ name };
+    if (file.peek() != std::ifstream::traits_type::eof()) {
+      text << file.rdbuf();
+    }
+  }
   return text.str();
 }
 
