A worker of the platform as a stand-in, and the daemon beside it on real processes

Cause of the change in ConfigFeed, found by the first of these tests: a daemon alone, started before the first configuration was written, never became ready, as only a read that found one counted as the store's word. Tests: seven cases; that one seen failing.

--- a/include/greengagehub/daemon/config_feed.hpp
+++ b/include/greengagehub/daemon/config_feed.hpp
@@ -90,12 +90,13 @@
     NoteReachable(aReply.m_status);
     if (aReply.m_status == Status::Ok) {
       Take(aReply);
-      m_handlers.m_onHead(m_holder.GetVersion());
     } else if (aReply.m_status != Status::NotFound) {
       Later(m_backoff, [this] { Read(); });
       m_backoff = std::min(2 * m_backoff, m_times.m_maxBackoff);
       return;
     }
+    // There may be no configuration yet; that, too, is the store's word.
+    m_handlers.m_onHead(m_holder.GetVersion());
     m_backoff = m_times.m_firstBackoff;
     m_revision = aReply.m_storeRevision;
     Watch();
--- a/include/greengagehub/daemon/platform_endpoints.hpp
+++ b/include/greengagehub/daemon/platform_endpoints.hpp
@@ -30,6 +30,15 @@
   {
     return m_worker;
   }
+  [[nodiscard]] std::uint16_t ReadinessPort() const noexcept
+  {
+    return m_readiness.Port();
+  }
+  [[nodiscard]] std::uint16_t HeartbeatsPort() const noexcept
+  {
+    return m_heartbeats.Port();
+  }
+
   [[nodiscard]] Outcome<std::uint16_t> Open();
 
 private:
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -222,13 +222,17 @@
   const auto port = [](std::uint16_t aPort) {
     return static_cast<std::uint64_t>(aPort);
   };
-  m_log.Info("daemon",
-             "listening",
-             { { "calls_port", port(m_calls.CallsPort()) },
-               { "operators_port", port(m_operators.Port()) },
-               { "gossip_port", port(m_control.Gossip().Port()) },
-               { "bulk_port", port(m_control.Bulk().Port()) },
-               { "link_port", port(m_calls.LinkPort()) } });
+  m_log.Info(
+    "daemon",
+    "listening",
+    { { "calls_port", port(m_calls.CallsPort()) },
+      { "operators_port", port(m_operators.Port()) },
+      { "gossip_port", port(m_control.Gossip().Port()) },
+      { "bulk_port", port(m_control.Bulk().Port()) },
+      { "link_port", port(m_calls.LinkPort()) },
+      { "readiness_port", port(m_platform ? m_platform->ReadinessPort() : 0) },
+      { "heartbeats_port",
+        port(m_platform ? m_platform->HeartbeatsPort() : 0) } });
 }
 
 void
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -32,7 +32,7 @@
   std::uint16_t port = 0;
   const char* end = aText.data() + aText.size();
   const auto parsed = std::from_chars(aText.data() + colon + 1, end, port);
-  if (parsed.ptr != end || port == 0) {
+  if (parsed.ec != std::errc{} || parsed.ptr != end) {
     return std::nullopt;
   }
   return HostPort{ std::string{ aText.substr(0, colon) }, port };
--- /dev/null
+++ b/standins/platform_worker.cpp
@@ -0,0 +1,329 @@
+#include "greengagehub/core/clock.hpp"
+#include "greengagehub/http/http_client.hpp"
+#include "greengagehub/http/http_server.hpp"
+#include "platform/names.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <boost/program_options.hpp>
+#include <charconv>
+#include <cstdio>
+#include <deque>
+#include <fmt/format.h>
+#include <map>
+#include <nlohmann/json.hpp>
+
+/// \file
+/// \brief Stand-in for a backend server on the platform: incarnations and
+/// heartbeats, slots, a queue that sheds, deadlines, a drain, and faults
+/// switched over HTTP.
+///
+/// Control: PUT /control with any of {"heartbeats": "http://IP:PORT",
+/// "service_ms": N, "draining": true, "restart": true, "shed": true,
+/// "fail": true, "unsigned": true, "foreign": N}. Counts: GET /counts, with the
+/// runs of each request id, those that were broken off, and acknowledgements.
+
+namespace {
+
+using namespace greengagehub; // NOLINT: a stand-in, one file
+using Json = nlohmann::json;
+
+struct Options
+{
+  HttpServerSettings m_http;
+  std::string m_service;
+  std::string m_domain;
+  std::uint32_t m_slots{ 20 };
+  std::uint32_t m_queue{ 40 };
+  std::uint32_t m_serviceMs{ 2 };
+  std::uint32_t m_heartbeatMs{ 200 };
+};
+
+std::string
+Header(const HttpRequest& aRequest, std::string_view aName)
+{
+  return std::string{ HeaderValue(aRequest.m_headers, aName) };
+}
+
+class PlatformWorker
+{
+public:
+  PlatformWorker(asio::io_context& aLoop, Options aOptions)
+    : m_loop(aLoop)
+    , m_options(std::move(aOptions))
+    , m_client(aLoop, 1)
+    , m_beat(aLoop)
+    , m_http(
+        aLoop,
+        m_options.m_http,
+        [this](HttpRequest aRequest, HttpResponder aResponder) {
+          OnHttp(std::move(aRequest), std::move(aResponder));
+        },
+        [this](std::uint64_t aConnection) { OnClosed(aConnection); })
+  {
+  }
+
+  [[nodiscard]] Outcome<std::uint16_t> Open()
+  {
+    auto port = m_http.Open();
+    Beat();
+    return port;
+  }
+
+private:
+  struct Run
+  {
+    HttpRequest m_request;
+    HttpResponder m_responder;
+    std::shared_ptr<asio::steady_timer> m_timer;
+  };
+
+  [[nodiscard]] std::string Id() const
+  {
+    return fmt::format("i-{}-{}", m_http.Port(), m_incarnation);
+  }
+
+  void OnHttp(HttpRequest aRequest, HttpResponder aResponder)
+  {
+    const std::string_view path = PathOf(aRequest.m_target);
+    if (path == "/control") {
+      Control(aRequest.m_body);
+      aResponder.Answer(JsonResponse(200, "{}"));
+    } else if (path == "/counts") {
+      aResponder.Answer(JsonResponse(200, Counts()));
+    } else {
+      Admit({ std::move(aRequest), std::move(aResponder), {} });
+    }
+  }
+
+  void Admit(Run aRun)
+  {
+    ++m_arrivals;
+    const std::string wanted =
+      Header(aRun.m_request, platform::kExpectInstance);
+    if (!wanted.empty() && wanted != Id()) {
+      ++m_misdirected;
+      aRun.m_responder.Answer(
+        { 421, { { std::string{ platform::kInstanceId }, Id() } } });
+      return;
+    }
+    if (m_shed || m_waiting.size() >= m_options.m_queue) {
+      ++m_turnedAway;
+      Refuse(aRun);
+      return;
+    }
+    m_waiting.push_back(std::move(aRun));
+    StartWaiting();
+  }
+
+  void Refuse(Run& aRun)
+  {
+    aRun.m_responder.Answer(
+      { 503,
+        { { std::string{ platform::kNotExecuted }, "1" },
+          { std::string{ platform::kRequestId },
+            Header(aRun.m_request, platform::kRequestId) } } });
+  }
+
+  void StartWaiting()
+  {
+    while (!m_waiting.empty() && m_running.size() < m_options.m_slots) {
+      Run run = std::move(m_waiting.front());
+      m_waiting.pop_front();
+      Start(std::move(run));
+    }
+  }
+
+  void Start(Run aRun)
+  {
+    ++m_runs[Header(aRun.m_request, platform::kRequestId)];
+    m_callers[Header(aRun.m_request, platform::kCallerService)] += 1;
+    std::uint64_t left = 0;
+    const std::string text = Header(aRun.m_request, platform::kDeadline);
+    std::from_chars(text.data(), text.data() + text.size(), left);
+    const bool inTime = left >= m_options.m_serviceMs;
+    const std::uint64_t takes = inTime ? m_options.m_serviceMs : left;
+    auto timer = std::make_shared<asio::steady_timer>(m_loop);
+    timer->expires_after(std::chrono::milliseconds{ takes });
+    const std::uint64_t connection = aRun.m_request.m_connection;
+    timer->async_wait(
+      [this, connection, inTime](const asio::error_code& aError) {
+        if (!aError) {
+          Finish(connection, inTime);
+        }
+      });
+    aRun.m_timer = std::move(timer);
+    m_running.emplace(connection, std::move(aRun));
+  }
+
+  void Finish(std::uint64_t aConnection, bool aInTime)
+  {
+    const auto found = m_running.find(aConnection);
+    if (found == m_running.end()) {
+      return;
+    }
+    Run run = std::move(found->second);
+    m_running.erase(found);
+    const std::string id = Header(run.m_request, platform::kRequestId);
+    HttpResponse response = JsonResponse(
+      !aInTime ? 504 : (m_fail ? 500 : 200),
+      Json{ { "id", id }, { "target", run.m_request.m_target } }.dump());
+    response.m_headers.push_back({ std::string{ platform::kRequestId },
+                                   m_foreign > 0 ? "another-request" : id });
+    m_foreign -= m_foreign > 0 ? 1 : 0;
+    if (!m_unsigned) {
+      response.m_headers.push_back(
+        { std::string{ platform::kSeal }, "seal-" + id });
+    }
+    run.m_responder.Answer(std::move(response));
+    StartWaiting();
+  }
+
+  /// The caller's connection closed: what runs for it is dropped.
+  void OnClosed(std::uint64_t aConnection)
+  {
+    const auto found = m_running.find(aConnection);
+    if (found != m_running.end()) {
+      found->second.m_timer->cancel();
+      m_running.erase(found);
+      ++m_brokenOff;
+      StartWaiting();
+    }
+  }
+
+  // -------------------------------------------------------------------------
+  // Heartbeats
+
+  void Beat()
+  {
+    if (!m_heartbeats.empty()) {
+      SendBeat();
+    }
+    m_beat.expires_after(std::chrono::milliseconds{ m_options.m_heartbeatMs });
+    m_beat.async_wait([this](const asio::error_code& aError) {
+      if (!aError) {
+        Beat();
+      }
+    });
+  }
+
+  void SendBeat()
+  {
+    HttpClientRequest request;
+    request.m_method = "PUT";
+    request.m_url =
+      m_heartbeats + std::string{ platform::kInstancesPath } + Id();
+    request.m_timeout = std::chrono::seconds{ 1 };
+    request.m_body = Json{
+      { "service", m_options.m_service },
+      { "address",
+        fmt::format("{}:{}", m_options.m_http.m_address, m_http.Port()) },
+      { "zone", m_options.m_domain },
+      { "version", "v1" },
+      { "slots", m_options.m_slots },
+      { "state", m_draining ? "draining" : "ready" },
+      { "cold_left_ms", 0 },
+      { "seq", ++m_sequence }
+    }.dump();
+    m_client.Send(
+      std::move(request),
+      [this, draining = m_draining](const HttpClientResult& aResult) {
+        const bool taken = aResult.m_kind == HttpClientResult::Kind::Answered &&
+                           aResult.m_response.m_status == 200;
+        m_acknowledged += taken ? 1 : 0;
+        m_drainAcknowledged = m_drainAcknowledged || (taken && draining);
+      });
+  }
+
+  void Control(const std::string& aBody)
+  {
+    const Json wanted = Json::parse(aBody, nullptr, false);
+    if (!wanted.is_object()) {
+      return;
+    }
+    m_heartbeats = wanted.value("heartbeats", m_heartbeats);
+    m_options.m_serviceMs = wanted.value("service_ms", m_options.m_serviceMs);
+    m_draining = wanted.value("draining", m_draining);
+    m_shed = wanted.value("shed", m_shed);
+    m_fail = wanted.value("fail", m_fail);
+    m_unsigned = wanted.value("unsigned", m_unsigned);
+    m_foreign = wanted.value("foreign", m_foreign);
+    if (wanted.value("restart", false)) {
+      ++m_incarnation;
+      m_sequence = 0;
+      m_draining = false;
+    }
+  }
+
+  [[nodiscard]] std::string Counts() const
+  {
+    return Json{
+      { "instance", Id() },
+      { "runs", m_runs },
+      { "callers", m_callers },
+      { "running", m_running.size() },
+      { "arrivals", m_arrivals },
+      { "turned_away", m_turnedAway },
+      { "misdirected", m_misdirected },
+      { "broken_off", m_brokenOff },
+      { "acknowledged", m_acknowledged },
+      { "drain_acknowledged", m_drainAcknowledged }
+    }.dump(-1, ' ', false, Json::error_handler_t::replace);
+  }
+
+  asio::io_context& m_loop;
+  Options m_options;
+  HttpClient m_client;
+  asio::steady_timer m_beat;
+  HttpServer m_http;
+  std::deque<Run> m_waiting;
+  std::map<std::uint64_t, Run> m_running;
+  std::map<std::string, std::uint32_t> m_runs;
+  std::map<std::string, std::uint32_t> m_callers;
+  std::string m_heartbeats;
+  std::uint64_t m_sequence{ 0 };
+  std::uint64_t m_incarnation{ 1 };
+  std::uint64_t m_arrivals{ 0 };
+  std::uint64_t m_turnedAway{ 0 };
+  std::uint64_t m_misdirected{ 0 };
+  std::uint64_t m_brokenOff{ 0 };
+  std::uint64_t m_acknowledged{ 0 };
+  std::uint32_t m_foreign{ 0 };
+  bool m_draining{ false };
+  bool m_drainAcknowledged{ false };
+  bool m_shed{ false };
+  bool m_fail{ false };
+  bool m_unsigned{ false };
+};
+
+}
+
+int
+main(int aCount, char** aArguments)
+{
+  namespace po = boost::program_options;
+  Options given;
+  po::options_description options{ "platform_worker" };
+  options.add_options()(
+    "host", po::value(&given.m_http.m_address)->default_value("127.0.0.1"), "")(
+    "port", po::value(&given.m_http.m_port)->default_value(0), "")(
+    "service", po::value(&given.m_service)->required(), "")(
+    "domain", po::value(&given.m_domain)->default_value("solna"), "")(
+    "slots", po::value(&given.m_slots)->default_value(20), "")(
+    "queue", po::value(&given.m_queue)->default_value(40), "")(
+    "service-ms", po::value(&given.m_serviceMs)->default_value(2), "")(
+    "heartbeat-ms", po::value(&given.m_heartbeatMs)->default_value(200), "");
+  po::variables_map values;
+  po::store(po::parse_command_line(aCount, aArguments, options), values);
+  po::notify(values);
+  asio::io_context loop;
+  PlatformWorker worker{ loop, given };
+  const auto port = worker.Open();
+  if (!port) {
+    fmt::print(stderr, "{}\n", port.error().m_message);
+    return 1;
+  }
+  fmt::print(stderr, "{{\"event\":\"listening\",\"port\":{}}}\n", port.value());
+  loop.run();
+  return 0;
+}
--- /dev/null
+++ b/tests/end_to_end/platform.cpp
@@ -0,0 +1,232 @@
+#include "testkit/fleet.hpp"
+
+#include <csignal>
+#include <doctest/doctest.h>
+
+// The daemon on the platform: real processes beside workers that send
+// heartbeats, with the operators' configuration in the platform's store.
+
+using namespace greengagehub;
+using namespace greengagehub::testkit;
+using Json = nlohmann::json;
+
+namespace {
+
+Json
+Rule(const char* aName, const char* aKind, const char* aPrefix)
+{
+  return {
+    { "name", aName },
+    { "kind", aKind },
+    { "target_latency_ms", 500 },
+    { "priority", 1 },
+    { "match", { { "prefix", aPrefix } } },
+    { "action",
+      { { "service", "lockers" }, { "timeout_ms", 1500 }, { "attempts", 2 } } }
+  };
+}
+
+Json
+Document(const char* aVersion, const Json& aRules)
+{
+  return { { "version", aVersion },
+           { "limits", { { "max_body_bytes", 1000 } } },
+           { "listeners",
+             { { { "host", "a.example" }, { "rules", aRules } } } },
+           { "clusters",
+             { { { "name", "lockers" },
+                 { "health_check_path", "/healthz" },
+                 { "max_connections", 50 } } } } };
+}
+
+const Json kRules = { Rule("release", "unsafe", "/release/"),
+                      Rule("status", "safe", "/status/") };
+
+/// Workers of one service, each with its daemon, and a route to them.
+void
+Start(Fleet& aFleet, int aCount, std::uint32_t aServiceMs = 2)
+{
+  for (int i = 1; i <= aCount; ++i) {
+    aFleet.Add({ .m_slot = "lockers-" + std::to_string(i),
+                 .m_service = "lockers",
+                 .m_serviceMs = aServiceMs,
+                 .m_onPlatform = true });
+  }
+  aFleet.PutPlatformConfig(Document("0000000c", kRules));
+  REQUIRE(aFleet.WaitForMembers());
+  for (const std::string& each : aFleet.Slots()) {
+    REQUIRE(WaitUntil([&] { return aFleet.IsReady(each); }));
+    REQUIRE(WaitUntil(
+      [&] { return aFleet.WorkerCounts(each).value("acknowledged", 0) > 0; }));
+  }
+}
+
+CallResult
+Ask(const Fleet& aFleet,
+    const std::string& aSlot,
+    const char* aMethod,
+    const std::string& aTarget,
+    const std::string& aId,
+    const char* aDeadline = "1000")
+{
+  return aFleet.Call(aSlot,
+                     aMethod,
+                     aTarget,
+                     { { "Host", "a.example" },
+                       { "X-Greengagehub-Request-Id", aId },
+                       { "X-Greengagehub-Deadline-Ms", aDeadline } });
+}
+
+std::uint64_t
+Runs(const Fleet& aFleet, const std::string& aId)
+{
+  std::uint64_t runs = 0;
+  for (const std::string& each : aFleet.Slots()) {
+    runs += aFleet.WorkerCounts(each)["runs"].value(aId, 0);
+  }
+  return runs;
+}
+
+}
+
+TEST_CASE("a configuration in the store is served, and so is its successor")
+{
+  // Before the first configuration nothing is known of any route: a 404 would
+  // make callers give up for good. Routes then come and go with the versions.
+  Fleet fleet;
+  fleet.Add(
+    { .m_slot = "lockers-1", .m_service = "lockers", .m_onPlatform = true });
+  CHECK(Ask(fleet, "lockers-1", "GET", "/status/1", "early").Status() == 503);
+  CHECK_FALSE(fleet.IsReady("lockers-1"));
+
+  fleet.PutPlatformConfig(Document("0000000c", kRules));
+  REQUIRE(WaitUntil([&] { return fleet.IsReady("lockers-1"); }));
+  REQUIRE(WaitUntil([&] {
+    return Ask(fleet, "lockers-1", "GET", "/status/1", "first").Status() == 200;
+  }));
+  const CallResult answer = Ask(fleet, "lockers-1", "POST", "/release/1", "r1");
+  CHECK(answer.Status() == 200);
+  const auto& headers = answer.m_result.m_response.m_headers;
+  CHECK(HeaderValue(headers, "X-Greengagehub-Response-Seal") == "seal-r1");
+  CHECK(HeaderValue(headers, "X-Greengagehub-Request-Id") == "r1");
+  CHECK(fleet.WorkerCounts("lockers-1")["callers"].value("lockers", 0) >= 1);
+  CHECK(Ask(fleet, "lockers-1", "GET", "/other/1", "none").Status() == 404);
+
+  fleet.PutPlatformConfig(
+    Document("0000000f", Json::array({ Rule("other", "safe", "/other/") })));
+  CHECK(WaitUntil([&] {
+    return Ask(fleet, "lockers-1", "GET", "/other/1", "o").Status() == 200;
+  }));
+  CHECK(Ask(fleet, "lockers-1", "GET", "/status/1", "gone").Status() == 404);
+}
+
+TEST_CASE("a worker that leaves gets nothing more, and others take over")
+{
+  // A worker reports that it leaves. From the acknowledgement on, what its
+  // daemon and all others get goes to the other worker.
+  Fleet fleet;
+  Start(fleet, 2);
+  fleet.ControlWorker("lockers-1", { { "draining", true } });
+  REQUIRE(WaitUntil([&] {
+    return fleet.WorkerCounts("lockers-1").value("drain_acknowledged", false);
+  }));
+  const auto before = fleet.WorkerCounts("lockers-1")["arrivals"];
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = "d" + std::to_string(i);
+    const std::string slot = i % 2 == 0 ? "lockers-1" : "lockers-2";
+    CHECK(Ask(fleet, slot, "POST", "/release/1", id).Status() == 200);
+    CHECK(Runs(fleet, id) == 1);
+  }
+  CHECK(fleet.WorkerCounts("lockers-1")["arrivals"] == before);
+}
+
+TEST_CASE("another start of the worker is never taken for the one before")
+{
+  // The worker dies and starts again at the same address. Until its first
+  // report, requests are still addressed to the start that is gone: it turns
+  // them away, and none runs twice.
+  Fleet fleet;
+  Start(fleet, 2);
+  fleet.ControlWorker("lockers-1", { { "restart", true } });
+  for (int i = 0; i < 10; ++i) {
+    const std::string id = "s" + std::to_string(i);
+    CHECK(Ask(fleet, "lockers-1", "POST", "/release/1", id).Status() == 200);
+    CHECK(Runs(fleet, id) == 1);
+  }
+}
+
+TEST_CASE("what workers hand out wrongly never reaches a caller")
+{
+  Fleet fleet;
+  Start(fleet, 1);
+  SUBCASE("a success without the signature")
+  {
+    fleet.ControlWorker("lockers-1", { { "unsigned", true } });
+    const auto status =
+      Ask(fleet, "lockers-1", "POST", "/release/1", "u1").Status();
+    CHECK(status == 502);
+  }
+  SUBCASE("an answer to another request")
+  {
+    // It is dropped, and the right one never comes.
+    fleet.ControlWorker("lockers-1", { { "foreign", 1 } });
+    const auto status =
+      Ask(fleet, "lockers-1", "POST", "/release/1", "f1", "400").Status();
+    CHECK(status == 504);
+    CHECK(Ask(fleet, "lockers-1", "POST", "/release/1", "f2").Status() == 200);
+  }
+  SUBCASE("a refusal that is marked did not run")
+  {
+    fleet.ControlWorker("lockers-1", { { "shed", true } });
+    const CallResult refused =
+      Ask(fleet, "lockers-1", "POST", "/release/1", "n1");
+    CHECK(refused.Status() == 503);
+    CHECK(Runs(fleet, "n1") == 0);
+  }
+}
+
+TEST_CASE(
+  "a request that outlives its route's time may have run, and is told so")
+{
+  // The worker takes longer than the route allows. An attempt has started, so
+  // "not run" would be false, even if a later attempt was turned away.
+  Fleet fleet;
+  Start(fleet, 2, 3000);
+  const CallResult late =
+    Ask(fleet, "lockers-1", "GET", "/status/1", "late", "5000");
+  CHECK(late.Status() == 504);
+  CHECK(Runs(fleet, "late") >= 1);
+}
+
+TEST_CASE("a caller that leaves takes its run with it")
+{
+  // A tenant closes the app while a lookup runs. The worker would work on for
+  // nobody, in a slot that others wait for.
+  Fleet fleet;
+  Start(fleet, 1, 800);
+  HttpClientRequest request;
+  request.m_url = fleet.CallsUrl("lockers-1") + "/status/1";
+  request.m_headers = { { "Host", "a.example" },
+                        { "X-Greengagehub-Request-Id", "left" },
+                        { "X-Greengagehub-Deadline-Ms", "1000" } };
+  request.m_timeout = std::chrono::milliseconds{ 150 };
+  CHECK(SendAndWait(std::move(request)).m_kind == HttpClientResult::Kind::Lost);
+  CHECK(WaitUntil([&] {
+    return fleet.WorkerCounts("lockers-1").value("broken_off", 0) == 1;
+  }));
+}
+
+TEST_CASE("a daemon told to stop says so, and answers what comes until then")
+{
+  // The platform stops daemons in turn. Callers go on for two missed questions;
+  // nothing that they send is lost, and the process ends by itself.
+  Fleet fleet;
+  Start(fleet, 2);
+  fleet.Daemon("lockers-1").Signal(SIGTERM);
+  REQUIRE(WaitUntil([&] { return !fleet.IsReady("lockers-1"); }));
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = "t" + std::to_string(i);
+    CHECK(Ask(fleet, "lockers-1", "POST", "/release/1", id).Status() == 200);
+  }
+  CHECK(fleet.Daemon("lockers-1").Wait() == 0);
+}
--- a/tools/testkit/fleet.cpp
+++ b/tools/testkit/fleet.cpp
@@ -1,5 +1,8 @@
 #include "testkit/fleet.hpp"
 
+#include "platform/base64.hpp"
+#include "platform/names.hpp"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <fstream>
@@ -34,6 +37,10 @@
   return found;
 }
 
+const std::string kPlatform = "[platform]\nheartbeat_ms = 200\n";
+const std::string kFirstPlatformListen =
+  "[listen]\nreadiness = \"127.0.0.1:0\"\nheartbeats = \"127.0.0.1:0\"\n";
+
 std::string
 ReadFile(const std::string& aFile)
 {
@@ -58,23 +65,25 @@
 Fleet::SettingsFor(const Node& aNode) const
 {
   const WorkerSpec& spec = aNode.m_spec;
-  return fmt::format("[daemon]\nslot = \"{}\"\nservice = \"{}\"\n"
-                     "region = \"{}\"\ndomain = \"{}\"\n"
-                     "[operators]\ntoken = \"{}\"\n"
-                     "[worker]\nurl = \"http://127.0.0.1:{}\"\n"
-                     "slots = {}\nqueue = {}\n"
-                     "{}[store]\nurl = \"{}\"\n{}",
-                     spec.m_slot,
-                     spec.m_service,
-                     spec.m_region,
-                     spec.m_domain,
-                     kToken,
-                     aNode.m_backendPort,
-                     spec.m_slots,
-                     spec.m_queue,
-                     aNode.m_listen,
-                     m_storeUrl,
-                     spec.m_settings);
+  return fmt::format(
+    "[daemon]\nslot = \"{}\"\nservice = \"{}\"\n"
+    "region = \"{}\"\ndomain = \"{}\"\n"
+    "[operators]\ntoken = \"{}\"\n"
+    "[worker]\nurl = \"http://127.0.0.1:{}\"\n"
+    "slots = {}\nqueue = {}\n"
+    "{}[store]\nurl = \"{}\"\n{}",
+    spec.m_slot,
+    spec.m_service,
+    spec.m_region,
+    spec.m_domain,
+    kToken,
+    aNode.m_backendPort,
+    spec.m_slots,
+    spec.m_queue,
+    aNode.m_listen.empty() && spec.m_onPlatform ? kFirstPlatformListen
+                                                : aNode.m_listen,
+    m_storeUrl,
+    spec.m_onPlatform ? kPlatform + spec.m_settings : spec.m_settings);
 }
 
 void
@@ -83,11 +92,18 @@
   Node& node = m_nodes[aSpec.m_slot];
   node.m_spec = aSpec;
   if (aSpec.m_withBackend) {
-    std::vector<std::string> arguments{ BACKEND_PROGRAM,
+    std::vector<std::string> arguments{ aSpec.m_onPlatform
+                                          ? PLATFORM_WORKER_PROGRAM
+                                          : BACKEND_PROGRAM,
                                         "--slots",
                                         std::to_string(aSpec.m_slots),
                                         "--service-ms",
                                         std::to_string(aSpec.m_serviceMs) };
+    if (aSpec.m_onPlatform) {
+      arguments.insert(
+        arguments.end(),
+        { "--service", aSpec.m_service, "--domain", aSpec.m_domain });
+    }
     arguments.insert(arguments.end(),
                      aSpec.m_backendArguments.begin(),
                      aSpec.m_backendArguments.end());
@@ -115,6 +131,8 @@
   const Json line = ListeningLine(*aNode.m_daemon);
   aNode.m_callsPort = line["calls_port"].get<std::uint16_t>();
   aNode.m_operatorsPort = line["operators_port"].get<std::uint16_t>();
+  aNode.m_readinessPort = line["readiness_port"].get<std::uint16_t>();
+  aNode.m_heartbeatsPort = line["heartbeats_port"].get<std::uint16_t>();
   if (aNode.m_listen.empty()) {
     aNode.m_listen = "[listen]\n";
     for (const char* key : { "calls_port",
@@ -125,8 +143,20 @@
       aNode.m_listen +=
         fmt::format("{} = {}\n", key, line[key].get<std::uint16_t>());
     }
+    if (aNode.m_spec.m_onPlatform) {
+      aNode.m_listen += fmt::format("readiness = \"127.0.0.1:{}\"\n"
+                                    "heartbeats = \"127.0.0.1:{}\"\n",
+                                    aNode.m_readinessPort,
+                                    aNode.m_heartbeatsPort);
+    }
     WriteFile(aNode.m_spec.m_slot + ".toml", SettingsFor(aNode));
   }
+  if (aNode.m_spec.m_onPlatform && aNode.m_spec.m_withBackend) {
+    ControlWorker(
+      aNode.m_spec.m_slot,
+      { { "heartbeats",
+          fmt::format("http://127.0.0.1:{}", aNode.m_heartbeatsPort) } });
+  }
 }
 
 void
@@ -183,6 +213,57 @@
   return fmt::format("http://127.0.0.1:{}", At(aSlot).m_backendPort);
 }
 
+std::string
+Fleet::ReadinessUrl(const std::string& aSlot) const
+{
+  return fmt::format(
+    "http://127.0.0.1:{}{}", At(aSlot).m_readinessPort, platform::kReadyPath);
+}
+
+bool
+Fleet::IsReady(const std::string& aSlot) const
+{
+  HttpClientRequest request;
+  request.m_url = ReadinessUrl(aSlot);
+  return SendAndWait(std::move(request)).m_response.m_status == 200;
+}
+
+void
+Fleet::ControlWorker(const std::string& aSlot, const Json& aWanted) const
+{
+  HttpClientRequest request;
+  request.m_method = "PUT";
+  request.m_url = BackendUrl(aSlot) + "/control";
+  request.m_body = aWanted.dump();
+  static_cast<void>(SendAndWait(std::move(request)));
+}
+
+Json
+Fleet::WorkerCounts(const std::string& aSlot) const
+{
+  HttpClientRequest request;
+  request.m_url = BackendUrl(aSlot) + "/counts";
+  return Json::parse(
+    SendAndWait(std::move(request)).m_response.m_body, nullptr, false);
+}
+
+void
+Fleet::PutPlatformConfig(const Json& aDocument) const
+{
+  HttpClientRequest request;
+  request.m_method = "POST";
+  request.m_url = m_storeUrl + "/kv-txn";
+  request.m_body = Json{
+    { "expected", Json::array() },
+    { "puts",
+      { { { "key", std::string{ platform::kConfigKey } },
+          { "value", platform::ToBase64(aDocument.dump()) },
+          { "lease_id", 0 } } } },
+    { "deletes", Json::array() }
+  }.dump();
+  static_cast<void>(SendAndWait(std::move(request)));
+}
+
 CallResult
 Fleet::Call(const std::string& aSlot,
             const std::string& aMethod,
--- a/tools/testkit/fleet.hpp
+++ b/tools/testkit/fleet.hpp
@@ -27,6 +27,9 @@
   /// Extra arguments of the backend server.
   std::vector<std::string> m_backendArguments{};
   bool m_withBackend{ true };
+  /// The backend server speaks the platform's protocol and sends heartbeats,
+  /// and the daemon takes its configuration from the platform's store.
+  bool m_onPlatform{ false };
 };
 
 struct CallResult
@@ -72,6 +75,14 @@
   [[nodiscard]] std::string CallsUrl(const std::string& aSlot) const;
   [[nodiscard]] std::string BackendUrl(const std::string& aSlot) const;
   [[nodiscard]] std::string StoreUrl() const { return m_storeUrl; }
+  [[nodiscard]] std::string ReadinessUrl(const std::string& aSlot) const;
+  /// \brief Switches faults of a backend server on the platform.
+  void ControlWorker(const std::string& aSlot,
+                     const nlohmann::json& aWanted) const;
+  [[nodiscard]] nlohmann::json WorkerCounts(const std::string& aSlot) const;
+  /// \brief Writes the operators' configuration into the platform's store.
+  void PutPlatformConfig(const nlohmann::json& aDocument) const;
+  [[nodiscard]] bool IsReady(const std::string& aSlot) const;
 
   [[nodiscard]] CallResult Call(const std::string& aSlot,
                                 const std::string& aMethod,
@@ -121,6 +132,8 @@
     std::uint16_t m_backendPort{ 0 };
     std::uint16_t m_callsPort{ 0 };
     std::uint16_t m_operatorsPort{ 0 };
+    std::uint16_t m_readinessPort{ 0 };
+    std::uint16_t m_heartbeatsPort{ 0 };
     /// [listen] section with the ports of its first start, so that it comes
     /// back at the same address, as a slot does.
     std::string m_listen{};
