A worker that has just come is taken for a typical one, and tried by one call in 32

Change: unknown workers count as the mean of the known ones; one call in 32 goes to one nearby that has told nothing.

--- a/include/greengagehub/calls/worker_table.hpp
+++ b/include/greengagehub/calls/worker_table.hpp
@@ -124,7 +124,10 @@
 /// Answers the load pattern of domains with unequal demand and workers of
 /// unequal speed. An answer that is earlier than its target is worth no more,
 /// so a faster worker elsewhere is no reason to cross; a full one at home is,
-/// the sooner the smaller the answer.
+/// the sooner the smaller the answer. A worker that has just come is taken for
+/// a typical one, and every so often one call is sent there to learn: taken for
+/// a fast one, it would get a call from every daemon before its first answer,
+/// just while it is cold.
 struct NearestFit
 {
   /// Own failure domain; empty: all are alike.
@@ -135,12 +138,19 @@
                                    Random& aRandom) const;
 };
 
+/// \returns Mean service time for calls of the kind over those workers that have
+/// told one; what a worker that has just come is taken for.
+[[nodiscard]] Duration
+TypicalService(const std::vector<const WorkerRow*>& aRows,
+               std::chrono::milliseconds aProfile) noexcept;
+
+/// \param aUnknown service time where the worker has told none.
 /// \returns Time until a call sent now is expected to be answered, with what
 /// failures and refusals seen there cost on average.
 [[nodiscard]] Duration
 ExpectedTime(const WorkerRow& aRow,
-             TimePoint aNow,
-             std::chrono::milliseconds aProfile) noexcept;
+             const RoutingContext& aContext,
+             Duration aUnknown) noexcept;
 
 /// \brief Join the shortest queue with tagging (Li, Paschos, Tassiulas and
 /// Modiano, "Dynamic overload balancing in server farms", IFIP Networking
--- a/src/calls/worker_table.cpp
+++ b/src/calls/worker_table.cpp
@@ -15,7 +15,9 @@
 constexpr double kFailurePenalty = 4.0;
 constexpr double kRefusalPenalty = 4.0;
 constexpr double kEjectAbove = 0.55;
-/// Service time of a worker that has not told one yet.
+/// One call in so many goes to a worker nearby that has told nothing yet.
+constexpr std::uint64_t kExploreOneIn = 32;
+/// Service time while no worker has told one.
 constexpr auto kUnknownService = std::chrono::milliseconds{ 50 };
 /// Kinds of calls remembered for each worker.
 constexpr std::size_t kMaxProfiles = 16;
@@ -88,20 +90,43 @@
   return best;
 }
 
+const WorkerRow::Profile*
+ProfileOf(const WorkerRow& aRow, std::chrono::milliseconds aProfile) noexcept
+{
+  for (const WorkerRow::Profile& each : aRow.m_profiles) {
+    if (each.m_profile == aProfile) {
+      return &each;
+    }
+  }
+  return nullptr;
+}
+
+Duration
+TypicalService(const std::vector<const WorkerRow*>& aRows,
+               std::chrono::milliseconds aProfile) noexcept
+{
+  Duration sum = Duration::zero();
+  int known = 0;
+  for (const WorkerRow* each : aRows) {
+    if (const auto* profile = ProfileOf(*each, aProfile)) {
+      sum += profile->m_serviceTime;
+      ++known;
+    }
+  }
+  return known > 0 ? sum / known : Duration{ kUnknownService };
+}
+
 Duration
 ExpectedTime(const WorkerRow& aRow,
-             TimePoint aNow,
-             std::chrono::milliseconds aProfile) noexcept
+             const RoutingContext& aContext,
+             Duration aUnknown) noexcept
 {
   using Seconds = std::chrono::duration<double>;
-  const auto known = std::find_if(
-    aRow.m_profiles.begin(), aRow.m_profiles.end(), [&](const auto& aEach) {
-      return aEach.m_profile == aProfile;
-    });
-  Seconds service = kUnknownService;
+  Seconds service = aUnknown;
   Seconds wait{ 0.0 };
-  if (known != aRow.m_profiles.end()) {
-    const double age = Seconds(aNow - known->m_at) / Seconds(kReportLife);
+  if (const auto* known = ProfileOf(aRow, aContext.m_profile)) {
+    const double age =
+      Seconds(aContext.m_now - known->m_at) / Seconds(kReportLife);
     service = known->m_serviceTime;
     wait = std::clamp(1.0 - age, 0.0, 1.0) * Seconds(known->m_wait);
   }
@@ -133,12 +158,24 @@
                    const RoutingContext& aContext,
                    Random& aRandom) const
 {
+  const auto isFar = [&](const WorkerRow& aRow) {
+    return !m_domain.empty() && aRow.m_domain != m_domain;
+  };
+  if (Below(aRandom, kExploreOneIn) == 0) {
+    for (std::size_t i = 0; i < aRows.size(); ++i) {
+      const bool unknown =
+        ProfileOf(*aRows[i], aContext.m_profile) == nullptr &&
+        aRows[i]->m_inFlight == 0;
+      if (unknown && !isFar(*aRows[i])) {
+        return i;
+      }
+    }
+  }
+  const Duration typical = TypicalService(aRows, aContext.m_profile);
   const auto cost = [&](const WorkerRow& aRow) {
-    const bool crosses = !m_domain.empty() && aRow.m_domain != m_domain;
-    const Duration expected =
-      ExpectedTime(aRow, aContext.m_now, aContext.m_profile);
+    const Duration expected = ExpectedTime(aRow, aContext, typical);
     return kLateLoss * RiskOfLateness(expected, aContext.m_targetLeft) +
-           (crosses ? aContext.m_crossing : 0.0);
+           (isFar(aRow) ? aContext.m_crossing : 0.0);
   };
   const std::size_t offset = Below(aRandom, aRows.size());
   std::size_t best = offset;
