A restarted daemon asks its worker for its id; a leaving one serves it for 1.5 s

Change: calls are started at the worker for 1.5 s after SIGTERM; a daemon with a configuration and no report asks the health check, at most three times, and sends four calls at once until a report tells the slots.

--- a/include/greengagehub/calls/call_dialect.hpp
+++ b/include/greengagehub/calls/call_dialect.hpp
@@ -16,6 +16,8 @@
   std::string_view m_callerService{};
   /// The only backend server that may run the request.
   std::string_view m_expectInstance{};
+  /// On a health check's answer: which backend server gives it.
+  std::string_view m_instance{};
   /// On a refusal: the backend server did not run the request.
   std::string_view m_notExecuted{};
   /// On a success: the backend server's signature.
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -63,6 +63,8 @@
   void OnMember(const MemberEvent& aEvent);
   /// \brief The own worker came, changed or leaves.
   void OnWorker(const WorkerPresence& aPresence);
+  /// \brief Asks the own worker for its id, where the configuration says how.
+  void ProbeWorker(std::function<void(std::string)> aDone);
   void OnVersion();
   /// \brief The process was paused: what is unread on its connections is as
   /// old as the pause, and must not be taken for fresh.
--- a/include/greengagehub/daemon/daemon.hpp
+++ b/include/greengagehub/daemon/daemon.hpp
@@ -33,6 +33,9 @@
   void StartDrain();
   void ContinueDrain(TimePoint aNow);
   void EndDrain(bool aClean);
+  /// \brief Starts no more calls at the worker, and tells the others.
+  void LeaveWorker();
+  void ProbeWorkerWhenDue(TimePoint aNow);
   [[nodiscard]] bool IsBusy() const;
   void LogListening();
   [[nodiscard]] Outcome<std::uint16_t> Open();
@@ -59,6 +62,9 @@
   std::chrono::nanoseconds m_lastBootTime{};
   bool m_draining{ false };
   bool m_wasReady{ false };
+  bool m_workerLeft{ false };
+  int m_probes{ 0 };
+  TimePoint m_nextProbe{};
   /// Leaving, and callers are not taken any more.
   bool m_finishing{ false };
   TimePoint m_drainFrom{};
--- a/include/greengagehub/daemon/platform_endpoints.hpp
+++ b/include/greengagehub/daemon/platform_endpoints.hpp
@@ -40,10 +40,13 @@
   }
 
   [[nodiscard]] Outcome<std::uint16_t> Open();
+  /// \brief The worker was asked and gave this id.
+  void OnProbed(std::string aId);
 
 private:
   void OnReadiness(const HttpRequest& aRequest, HttpResponder aResponder);
   void OnHeartbeat(const HttpRequest& aRequest, HttpResponder aResponder);
+  void Tell(WorkerPresence::Change aChange);
   [[nodiscard]] WorkerPresence::Change Take(const WorkerReport& aReport);
 
   Parts m_parts;
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -46,6 +46,9 @@
   /// \brief A heartbeat told what the worker is; until the first one, and once
   /// it leaves, nothing is sent to it.
   void OnWorker(const WorkerPresence& aPresence);
+  /// \brief Asks the worker for its id by its health check.
+  /// \param aDone called with the id, if it is well and gives one.
+  void Probe(const std::string& aPath, std::function<void(std::string)> aDone);
 
 private:
   /// A request that waits or runs.
--- a/src/calls/worker_presence.cpp
+++ b/src/calls/worker_presence.cpp
@@ -60,6 +60,17 @@
   return sameFigures ? Change::None : Change::Updated;
 }
 
+WorkerPresence::Change
+WorkerPresence::OnProbed(TimePoint aNow, WorkerReport aReport)
+{
+  if (m_current || m_former.contains(aReport.m_id)) {
+    return Change::None;
+  }
+  // Any report of its own is newer.
+  aReport.m_sequence = 0;
+  return OnReport(aNow, aReport);
+}
+
 WorkerPresence::Change
 WorkerPresence::OnLeft(const std::string& aId)
 {
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -566,6 +566,16 @@
   }
 }
 
+void
+CallGateway::ProbeWorker(std::function<void(std::string)> aDone)
+{
+  const auto& services = m_parts.m_holder.Active()->m_content.Services();
+  const auto own = services.find(m_parts.m_settings.m_service);
+  if (own != services.end() && !own->second->m_value.m_healthPath.empty()) {
+    m_service.Probe(own->second->m_value.m_healthPath, std::move(aDone));
+  }
+}
+
 void
 CallGateway::PutWorker(const MemberRecord& aRecord)
 {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -19,6 +19,13 @@
 constexpr int kUncleanDrain = 1;
 /// Left of the grace time when a drain that is not done gives up.
 constexpr auto kKillMargin = std::chrono::milliseconds{ 400 };
+/// A daemon asks its worker for its id so often, at most, and so long apart,
+/// while no report has come. Workers report every second or two.
+constexpr int kMaxProbes = 3;
+constexpr auto kProbeEvery = std::chrono::milliseconds{ 500 };
+/// How long a leaving daemon still starts calls at its worker, which mostly runs
+/// on: the rest of the time until it takes no callers is enough for them to end.
+constexpr auto kServesWorker = std::chrono::milliseconds{ 1500 };
 /// How long a leaving daemon takes requests. The platform asks for readiness
 /// once a second and takes callers away after two misses, and a caller may be
 /// under way with its next request by then.
@@ -181,7 +188,7 @@
 Daemon::OnWorker(const WorkerPresence& aPresence)
 {
   m_calls.OnWorker(aPresence);
-  const bool leaves = m_draining || !aPresence.TakesCalls();
+  const bool leaves = m_workerLeft || !aPresence.TakesCalls();
   m_control.Announce(leaves ? MemberState::Leaving : MemberState::Alive,
                      aPresence.Current()->m_slots);
 }
@@ -253,6 +260,7 @@
   }
   m_lastTick = now;
   m_lastBootTime = bootTime;
+  ProbeWorkerWhenDue(now);
   m_calls.OnTick(now);
   m_requests.OnTick();
   m_log.Flush();
@@ -307,6 +315,32 @@
 // ---------------------------------------------------------------------------
 // Drain
 
+void
+Daemon::ProbeWorkerWhenDue(TimePoint aNow)
+{
+  const bool due = m_platform && m_probes < kMaxProbes && !m_draining &&
+                   m_control.Holder().GetVersion() > Version{} &&
+                   !m_platform->Worker().Current() && aNow >= m_nextProbe;
+  if (!due) {
+    return;
+  }
+  ++m_probes;
+  m_nextProbe = aNow + kProbeEvery;
+  m_calls.ProbeWorker(
+    [this](std::string aId) { m_platform->OnProbed(std::move(aId)); });
+}
+
+void
+Daemon::LeaveWorker()
+{
+  if (m_workerLeft) {
+    return;
+  }
+  m_workerLeft = true;
+  m_control.Announce(MemberState::Leaving);
+  m_calls.StartLeaving();
+}
+
 void
 Daemon::StartDrain()
 {
@@ -320,8 +354,9 @@
   if (m_settings.m_platform.m_enabled) {
     m_drainUntil = m_drainFrom + m_settings.m_platform.m_grace - kKillMargin;
   }
-  m_control.Announce(MemberState::Leaving);
-  m_calls.StartLeaving();
+  if (!m_settings.m_platform.m_enabled) {
+    LeaveWorker();
+  }
 }
 
 bool
@@ -343,6 +378,9 @@
   const bool lingered =
     idle && aNow - m_idleSince >= m_settings.m_calls.m_linger;
   if (m_settings.m_platform.m_enabled) {
+    if (aNow - m_drainFrom >= kServesWorker) {
+      LeaveWorker();
+    }
     // Callers come until two questions for readiness have gone unanswered, and
     // where most of a failure domain leaves they come to the end. What is
     // taken after that might not be answered within the grace time.
--- a/src/daemon/platform_endpoints.cpp
+++ b/src/daemon/platform_endpoints.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+/// Calls sent at once to a worker that gave its id and has not reported yet: few
+/// enough for any, and better than none.
+constexpr std::uint32_t kSlotsUntilTold = 4;
+
 HttpServerSettings
 ServerAt(const HostPort& aAddress)
 {
@@ -88,21 +92,38 @@
   const WorkerPresence::Change change =
     left != nullptr ? m_worker.OnLeft(left->m_id)
                     : Take(std::get<WorkerReport>(notice.value()));
-  if (change != WorkerPresence::Change::None) {
-    m_parts.m_log.Info(
-      "worker",
-      "worker_changed",
-      { { "change", NameOf(change) },
-        { "instance", m_worker.Current()->m_id },
-        { "slots", std::uint64_t{ m_worker.Current()->m_slots } },
-        { "sequence", m_worker.Current()->m_sequence } });
-    m_parts.m_onWorker(m_worker);
-  }
+  Tell(change);
   // Answered after the change is in force here: nothing reaches the worker but
   // through this daemon.
   aResponder.Answer(JsonResponse(200, "{}"));
 }
 
+void
+PlatformEndpoints::OnProbed(std::string aId)
+{
+  WorkerReport report;
+  report.m_id = std::move(aId);
+  report.m_service = m_parts.m_settings.m_service;
+  report.m_slots = kSlotsUntilTold;
+  Tell(m_worker.OnProbed(Clock::now(), std::move(report)));
+}
+
+void
+PlatformEndpoints::Tell(WorkerPresence::Change aChange)
+{
+  if (aChange == WorkerPresence::Change::None) {
+    return;
+  }
+  const WorkerReport& worker = *m_worker.Current();
+  m_parts.m_log.Info("worker",
+                     "worker_changed",
+                     { { "change", NameOf(aChange) },
+                       { "instance", worker.m_id },
+                       { "slots", std::uint64_t{ worker.m_slots } },
+                       { "sequence", worker.m_sequence } });
+  m_parts.m_onWorker(m_worker);
+}
+
 WorkerPresence::Change
 PlatformEndpoints::Take(const WorkerReport& aReport)
 {
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -16,6 +16,8 @@
 /// reset, with no way to tell whether it ran.
 constexpr auto kMaxIdleOnce = std::chrono::milliseconds{ 250 };
 constexpr auto kMaxIdle = std::chrono::seconds{ 5 };
+/// A worker that does not tell its id within this will report by itself.
+constexpr auto kProbeTimeout = std::chrono::milliseconds{ 1000 };
 /// The worker ends a request at its deadline by itself; this much later its
 /// connection is dropped.
 constexpr auto kDeadlineGrace = std::chrono::milliseconds{ 20 };
@@ -344,6 +346,28 @@
   Carry(m_runs.StartLeaving(Clock::now()));
 }
 
+void
+RunService::Probe(const std::string& aPath,
+                  std::function<void(std::string)> aDone)
+{
+  BackendRequest request;
+  request.m_target = aPath;
+  request.m_headers = { { "Host", m_settings.m_worker.m_host } };
+  request.m_deadline = Clock::now() + kProbeTimeout;
+  m_client.Send(
+    std::move(request),
+    [this, done = std::move(aDone)](const BackendResult& aResult) {
+      const HttpResponse& response = aResult.m_response;
+      const bool well = aResult.m_kind == BackendResult::Kind::Answered &&
+                        IsSuccess(response.m_status);
+      const std::string_view id =
+        HeaderValue(response.m_headers, m_dialect.m_instance);
+      if (well && !id.empty()) {
+        done(std::string{ id });
+      }
+    });
+}
+
 std::string_view
 RunService::IdOf(const CallRequest& aRequest) const
 {
--- a/tests/calls/worker_presence.cpp
+++ b/tests/calls/worker_presence.cpp
@@ -65,6 +65,18 @@
   CHECK(worker.Current()->m_id == "new");
 }
 
+TEST_CASE("a worker that was asked counts until it reports")
+{
+  // A daemon has been restarted beside a worker that runs on. Its next report
+  // may be more than a second away, in which its slots would stand empty.
+  WorkerPresence worker{ 1500ms };
+  CHECK(worker.OnProbed(kStart, Report("a", 7)) == Change::Arrived);
+  CHECK(worker.TakesCalls());
+  CHECK(worker.OnReport(kStart, Report("a", 1, true)) == Change::Leaving);
+  CHECK(worker.OnProbed(kStart, Report("b", 0)) == Change::None);
+  CHECK(worker.Current()->m_id == "a");
+}
+
 TEST_CASE("where the known start has fallen silent, another one is believed")
 {
   WorkerPresence worker{ 1500ms };
