--- a/tools/testkit/fleet.cpp
+++ b/tools/testkit/fleet.cpp
@@ -57,8 +57,9 @@
   m_store = std::make_unique<Process>(std::vector<std::string>{ STORE_PROGRAM },
                                       m_directory.File("store.log"));
   const Json line = ListeningLine(*m_store);
-  m_storeUrl =
-    fmt::format("http://127.0.0.1:{}", line["port"].get<std::uint16_t>());
+  m_storePort = line["port"].get<std::uint16_t>();
+  m_daemonsStorePort = m_storePort;
+  m_storeUrl = fmt::format("http://127.0.0.1:{}", m_storePort);
 }
 
 std::string
@@ -82,7 +83,7 @@
     spec.m_queue,
     aNode.m_listen.empty() && spec.m_onPlatform ? kFirstPlatformListen
                                                 : aNode.m_listen,
-    m_storeUrl,
+    fmt::format("http://127.0.0.1:{}", m_daemonsStorePort),
     spec.m_onPlatform ? kPlatform + spec.m_settings : spec.m_settings);
 }
 
--- a/tools/testkit/fleet.hpp
+++ b/tools/testkit/fleet.hpp
@@ -75,6 +75,12 @@
   [[nodiscard]] std::string CallsUrl(const std::string& aSlot) const;
   [[nodiscard]] std::string BackendUrl(const std::string& aSlot) const;
   [[nodiscard]] std::string StoreUrl() const { return m_storeUrl; }
+  [[nodiscard]] std::uint16_t StorePort() const noexcept
+  {
+    return m_storePort;
+  }
+  /// \brief Daemons started from now on reach the store by another port.
+  void UseStoreAt(std::uint16_t aPort) { m_daemonsStorePort = aPort; }
   [[nodiscard]] std::string ReadinessUrl(const std::string& aSlot) const;
   /// \brief Switches faults of a backend server on the platform.
   void ControlWorker(const std::string& aSlot,
@@ -146,6 +152,8 @@
   TemporaryDirectory m_directory;
   std::unique_ptr<Process> m_store;
   std::string m_storeUrl;
+  std::uint16_t m_storePort{ 0 };
+  std::uint16_t m_daemonsStorePort{ 0 };
   std::map<std::string, Node> m_nodes;
   int m_started{ 0 };
 };
--- a/tools/testkit/load.cpp
+++ b/tools/testkit/load.cpp
@@ -86,7 +86,7 @@
     request.m_url =
       m_plan.m_urls[aNumber % m_plan.m_urls.size()] + m_plan.m_target;
     request.m_headers = m_plan.m_headers;
-    request.m_headers.push_back(HttpHeader{ "X-Request-Id", record.m_id });
+    request.m_headers.push_back(HttpHeader{ m_plan.m_idHeader, record.m_id });
     request.m_body = m_plan.m_body;
     request.m_timeout = m_plan.m_timeout;
     // From when it was due, not from when this loop got to it.
--- a/tools/testkit/load.hpp
+++ b/tools/testkit/load.hpp
@@ -24,6 +24,7 @@
   std::string m_body{};
   /// In front of the numbers that make request ids.
   std::string m_prefix{ "call-" };
+  std::string m_idHeader{ "X-Request-Id" };
   std::chrono::milliseconds m_timeout{ std::chrono::seconds{ 10 } };
 };
 
