A request is traced through all daemons' logs by its id; metrics at a set port

greengagehub trace ID LOG... merges the lines of a request over processes and steps of the time of day and names the one that ended it; a test explains a refused release from its id alone.

--- a/include/greengagehub/calls/worker_presence.hpp
+++ b/include/greengagehub/calls/worker_presence.hpp
@@ -63,7 +63,8 @@
   [[nodiscard]] bool IsSilent(TimePoint aNow) const noexcept;
 
   [[nodiscard]] Change OnReport(TimePoint aNow, const WorkerReport& aReport);
-  /// \brief It was asked for its id and gave one; counts until its first report.
+  /// \brief It was asked for its id and gave one; counts until its first
+  /// report.
   [[nodiscard]] Change OnProbed(TimePoint aNow, WorkerReport aReport);
   /// \brief It said that it has left, though it may still serve.
   [[nodiscard]] Change OnLeft(const std::string& aId);
--- a/include/greengagehub/calls/worker_table.hpp
+++ b/include/greengagehub/calls/worker_table.hpp
@@ -138,8 +138,8 @@
                                    Random& aRandom) const;
 };
 
-/// \returns Mean service time for calls of the kind over those workers that have
-/// told one; what a worker that has just come is taken for.
+/// \returns Mean service time for calls of the kind over those workers that
+/// have told one; what a worker that has just come is taken for.
 [[nodiscard]] Duration
 TypicalService(const std::vector<const WorkerRow*>& aRows,
                std::chrono::milliseconds aProfile) noexcept;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -23,8 +23,9 @@
 /// while no report has come. Workers report every second or two.
 constexpr int kMaxProbes = 3;
 constexpr auto kProbeEvery = std::chrono::milliseconds{ 500 };
-/// How long a leaving daemon still starts calls at its worker, which mostly runs
-/// on: the rest of the time until it takes no callers is enough for them to end.
+/// How long a leaving daemon still starts calls at its worker, which mostly
+/// runs on: the rest of the time until it takes no callers is enough for them
+/// to end.
 constexpr auto kServesWorker = std::chrono::milliseconds{ 1500 };
 /// How long a leaving daemon takes requests. The platform asks for readiness
 /// once a second and takes callers away after two misses, and a caller may be
--- a/src/daemon/platform_endpoints.cpp
+++ b/src/daemon/platform_endpoints.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// Calls sent at once to a worker that gave its id and has not reported yet: few
-/// enough for any, and better than none.
+/// Calls sent at once to a worker that gave its id and has not reported yet:
+/// few enough for any, and better than none.
 constexpr std::uint32_t kSlotsUntilTold = 4;
 
 HttpServerSettings
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -354,18 +354,18 @@
   request.m_target = aPath;
   request.m_headers = { { "Host", m_settings.m_worker.m_host } };
   request.m_deadline = Clock::now() + kProbeTimeout;
-  m_client.Send(
-    std::move(request),
-    [this, done = std::move(aDone)](const BackendResult& aResult) {
-      const HttpResponse& response = aResult.m_response;
-      const bool well = aResult.m_kind == BackendResult::Kind::Answered &&
-                        IsSuccess(response.m_status);
-      const std::string_view id =
-        HeaderValue(response.m_headers, m_dialect.m_instance);
-      if (well && !id.empty()) {
-        done(std::string{ id });
-      }
-    });
+  m_client.Send(std::move(request),
+                [this, done = std::move(aDone)](const BackendResult& aResult) {
+                  const HttpResponse& response = aResult.m_response;
+                  const bool well =
+                    aResult.m_kind == BackendResult::Kind::Answered &&
+                    IsSuccess(response.m_status);
+                  const std::string_view id =
+                    HeaderValue(response.m_headers, m_dialect.m_instance);
+                  if (well && !id.empty()) {
+                    done(std::string{ id });
+                  }
+                });
 }
 
 std::string_view
--- a/src/greengagehub.cpp
+++ b/src/greengagehub.cpp
@@ -1,4 +1,5 @@
 #include "greengagehub/http/blocking_client.hpp"
+#include "greengagehub/observe/request_trace.hpp"
 #include "greengagehub/settings/settings.hpp"
 
 #include <boost/program_options.hpp>
@@ -34,6 +35,8 @@
   status                one daemon's state
   drain                 ask a daemon to leave
   check-settings FILE   check a daemon's settings
+  trace REQUEST_ID LOG...  what daemons logged about a request, in order, and
+                        the decision that ended it; 1 when there is nothing
 
 Exit codes: 0 accepted or done, 1 refused, 2 wrong use or bad settings,
 3 unknown (ask again about the same id), 4 unreachable, 5 not in force in time.
@@ -53,6 +56,7 @@
 {
   std::string m_command;
   std::string m_argument;
+  std::vector<std::string> m_files;
   std::string m_daemon;
   std::string m_token;
   std::string m_id;
@@ -323,12 +327,39 @@
   return WrongUse;
 }
 
+int
+Trace(const Options& aOptions)
+{
+  std::vector<std::string> logs;
+  for (const std::string& each : aOptions.m_files) {
+    std::ifstream file{ each };
+    if (!file) {
+      fmt::print(stderr, "{}: cannot be read\n", each);
+      return WrongUse;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    logs.push_back(text.str());
+  }
+  const auto trace = greengagehub::TraceRequest(aOptions.m_argument, logs);
+  for (const greengagehub::TracedLine& each : trace.m_lines) {
+    fmt::print("{}\n", each.m_text);
+  }
+  if (trace.m_lines.empty()) {
+    fmt::print(stderr, "nothing is logged about {}\n", aOptions.m_argument);
+    return Refused;
+  }
+  fmt::print("ended by: {}\n",
+             trace.m_end.empty() ? "nothing that is logged" : trace.m_end);
+  return Done;
+}
+
 int
 Dispatch(const Options& aOptions)
 {
   const std::string& command = aOptions.m_command;
-  const bool needsArgument =
-    command == "submit" || command == "explain" || command == "check-settings";
+  const bool needsArgument = command == "submit" || command == "explain" ||
+                             command == "check-settings" || command == "trace";
   if (needsArgument && aOptions.m_argument.empty()) {
     fmt::print(stderr, "{} needs an argument; see --help\n", command);
     return WrongUse;
@@ -336,6 +367,9 @@
   if (command == "check-settings") {
     return CheckSettings(aOptions);
   }
+  if (command == "trace") {
+    return Trace(aOptions);
+  }
   if (aOptions.m_daemon.empty()) {
     fmt::print(stderr,
                "--daemon URL or GREENGAGEHUB_DAEMON is needed; see --help\n");
@@ -373,6 +407,9 @@
   Options options;
   options.m_command = aGiven["command"].as<std::string>();
   options.m_argument = aGiven["argument"].as<std::string>();
+  if (aGiven.count("files") != 0) {
+    options.m_files = aGiven["files"].as<std::vector<std::string>>();
+  }
   options.m_daemon = aGiven["daemon"].as<std::string>();
   options.m_token = aGiven["token"].as<std::string>();
   options.m_id = aGiven["id"].as<std::string>();
@@ -412,9 +449,10 @@
     po::value<std::uint32_t>()->default_value(10),
     "seconds to wait")("json", "print JSON")("help", "show this")(
     "version",
-    "show the version")("command", text(""), "")("argument", text(""), "");
+    "show the version")("command", text(""), "")("argument", text(""), "")(
+    "files", po::value<std::vector<std::string>>(), "");
   po::positional_options_description positions;
-  positions.add("command", 1).add("argument", 1);
+  positions.add("command", 1).add("argument", 1).add("files", -1);
   try {
     po::variables_map given;
     po::store(po::command_line_parser(aCount, aArguments)
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -134,7 +134,9 @@
     listen.m_gossipPort = first;
     listen.m_bulkPort = first + 1;
     listen.m_linkPort = first + 2;
-    listen.m_operatorsPort = first + 3;
+    if (listen.m_operatorsPort == 0) {
+      listen.m_operatorsPort = first + 3;
+    }
   }
 
   static bool ReadAddress(SettingsReader& aReader,
--- a/tests/end_to_end/platform.cpp
+++ b/tests/end_to_end/platform.cpp
@@ -198,6 +198,27 @@
   CHECK(Runs(fleet, "late") >= 1);
 }
 
+TEST_CASE("a refused request is explained from its id and the logs alone")
+{
+  // A caller hears 503 and gives its request's id to the engineer on call, who
+  // has only the logs. The page in docs/OPERATIONS.md goes by these steps.
+  Fleet fleet;
+  Start(fleet, 2);
+  fleet.ControlWorker("lockers-1", { { "shed", true } });
+  fleet.ControlWorker("lockers-2", { { "shed", true } });
+  REQUIRE(Ask(fleet, "lockers-1", "POST", "/release/1", "x1").Status() == 503);
+  CommandResult trace;
+  REQUIRE(WaitUntil([&] {
+    trace = fleet.Trace("x1");
+    return trace.m_output.find("request_finished") != std::string::npos;
+  }));
+  CHECK(trace.m_exitCode == 0);
+  CHECK(trace.m_output.find("\"event\":\"run_lost\"") != std::string::npos);
+  CHECK(trace.m_output.find("\"reason\":\"worker-refused\"") !=
+        std::string::npos);
+  CHECK(trace.m_output.find("ended by: {") != std::string::npos);
+}
+
 TEST_CASE("a caller that leaves takes its run with it")
 {
   // A tenant closes the app while a lookup runs. The worker would work on for
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -10,9 +10,9 @@
 #include <thread>
 
 /// \file
-/// \brief Randomized fault soak of the real programs. One seed makes one plan of
-/// faults that come in series and overlap, while callers go on; what callers were
-/// told is then held against what workers ran, and the fleet must recover.
+/// \brief Randomized fault soak of the real programs. One seed makes one plan
+/// of faults that come in series and overlap, while callers go on; what callers
+/// were told is then held against what workers ran, and the fleet must recover.
 
 namespace {
 
@@ -206,14 +206,14 @@
           Add(at, "change of configuration", [this] { PutConfig(); });
       }
     }
-    std::stable_sort(m_plan.begin(),
-                     m_plan.end(),
-                     [](const Step& aLeft, const Step& aRight) {
-                       return aLeft.m_at < aRight.m_at;
-                     });
+    std::stable_sort(
+      m_plan.begin(), m_plan.end(), [](const Step& aLeft, const Step& aRight) {
+        return aLeft.m_at < aRight.m_at;
+      });
   }
 
-  void AddSignal(std::chrono::milliseconds aAt, std::chrono::milliseconds aUntil)
+  void AddSignal(std::chrono::milliseconds aAt,
+                 std::chrono::milliseconds aUntil)
   {
     const std::string slot = SomeSlot();
     const auto signal = [this, slot](int aSignal) {
@@ -225,9 +225,8 @@
         Add(aUntil, slot + " goes on", signal(SIGCONT));
         break;
       case 1:
-        Add(aAt, slot + " killed", [this, slot] {
-          m_fleet.Daemon(slot).Kill();
-        });
+        Add(
+          aAt, slot + " killed", [this, slot] { m_fleet.Daemon(slot).Kill(); });
         Add(aUntil, slot + " started", [this, slot] { m_fleet.Restart(slot); });
         break;
       case 2:
--- a/tools/testkit/fleet.cpp
+++ b/tools/testkit/fleet.cpp
@@ -125,6 +125,7 @@
 {
   const std::string log = m_directory.File(
     fmt::format("{}.{}.log", aNode.m_spec.m_slot, ++m_started));
+  aNode.m_log = log + ".out";
   aNode.m_daemon = std::make_unique<Process>(
     std::vector<std::string>{
       DAEMON_PROGRAM, "--settings", aNode.m_settingsFile },
@@ -265,6 +266,22 @@
   static_cast<void>(SendAndWait(std::move(request)));
 }
 
+CommandResult
+Fleet::Trace(const std::string& aId)
+{
+  std::vector<std::string> arguments{ CLI_PROGRAM, "trace", aId };
+  for (const auto& [slot, node] : m_nodes) {
+    arguments.push_back(node.m_log);
+  }
+  const std::string log =
+    m_directory.File(fmt::format("command.{}.log", ++m_started));
+  Process process{ std::move(arguments), log };
+  CommandResult result;
+  result.m_exitCode = process.Wait().value_or(-1);
+  result.m_output = ReadFile(log + ".out");
+  return result;
+}
+
 CallResult
 Fleet::Call(const std::string& aSlot,
             const std::string& aMethod,
--- a/tools/testkit/fleet.hpp
+++ b/tools/testkit/fleet.hpp
@@ -75,10 +75,7 @@
   [[nodiscard]] std::string CallsUrl(const std::string& aSlot) const;
   [[nodiscard]] std::string BackendUrl(const std::string& aSlot) const;
   [[nodiscard]] std::string StoreUrl() const { return m_storeUrl; }
-  [[nodiscard]] std::uint16_t StorePort() const noexcept
-  {
-    return m_storePort;
-  }
+  [[nodiscard]] std::uint16_t StorePort() const noexcept { return m_storePort; }
   /// \brief Daemons started from now on reach the store by another port.
   void UseStoreAt(std::uint16_t aPort) { m_daemonsStorePort = aPort; }
   [[nodiscard]] std::string ReadinessUrl(const std::string& aSlot) const;
@@ -88,6 +85,8 @@
   [[nodiscard]] nlohmann::json WorkerCounts(const std::string& aSlot) const;
   /// \brief Writes the operators' configuration into the platform's store.
   void PutPlatformConfig(const nlohmann::json& aDocument) const;
+  /// \brief Runs the command that traces a request through all daemons' logs.
+  [[nodiscard]] CommandResult Trace(const std::string& aId);
   [[nodiscard]] bool IsReady(const std::string& aSlot) const;
 
   [[nodiscard]] CallResult Call(const std::string& aSlot,
@@ -135,6 +134,8 @@
     std::string m_settingsFile;
     std::unique_ptr<Process> m_backend;
     std::unique_ptr<Process> m_daemon;
+    /// Standard output of its latest start.
+    std::string m_log;
     std::uint16_t m_backendPort{ 0 };
     std::uint16_t m_callsPort{ 0 };
     std::uint16_t m_operatorsPort{ 0 };
--- a/tools/testkit/tcp_proxy.cpp
+++ b/tools/testkit/tcp_proxy.cpp
@@ -76,17 +76,17 @@
       aPair->Reset();
       return;
     }
-    aPair->m_far.async_connect(
-      { asio::ip::address_v4::loopback(), m_target },
-      [this, aPair](const asio::error_code& aError) {
-        if (aError) {
-          aPair->Reset();
-          return;
-        }
-        m_pairs.insert(aPair);
-        Pump(aPair, aPair->m_near, aPair->m_far, false);
-        Pump(aPair, aPair->m_far, aPair->m_near, true);
-      });
+    aPair->m_far.async_connect({ asio::ip::address_v4::loopback(), m_target },
+                               [this, aPair](const asio::error_code& aError) {
+                                 if (aError) {
+                                   aPair->Reset();
+                                   return;
+                                 }
+                                 m_pairs.insert(aPair);
+                                 Pump(
+                                   aPair, aPair->m_near, aPair->m_far, false);
+                                 Pump(aPair, aPair->m_far, aPair->m_near, true);
+                               });
   }
 
   void Pump(const std::shared_ptr<Pair>& aPair,
@@ -112,15 +112,15 @@
           return;
         }
         auto timer = std::make_shared<asio::steady_timer>(m_loop);
-        timer->expires_after(fault == ProxyFault::Delay
-                               ? kDelay
-                               : std::chrono::milliseconds{ 0 });
-        timer->async_wait([this, aPair, &aFrom, &aTo, aAnswers, buffer, aSize,
-                           timer](const asio::error_code&) {
-          asio::error_code ignored;
-          asio::write(aTo, asio::buffer(buffer->data(), aSize), ignored);
-          Pump(aPair, aFrom, aTo, aAnswers);
-        });
+        timer->expires_after(
+          fault == ProxyFault::Delay ? kDelay : std::chrono::milliseconds{ 0 });
+        timer->async_wait(
+          [this, aPair, &aFrom, &aTo, aAnswers, buffer, aSize, timer](
+            const asio::error_code&) {
+            asio::error_code ignored;
+            asio::write(aTo, asio::buffer(buffer->data(), aSize), ignored);
+            Pump(aPair, aFrom, aTo, aAnswers);
+          });
       });
   }
 
