--- a/include/greengagehub/daemon/call_headers.hpp
+++ b/include/greengagehub/daemon/call_headers.hpp
@@ -45,6 +45,10 @@
              std::string_view aName,
              std::uint64_t aDefault);
 
+/// \returns The status that the caller gets.
+[[nodiscard]] std::uint16_t
+StatusOf(const CallAnswer& aAnswer);
+
 /// \returns The answer for the caller: the worker's own, or a refusal with
 /// status, Retry-After, outcome header and JSON body.
 [[nodiscard]] HttpResponse
--- a/src/daemon/call_headers.cpp
+++ b/src/daemon/call_headers.cpp
@@ -47,7 +47,7 @@
 }
 
 std::uint16_t
-StatusFor(const CallAnswer& aAnswer)
+RefusalStatus(const CallAnswer& aAnswer)
 {
   constexpr std::uint16_t kNotFound = 404;
   constexpr std::uint16_t kBadGateway = 502;
@@ -123,6 +123,14 @@
   return aHeaders;
 }
 
+std::uint16_t
+StatusOf(const CallAnswer& aAnswer)
+{
+  return aAnswer.m_outcome == CallOutcome::Answered
+           ? aAnswer.m_response.m_status
+           : RefusalStatus(aAnswer);
+}
+
 std::uint64_t
 NumberHeader(const std::vector<HttpHeader>& aHeaders,
              std::string_view aName,
@@ -147,7 +155,7 @@
     return std::move(aAnswer.m_response);
   }
   HttpResponse response =
-    JsonResponse(StatusFor(aAnswer),
+    JsonResponse(StatusOf(aAnswer),
                  fmt::format(R"({{"outcome":"{}","reason":"{}"}})",
                              NameOf(aAnswer.m_outcome),
                              NameOf(aAnswer.m_reason)));
--- a/src/daemon/request_log.cpp
+++ b/src/daemon/request_log.cpp
@@ -1,5 +1,7 @@
 #include "greengagehub/daemon/request_log.hpp"
 
+#include "greengagehub/daemon/call_headers.hpp"
+
 namespace greengagehub {
 
 namespace {
@@ -35,7 +37,7 @@
                { "service", aEnd.m_service },
                { "outcome", NameOf(answer.m_outcome) },
                { "reason", NameOf(answer.m_reason) },
-               { "status", std::uint64_t{ answer.m_response.m_status } },
+               { "status", std::uint64_t{ StatusOf(answer) } },
                { "last_slot", aEnd.m_slot },
                { "sends", std::uint64_t{ aEnd.m_sends } },
                { "took_us", Micros(aEnd.m_took) },
