Silent connections to the store are noticed by keep-alive; watches of 5 s

A watch on a silent connection heard nothing for 22 s. Now keep-alive probes end it within about 3 s, and a watch lasts 5 s on the platform.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -6,6 +6,9 @@
 #include <charconv>
 #include <curl/curl.h>
 #include <map>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <unordered_map>
 
 namespace greengagehub {
@@ -72,6 +75,29 @@
   return transfer->m_sends == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
+/// Called for each new socket. An open connection can go silent for good while
+/// new ones work, when something between the two ends has lost track of it: a
+/// watch on it would hear of no change until its time is over. Probes of the
+/// system's own notice within some seconds, at no cost to the other side.
+int
+OnNewSocket(void* /*unused*/, curl_socket_t aSocket, curlsocktype /*unused*/)
+{
+  constexpr int kOn = 1;
+  constexpr int kIdleSeconds = 1;
+  constexpr int kBetweenSeconds = 1;
+  constexpr int kProbes = 2;
+  constexpr unsigned kUnacknowledgedMs = 2500;
+  const auto set = [aSocket](int aLevel, int aName, const auto& aValue) {
+    setsockopt(aSocket, aLevel, aName, &aValue, sizeof(aValue));
+  };
+  set(SOL_SOCKET, SO_KEEPALIVE, kOn);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, kIdleSeconds);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, kBetweenSeconds);
+  set(IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMs);
+  return CURL_SOCKOPT_OK;
+}
+
 void
 SetBody(CURL* aEasy, const HttpClientRequest& aRequest)
 {
@@ -108,6 +134,7 @@
   curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, OnNewSocket);
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, aTransfer.m_headers);
   curl_easy_setopt(easy, CURLOPT_PRIVATE, &aTransfer);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
--- a/tools/testkit/fleet.cpp
+++ b/tools/testkit/fleet.cpp
@@ -37,7 +37,8 @@
   return found;
 }
 
-const std::string kPlatform = "[platform]\nheartbeat_ms = 200\n";
+const std::string kPlatform = "watch_ms = 5000\ntimeout_ms = 1500\n"
+                              "[platform]\nheartbeat_ms = 200\n";
 const std::string kFirstPlatformListen =
   "[listen]\nreadiness = \"127.0.0.1:0\"\nheartbeats = \"127.0.0.1:0\"\n";
 
