--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -85,7 +85,8 @@
     faults.join();
     EndFaults();
     if (!WaitUntil([this] { return AllServe(); }, kRecovery)) {
-      verdict.m_broken.emplace_back("not every daemon serves again");
+      verdict.m_broken.push_back("not every daemon serves again: " +
+                                 StateOfAll());
     }
     Check(releases, lookups, verdict);
     for (const Step& each : m_plan) {
@@ -145,6 +146,18 @@
       });
   }
 
+  [[nodiscard]] std::string StateOfAll()
+  {
+    std::string text = "newest " + std::to_string(3 * m_version);
+    for (const std::string& each : m_slots) {
+      text += fmt::format("; {} ready {} version {}",
+                          each,
+                          m_fleet.IsReady(each),
+                          m_fleet.VersionAt(each));
+    }
+    return text;
+  }
+
   [[nodiscard]] LoadPlan PlanFor(const char* aMethod,
                                  const std::string& aPrefix) const
   {
@@ -311,6 +324,9 @@
   {
     m_proxy.SetFault(ProxyFault::None);
     m_fleet.SetStoreFaults({ { "outage", "none" } });
+    // The store may have been away when the last one was written, or its answer
+    // lost: only what it takes now is known to be the newest.
+    PutConfig();
     for (const std::string& each : m_slots) {
       m_fleet.ControlWorker(each,
                             { { "shed", false },
