--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -120,7 +120,9 @@
   ReadyGate m_gate;
   TimePoint m_nextSync{};
   TimePoint m_nextRank{};
-  std::chrono::milliseconds m_syncEvery{ 1000 };
+  /// Between two comparisons of members: at first, and after much news.
+  static constexpr auto kFirstMemberSync = std::chrono::milliseconds{ 1000 };
+  std::chrono::milliseconds m_syncEvery{ kFirstMemberSync };
   bool m_joined{ false };
   bool m_fallbackRead{ false };
 };
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -10,11 +10,6 @@
 
 namespace {
 
-/// Part of the fleet's retry budget that daemons use. The rest is for what they
-/// cannot count: calls made by a run that was itself a repeat, and daemons that
-/// have died since they were counted.
-constexpr double kRetryReserve = 0.7;
-
 /// Routes whose figures are kept.
 constexpr std::size_t kMaxFigures = 10'000;
 /// Weight of one answer in the mean size of a route's answers.
@@ -48,25 +43,6 @@
            .m_limits = { .m_maxBodyBytes = aSettings.m_calls.m_maxBodyBytes } };
 }
 
-/// \returns What the configuration says, and the settings where it is silent.
-HttpServerLimits
-LimitsFrom(HttpServerLimits aOwn, const Limits& aGiven)
-{
-  if (aGiven.m_maxHeadBytes > 0) {
-    aOwn.m_maxHeadBytes = aGiven.m_maxHeadBytes;
-  }
-  if (aGiven.m_maxBodyBytes > 0) {
-    aOwn.m_maxBodyBytes = aGiven.m_maxBodyBytes;
-  }
-  if (aGiven.m_headTimeout.count() > 0) {
-    aOwn.m_headTimeout = aGiven.m_headTimeout;
-  }
-  if (aGiven.m_idleTimeout.count() > 0) {
-    aOwn.m_idleTimeout = aGiven.m_idleTimeout;
-  }
-  return aOwn;
-}
-
 /// \returns The host without its port, in lower case.
 std::string
 HostOf(const std::vector<HttpHeader>& aHeaders)
@@ -94,24 +70,6 @@
   return IsIdempotentMethod(aMethod);
 }
 
-AttemptState
-StateOf(const LinkCancelResult& aResult)
-{
-  if (!aResult.m_started) {
-    return AttemptState::NotStarted;
-  }
-  return aResult.m_lost ? AttemptState::Lost : AttemptState::Started;
-}
-
-LinkCancelResult
-ResultOf(std::uint64_t aCall, CancelResult aResult)
-{
-  return { aCall,
-           aResult != CancelResult::NotStarted,
-           aResult == CancelResult::Finished ||
-             aResult == CancelResult::Forgotten };
-}
-
 }
 
 CallGateway::CallGateway(Parts aParts, std::uint64_t aSeed)
@@ -484,162 +442,6 @@
   m_parts.m_trace(std::move(span));
 }
 
-// ---------------------------------------------------------------------------
-// Links
-
-void
-CallGateway::OnServerFrame(LinkConnection& aConnection, LinkFrame aFrame)
-{
-  const std::uint64_t process = aConnection.m_peer.m_process;
-  if (auto* request = std::get_if<CallRequest>(&aFrame)) {
-    const CallKey key{ process, request->m_call };
-    m_service.OnRequest(key, aConnection.m_peer.m_epoch, std::move(*request));
-    return;
-  }
-  if (const auto* cancel = std::get_if<LinkCancel>(&aFrame)) {
-    const CancelResult result =
-      m_service.OnCancel({ process, cancel->m_call }, cancel->m_abandon);
-    if (!cancel->m_abandon) {
-      aConnection.Send(ResultOf(cancel->m_call, result));
-    }
-  }
-}
-
-void
-CallGateway::OnPoolFrame(LinkFrame aFrame)
-{
-  if (auto* answer = std::get_if<CallAnswer>(&aFrame)) {
-    Carry(m_dispatcher.OnAnswer(Clock::now(), std::move(*answer)));
-    return;
-  }
-  if (const auto* result = std::get_if<LinkCancelResult>(&aFrame)) {
-    Carry(m_dispatcher.OnCancelResult(
-      Clock::now(), result->m_call, StateOf(*result)));
-  }
-}
-
-void
-CallGateway::Deliver(CallKey aKey, CallAnswer aAnswer)
-{
-  if (aKey.m_process == m_parts.m_process) {
-    // Posted, as the dispatcher may be under way further up the stack.
-    asio::post(m_parts.m_loop, [this, answer = std::move(aAnswer)]() mutable {
-      Carry(m_dispatcher.OnAnswer(Clock::now(), std::move(answer)));
-    });
-    return;
-  }
-  if (LinkConnection* connection = m_server.Find(aKey.m_process)) {
-    connection->Send(std::move(aAnswer));
-  }
-}
-
-void
-CallGateway::OnMember(const MemberEvent& aEvent)
-{
-  const MemberRecord& record = aEvent.m_record;
-  if (aEvent.m_kind == MemberEvent::Kind::Gone) {
-    m_dispatcher.Workers().Remove(record.m_slot);
-    m_addresses.erase(record.m_slot);
-    return;
-  }
-  if (m_services.contains(record.m_service)) {
-    PutWorker(record);
-  } else {
-    // Its slot may have belonged to another service before.
-    m_dispatcher.Workers().Remove(record.m_slot);
-  }
-}
-
-void
-CallGateway::OnWorker(const WorkerPresence& aPresence)
-{
-  m_service.OnWorker(aPresence);
-  WorkerRow own;
-  own.m_slot = m_parts.m_settings.m_slot;
-  own.m_service = m_parts.m_settings.m_service;
-  own.m_domain = m_parts.m_settings.m_domain;
-  own.m_slots = aPresence.Current()->m_slots;
-  own.m_leaving = !aPresence.TakesCalls() || m_leaving;
-  m_dispatcher.Workers().Put(std::move(own));
-  if (!aPresence.TakesCalls()) {
-    m_server.Broadcast(LinkLeaving{});
-  }
-}
-
-void
-CallGateway::ProbeWorker(std::function<void(std::string)> aDone)
-{
-  const auto& services = m_parts.m_holder.Active()->m_content.Services();
-  const auto own = services.find(m_parts.m_settings.m_service);
-  if (own != services.end() && !own->second->m_value.m_healthPath.empty()) {
-    m_service.Probe(own->second->m_value.m_healthPath, std::move(aDone));
-  }
-}
-
-void
-CallGateway::PutWorker(const MemberRecord& aRecord)
-{
-  WorkerRow row;
-  row.m_slot = aRecord.m_slot;
-  row.m_service = aRecord.m_service;
-  row.m_domain = aRecord.m_domain;
-  row.m_slots = std::max(1U, aRecord.m_slots);
-  row.m_leaving = !TakesCalls(aRecord.m_state) || aRecord.m_slots == 0;
-  m_dispatcher.Workers().Put(std::move(row));
-  m_addresses[aRecord.m_slot] = aRecord.m_address;
-}
-
-void
-CallGateway::WantService(const std::string& aService)
-{
-  if (!m_services.insert(aService).second) {
-    return;
-  }
-  m_parts.m_members().Rows().Each(
-    [&](MemberTable::Index, const MemberRow& aRow) {
-      const MemberRecord& record = aRow.m_record;
-      if (record.m_service == aService && IsPresent(record.m_state)) {
-        PutWorker(record);
-      }
-    });
-}
-
-void
-CallGateway::OnVersion()
-{
-  const Content& content = m_parts.m_holder.Active()->m_content;
-  m_routes = RouteTable{ content };
-  m_dispatcher.SetRetryLimits(RetryLimitsNow());
-  m_http.SetLimits(LimitsFrom(CallsEndpoint(m_parts.m_settings).m_limits,
-                              content.GetLimits()));
-}
-
-RetryLimits
-CallGateway::RetryLimitsNow() const
-{
-  const PlatformSettings& platform = m_parts.m_settings.m_platform;
-  RetryLimits limits;
-  if (!platform.m_enabled) {
-    constexpr double kPercent = 100.0;
-    const Content& content = m_parts.m_holder.Active()->m_content;
-    limits.m_share = content.GetLimits().m_retryPercent / kPercent;
-    return limits;
-  }
-  // The limit is the fleet's. A share of calls adds up over daemons by itself;
-  // the slack is divided among them.
-  const auto daemons = static_cast<double>(m_parts.m_members().Present() + 1);
-  limits.m_share = kRetryReserve * platform.m_retryShare;
-  limits.m_slack = kRetryReserve * platform.m_retrySlack / daemons;
-  limits.m_window = platform.m_retryWindow;
-  return limits;
-}
-
-void
-CallGateway::OnWokeUp()
-{
-  m_server.CloseAll();
-}
-
 // ---------------------------------------------------------------------------
 // Time and leaving
 
--- a/src/http/backend_client.cpp
+++ b/src/http/backend_client.cpp
@@ -1,6 +1,7 @@
 #include "greengagehub/http/backend_client.hpp"
 
 #include "message_parser.hpp"
+#include "message_text.hpp"
 
 #include <algorithm>
 #include <array>
@@ -26,25 +27,6 @@
 constexpr auto kIdleMargin = std::chrono::milliseconds{ 500 };
 constexpr std::uint16_t kFirstFinalStatus = 200;
 
-std::string
-Serialize(const BackendRequest& aRequest)
-{
-  std::string out =
-    fmt::format("{} {} HTTP/1.1\r\n", aRequest.m_method, aRequest.m_target);
-  for (const HttpHeader& each : aRequest.m_headers) {
-    out += fmt::format("{}: {}\r\n", each.m_name, each.m_value);
-  }
-  const bool hasBody =
-    !aRequest.m_body.empty() || aRequest.m_method == "POST" ||
-    aRequest.m_method == "PUT" || aRequest.m_method == "PATCH";
-  if (hasBody) {
-    out += fmt::format("Content-Length: {}\r\n", aRequest.m_body.size());
-  }
-  out += "\r\n";
-  out += aRequest.m_body;
-  return out;
-}
-
 /// \returns The idle time from "Keep-Alive: timeout=N", if there is one.
 std::optional<std::chrono::milliseconds>
 AnnouncedIdle(const std::vector<HttpHeader>& aHeaders)
@@ -204,7 +186,7 @@
   void Write()
   {
     m_sent = true;
-    m_out = Serialize(m_request);
+    m_out = RequestText(m_request);
     asio::async_write(
       m_socket,
       asio::buffer(m_out),
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,6 +1,8 @@
 #include "greengagehub/http/http_server.hpp"
 
+#include "listen.hpp"
 #include "message_parser.hpp"
+#include "message_text.hpp"
 
 #include <array>
 #include <asio/ip/tcp.hpp>
@@ -30,40 +32,6 @@
 /// A client that does not take its answer for this long is given up.
 constexpr auto kWriteTimeout = std::chrono::seconds{ 60 };
 
-std::string_view
-ReasonPhrase(std::uint16_t aStatus)
-{
-  return http_status_str(static_cast<http_status>(aStatus));
-}
-
-/// Headers that describe the connection or the length, which are set here.
-bool
-IsFramingHeader(std::string_view aName)
-{
-  return SameHeader(aName, "connection") ||
-         SameHeader(aName, "content-length") ||
-         SameHeader(aName, "transfer-encoding") ||
-         SameHeader(aName, "keep-alive");
-}
-
-std::string
-Serialize(const HttpResponse& aResponse, bool aHead, bool aClose)
-{
-  std::string out = fmt::format(
-    "HTTP/1.1 {} {}\r\n", aResponse.m_status, ReasonPhrase(aResponse.m_status));
-  for (const HttpHeader& each : aResponse.m_headers) {
-    if (!IsFramingHeader(each.m_name)) {
-      out += fmt::format("{}: {}\r\n", each.m_name, each.m_value);
-    }
-  }
-  out += fmt::format("Content-Length: {}\r\n", aResponse.m_body.size());
-  out += aClose ? "Connection: close\r\n\r\n" : "\r\n";
-  if (!aHead) {
-    out += aResponse.m_body;
-  }
-  return out;
-}
-
 }
 
 struct HttpServer::Impl
@@ -182,7 +150,7 @@
       return;
     }
     m_closes = m_closes || aClose;
-    Write(Serialize(aResponse, m_isHead, m_closes));
+    Write(ResponseText(aResponse, m_isHead, m_closes));
   }
 
 private:
@@ -321,7 +289,7 @@
   {
     m_closes = true;
     m_in.clear();
-    Write(Serialize({ aStatus }, false, true));
+    Write(ResponseText({ aStatus }, false, true));
   }
 
   void Write(std::string aText)
@@ -480,23 +448,10 @@
 Outcome<std::uint16_t>
 HttpServer::Open()
 {
-  asio::error_code error;
-  const auto address =
-    asio::ip::make_address(m_impl->m_settings.m_address, error);
-  const tcp::endpoint endpoint{ address, m_impl->m_settings.m_port };
   tcp::acceptor& acceptor = m_impl->m_acceptor;
-  if (!error) {
-    acceptor.open(endpoint.protocol(), error);
-  }
-  if (!error) {
-    acceptor.set_option(tcp::acceptor::reuse_address{ true }, error);
-  }
-  if (!error) {
-    acceptor.bind(endpoint, error);
-  }
-  if (!error) {
-    acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
+  const HttpServerSettings& settings = m_impl->m_settings;
+  asio::error_code error =
+    Listen(acceptor, settings.m_address, settings.m_port);
   if (error) {
     return Error{ ErrorCode::Io, error.message() };
   }
--- /dev/null
+++ b/src/http/message_text.cpp
@@ -0,0 +1,65 @@
+#include "message_text.hpp"
+
+#include <fmt/format.h>
+#include <http_parser.h>
+
+namespace greengagehub {
+
+namespace {
+
+std::string_view
+ReasonPhrase(std::uint16_t aStatus)
+{
+  return http_status_str(static_cast<http_status>(aStatus));
+}
+
+/// Headers that describe the connection or the length, which are set here.
+bool
+IsFramingHeader(std::string_view aName)
+{
+  return SameHeader(aName, "connection") ||
+         SameHeader(aName, "content-length") ||
+         SameHeader(aName, "transfer-encoding") ||
+         SameHeader(aName, "keep-alive");
+}
+
+}
+
+std::string
+ResponseText(const HttpResponse& aResponse, bool aHead, bool aClose)
+{
+  std::string out = fmt::format(
+    "HTTP/1.1 {} {}\r\n", aResponse.m_status, ReasonPhrase(aResponse.m_status));
+  for (const HttpHeader& each : aResponse.m_headers) {
+    if (!IsFramingHeader(each.m_name)) {
+      out += fmt::format("{}: {}\r\n", each.m_name, each.m_value);
+    }
+  }
+  out += fmt::format("Content-Length: {}\r\n", aResponse.m_body.size());
+  out += aClose ? "Connection: close\r\n\r\n" : "\r\n";
+  if (!aHead) {
+    out += aResponse.m_body;
+  }
+  return out;
+}
+
+std::string
+RequestText(const BackendRequest& aRequest)
+{
+  std::string out =
+    fmt::format("{} {} HTTP/1.1\r\n", aRequest.m_method, aRequest.m_target);
+  for (const HttpHeader& each : aRequest.m_headers) {
+    out += fmt::format("{}: {}\r\n", each.m_name, each.m_value);
+  }
+  const bool hasBody =
+    !aRequest.m_body.empty() || aRequest.m_method == "POST" ||
+    aRequest.m_method == "PUT" || aRequest.m_method == "PATCH";
+  if (hasBody) {
+    out += fmt::format("Content-Length: {}\r\n", aRequest.m_body.size());
+  }
+  out += "\r\n";
+  out += aRequest.m_body;
+  return out;
+}
+
+}
--- a/src/observe/request_trace.cpp
+++ b/src/observe/request_trace.cpp
@@ -44,6 +44,7 @@
 TraceRequest(std::string_view aId, const std::vector<std::string>& aLogs)
 {
   std::vector<std::deque<TracedLine>> processes;
+  processes.reserve(aLogs.size());
   for (const std::string& each : aLogs) {
     processes.push_back(LinesOf(aId, each));
   }
