--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -73,9 +73,7 @@
   void Run(CallKey aKey);
   void Ended(CallKey aKey, BackendResult aResult);
   /// \returns What the worker's answer means for the attempt.
-  [[nodiscard]] CallAnswer AnswerFrom(CallKey aKey,
-                                      BackendResult aResult,
-                                      const CallRequest& aRequest);
+  [[nodiscard]] CallAnswer AnswerFrom(CallKey aKey, BackendResult aResult);
   [[nodiscard]] CallAnswer AnswerFrom(CallKey aKey, HttpResponse aResponse);
   void Carry(const RunActions& aActions);
   /// \brief Adds what the caller's daemon learns of the worker, and answers.
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -185,9 +185,7 @@
 }
 
 CallAnswer
-RunService::AnswerFrom(CallKey aKey,
-                       BackendResult aResult,
-                       const CallRequest& /*aRequest*/)
+RunService::AnswerFrom(CallKey aKey, BackendResult aResult)
 {
   CallAnswer answer;
   switch (aResult.m_kind) {
@@ -220,7 +218,7 @@
     return;
   }
   CallAnswer answer =
-    AnswerFrom(aKey, std::move(aResult), held->second.m_request);
+    AnswerFrom(aKey, std::move(aResult));
   m_metrics.CountRun(NameOf(answer.m_outcome));
   TraceEnd(held->second, answer);
   if (answer.m_outcome != CallOutcome::Answered) {
