--- a/standins/backend_server.cpp
+++ b/standins/backend_server.cpp
@@ -1,5 +1,6 @@
 #include "greengagehub/core/clock.hpp"
 #include "greengagehub/http/http_server.hpp"
+#include "serve.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -198,12 +199,5 @@
   given.m_http.m_limits.m_maxBodyBytes = 32UL * 1024 * 1024;
   asio::io_context loop;
   BackendServer server{ loop, given };
-  const auto port = server.Open();
-  if (!port) {
-    fmt::print(stderr, "{}\n", port.error().m_message);
-    return 1;
-  }
-  fmt::print(stderr, "{{\"event\":\"listening\",\"port\":{}}}\n", port.value());
-  loop.run();
-  return 0;
+  return standin::Serve(server, loop);
 }
--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -2,6 +2,7 @@
 #include "greengagehub/http/http_server.hpp"
 #include "platform/base64.hpp"
 #include "platform_store_state.hpp"
+#include "serve.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -475,12 +476,5 @@
   settings.m_limits.m_maxBodyBytes = 2UL * 1024 * 1024;
   asio::io_context loop;
   PlatformStore store{ loop, settings };
-  const auto port = store.Open();
-  if (!port) {
-    fmt::print(stderr, "{}\n", port.error().m_message);
-    return 1;
-  }
-  fmt::print(stderr, "{{\"event\":\"listening\",\"port\":{}}}\n", port.value());
-  loop.run();
-  return 0;
+  return standin::Serve(store, loop);
 }
--- a/standins/platform_worker.cpp
+++ b/standins/platform_worker.cpp
@@ -2,6 +2,7 @@
 #include "greengagehub/http/http_client.hpp"
 #include "greengagehub/http/http_server.hpp"
 #include "platform/names.hpp"
+#include "serve.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -318,12 +319,5 @@
   po::notify(values);
   asio::io_context loop;
   PlatformWorker worker{ loop, given };
-  const auto port = worker.Open();
-  if (!port) {
-    fmt::print(stderr, "{}\n", port.error().m_message);
-    return 1;
-  }
-  fmt::print(stderr, "{{\"event\":\"listening\",\"port\":{}}}\n", port.value());
-  loop.run();
-  return 0;
+  return standin::Serve(worker, loop);
 }
