--- a/include/greengagehub/calls/worker_presence.hpp
+++ b/include/greengagehub/calls/worker_presence.hpp
@@ -14,9 +14,9 @@
 struct WorkerReport
 {
   /// Another one for each start.
-  std::string m_id;
-  std::string m_service;
-  std::string m_address;
+  std::string m_id{};
+  std::string m_service{};
+  std::string m_address{};
   /// Requests it processes at once.
   std::uint32_t m_slots{ 0 };
   bool m_leaving{ false };
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -84,19 +84,19 @@
   struct Waiting
   {
     HttpResponder m_responder;
-    CallRequest m_request;
+    CallRequest m_request{};
     std::uint64_t m_connection{ 0 };
-    TimePoint m_since;
-    std::chrono::sys_time<std::chrono::nanoseconds> m_start;
-    std::optional<TraceContext> m_parent;
-    TraceContext m_span;
+    TimePoint m_since{};
+    std::chrono::sys_time<std::chrono::nanoseconds> m_start{};
+    std::optional<TraceContext> m_parent{};
+    TraceContext m_span{};
     /// The version it started with, held until it ends.
-    ActiveConfigPtr m_config;
+    ActiveConfigPtr m_config{};
     /// Key of its route's figures.
-    std::string m_route;
-    std::string m_id;
+    std::string m_route{};
+    std::string m_id{};
     /// Where it was sent last, and how often.
-    std::string m_slot;
+    std::string m_slot{};
     std::uint32_t m_sends{ 0 };
   };
   /// What calls of a route have shown.
--- a/include/greengagehub/daemon/request_log.hpp
+++ b/include/greengagehub/daemon/request_log.hpp
@@ -34,11 +34,11 @@
 
   struct Finished
   {
-    std::string_view m_id;
-    std::string_view m_route;
-    std::string_view m_service;
+    std::string_view m_id{};
+    std::string_view m_route{};
+    std::string_view m_service{};
     /// Slot of the last daemon it was sent to; empty: none.
-    std::string_view m_slot;
+    std::string_view m_slot{};
     const CallAnswer& m_answer;
     std::uint32_t m_sends{ 0 };
     Duration m_took{};
@@ -56,7 +56,7 @@
   /// \brief What the worker's daemon knew when it decided.
   struct WorkerState
   {
-    std::string_view m_instance;
+    std::string_view m_instance{};
     std::uint32_t m_running{ 0 };
     std::uint32_t m_queued{ 0 };
     std::uint32_t m_slots{ 0 };
--- a/include/greengagehub/http/backend_client.hpp
+++ b/include/greengagehub/http/backend_client.hpp
@@ -60,6 +60,8 @@
   /// Well above the time of a connection within one instance.
   std::chrono::milliseconds m_connectTimeout{ 300 };
   std::size_t m_maxAnswerBytes{ 64UL * 1024 * 1024 };
+  /// Kept open while idle.
+  std::size_t m_maxIdle{ 100 };
 };
 
 /// \brief HTTP/1.1 client for one backend server, with kept connections.
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -29,6 +29,7 @@
   settings.m_address = { asio::ip::make_address(aSettings.m_worker.m_host),
                          aSettings.m_worker.m_port };
   settings.m_maxAnswerBytes = aSettings.m_calls.m_maxBodyBytes;
+  settings.m_maxIdle = aSettings.m_workerConnections;
   return settings;
 }
 
--- a/src/http/backend_client.cpp
+++ b/src/http/backend_client.cpp
@@ -64,6 +64,7 @@
   Impl& operator=(const Impl&) = delete;
   ~Impl();
 
+  void KeepIdle(const Pointer& aConnection);
   Ticket Send(BackendRequest aRequest, Done aDone);
   void Abandon(Ticket aTicket);
   void CloseIdle();
@@ -312,7 +313,7 @@
       Drop();
     } else {
       m_idleSince = Clock::now();
-      client.m_idle.push_back(self);
+      client.KeepIdle(self);
     }
     if (done) {
       done(std::move(aResult));
@@ -348,6 +349,16 @@
   }
 }
 
+void
+BackendClient::Impl::KeepIdle(const Pointer& aConnection)
+{
+  m_idle.push_back(aConnection);
+  if (m_idle.size() > m_settings.m_maxIdle) {
+    m_idle.front()->Drop();
+    m_idle.erase(m_idle.begin());
+  }
+}
+
 BackendClient::Ticket
 BackendClient::Impl::Send(BackendRequest aRequest, Done aDone)
 {
