A reload keeps the platform it started with; a backend server is named by number

Found on reading: a settings file that lost its platform section would have switched the source of configuration under way; a host name in worker.url ended the process at start with an exception. The test of the second was seen failing.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -304,9 +304,12 @@
     }
     return;
   }
-  // What sockets, tables and peers were set up with stays until a restart.
+  // What sockets, tables and peers were set up with stays until a restart, and
+  // so does whether there is a platform at all.
+  const bool enabled = m_settings.m_platform.m_enabled;
   m_settings.m_log = settings.value().m_log;
   m_settings.m_platform = settings.value().m_platform;
+  m_settings.m_platform.m_enabled = enabled;
   m_settings.m_operatorToken = settings.value().m_operatorToken;
   m_log.SetLevels(LevelFrom(m_settings.m_log.m_level),
                   ComponentLevels(m_settings.m_log));
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -2,6 +2,7 @@
 
 #include "settings_reader.hpp"
 
+#include <arpa/inet.h>
 #include <charconv>
 #include <fstream>
 #include <optional>
@@ -38,6 +39,17 @@
   return HostPort{ std::string{ aText.substr(0, colon) }, port };
 }
 
+/// No names are looked up: the address is needed at once, and again after each
+/// loss of a connection.
+bool
+IsIpNumber(const std::string& aHost)
+{
+  in_addr four{};
+  in6_addr six{};
+  return inet_pton(AF_INET, aHost.c_str(), &four) == 1 ||
+         inet_pton(AF_INET6, aHost.c_str(), &six) == 1;
+}
+
 /// One parse of one file: all sections report into the same list of faults.
 class SettingsParser
 {
@@ -180,7 +192,7 @@
       url.starts_with(kScheme)
         ? ParseHostPort(std::string_view{ url }.substr(kScheme.size()))
         : std::nullopt;
-    if (address) {
+    if (address && IsIpNumber(address->m_host)) {
       m_settings.m_worker = *address;
     } else {
       reader.Fault("url", "\"http://IP:PORT\"");
--- a/tests/settings/settings.cpp
+++ b/tests/settings/settings.cpp
@@ -87,3 +87,25 @@
     std::string{ kGood } + "[membership]\nseeds = [\"nowhere\"]\n";
   CHECK_FALSE(ParseSettings(wrong, "seeds.toml"));
 }
+
+TEST_CASE("a backend server is named by number")
+{
+  // A name would have to be looked up while callers wait; the client takes
+  // numbers only, and must not learn of a name when it starts.
+  const std::string text = R"([daemon]
+slot = "a"
+service = "s"
+region = "r"
+domain = "d"
+[operators]
+token = "t"
+[store]
+url = "http://127.0.0.1:1"
+[worker]
+url = "http://localhost:80"
+)";
+  const auto named = ParseSettings(text, "x.toml");
+  REQUIRE_FALSE(named);
+  CHECK(named.error().at(0).m_message.find("http://IP:PORT") !=
+        std::string::npos);
+}
