--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -218,8 +218,7 @@
     Carry(next);
     return;
   }
-  CallAnswer answer =
-    AnswerFrom(aKey, std::move(aResult));
+  CallAnswer answer = AnswerFrom(aKey, std::move(aResult));
   m_metrics.CountRun(NameOf(answer.m_outcome));
   TraceEnd(held->second, answer);
   if (answer.m_outcome != CallOutcome::Answered) {
