--- a/tests/calls/placing.cpp
+++ b/tests/calls/placing.cpp
@@ -41,6 +41,7 @@
        Random& aRandom)
 {
   std::vector<const WorkerRow*> rows;
+  rows.reserve(aRows.size());
   for (const WorkerRow& each : aRows) {
     rows.push_back(&each);
   }
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -264,7 +264,7 @@
       { { "lapse_leases", true } },
     };
     if (Below(m_random, 2) == 0) {
-      const Json fault = kFaults[Below(m_random, kFaults.size())];
+      const Json& fault = kFaults[Below(m_random, kFaults.size())];
       Add(aAt, "store: " + fault.dump(), [this, fault] {
         m_fleet.SetStoreFaults(fault);
       });
@@ -279,7 +279,9 @@
       { ProxyFault::OneWay, "cut one way" },
       { ProxyFault::Reset, "reset" },
     };
-    const auto [fault, name] = kCuts[Below(m_random, kCuts.size())];
+    const auto& cut = kCuts[Below(m_random, kCuts.size())];
+    const ProxyFault fault = cut.first;
+    const char* name = cut.second;
     Add(aAt, fmt::format("connections to the store {}", name), [this, fault] {
       m_proxy.SetFault(fault);
     });
@@ -300,7 +302,9 @@
       { { { "restart", true } }, { { "restart", true } } },
       { { { "foreign", 5 } }, { { "foreign", 0 } } },
     };
-    const auto [begin, end] = kFaults[Below(m_random, kFaults.size())];
+    const auto& pair = kFaults[Below(m_random, kFaults.size())];
+    const Json& begin = pair.first;
+    const Json& end = pair.second;
     const std::string slot = SomeSlot();
     Add(aAt, slot + "'s worker: " + begin.dump(), [this, slot, begin] {
       m_fleet.ControlWorker(slot, begin);
