A caller's patience is not taken for its call's age

Cause: the age of a call was what its deadline fell short of the longest one seen on the route. Ruled out: workers slowing when full (time of runs is the same at 2 and at 18 of 18 slots).

--- a/include/greengagehub/calls/calls.hpp
+++ b/include/greengagehub/calls/calls.hpp
@@ -4,6 +4,7 @@
 /// \brief Everything of the calls library.
 
 #include "greengagehub/calls/call.hpp"
+#include "greengagehub/calls/call_age.hpp"
 #include "greengagehub/calls/dispatcher.hpp"
 #include "greengagehub/calls/retry_budget.hpp"
 #include "greengagehub/calls/route_table.hpp"
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "greengagehub/calls/call_age.hpp"
 #include "greengagehub/calls/dispatcher.hpp"
 #include "greengagehub/calls/route_table.hpp"
 #include "greengagehub/config/config_holder.hpp"
@@ -102,9 +103,7 @@
   /// What calls of a route have shown.
   struct RouteFigures
   {
-    /// Longest time that a caller brought: that of first tries. What a call
-    /// falls short of it, its caller has waited already.
-    std::chrono::milliseconds m_longestDeadline{ 0 };
+    CallAge m_age;
     /// Moving mean of the answers' bodies.
     double m_answerBytes{ 1024.0 };
   };
--- a/include/greengagehub/http/http_message.hpp
+++ b/include/greengagehub/http/http_message.hpp
@@ -32,6 +32,8 @@
   std::string m_body;
   /// The connection it came on, for noticing that the caller hung up.
   std::uint64_t m_connection{ 0 };
+  /// No request came before it on its connection.
+  bool m_isFirstOnConnection{ true };
 };
 
 struct HttpResponse
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -225,9 +225,10 @@
   plan.m_deadline = now + std::min(asked, aRoute.m_deadline);
   const std::string routeKey = aRoute.m_host + aRoute.m_path;
   RouteFigures& figures = FiguresOf(routeKey);
-  figures.m_longestDeadline = std::max(figures.m_longestDeadline, asked);
   if (aRoute.m_targetLatency.count() > 0) {
-    const auto age = figures.m_longestDeadline - asked;
+    const bool isFirst = aRequest.m_isFirstOnConnection;
+    const auto age = figures.m_age.Of(asked, isFirst);
+    figures.m_age.Note(asked, isFirst);
     plan.m_target = now + aRoute.m_targetLatency - age;
   }
   plan.m_profile = aRoute.m_targetLatency;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -275,6 +275,7 @@
     request.m_headers = std::move(m_parser.Headers());
     request.m_body = std::move(m_parser.Body());
     request.m_connection = m_id;
+    request.m_isFirstOnConnection = m_requests == 1;
     m_isHead = request.m_method == "HEAD";
     m_closes = !m_parser.KeepsAlive() || m_server->m_stopped;
     m_server->m_handler(
