The retry budget counts what repeated runs call, and is used where it is due

(2) Where all workers shed, the second attempt was given up because the next worker was known to refuse: that rule is for daemons with full queues. (3) Failures that all workers share were run again. Ruled out: the limit of attempts (2 and more on all routes). Change: a request says whether it is a repeat; a daemon counts the share of repeats among its worker's runs and charges it to calls that may come from there. Calls less urgent than the service's mean use half of the budget. Sheds are tried again whatever share is shed; a worker's failure is not where the mean of failures is over 0.2. The reserve goes from 0.30 to 0.15.

--- a/include/greengagehub/calls/call.hpp
+++ b/include/greengagehub/calls/call.hpp
@@ -88,6 +88,8 @@
   std::uint32_t m_depth{ 0 };
   /// Retries that it and the calls made for it may still use.
   std::uint32_t m_triesLeft{ 0 };
+  /// An earlier attempt of the call has reached a worker.
+  bool m_isRepeat{ false };
 };
 
 /// \brief The final word on an attempt.
--- a/include/greengagehub/calls/dispatcher.hpp
+++ b/include/greengagehub/calls/dispatcher.hpp
@@ -24,6 +24,10 @@
   std::uint32_t m_triesLeft{ 2 };
   /// Price of a crossing between failure domains, as a share of its worth.
   double m_crossing{ 0.0 };
+  /// Rank of its route, 0 first.
+  std::uint32_t m_priority{ 0 };
+  /// Likelihood that it is made for a run that was itself a repeat.
+  double m_inherited{ 0.0 };
 };
 
 /// \brief Send attempt `m_attempt` of call `m_call` to a worker's daemon.
@@ -35,6 +39,8 @@
   std::chrono::microseconds m_timeLeft{ 0 };
   std::chrono::microseconds m_targetLeft{ 0 };
   std::uint32_t m_triesLeft{ 0 };
+  /// An earlier attempt has reached a worker.
+  bool m_isRepeat{ false };
 };
 
 /// \brief Ask a worker's daemon to cancel an attempt unless it started.
@@ -135,6 +141,8 @@
     bool m_inDoubt{ false };
     /// An attempt of it was sent whose fate nobody knows.
     bool m_mayHaveRun{ false };
+    /// An attempt of it was put on a connection to a worker.
+    bool m_hasArrived{ false };
     /// Refusals that did not reach a worker, after which it went elsewhere.
     std::uint32_t m_redirects{ 0 };
     /// A worker's failure, told if no other worker does better.
--- a/include/greengagehub/calls/retry_budget.hpp
+++ b/include/greengagehub/calls/retry_budget.hpp
@@ -42,9 +42,33 @@
   std::chrono::milliseconds m_window{ std::chrono::seconds{ 10 } };
 };
 
+/// \brief Share of a worker's runs that were repeats, lately.
+///
+/// What a worker calls for a repeated run is repeated work for the services
+/// behind it, though each of its calls is made once.
+class RepeatShare
+{
+public:
+  void Note(TimePoint aNow, bool aIsRepeat);
+  /// \returns The share, in [0, 1]; 0 while nothing ran.
+  [[nodiscard]] double At(TimePoint aNow) const;
+
+private:
+  WindowCount m_runs;
+  WindowCount m_repeats;
+};
+
 /// \brief Retries as a share of live calls, service by service, so that an
 /// outage is met with at most that much more load, however many callers there
 /// are.
+///
+/// Answers two load patterns beside. Where a service that calls another is
+/// retried, the calls of its repeated runs count as retries of the other, or
+/// both together exceed what the other may get. Where workers shed, calls that
+/// are more urgent than the service's mean may use the whole budget and the
+/// others a part of it: the first are those whose failure fails the call that
+/// waits for them. The mean, as one odd route of highest priority should not
+/// count for the whole.
 class RetryBudget
 {
 public:
@@ -56,15 +80,27 @@
   void SetLimits(RetryLimits aLimits) noexcept { m_limits = aLimits; }
 
   /// \brief A first try was made.
-  void Deposit(TimePoint aNow, const std::string& aService);
+  /// \param aPriority rank of the call, 0 first.
+  /// \param aInherited likelihood that a repeated run made it.
+  void Deposit(TimePoint aNow,
+               const std::string& aService,
+               std::uint32_t aPriority = 0,
+               double aInherited = 0.0);
   /// \returns Whether a retry may be made; takes it from the budget.
-  [[nodiscard]] bool Withdraw(TimePoint aNow, const std::string& aService);
+  [[nodiscard]] bool Withdraw(TimePoint aNow,
+                              const std::string& aService,
+                              std::uint32_t aPriority = 0);
 
 private:
   struct Counts
   {
     WindowCount m_calls;
+    /// With what was inherited.
     WindowCount m_retries;
+    /// What was inherited and is less than one retry yet.
+    double m_inherited{ 0.0 };
+    /// Moving mean over the calls; below 0 before the first.
+    double m_meanPriority{ -1.0 };
   };
 
   RetryLimits m_limits;
--- a/include/greengagehub/calls/worker_table.hpp
+++ b/include/greengagehub/calls/worker_table.hpp
@@ -217,6 +217,9 @@
   }
 
   void Sent(Index aIndex);
+  /// \returns Mean share of failures over the service's workers that have
+  /// answered.
+  [[nodiscard]] double MeanFailures(const std::string& aService) const;
   /// \brief What an attempt says of its worker.
   enum class Verdict : std::uint8_t
   {
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "greengagehub/calls/retry_budget.hpp"
 #include "greengagehub/calls/run_table.hpp"
 #include "greengagehub/calls/worker_presence.hpp"
 #include "greengagehub/daemon/request_log.hpp"
@@ -46,6 +47,11 @@
   /// \brief A heartbeat told what the worker is; until the first one, and once
   /// it leaves, nothing is sent to it.
   void OnWorker(const WorkerPresence& aPresence);
+  /// \returns Share of the worker's runs, lately, that were repeats.
+  [[nodiscard]] double RepeatShareAt(TimePoint aNow) const
+  {
+    return m_repeats.At(aNow);
+  }
   /// \brief Asks the worker for its id by its health check.
   /// \param aDone called with the id, if it is well and gives one.
   void Probe(const std::string& aPath, std::function<void(std::string)> aDone);
@@ -95,6 +101,7 @@
   Answer m_answer;
   Trace m_trace;
   RunTable m_runs;
+  RepeatShare m_repeats;
   BackendClient m_client;
   /// The only worker that requests are for; empty: whichever is there.
   std::string m_instance;
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -15,6 +15,11 @@
 /// costs a way there and back; the third has the same news as the ones before.
 constexpr std::uint32_t kMaxRedirects = 2;
 
+/// Where the workers of a service fail more than this share of calls on
+/// average, the cause is one that they share, such as a service they call; with
+/// a tenth or two of them failing by themselves the mean stays below a tenth.
+constexpr double kCommonFailures = 0.2;
+
 using Verdict = WorkerTable::Verdict;
 
 /// What an answer that is not the worker's own says of the worker.
@@ -114,10 +119,12 @@
                     aCall.m_plan.m_crossing },
     m_random);
   const bool again = !aCall.m_tried.empty();
-  // Where all refuse, asking one after the other multiplies the messages just
-  // when there is most to do.
-  const bool hopeless =
-    chosen && again && m_workers.At(*chosen).m_refusals > kKnownToRefuse;
+  // Where all queues are full, asking one daemon after the other multiplies the
+  // messages just when there is most to do. A worker that turns calls away by
+  // itself is another matter: it may take the next, and the budget bounds how
+  // many are tried.
+  const bool hopeless = chosen && again && !aElse.m_reachedWorker &&
+                        m_workers.At(*chosen).m_refusals > kKnownToRefuse;
   if (!chosen || hopeless) {
     Finish(aOut, aCall, std::move(aElse));
     return;
@@ -136,7 +143,8 @@
     aCall.m_slot,
     TimeLeft(aNow, aCall.m_plan.m_deadline),
     TimeLeft(aNow, std::min(aCall.m_plan.m_target, aCall.m_plan.m_deadline)),
-    aCall.m_plan.m_triesLeft });
+    aCall.m_plan.m_triesLeft,
+    aCall.m_hasArrived });
 }
 
 template<RoutingPolicy Policy>
@@ -146,7 +154,7 @@
                                CallPlan aPlan)
 {
   DispatchActions out;
-  m_budget.Deposit(aNow, aPlan.m_service);
+  m_budget.Deposit(aNow, aPlan.m_service, aPlan.m_priority, aPlan.m_inherited);
   Call call;
   call.m_id = aCall;
   call.m_plan = std::move(aPlan);
@@ -180,10 +188,12 @@
     return ++aCall.m_redirects <= kMaxRedirects;
   }
   if (aCall.m_plan.m_triesLeft == 0 ||
-      !m_budget.Withdraw(aNow, aCall.m_plan.m_service)) {
+      !m_budget.Withdraw(
+        aNow, aCall.m_plan.m_service, aCall.m_plan.m_priority)) {
     return false;
   }
   --aCall.m_plan.m_triesLeft;
+  aCall.m_hasArrived = true;
   return true;
 }
 
@@ -212,7 +222,9 @@
 {
   const bool failed = aAnswer.m_response.m_status >= kFirstServerError;
   // Another worker may do better, if an answer can still be in time.
-  const bool again = failed && aCall.m_plan.m_idempotent &&
+  const bool commonCause =
+    failed && m_workers.MeanFailures(aCall.m_plan.m_service) > kCommonFailures;
+  const bool again = failed && !commonCause && aCall.m_plan.m_idempotent &&
                      aNow + 2 * aAnswer.m_serviceTime < aCall.m_plan.m_target;
   if (!again) {
     Finish(aOut, aCall, std::move(aAnswer));
--- a/src/calls/retry_budget.cpp
+++ b/src/calls/retry_budget.cpp
@@ -1,9 +1,24 @@
 #include "greengagehub/calls/retry_budget.hpp"
 
+#include <algorithm>
+
 namespace greengagehub {
 
 namespace {
 
+/// Weight of a call in the mean priority of its service: the last hundred
+/// count.
+constexpr double kPriorityWeight = 0.01;
+/// Within which a priority is that of nearly all calls.
+constexpr double kEqual = 0.1;
+/// Part of the budget for calls that are less urgent than the service's mean:
+/// with half, as many lookups as exports can be tried again where half of all
+/// are shed.
+constexpr double kPartForOthers = 0.5;
+/// Over which runs are counted for the share of repeats: some hundred at a busy
+/// worker, and over soon after a disruption.
+constexpr Duration kRunsWindow = std::chrono::seconds{ 1 };
+
 std::int64_t
 SliceNumber(TimePoint aNow, Duration aWindow)
 {
@@ -39,13 +54,45 @@
 }
 
 void
-RetryBudget::Deposit(TimePoint aNow, const std::string& aService)
+RepeatShare::Note(TimePoint aNow, bool aIsRepeat)
 {
-  m_services[aService].m_calls.Add(aNow, m_limits.m_window);
+  m_runs.Add(aNow, kRunsWindow);
+  if (aIsRepeat) {
+    m_repeats.Add(aNow, kRunsWindow);
+  }
+}
+
+double
+RepeatShare::At(TimePoint aNow) const
+{
+  const double runs = m_runs.Sum(aNow, kRunsWindow);
+  return runs > 0.0 ? m_repeats.Sum(aNow, kRunsWindow) / runs : 0.0;
+}
+
+void
+RetryBudget::Deposit(TimePoint aNow,
+                     const std::string& aService,
+                     std::uint32_t aPriority,
+                     double aInherited)
+{
+  Counts& counts = m_services[aService];
+  counts.m_calls.Add(aNow, m_limits.m_window);
+  const double priority = aPriority;
+  if (counts.m_meanPriority < 0.0) {
+    counts.m_meanPriority = priority;
+  }
+  counts.m_meanPriority += kPriorityWeight * (priority - counts.m_meanPriority);
+  counts.m_inherited += aInherited;
+  if (counts.m_inherited >= 1.0) {
+    counts.m_inherited -= 1.0;
+    counts.m_retries.Add(aNow, m_limits.m_window);
+  }
 }
 
 bool
-RetryBudget::Withdraw(TimePoint aNow, const std::string& aService)
+RetryBudget::Withdraw(TimePoint aNow,
+                      const std::string& aService,
+                      std::uint32_t aPriority)
 {
   if (m_limits.m_share <= 0.0) {
     return false;
@@ -53,7 +100,9 @@
   Counts& counts = m_services[aService];
   const double calls = counts.m_calls.Sum(aNow, m_limits.m_window);
   const double retries = counts.m_retries.Sum(aNow, m_limits.m_window);
-  if (retries + 1.0 > m_limits.m_share * calls + m_limits.m_slack) {
+  const bool isFirst = aPriority <= counts.m_meanPriority + kEqual;
+  const double allowed = m_limits.m_share * calls + m_limits.m_slack;
+  if (retries + 1.0 > allowed * (isFirst ? 1.0 : kPartForOthers)) {
     return false;
   }
   counts.m_retries.Add(aNow, m_limits.m_window);
--- a/src/calls/worker_table.cpp
+++ b/src/calls/worker_table.cpp
@@ -354,6 +354,25 @@
   }
 }
 
+double
+WorkerTable::MeanFailures(const std::string& aService) const
+{
+  const auto group = m_byService.find(aService);
+  if (group == m_byService.end()) {
+    return 0.0;
+  }
+  double sum = 0.0;
+  int known = 0;
+  for (const Index index : group->second) {
+    const WorkerRow& row = m_rows.At(index);
+    if (row.m_reportedAt != TimePoint{}) {
+      sum += row.m_failures;
+      ++known;
+    }
+  }
+  return known > 0 ? sum / known : 0.0;
+}
+
 double
 WorkerTable::LeastFailures(const std::string& aService) const
 {
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -233,6 +233,11 @@
   }
   plan.m_profile = aRoute.m_targetLatency;
   plan.m_crossing = CrossingPrice(figures.m_answerBytes);
+  plan.m_priority = aRoute.m_priority;
+  if (plan.m_service != m_parts.m_settings.m_service) {
+    // It may come from the own worker.
+    plan.m_inherited = m_service.RepeatShareAt(now);
+  }
   plan.m_triesLeft = static_cast<std::uint32_t>(
     std::min<std::uint64_t>(tries, NumberHeader(headers, kTriesHeader, tries)));
 
@@ -353,6 +358,7 @@
   request.m_timeLeft = aAttempt.m_timeLeft;
   request.m_targetLeft = aAttempt.m_targetLeft;
   request.m_triesLeft = aAttempt.m_triesLeft;
+  request.m_isRepeat = aAttempt.m_isRepeat;
   if (aAttempt.m_slot == m_parts.m_settings.m_slot) {
     m_dispatcher.SentTo(aAttempt.m_attempt, m_parts.m_process);
     m_service.OnRequest(
--- a/src/daemon/call_gateway_links.cpp
+++ b/src/daemon/call_gateway_links.cpp
@@ -10,9 +10,9 @@
 namespace {
 
 /// Part of the fleet's retry budget that daemons use. The rest is for what they
-/// cannot count: calls made by a run that was itself a repeat, and daemons that
-/// have died since they were counted.
-constexpr double kRetryReserve = 0.7;
+/// cannot count: what daemons used that have died since they were counted, and
+/// the error of the share of repeats among a worker's runs.
+constexpr double kRetryReserve = 0.85;
 
 /// \returns What the configuration says, and the settings where it is silent.
 HttpServerLimits
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -130,6 +130,7 @@
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
     held.m_deadline - now);
   held.m_started = now;
+  m_repeats.Note(now, call.m_isRepeat);
   held.m_start = WallNanos();
   held.m_parent =
     ParseTraceparent(HeaderValue(call.m_headers, kTraceparentHeader));
--- a/src/transport/link_codec.cpp
+++ b/src/transport/link_codec.cpp
@@ -99,6 +99,7 @@
     out.set_idempotent(aRequest.m_idempotent);
     out.set_depth(aRequest.m_depth);
     out.set_tries(aRequest.m_triesLeft);
+    out.set_is_repeat(aRequest.m_isRepeat);
     out.set_priority(aRequest.m_priority);
     out.set_profile_ms(static_cast<std::uint64_t>(aRequest.m_profile.count()));
     out.set_target_us(static_cast<std::uint64_t>(
@@ -164,6 +165,7 @@
   request.m_idempotent = aWire.idempotent();
   request.m_depth = aWire.depth();
   request.m_triesLeft = aWire.tries();
+  request.m_isRepeat = aWire.is_repeat();
   request.m_priority = aWire.priority();
   request.m_profile = std::chrono::milliseconds{ aWire.profile_ms() };
   request.m_targetLeft = std::chrono::microseconds{ aWire.target_us() };
--- a/tests/calls/dispatcher.cpp
+++ b/tests/calls/dispatcher.cpp
@@ -166,3 +166,99 @@
   }
   CHECK(sends <= kCalls * 111 / 100);
 }
+
+namespace {
+
+/// Ten workers that all answer alike, and the attempts that calls to them take.
+class Alike
+{
+public:
+  Alike()
+  {
+    for (int i = 0; i < 10; ++i) {
+      WorkerRow row;
+      row.m_slot = std::to_string(i);
+      row.m_service = "board";
+      m_dispatcher.Workers().Put(std::move(row));
+    }
+    m_dispatcher.SetRetryLimits({ .m_share = 1.0, .m_slack = 0.0 });
+  }
+
+  /// Makes a call and answers all attempts of it as `aAnswer` says.
+  template<class Answer>
+  int Call(Answer aAnswer)
+  {
+    CallPlan plan;
+    plan.m_service = "board";
+    plan.m_idempotent = true;
+    plan.m_deadline = kStart + 1s;
+    plan.m_target = kStart + 500ms;
+    plan.m_triesLeft = 3;
+    int attempts = 0;
+    auto actions = m_dispatcher.Begin(kStart, ++m_lastCall, std::move(plan));
+    while (const auto* send = std::get_if<SendAttempt>(&actions.front())) {
+      ++attempts;
+      actions = m_dispatcher.OnAnswer(kStart, aAnswer(send->m_attempt));
+    }
+    return attempts;
+  }
+
+private:
+  Dispatcher m_dispatcher{ 1 };
+  std::uint64_t m_lastCall{ 0 };
+};
+
+}
+
+TEST_CASE("where workers shed most of what they get, calls are still tried "
+          "again")
+{
+  // Every worker turns away three calls in four by itself. The next may take
+  // it; given up after the first, three lookups in four fail, and with them
+  // the calls that wait for them, while the budget for retries lies idle.
+  Alike workers;
+  int number = 0;
+  int attempts = 0;
+  constexpr int kCalls = 400;
+  for (int i = 0; i < kCalls; ++i) {
+    attempts += workers.Call([&](std::uint64_t aAttempt) {
+      CallAnswer answer;
+      answer.m_call = aAttempt;
+      answer.m_outcome = CallOutcome::Answered;
+      if (++number % 4 != 0) {
+        answer =
+          Refuse(aAttempt, CallOutcome::NotRun, RefusalReason::WorkerRefused);
+      }
+      answer.m_reachedWorker = true;
+      answer.m_slots = 6;
+      return answer;
+    });
+  }
+  CHECK(attempts >= kCalls * 19 / 10);
+  CHECK(attempts <= kCalls * 2);
+}
+
+TEST_CASE("a failure that all workers share is not run again")
+{
+  // The service that these workers call sheds, and they answer 500. Each run
+  // that is repeated makes its calls again, and the service gets twice what it
+  // cannot bear.
+  Alike workers;
+  const auto fails = [](std::uint64_t aAttempt) {
+    CallAnswer answer;
+    answer.m_call = aAttempt;
+    answer.m_outcome = CallOutcome::Answered;
+    answer.m_reachedWorker = true;
+    answer.m_response.m_status = 500;
+    answer.m_slots = 6;
+    return answer;
+  };
+  for (int i = 0; i < 50; ++i) {
+    static_cast<void>(workers.Call(fails));
+  }
+  int attempts = 0;
+  for (int i = 0; i < 50; ++i) {
+    attempts += workers.Call(fails);
+  }
+  CHECK(attempts == 50);
+}
