Starts on slow links: a compressed copy of the configuration; requests held meanwhile

Change: one daemon of the fleet keeps a compressed copy in the store; those on links of up to 20 Mbit/s read it, bring it into force, and ask the store by a conditional call without writes whether the original is still at that revision. Requests that come in the first 1.5 s of a start are held for up to 0.6 s. A worker that only gave its id has the slots of its service.

--- a/include/greengagehub/config/config.hpp
+++ b/include/greengagehub/config/config.hpp
@@ -3,6 +3,7 @@
 /// \file
 /// \brief Everything of the config library: patches, content, decisions.
 
+#include "greengagehub/config/config_copy.hpp"
 #include "greengagehub/config/config_holder.hpp"
 #include "greengagehub/config/content.hpp"
 #include "greengagehub/config/decision.hpp"
--- a/include/greengagehub/core/store_message.hpp
+++ b/include/greengagehub/core/store_message.hpp
@@ -29,6 +29,9 @@
     List,
     LeaseGrant,
     LeaseKeep,
+    /// Whether the key is at revision m_expected: Ok, or Conflict with what it
+    /// holds. Writes nothing, and is decided as a write is.
+    Check,
   };
 
   Kind m_kind{ Kind::Get };
@@ -55,7 +58,8 @@
   {
     Ok,
     NotFound,
-    /// The key's revision was not the expected one; nothing was written.
+    /// The key's revision was not the expected one; nothing was written. The
+    /// reply has the key's value and revision, if it is there.
     Conflict,
     /// A watch's time ran out with no change.
     NotModified,
@@ -86,6 +90,8 @@
 [[nodiscard]] StoreRequest
 MakeWatch(std::string aKey, Revision aAfter, std::chrono::milliseconds aWait);
 [[nodiscard]] StoreRequest
+MakeCheck(std::string aKey, Revision aExpected);
+[[nodiscard]] StoreRequest
 MakeList(std::string aPrefix);
 
 }
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -6,6 +6,7 @@
 #include "greengagehub/config/config_holder.hpp"
 #include "greengagehub/daemon/request_log.hpp"
 #include "greengagehub/daemon/run_service.hpp"
+#include "greengagehub/daemon/start_buffer.hpp"
 #include "greengagehub/http/http_server.hpp"
 #include "greengagehub/membership/membership.hpp"
 #include "greengagehub/transport/link_pool.hpp"
@@ -109,6 +110,12 @@
   };
 
   void OnHttp(HttpRequest aRequest, HttpResponder aResponder);
+  /// \brief Answers without a call having been made.
+  void Refuse(const HttpRequest& aRequest,
+              HttpResponder& aResponder,
+              RefusalReason aReason);
+  /// \brief Serves what came before the daemon was ready, or refuses it.
+  void ReleaseHeld(TimePoint aNow);
   void Begin(const Route& aRoute, HttpRequest aRequest, HttpResponder aDone);
   [[nodiscard]] std::string ServiceOf(const Route& aRoute);
   [[nodiscard]] RouteFigures& FiguresOf(const std::string& aKey);
@@ -148,6 +155,7 @@
   asio::steady_timer m_timer;
   std::optional<TimePoint> m_armed;
   bool m_leaving{ false };
+  StartBuffer m_starting;
 };
 
 }
--- a/include/greengagehub/daemon/config_feed.hpp
+++ b/include/greengagehub/daemon/config_feed.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "greengagehub/config/config.hpp"
+#include "greengagehub/config/config_copy.hpp"
 #include "greengagehub/core/random.hpp"
 #include "greengagehub/core/store.hpp"
 #include "greengagehub/observe/log.hpp"
 #include "platform/config_document.hpp"
 
+#include <algorithm>
 #include <asio/steady_timer.hpp>
 #include <functional>
 
@@ -14,10 +16,18 @@
 /// \brief Follows the one key of the store in which operators keep the whole
 /// configuration: reads it, waits for its next change, and brings each newer
 /// version into force.
+///
+/// A daemon on a slow link reads the compressed copy instead, and asks the
+/// store whether the original is still what it was made from. One daemon of the
+/// fleet keeps the copy.
 template<Store StoreType>
 class ConfigFeed
 {
 public:
+  /// Documents below this take no longer than the two calls of a copy: at
+  /// 5 Mbit/s 13 KiB are 20 ms.
+  static constexpr std::size_t kWorthACopy = 16UL * 1024;
+
   struct Handlers
   {
     /// A newer version is in force.
@@ -36,6 +46,10 @@
     std::chrono::milliseconds m_settle;
     std::chrono::milliseconds m_firstBackoff{ 50 };
     std::chrono::milliseconds m_maxBackoff;
+    /// Between two copies, the first of which is made at once: in a storm of
+    /// changes a copy of each would cost a call each and be old before it is
+    /// read.
+    std::chrono::milliseconds m_copyEvery{ 500 };
   };
 
   ConfigFeed(asio::io_context& aLoop,
@@ -54,6 +68,7 @@
     , m_random(aSeed)
     , m_handlers(std::move(aHandlers))
     , m_timer(aLoop)
+    , m_copyTimer(aLoop)
     , m_backoff(aTimes.m_firstBackoff)
   {
   }
@@ -68,22 +83,134 @@
     }
   }
 
+  /// \brief Whether this daemon keeps the copy.
+  void SetKeepingCopy(bool aKeeping)
+  {
+    const bool begins = aKeeping && !m_keepsCopy;
+    m_keepsCopy = aKeeping;
+    if (begins) {
+      CopyLater();
+    }
+  }
+
+  /// \brief Whether to read the copy first.
+  void SetSlowLink(bool aSlow) noexcept { m_readsCopy = aSlow; }
+
   /// \brief Reads now, whatever is under way: at the start, and after a pause
   /// in which changes may have been missed.
   void Read()
   {
     m_idle = false;
-    const std::uint64_t round = ++m_round;
+    ++m_round;
     m_timer.cancel();
-    m_store.Carry(MakeGet(m_key), [this, round](StoreReply aReply) {
-      if (round == m_round) {
-        OnRead(std::move(aReply));
-      }
-    });
+    if (m_readsCopy) {
+      ReadCopy();
+    } else {
+      ReadOriginal();
+    }
   }
 
 private:
   using Status = StoreReply::Status;
+  using SteadyClock = asio::steady_timer::clock_type;
+
+  /// Carries a request whose answer counts in this round only.
+  template<class Next>
+  void Carry(StoreRequest aRequest, Next aNext)
+  {
+    m_store.Carry(std::move(aRequest),
+                  [this, round = m_round, next = std::move(aNext)](
+                    StoreReply aReply) mutable {
+                    if (round == m_round) {
+                      next(std::move(aReply));
+                    }
+                  });
+  }
+
+  void ReadOriginal()
+  {
+    Carry(MakeGet(m_key),
+          [this](StoreReply aReply) { OnRead(std::move(aReply)); });
+  }
+
+  void ReadCopy()
+  {
+    Carry(MakeGet(std::string{ kConfigCopyKey }), [this](StoreReply aReply) {
+      if (aReply.m_status != Status::Ok) {
+        ReadOriginal();
+        return;
+      }
+      auto copy = ParseConfigCopy(aReply.m_value, kMaxUnpackedBytes);
+      if (!copy) {
+        m_log.Warning("config",
+                      "copy_unreadable",
+                      { { "detail", copy.error().m_message } });
+        ReadOriginal();
+        return;
+      }
+      const ConfigCopy& read = copy.value();
+      Confirm(read.m_original, aReply.m_storeRevision);
+      // Already in force while the store is asked: where it turns out to be
+      // old, peers bring what is missing sooner than the store the whole.
+      TakeDocument(read.m_document, read.m_original);
+    });
+  }
+
+  /// Only the store can tell that the copy is not an old one.
+  void Confirm(Revision aOriginal, Revision aStoreRevision)
+  {
+    Carry(MakeCheck(m_key, aOriginal),
+          [this, aStoreRevision](StoreReply aReply) {
+            const bool changed =
+              aReply.m_status == Status::Conflict && !aReply.m_value.empty();
+            if (aReply.m_status != Status::Ok && !changed) {
+              ReadOriginal();
+              return;
+            }
+            if (changed) {
+              Take(aReply);
+            }
+            // What came after the copy was read is seen by the next watch.
+            Follow(aStoreRevision);
+          });
+  }
+
+  void CopyLater()
+  {
+    if (!m_keepsCopy || m_copyPending || m_document.size() < kWorthACopy) {
+      return;
+    }
+    m_copyPending = true;
+    const auto now = SteadyClock::now();
+    m_nextCopy = std::max(m_nextCopy, now);
+    m_copyTimer.expires_at(m_nextCopy);
+    m_nextCopy += m_times.m_copyEvery;
+    m_copyTimer.async_wait([this](const asio::error_code& aError) {
+      m_copyPending = false;
+      if (!aError && m_keepsCopy) {
+        PutCopy(true);
+      }
+    });
+  }
+
+  /// \param aAgain whether to try once more with what a conflict tells.
+  void PutCopy(bool aAgain)
+  {
+    m_store.Carry(MakePut(std::string{ kConfigCopyKey },
+                          FormatConfigCopy(m_documentRevision, m_document),
+                          m_copyRevision),
+                  [this, aAgain](const StoreReply& aReply) {
+                    const bool conflict = aReply.m_status == Status::Conflict;
+                    if (!conflict && aReply.m_status != Status::Ok) {
+                      CopyLater();
+                      return;
+                    }
+                    m_copyRevision = aReply.m_revision;
+                    if (conflict && aAgain) {
+                      PutCopy(false);
+                    }
+                  });
+  }
 
   void OnRead(StoreReply aReply)
   {
@@ -95,10 +222,16 @@
       m_backoff = std::min(2 * m_backoff, m_times.m_maxBackoff);
       return;
     }
-    // There may be no configuration yet; that, too, is the store's word.
+    Follow(aReply.m_storeRevision);
+  }
+
+  /// The newest was read; there may be no configuration yet, and that, too, is
+  /// the store's word.
+  void Follow(Revision aStoreRevision)
+  {
     m_handlers.m_onHead(m_holder.GetVersion());
     m_backoff = m_times.m_firstBackoff;
-    m_revision = aReply.m_storeRevision;
+    m_revision = aStoreRevision;
     Watch();
   }
 
@@ -108,13 +241,8 @@
     if (m_idle) {
       return;
     }
-    const std::uint64_t round = m_round;
-    m_store.Carry(MakeWatch(m_key, m_revision, m_times.m_watch),
-                  [this, round](StoreReply aReply) {
-                    if (round == m_round) {
-                      OnWatch(std::move(aReply));
-                    }
-                  });
+    Carry(MakeWatch(m_key, m_revision, m_times.m_watch),
+          [this](StoreReply aReply) { OnWatch(std::move(aReply)); });
   }
 
   void OnWatch(StoreReply aReply)
@@ -142,20 +270,31 @@
     Later(m_times.m_settle, [this] { Watch(); });
   }
 
-  void Take(const StoreReply& aReply)
+  void Take(StoreReply& aReply)
   {
-    const auto document = m_reader.Read(aReply.m_value);
+    const bool taken = TakeDocument(aReply.m_value, aReply.m_revision);
+    if (taken && m_watching) {
+      m_document = std::move(aReply.m_value);
+      m_documentRevision = aReply.m_revision;
+      CopyLater();
+    }
+  }
+
+  /// \returns Whether it could be read.
+  bool TakeDocument(const std::string& aText, Revision aRevision)
+  {
+    const auto document = m_reader.Read(aText);
     if (!document) {
       m_log.Error("config",
                   "document_unreadable",
-                  { { "revision", aReply.m_revision },
+                  { { "revision", aRevision },
                     { "detail", document.error().m_message } });
-      return;
+      return false;
     }
     const Version before = m_holder.GetVersion();
     const Version version = document.value().m_version;
     if (version <= before) {
-      return;
+      return true;
     }
     const StageResult result = m_holder.StageChange(
       version,
@@ -164,11 +303,12 @@
       m_log.Error(
         "config",
         "version_not_usable",
-        { { "version", version.m_number }, { "revision", aReply.m_revision } });
+        { { "version", version.m_number }, { "revision", aRevision } });
     }
     if (result == StageResult::Applied) {
       m_handlers.m_onAdvanced(before);
     }
+    return true;
   }
 
   void NoteReachable(Status aStatus)
@@ -201,6 +341,7 @@
   Random m_random;
   Handlers m_handlers;
   asio::steady_timer m_timer;
+  asio::steady_timer m_copyTimer;
   std::chrono::milliseconds m_backoff;
   /// Answers that belong to an earlier round are dropped.
   std::uint64_t m_round{ 0 };
@@ -208,6 +349,15 @@
   platform::ConfigReader m_reader;
   bool m_reachable{ true };
   bool m_watching{ true };
+  bool m_readsCopy{ false };
+  bool m_keepsCopy{ false };
+  bool m_copyPending{ false };
+  SteadyClock::time_point m_nextCopy{};
+  /// The newest configuration as read, at a daemon that waits for changes.
+  std::string m_document;
+  Revision m_documentRevision{ 0 };
+  /// Of the copy, as far as known.
+  Revision m_copyRevision{ 0 };
   /// Nothing is under way and nobody waits for changes.
   bool m_idle{ false };
 };
--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -63,6 +63,9 @@
   [[nodiscard]] bool IsReady();
   /// \returns The lowest version that a present member was last seen to run.
   [[nodiscard]] Version LowestInForce() const;
+  /// \returns The fewest slots that a present worker of the own service has
+  /// told; nothing while none is known.
+  [[nodiscard]] std::optional<std::uint32_t> LeastSlotsOfOwnService() const;
   /// \brief Asks members that are not known to run `aVersion` what they run.
   void RefreshBelow(Version aVersion);
 
--- a/include/greengagehub/daemon/platform_endpoints.hpp
+++ b/include/greengagehub/daemon/platform_endpoints.hpp
@@ -20,6 +20,8 @@
     const Settings& m_settings;
     const Log& m_log;
     std::function<bool()> m_isReady;
+    /// What other workers of the service run at once, where any is known.
+    std::function<std::optional<std::uint32_t>()> m_typicalSlots;
     /// What is believed of the worker changed.
     std::function<void(const WorkerPresence&)> m_onWorker;
   };
--- a/include/greengagehub/membership/membership.hpp
+++ b/include/greengagehub/membership/membership.hpp
@@ -64,6 +64,8 @@
   /// \returns Place of this daemon among the present ones of its failure
   /// domain, by a hash of the slot; who watches the store follows from it.
   [[nodiscard]] std::size_t RankInDomain() const;
+  /// \returns Whether it is the first of all domains by the same order.
+  [[nodiscard]] bool IsFirstOfAll() const;
   [[nodiscard]] Version FloorOf(std::string_view aSlot) const;
   /// \returns Digests of all present members, this one included.
   [[nodiscard]] MemberDigests Digests() const;
--- /dev/null
+++ b/src/config/config_copy.cpp
@@ -0,0 +1,38 @@
+#include "greengagehub/config/config_copy.hpp"
+
+#include "greengagehub/core/compression.hpp"
+
+#include <charconv>
+#include <fmt/format.h>
+
+namespace greengagehub {
+
+std::string
+FormatConfigCopy(Revision aOriginal, std::string_view aDocument)
+{
+  return fmt::format("{}\n{}", aOriginal, Compress(aDocument));
+}
+
+Outcome<ConfigCopy>
+ParseConfigCopy(std::string_view aValue, std::size_t aMaxBytes)
+{
+  const std::size_t line = aValue.find('\n');
+  if (line == std::string_view::npos) {
+    return Error{ ErrorCode::Corrupt, "a copy begins with a revision" };
+  }
+  ConfigCopy copy;
+  const char* end = aValue.data() + line;
+  const auto [stop, fault] =
+    std::from_chars(aValue.data(), end, copy.m_original);
+  if (fault != std::errc{} || stop != end) {
+    return Error{ ErrorCode::Corrupt, "a copy's revision is no number" };
+  }
+  auto document = Decompress(aValue.substr(line + 1), aMaxBytes);
+  if (!document) {
+    return document.error();
+  }
+  copy.m_document = std::move(document.value());
+  return copy;
+}
+
+}
--- a/src/core/store_message.cpp
+++ b/src/core/store_message.cpp
@@ -34,6 +34,14 @@
            .m_wait = aWait };
 }
 
+StoreRequest
+MakeCheck(std::string aKey, Revision aExpected)
+{
+  return { .m_kind = StoreRequest::Kind::Check,
+           .m_key = std::move(aKey),
+           .m_expected = aExpected };
+}
+
 StoreRequest
 MakeList(std::string aPrefix)
 {
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -105,6 +105,7 @@
       [this](std::uint64_t aConnection) { OnHungUp(aConnection); })
   , m_routes(Content{})
   , m_timer(m_parts.m_loop)
+  , m_starting(Clock::now())
 {
 }
 
@@ -174,36 +175,61 @@
 void
 CallGateway::OnHttp(HttpRequest aRequest, HttpResponder aResponder)
 {
-  const auto refuse = [&](RefusalReason aReason) {
-    m_parts.m_metrics.CountCall(NameOf(CallOutcome::NotRun), NameOf(aReason));
-    const CallAnswer answer =
-      Refuse(0, CallOutcome::NotRun, aReason, std::chrono::seconds{ 1 });
-    m_parts.m_requests.OnFinished(
-      Clock::now(),
-      { .m_id = HeaderValue(aRequest.m_headers, m_parts.m_dialect.m_requestId),
-        .m_route = aRequest.m_target,
-        .m_answer = answer,
-        .m_version = m_parts.m_holder.GetVersion() });
-    aResponder.Answer(ResponseFor(m_parts.m_dialect, answer));
-  };
   if (!m_parts.m_isReady()) {
-    refuse(RefusalReason::NotReady);
+    if (!m_starting.Add(Clock::now(), aRequest, aResponder)) {
+      Refuse(aRequest, aResponder, RefusalReason::NotReady);
+    }
     return;
   }
   const Route* route =
     m_routes.Find(HostOf(aRequest.m_headers), PathOf(aRequest.m_target));
   if (route == nullptr) {
-    refuse(RefusalReason::NoRoute);
+    Refuse(aRequest, aResponder, RefusalReason::NoRoute);
     return;
   }
   const Limits& limits = m_parts.m_holder.Active()->m_content.GetLimits();
   if (NumberHeader(aRequest.m_headers, kDepthHeader, 0) >= limits.m_maxDepth) {
-    refuse(RefusalReason::TooDeep);
+    Refuse(aRequest, aResponder, RefusalReason::TooDeep);
     return;
   }
   Begin(*route, std::move(aRequest), std::move(aResponder));
 }
 
+void
+CallGateway::Refuse(const HttpRequest& aRequest,
+                    HttpResponder& aResponder,
+                    RefusalReason aReason)
+{
+  constexpr auto kComeBackAfter = std::chrono::seconds{ 1 };
+  m_parts.m_metrics.CountCall(NameOf(CallOutcome::NotRun), NameOf(aReason));
+  const CallAnswer answer =
+    greengagehub::Refuse(0, CallOutcome::NotRun, aReason, kComeBackAfter);
+  m_parts.m_requests.OnFinished(
+    Clock::now(),
+    { .m_id = HeaderValue(aRequest.m_headers, m_parts.m_dialect.m_requestId),
+      .m_route = aRequest.m_target,
+      .m_answer = answer,
+      .m_version = m_parts.m_holder.GetVersion() });
+  aResponder.Answer(ResponseFor(m_parts.m_dialect, answer));
+}
+
+void
+CallGateway::ReleaseHeld(TimePoint aNow)
+{
+  if (m_starting.Count() == 0) {
+    return;
+  }
+  if (m_parts.m_isReady()) {
+    for (StartBuffer::Held& each : m_starting.TakeAll()) {
+      OnHttp(std::move(each.m_request), std::move(each.m_responder));
+    }
+    return;
+  }
+  for (StartBuffer::Held& each : m_starting.TakeExpired(aNow)) {
+    Refuse(each.m_request, each.m_responder, RefusalReason::NotReady);
+  }
+}
+
 void
 CallGateway::Begin(const Route& aRoute,
                    HttpRequest aRequest,
@@ -316,6 +342,7 @@
 void
 CallGateway::OnHungUp(std::uint64_t aConnection)
 {
+  m_starting.Drop(aConnection);
   const auto found = m_byConnection.find(aConnection);
   if (found == m_byConnection.end()) {
     return;
@@ -455,6 +482,7 @@
 void
 CallGateway::OnTick(TimePoint aNow)
 {
+  ReleaseHeld(aNow);
   m_pool.OnTick(aNow);
   m_dispatcher.SetRetryLimits(RetryLimitsNow());
 }
--- a/src/daemon/call_gateway_links.cpp
+++ b/src/daemon/call_gateway_links.cpp
@@ -178,6 +178,8 @@
   m_routes = RouteTable{ content };
   m_dispatcher.SetRetryLimits(RetryLimitsNow());
   m_http.SetLimits(LimitsFrom(m_parts.m_settings.m_calls, content.GetLimits()));
+  // Posted, as whoever brought the version says next that it is the newest.
+  asio::post(m_parts.m_loop, [this] { ReleaseHeld(Clock::now()); });
 }
 
 RetryLimits
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -28,6 +28,9 @@
 constexpr auto kLastSync = std::chrono::milliseconds{ 30'000 };
 /// A daemon with no peer and no version reads the store itself after this.
 constexpr auto kAloneAfter = std::chrono::milliseconds{ 1500 };
+/// Links on which a configuration of half a megabyte takes a fifth of a second
+/// and more; at 5 Mbit/s it takes 0.9 s, during which no caller is served.
+constexpr std::uint32_t kSlowLinkMbps = 20;
 /// Members asked at once for the version they run, for one operator.
 constexpr std::size_t kRefreshAtOnce = 64;
 
@@ -138,6 +141,22 @@
   return lowest;
 }
 
+std::optional<std::uint32_t>
+ControlPlane::LeastSlotsOfOwnService() const
+{
+  std::optional<std::uint32_t> least;
+  m_membership.Members().Rows().Each(
+    [&](MemberTable::Index, const MemberRow& aRow) {
+      const MemberRecord& record = aRow.m_record;
+      const bool tells = IsPresent(record.m_state) && record.m_slots > 0 &&
+                         record.m_service == m_settings.m_service;
+      if (tells) {
+        least = std::min(least.value_or(record.m_slots), record.m_slots);
+      }
+    });
+  return least;
+}
+
 void
 ControlPlane::RefreshBelow(Version aVersion)
 {
@@ -173,6 +192,8 @@
     Contact(each);
   }
   if (m_settings.m_platform.m_enabled) {
+    const std::uint32_t link = m_settings.m_linkMbps;
+    m_feed.SetSlowLink(link > 0 && link <= kSlowLinkMbps);
     m_feed.Read();
   }
   Tick();
@@ -373,6 +394,7 @@
     if (aNow >= m_nextRank) {
       m_nextRank = aNow + kRankEvery;
       m_feed.SetWatching(m_membership.RankInDomain() < kReaders);
+      m_feed.SetKeepingCopy(m_membership.IsFirstOfAll());
     }
   } else {
     m_sync.SetWatching(m_watchRole.Holds(aNow));
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -171,6 +171,7 @@
       .m_settings = m_settings,
       .m_log = m_log,
       .m_isReady = [this] { return m_control.IsReady() && !m_draining; },
+      .m_typicalSlots = [this] { return m_control.LeastSlotsOfOwnService(); },
       .m_onWorker =
         [this](const WorkerPresence& aPresence) { OnWorker(aPresence); } });
     opened = m_platform->Open();
--- a/src/daemon/platform_endpoints.cpp
+++ b/src/daemon/platform_endpoints.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// Calls sent at once to a worker that gave its id and has not reported yet:
-/// few enough for any, and better than none.
+/// Calls sent at once to a worker that gave its id and has not reported yet,
+/// where no other of its service is known: few enough for any.
 constexpr std::uint32_t kSlotsUntilTold = 4;
 
 HttpServerSettings
@@ -104,7 +104,7 @@
   WorkerReport report;
   report.m_id = std::move(aId);
   report.m_service = m_parts.m_settings.m_service;
-  report.m_slots = kSlotsUntilTold;
+  report.m_slots = m_parts.m_typicalSlots().value_or(kSlotsUntilTold);
   Tell(m_worker.OnProbed(Clock::now(), std::move(report)));
 }
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -12,6 +12,17 @@
 
 constexpr std::size_t kMaxRelays = 256;
 
+/// Fast links first, as those daemons can tell the others soonest.
+bool
+GoesBefore(const MemberRow& aRow,
+           const MemberRecord& aSelf,
+           std::uint64_t aOwnKey)
+{
+  const std::uint32_t theirs = aRow.m_record.m_linkMbps;
+  return theirs != aSelf.m_linkMbps ? theirs > aSelf.m_linkMbps
+                                    : aRow.m_rankKey < aOwnKey;
+}
+
 }
 
 Membership::Membership(MemberRecord aSelf,
@@ -74,16 +85,25 @@
     const MemberRecord& record = aRow.m_record;
     const bool counts = record.m_state == MemberState::Alive &&
                         record.m_domain == m_self.m_domain;
-    const bool before = record.m_linkMbps != m_self.m_linkMbps
-                          ? record.m_linkMbps > m_self.m_linkMbps
-                          : aRow.m_rankKey < own;
-    if (counts && before) {
+    if (counts && GoesBefore(aRow, m_self, own)) {
       ++rank;
     }
   });
   return rank;
 }
 
+bool
+Membership::IsFirstOfAll() const
+{
+  const std::uint64_t own = RankKey(m_self.m_slot);
+  bool isFirst = true;
+  m_members.Rows().Each([&](MemberTable::Index, const MemberRow& aRow) {
+    const bool counts = aRow.m_record.m_state == MemberState::Alive;
+    isFirst = isFirst && !(counts && GoesBefore(aRow, m_self, own));
+  });
+  return isFirst;
+}
+
 Version
 Membership::FloorOf(std::string_view aSlot) const
 {
--- /dev/null
+++ b/tests/daemon/start_buffer.cpp
@@ -0,0 +1,67 @@
+#include "greengagehub/daemon/start_buffer.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace greengagehub;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kStart{ 1h };
+
+bool
+Add(StartBuffer& aBuffer,
+    TimePoint aNow,
+    std::uint64_t aConnection,
+    std::string aBody = {})
+{
+  HttpRequest request;
+  request.m_connection = aConnection;
+  request.m_body = std::move(aBody);
+  HttpResponder responder{ [](const HttpResponse&, bool) {} };
+  return aBuffer.Add(aNow, request, responder);
+}
+
+}
+
+TEST_CASE("what comes while a daemon starts is served when it is ready")
+{
+  // A daemon restarts in 0.4 s. A tenant who asks in that time was told to come
+  // back after a second, and stood at the door for it.
+  StartBuffer buffer{ kStart };
+  CHECK(Add(buffer, kStart, 1));
+  CHECK(Add(buffer, kStart + 100ms, 2));
+  CHECK(buffer.TakeExpired(kStart + 400ms).empty());
+  const auto held = buffer.TakeAll();
+  REQUIRE(held.size() == 2);
+  CHECK(held[0].m_request.m_connection == 1);
+  CHECK(buffer.Count() == 0);
+}
+
+TEST_CASE("nobody waits long for a start that takes too long")
+{
+  // The store is away. Whoever came is told after 0.6 s at the latest, and
+  // whoever comes 1.5 s after the start at once.
+  StartBuffer buffer{ kStart };
+  CHECK(Add(buffer, kStart, 1));
+  CHECK(Add(buffer, kStart + 500ms, 2));
+  const auto expired = buffer.TakeExpired(kStart + 600ms);
+  REQUIRE(expired.size() == 1);
+  CHECK(expired[0].m_request.m_connection == 1);
+  CHECK_FALSE(Add(buffer, kStart + 1500ms, 3));
+}
+
+TEST_CASE("what is held is bounded, and goes with its caller")
+{
+  StartBuffer buffer{ kStart };
+  for (std::uint64_t i = 0; i < StartBuffer::kMaxHeld; ++i) {
+    CHECK(Add(buffer, kStart, i));
+  }
+  CHECK_FALSE(Add(buffer, kStart, 1000));
+  buffer.Drop(7);
+  CHECK(Add(buffer, kStart, 1000, std::string(StartBuffer::kMaxBytes, 'x')));
+  buffer.Drop(8);
+  CHECK_FALSE(Add(buffer, kStart, 1001, "x"));
+  buffer.Drop(1000);
+  CHECK(Add(buffer, kStart, 1001, "x"));
+}
