Daemons find each other at once after all were killed; requests wait for that

Cause: seeds stood in the store under leases of 6 s. Change: the first two daemons of a domain keep their addresses in the store without a lease (SeedKeeper); a starting daemon asks others for members every 200 ms for 3 s; a request to a service with no known worker is held as one that comes before the daemon is ready; feeds do not watch until they are chosen to.

--- a/include/greengagehub/calls/worker_table.hpp
+++ b/include/greengagehub/calls/worker_table.hpp
@@ -133,6 +133,11 @@
   /// Own failure domain; empty: all are alike.
   std::string m_domain{};
 
+  [[nodiscard]] bool IsFar(const WorkerRow& aRow) const
+  {
+    return !m_domain.empty() && aRow.m_domain != m_domain;
+  }
+
   [[nodiscard]] std::size_t Choose(const std::vector<const WorkerRow*>& aRows,
                                    const RoutingContext& aContext,
                                    Random& aRandom) const;
@@ -189,6 +194,8 @@
   }
   [[nodiscard]] std::optional<Index> Find(const std::string& aSlot) const;
   [[nodiscard]] std::size_t CountOf(const std::string& aService) const;
+  /// \returns Whether a worker of the service is known that takes calls.
+  [[nodiscard]] bool HasUsable(const std::string& aService) const;
 
   void Put(WorkerRow aRow);
   void Remove(const std::string& aSlot);
@@ -228,6 +235,8 @@
     Refused,
     /// No answer, or one that says the worker is broken.
     Failed,
+    /// Nothing of whether it is well.
+    None,
   };
   void Ended(const std::string& aSlot,
              TimePoint aNow,
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -109,14 +109,19 @@
     double m_answerBytes{ 1024.0 };
   };
 
-  void OnHttp(HttpRequest aRequest, HttpResponder aResponder);
+  /// \param aCame when it was read; later than that, it was held.
+  void Serve(TimePoint aCame, HttpRequest aRequest, HttpResponder aResponder);
   /// \brief Answers without a call having been made.
   void Refuse(const HttpRequest& aRequest,
               HttpResponder& aResponder,
               RefusalReason aReason);
   /// \brief Serves what came before the daemon was ready, or refuses it.
   void ReleaseHeld(TimePoint aNow);
-  void Begin(const Route& aRoute, HttpRequest aRequest, HttpResponder aDone);
+  void Begin(const Route& aRoute,
+             const std::string& aService,
+             TimePoint aCame,
+             HttpRequest aRequest,
+             HttpResponder aDone);
   [[nodiscard]] std::string ServiceOf(const Route& aRoute);
   [[nodiscard]] RouteFigures& FiguresOf(const std::string& aKey);
   void Carry(const DispatchActions& aActions);
--- a/include/greengagehub/daemon/config_feed.hpp
+++ b/include/greengagehub/daemon/config_feed.hpp
@@ -79,16 +79,22 @@
   {
     m_watching = aWatching;
     if (m_watching && m_idle) {
-      Read();
+      // Goes on from what was read last; where that is too long ago, the store
+      // says so and all is read again.
+      Watch();
     }
   }
+  [[nodiscard]] bool IsWatching() const noexcept { return m_watching; }
 
   /// \brief Whether this daemon keeps the copy.
   void SetKeepingCopy(bool aKeeping)
   {
     const bool begins = aKeeping && !m_keepsCopy;
     m_keepsCopy = aKeeping;
-    if (begins) {
+    if (begins && m_document.empty()) {
+      Begin();
+      ReadOriginal();
+    } else if (begins) {
       CopyLater();
     }
   }
@@ -100,9 +106,7 @@
   /// in which changes may have been missed.
   void Read()
   {
-    m_idle = false;
-    ++m_round;
-    m_timer.cancel();
+    Begin();
     if (m_readsCopy) {
       ReadCopy();
     } else {
@@ -114,6 +118,14 @@
   using Status = StoreReply::Status;
   using SteadyClock = asio::steady_timer::clock_type;
 
+  /// Begins a round; what is under way in others no longer counts.
+  void Begin()
+  {
+    m_idle = false;
+    ++m_round;
+    m_timer.cancel();
+  }
+
   /// Carries a request whose answer counts in this round only.
   template<class Next>
   void Carry(StoreRequest aRequest, Next aNext)
@@ -348,7 +360,7 @@
   Revision m_revision{ 0 };
   platform::ConfigReader m_reader;
   bool m_reachable{ true };
-  bool m_watching{ true };
+  bool m_watching{ false };
   bool m_readsCopy{ false };
   bool m_keepsCopy{ false };
   bool m_copyPending{ false };
--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -6,6 +6,7 @@
 #include "greengagehub/daemon/store_sync.hpp"
 #include "greengagehub/dissemination/disseminator.hpp"
 #include "greengagehub/membership/membership.hpp"
+#include "greengagehub/membership/seed_keeper.hpp"
 #include "greengagehub/membership/watch_role.hpp"
 #include "greengagehub/observe/log.hpp"
 #include "greengagehub/settings/settings.hpp"
@@ -80,6 +81,8 @@
 private:
   void Tick();
   void Join();
+  /// \brief Asks for members more often than probes do, for a while.
+  void ContactWhileJoining(TimePoint aNow);
   void OnSeeds(const StoreReply& aReply);
   void Contact(const MemberAddress& aAddress);
   void OnGossip(const MemberAddress& aFrom, const GossipMessage& aMessage);
@@ -94,6 +97,7 @@
   void OnPulled(std::optional<PullAnswer> aAnswer);
   [[nodiscard]] PullAnswer Serve(const PullRequest& aRequest);
   void RunWatchRole(TimePoint aNow);
+  void FollowPlatform(TimePoint aNow);
   void CarryWatch(StoreRequest aRequest);
   /// \brief This daemon's view of the fleet is as good as a peer's.
   void SetJoined();
@@ -110,11 +114,15 @@
   Membership m_membership;
   Disseminator m_disseminator;
   WatchRole m_watchRole;
+  SeedKeeper m_seedKeeper;
   StoreSync<platform::KvStore> m_sync;
   ConfigFeed<platform::KvStore> m_feed;
   DecisionService<platform::KvStore> m_decisions;
   asio::steady_timer m_tick;
   TimePoint m_nextJoin{};
+  /// While it joins: whom to ask next, and where from when nobody is known.
+  TimePoint m_nextContact{};
+  std::vector<MemberAddress> m_seedsHeard{};
   std::chrono::milliseconds m_joinBackoff{ 250 };
   TimePoint m_started{};
   /// Snapshot made for peers, kept for as long as the version is in force.
@@ -124,7 +132,7 @@
   TimePoint m_nextSync{};
   TimePoint m_nextRank{};
   /// Between two comparisons of members: at first, and after much news.
-  static constexpr auto kFirstMemberSync = std::chrono::milliseconds{ 1000 };
+  static constexpr auto kFirstMemberSync = std::chrono::milliseconds{ 200 };
   std::chrono::milliseconds m_syncEvery{ kFirstMemberSync };
   bool m_joined{ false };
   bool m_fallbackRead{ false };
--- a/include/greengagehub/daemon/start_buffer.hpp
+++ b/include/greengagehub/daemon/start_buffer.hpp
@@ -21,7 +21,7 @@
   {
     HttpRequest m_request;
     HttpResponder m_responder;
-    TimePoint m_since;
+    TimePoint m_came;
   };
 
   explicit StartBuffer(TimePoint aStarted) noexcept
@@ -31,13 +31,15 @@
 
   [[nodiscard]] std::size_t Count() const noexcept { return m_held.size(); }
 
+  /// \param aCame when it was read; it may have been held before.
   /// \returns Whether it was taken; else it is still the caller's.
   [[nodiscard]] bool Add(TimePoint aNow,
+                         TimePoint aCame,
                          HttpRequest& aRequest,
                          HttpResponder& aResponder);
   /// \brief The caller hung up.
   void Drop(std::uint64_t aConnection);
-  /// \returns All that is held, oldest first: the daemon is ready.
+  /// \returns All that is held, in the order in which it was added.
   [[nodiscard]] std::vector<Held> TakeAll();
   /// \returns Those that have been held for as long as makes sense.
   [[nodiscard]] std::vector<Held> TakeExpired(TimePoint aNow);
--- a/include/greengagehub/membership/membership_all.hpp
+++ b/include/greengagehub/membership/membership_all.hpp
@@ -7,4 +7,5 @@
 #include "greengagehub/membership/member.hpp"
 #include "greengagehub/membership/member_table.hpp"
 #include "greengagehub/membership/membership.hpp"
+#include "greengagehub/membership/seed_keeper.hpp"
 #include "greengagehub/membership/watch_role.hpp"
--- a/src/calls/worker_table.cpp
+++ b/src/calls/worker_table.cpp
@@ -158,15 +158,12 @@
                    const RoutingContext& aContext,
                    Random& aRandom) const
 {
-  const auto isFar = [&](const WorkerRow& aRow) {
-    return !m_domain.empty() && aRow.m_domain != m_domain;
-  };
   if (Below(aRandom, kExploreOneIn) == 0) {
     for (std::size_t i = 0; i < aRows.size(); ++i) {
       const bool unknown =
         ProfileOf(*aRows[i], aContext.m_profile) == nullptr &&
         aRows[i]->m_inFlight == 0;
-      if (unknown && !isFar(*aRows[i])) {
+      if (unknown && !IsFar(*aRows[i])) {
         return i;
       }
     }
@@ -175,7 +172,7 @@
   const auto cost = [&](const WorkerRow& aRow) {
     const Duration expected = ExpectedTime(aRow, aContext, typical);
     return kLateLoss * RiskOfLateness(expected, aContext.m_targetLeft) +
-           (isFar(aRow) ? aContext.m_crossing : 0.0);
+           (IsFar(aRow) ? aContext.m_crossing : 0.0);
   };
   const std::size_t offset = Below(aRandom, aRows.size());
   std::size_t best = offset;
@@ -254,6 +251,17 @@
   return found == m_byService.end() ? 0 : found->second.size();
 }
 
+bool
+WorkerTable::HasUsable(const std::string& aService) const
+{
+  const auto group = m_byService.find(aService);
+  return group != m_byService.end() &&
+         std::any_of(
+           group->second.begin(), group->second.end(), [this](Index aIndex) {
+             return !m_rows.At(aIndex).m_leaving;
+           });
+}
+
 void
 WorkerTable::Put(WorkerRow aRow)
 {
@@ -406,6 +414,9 @@
     row.m_slots = aReport->m_slots > 0 ? aReport->m_slots : row.m_slots;
     TakeProfile(row, aNow, *aReport);
   }
+  if (aVerdict == Verdict::None) {
+    return;
+  }
   const bool failed = aVerdict == Verdict::Failed;
   const bool refused = aVerdict == Verdict::Refused;
   row.m_failures += kFailureWeight * ((failed ? 1.0 : 0.0) - row.m_failures);
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -100,7 +100,7 @@
       m_parts.m_loop,
       CallsEndpoint(m_parts.m_settings),
       [this](HttpRequest aRequest, HttpResponder aResponder) {
-        OnHttp(std::move(aRequest), std::move(aResponder));
+        Serve(Clock::now(), std::move(aRequest), std::move(aResponder));
       },
       [this](std::uint64_t aConnection) { OnHungUp(aConnection); })
   , m_routes(Content{})
@@ -173,10 +173,12 @@
 // Callers
 
 void
-CallGateway::OnHttp(HttpRequest aRequest, HttpResponder aResponder)
+CallGateway::Serve(TimePoint aCame,
+                   HttpRequest aRequest,
+                   HttpResponder aResponder)
 {
   if (!m_parts.m_isReady()) {
-    if (!m_starting.Add(Clock::now(), aRequest, aResponder)) {
+    if (!m_starting.Add(Clock::now(), aCame, aRequest, aResponder)) {
       Refuse(aRequest, aResponder, RefusalReason::NotReady);
     }
     return;
@@ -192,7 +194,13 @@
     Refuse(aRequest, aResponder, RefusalReason::TooDeep);
     return;
   }
-  Begin(*route, std::move(aRequest), std::move(aResponder));
+  const std::string service = ServiceOf(*route);
+  WantService(service);
+  const bool joining = !m_dispatcher.Workers().HasUsable(service);
+  if (joining && m_starting.Add(Clock::now(), aCame, aRequest, aResponder)) {
+    return;
+  }
+  Begin(*route, service, aCame, std::move(aRequest), std::move(aResponder));
 }
 
 void
@@ -221,7 +229,8 @@
   }
   if (m_parts.m_isReady()) {
     for (StartBuffer::Held& each : m_starting.TakeAll()) {
-      OnHttp(std::move(each.m_request), std::move(each.m_responder));
+      Serve(
+        each.m_came, std::move(each.m_request), std::move(each.m_responder));
     }
     return;
   }
@@ -232,6 +241,8 @@
 
 void
 CallGateway::Begin(const Route& aRoute,
+                   const std::string& aService,
+                   TimePoint aCame,
                    HttpRequest aRequest,
                    HttpResponder aDone)
 {
@@ -245,17 +256,17 @@
                                 ? aRoute.m_attempts - 1
                                 : m_parts.m_settings.m_calls.m_tries;
   CallPlan plan;
-  plan.m_service = ServiceOf(aRoute);
+  plan.m_service = aService;
   plan.m_class = aRoute.m_class;
   plan.m_idempotent = MayRepeat(aRoute, aRequest.m_method);
-  plan.m_deadline = now + std::min(asked, aRoute.m_deadline);
+  plan.m_deadline = aCame + std::min(asked, aRoute.m_deadline);
   const std::string routeKey = aRoute.m_host + aRoute.m_path;
   RouteFigures& figures = FiguresOf(routeKey);
   if (aRoute.m_targetLatency.count() > 0) {
     const bool isFirst = aRequest.m_isFirstOnConnection;
     const auto age = figures.m_age.Of(asked, isFirst);
     figures.m_age.Note(asked, isFirst);
-    plan.m_target = now + aRoute.m_targetLatency - age;
+    plan.m_target = aCame + aRoute.m_targetLatency - age;
   }
   plan.m_profile = aRoute.m_targetLatency;
   plan.m_crossing = CrossingPrice(figures.m_answerBytes);
@@ -269,7 +280,7 @@
 
   Waiting call{ .m_responder = std::move(aDone),
                 .m_connection = aRequest.m_connection,
-                .m_since = now,
+                .m_since = aCame,
                 .m_config = m_parts.m_holder.Active(),
                 .m_route = routeKey,
                 .m_id = std::string{
@@ -302,7 +313,6 @@
   request.m_class = plan.m_class;
   request.m_idempotent = plan.m_idempotent;
 
-  WantService(plan.m_service);
   const std::uint64_t id = ++m_lastCall;
   m_byConnection[call.m_connection] = id;
   m_waiting.emplace(id, std::move(call));
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -10,7 +10,17 @@
 namespace {
 
 constexpr auto kTick = std::chrono::milliseconds{ 100 };
-constexpr auto kMaxJoinBackoff = std::chrono::seconds{ 15 };
+constexpr std::chrono::milliseconds kMaxJoinBackoff{ 15'000 };
+/// Where all start together, the first seed may stand only some seconds later;
+/// until then the pause between looks for one stays short.
+constexpr auto kHerdTime = std::chrono::seconds{ 6 };
+constexpr std::chrono::milliseconds kHerdJoinBackoff{ 500 };
+/// For so long after its start a daemon asks others for members, every so
+/// often. Where all start together each knows nobody, and what one learns only
+/// spreads by asking: with one probe a second, calls of a service found no
+/// worker for 3.5 s although all of them ran.
+constexpr auto kJoinTime = std::chrono::seconds{ 3 };
+constexpr std::chrono::milliseconds kContactEvery{ 200 };
 /// Changes of the configuration are taken together for this part of the time
 /// in which one must be in force.
 constexpr int kSettleShare = 8;
@@ -81,6 +91,7 @@
                  m_random())
   , m_disseminator(aSettings.m_dissemination, m_random())
   , m_watchRole(aSettings.m_watch, m_membership.Self(), m_random())
+  , m_seedKeeper(m_membership.Self(), m_random())
   , m_sync(aLoop,
            m_store,
            m_holder,
@@ -119,7 +130,8 @@
 bool
 ControlPlane::IsWatching() const
 {
-  return m_watchRole.Holds(Clock::now());
+  return m_settings.m_platform.m_enabled ? m_feed.IsWatching()
+                                         : m_watchRole.Holds(Clock::now());
 }
 
 bool
@@ -185,6 +197,7 @@
   self.m_address.m_linkPort = aLinkPort;
   m_membership = Membership{ self, m_settings.m_membership, m_random() };
   m_watchRole = WatchRole{ m_settings.m_watch, self, m_random() };
+  m_seedKeeper = SeedKeeper{ self, m_random() };
   m_started = Clock::now();
   // Herds restart together: spread the first call to the store as well.
   m_nextJoin = m_started + Jittered(m_random, m_joinBackoff);
@@ -207,8 +220,13 @@
   if (now >= m_nextJoin && m_membership.Members().Present() == 0) {
     Join();
   }
+  ContactWhileJoining(now);
   PullWhenDue(now);
-  RunWatchRole(now);
+  if (m_settings.m_platform.m_enabled) {
+    FollowPlatform(now);
+  } else {
+    RunWatchRole(now);
+  }
   const bool alone =
     m_holder.GetVersion() == Version{} && now - m_started > kAloneAfter;
   if (alone && !m_fallbackRead && !m_settings.m_platform.m_enabled) {
@@ -223,12 +241,34 @@
   });
 }
 
+void
+ControlPlane::ContactWhileJoining(TimePoint aNow)
+{
+  const bool due = aNow - m_started < kJoinTime && aNow >= m_nextContact;
+  if (!due) {
+    return;
+  }
+  m_nextContact = aNow + Jittered(m_random, kContactEvery);
+  std::vector<MemberAddress> targets = m_membership.SampleNear(1);
+  const auto any = m_membership.Sample(1);
+  targets.insert(targets.end(), any.begin(), any.end());
+  if (targets.empty() && !m_seedsHeard.empty()) {
+    targets.push_back(m_seedsHeard[Below(m_random, m_seedsHeard.size())]);
+  }
+  for (const MemberAddress& each : targets) {
+    Contact(each);
+  }
+}
+
 void
 ControlPlane::Join()
 {
-  m_nextJoin = Clock::now() + Jittered(m_random, m_joinBackoff);
+  const TimePoint now = Clock::now();
+  m_nextJoin = now + Jittered(m_random, m_joinBackoff);
+  const auto longest =
+    now - m_started < kHerdTime ? kHerdJoinBackoff : kMaxJoinBackoff;
   m_joinBackoff =
-    std::min<std::chrono::milliseconds>(2 * m_joinBackoff, kMaxJoinBackoff);
+    std::min<std::chrono::milliseconds>(2 * m_joinBackoff, longest);
   for (const MemberAddress& each : m_settings.m_seeds) {
     Contact(each);
   }
@@ -241,16 +281,24 @@
 {
   const std::string domain = SeedPrefix(m_settings.m_domain);
   std::uint32_t taken = 0;
+  m_seedsHeard.clear();
   for (const StoreItem& each : aReply.m_items) {
     taken += each.m_key.starts_with(domain) ? 1 : 0;
     const auto address = ParseSeed(each.m_value);
     const bool other = address && !(*address == m_membership.Self().m_address);
     if (other) {
+      m_seedsHeard.push_back(*address);
       Contact(*address);
     }
   }
+  const TimePoint now = Clock::now();
+  if (aReply.m_status == StoreReply::Status::Ok) {
+    // Where none of them has answered by now, all of them are gone.
+    const bool fresh = now - m_started < kAloneAfter;
+    m_seedKeeper.OnSeeds(now, fresh && !m_seedsHeard.empty());
+  }
   if (taken >= m_settings.m_watch.m_watchers) {
-    m_watchRole.NoteAllTaken(Clock::now());
+    m_watchRole.NoteAllTaken(now);
   }
 }
 
@@ -390,14 +438,29 @@
   if (auto request = m_watchRole.OnTick(aNow, rank)) {
     CarryWatch(std::move(*request));
   }
-  if (m_settings.m_platform.m_enabled) {
-    if (aNow >= m_nextRank) {
-      m_nextRank = aNow + kRankEvery;
-      m_feed.SetWatching(m_membership.RankInDomain() < kReaders);
-      m_feed.SetKeepingCopy(m_membership.IsFirstOfAll());
-    }
-  } else {
-    m_sync.SetWatching(m_watchRole.Holds(aNow));
+  m_sync.SetWatching(m_watchRole.Holds(aNow));
+}
+
+void
+ControlPlane::FollowPlatform(TimePoint aNow)
+{
+  if (aNow < m_nextRank) {
+    return;
+  }
+  m_nextRank = aNow + kRankEvery;
+  std::optional<std::size_t> rank;
+  if (m_joined) {
+    rank = m_membership.RankInDomain();
+  }
+  if (m_joined || aNow - m_started >= kAloneAfter) {
+    m_feed.SetWatching(rank.value_or(0) < kReaders);
+    m_feed.SetKeepingCopy(m_membership.IsFirstOfAll());
+  }
+  auto request = m_seedKeeper.OnTick(aNow, rank);
+  if (request) {
+    m_store.Carry(std::move(*request), [this](const StoreReply& aReply) {
+      m_seedKeeper.OnReply(Clock::now(), aReply);
+    });
   }
 }
 
--- a/src/daemon/start_buffer.cpp
+++ b/src/daemon/start_buffer.cpp
@@ -6,17 +6,19 @@
 
 bool
 StartBuffer::Add(TimePoint aNow,
+                 TimePoint aCame,
                  HttpRequest& aRequest,
                  HttpResponder& aResponder)
 {
   const std::size_t bytes = m_bytes + aRequest.m_body.size();
   const bool holds = aNow - m_started < kStartTime &&
-                     m_held.size() < kMaxHeld && bytes <= kMaxBytes;
+                     aNow - aCame < kHoldTime && m_held.size() < kMaxHeld &&
+                     bytes <= kMaxBytes;
   if (!holds) {
     return false;
   }
   m_bytes = bytes;
-  m_held.push_back({ std::move(aRequest), std::move(aResponder), aNow });
+  m_held.push_back({ std::move(aRequest), std::move(aResponder), aCame });
   return true;
 }
 
@@ -44,7 +46,7 @@
 StartBuffer::TakeExpired(TimePoint aNow)
 {
   std::vector<Held> expired;
-  while (!m_held.empty() && aNow - m_held.front().m_since >= kHoldTime) {
+  while (!m_held.empty() && aNow - m_held.front().m_came >= kHoldTime) {
     m_bytes -= m_held.front().m_request.m_body.size();
     expired.push_back(std::move(m_held.front()));
     m_held.pop_front();
--- a/tests/daemon/config_feed.cpp
+++ b/tests/daemon/config_feed.cpp
@@ -172,6 +172,7 @@
   world.m_store.Set(kOriginalKey, Document(6));
   const Revision original = world.m_store.m_last;
   world.m_feed.Read();
+  world.m_feed.SetWatching(true);
   world.m_feed.SetKeepingCopy(true);
   world.m_loop.run_for(50ms);
   const auto copy = ParseConfigCopy(
--- a/tests/daemon/start_buffer.cpp
+++ b/tests/daemon/start_buffer.cpp
@@ -19,7 +19,7 @@
   request.m_connection = aConnection;
   request.m_body = std::move(aBody);
   HttpResponder responder{ [](const HttpResponse&, bool) {} };
-  return aBuffer.Add(aNow, request, responder);
+  return aBuffer.Add(aNow, aNow, request, responder);
 }
 
 }
@@ -51,6 +51,22 @@
   CHECK_FALSE(Add(buffer, kStart + 1500ms, 3));
 }
 
+TEST_CASE("a request that is held twice is held no longer for it")
+{
+  // Ready, but no worker of its service is known yet: it goes back, and its
+  // time counts from when it came.
+  StartBuffer buffer{ kStart };
+  REQUIRE(Add(buffer, kStart, 1));
+  auto held = buffer.TakeAll();
+  REQUIRE(held.size() == 1);
+  StartBuffer::Held& first = held.front();
+  CHECK(buffer.Add(
+    kStart + 500ms, first.m_came, first.m_request, first.m_responder));
+  CHECK(buffer.TakeExpired(kStart + 600ms).size() == 1);
+  CHECK_FALSE(buffer.Add(
+    kStart + 600ms, first.m_came, first.m_request, first.m_responder));
+}
+
 TEST_CASE("what is held is bounded, and goes with its caller")
 {
   StartBuffer buffer{ kStart };
