A test counts the answers that were cut, not those that routing should meet

Cause: 'a backend server dies between running a call and answering it' expected all nine faults of three workers to be met by 60 calls. Which workers are called is the routing's decision, which avoids failing ones: with one worker called once in 120 calls (seen: 1 to 3 runs there), six or eight are met. Change: the stand-in counts the answers it cut, and each must be one caller who heard 'unknown'; at least three must have been cut. The promise is checked as strictly as before: no cut answer without its caller's word, and none more.

--- a/standins/backend_server.cpp
+++ b/standins/backend_server.cpp
@@ -104,6 +104,7 @@
     if (m_cutAfterRun > 0) {
       // Ran, and the connection dies before a byte of the answer.
       --m_cutAfterRun;
+      ++m_cuts;
       --m_running;
       Cut(std::move(aRun));
       return;
@@ -157,6 +158,7 @@
     return Json{
       { "runs", m_runs },
       { "most_running", m_mostRunning },
+      { "cuts", m_cuts },
       { "last_start_ms", last.count() }
     }.dump(-1, ' ', false, Json::error_handler_t::replace);
   }
@@ -170,6 +172,7 @@
   std::uint32_t m_running{ 0 };
   std::uint32_t m_mostRunning{ 0 };
   std::uint32_t m_cutAfterRun{ 0 };
+  std::uint32_t m_cuts{ 0 };
   bool m_fail{ false };
   std::string m_health{ "good" };
   std::chrono::system_clock::time_point m_lastStart{};
--- a/tests/end_to_end/calls_under_failure.cpp
+++ b/tests/end_to_end/calls_under_failure.cpp
@@ -113,7 +113,14 @@
     { .m_urls = { fleet.CallsUrl("ledger-1") }, .m_rate = 100, .m_count = 60 });
   const CallReport report = Report(fleet, records);
   CHECK(report.IsClean());
-  CHECK(report.m_unknown == 9);
+  // Which workers are called is for the routing to say, which avoids those
+  // that fail; each answer that was cut is one caller who hears "unknown".
+  std::size_t cuts = 0;
+  for (const char* slot : { "locker-app-1", "locker-app-2", "locker-app-3" }) {
+    cuts += fleet.Runs(slot).value("cuts", std::size_t{ 0 });
+  }
+  CHECK(cuts >= 3);
+  CHECK(report.m_unknown == cuts);
 }
 
 TEST_CASE("rolling restarts of every daemon cut no call")
