A busy worker nearby refuses rather than lets a call wait; its caller asks another

Cause: a daemon of the grown sites makes some nine calls a second to 31 or 33 workers, so that it hears of one every few seconds, and its figures of waits fade within 0.5 s. Change: a call carries whether it is to be refused rather than wait; the worker's daemon does so when its wait is over a twentieth of the time left to the target. After two such answers it waits at the one that told the least, and it crosses domains only where that is dearer. The mean service time begins with the first run instead of 1 ms.

--- a/include/greengagehub/calls/call.hpp
+++ b/include/greengagehub/calls/call.hpp
@@ -46,6 +46,8 @@
   WorkerRefused,
   /// Another worker has the address.
   WorkerReplaced,
+  /// It would have had to wait, and was not to.
+  Busy,
 };
 
 /// \returns The public name, such as "deadline-too-short".
@@ -90,6 +92,8 @@
   std::uint32_t m_triesLeft{ 0 };
   /// An earlier attempt of the call has reached a worker.
   bool m_isRepeat{ false };
+  /// To be refused rather than to wait: its caller has others to ask.
+  bool m_refuseIfBusy{ false };
 };
 
 /// \brief The final word on an attempt.
--- a/include/greengagehub/calls/dispatcher.hpp
+++ b/include/greengagehub/calls/dispatcher.hpp
@@ -41,6 +41,8 @@
   std::uint32_t m_triesLeft{ 0 };
   /// An earlier attempt has reached a worker.
   bool m_isRepeat{ false };
+  /// Whether another worker is to be asked rather than to wait there.
+  bool m_refuseIfBusy{ false };
 };
 
 /// \brief Ask a worker's daemon to cancel an attempt unless it started.
@@ -76,6 +78,12 @@
 /// \brief The caller's side of calls: choice of worker, retries, what may be
 /// said when something is lost.
 ///
+/// A worker nearby is asked to refuse rather than to let a call wait, and after
+/// two of those it goes to the one that told the shortest wait. Answers the
+/// load pattern of many callers and few calls from each: what one knows of a
+/// worker is mostly older than its queue, so that all take the same one for the
+/// best.
+///
 /// A call has one attempt at a time. Another attempt of a call that is not
 /// idempotent is made only after the worker's daemon said that the one before
 /// did not start. The caller is told "not run" on the same condition.
@@ -137,6 +145,8 @@
     std::string m_slot;
     std::uint64_t m_process{ 0 };
     std::vector<std::string> m_tried;
+    /// Workers that were busy when they were asked.
+    std::vector<std::string> m_busy{};
     /// The link was lost and nobody knows yet whether it started.
     bool m_inDoubt{ false };
     /// An attempt of it was sent whose fate nobody knows.
@@ -169,6 +179,9 @@
                      DispatchActions& aOut,
                      Call& aCall,
                      CallAnswer aAnswer);
+  /// \returns The worker to send it to, if any is left.
+  [[nodiscard]] std::optional<WorkerTable::Index> ChooseFor(TimePoint aNow,
+                                                            Call& aCall);
   [[nodiscard]] Call* ByAttempt(std::uint64_t aAttempt);
 
   struct Deadline
--- a/include/greengagehub/calls/run_table.hpp
+++ b/include/greengagehub/calls/run_table.hpp
@@ -182,6 +182,8 @@
   [[nodiscard]] Admission Refused(TimePoint aNow,
                                   CallKey aKey,
                                   RefusalReason aReason);
+  /// \returns Whether its wait is worth asking another worker instead.
+  [[nodiscard]] bool IsBusyFor(TimePoint aNow, const Run& aRun) const;
   [[nodiscard]] std::optional<RefusalReason> ReasonToRefuse(
     TimePoint aNow,
     const Run& aRun) const;
--- a/include/greengagehub/calls/work_order.hpp
+++ b/include/greengagehub/calls/work_order.hpp
@@ -23,6 +23,8 @@
   /// Until an answer stops being as good as an immediate one; never above
   /// m_timeLeft.
   std::chrono::microseconds m_targetLeft{ 0 };
+  /// To be refused rather than to wait.
+  bool m_refuseIfBusy{ false };
 };
 
 /// \brief Moving means of how long calls run at one worker, by profile.
--- a/src/calls/call.cpp
+++ b/src/calls/call.cpp
@@ -36,6 +36,8 @@
       return "restarted";
     case RefusalReason::WorkerRefused:
       return "worker-refused";
+    case RefusalReason::Busy:
+      return "busy";
     case RefusalReason::WorkerReplaced:
       return "worker-replaced";
   }
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "greengagehub/calls/dispatcher.hpp"
 
+#include <algorithm>
+
 namespace greengagehub {
 
 namespace {
@@ -20,6 +22,11 @@
 /// a tenth or two of them failing by themselves the mean stays below a tenth.
 constexpr double kCommonFailures = 0.2;
 
+/// Workers that may say that they are busy before a call waits at one of them:
+/// three choices with news of this moment are close to the shortest queue of
+/// all, and cost at most two messages within the domain.
+constexpr std::size_t kMaxBusy = 2;
+
 using Verdict = WorkerTable::Verdict;
 
 /// What an answer that is not the worker's own says of the worker.
@@ -37,11 +44,25 @@
     case RefusalReason::DeadlinePassed:
     case RefusalReason::WorkerRefused:
       return Verdict::Refused;
+    case RefusalReason::Busy:
+      return Verdict::None;
     default:
       return Verdict::Good;
   }
 }
 
+/// \returns Whether asking costs little: a policy that knows of domains tells.
+template<RoutingPolicy Policy>
+bool
+IsNear(const Policy& aPolicy, const WorkerRow& aRow)
+{
+  if constexpr (requires { aPolicy.IsFar(aRow); }) {
+    return !aPolicy.IsFar(aRow);
+  } else {
+    return false;
+  }
+}
+
 std::chrono::microseconds
 TimeLeft(TimePoint aNow, TimePoint aDeadline)
 {
@@ -101,6 +122,31 @@
   m_workers.Ended(aCall.m_slot, aNow, aVerdict, aReport, m_random);
 }
 
+template<RoutingPolicy Policy>
+std::optional<WorkerTable::Index>
+BasicDispatcher<Policy>::ChooseFor(TimePoint aNow, Call& aCall)
+{
+  const RoutingContext context{
+    aNow,
+    aCall.m_plan.m_profile,
+    std::min(aCall.m_plan.m_target, aCall.m_plan.m_deadline) - aNow,
+    aCall.m_plan.m_crossing
+  };
+  if (aCall.m_busy.size() < kMaxBusy) {
+    std::vector<std::string> exclude = aCall.m_tried;
+    exclude.insert(exclude.end(), aCall.m_busy.begin(), aCall.m_busy.end());
+    const auto chosen = m_workers.Choose(
+      m_policy, aCall.m_plan.m_service, exclude, context, m_random);
+    // Rather than beyond the domain it may wait at one of those that were asked:
+    // what they told is weighed against the crossing.
+    if (chosen && IsNear(m_policy, m_workers.At(*chosen))) {
+      return chosen;
+    }
+  }
+  return m_workers.Choose(
+    m_policy, aCall.m_plan.m_service, aCall.m_tried, context, m_random);
+}
+
 template<RoutingPolicy Policy>
 void
 BasicDispatcher<Policy>::Try(TimePoint aNow,
@@ -108,27 +154,25 @@
                              Call& aCall,
                              CallAnswer aElse)
 {
-  const auto chosen = m_workers.Choose(
-    m_policy,
-    aCall.m_plan.m_service,
-    aCall.m_tried,
-    RoutingContext{ aNow,
-                    aCall.m_plan.m_profile,
-                    std::min(aCall.m_plan.m_target, aCall.m_plan.m_deadline) -
-                      aNow,
-                    aCall.m_plan.m_crossing },
-    m_random);
+  const auto chosen = ChooseFor(aNow, aCall);
   const bool again = !aCall.m_tried.empty();
   // Where all queues are full, asking one daemon after the other multiplies the
   // messages just when there is most to do. A worker that turns calls away by
   // itself is another matter: it may take the next, and the budget bounds how
   // many are tried.
   const bool hopeless = chosen && again && !aElse.m_reachedWorker &&
+                        aElse.m_reason != RefusalReason::Busy &&
                         m_workers.At(*chosen).m_refusals > kKnownToRefuse;
   if (!chosen || hopeless) {
     Finish(aOut, aCall, std::move(aElse));
     return;
   }
+  const bool wasBusy =
+    std::find(aCall.m_busy.begin(),
+              aCall.m_busy.end(),
+              m_workers.At(*chosen).m_slot) != aCall.m_busy.end();
+  const bool asks = aCall.m_busy.size() < kMaxBusy && !wasBusy &&
+                    IsNear(m_policy, m_workers.At(*chosen));
   m_workers.Sent(*chosen);
   m_attempts.erase(aCall.m_attempt);
   aCall.m_attempt = ++m_lastAttempt;
@@ -144,7 +188,8 @@
     TimeLeft(aNow, aCall.m_plan.m_deadline),
     TimeLeft(aNow, std::min(aCall.m_plan.m_target, aCall.m_plan.m_deadline)),
     aCall.m_plan.m_triesLeft,
-    aCall.m_hasArrived });
+    aCall.m_hasArrived,
+    asks });
 }
 
 template<RoutingPolicy Policy>
@@ -176,6 +221,11 @@
                                      Call& aCall,
                                      const CallAnswer& aAnswer)
 {
+  if (aAnswer.m_reason == RefusalReason::Busy) {
+    std::erase(aCall.m_tried, aCall.m_slot);
+    aCall.m_busy.push_back(aCall.m_slot);
+    return true;
+  }
   const bool safe =
     aAnswer.m_outcome == CallOutcome::NotRun || aCall.m_plan.m_idempotent;
   if (!safe || aNow >= aCall.m_plan.m_deadline) {
--- a/src/calls/run_table.cpp
+++ b/src/calls/run_table.cpp
@@ -18,6 +18,10 @@
 /// what they leave is within the error of the estimate.
 constexpr double kNothingLeft = 0.95;
 
+/// A wait of more than this part of the time left to the target is worth asking
+/// another worker, which takes well under a millisecond.
+constexpr int kBusyPart = 20;
+
 std::chrono::milliseconds
 RoundUp(Duration aSpan)
 {
@@ -189,6 +193,13 @@
   return true;
 }
 
+bool
+RunTable::IsBusyFor(TimePoint aNow, const Run& aRun) const
+{
+  const Duration left = std::max<Duration>(aRun.m_target - aNow, {});
+  return WaitFor(aNow, Rank(aNow, aRun)) > left / kBusyPart;
+}
+
 std::optional<RefusalReason>
 RunTable::ReasonToRefuse(TimePoint aNow, const Run& aRun) const
 {
@@ -245,6 +256,9 @@
   offered.m_deadline = aNow + aDemand.m_timeLeft;
   const bool starts = m_running < OpenSlots(aNow);
   if (!starts) {
+    if (aDemand.m_refuseIfBusy && IsBusyFor(aNow, offered)) {
+      return Refused(aNow, aKey, RefusalReason::Busy);
+    }
     if (const auto reason = ReasonToRefuse(aNow, offered)) {
       return Refused(aNow, aKey, *reason);
     }
--- a/src/calls/work_order.cpp
+++ b/src/calls/work_order.cpp
@@ -28,6 +28,9 @@
 void
 ServiceTimes::Note(std::chrono::milliseconds aProfile, Duration aTook)
 {
+  if (m_profiles.empty()) {
+    m_mean = aTook;
+  }
   m_mean += (aTook - m_mean) / (1 << kMeanShift);
   const auto [found, isNew] = m_profiles.emplace(aProfile, aTook);
   if (!isNew) {
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -396,6 +396,7 @@
   request.m_targetLeft = aAttempt.m_targetLeft;
   request.m_triesLeft = aAttempt.m_triesLeft;
   request.m_isRepeat = aAttempt.m_isRepeat;
+  request.m_refuseIfBusy = aAttempt.m_refuseIfBusy;
   if (aAttempt.m_slot == m_parts.m_settings.m_slot) {
     m_dispatcher.SentTo(aAttempt.m_attempt, m_parts.m_process);
     m_service.OnRequest(
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -40,8 +40,8 @@
            .m_priority = aRequest.m_priority,
            .m_profile = aRequest.m_profile,
            .m_timeLeft = aRequest.m_timeLeft,
-           .m_targetLeft =
-             std::min(aRequest.m_targetLeft, aRequest.m_timeLeft) };
+           .m_targetLeft = std::min(aRequest.m_targetLeft, aRequest.m_timeLeft),
+           .m_refuseIfBusy = aRequest.m_refuseIfBusy };
 }
 
 bool
@@ -97,11 +97,14 @@
   const Admission admission =
     m_runs.Admit(now, aKey, aEpoch, DemandOf(aRequest), pushedOut);
   if (admission.m_kind == Admission::Kind::Refused) {
-    m_requests.OnRunRefused(now,
-                            IdOf(aRequest),
-                            admission.m_reason,
-                            aRequest.m_timeLeft,
-                            StateNow(aRequest));
+    if (admission.m_reason != RefusalReason::Busy) {
+      // The caller's daemon just asks another: no line for each.
+      m_requests.OnRunRefused(now,
+                              IdOf(aRequest),
+                              admission.m_reason,
+                              aRequest.m_timeLeft,
+                              StateNow(aRequest));
+    }
     m_metrics.CountRun(NameOf(admission.m_reason));
     Deliver(aKey,
             aRequest,
--- a/src/transport/link_codec.cpp
+++ b/src/transport/link_codec.cpp
@@ -16,7 +16,7 @@
 constexpr std::uint32_t kLastOutcome =
   static_cast<std::uint32_t>(CallOutcome::Unknown);
 constexpr std::uint32_t kLastReason =
-  static_cast<std::uint32_t>(RefusalReason::WorkerReplaced);
+  static_cast<std::uint32_t>(RefusalReason::Busy);
 constexpr unsigned kByteBits = 8;
 
 /// Bytes of the length in front of a head, and its mark.
@@ -100,6 +100,7 @@
     out.set_depth(aRequest.m_depth);
     out.set_tries(aRequest.m_triesLeft);
     out.set_is_repeat(aRequest.m_isRepeat);
+    out.set_refuse_if_busy(aRequest.m_refuseIfBusy);
     out.set_priority(aRequest.m_priority);
     out.set_profile_ms(static_cast<std::uint64_t>(aRequest.m_profile.count()));
     out.set_target_us(static_cast<std::uint64_t>(
@@ -166,6 +167,7 @@
   request.m_depth = aWire.depth();
   request.m_triesLeft = aWire.tries();
   request.m_isRepeat = aWire.is_repeat();
+  request.m_refuseIfBusy = aWire.refuse_if_busy();
   request.m_priority = aWire.priority();
   request.m_profile = std::chrono::milliseconds{ aWire.profile_ms() };
   request.m_targetLeft = std::chrono::microseconds{ aWire.target_us() };
--- a/tests/calls/dispatcher.cpp
+++ b/tests/calls/dispatcher.cpp
@@ -262,3 +262,109 @@
   }
   CHECK(attempts == 50);
 }
+
+namespace {
+
+/// Four workers of the own domain and one beyond it; a call to them.
+class Domain
+{
+public:
+  Domain()
+  {
+    m_dispatcher.Routing().m_domain = "solna";
+    for (const char* slot : { "a", "b", "c", "d" }) {
+      Put(slot, "solna");
+    }
+    Put("far", "kista");
+    CallPlan plan;
+    plan.m_service = "board";
+    plan.m_deadline = kStart + 2s;
+    plan.m_target = kStart + 400ms;
+    plan.m_profile = 400ms;
+    plan.m_crossing = 0.5;
+    Take(m_dispatcher.Begin(kStart, 1, std::move(plan)));
+  }
+
+  void Put(const char* aSlot, const char* aDomain)
+  {
+    WorkerRow row;
+    row.m_slot = aSlot;
+    row.m_service = "board";
+    row.m_domain = aDomain;
+    row.m_slots = 6;
+    m_dispatcher.Workers().Put(std::move(row));
+  }
+
+  /// The worker that was asked last says that it is busy.
+  void Busy(std::chrono::milliseconds aWait)
+  {
+    CallAnswer answer =
+      Refuse(m_send.m_attempt, CallOutcome::NotRun, RefusalReason::Busy);
+    answer.m_slots = 6;
+    answer.m_serviceTime = 100ms;
+    answer.m_wait = aWait;
+    Take(m_dispatcher.OnAnswer(kStart, std::move(answer)));
+  }
+
+  void Take(const DispatchActions& aActions)
+  {
+    REQUIRE(aActions.size() == 1);
+    const auto* send = std::get_if<SendAttempt>(&aActions.front());
+    REQUIRE(send != nullptr);
+    m_send = *send;
+  }
+
+  Dispatcher m_dispatcher{ 1 };
+  SendAttempt m_send;
+};
+
+}
+
+TEST_CASE("of three workers that are busy a call waits at the least busy")
+{
+  Domain domain;
+  const std::string first = domain.m_send.m_slot;
+  CHECK(domain.m_send.m_refuseIfBusy);
+  domain.Busy(30ms);
+  const std::string second = domain.m_send.m_slot;
+  CHECK(second != first);
+  CHECK(domain.m_send.m_refuseIfBusy);
+  domain.Busy(300ms);
+  // Two have said so: now it waits where it is, or at the better of them.
+  CHECK(domain.m_send.m_slot != second);
+  CHECK_FALSE(domain.m_send.m_refuseIfBusy);
+}
+
+TEST_CASE("a call is not refused because workers nearby were busy")
+{
+  // Both workers of a domain are busy for some milliseconds. Asked in turn,
+  // each says so; the caller must not hear that as a refusal.
+  Domain domain;
+  for (const char* slot : { "b", "c", "d", "far" }) {
+    if (slot != domain.m_send.m_slot) {
+      domain.m_dispatcher.Workers().Remove(slot);
+    }
+  }
+  const std::string only = domain.m_send.m_slot;
+  domain.m_dispatcher.Workers().Remove(only == "a" ? "b" : "a");
+  domain.Busy(30ms);
+  CHECK(domain.m_send.m_slot == only);
+  CHECK_FALSE(domain.m_send.m_refuseIfBusy);
+}
+
+TEST_CASE("a call does not cross because the only worker nearby is busy")
+{
+  // A domain has one worker of the service. Busy for 15 ms of the 400 ms that
+  // there are, it was left out, and a large answer crossed for it.
+  Domain domain;
+  domain.Put("far", "kista");
+  const std::string only = domain.m_send.m_slot;
+  for (const char* slot : { "a", "b", "c", "d" }) {
+    if (slot != only) {
+      domain.m_dispatcher.Workers().Remove(slot);
+    }
+  }
+  domain.Busy(15ms);
+  CHECK(domain.m_send.m_slot == only);
+  CHECK_FALSE(domain.m_send.m_refuseIfBusy);
+}
--- a/tests/calls/run_table.cpp
+++ b/tests/calls/run_table.cpp
@@ -156,3 +156,32 @@
   }
   CHECK(table.Remembered() <= 100);
 }
+
+TEST_CASE("a call that another worker could take at once is not queued")
+{
+  // Sixty callers each know of a worker what its last answer told, seconds ago.
+  // All send their next call to the one that looked best; it waits there while
+  // the worker beside it is idle.
+  RunTable table{ { .m_slots = 2, .m_queue = 10 } };
+  RunActions out;
+  const auto admit = [&](std::uint64_t aCall, bool aRefuseIfBusy) {
+    return table.Admit(kStart,
+                       { 1, aCall },
+                       1,
+                       { .m_profile = 400ms,
+                         .m_timeLeft = 2s,
+                         .m_targetLeft = 400ms,
+                         .m_refuseIfBusy = aRefuseIfBusy },
+                       out);
+  };
+  // A run of 200 ms, so that a wait at both slots is known to be long.
+  REQUIRE(admit(1, true).m_kind == Admission::Kind::Start);
+  static_cast<void>(table.Finish(kStart + 200ms, { 1, 1 }));
+  REQUIRE(admit(2, true).m_kind == Admission::Kind::Start);
+  REQUIRE(admit(3, true).m_kind == Admission::Kind::Start);
+  const Admission busy = admit(4, true);
+  CHECK(busy.m_kind == Admission::Kind::Refused);
+  CHECK(busy.m_reason == RefusalReason::Busy);
+  // One that has asked all others waits.
+  CHECK(admit(5, false).m_kind == Admission::Kind::Queued);
+}
