--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -130,6 +130,7 @@
   Version m_packedVersion;
   ReadyGate m_gate;
   TimePoint m_nextSync{};
+  TimePoint m_nextFarSync{};
   TimePoint m_nextRank{};
   /// Between two comparisons of members: at first, and after much news.
   static constexpr auto kFirstMemberSync = std::chrono::milliseconds{ 200 };
--- a/include/greengagehub/dissemination/disseminator.hpp
+++ b/include/greengagehub/dissemination/disseminator.hpp
@@ -17,6 +17,10 @@
   std::size_t m_maxDatagramBytes{ 1200 };
   /// Wait before a pull, jittered: a push is usually under way already.
   std::chrono::milliseconds m_pullDelay{ 150 };
+  /// Longer wait before a pull from another failure domain, for one of the own
+  /// that has it: where bytes between domains are dear, a whole configuration
+  /// for each daemon is most of what a start sends across.
+  std::chrono::milliseconds m_farDelay{ 0 };
   /// Between two pulls when the first brought nothing.
   std::chrono::milliseconds m_pullTimeout{ 1000 };
 };
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -36,6 +36,11 @@
 /// while they bring much, as after a start or a partition, then ever more
 /// seldom, since a plain day's news travels on the probes.
 constexpr auto kLastSync = std::chrono::milliseconds{ 30'000 };
+/// Between two comparisons with peers of other domains, from half a second
+/// after the start on: each brings all that is new there across, and one daemon
+/// of a domain that has it is enough for the others.
+constexpr std::chrono::milliseconds kFarSync{ 3000 };
+constexpr std::chrono::milliseconds kFirstFarSync{ 750 };
 /// A daemon with no peer and no version reads the store itself after this.
 constexpr auto kAloneAfter = std::chrono::milliseconds{ 1500 };
 /// Links on which a configuration of half a megabyte takes a fifth of a second
@@ -201,6 +206,7 @@
   m_started = Clock::now();
   // Herds restart together: spread the first call to the store as well.
   m_nextJoin = m_started + Jittered(m_random, m_joinBackoff);
+  m_nextFarSync = m_started + Jittered(m_random, kFirstFarSync);
   for (const MemberAddress& each : m_settings.m_seeds) {
     Contact(each);
   }
@@ -250,8 +256,9 @@
   }
   m_nextContact = aNow + Jittered(m_random, kContactEvery);
   std::vector<MemberAddress> targets = m_membership.SampleNear(1);
-  const auto any = m_membership.Sample(1);
-  targets.insert(targets.end(), any.begin(), any.end());
+  if (targets.empty()) {
+    targets = m_membership.Sample(1);
+  }
   if (targets.empty() && !m_seedsHeard.empty()) {
     targets.push_back(m_seedsHeard[Below(m_random, m_seedsHeard.size())]);
   }
@@ -265,6 +272,10 @@
 {
   const TimePoint now = Clock::now();
   m_nextJoin = now + Jittered(m_random, m_joinBackoff);
+  if (!m_seedsHeard.empty()) {
+    // They are being asked; one of them is most likely just slow.
+    m_nextJoin += kHerdJoinBackoff;
+  }
   const auto longest =
     now - m_started < kHerdTime ? kHerdJoinBackoff : kMaxJoinBackoff;
   m_joinBackoff =
@@ -417,6 +428,13 @@
   if (!differs || aNow < m_nextSync) {
     return;
   }
+  const bool far = aMessage.m_sender.m_domain != m_settings.m_domain;
+  if (far && aNow < m_nextFarSync) {
+    return;
+  }
+  if (far) {
+    m_nextFarSync = aNow + Jittered(m_random, kFarSync);
+  }
   m_nextSync = aNow + Jittered(m_random, m_syncEvery);
   m_syncEvery = std::min(2 * m_syncEvery, kLastSync);
   PullFrom(aMessage.m_sender.m_address, true);
--- a/src/daemon/control_plane_versions.cpp
+++ b/src/daemon/control_plane_versions.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr auto kPullTimeout = std::chrono::milliseconds{ 3000 };
+/// How long a start from the store may take before peers are asked: twice what
+/// the copy takes on a tenth of a core.
+constexpr auto kReadsStoreFor = std::chrono::milliseconds{ 800 };
 /// News in one pull after which members are soon compared again.
 constexpr std::size_t kMuchNews = 8;
 
@@ -77,6 +80,14 @@
 void
 ControlPlane::PullWhenDue(TimePoint aNow)
 {
+  // A daemon that has just started reads the store by itself; a peer's whole
+  // configuration would come second and take the link meanwhile.
+  const bool readsStore = m_settings.m_platform.m_enabled &&
+                          m_holder.GetVersion() == Version{} &&
+                          aNow - m_started < kReadsStoreFor;
+  if (readsStore) {
+    return;
+  }
   if (const auto peer = m_disseminator.DuePull(aNow, m_holder)) {
     PullFrom(*peer, false);
   }
--- a/src/dissemination/disseminator.cpp
+++ b/src/dissemination/disseminator.cpp
@@ -1,5 +1,7 @@
 #include "greengagehub/dissemination/disseminator.hpp"
 
+#include <algorithm>
+
 namespace greengagehub {
 
 namespace {
@@ -70,9 +72,10 @@
   } else {
     m_sources[Below(m_random, kMaxSources)] = aPeer;
   }
-  if (!m_pullAt) {
-    m_pullAt = aNow + Jittered(m_random, m_settings.m_pullDelay);
-  }
+  const auto far =
+    aNear ? std::chrono::milliseconds{ 0 } : m_settings.m_farDelay;
+  const TimePoint at = aNow + Jittered(m_random, m_settings.m_pullDelay) + far;
+  m_pullAt = m_pullAt ? std::min(*m_pullAt, at) : at;
 }
 
 std::optional<MemberAddress>
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -257,6 +257,7 @@
     DisseminationSettings& target = m_settings.m_dissemination;
     reader.Count("fanout", target.m_fanout, 0, 64);
     reader.Millis("pull_delay_ms", target.m_pullDelay, 0, 60'000);
+    reader.Millis("far_delay_ms", target.m_farDelay, 0, 60'000);
     reader.Millis("pull_timeout_ms", target.m_pullTimeout, 10, 60'000);
     reader.Finish();
   }
--- a/tests/dissemination/disseminator.cpp
+++ b/tests/dissemination/disseminator.cpp
@@ -82,3 +82,26 @@
   Advance(holder, 1);
   CHECK_FALSE(disseminator.DuePull(kStart + 1s, holder));
 }
+
+TEST_CASE("where a peer nearby will have it, none beyond the domain is asked")
+{
+  // Fifty daemons hear of a new configuration from whoever probes them. Two in
+  // three of those are in other domains, and each pull brings all of it across.
+  ConfigHolder holder;
+  Disseminator disseminator{ { .m_farDelay = 400ms }, 1 };
+  const MemberAddress near{ "127.0.0.2", 1, 2, 3 };
+  disseminator.OnDigest(kStart, holder, { Version{ 1 }, {} }, kPeer);
+  CHECK_FALSE(disseminator.DuePull(kStart + 300ms, holder));
+  SUBCASE("one nearby has it")
+  {
+    disseminator.OnDigest(
+      kStart + 100ms, holder, { Version{ 1 }, {} }, near, true);
+    const auto source = disseminator.DuePull(kStart + 300ms, holder);
+    REQUIRE(source);
+    CHECK(*source == near);
+  }
+  SUBCASE("none does")
+  {
+    CHECK(disseminator.DuePull(kStart + 600ms, holder));
+  }
+}
