A whole configuration costs a quarter less to take; starting daemons hold for a second

Cause: a start on a tenth of a core spent 20 ms of processor time, 0.2 s, on the configuration: 7.1 ms reading, 4.5 ms writing it as a patch by way of a JSON tree, 8.4 ms applying that. Requests that came in the first 50 ms of a start were given up just before the daemon was ready, at 0.6 s. Change: a patch takes over the texts of new entities as they are (0.5 ms); what is held while a daemon starts is held for a second, after which a refused caller would come back.

--- a/include/greengagehub/daemon/start_buffer.hpp
+++ b/include/greengagehub/daemon/start_buffer.hpp
@@ -47,9 +47,9 @@
   /// A start from the store's copy takes 0.2 to 0.4 s on a tenth of a core;
   /// past this the store is slow or away, and callers had better know.
   static constexpr std::chrono::milliseconds kStartTime{ 1500 };
-  /// Longest time that one is held; a third of the time left of a caller that
-  /// waits 2 s.
-  static constexpr std::chrono::milliseconds kHoldTime{ 600 };
+  /// Longest time that one is held: after which it would come back if it were
+  /// refused at once.
+  static constexpr std::chrono::milliseconds kHoldTime{ 1000 };
   static constexpr std::size_t kMaxHeld = 256;
   static constexpr std::size_t kMaxBytes = 1024UL * 1024;
 
--- a/src/config/content_diff.cpp
+++ b/src/config/content_diff.cpp
@@ -24,24 +24,46 @@
   return patch;
 }
 
+/// Members of a JSON object, one after the other.
+class ObjectText
+{
+public:
+  /// \param aValue JSON text; taken as it is, as reading it again would cost as
+  /// much as applying it: a whole configuration has some thousand of them.
+  void Add(const std::string& aName, std::string_view aValue)
+  {
+    m_text += m_text.empty() ? "" : ",";
+    m_text += Json(aName).dump();
+    m_text += ':';
+    m_text += aValue;
+  }
+
+  [[nodiscard]] bool IsEmpty() const noexcept { return m_text.empty(); }
+  [[nodiscard]] std::string Text() const { return '{' + m_text + '}'; }
+
+private:
+  std::string m_text;
+};
+
 template<class T>
-Json
+ObjectText
 EntitiesPatch(const EntityMap<T>& aFrom, const std::vector<NamedText>& aTo)
 {
-  Json patch = Json::object();
+  ObjectText patch;
   std::set<std::string_view> kept;
   for (const NamedText& each : aTo) {
     kept.insert(each.m_name);
     const auto found = aFrom.find(each.m_name);
     if (found == aFrom.end()) {
-      patch[each.m_name] = Json::parse(each.m_text);
+      patch.Add(each.m_name, each.m_text);
     } else if (found->second->m_text != each.m_text) {
-      patch[each.m_name] = EntityPatch(found->second->m_text, each.m_text);
+      patch.Add(each.m_name,
+                EntityPatch(found->second->m_text, each.m_text).dump());
     }
   }
   for (const auto& [name, entity] : aFrom) {
     if (!kept.contains(name)) {
-      patch[name] = nullptr;
+      patch.Add(name, "null");
     }
   }
   return patch;
@@ -52,19 +74,19 @@
 std::string
 PatchBetween(const Content& aFrom, const ContentTexts& aTo)
 {
-  Json patch = Json::object();
+  ObjectText patch;
   if (aFrom.LimitsText() != aTo.m_limits) {
-    patch["limits"] = EntityPatch(aFrom.LimitsText(), aTo.m_limits);
+    patch.Add("limits", EntityPatch(aFrom.LimitsText(), aTo.m_limits).dump());
   }
-  Json routes = EntitiesPatch(aFrom.Routes(), aTo.m_routes);
-  if (!routes.empty()) {
-    patch["routes"] = std::move(routes);
+  const ObjectText routes = EntitiesPatch(aFrom.Routes(), aTo.m_routes);
+  if (!routes.IsEmpty()) {
+    patch.Add("routes", routes.Text());
   }
-  Json services = EntitiesPatch(aFrom.Services(), aTo.m_services);
-  if (!services.empty()) {
-    patch["services"] = std::move(services);
+  const ObjectText services = EntitiesPatch(aFrom.Services(), aTo.m_services);
+  if (!services.IsEmpty()) {
+    patch.Add("services", services.Text());
   }
-  return patch.dump();
+  return patch.Text();
 }
 
 }
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -208,10 +208,9 @@
                     HttpResponder& aResponder,
                     RefusalReason aReason)
 {
-  constexpr auto kComeBackAfter = std::chrono::seconds{ 1 };
   m_parts.m_metrics.CountCall(NameOf(CallOutcome::NotRun), NameOf(aReason));
-  const CallAnswer answer =
-    greengagehub::Refuse(0, CallOutcome::NotRun, aReason, kComeBackAfter);
+  const CallAnswer answer = greengagehub::Refuse(
+    0, CallOutcome::NotRun, aReason, StartBuffer::kHoldTime);
   m_parts.m_requests.OnFinished(
     Clock::now(),
     { .m_id = HeaderValue(aRequest.m_headers, m_parts.m_dialect.m_requestId),
