--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -137,8 +137,8 @@
     exclude.insert(exclude.end(), aCall.m_busy.begin(), aCall.m_busy.end());
     const auto chosen = m_workers.Choose(
       m_policy, aCall.m_plan.m_service, exclude, context, m_random);
-    // Rather than beyond the domain it may wait at one of those that were asked:
-    // what they told is weighed against the crossing.
+    // Rather than beyond the domain it may wait at one of those that were
+    // asked: what they told is weighed against the crossing.
     if (chosen && IsNear(m_policy, m_workers.At(*chosen))) {
       return chosen;
     }
