--- a/tools/results.cpp
+++ b/tools/results.cpp
@@ -113,6 +113,10 @@
       fmt::print(stderr, "{}: not an entry, left out\n", each.string());
       continue;
     }
+    // A score whose build failed has no days.
+    if (!entry.value("ok", false)) {
+      continue;
+    }
     if (auto score = ScoreFrom(entry)) {
       sites[entry.value("site", "")].push_back(std::move(*score));
     }
