--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -290,6 +290,10 @@
 void
 ControlPlane::OnSeeds(const StoreReply& aReply)
 {
+  if (aReply.m_status != StoreReply::Status::Ok) {
+    // Whoever was read before is still asked.
+    return;
+  }
   const std::string domain = SeedPrefix(m_settings.m_domain);
   std::uint32_t taken = 0;
   m_seedsHeard.clear();
@@ -303,11 +307,9 @@
     }
   }
   const TimePoint now = Clock::now();
-  if (aReply.m_status == StoreReply::Status::Ok) {
-    // Where none of them has answered by now, all of them are gone.
-    const bool fresh = now - m_started < kAloneAfter;
-    m_seedKeeper.OnSeeds(now, fresh && !m_seedsHeard.empty());
-  }
+  // Where none of them has answered by now, all of them are gone.
+  const bool fresh = now - m_started < kAloneAfter;
+  m_seedKeeper.OnSeeds(now, fresh && !m_seedsHeard.empty());
   if (taken >= m_settings.m_watch.m_watchers) {
     m_watchRole.NoteAllTaken(now);
   }
