The call goes first that earns most for each second of a slot

A call of 15 ms counted as late after 30 ms at a slow worker, went behind every read of 150 ms and was refused after a third of its time. After a restart a kind that had not run yet was taken for as slow as the mean of the others, refused as too short of time, and so never ran while the worker stayed full. Change: turn by gain, credit for each second of a slot, a rank worth a factor of two, a late answer half; refusal of late calls by the work of more gain that is admitted; a kind that never ran is taken for the briefest, less where its target is nearer.

--- a/include/greengagehub/calls/run_table.hpp
+++ b/include/greengagehub/calls/run_table.hpp
@@ -176,9 +176,11 @@
   [[nodiscard]] Duration WorkBefore(TimePoint aNow,
                                     const WorkRank& aRank) const;
   [[nodiscard]] Duration WaitFor(TimePoint aNow, const WorkRank& aRank) const;
-  /// \returns As WaitFor, for one that can only use what the calls leave that
-  /// can still meet their target; nothing when they leave nothing.
-  [[nodiscard]] std::optional<Duration> LateWait(TimePoint aNow) const;
+  /// \returns As WaitFor, with what will come before it while it waits;
+  /// nothing when that leaves nothing.
+  [[nodiscard]] std::optional<Duration> ForeseenWait(
+    TimePoint aNow,
+    const WorkRank& aRank) const;
   [[nodiscard]] Admission Refused(TimePoint aNow,
                                   CallKey aKey,
                                   RefusalReason aReason);
--- a/include/greengagehub/calls/work_order.hpp
+++ b/include/greengagehub/calls/work_order.hpp
@@ -4,9 +4,9 @@
 #include "greengagehub/core/clock.hpp"
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace greengagehub {
 
@@ -31,7 +31,10 @@
 class ServiceTimes
 {
 public:
-  /// \returns The mean of the profile; of all calls while it is unknown.
+  /// \returns The mean of the profile. While it is unknown, the least of those
+  /// that are known, less where its target is nearer: a kind that never ran
+  /// must not be refused for the time that others take, or it would never run
+  /// and stay unknown.
   [[nodiscard]] Duration Of(std::chrono::milliseconds aProfile) const;
   /// \returns The mean over all calls.
   [[nodiscard]] Duration Mean() const noexcept { return m_mean; }
@@ -43,22 +46,35 @@
   Duration m_mean{ std::chrono::milliseconds{ 1 } };
 };
 
-/// \brief Turn of a waiting call; the least goes first.
+/// \brief Turn of a waiting call; the greatest gain goes first, then the one
+/// that is due first.
 ///
-/// Answers the load pattern where more is asked than workers can do: a call
-/// that can still meet its target is worth more than one that cannot, whatever
-/// its priority, and takes the slot for as long. Among those that can, the
-/// higher priority goes first, then the one with the least time to spare; first
-/// come, first served would let each wait until all are late.
+/// Answers the load pattern where more is asked than workers can do, by calls
+/// of unlike length: what a worker earns is bounded by the time of its slots,
+/// so that the call goes first which earns most for each second of one. A brief
+/// call whose loss would throw away the run that waits for it passes reads that
+/// take ten times as long; a call that is late passes only those that take more
+/// than its part of their time.
 struct WorkRank
 {
-  bool m_late{ false };
-  std::uint32_t m_priority{ 0 };
+  /// Part of a call's credit that each second of a slot earns.
+  double m_gain{ 0.0 };
   TimePoint m_due{};
+  /// Its target will be missed, whenever it starts.
+  bool m_late{ false };
 
-  [[nodiscard]] auto operator<=>(const WorkRank&) const noexcept = default;
+  /// \returns Whether it goes before the other one.
+  [[nodiscard]] bool IsBefore(const WorkRank& aOther) const noexcept
+  {
+    return m_gain != aOther.m_gain ? m_gain > aOther.m_gain
+                                   : m_due < aOther.m_due;
+  }
 };
 
+/// \returns What a call earns for each second of a slot, on time or late.
+[[nodiscard]] double
+GainOf(Duration aService, std::uint32_t aPriority, bool aIsLate) noexcept;
+
 /// \param aService how long the call is expected to run.
 /// \param aTarget when an answer stops being as good as an immediate one.
 [[nodiscard]] WorkRank
@@ -68,21 +84,34 @@
        TimePoint aTarget,
        TimePoint aDeadline) noexcept;
 
-/// \brief Share of a worker's capacity that calls use which can meet their
-/// target. Those that cannot get what is left; where nothing is left, waiting
-/// would be in vain and they are refused at once.
+/// \brief Work that comes to a worker and is admitted on time, by what it
+/// gains. Whoever gains less gets what that leaves; where nothing is left,
+/// waiting would be in vain and it is refused at once.
 class OnTimeLoad
 {
 public:
-  void Add(TimePoint aNow, Duration aService);
-  /// \returns The share, above 1 when more comes than fits.
-  [[nodiscard]] double Share(TimePoint aNow, std::uint32_t aSlots) const;
+  /// \param aGain of such calls while they are on time.
+  void Add(TimePoint aNow,
+           std::chrono::milliseconds aProfile,
+           double aGain,
+           Duration aService);
+  /// \returns The share of a worker's slots that calls of more gain take, above
+  /// 1 when more comes than fits.
+  [[nodiscard]] double ShareAbove(TimePoint aNow,
+                                  double aGain,
+                                  std::uint32_t aSlots) const;
 
 private:
-  [[nodiscard]] double DecayedTo(TimePoint aNow) const;
+  struct Kind
+  {
+    double m_gain{ 0.0 };
+    double m_seconds{ 0.0 };
+    TimePoint m_since{};
+  };
+
+  [[nodiscard]] static double DecayedTo(const Kind& aKind, TimePoint aNow);
 
-  double m_seconds{ 0.0 };
-  TimePoint m_since{};
+  std::map<std::chrono::milliseconds, Kind> m_kinds;
 };
 
 }
--- a/src/calls/run_table.cpp
+++ b/src/calls/run_table.cpp
@@ -14,8 +14,8 @@
 /// that its caller has left: then it is told, while the caller can still do
 /// something else.
 constexpr int kLatePart = 3;
-/// Calls that can meet their target use all of a worker from this share on:
-/// what they leave is within the error of the estimate.
+/// Calls that gain more use all of a worker from this share on: what they
+/// leave is within the error of the estimate.
 constexpr double kNothingLeft = 0.95;
 
 /// A wait of more than this part of the time left to the target is worth asking
@@ -103,7 +103,7 @@
 {
   Duration work = Duration::zero();
   for (const Run& each : m_waiting) {
-    if (Rank(aNow, each) <= aRank) {
+    if (!aRank.IsBefore(Rank(aNow, each))) {
       work += m_services.Of(each.m_profile);
     }
   }
@@ -127,25 +127,27 @@
                  std::uint32_t aPriority,
                  std::chrono::milliseconds aProfile) const
 {
-  return WaitFor(aNow, { false, aPriority, aNow + aProfile });
+  const Duration service = m_services.Of(aProfile);
+  return WaitFor(aNow,
+                 { GainOf(service, aPriority, false), aNow + aProfile, false });
 }
 
 std::optional<Duration>
-RunTable::LateWait(TimePoint aNow) const
+RunTable::ForeseenWait(TimePoint aNow, const WorkRank& aRank) const
 {
-  const double share = m_onTime.Share(aNow, m_settings.m_slots);
+  const double share =
+    m_onTime.ShareAbove(aNow, aRank.m_gain, m_settings.m_slots);
   if (share >= kNothingLeft) {
     return std::nullopt;
   }
-  const WorkRank last{ true, UINT32_MAX, TimePoint::max() };
-  return std::chrono::duration_cast<Duration>(WaitFor(aNow, last) /
+  return std::chrono::duration_cast<Duration>(WaitFor(aNow, aRank) /
                                               (1.0 - share));
 }
 
 std::chrono::milliseconds
 RunTable::ExpectedWait(TimePoint aNow) const
 {
-  return RoundUp(WaitFor(aNow, { true, UINT32_MAX, TimePoint::max() }));
+  return RoundUp(WaitFor(aNow, { 0.0, TimePoint::max(), true }));
 }
 
 RunTable::Run&
@@ -179,11 +181,11 @@
   }
   Run* last = nullptr;
   for (Run& each : m_waiting) {
-    if (last == nullptr || Rank(aNow, *last) <= Rank(aNow, each)) {
+    if (last == nullptr || !Rank(aNow, each).IsBefore(Rank(aNow, *last))) {
       last = &each;
     }
   }
-  if (last == nullptr || Rank(aNow, *last) <= Rank(aNow, aFor)) {
+  if (last == nullptr || !Rank(aNow, aFor).IsBefore(Rank(aNow, *last))) {
     return false;
   }
   aOut.m_refused.push_back({ last->m_key,
@@ -213,7 +215,10 @@
   if (!late || aRun.m_target >= aRun.m_deadline) {
     return std::nullopt;
   }
-  const auto lateWait = LateWait(aNow);
+  const WorkRank asLate{ GainOf(service, aRun.m_priority, true),
+                         aRun.m_deadline,
+                         true };
+  const auto lateWait = ForeseenWait(aNow, asLate);
   const Duration left = aRun.m_deadline - aNow;
   const bool inVain = !lateWait || *lateWait > left / kLatePart;
   return inVain ? std::optional{ RefusalReason::Overloaded } : std::nullopt;
@@ -266,8 +271,9 @@
       return Refused(aNow, aKey, RefusalReason::Overloaded);
     }
   }
-  if (!Rank(aNow, offered).m_late) {
-    m_onTime.Add(aNow, m_services.Of(offered.m_profile));
+  if (const WorkRank rank = Rank(aNow, offered); !rank.m_late) {
+    m_onTime.Add(
+      aNow, offered.m_profile, rank.m_gain, m_services.Of(offered.m_profile));
   }
   Run& run = Remember(aNow, aKey, State::Queued);
   CopyDemand(offered, run);
@@ -383,7 +389,7 @@
 {
   Run* next = nullptr;
   for (Run& each : m_waiting) {
-    if (next == nullptr || Rank(aNow, each) < Rank(aNow, *next)) {
+    if (next == nullptr || Rank(aNow, each).IsBefore(Rank(aNow, *next))) {
       next = &each;
     }
   }
--- a/src/calls/work_order.cpp
+++ b/src/calls/work_order.cpp
@@ -15,6 +15,15 @@
 /// Over which the load is taken: long enough to hold some hundred calls at a
 /// busy worker, short beside the seconds that a burst lasts.
 constexpr std::chrono::duration<double> kLoadMemory{ 1.0 };
+/// Credit of a late answer as a part of a timely one; deployments give 0.3 to
+/// 0.5.
+constexpr double kLateCredit = 0.5;
+/// Worth of a call as a part of that of the next higher rank. Operators give
+/// ranks and no worth; where they tell both, a rank is a factor of two.
+constexpr double kCreditOfNextRank = 0.5;
+constexpr std::uint32_t kMostRanks = 20;
+/// Below this the time on the way outweighs the time in a slot.
+constexpr Duration kLeastService = std::chrono::milliseconds{ 1 };
 
 }
 
@@ -22,7 +31,18 @@
 ServiceTimes::Of(std::chrono::milliseconds aProfile) const
 {
   const auto found = m_profiles.find(aProfile);
-  return found == m_profiles.end() ? m_mean : found->second;
+  if (found != m_profiles.end()) {
+    return found->second;
+  }
+  Duration least = m_mean;
+  for (const auto& [profile, mean] : m_profiles) {
+    // Operators set targets by what calls take.
+    const Duration scaled = profile > aProfile && profile.count() > 0
+                              ? mean * aProfile.count() / profile.count()
+                              : mean;
+    least = std::min(least, scaled);
+  }
+  return least;
 }
 
 void
@@ -38,6 +58,16 @@
   }
 }
 
+double
+GainOf(Duration aService, std::uint32_t aPriority, bool aIsLate) noexcept
+{
+  const std::chrono::duration<double> service =
+    std::max<Duration>(aService, kLeastService);
+  const double credit =
+    std::pow(kCreditOfNextRank, std::min(aPriority, kMostRanks));
+  return credit * (aIsLate ? kLateCredit : 1.0) / service.count();
+}
+
 WorkRank
 RankOf(TimePoint aNow,
        Duration aService,
@@ -48,27 +78,39 @@
   const auto needed =
     std::chrono::duration_cast<Duration>(aService * kServiceMargin);
   const bool late = aNow + needed > aTarget;
-  return { late, aPriority, late ? aDeadline : aTarget };
+  return { GainOf(aService, aPriority, late),
+           late ? aDeadline : aTarget,
+           late };
 }
 
 double
-OnTimeLoad::DecayedTo(TimePoint aNow) const
+OnTimeLoad::DecayedTo(const Kind& aKind, TimePoint aNow)
 {
-  const std::chrono::duration<double> age = aNow - m_since;
-  return m_seconds * std::exp(-(age / kLoadMemory));
+  const std::chrono::duration<double> age = aNow - aKind.m_since;
+  return aKind.m_seconds * std::exp(-(age / kLoadMemory));
 }
 
 void
-OnTimeLoad::Add(TimePoint aNow, Duration aService)
+OnTimeLoad::Add(TimePoint aNow,
+                std::chrono::milliseconds aProfile,
+                double aGain,
+                Duration aService)
 {
-  m_seconds = DecayedTo(aNow) + std::chrono::duration<double>(aService).count();
-  m_since = aNow;
+  Kind& kind = m_kinds[aProfile];
+  kind.m_seconds =
+    DecayedTo(kind, aNow) + std::chrono::duration<double>(aService).count();
+  kind.m_gain = aGain;
+  kind.m_since = aNow;
 }
 
 double
-OnTimeLoad::Share(TimePoint aNow, std::uint32_t aSlots) const
+OnTimeLoad::ShareAbove(TimePoint aNow, double aGain, std::uint32_t aSlots) const
 {
-  return DecayedTo(aNow) / (kLoadMemory.count() * std::max(1U, aSlots));
+  double seconds = 0.0;
+  for (const auto& [profile, kind] : m_kinds) {
+    seconds += kind.m_gain > aGain ? DecayedTo(kind, aNow) : 0.0;
+  }
+  return seconds / (kLoadMemory.count() * std::max(1U, aSlots));
 }
 
 }
