A crossing is weighed with the request's body; mechanisms get their switches

Change: the body counts. All mechanisms and weights stand in one aggregate, read from [decisions]. Test: placing.cpp, a booking at a slow worker at home.

--- a/include/greengagehub/calls/calls.hpp
+++ b/include/greengagehub/calls/calls.hpp
@@ -5,6 +5,7 @@
 
 #include "greengagehub/calls/call.hpp"
 #include "greengagehub/calls/call_age.hpp"
+#include "greengagehub/calls/decision_settings.hpp"
 #include "greengagehub/calls/dispatcher.hpp"
 #include "greengagehub/calls/retry_budget.hpp"
 #include "greengagehub/calls/route_table.hpp"
--- /dev/null
+++ b/include/greengagehub/calls/decision_settings.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace greengagehub {
+
+/// \brief What bears on decisions about calls: each mechanism with its switch,
+/// each weight with its unit.
+///
+/// The defaults are those that measured best over all deployments; switches are
+/// there to measure what a mechanism is worth, not to be turned in operation.
+struct DecisionSettings
+{
+  // Turns at a worker.
+
+  /// Worth of a late answer as a part of a timely one; deployments give 0.3 to
+  /// 0.5.
+  double m_lateCredit{ 0.5 };
+  /// Worth of a call as a part of that of the next higher rank. Operators give
+  /// ranks and no worth; where both are known a rank is a factor of two.
+  double m_nextRankCredit{ 0.5 };
+  /// Whether a call's worth counts for each second of a slot, or as a whole.
+  bool m_countsTime{ true };
+
+  // Refusals at a worker.
+
+  /// Whether calls are refused that waiting would make late in vain.
+  bool m_refusesEarly{ true };
+  /// A call that will miss its target waits for at most one part in so many of
+  /// the time that its caller has left: then it is told, while the caller can
+  /// still do something else.
+  std::uint32_t m_latePart{ 3 };
+  /// Calls that gain more use all of a worker from this share on: what they
+  /// leave is within the error of the estimate.
+  double m_nothingLeft{ 0.95 };
+
+  // Asking before waiting.
+
+  /// Workers that may say that they are busy before a call waits at one of
+  /// them: three choices with news of this moment are close to the shortest
+  /// queue of all, and cost at most two messages within the domain.
+  std::uint32_t m_maxBusy{ 2 };
+  /// A wait of more than one part in so many of the time left to the target is
+  /// worth asking another worker, which takes well under a millisecond.
+  std::uint32_t m_busyPart{ 20 };
+  /// Workers' daemons that a call is offered to after the first refused it.
+  /// Each costs a way there and back; the third has the same news as the ones
+  /// before.
+  std::uint32_t m_maxRedirects{ 2 };
+
+  // Placing.
+
+  /// What a call loses of its worth when its answer comes late.
+  double m_lateLoss{ 0.6 };
+  /// Price of a KiB between failure domains, as a share of what a call is
+  /// worth: between two deployments' own prices (0.02 and 0.22 of a lookup).
+  double m_crossingPerKib{ 0.1 };
+  /// Whether the bytes of a request's body count for that price.
+  bool m_countsRequestBody{ true };
+  /// Whether a worker that has told nothing yet is tried now and then.
+  bool m_explores{ true };
+  /// Whether failures and refusals that calls met push a worker back.
+  bool m_pushesBack{ true };
+  /// Whether a worker that mostly fails is left out for a while.
+  bool m_ejects{ true };
+
+  // Callers.
+
+  /// Whether the time that a call has lost before it came counts.
+  bool m_weighsAge{ true };
+  /// Whether failures that all workers of a service share keep calls from being
+  /// run again.
+  bool m_seesCommonCause{ true };
+};
+
+}
--- a/include/greengagehub/calls/dispatcher.hpp
+++ b/include/greengagehub/calls/dispatcher.hpp
@@ -107,6 +107,12 @@
     m_budget.SetLimits(aLimits);
   }
 
+  void SetDecisions(const DecisionSettings& aDecisions) noexcept
+  {
+    m_decisions = aDecisions;
+    m_workers.SetDecisions(aDecisions);
+  }
+
   [[nodiscard]] DispatchActions Begin(TimePoint aNow,
                                       std::uint64_t aCall,
                                       CallPlan aPlan);
@@ -191,6 +197,7 @@
     [[nodiscard]] auto operator<=>(const Deadline&) const noexcept = default;
   };
 
+  DecisionSettings m_decisions{};
   Random m_random;
   Policy m_policy;
   WorkerTable m_workers;
--- a/include/greengagehub/calls/run_table.hpp
+++ b/include/greengagehub/calls/run_table.hpp
@@ -24,6 +24,7 @@
   std::size_t m_maxRemembered{ 50'000 };
   /// Taken off a queued call's deadline, so that "not run" arrives in time.
   std::chrono::milliseconds m_margin{ 5 };
+  DecisionSettings m_decisions{};
 };
 
 /// \brief What becomes of an attempt that arrives.
--- a/include/greengagehub/calls/work_order.hpp
+++ b/include/greengagehub/calls/work_order.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "greengagehub/calls/decision_settings.hpp"
 #include "greengagehub/config/content.hpp"
 #include "greengagehub/core/clock.hpp"
 
@@ -73,12 +74,16 @@
 
 /// \returns What a call earns for each second of a slot, on time or late.
 [[nodiscard]] double
-GainOf(Duration aService, std::uint32_t aPriority, bool aIsLate) noexcept;
+GainOf(const DecisionSettings& aDecisions,
+       Duration aService,
+       std::uint32_t aPriority,
+       bool aIsLate) noexcept;
 
 /// \param aService how long the call is expected to run.
 /// \param aTarget when an answer stops being as good as an immediate one.
 [[nodiscard]] WorkRank
-RankOf(TimePoint aNow,
+RankOf(const DecisionSettings& aDecisions,
+       TimePoint aNow,
        Duration aService,
        std::uint32_t aPriority,
        TimePoint aTarget,
--- a/include/greengagehub/calls/worker_table.hpp
+++ b/include/greengagehub/calls/worker_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "greengagehub/calls/call.hpp"
+#include "greengagehub/calls/decision_settings.hpp"
 #include "greengagehub/core/random.hpp"
 #include "greengagehub/core/table.hpp"
 
@@ -132,6 +133,7 @@
 {
   /// Own failure domain; empty: all are alike.
   std::string m_domain{};
+  DecisionSettings m_decisions{};
 
   [[nodiscard]] bool IsFar(const WorkerRow& aRow) const
   {
@@ -153,10 +155,20 @@
 /// \returns Time until a call sent now is expected to be answered, with what
 /// failures and refusals seen there cost on average.
 [[nodiscard]] Duration
-ExpectedTime(const WorkerRow& aRow,
+ExpectedTime(const DecisionSettings& aDecisions,
+             const WorkerRow& aRow,
              const RoutingContext& aContext,
              Duration aUnknown) noexcept;
 
+/// \param aRequestBytes of the call's body.
+/// \param aAnswerBytes of the answers that its route gets, on average.
+/// \returns What a crossing between failure domains costs, as a share of what
+/// the call is worth.
+[[nodiscard]] double
+CrossingPrice(const DecisionSettings& aDecisions,
+              double aRequestBytes,
+              double aAnswerBytes) noexcept;
+
 /// \brief Join the shortest queue with tagging (Li, Paschos, Tassiulas and
 /// Modiano, "Dynamic overload balancing in server farms", IFIP Networking
 /// 2014), weighted min-max fair: overflow is spread in proportion to capacity.
@@ -223,6 +235,10 @@
     return usable[aPolicy.Choose(rows, aContext, aRandom)];
   }
 
+  void SetDecisions(const DecisionSettings& aDecisions) noexcept
+  {
+    m_decisions = aDecisions;
+  }
   void Sent(Index aIndex);
   /// \returns Mean share of failures over the service's workers that have
   /// answered.
@@ -256,6 +272,7 @@
     const std::vector<std::string>& aExclude,
     TimePoint aNow) const;
 
+  DecisionSettings m_decisions{};
   Table<WorkerRow> m_rows;
   std::map<std::string, Index, std::less<>> m_bySlot;
   std::map<std::string, std::vector<Index>, std::less<>> m_byService;
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -13,20 +13,11 @@
 /// A worker that refused more than this share of its last attempts, about the
 /// last eight, is not tried after another one's refusal.
 constexpr double kKnownToRefuse = 0.5;
-/// Workers' daemons that a call is offered to after the first refused it. Each
-/// costs a way there and back; the third has the same news as the ones before.
-constexpr std::uint32_t kMaxRedirects = 2;
-
 /// Where the workers of a service fail more than this share of calls on
 /// average, the cause is one that they share, such as a service they call; with
 /// a tenth or two of them failing by themselves the mean stays below a tenth.
 constexpr double kCommonFailures = 0.2;
 
-/// Workers that may say that they are busy before a call waits at one of them:
-/// three choices with news of this moment are close to the shortest queue of
-/// all, and cost at most two messages within the domain.
-constexpr std::size_t kMaxBusy = 2;
-
 using Verdict = WorkerTable::Verdict;
 
 /// What an answer that is not the worker's own says of the worker.
@@ -132,7 +123,7 @@
     std::min(aCall.m_plan.m_target, aCall.m_plan.m_deadline) - aNow,
     aCall.m_plan.m_crossing
   };
-  if (aCall.m_busy.size() < kMaxBusy) {
+  if (aCall.m_busy.size() < m_decisions.m_maxBusy) {
     std::vector<std::string> exclude = aCall.m_tried;
     exclude.insert(exclude.end(), aCall.m_busy.begin(), aCall.m_busy.end());
     const auto chosen = m_workers.Choose(
@@ -171,7 +162,7 @@
     std::find(aCall.m_busy.begin(),
               aCall.m_busy.end(),
               m_workers.At(*chosen).m_slot) != aCall.m_busy.end();
-  const bool asks = aCall.m_busy.size() < kMaxBusy && !wasBusy &&
+  const bool asks = aCall.m_busy.size() < m_decisions.m_maxBusy && !wasBusy &&
                     IsNear(m_policy, m_workers.At(*chosen));
   m_workers.Sent(*chosen);
   m_attempts.erase(aCall.m_attempt);
@@ -235,7 +226,7 @@
     aAnswer.m_outcome == CallOutcome::NotRun && !aAnswer.m_reachedWorker;
   if (reachedNone) {
     // Puts no load on any worker, so that only the messages count.
-    return ++aCall.m_redirects <= kMaxRedirects;
+    return ++aCall.m_redirects <= m_decisions.m_maxRedirects;
   }
   if (aCall.m_plan.m_triesLeft == 0 ||
       !m_budget.Withdraw(
@@ -273,7 +264,8 @@
   const bool failed = aAnswer.m_response.m_status >= kFirstServerError;
   // Another worker may do better, if an answer can still be in time.
   const bool commonCause =
-    failed && m_workers.MeanFailures(aCall.m_plan.m_service) > kCommonFailures;
+    failed && m_decisions.m_seesCommonCause &&
+    m_workers.MeanFailures(aCall.m_plan.m_service) > kCommonFailures;
   const bool again = failed && !commonCause && aCall.m_plan.m_idempotent &&
                      aNow + 2 * aAnswer.m_serviceTime < aCall.m_plan.m_target;
   if (!again) {
--- a/src/calls/run_table.cpp
+++ b/src/calls/run_table.cpp
@@ -10,18 +10,6 @@
 /// cannot ask any more.
 constexpr auto kHorizonLife = std::chrono::hours{ 1 };
 constexpr auto kLeastRetryAfter = std::chrono::milliseconds{ 10 };
-/// A call that will miss its target waits for at most this part of the time
-/// that its caller has left: then it is told, while the caller can still do
-/// something else.
-constexpr int kLatePart = 3;
-/// Calls that gain more use all of a worker from this share on: what they
-/// leave is within the error of the estimate.
-constexpr double kNothingLeft = 0.95;
-
-/// A wait of more than this part of the time left to the target is worth asking
-/// another worker, which takes well under a millisecond.
-constexpr int kBusyPart = 20;
-
 std::chrono::milliseconds
 RoundUp(Duration aSpan)
 {
@@ -91,7 +79,8 @@
 WorkRank
 RunTable::Rank(TimePoint aNow, const Run& aRun) const
 {
-  return RankOf(aNow,
+  return RankOf(m_settings.m_decisions,
+                aNow,
                 m_services.Of(aRun.m_profile),
                 aRun.m_priority,
                 aRun.m_target,
@@ -127,9 +116,9 @@
                  std::uint32_t aPriority,
                  std::chrono::milliseconds aProfile) const
 {
-  const Duration service = m_services.Of(aProfile);
-  return WaitFor(aNow,
-                 { GainOf(service, aPriority, false), aNow + aProfile, false });
+  const double gain =
+    GainOf(m_settings.m_decisions, m_services.Of(aProfile), aPriority, false);
+  return WaitFor(aNow, { gain, aNow + aProfile, false });
 }
 
 std::optional<Duration>
@@ -137,7 +126,7 @@
 {
   const double share =
     m_onTime.ShareAbove(aNow, aRank.m_gain, m_settings.m_slots);
-  if (share >= kNothingLeft) {
+  if (share >= m_settings.m_decisions.m_nothingLeft) {
     return std::nullopt;
   }
   return std::chrono::duration_cast<Duration>(WaitFor(aNow, aRank) /
@@ -199,7 +188,8 @@
 RunTable::IsBusyFor(TimePoint aNow, const Run& aRun) const
 {
   const Duration left = std::max<Duration>(aRun.m_target - aNow, {});
-  return WaitFor(aNow, Rank(aNow, aRun)) > left / kBusyPart;
+  return WaitFor(aNow, Rank(aNow, aRun)) >
+         left / m_settings.m_decisions.m_busyPart;
 }
 
 std::optional<RefusalReason>
@@ -212,15 +202,16 @@
     return RefusalReason::DeadlineTooShort;
   }
   const bool late = rank.m_late || aNow + wait + service > aRun.m_target;
-  if (!late || aRun.m_target >= aRun.m_deadline) {
+  const DecisionSettings& decisions = m_settings.m_decisions;
+  if (!decisions.m_refusesEarly || !late || aRun.m_target >= aRun.m_deadline) {
     return std::nullopt;
   }
-  const WorkRank asLate{ GainOf(service, aRun.m_priority, true),
+  const WorkRank asLate{ GainOf(decisions, service, aRun.m_priority, true),
                          aRun.m_deadline,
                          true };
   const auto lateWait = ForeseenWait(aNow, asLate);
   const Duration left = aRun.m_deadline - aNow;
-  const bool inVain = !lateWait || *lateWait > left / kLatePart;
+  const bool inVain = !lateWait || *lateWait > left / decisions.m_latePart;
   return inVain ? std::optional{ RefusalReason::Overloaded } : std::nullopt;
 }
 
@@ -305,8 +296,9 @@
   // late already, and its caller has better things to do than wait.
   const TimePoint inVain =
     aRun.m_deadline - m_settings.m_margin - m_services.Of(aRun.m_profile);
-  const TimePoint patience =
-    std::max(aRun.m_target, aNow + (aRun.m_deadline - aNow) / kLatePart);
+  const TimePoint patience = std::max(
+    aRun.m_target,
+    aNow + (aRun.m_deadline - aNow) / m_settings.m_decisions.m_latePart);
   return std::max(aNow, std::min(inVain, patience));
 }
 
--- a/src/calls/work_order.cpp
+++ b/src/calls/work_order.cpp
@@ -15,12 +15,7 @@
 /// Over which the load is taken: long enough to hold some hundred calls at a
 /// busy worker, short beside the seconds that a burst lasts.
 constexpr std::chrono::duration<double> kLoadMemory{ 1.0 };
-/// Credit of a late answer as a part of a timely one; deployments give 0.3 to
-/// 0.5.
-constexpr double kLateCredit = 0.5;
-/// Worth of a call as a part of that of the next higher rank. Operators give
-/// ranks and no worth; where they tell both, a rank is a factor of two.
-constexpr double kCreditOfNextRank = 0.5;
+/// Beyond this ranks make no difference any more.
 constexpr std::uint32_t kMostRanks = 20;
 /// Below this the time on the way outweighs the time in a slot.
 constexpr Duration kLeastService = std::chrono::milliseconds{ 1 };
@@ -59,17 +54,22 @@
 }
 
 double
-GainOf(Duration aService, std::uint32_t aPriority, bool aIsLate) noexcept
+GainOf(const DecisionSettings& aDecisions,
+       Duration aService,
+       std::uint32_t aPriority,
+       bool aIsLate) noexcept
 {
   const std::chrono::duration<double> service =
     std::max<Duration>(aService, kLeastService);
   const double credit =
-    std::pow(kCreditOfNextRank, std::min(aPriority, kMostRanks));
-  return credit * (aIsLate ? kLateCredit : 1.0) / service.count();
+    std::pow(aDecisions.m_nextRankCredit, std::min(aPriority, kMostRanks)) *
+    (aIsLate ? aDecisions.m_lateCredit : 1.0);
+  return aDecisions.m_countsTime ? credit / service.count() : credit;
 }
 
 WorkRank
-RankOf(TimePoint aNow,
+RankOf(const DecisionSettings& aDecisions,
+       TimePoint aNow,
        Duration aService,
        std::uint32_t aPriority,
        TimePoint aTarget,
@@ -78,7 +78,7 @@
   const auto needed =
     std::chrono::duration_cast<Duration>(aService * kServiceMargin);
   const bool late = aNow + needed > aTarget;
-  return { GainOf(aService, aPriority, late),
+  return { GainOf(aDecisions, aService, aPriority, late),
            late ? aDeadline : aTarget,
            late };
 }
--- a/src/calls/worker_table.cpp
+++ b/src/calls/worker_table.cpp
@@ -24,9 +24,9 @@
 /// Part of the service time by which a full worker is slower than an empty one;
 /// it also spreads calls over workers that are all far from full.
 constexpr double kCrowding = 0.3;
-/// What a call loses of its worth when its answer comes late; the deployments
-/// credit late answers with 0.3 to 0.5.
-constexpr double kLateLoss = 0.6;
+/// Bytes of a call that crosses beside its bodies: deflated heads of 65 and 80
+/// bytes, measured on played days, and the packets' own.
+constexpr double kCallOverheadBytes = 250.0;
 /// A target that is over or nearly so: the sooner the better, still.
 constexpr auto kLeastTarget = std::chrono::milliseconds{ 100 };
 /// A failure costs the whole call, a refusal the way there and another try;
@@ -117,7 +117,8 @@
 }
 
 Duration
-ExpectedTime(const WorkerRow& aRow,
+ExpectedTime(const DecisionSettings& aDecisions,
+             const WorkerRow& aRow,
              const RoutingContext& aContext,
              Duration aUnknown) noexcept
 {
@@ -134,12 +135,24 @@
   const double load = aRow.m_inFlight / slots;
   const double beyond = std::max(0.0, load - 1.0);
   const double crowded = kCrowding * std::min(1.0, load);
-  const Seconds expected = service * (1.0 + beyond + crowded) + wait +
-                           aRow.m_failures * kFailureCost +
-                           aRow.m_refusals * kRefusalCost;
+  Seconds expected = service * (1.0 + beyond + crowded) + wait;
+  if (aDecisions.m_pushesBack) {
+    expected += aRow.m_failures * kFailureCost + aRow.m_refusals * kRefusalCost;
+  }
   return std::chrono::duration_cast<Duration>(expected);
 }
 
+double
+CrossingPrice(const DecisionSettings& aDecisions,
+              double aRequestBytes,
+              double aAnswerBytes) noexcept
+{
+  constexpr double kKib = 1024.0;
+  const double request = aDecisions.m_countsRequestBody ? aRequestBytes : 0.0;
+  return aDecisions.m_crossingPerKib *
+         (request + aAnswerBytes + kCallOverheadBytes) / kKib;
+}
+
 double
 RiskOfLateness(Duration aExpected, Duration aTargetLeft) noexcept
 {
@@ -158,7 +171,7 @@
                    const RoutingContext& aContext,
                    Random& aRandom) const
 {
-  if (Below(aRandom, kExploreOneIn) == 0) {
+  if (m_decisions.m_explores && Below(aRandom, kExploreOneIn) == 0) {
     for (std::size_t i = 0; i < aRows.size(); ++i) {
       const bool unknown =
         ProfileOf(*aRows[i], aContext.m_profile) == nullptr &&
@@ -170,8 +183,10 @@
   }
   const Duration typical = TypicalService(aRows, aContext.m_profile);
   const auto cost = [&](const WorkerRow& aRow) {
-    const Duration expected = ExpectedTime(aRow, aContext, typical);
-    return kLateLoss * RiskOfLateness(expected, aContext.m_targetLeft) +
+    const Duration expected =
+      ExpectedTime(m_decisions, aRow, aContext, typical);
+    return m_decisions.m_lateLoss *
+             RiskOfLateness(expected, aContext.m_targetLeft) +
            (IsFar(aRow) ? aContext.m_crossing : 0.0);
   };
   const std::size_t offset = Below(aRandom, aRows.size());
@@ -428,7 +443,8 @@
   // Where all fail alike, as when a service that they call is away, the cause
   // is not in this one.
   const double beyondOthers = row.m_failures - LeastFailures(row.m_service);
-  if (beyondOthers > kEjectAbove && row.m_ejectedUntil <= aNow) {
+  if (m_decisions.m_ejects && beyondOthers > kEjectAbove &&
+      row.m_ejectedUntil <= aNow) {
     const auto span = kFirstEjection * (1U << row.m_ejections);
     row.m_ejectedUntil = aNow + Jittered(aRandom, span);
     row.m_ejections = std::min(row.m_ejections + 1, kMaxDoublings);
--- a/src/daemon/call_gateway_callers.cpp
+++ b/src/daemon/call_gateway_callers.cpp
@@ -13,19 +13,6 @@
 
 /// Routes whose figures are kept.
 constexpr std::size_t kMaxFigures = 10'000;
-/// Bytes of a call beside its answer's body: both heads, frames, packets.
-constexpr double kCallOverheadBytes = 700.0;
-/// Price of a KiB between failure domains, as a share of what a call is worth:
-/// between the two deployments' own prices (0.02 and 0.22 of a lookup).
-constexpr double kCrossingPerKib = 0.1;
-
-double
-CrossingPrice(double aAnswerBytes)
-{
-  constexpr double kKib = 1024.0;
-  return kCrossingPerKib * (aAnswerBytes + kCallOverheadBytes) / kKib;
-}
-
 /// \returns The host without its port, in lower case.
 std::string
 HostOf(const std::vector<HttpHeader>& aHeaders)
@@ -129,6 +116,7 @@
                    HttpResponder aDone)
 {
   const TimePoint now = Clock::now();
+  const DecisionSettings& decisions = m_parts.m_settings.m_runs.m_decisions;
   const auto& headers = aRequest.m_headers;
   const auto asked = std::chrono::milliseconds{ NumberHeader(
     headers,
@@ -146,12 +134,15 @@
   RouteFigures& figures = FiguresOf(routeKey);
   if (aRoute.m_targetLatency.count() > 0) {
     const bool isFirst = aRequest.m_isFirstOnConnection;
-    const auto age = figures.m_age.Of(asked, isFirst);
+    const auto age = decisions.m_weighsAge ? figures.m_age.Of(asked, isFirst)
+                                           : std::chrono::milliseconds::zero();
     figures.m_age.Note(asked, isFirst);
     plan.m_target = aCame + aRoute.m_targetLatency - age;
   }
   plan.m_profile = aRoute.m_targetLatency;
-  plan.m_crossing = CrossingPrice(figures.m_answerBytes);
+  plan.m_crossing = CrossingPrice(decisions,
+                                  static_cast<double>(aRequest.m_body.size()),
+                                  figures.m_answerBytes);
   plan.m_priority = aRoute.m_priority;
   if (plan.m_service != m_parts.m_settings.m_service) {
     // It may come from the own worker.
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -18,8 +18,8 @@
 constexpr std::int64_t kMaxBody = 16L * 1024 * 1024;
 const std::vector<std::string> kLevels{ "debug", "info", "warning", "error" };
 const std::vector<std::string> kSections{
-  "daemon",     "listen",        "operators", "worker", "store",
-  "membership", "dissemination", "calls",     "log",    "platform"
+  "daemon",        "listen", "operators", "worker",   "store",    "membership",
+  "dissemination", "calls",  "log",       "platform", "decisions"
 };
 
 /// \returns Host and port of "IP:PORT", or nothing.
@@ -73,6 +73,7 @@
     ReadCalls();
     ReadLog();
     ReadPlatform();
+    ReadDecisions();
     if (!m_faults.empty()) {
       return m_faults;
     }
@@ -292,6 +293,30 @@
     reader.Finish();
   }
 
+  void ReadDecisions()
+  {
+    SettingsReader reader = Section("decisions");
+    DecisionSettings& target = m_settings.m_runs.m_decisions;
+    reader.Number("late_credit", target.m_lateCredit, 0.0, 1.0);
+    reader.Number("next_rank_credit", target.m_nextRankCredit, 0.0, 1.0);
+    reader.Flag("counts_time", target.m_countsTime);
+    reader.Flag("refuses_early", target.m_refusesEarly);
+    reader.Count("late_part", target.m_latePart, 1, 1000);
+    reader.Number("nothing_left", target.m_nothingLeft, 0.0, 1.0);
+    reader.Count("max_busy", target.m_maxBusy, 0, 16);
+    reader.Count("busy_part", target.m_busyPart, 1, 1000);
+    reader.Count("max_redirects", target.m_maxRedirects, 0, 16);
+    reader.Number("late_loss", target.m_lateLoss, 0.0, 1.0);
+    reader.Number("crossing_per_kib", target.m_crossingPerKib, 0.0, 100.0);
+    reader.Flag("counts_request_body", target.m_countsRequestBody);
+    reader.Flag("explores", target.m_explores);
+    reader.Flag("pushes_back", target.m_pushesBack);
+    reader.Flag("ejects", target.m_ejects);
+    reader.Flag("weighs_age", target.m_weighsAge);
+    reader.Flag("sees_common_cause", target.m_seesCommonCause);
+    reader.Finish();
+  }
+
   void ReadLog()
   {
     SettingsReader reader = Section("log");
--- a/src/settings/settings_reader.cpp
+++ b/src/settings/settings_reader.cpp
@@ -129,6 +129,20 @@
   return true;
 }
 
+void
+SettingsReader::Flag(const char* aKey, bool& aTarget)
+{
+  const toml::node* node = Find(aKey);
+  if (node == nullptr) {
+    return;
+  }
+  if (!node->is_boolean()) {
+    Fault(aKey, "true or false");
+    return;
+  }
+  aTarget = node->as_boolean()->get();
+}
+
 void
 SettingsReader::Port(const char* aKey, std::uint16_t& aTarget)
 {
--- a/src/settings/settings_reader.hpp
+++ b/src/settings/settings_reader.hpp
@@ -29,6 +29,7 @@
   void OneOf(const char* aKey,
              std::string& aTarget,
              const std::vector<std::string>& aAllowed);
+  void Flag(const char* aKey, bool& aTarget);
   void Port(const char* aKey, std::uint16_t& aTarget);
   void Millis(const char* aKey,
               std::chrono::milliseconds& aTarget,
--- a/tests/calls/placing.cpp
+++ b/tests/calls/placing.cpp
@@ -80,6 +80,25 @@
   CHECK(Choose(rows, kExport, 0.56, random) == 0);
 }
 
+TEST_CASE("a booking with a large body stays at home rather than cross in time")
+{
+  // The worker at home is slow: bookings of 4 KB would end at 160 of 250 ms
+  // there, and at 80 ms in the next domain. By the bytes of the answers alone,
+  // half of all bookings crossed, a third of all bytes between domains.
+  const DecisionSettings decisions;
+  const double price = CrossingPrice(decisions, 4000.0, 1500.0);
+  CHECK(price > 0.5);
+  std::vector<WorkerRow> rows{ Row("home", "solna"), Row("away", "kista") };
+  Tell(rows[0], 250ms, 160ms, 60ms);
+  Tell(rows[1], 250ms, 80ms);
+  Random random{ 1 };
+  CHECK(Choose(rows, 250ms, price, random) == 0);
+  // Where it would hardly come in time at all, it crosses all the same.
+  rows[0].m_refusals = 1.0;
+  rows[0].m_failures = 1.0;
+  CHECK(Choose(rows, 250ms, price, random) == 1);
+}
+
 TEST_CASE("a worker that has just come is not rushed, and is tried")
 {
   // It is cold for some seconds. Taken for a fast one, it gets a call from
--- a/tests/settings/settings.cpp
+++ b/tests/settings/settings.cpp
@@ -31,6 +31,30 @@
   CHECK(settings.value().m_store.m_timeout == std::chrono::seconds{ 2 });
 }
 
+TEST_CASE("mechanisms of decisions are switched by name")
+{
+  const auto given = ParseSettings(std::string{ kGood } + R"([decisions]
+counts_time = false
+crossing_per_kib = 0.2
+max_busy = 0
+)",
+                                   "good.toml");
+  REQUIRE(given);
+  const DecisionSettings& decisions = given.value().m_runs.m_decisions;
+  CHECK_FALSE(decisions.m_countsTime);
+  CHECK(decisions.m_crossingPerKib == 0.2);
+  CHECK(decisions.m_maxBusy == 0);
+  CHECK(decisions.m_refusesEarly);
+
+  const auto bad = ParseSettings(std::string{ kGood } + R"([decisions]
+ejects = 1
+late_credit = 2.0
+)",
+                                 "bad.toml");
+  REQUIRE_FALSE(bad);
+  CHECK(bad.error().size() == 2);
+}
+
 TEST_CASE("every fault is told in one go, each with its line")
 {
   const std::string bad = std::string{ kGood } + R"([calls]
