A leaving daemon serves its worker and the callers that still come for longer

It also turned calls away from its worker after half of that. Change: requests are taken while they come, up to 1.5 s before the end; calls start at the worker for 2.6 s instead of 1.5. The decision stands by itself. Tests: leaving.cpp; written with the change, the old times fail both.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,5 +1,6 @@
 #include "greengagehub/daemon/daemon.hpp"
 
+#include "greengagehub/daemon/leaving.hpp"
 #include "greengagehub/daemon/wall_clock.hpp"
 #include "platform/dialect.hpp"
 
@@ -23,14 +24,6 @@
 /// while no report has come. Workers report every second or two.
 constexpr int kMaxProbes = 3;
 constexpr auto kProbeEvery = std::chrono::milliseconds{ 500 };
-/// How long a leaving daemon still starts calls at its worker, which mostly
-/// runs on: the rest of the time until it takes no callers is enough for them
-/// to end.
-constexpr auto kServesWorker = std::chrono::milliseconds{ 1500 };
-/// How long a leaving daemon takes requests. The platform asks for readiness
-/// once a second and takes callers away after two misses, and a caller may be
-/// under way with its next request by then.
-constexpr auto kTakesCallers = std::chrono::milliseconds{ 2900 };
 
 /// \returns Time since the machine started. Unlike the steady clock it counts
 /// a suspension of the machine, which must be noticed as any other pause.
@@ -383,13 +376,12 @@
   const bool lingered =
     idle && aNow - m_idleSince >= m_settings.m_calls.m_linger;
   if (m_settings.m_platform.m_enabled) {
-    if (aNow - m_drainFrom >= kServesWorker) {
+    const LeavingStep step = StepOfLeaving(
+      aNow - m_drainFrom, m_drainUntil - aNow, aNow - m_calls.LastCaller());
+    if (!step.m_servesWorker) {
       LeaveWorker();
     }
-    // Callers come until two questions for readiness have gone unanswered, and
-    // where most of a failure domain leaves they come to the end. What is
-    // taken after that might not be answered within the grace time.
-    if (!m_finishing && aNow - m_drainFrom >= kTakesCallers) {
+    if (!m_finishing && !step.m_takesCallers) {
       m_finishing = true;
       m_calls.FinishCallers();
     }
