--- a/include/greengagehub/calls/call.hpp
+++ b/include/greengagehub/calls/call.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "greengagehub/calls/call_dialect.hpp"
+#include "greengagehub/calls/call_kind.hpp"
 #include "greengagehub/config/content.hpp"
 #include "greengagehub/core/clock.hpp"
 #include "greengagehub/http/http_message.hpp"
@@ -81,8 +82,7 @@
   CallClass m_class{ CallClass::Critical };
   /// Rank among the calls that wait at a worker, 0 first.
   std::uint32_t m_priority{ 0 };
-  /// Target latency of its route; calls of the same route take alike.
-  std::chrono::milliseconds m_profile{ 0 };
+  CallKind m_kind{};
   /// Until an answer stops being as good as an immediate one.
   std::chrono::microseconds m_targetLeft{ 0 };
   bool m_idempotent{ false };
--- a/include/greengagehub/calls/dispatcher.hpp
+++ b/include/greengagehub/calls/dispatcher.hpp
@@ -17,8 +17,7 @@
   CallClass m_class{ CallClass::Critical };
   bool m_idempotent{ false };
   TimePoint m_deadline;
-  /// Target latency of its route, by which its kind goes.
-  std::chrono::milliseconds m_profile{ 0 };
+  CallKind m_kind{};
   /// When an answer stops being as good as an immediate one.
   TimePoint m_target{ TimePoint::max() };
   std::uint32_t m_triesLeft{ 2 };
--- a/include/greengagehub/calls/run_table.hpp
+++ b/include/greengagehub/calls/run_table.hpp
@@ -123,14 +123,14 @@
   /// \brief Takes calls again, for another worker at the same place.
   void Reopen() noexcept { m_leaving = false; }
   /// \returns Moving mean of the time that the worker takes for such calls.
-  [[nodiscard]] Duration ServiceTime(std::chrono::milliseconds aProfile) const
+  [[nodiscard]] Duration ServiceTime(CallKind aKind) const
   {
-    return m_services.Of(aProfile);
+    return m_services.Of(aKind);
   }
   /// \returns What such a call would wait if it came now.
   [[nodiscard]] Duration WaitOf(TimePoint aNow,
                                 std::uint32_t aPriority,
-                                std::chrono::milliseconds aProfile) const;
+                                CallKind aKind) const;
   [[nodiscard]] std::uint32_t Slots() const noexcept
   {
     return m_settings.m_slots;
@@ -152,7 +152,7 @@
     std::uint64_t m_epoch{ 0 };
     CallClass m_class{ CallClass::Critical };
     std::uint32_t m_priority{ 0 };
-    std::chrono::milliseconds m_profile{ 0 };
+    CallKind m_kind{};
     State m_state{ State::Queued };
     TimePoint m_target;
     TimePoint m_deadline;
--- a/include/greengagehub/calls/work_order.hpp
+++ b/include/greengagehub/calls/work_order.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "greengagehub/calls/call_kind.hpp"
 #include "greengagehub/calls/decision_settings.hpp"
 #include "greengagehub/config/content.hpp"
 #include "greengagehub/core/clock.hpp"
@@ -18,8 +19,7 @@
   CallClass m_class{ CallClass::Critical };
   /// Rank among those that wait, 0 first.
   std::uint32_t m_priority{ 0 };
-  /// Target latency of its route: calls of the same route take alike.
-  std::chrono::milliseconds m_profile{ 0 };
+  CallKind m_kind{};
   std::chrono::microseconds m_timeLeft{ 0 };
   /// Until an answer stops being as good as an immediate one; never above
   /// m_timeLeft.
@@ -28,22 +28,25 @@
   bool m_refuseIfBusy{ false };
 };
 
-/// \brief Moving means of how long calls run at one worker, by profile.
+/// \brief Moving means of how long calls run at one worker, by kind.
 class ServiceTimes
 {
 public:
-  /// \returns The mean of the profile. While it is unknown, the least of those
+  /// \returns The mean of the kind. While it is unknown, the least of those
   /// that are known, less where its target is nearer: a kind that never ran
   /// must not be refused for the time that others take, or it would never run
   /// and stay unknown.
-  [[nodiscard]] Duration Of(std::chrono::milliseconds aProfile) const;
+  [[nodiscard]] Duration Of(CallKind aKind) const;
   /// \returns The mean over all calls.
   [[nodiscard]] Duration Mean() const noexcept { return m_mean; }
 
-  void Note(std::chrono::milliseconds aProfile, Duration aTook);
+  void Note(CallKind aKind, Duration aTook);
 
 private:
-  std::map<std::chrono::milliseconds, Duration> m_profiles;
+  /// \returns Under which kind it is kept.
+  [[nodiscard]] CallKind Kept(CallKind aKind) const;
+
+  std::map<CallKind, Duration> m_kinds;
   Duration m_mean{ std::chrono::milliseconds{ 1 } };
 };
 
@@ -96,10 +99,7 @@
 {
 public:
   /// \param aGain of such calls while they are on time.
-  void Add(TimePoint aNow,
-           std::chrono::milliseconds aProfile,
-           double aGain,
-           Duration aService);
+  void Add(TimePoint aNow, CallKind aKind, double aGain, Duration aService);
   /// \returns The share of a worker's slots that calls of more gain take, above
   /// 1 when more comes than fits.
   [[nodiscard]] double ShareAbove(TimePoint aNow,
@@ -107,16 +107,16 @@
                                   std::uint32_t aSlots) const;
 
 private:
-  struct Kind
+  struct Load
   {
     double m_gain{ 0.0 };
     double m_seconds{ 0.0 };
     TimePoint m_since{};
   };
 
-  [[nodiscard]] static double DecayedTo(const Kind& aKind, TimePoint aNow);
+  [[nodiscard]] static double DecayedTo(const Load& aLoad, TimePoint aNow);
 
-  std::map<std::chrono::milliseconds, Kind> m_kinds;
+  std::map<CallKind, Load> m_loads;
 };
 
 }
--- a/include/greengagehub/calls/worker_table.hpp
+++ b/include/greengagehub/calls/worker_table.hpp
@@ -24,17 +24,17 @@
   /// Load that its last answer told, and when.
   std::uint32_t m_reported{ 0 };
   TimePoint m_reportedAt{};
-  /// What its answers to calls of one kind told, by the kind's target latency:
-  /// a worker that runs long exports may still answer lookups at once.
-  struct Profile
+  /// What its answers to calls of one kind told: a worker that runs long
+  /// exports may still answer lookups at once.
+  struct KindFigures
   {
-    std::chrono::milliseconds m_profile{ 0 };
+    CallKind m_kind{};
     std::chrono::microseconds m_serviceTime{ 0 };
     /// What another call of the kind would have waited, and when.
     std::chrono::microseconds m_wait{ 0 };
     TimePoint m_at{};
   };
-  std::vector<Profile> m_profiles{};
+  std::vector<KindFigures> m_kinds{};
   /// Moving share of failed attempts, in [0, 1].
   double m_failures{ 0.0 };
   /// Moving share of attempts that it refused for overload, in [0, 1].
@@ -51,8 +51,8 @@
   std::uint32_t m_load{ 0 };
   /// Calls it runs at once; 0: it runs none now.
   std::uint32_t m_slots{ 0 };
-  /// Of calls with this target latency, as the answered one.
-  std::chrono::milliseconds m_profile{ 0 };
+  /// Of the answered call.
+  CallKind m_kind{};
   std::chrono::microseconds m_serviceTime{ 0 };
   std::chrono::microseconds m_wait{ 0 };
 };
@@ -61,8 +61,7 @@
 struct RoutingContext
 {
   TimePoint m_now;
-  /// Target latency of the call's route, by which its kind goes.
-  std::chrono::milliseconds m_profile{ 0 };
+  CallKind m_kind{};
   /// Until an answer stops being as good as an immediate one.
   Duration m_targetLeft{ std::chrono::seconds{ 1 } };
   /// Price of a crossing between failure domains, as a share of what the call
@@ -163,7 +162,7 @@
 /// have told one; what a worker that has just come is taken for.
 [[nodiscard]] Duration
 TypicalService(const std::vector<const WorkerRow*>& aRows,
-               std::chrono::milliseconds aProfile) noexcept;
+               CallKind aKind) noexcept;
 
 /// \param aUnknown service time where the worker has told none.
 /// \returns Time until a call sent now is expected to be answered, with what
@@ -275,7 +274,7 @@
              Random& aRandom);
 
 private:
-  static void TakeProfile(WorkerRow& aRow,
+  static void TakeFigures(WorkerRow& aRow,
                           TimePoint aNow,
                           const LoadReport& aReport);
   /// \returns Least share of failures among the service's workers.
--- a/include/greengagehub/core/digest.hpp
+++ b/include/greengagehub/core/digest.hpp
@@ -27,6 +27,10 @@
 [[nodiscard]] Digest
 HashOf(std::string_view aText);
 
+/// \returns The first eight bytes of SHA-256 of the text, never 0.
+[[nodiscard]] std::uint64_t
+ShortHashOf(std::string_view aText);
+
 /// \returns 64 lower-case hexadecimal digits.
 [[nodiscard]] std::string
 ToHex(const Digest& aDigest);
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -107,6 +107,8 @@
   struct RouteFigures
   {
     CallAge m_age;
+    /// Digest of the route's key.
+    std::uint64_t m_route{ 0 };
     /// Moving mean of the answers' bodies.
     double m_answerBytes{ 1024.0 };
   };
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -119,7 +119,7 @@
 {
   const RoutingContext context{
     aNow,
-    aCall.m_plan.m_profile,
+    aCall.m_plan.m_kind,
     std::min(aCall.m_plan.m_target, aCall.m_plan.m_deadline) - aNow,
     aCall.m_plan.m_crossing,
     aCall.m_plan.m_deadline - aNow
@@ -288,7 +288,7 @@
   }
   const LoadReport report{ aAnswer.m_load,
                            aAnswer.m_slots,
-                           call->m_plan.m_profile,
+                           call->m_plan.m_kind,
                            aAnswer.m_serviceTime,
                            aAnswer.m_wait };
   if (aAnswer.m_outcome == CallOutcome::Answered) {
--- a/src/calls/run_table.cpp
+++ b/src/calls/run_table.cpp
@@ -81,7 +81,7 @@
 {
   return RankOf(m_settings.m_decisions,
                 aNow,
-                m_services.Of(aRun.m_profile),
+                m_services.Of(aRun.m_kind),
                 aRun.m_priority,
                 aRun.m_target,
                 aRun.m_deadline);
@@ -93,7 +93,7 @@
   Duration work = Duration::zero();
   for (const Run& each : m_waiting) {
     if (!aRank.IsBefore(Rank(aNow, each))) {
-      work += m_services.Of(each.m_profile);
+      work += m_services.Of(each.m_kind);
     }
   }
   return work;
@@ -112,13 +112,11 @@
 }
 
 Duration
-RunTable::WaitOf(TimePoint aNow,
-                 std::uint32_t aPriority,
-                 std::chrono::milliseconds aProfile) const
+RunTable::WaitOf(TimePoint aNow, std::uint32_t aPriority, CallKind aKind) const
 {
   const double gain =
-    GainOf(m_settings.m_decisions, m_services.Of(aProfile), aPriority, false);
-  return WaitFor(aNow, { gain, aNow + aProfile, false });
+    GainOf(m_settings.m_decisions, m_services.Of(aKind), aPriority, false);
+  return WaitFor(aNow, { gain, aNow + aKind.m_target, false });
 }
 
 std::optional<Duration>
@@ -196,7 +194,7 @@
 RunTable::ReasonToRefuse(TimePoint aNow, const Run& aRun) const
 {
   const WorkRank rank = Rank(aNow, aRun);
-  const Duration service = m_services.Of(aRun.m_profile);
+  const Duration service = m_services.Of(aRun.m_kind);
   const Duration wait = WaitFor(aNow, rank);
   if (aNow + wait + service + m_settings.m_margin > aRun.m_deadline) {
     return RefusalReason::DeadlineTooShort;
@@ -247,7 +245,7 @@
   offered.m_epoch = aEpoch;
   offered.m_class = aDemand.m_class;
   offered.m_priority = aDemand.m_priority;
-  offered.m_profile = aDemand.m_profile;
+  offered.m_kind = aDemand.m_kind;
   offered.m_target = aNow + aDemand.m_targetLeft;
   offered.m_deadline = aNow + aDemand.m_timeLeft;
   const bool starts = m_running < OpenSlots(aNow);
@@ -264,7 +262,7 @@
   }
   if (const WorkRank rank = Rank(aNow, offered); !rank.m_late) {
     m_onTime.Add(
-      aNow, offered.m_profile, rank.m_gain, m_services.Of(offered.m_profile));
+      aNow, offered.m_kind, rank.m_gain, m_services.Of(offered.m_kind));
   }
   Run& run = Remember(aNow, aKey, State::Queued);
   CopyDemand(offered, run);
@@ -284,7 +282,7 @@
   aTo.m_epoch = aFrom.m_epoch;
   aTo.m_class = aFrom.m_class;
   aTo.m_priority = aFrom.m_priority;
-  aTo.m_profile = aFrom.m_profile;
+  aTo.m_kind = aFrom.m_kind;
   aTo.m_target = aFrom.m_target;
   aTo.m_deadline = aFrom.m_deadline;
 }
@@ -295,7 +293,7 @@
   // Past the first it could not be answered in time; past the second it is
   // late already, and its caller has better things to do than wait.
   const TimePoint inVain =
-    aRun.m_deadline - m_settings.m_margin - m_services.Of(aRun.m_profile);
+    aRun.m_deadline - m_settings.m_margin - m_services.Of(aRun.m_kind);
   const TimePoint patience = std::max(
     aRun.m_target,
     aNow + (aRun.m_deadline - aNow) / m_settings.m_decisions.m_latePart);
@@ -366,7 +364,7 @@
     return out;
   }
   Run& run = *known->second;
-  m_services.Note(run.m_profile, aNow - run.m_since);
+  m_services.Note(run.m_kind, aNow - run.m_since);
   run.m_state = State::Finished;
   run.m_since = aNow;
   m_ended.push_back(run);
--- a/src/calls/work_order.cpp
+++ b/src/calls/work_order.cpp
@@ -17,37 +17,48 @@
 constexpr std::chrono::duration<double> kLoadMemory{ 1.0 };
 /// Beyond this ranks make no difference any more.
 constexpr std::uint32_t kMostRanks = 20;
+/// Kinds that are told apart at one worker. Services have some ten; those
+/// beyond go by their target.
+constexpr std::size_t kMaxKinds = 64;
 /// Below this the time on the way outweighs the time in a slot.
 constexpr Duration kLeastService = std::chrono::milliseconds{ 1 };
 
 }
 
+CallKind
+ServiceTimes::Kept(CallKind aKind) const
+{
+  const bool fits = m_kinds.contains(aKind) || m_kinds.size() < kMaxKinds;
+  return fits ? aKind : CallKind{ aKind.m_target };
+}
+
 Duration
-ServiceTimes::Of(std::chrono::milliseconds aProfile) const
+ServiceTimes::Of(CallKind aKind) const
 {
-  const auto found = m_profiles.find(aProfile);
-  if (found != m_profiles.end()) {
+  const auto found = m_kinds.find(Kept(aKind));
+  if (found != m_kinds.end()) {
     return found->second;
   }
   Duration least = m_mean;
-  for (const auto& [profile, mean] : m_profiles) {
+  for (const auto& [kind, mean] : m_kinds) {
     // Operators set targets by what calls take.
-    const Duration scaled = profile > aProfile && profile.count() > 0
-                              ? mean * aProfile.count() / profile.count()
-                              : mean;
+    const Duration scaled =
+      kind.m_target > aKind.m_target
+        ? mean * aKind.m_target.count() / kind.m_target.count()
+        : mean;
     least = std::min(least, scaled);
   }
   return least;
 }
 
 void
-ServiceTimes::Note(std::chrono::milliseconds aProfile, Duration aTook)
+ServiceTimes::Note(CallKind aKind, Duration aTook)
 {
-  if (m_profiles.empty()) {
+  if (m_kinds.empty()) {
     m_mean = aTook;
   }
   m_mean += (aTook - m_mean) / (1 << kMeanShift);
-  const auto [found, isNew] = m_profiles.emplace(aProfile, aTook);
+  const auto [found, isNew] = m_kinds.emplace(Kept(aKind), aTook);
   if (!isNew) {
     found->second += (aTook - found->second) / (1 << kMeanShift);
   }
@@ -84,19 +95,17 @@
 }
 
 double
-OnTimeLoad::DecayedTo(const Kind& aKind, TimePoint aNow)
+OnTimeLoad::DecayedTo(const Load& aLoad, TimePoint aNow)
 {
-  const std::chrono::duration<double> age = aNow - aKind.m_since;
-  return aKind.m_seconds * std::exp(-(age / kLoadMemory));
+  const std::chrono::duration<double> age = aNow - aLoad.m_since;
+  return aLoad.m_seconds * std::exp(-(age / kLoadMemory));
 }
 
 void
-OnTimeLoad::Add(TimePoint aNow,
-                std::chrono::milliseconds aProfile,
-                double aGain,
-                Duration aService)
+OnTimeLoad::Add(TimePoint aNow, CallKind aKind, double aGain, Duration aService)
 {
-  Kind& kind = m_kinds[aProfile];
+  const bool fits = m_loads.contains(aKind) || m_loads.size() < kMaxKinds;
+  Load& kind = m_loads[fits ? aKind : CallKind{ aKind.m_target }];
   kind.m_seconds =
     DecayedTo(kind, aNow) + std::chrono::duration<double>(aService).count();
   kind.m_gain = aGain;
@@ -107,8 +116,8 @@
 OnTimeLoad::ShareAbove(TimePoint aNow, double aGain, std::uint32_t aSlots) const
 {
   double seconds = 0.0;
-  for (const auto& [profile, kind] : m_kinds) {
-    seconds += kind.m_gain > aGain ? DecayedTo(kind, aNow) : 0.0;
+  for (const auto& [kind, load] : m_loads) {
+    seconds += load.m_gain > aGain ? DecayedTo(load, aNow) : 0.0;
   }
   return seconds / (kLoadMemory.count() * std::max(1U, aSlots));
 }
--- a/src/calls/worker_table.cpp
+++ b/src/calls/worker_table.cpp
@@ -20,7 +20,7 @@
 /// Service time while no worker has told one.
 constexpr auto kUnknownService = std::chrono::milliseconds{ 50 };
 /// Kinds of calls remembered for each worker.
-constexpr std::size_t kMaxProfiles = 16;
+constexpr std::size_t kMaxKinds = 16;
 /// Part of the service time by which a full worker is slower than an empty one;
 /// it also spreads calls over workers that are all far from full.
 constexpr double kCrowding = 0.3;
@@ -89,25 +89,30 @@
   return best;
 }
 
-const WorkerRow::Profile*
-ProfileOf(const WorkerRow& aRow, std::chrono::milliseconds aProfile) noexcept
+const WorkerRow::KindFigures*
+FiguresOf(const WorkerRow& aRow, CallKind aKind) noexcept
 {
-  for (const WorkerRow::Profile& each : aRow.m_profiles) {
-    if (each.m_profile == aProfile) {
+  const WorkerRow::KindFigures* alike = nullptr;
+  for (const WorkerRow::KindFigures& each : aRow.m_kinds) {
+    if (each.m_kind == aKind) {
       return &each;
     }
+    if (each.m_kind.m_target == aKind.m_target) {
+      alike = &each;
+    }
   }
-  return nullptr;
+  // Of another route with the same target, while this one is new there.
+  return alike;
 }
 
 Duration
 TypicalService(const std::vector<const WorkerRow*>& aRows,
-               std::chrono::milliseconds aProfile) noexcept
+               CallKind aKind) noexcept
 {
   Duration sum = Duration::zero();
   int known = 0;
   for (const WorkerRow* each : aRows) {
-    if (const auto* profile = ProfileOf(*each, aProfile)) {
+    if (const auto* profile = FiguresOf(*each, aKind)) {
       sum += profile->m_serviceTime;
       ++known;
     }
@@ -124,7 +129,7 @@
   using Seconds = std::chrono::duration<double>;
   Seconds service = aUnknown;
   Seconds wait{ 0.0 };
-  if (const auto* known = ProfileOf(aRow, aContext.m_profile)) {
+  if (const auto* known = FiguresOf(aRow, aContext.m_kind)) {
     const double age =
       Seconds(aContext.m_now - known->m_at) / Seconds(kReportLife);
     service = known->m_serviceTime;
@@ -187,15 +192,14 @@
 {
   if (m_decisions.m_explores && Below(aRandom, kExploreOneIn) == 0) {
     for (std::size_t i = 0; i < aRows.size(); ++i) {
-      const bool unknown =
-        ProfileOf(*aRows[i], aContext.m_profile) == nullptr &&
-        aRows[i]->m_inFlight == 0;
+      const bool unknown = FiguresOf(*aRows[i], aContext.m_kind) == nullptr &&
+                           aRows[i]->m_inFlight == 0;
       if (unknown && !IsFar(*aRows[i])) {
         return i;
       }
     }
   }
-  const Duration typical = TypicalService(aRows, aContext.m_profile);
+  const Duration typical = TypicalService(aRows, aContext.m_kind);
   const auto cost = [&](const WorkerRow& aRow) {
     return ExpectedLoss(m_decisions, aRow, aContext, typical) +
            (IsFar(aRow) ? aContext.m_crossing : 0.0);
@@ -367,25 +371,35 @@
 }
 
 void
-WorkerTable::TakeProfile(WorkerRow& aRow,
+WorkerTable::TakeFigures(WorkerRow& aRow,
                          TimePoint aNow,
                          const LoadReport& aReport)
 {
   if (aReport.m_slots == 0) {
     return;
   }
-  const WorkerRow::Profile profile{
-    aReport.m_profile, aReport.m_serviceTime, aReport.m_wait, aNow
+  const WorkerRow::KindFigures figures{
+    aReport.m_kind, aReport.m_serviceTime, aReport.m_wait, aNow
   };
   const auto known = std::find_if(
-    aRow.m_profiles.begin(), aRow.m_profiles.end(), [&](const auto& aEach) {
-      return aEach.m_profile == aReport.m_profile;
+    aRow.m_kinds.begin(), aRow.m_kinds.end(), [&](const auto& aEach) {
+      return aEach.m_kind == aReport.m_kind;
     });
-  if (known != aRow.m_profiles.end()) {
-    *known = profile;
-  } else if (aRow.m_profiles.size() < kMaxProfiles) {
-    aRow.m_profiles.push_back(profile);
+  if (known != aRow.m_kinds.end()) {
+    *known = figures;
+    return;
+  }
+  if (aRow.m_kinds.size() < kMaxKinds) {
+    aRow.m_kinds.push_back(figures);
+    return;
   }
+  const auto oldest =
+    std::min_element(aRow.m_kinds.begin(),
+                     aRow.m_kinds.end(),
+                     [](const auto& aLeft, const auto& aRight) {
+                       return aLeft.m_at < aRight.m_at;
+                     });
+  *oldest = figures;
 }
 
 double
@@ -438,7 +452,7 @@
     row.m_reported = aReport->m_load;
     row.m_reportedAt = aNow;
     row.m_slots = aReport->m_slots > 0 ? aReport->m_slots : row.m_slots;
-    TakeProfile(row, aNow, *aReport);
+    TakeFigures(row, aNow, *aReport);
   }
   if (aVerdict == Verdict::None) {
     return;
--- a/src/core/digest.cpp
+++ b/src/core/digest.cpp
@@ -49,6 +49,17 @@
   return digest;
 }
 
+std::uint64_t
+ShortHashOf(std::string_view aText)
+{
+  const Digest digest = HashOf(aText);
+  std::uint64_t number = 0;
+  for (std::size_t i = 0; i < sizeof number; ++i) {
+    number = number << 8U | digest.m_bytes[i];
+  }
+  return std::max<std::uint64_t>(1, number);
+}
+
 std::string
 ToHex(const Digest& aDigest)
 {
--- a/src/daemon/call_gateway_callers.cpp
+++ b/src/daemon/call_gateway_callers.cpp
@@ -140,7 +140,7 @@
     figures.m_age.Note(asked, isFirst);
     plan.m_target = aCame + aRoute.m_targetLatency - age;
   }
-  plan.m_profile = aRoute.m_targetLatency;
+  plan.m_kind = { aRoute.m_targetLatency, figures.m_route };
   plan.m_crossing = CrossingPrice(decisions,
                                   static_cast<double>(aRequest.m_body.size()),
                                   figures.m_answerBytes);
@@ -182,7 +182,7 @@
                   m_parts.m_settings.m_service });
   }
   request.m_priority = aRoute.m_priority;
-  request.m_profile = aRoute.m_targetLatency;
+  request.m_kind = plan.m_kind;
   request.m_body = std::move(aRequest.m_body);
   request.m_class = plan.m_class;
   request.m_idempotent = plan.m_idempotent;
@@ -200,7 +200,11 @@
     // Mostly of routes that are gone; the others are learned again at once.
     m_figures.clear();
   }
-  return m_figures[aKey];
+  const auto [found, isNew] = m_figures.try_emplace(aKey);
+  if (isNew) {
+    found->second.m_route = ShortHashOf(aKey);
+  }
+  return found->second;
 }
 
 std::string
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -38,7 +38,7 @@
 {
   return { .m_class = aRequest.m_class,
            .m_priority = aRequest.m_priority,
-           .m_profile = aRequest.m_profile,
+           .m_kind = aRequest.m_kind,
            .m_timeLeft = aRequest.m_timeLeft,
            .m_targetLeft = std::min(aRequest.m_targetLeft, aRequest.m_timeLeft),
            .m_refuseIfBusy = aRequest.m_refuseIfBusy };
@@ -262,13 +262,12 @@
 {
   using std::chrono::duration_cast;
   using std::chrono::microseconds;
-  const std::chrono::milliseconds profile = aRequest.m_profile;
+  const CallKind kind = aRequest.m_kind;
   aAnswer.m_load = m_runs.Load();
   aAnswer.m_slots = m_hasWorker ? m_runs.Slots() : 0;
-  aAnswer.m_serviceTime =
-    duration_cast<microseconds>(m_runs.ServiceTime(profile));
+  aAnswer.m_serviceTime = duration_cast<microseconds>(m_runs.ServiceTime(kind));
   aAnswer.m_wait = duration_cast<microseconds>(
-    m_runs.WaitOf(Clock::now(), aRequest.m_priority, profile));
+    m_runs.WaitOf(Clock::now(), aRequest.m_priority, kind));
   m_answer(aKey, std::move(aAnswer));
 }
 
@@ -385,7 +384,7 @@
            .m_slots = m_hasWorker ? m_runs.Slots() : 0,
            .m_wait = std::chrono::duration_cast<std::chrono::microseconds>(
              m_runs.WaitOf(
-               Clock::now(), aRequest.m_priority, aRequest.m_profile)) };
+               Clock::now(), aRequest.m_priority, aRequest.m_kind)) };
 }
 
 void
--- a/src/transport/link_codec.cpp
+++ b/src/transport/link_codec.cpp
@@ -102,7 +102,9 @@
     out.set_is_repeat(aRequest.m_isRepeat);
     out.set_refuse_if_busy(aRequest.m_refuseIfBusy);
     out.set_priority(aRequest.m_priority);
-    out.set_profile_ms(static_cast<std::uint64_t>(aRequest.m_profile.count()));
+    out.set_kind_target_ms(
+      static_cast<std::uint64_t>(aRequest.m_kind.m_target.count()));
+    out.set_kind_route(aRequest.m_kind.m_route);
     out.set_target_us(static_cast<std::uint64_t>(
       std::max<std::int64_t>(0, aRequest.m_targetLeft.count())));
   }
@@ -169,7 +171,8 @@
   request.m_isRepeat = aWire.is_repeat();
   request.m_refuseIfBusy = aWire.refuse_if_busy();
   request.m_priority = aWire.priority();
-  request.m_profile = std::chrono::milliseconds{ aWire.profile_ms() };
+  request.m_kind = { std::chrono::milliseconds{ aWire.kind_target_ms() },
+                     aWire.kind_route() };
   request.m_targetLeft = std::chrono::microseconds{ aWire.target_us() };
   return LinkFrame{ std::move(request) };
 }
--- a/tests/calls/dispatcher.cpp
+++ b/tests/calls/dispatcher.cpp
@@ -280,7 +280,7 @@
     plan.m_service = "board";
     plan.m_deadline = kStart + 2s;
     plan.m_target = kStart + 400ms;
-    plan.m_profile = 400ms;
+    plan.m_kind = 400ms;
     plan.m_crossing = 0.5;
     Take(m_dispatcher.Begin(kStart, 1, std::move(plan)));
   }
--- a/tests/calls/many_callers.cpp
+++ b/tests/calls/many_callers.cpp
@@ -92,7 +92,7 @@
     plan.m_service = "board";
     plan.m_deadline = m_now + 2s;
     plan.m_target = m_now + kTarget;
-    plan.m_profile = kTarget;
+    plan.m_kind = kTarget;
     m_began[aId] = m_now;
     Carry(caller, m_callers[caller]->Begin(m_now, aId, std::move(plan)));
   }
@@ -123,7 +123,7 @@
       key,
       1,
       { .m_priority = 2,
-        .m_profile = kTarget,
+        .m_kind = kTarget,
         .m_timeLeft = aAttempt.m_timeLeft,
         .m_targetLeft = aAttempt.m_targetLeft,
         .m_refuseIfBusy = m_asks && aAttempt.m_refuseIfBusy },
--- a/tests/calls/one_worker.hpp
+++ b/tests/calls/one_worker.hpp
@@ -12,7 +12,7 @@
 /// \brief Calls of one kind that come evenly spaced.
 struct Stream
 {
-  std::chrono::milliseconds m_profile{ 0 };
+  CallKind m_kind{};
   std::uint32_t m_priority{ 0 };
   std::chrono::microseconds m_every{ 0 };
   std::chrono::milliseconds m_service{ 0 };
@@ -93,7 +93,7 @@
                     key,
                     1,
                     { .m_priority = aStream.m_priority,
-                      .m_profile = aStream.m_profile,
+                      .m_kind = aStream.m_kind,
                       .m_timeLeft = aStream.m_deadline,
                       .m_targetLeft = aStream.m_target },
                     out);
--- a/tests/calls/placing.cpp
+++ b/tests/calls/placing.cpp
@@ -27,16 +27,16 @@
 
 void
 Tell(WorkerRow& aRow,
-     std::chrono::milliseconds aProfile,
+     CallKind aKind,
      std::chrono::microseconds aService,
      std::chrono::microseconds aWait = 0us)
 {
-  aRow.m_profiles.push_back({ aProfile, aService, aWait, kStart });
+  aRow.m_kinds.push_back({ aKind, aService, aWait, kStart });
 }
 
 std::size_t
 Choose(const std::vector<WorkerRow>& aRows,
-       std::chrono::milliseconds aProfile,
+       std::chrono::milliseconds aTarget,
        double aCrossing,
        Random& aRandom)
 {
@@ -47,7 +47,7 @@
   }
   const NearestFit policy{ "solna" };
   return policy.Choose(
-    rows, { kStart, aProfile, aProfile, aCrossing, 4 * aProfile }, aRandom);
+    rows, { kStart, aTarget, aTarget, aCrossing, 4 * aTarget }, aRandom);
 }
 
 }
@@ -196,7 +196,7 @@
                                             key,
                                             1,
                                             { .m_priority = 1,
-                                              .m_profile = 300ms,
+                                              .m_kind = 300ms,
                                               .m_timeLeft = 2s,
                                               .m_targetLeft = 300ms },
                                             out);
@@ -236,7 +236,7 @@
              { 1, aCall },
              1,
              { .m_priority = aPriority,
-               .m_profile = 500ms,
+               .m_kind = 500ms,
                .m_timeLeft = 2s,
                .m_targetLeft = 500ms },
              out)
--- a/tests/calls/run_table.cpp
+++ b/tests/calls/run_table.cpp
@@ -168,7 +168,7 @@
     return table.Admit(kStart,
                        { 1, aCall },
                        1,
-                       { .m_profile = 400ms,
+                       { .m_kind = 400ms,
                          .m_timeLeft = 2s,
                          .m_targetLeft = 400ms,
                          .m_refuseIfBusy = aRefuseIfBusy },
--- a/tests/calls/turns.cpp
+++ b/tests/calls/turns.cpp
@@ -36,6 +36,23 @@
   CHECK(served[0].Refused() < 0.4);
 }
 
+TEST_CASE("kinds with one target and unlike work are told apart")
+{
+  // Two routes of a service aim at 400 ms; one takes 20 ms, the other 200. By
+  // the mean over both, the brief ones waited behind twice the load that they
+  // are, and every second one was refused with the long ones at 1.4 times what
+  // the worker can do.
+  const CallKind brief{ 400ms, 1 };
+  const CallKind lengthy{ 400ms, 2 };
+  OneWorker worker{ 9 };
+  const auto served = worker.Play({ { brief, 1, 10ms, 20ms, 400ms, 800ms },
+                                    { lengthy, 1, 17ms, 200ms, 400ms, 800ms } },
+                                  20s);
+  CHECK(served[0].Refused() == 0.0);
+  CHECK(served[0].InTarget() > 0.99);
+  CHECK(served[1].InTarget() > 0.45);
+}
+
 TEST_CASE("a kind that never ran is tried beside slow ones")
 {
   // After a restart a worker has run only slow reads, of 300 ms while it is
@@ -46,11 +63,10 @@
   RunTable table{ { .m_slots = kSlots, .m_queue = 10 } };
   TimePoint now{ 1h };
   RunActions out;
-  const WorkDemand read{ .m_priority = 2,
-                         .m_profile = 400ms,
-                         .m_timeLeft = 800ms,
-                         .m_targetLeft = 400ms };
-  const WorkDemand check{ .m_profile = 60ms,
+  const WorkDemand read{
+    .m_priority = 2, .m_kind = 400ms, .m_timeLeft = 800ms, .m_targetLeft = 400ms
+  };
+  const WorkDemand check{ .m_kind = 60ms,
                           .m_timeLeft = 200ms,
                           .m_targetLeft = 60ms };
   for (std::uint64_t call = 1; call <= 2 * kSlots; ++call) {
