Asking stops at the share of the time at which waiting is worth it

Change: one bound for both, a twentieth: a wait below it is not worth an ask, an ask above it is not worth its time.

--- a/include/greengagehub/calls/decision_settings.hpp
+++ b/include/greengagehub/calls/decision_settings.hpp
@@ -42,13 +42,11 @@
   /// queue of all, and cost at most two messages within the domain.
   std::uint32_t m_maxBusy{ 2 };
   /// A wait of more than one part in so many of the time left to the target is
-  /// worth asking another worker, which takes well under a millisecond.
+  /// worth asking another worker, if asking has lately taken less than that. On
+  /// daemons with a tenth of a core under load an ask takes 5 to 20 ms: calls
+  /// that runs wait for were late by it, and the slots of their callers stood
+  /// still.
   std::uint32_t m_busyPart{ 20 };
-  /// Nobody is asked where that has lately taken more than one part in so many
-  /// of the time left to the target. On daemons with a tenth of a core an ask
-  /// takes 5 to 20 ms: calls that runs wait for were late by it, and the slots
-  /// of their callers stood still.
-  std::uint32_t m_askPart{ 50 };
   /// Workers' daemons that a call is offered to after the first refused it.
   /// Each costs a way there and back; the third has the same news as the ones
   /// before.
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -151,7 +151,7 @@
 BasicDispatcher<Policy>::IsAskingCheap(TimePoint aNow, const Call& aCall) const
 {
   const Duration left = std::max<Duration>(aCall.m_plan.m_target - aNow, {});
-  return m_askTime <= left / m_decisions.m_askPart;
+  return m_askTime <= left / m_decisions.m_busyPart;
 }
 
 template<RoutingPolicy Policy>
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -305,7 +305,6 @@
     reader.Number("nothing_left", target.m_nothingLeft, 0.0, 1.0);
     reader.Count("max_busy", target.m_maxBusy, 0, 16);
     reader.Count("busy_part", target.m_busyPart, 1, 1000);
-    reader.Count("ask_part", target.m_askPart, 1, 1000);
     reader.Count("max_redirects", target.m_maxRedirects, 0, 16);
     reader.Count("choices", target.m_choices, 0, 1000);
     reader.Number("late_loss", target.m_lateLoss, 0.0, 1.0);
