--- a/include/greengagehub/calls/dispatcher.hpp
+++ b/include/greengagehub/calls/dispatcher.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "greengagehub/calls/placing.hpp"
 #include "greengagehub/calls/retry_budget.hpp"
-#include "greengagehub/calls/worker_table.hpp"
 
 #include <set>
 #include <unordered_map>
--- /dev/null
+++ b/src/calls/placing.cpp
@@ -0,0 +1,190 @@
+#include "greengagehub/calls/placing.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+
+namespace greengagehub {
+
+namespace {
+
+/// News of a worker's queue counts in full when fresh and nothing after this
+/// time.
+constexpr auto kNewsLife = std::chrono::milliseconds{ 500 };
+/// One call in so many goes to a worker nearby that has told nothing yet.
+constexpr std::uint64_t kExploreOneIn = 32;
+/// A worker that has told nothing is taken for this many times slower than a
+/// typical one, as it may be cold; half of the time that cold ones take more.
+constexpr double kNewcomer = 1.5;
+/// Service time while no worker has told one.
+constexpr auto kUnknownService = std::chrono::milliseconds{ 50 };
+/// Part of the service time by which a full worker is slower than an empty one;
+/// it also spreads calls over workers that are all far from full.
+constexpr double kCrowding = 0.3;
+/// Bytes of a call that crosses beside its bodies: deflated heads of 65 and 80
+/// bytes, measured on played days, and the packets' own.
+constexpr double kCallOverheadBytes = 250.0;
+/// A target that is over or nearly so: the sooner the better, still.
+constexpr auto kLeastTarget = std::chrono::milliseconds{ 100 };
+/// A refusal costs the way there and another try, as time beside service times
+/// of some 100 ms.
+constexpr auto kRefusalCost = std::chrono::milliseconds{ 250 };
+
+/// \returns What the worker told of such calls, or of another route's with the
+/// same target while this one is new there.
+const WorkerRow::KindFigures*
+FiguresOf(const WorkerRow& aRow, CallKind aKind) noexcept
+{
+  const WorkerRow::KindFigures* alike = nullptr;
+  for (const WorkerRow::KindFigures& each : aRow.m_kinds) {
+    if (each.m_kind == aKind) {
+      return &each;
+    }
+    if (each.m_kind.m_target == aKind.m_target) {
+      alike = &each;
+    }
+  }
+  return alike;
+}
+
+}
+
+Duration
+TypicalService(const std::vector<const WorkerRow*>& aRows,
+               CallKind aKind) noexcept
+{
+  Duration sum = Duration::zero();
+  int known = 0;
+  for (const WorkerRow* each : aRows) {
+    if (const auto* figures = FiguresOf(*each, aKind)) {
+      sum += figures->m_serviceTime;
+      ++known;
+    }
+  }
+  return known > 0 ? sum / known : Duration{ kUnknownService };
+}
+
+Duration
+ExpectedTime(const DecisionSettings& aDecisions,
+             const WorkerRow& aRow,
+             const RoutingContext& aContext,
+             Duration aUnknown) noexcept
+{
+  using Seconds = std::chrono::duration<double>;
+  Seconds service = aUnknown;
+  Seconds wait{ 0.0 };
+  if (const auto* known = FiguresOf(aRow, aContext.m_kind)) {
+    const double age =
+      Seconds(aContext.m_now - known->m_at) / Seconds(kNewsLife);
+    service = known->m_serviceTime;
+    wait = std::clamp(1.0 - age, 0.0, 1.0) * Seconds(known->m_wait);
+  }
+  const double slots = std::max(1U, aRow.m_slots);
+  const double load = aRow.m_inFlight / slots;
+  const double beyond = std::max(0.0, load - 1.0);
+  const double crowded = kCrowding * std::min(1.0, load);
+  Seconds expected = service * (1.0 + beyond + crowded) + wait;
+  if (aDecisions.m_pushesBack) {
+    expected += aRow.m_refusals * kRefusalCost;
+  }
+  return std::chrono::duration_cast<Duration>(expected);
+}
+
+double
+CrossingPrice(const DecisionSettings& aDecisions,
+              double aRequestBytes,
+              double aAnswerBytes) noexcept
+{
+  constexpr double kKib = 1024.0;
+  const double request = aDecisions.m_countsRequestBody ? aRequestBytes : 0.0;
+  return aDecisions.m_crossingPerKib *
+         (request + aAnswerBytes + kCallOverheadBytes) / kKib;
+}
+
+double
+RiskOfLateness(Duration aExpected, Duration aTargetLeft) noexcept
+{
+  // Fits a service time whose spread is half of its mean: 3% at 0.3 of the
+  // target, 11% at half, a half where the mean just meets it.
+  const std::chrono::duration<double> expected = aExpected;
+  const std::chrono::duration<double> left =
+    std::max<Duration>(aTargetLeft, kLeastTarget);
+  const double ratio = expected / left;
+  const double cubed = ratio * ratio * ratio;
+  return cubed / (1.0 + cubed);
+}
+
+double
+ExpectedLoss(const DecisionSettings& aDecisions,
+             const WorkerRow& aRow,
+             const RoutingContext& aContext,
+             Duration aUnknown) noexcept
+{
+  const Duration expected = ExpectedTime(aDecisions, aRow, aContext, aUnknown);
+  const double late = RiskOfLateness(expected, aContext.m_targetLeft);
+  const double lost = RiskOfLateness(expected, aContext.m_deadlineLeft);
+  const double failed = aDecisions.m_pushesBack ? aRow.m_failures : 0.0;
+  const double answered = 1.0 - failed;
+  return failed + answered * (aDecisions.m_lateLoss * late +
+                              (1.0 - aDecisions.m_lateLoss) * lost);
+}
+
+std::size_t
+NearestFit::Choose(const std::vector<const WorkerRow*>& aRows,
+                   const RoutingContext& aContext,
+                   Random& aRandom) const
+{
+  if (m_decisions.m_explores && Below(aRandom, kExploreOneIn) == 0) {
+    for (std::size_t i = 0; i < aRows.size(); ++i) {
+      const bool unknown = FiguresOf(*aRows[i], aContext.m_kind) == nullptr &&
+                           aRows[i]->m_inFlight == 0;
+      if (unknown && !IsFar(*aRows[i])) {
+        return i;
+      }
+    }
+  }
+  const Duration typical = TypicalService(aRows, aContext.m_kind);
+  const auto cost = [&](const WorkerRow& aRow) {
+    const bool isNew = FiguresOf(aRow, aContext.m_kind) == nullptr;
+    // Until the first call there has ended it gets no second one.
+    const double waits = isNew && aRow.m_inFlight > 0 ? 1.0 : 0.0;
+    const Duration service =
+      isNew ? std::chrono::duration_cast<Duration>(typical * kNewcomer)
+            : typical;
+    return ExpectedLoss(m_decisions, aRow, aContext, service) + waits +
+           (IsFar(aRow) ? aContext.m_crossing : 0.0);
+  };
+  std::size_t best = 0;
+  double least = std::numeric_limits<double>::infinity();
+  for (const std::size_t at : Drawn(aRows, aRandom)) {
+    const double here = cost(*aRows[at]);
+    if (here < least) {
+      best = at;
+      least = here;
+    }
+  }
+  return best;
+}
+
+std::vector<std::size_t>
+NearestFit::Drawn(const std::vector<const WorkerRow*>& aRows,
+                  Random& aRandom) const
+{
+  std::vector<std::size_t> drawn(aRows.size());
+  std::iota(drawn.begin(), drawn.end(), std::size_t{ 0 });
+  for (std::size_t i = 0; i + 1 < drawn.size(); ++i) {
+    std::swap(drawn[i], drawn[i + Below(aRandom, drawn.size() - i)]);
+  }
+  if (m_decisions.m_choices == 0) {
+    return drawn;
+  }
+  std::uint32_t near = 0;
+  std::uint32_t far = 0;
+  std::erase_if(drawn, [&](std::size_t aIndex) {
+    std::uint32_t& count = IsFar(*aRows[aIndex]) ? far : near;
+    return ++count > m_decisions.m_choices;
+  });
+  return drawn;
+}
+
+}
