Entries that another writer left in the store are refused whole

Cause: the parsers of stored records trusted the JSON library's conversions. A manifest whose chain is a number ended the process by an exception; -1, 6.5 and true became whole numbers in logs and decisions; an index line without a number named segment 0; an address that is a name counted as a peer about to answer. Ruled out: catching at the callers, which would leave half-read records. Change: core/field_reader reads each field strictly and keeps the first fault with its place; manifests, logs, decisions, index lines and seeds use it.

--- a/src/config/decision_json.cpp
+++ b/src/config/decision_json.cpp
@@ -1,4 +1,5 @@
 #include "greengagehub/config/decision.hpp"
+#include "greengagehub/core/field_reader.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -11,7 +12,7 @@
 
 namespace {
 
-constexpr int kFormat = 1;
+constexpr std::uint64_t kFormat = 1;
 
 Json
 ToJson(const Decision& aDecision)
@@ -43,63 +44,91 @@
   return out;
 }
 
-/// Throws like nlohmann does; caught at the library's
-/// edge below and turned into values.
 Digest
-DigestAt(const Json& aObject, const char* aName)
+DigestAt(FieldReader& aFields, const char* aName)
 {
-  const auto digest = ParseDigest(aObject.at(aName).get<std::string>());
+  const auto digest = ParseDigest(aFields.Text(aName));
   if (!digest) {
-    throw std::invalid_argument{ digest.error().m_message };
+    aFields.Note(aName, "a digest");
+    return {};
   }
   return digest.value();
 }
 
-Reason
+Version
+VersionAt(FieldReader& aFields, const char* aName)
+{
+  return Version{ aFields.Whole(aName) };
+}
+
+Outcome<Reason>
 ReasonFrom(const Json& aObject)
 {
-  const auto code = ParseReasonCode(aObject.at("code").get<std::string>());
+  FieldReader fields{ aObject };
+  const auto code = ParseReasonCode(fields.Text("code"));
   if (!code) {
-    throw std::invalid_argument{ "unknown reason code" };
+    fields.Note("code", "a known reason");
   }
-  return { *code,
-           aObject.at("place").get<std::string>(),
-           aObject.at("detail").get<std::string>() };
+  Reason reason{ code.value_or(ReasonCode::NotJson),
+                 fields.Text("place"),
+                 fields.Text("detail") };
+  if (!fields.Fault().empty()) {
+    return Error{ ErrorCode::Corrupt, fields.Fault() };
+  }
+  return reason;
 }
 
-Decision
+void
+TakeEntry(FieldReader& aFields, VersionEntry& aOut)
+{
+  aOut.m_version = VersionAt(aFields, "version");
+  aOut.m_patch = aFields.Text("patch");
+  aOut.m_chain = DigestAt(aFields, "chain");
+  aOut.m_content = DigestAt(aFields, "content");
+}
+
+Outcome<Decision>
 DecisionFrom(const Json& aObject)
 {
+  FieldReader fields{ aObject };
   Decision out;
-  out.m_sequence = aObject.at("sequence").get<std::uint64_t>();
-  out.m_id = aObject.at("id").get<std::string>();
-  out.m_patchDigest = DigestAt(aObject, "patch_digest");
-  out.m_base.m_number = aObject.at("base").get<std::uint64_t>();
-  out.m_author = aObject.at("author").get<std::string>();
-  out.m_at = WallTime{ std::chrono::milliseconds{
-    aObject.at("at_ms").get<std::int64_t>() } };
-  out.m_rules = aObject.at("rules").get<std::uint32_t>();
-  out.m_head.m_number = aObject.at("head").get<std::uint64_t>();
-  out.m_accepted = aObject.at("accepted").get<bool>();
+  out.m_sequence = fields.Whole("sequence");
+  out.m_id = fields.Text("id");
+  out.m_patchDigest = DigestAt(fields, "patch_digest");
+  out.m_base = VersionAt(fields, "base");
+  out.m_author = fields.Text("author");
+  out.m_at =
+    WallTime{ std::chrono::milliseconds{ fields.Whole("at_ms", INT64_MAX) } };
+  out.m_rules = static_cast<std::uint32_t>(fields.Whole("rules", UINT32_MAX));
+  out.m_head = VersionAt(fields, "head");
+  out.m_accepted = fields.Flag("accepted");
   if (out.m_accepted) {
-    out.m_entry.m_version.m_number = aObject.at("version").get<std::uint64_t>();
-    out.m_entry.m_patch = aObject.at("patch").get<std::string>();
-    out.m_entry.m_chain = DigestAt(aObject, "chain");
-    out.m_entry.m_content = DigestAt(aObject, "content");
-    return out;
+    TakeEntry(fields, out.m_entry);
+  } else {
+    for (const Json& each : fields.List("reasons")) {
+      auto reason = ReasonFrom(each);
+      if (!reason) {
+        return reason.error();
+      }
+      out.m_reasons.push_back(std::move(reason.value()));
+    }
   }
-  for (const Json& each : aObject.at("reasons")) {
-    out.m_reasons.push_back(ReasonFrom(each));
+  if (!fields.Fault().empty()) {
+    return Error{ ErrorCode::Corrupt, fields.Fault() };
   }
   return out;
 }
 
-std::vector<Decision>
+Outcome<std::vector<Decision>>
 DecisionsFrom(const Json& aArray)
 {
   std::vector<Decision> out;
   for (const Json& each : aArray) {
-    out.push_back(DecisionFrom(each));
+    auto decision = DecisionFrom(each);
+    if (!decision) {
+      return decision.error();
+    }
+    out.push_back(std::move(decision.value()));
   }
   return out;
 }
@@ -114,36 +143,30 @@
   return out;
 }
 
-DecisionLog
+Outcome<DecisionLog>
 LogFrom(const Json& aObject)
 {
-  if (aObject.at("format").get<int>() != kFormat) {
-    throw std::invalid_argument{ "a format of another release" };
+  FieldReader fields{ aObject };
+  if (fields.Whole("format") != kFormat) {
+    fields.Note("format", "the format of this release");
   }
   DecisionLog log;
-  log.m_head.m_number = aObject.at("head").get<std::uint64_t>();
-  log.m_chain = DigestAt(aObject, "chain");
-  log.m_content = DigestAt(aObject, "content");
-  log.m_nextSequence = aObject.at("next_sequence").get<std::uint64_t>();
-  log.m_oldest.m_number = aObject.at("oldest").get<std::uint64_t>();
-  log.m_priorSnapshot.m_number =
-    aObject.at("prior_snapshot").get<std::uint64_t>();
-  log.m_snapshot.m_number = aObject.at("snapshot").get<std::uint64_t>();
-  log.m_decisions = DecisionsFrom(aObject.at("decisions"));
-  return log;
-}
-
-/// nlohmann reports faults by exception; this is where they become values.
-template<class Read>
-auto
-Guarded(std::string_view aText, Read aRead)
-  -> Outcome<decltype(aRead(std::declval<const Json&>()))>
-{
-  try {
-    return aRead(Json::parse(aText));
-  } catch (const std::exception& fault) {
-    return Error{ ErrorCode::Corrupt, fault.what() };
+  log.m_head = VersionAt(fields, "head");
+  log.m_chain = DigestAt(fields, "chain");
+  log.m_content = DigestAt(fields, "content");
+  log.m_nextSequence = fields.Whole("next_sequence");
+  log.m_oldest = VersionAt(fields, "oldest");
+  log.m_priorSnapshot = VersionAt(fields, "prior_snapshot");
+  log.m_snapshot = VersionAt(fields, "snapshot");
+  auto decisions = DecisionsFrom(fields.List("decisions"));
+  if (!fields.Fault().empty()) {
+    return Error{ ErrorCode::Corrupt, fields.Fault() };
   }
+  if (!decisions) {
+    return decisions.error();
+  }
+  log.m_decisions = std::move(decisions.value());
+  return log;
 }
 
 std::string
@@ -183,13 +206,21 @@
 Outcome<DecisionLog>
 ParseLog(std::string_view aText)
 {
-  return Guarded(aText, LogFrom);
+  const Json json = Json::parse(aText, nullptr, false);
+  if (!json.is_object()) {
+    return Error{ ErrorCode::Corrupt, "a log is a JSON object" };
+  }
+  return LogFrom(json);
 }
 
 Outcome<std::vector<Decision>>
 ParseDecisions(std::string_view aText)
 {
-  return Guarded(aText, DecisionsFrom);
+  const Json json = Json::parse(aText, nullptr, false);
+  if (!json.is_array()) {
+    return Error{ ErrorCode::Corrupt, "decisions are a JSON list" };
+  }
+  return DecisionsFrom(json);
 }
 
 }
--- a/src/config/store_layout.cpp
+++ b/src/config/store_layout.cpp
@@ -1,14 +1,18 @@
 #include "greengagehub/config/store_layout.hpp"
 
+#include "greengagehub/core/field_reader.hpp"
+
 #include <charconv>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
+#include <optional>
 
 namespace greengagehub {
 
 namespace {
 constexpr std::size_t kBucketDigits = 3;
 constexpr std::size_t kDigestDigits = 16;
+/// More parts than the largest content has.
+constexpr std::size_t kMaxParts = kMaxUnpackedBytes / kMaxPartBytes + 1;
 }
 
 std::string
@@ -50,26 +54,42 @@
 ParseManifest(std::string_view aText)
 {
   const auto json = nlohmann::json::parse(aText, nullptr, false);
-  if (!json.is_object()) {
-    return Error{ ErrorCode::Corrupt, "a manifest is a JSON object" };
+  FieldReader fields{ json };
+  const auto chain = ParseDigest(fields.Text("chain"));
+  const auto content = ParseDigest(fields.Text("content"));
+  SnapshotManifest manifest;
+  manifest.m_head.m_version = Version{ fields.Whole("version") };
+  manifest.m_parts = fields.Whole("parts", kMaxParts);
+  if (!chain || !content) {
+    fields.Note("chain", "a digest, as at /content,");
   }
-  const auto chain = ParseDigest(json.value("chain", std::string{}));
-  const auto content = ParseDigest(json.value("content", std::string{}));
-  const auto version = json.find("version");
-  const auto parts = json.find("parts");
-  const bool numbers = version != json.end() && version->is_number_unsigned() &&
-                       parts != json.end() && parts->is_number_unsigned();
-  if (!chain || !content || !numbers) {
-    return Error{ ErrorCode::Corrupt, "a manifest lacks a field" };
+  if (!fields.Fault().empty()) {
+    return Error{ ErrorCode::Corrupt, fields.Fault() };
   }
-  SnapshotManifest manifest;
-  manifest.m_head.m_version.m_number = version->get<std::uint64_t>();
   manifest.m_head.m_chain = chain.value();
   manifest.m_head.m_content = content.value();
-  manifest.m_parts = parts->get<std::size_t>();
   return manifest;
 }
 
+namespace {
+
+/// \param aText what stands in a line behind its digest.
+std::optional<std::uint64_t>
+SegmentIn(std::string_view aText)
+{
+  if (!aText.starts_with(' ')) {
+    return std::nullopt;
+  }
+  aText.remove_prefix(1);
+  std::uint64_t segment = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [stop, fault] = std::from_chars(aText.data(), end, segment);
+  const bool whole = fault == std::errc{} && stop == end;
+  return whole ? std::optional{ segment } : std::nullopt;
+}
+
+}
+
 std::string
 IndexDigest(std::string_view aId)
 {
@@ -89,10 +109,9 @@
     if (!line.starts_with(digest) || line.size() <= kDigestDigits) {
       continue;
     }
-    std::uint64_t segment = 0;
-    const char* first = line.data() + kDigestDigits + 1;
-    std::from_chars(first, line.data() + line.size(), segment);
-    segments.push_back(segment);
+    if (const auto segment = SegmentIn(line.substr(kDigestDigits))) {
+      segments.push_back(*segment);
+    }
   }
   return segments;
 }
--- a/src/membership/watch_role.cpp
+++ b/src/membership/watch_role.cpp
@@ -1,10 +1,11 @@
 #include "greengagehub/membership/watch_role.hpp"
 
 #include "greengagehub/config/store_layout.hpp"
+#include "greengagehub/core/field_reader.hpp"
 
 #include <algorithm>
-#include <fmt/format.h>
-#include <nlohmann/json.hpp>
+#include <arpa/inet.h>
+#include <array>
 
 namespace greengagehub {
 
@@ -17,6 +18,15 @@
 /// rank dies, the next one is looking already, long before the death is told.
 constexpr std::size_t kCandidates = 2;
 
+/// \returns Whether it is an IP number; names are never looked up.
+bool
+IsNumeric(const std::string& aHost)
+{
+  std::array<unsigned char, sizeof(in6_addr)> bytes{};
+  return inet_pton(AF_INET, aHost.c_str(), bytes.data()) == 1 ||
+         inet_pton(AF_INET6, aHost.c_str(), bytes.data()) == 1;
+}
+
 }
 
 WatchRole::WatchRole(WatchRoleSettings aSettings,
@@ -161,23 +171,17 @@
 ParseSeed(std::string_view aText)
 {
   const auto json = nlohmann::json::parse(aText, nullptr, false);
-  if (!json.is_object()) {
-    return std::nullopt;
-  }
-  const auto port = [&json](const char* aName) -> std::uint16_t {
-    const auto found = json.find(aName);
-    const bool fits = found != json.end() && found->is_number_unsigned() &&
-                      found->get<std::uint64_t>() <= UINT16_MAX;
-    return fits ? found->get<std::uint16_t>() : std::uint16_t{ 0 };
+  FieldReader fields{ json };
+  const auto port = [&fields](const char* aName) {
+    return static_cast<std::uint16_t>(fields.Whole(aName, UINT16_MAX));
   };
-  const auto host = json.find("host");
-  if (host == json.end() || !host->is_string() || port("gossip_port") == 0) {
-    return std::nullopt;
-  }
-  return MemberAddress{ host->get<std::string>(),
-                        port("gossip_port"),
-                        port("bulk_port"),
-                        port("link_port") };
+  const MemberAddress address{ fields.Name("host"),
+                               port("gossip_port"),
+                               port("bulk_port"),
+                               port("link_port") };
+  const bool named = fields.Fault().empty() && address.m_gossipPort > 0 &&
+                     IsNumeric(address.m_host);
+  return named ? std::optional{ address } : std::nullopt;
 }
 
 std::string
--- a/tests/membership/seed_keeper.cpp
+++ b/tests/membership/seed_keeper.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 #include <map>
+#include <nlohmann/json.hpp>
 
 using namespace greengagehub;
 using namespace std::chrono_literals;
@@ -135,3 +136,30 @@
   world.Run(keeper, kStart + 2s, 62s, 0);
   CHECK(world.HostAt(0) == "10.0.0.1");
 }
+
+TEST_CASE("an address of another writer names nobody")
+{
+  // A daemon that starts asks every address it finds; garbage taken for one
+  // would count as a peer that is about to answer, and keep it waiting.
+  const MemberAddress address{ "10.0.0.7", 1, 2, 3 };
+  const nlohmann::json whole = nlohmann::json::parse(SeedToJson(address));
+  REQUIRE(ParseSeed(whole.dump()) == address);
+  const std::vector<nlohmann::json> wrong{
+    nullptr, true, -1, 6.5, 1e30, 70'000, "", "a name", nlohmann::json::array()
+  };
+  for (const auto& [name, value] : whole.items()) {
+    CAPTURE(name);
+    nlohmann::json without = whole;
+    without.erase(name);
+    CHECK_FALSE(ParseSeed(without.dump()));
+    for (const nlohmann::json& each : wrong) {
+      CAPTURE(each);
+      nlohmann::json changed = whole;
+      changed[name] = each;
+      CHECK_FALSE(ParseSeed(changed.dump()));
+    }
+  }
+  for (const char* each : { "", "null", "[]", "{", "\xff", "7" }) {
+    CHECK_FALSE(ParseSeed(each));
+  }
+}
