Another start under the same id is told by its time of start

Cause: an id stood for a start. A worker that starts again under its id counts its reports anew, so that each looked late; after a leave it never came back; idle connections, service times, ejections and weights of the former start were carried over; requests handed to it waited up to their deadlines. A report with an unknown state drained the worker, 6.5 or -1 slots were taken. Change: WorkerStart (id and time of start) in presence, runs, connections; a short name of it in members' news, by which callers' rows begin anew (0 from an older release changes nothing). A later time of start is believed at once; where the time of day stepped back, at the second report while the known start has missed its own. Requests on connections from before the former start's last report end as lost 100 ms after its successor is known. Reports are read strictly, refused ones counted and logged within a bound.

--- a/include/greengagehub/calls/run_table.hpp
+++ b/include/greengagehub/calls/run_table.hpp
@@ -122,6 +122,10 @@
   [[nodiscard]] RunActions StartLeaving(TimePoint aNow);
   /// \brief Takes calls again, for another worker at the same place.
   void Reopen() noexcept { m_leaving = false; }
+  /// \brief Another process answers from now on: how long the former one took
+  /// says nothing of it. What waits here was not handed out and stays; what
+  /// runs is the former one's until it ends.
+  void OnWorkerRestarted();
   /// \returns Moving mean of the time that the worker takes for such calls.
   [[nodiscard]] Duration ServiceTime(CallKind aKind) const
   {
@@ -159,6 +163,8 @@
     /// While queued: when waiting on stops making sense.
     TimePoint m_expires;
     TimePoint m_since;
+    /// While running: which start of the worker it was handed to.
+    std::uint32_t m_workerStarts{ 0 };
   };
   struct KeyHash
   {
@@ -224,6 +230,8 @@
   bool m_leaving{ false };
   TimePoint m_firstCall{};
   ServiceTimes m_services;
+  /// Starts of the worker that were followed by another.
+  std::uint32_t m_workerStarts{ 0 };
   OnTimeLoad m_onTime;
 };
 
--- a/include/greengagehub/calls/worker_presence.hpp
+++ b/include/greengagehub/calls/worker_presence.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "greengagehub/core/clock.hpp"
+#include "greengagehub/calls/worker_start.hpp"
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace greengagehub {
@@ -13,8 +13,7 @@
 /// \brief What a backend server says of itself in a heartbeat.
 struct WorkerReport
 {
-  /// Another one for each start.
-  std::string m_id{};
+  WorkerStart m_start{};
   std::string m_service{};
   std::string m_address{};
   /// Requests it processes at once.
@@ -22,12 +21,20 @@
   bool m_leaving{ false };
   /// How much longer it is slow after its start.
   std::chrono::milliseconds m_coldLeft{ 0 };
-  /// Grows with each report of one start.
+  /// Grows with each report of one start; each start counts anew.
   std::uint64_t m_sequence{ 0 };
 };
 
 /// \brief What is believed of the backend server beside this daemon, from its
 /// heartbeats.
+///
+/// Reports come late, twice and out of order, also those of a start that has
+/// crashed meanwhile. Of two starts the one born later is the newer one, and it
+/// is believed at its first report. Where that does not tell (the time of day
+/// stepped back in between, or a start that was followed by another speaks
+/// again), a start is believed at its second report, if the one known has
+/// missed its own meanwhile: a late report has no successor, and one that lives
+/// goes on reporting.
 class WorkerPresence
 {
 public:
@@ -41,7 +48,7 @@
   {
     /// Nothing new, or a report that was late.
     None,
-    /// A backend server that was not known before.
+    /// A start that was not known before.
     Arrived,
     /// The same one with other figures.
     Updated,
@@ -59,6 +66,11 @@
   {
     return m_current && !m_current->m_leaving;
   }
+  /// \returns When the start before this one last reported; it was alive then.
+  [[nodiscard]] TimePoint FormerHeardAt() const noexcept
+  {
+    return m_formerHeardAt;
+  }
   /// \returns Whether it has missed several heartbeats.
   [[nodiscard]] bool IsSilent(TimePoint aNow) const noexcept;
 
@@ -67,17 +79,45 @@
   /// report.
   [[nodiscard]] Change OnProbed(TimePoint aNow, WorkerReport aReport);
   /// \brief It said that it has left, though it may still serve.
-  [[nodiscard]] Change OnLeft(const std::string& aId);
+  [[nodiscard]] Change OnLeft(TimePoint aNow, const WorkerStart& aStart);
 
 private:
-  [[nodiscard]] bool IsOutdated(TimePoint aNow,
-                                const WorkerReport& aReport) const;
+  /// A start that is over, or that left before it was known here.
+  struct Former
+  {
+    WorkerStart m_start;
+    /// Of its last report.
+    std::uint64_t m_sequence{ 0 };
+    TimePoint m_since{};
+  };
+  /// A start that has reported and is not believed yet.
+  struct Contender
+  {
+    WorkerReport m_report;
+  };
+
+  [[nodiscard]] const Former* FindFormer(TimePoint aNow,
+                                         const WorkerStart& aStart) const;
+  /// \returns Whether its first report is enough to believe in it.
+  [[nodiscard]] bool IsSuccessor(TimePoint aNow,
+                                 const WorkerReport& aReport) const;
+  /// \returns Whether a start of which IsSuccessor() says no is to be believed
+  /// by now.
+  [[nodiscard]] bool HasProved(TimePoint aNow, const WorkerReport& aReport);
+  [[nodiscard]] Change TakeOwn(TimePoint aNow, const WorkerReport& aReport);
+  [[nodiscard]] Change Replace(TimePoint aNow, const WorkerReport& aReport);
+  void AddFormer(Former aFormer);
 
   std::chrono::milliseconds m_period;
   std::optional<WorkerReport> m_current;
   TimePoint m_heardAt{};
-  /// Starts that are over; a report of theirs that comes late is ignored.
-  std::set<std::string> m_former;
+  TimePoint m_formerHeardAt{};
+  /// Newest last.
+  std::deque<Former> m_former;
+  std::optional<Contender> m_contender;
+  /// Its reports tell the time of its start; one that does not is another
+  /// writer's.
+  bool m_tellsBorn{ false };
 };
 
 }
--- a/include/greengagehub/calls/worker_table.hpp
+++ b/include/greengagehub/calls/worker_table.hpp
@@ -2,6 +2,7 @@
 
 #include "greengagehub/calls/call.hpp"
 #include "greengagehub/calls/decision_settings.hpp"
+#include "greengagehub/calls/worker_start.hpp"
 #include "greengagehub/core/random.hpp"
 #include "greengagehub/core/table.hpp"
 
@@ -19,6 +20,8 @@
   std::string m_service;
   std::string m_domain;
   std::uint32_t m_slots{ 1 };
+  /// Its present start; 0: not told.
+  StartTag m_start{ 0 };
   /// Attempts of this daemon under way there.
   std::uint32_t m_inFlight{ 0 };
   /// Load that its last answer told, and when.
--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -74,7 +74,7 @@
   void Start(std::uint16_t aLinkPort);
   void Announce(MemberState aState);
   /// \brief The worker beside this daemon came, changed or leaves.
-  void Announce(MemberState aState, std::uint32_t aSlots);
+  void Announce(MemberState aState, WorkerFigures aWorker);
   /// \brief The process was paused: what is believed may be old.
   void OnWokeUp();
 
--- a/include/greengagehub/daemon/platform_endpoints.hpp
+++ b/include/greengagehub/daemon/platform_endpoints.hpp
@@ -2,7 +2,9 @@
 
 #include "greengagehub/calls/worker_presence.hpp"
 #include "greengagehub/http/http_server.hpp"
+#include "greengagehub/observe/line_budget.hpp"
 #include "greengagehub/observe/log.hpp"
+#include "greengagehub/observe/metrics.hpp"
 #include "greengagehub/settings/settings.hpp"
 
 #include <functional>
@@ -19,6 +21,7 @@
     asio::io_context& m_loop;
     const Settings& m_settings;
     const Log& m_log;
+    Metrics& m_metrics;
     std::function<bool()> m_isReady;
     /// What other workers of the service run at once, where any is known.
     std::function<std::optional<std::uint32_t>()> m_typicalSlots;
@@ -48,11 +51,14 @@
 private:
   void OnReadiness(const HttpRequest& aRequest, HttpResponder aResponder);
   void OnHeartbeat(const HttpRequest& aRequest, HttpResponder aResponder);
+  /// \brief Counts a report that names no worker, and logs why.
+  void Refuse(std::string_view aEvent, std::string_view aDetail);
   void Tell(WorkerPresence::Change aChange);
   [[nodiscard]] WorkerPresence::Change Take(const WorkerReport& aReport);
 
   Parts m_parts;
   WorkerPresence m_worker;
+  LineBudget m_refusalLines;
   HttpServer m_readiness;
   HttpServer m_heartbeats;
 };
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -84,6 +84,9 @@
   void Carry(const RunActions& aActions);
   /// \brief Adds what the caller's daemon learns of the worker, and answers.
   void Deliver(CallKey aKey, const CallRequest& aRequest, CallAnswer aAnswer);
+  /// \brief Another start of the worker is there: what was learnt of the one
+  /// before, or handed to it, is not this one's.
+  void TakeStart(const WorkerStart& aStart, TimePoint aFormerHeardAt);
   /// \brief Keeps the answer of a call that may not be run again, for a caller
   /// whose connection was lost with the answer on it.
   void Keep(CallKey aKey, const CallAnswer& aAnswer);
@@ -103,8 +106,8 @@
   RunTable m_runs;
   RepeatShare m_repeats;
   BackendClient m_client;
-  /// The only worker that requests are for; empty: whichever is there.
-  std::string m_instance;
+  /// The only start that requests are for; no id: whichever is there.
+  WorkerStart m_start;
   bool m_hasWorker;
   std::map<CallKey, Held> m_held;
   std::deque<Kept> m_kept;
--- a/include/greengagehub/http/backend_client.hpp
+++ b/include/greengagehub/http/backend_client.hpp
@@ -90,6 +90,11 @@
   /// \brief Drops a request under way and its connection, at which most
   /// backend servers stop working on it; its `aDone` is not called any more.
   void Abandon(Ticket aTicket);
+  /// \brief The process that had the address has ended: requests under way on
+  /// connections opened before `aOpenedBefore`, when it was seen alive, are
+  /// lost unless they are answered by `aUntil`. A later connection may be the
+  /// next process's, which is at work on it.
+  void LimitBusy(TimePoint aOpenedBefore, TimePoint aUntil);
   /// \brief Closes kept connections, as when another process has the address.
   void CloseIdle();
 
--- a/include/greengagehub/membership/member.hpp
+++ b/include/greengagehub/membership/member.hpp
@@ -32,6 +32,15 @@
   [[nodiscard]] bool operator==(const MemberAddress&) const = default;
 };
 
+/// \brief What a daemon says of the backend server beside it.
+struct WorkerFigures
+{
+  /// Calls that it runs at once.
+  std::uint32_t m_slots{ 0 };
+  /// As MemberRecord::m_workerStart.
+  std::uint32_t m_start{ 0 };
+};
+
 /// \brief What one daemon says of itself and others pass on.
 struct MemberRecord
 {
@@ -47,6 +56,9 @@
   MemberAddress m_address;
   /// Calls the worker runs at once, as its settings say.
   std::uint32_t m_slots{ 0 };
+  /// A short name of the backend server's present start; 0: not told, as by an
+  /// older release. What was seen of another start says nothing of this one.
+  std::uint32_t m_workerStart{ 0 };
   /// Rate of its own link; the fastest of a domain read the store.
   std::uint32_t m_linkMbps{ 0 };
 };
--- a/include/greengagehub/membership/membership.hpp
+++ b/include/greengagehub/membership/membership.hpp
@@ -97,7 +97,7 @@
   /// \brief As above, with what the worker can do now; the record gets a
   /// higher incarnation, so that it overrides every earlier one.
   [[nodiscard]] MembershipActions Announce(MemberState aState,
-                                           std::uint32_t aSlots);
+                                           WorkerFigures aWorker);
   /// \brief Highest version seen in force at a slot.
   void NoteVersion(std::string_view aSlot, Version aVersion);
 
--- a/src/calls/run_table.cpp
+++ b/src/calls/run_table.cpp
@@ -37,6 +37,13 @@
   m_settings.m_queue = aQueue;
 }
 
+void
+RunTable::OnWorkerRestarted()
+{
+  ++m_workerStarts;
+  m_services = ServiceTimes{};
+}
+
 std::uint32_t
 RunTable::OpenSlots(TimePoint aNow) const
 {
@@ -306,6 +313,7 @@
 {
   aRun.m_state = State::Running;
   aRun.m_since = aNow;
+  aRun.m_workerStarts = m_workerStarts;
   ++m_running;
 }
 
@@ -365,7 +373,9 @@
     return out;
   }
   Run& run = *known->second;
-  m_services.Note(run.m_kind, aNow - run.m_since);
+  if (run.m_workerStarts == m_workerStarts) {
+    m_services.Note(run.m_kind, aNow - run.m_since);
+  }
   run.m_state = State::Finished;
   run.m_since = aNow;
   m_ended.push_back(run);
--- a/src/calls/worker_table.cpp
+++ b/src/calls/worker_table.cpp
@@ -120,6 +120,29 @@
   return best;
 }
 
+namespace {
+
+/// What calls showed of a former start (slow, failing, full) says nothing of
+/// this one. Attempts under way are still counted until they end.
+void
+TakeStart(WorkerRow& aRow, StartTag aStart)
+{
+  const bool another = aRow.m_start != 0 && aRow.m_start != aStart;
+  aRow.m_start = aStart;
+  if (!another) {
+    return;
+  }
+  aRow.m_reported = 0;
+  aRow.m_reportedAt = TimePoint{};
+  aRow.m_kinds.clear();
+  aRow.m_failures = 0.0;
+  aRow.m_refusals = 0.0;
+  aRow.m_ejectedUntil = TimePoint{};
+  aRow.m_ejections = 0;
+}
+
+}
+
 std::optional<WorkerTable::Index>
 WorkerTable::Find(const std::string& aSlot) const
 {
@@ -157,6 +180,9 @@
       row.m_domain = std::move(aRow.m_domain);
       row.m_slots = aRow.m_slots;
       row.m_leaving = aRow.m_leaving;
+      if (aRow.m_start != 0) {
+        TakeStart(row, aRow.m_start);
+      }
       return;
     }
     Remove(aRow.m_slot);
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -328,9 +328,9 @@
 }
 
 void
-ControlPlane::Announce(MemberState aState, std::uint32_t aSlots)
+ControlPlane::Announce(MemberState aState, WorkerFigures aWorker)
 {
-  Carry(m_membership.Announce(aState, aSlots));
+  Carry(m_membership.Announce(aState, aWorker));
 }
 
 void
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -163,6 +163,7 @@
       .m_loop = m_loop,
       .m_settings = m_settings,
       .m_log = m_log,
+      .m_metrics = m_metrics,
       .m_isReady = [this] { return m_control.IsReady() && !m_draining; },
       .m_typicalSlots = [this] { return m_control.LeastSlotsOfOwnService(); },
       .m_onWorker =
@@ -184,8 +185,9 @@
 {
   m_calls.OnWorker(aPresence);
   const bool leaves = m_workerLeft || !aPresence.TakesCalls();
+  const WorkerReport& worker = *aPresence.Current();
   m_control.Announce(leaves ? MemberState::Leaving : MemberState::Alive,
-                     aPresence.Current()->m_slots);
+                     { worker.m_slots, TagOf(worker.m_start) });
 }
 
 void
--- a/src/daemon/platform_endpoints.cpp
+++ b/src/daemon/platform_endpoints.cpp
@@ -3,6 +3,8 @@
 #include "platform/heartbeat.hpp"
 #include "platform/names.hpp"
 
+#include <fmt/format.h>
+
 namespace greengagehub {
 
 namespace {
@@ -10,6 +12,10 @@
 /// Calls sent at once to a worker that gave its id and has not reported yet,
 /// where no other of its service is known: few enough for any.
 constexpr std::uint32_t kSlotsUntilTold = 4;
+/// Lines about reports that name no worker: any writer may send them as fast as
+/// it likes, and a few a second tell enough.
+constexpr double kRefusalLinesPerSecond = 1.0;
+constexpr double kRefusalLinesBurst = 20.0;
 
 HttpServerSettings
 ServerAt(const HostPort& aAddress)
@@ -41,6 +47,7 @@
 PlatformEndpoints::PlatformEndpoints(Parts aParts)
   : m_parts(std::move(aParts))
   , m_worker(m_parts.m_settings.m_platform.m_heartbeat)
+  , m_refusalLines(kRefusalLinesPerSecond, kRefusalLinesBurst)
   , m_readiness(m_parts.m_loop,
                 ServerAt(m_parts.m_settings.m_listen.m_readiness),
                 [this](const HttpRequest& aRequest, HttpResponder aResponder) {
@@ -82,15 +89,13 @@
 {
   const auto notice = platform::ParseNotice(aRequest);
   if (!notice) {
-    m_parts.m_log.Warning("worker",
-                          "heartbeat_unreadable",
-                          { { "detail", notice.error().m_message } });
+    Refuse("heartbeat_unreadable", notice.error().m_message);
     aResponder.Answer(JsonResponse(400, "{}"));
     return;
   }
   const auto* left = std::get_if<platform::WorkerLeft>(&notice.value());
   const WorkerPresence::Change change =
-    left != nullptr ? m_worker.OnLeft(left->m_id)
+    left != nullptr ? m_worker.OnLeft(Clock::now(), left->m_start)
                     : Take(std::get<WorkerReport>(notice.value()));
   Tell(change);
   // Answered after the change is in force here: nothing reaches the worker but
@@ -98,11 +103,23 @@
   aResponder.Answer(JsonResponse(200, "{}"));
 }
 
+void
+PlatformEndpoints::Refuse(std::string_view aEvent, std::string_view aDetail)
+{
+  m_parts.m_metrics.CountRefusedReport(aEvent);
+  if (m_refusalLines.Take(Clock::now())) {
+    m_parts.m_log.Warning(
+      "worker",
+      aEvent,
+      { { "detail", aDetail }, { "left_out", m_refusalLines.TakeLeftOut() } });
+  }
+}
+
 void
 PlatformEndpoints::OnProbed(std::string aId)
 {
   WorkerReport report;
-  report.m_id = std::move(aId);
+  report.m_start.m_id = std::move(aId);
   report.m_service = m_parts.m_settings.m_service;
   report.m_slots = m_parts.m_typicalSlots().value_or(kSlotsUntilTold);
   Tell(m_worker.OnProbed(Clock::now(), std::move(report)));
@@ -118,7 +135,11 @@
   m_parts.m_log.Info("worker",
                      "worker_changed",
                      { { "change", NameOf(aChange) },
-                       { "instance", worker.m_id },
+                       { "instance", worker.m_start.m_id },
+                       { "born_ms",
+                         worker.m_start.m_born
+                           ? worker.m_start.m_born->time_since_epoch().count()
+                           : 0 },
                        { "slots", std::uint64_t{ worker.m_slots } },
                        { "sequence", worker.m_sequence } });
   m_parts.m_onWorker(m_worker);
@@ -132,11 +153,11 @@
     aReport.m_service == m_parts.m_settings.m_service &&
     aReport.m_address == own.m_host + ":" + std::to_string(own.m_port);
   if (!isOwn) {
-    m_parts.m_log.Warning("worker",
-                          "heartbeat_of_another",
-                          { { "instance", aReport.m_id },
-                            { "address", aReport.m_address },
-                            { "service", aReport.m_service } });
+    Refuse("heartbeat_of_another",
+           fmt::format("{} of {} at {}",
+                       aReport.m_start.m_id,
+                       aReport.m_service,
+                       aReport.m_address));
     return WorkerPresence::Change::None;
   }
   return m_worker.OnReport(Clock::now(), aReport);
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -18,6 +18,9 @@
 constexpr auto kMaxIdle = std::chrono::seconds{ 5 };
 /// A worker that does not tell its id within this will report by itself.
 constexpr auto kProbeTimeout = std::chrono::milliseconds{ 1000 };
+/// A worker that has started again cannot answer what its former start was
+/// given, but for answers that are on their way within this machine.
+constexpr auto kFormerAnswers = std::chrono::milliseconds{ 100 };
 /// The worker ends a request at its deadline by itself; this much later its
 /// connection is dropped.
 constexpr auto kDeadlineGrace = std::chrono::milliseconds{ 20 };
@@ -146,7 +149,7 @@
                     call,
                     std::max(left, std::chrono::milliseconds{ 1 }),
                     held.m_span,
-                    m_instance);
+                    m_start.m_id);
   request.m_body = call.m_body;
   request.m_echoHeader = m_dialect.m_requestId;
   request.m_echo = HeaderValue(call.m_headers, m_dialect.m_requestId);
@@ -378,7 +381,7 @@
 RequestLog::WorkerState
 RunService::StateNow(const CallRequest& aRequest) const
 {
-  return { .m_instance = m_instance,
+  return { .m_instance = m_start.m_id,
            .m_running = m_runs.Running(),
            .m_queued = m_runs.Queued(),
            .m_slots = m_hasWorker ? m_runs.Slots() : 0,
@@ -397,15 +400,25 @@
     }
     return;
   }
-  if (m_instance != worker->m_id) {
-    m_client.CloseIdle();
-    m_instance = worker->m_id;
-  }
+  TakeStart(worker->m_start, aPresence.FormerHeardAt());
   m_hasWorker = true;
   m_runs.Reopen();
   m_runs.SetLimits(worker->m_slots, kQueuePerSlot * worker->m_slots);
 }
 
+void
+RunService::TakeStart(const WorkerStart& aStart, TimePoint aFormerHeardAt)
+{
+  if (!MayBeSame(m_start, aStart)) {
+    m_client.CloseIdle();
+    // A crash that closed no connection leaves its requests without an answer
+    // up to their deadlines, in slots that the new start has free.
+    m_client.LimitBusy(aFormerHeardAt, Clock::now() + kFormerAnswers);
+    m_runs.OnWorkerRestarted();
+  }
+  m_start = aStart;
+}
+
 void
 RunService::TraceEnd(const Held& aHeld, const CallAnswer& aAnswer)
 {
--- a/src/http/backend_client.cpp
+++ b/src/http/backend_client.cpp
@@ -68,6 +68,7 @@
   Ticket Send(BackendRequest aRequest, Done aDone);
   void Abandon(Ticket aTicket);
   void CloseIdle();
+  void LimitBusy(TimePoint aOpenedBefore, TimePoint aUntil);
 
   asio::io_context& m_loop;
   BackendClientSettings m_settings;
@@ -113,6 +114,7 @@
     m_sent = false;
     m_written = false;
     m_sawBytes = false;
+    m_limited = false;
     if (m_open) {
       ArmDeadline();
       Write();
@@ -121,6 +123,20 @@
     }
   }
 
+  [[nodiscard]] bool WasOpenedBefore(TimePoint aTime) const noexcept
+  {
+    return m_open && m_openedAt < aTime;
+  }
+
+  void LimitTo(TimePoint aUntil)
+  {
+    if (aUntil < m_request.m_deadline) {
+      m_request.m_deadline = aUntil;
+      m_limited = true;
+      ArmDeadline();
+    }
+  }
+
   /// Nothing of it calls back any more.
   void Drop()
   {
@@ -164,6 +180,7 @@
       return;
     }
     m_open = true;
+    m_openedAt = Clock::now();
     asio::error_code ignored;
     m_socket.set_option(tcp::no_delay{ true }, ignored);
     ArmDeadline();
@@ -179,7 +196,9 @@
       const bool due =
         !aError && self->m_client != nullptr && self->m_ticket == ticket;
       if (due) {
-        self->End({ BackendResult::Kind::TimedOut }, true);
+        self->End({ self->m_limited ? BackendResult::Kind::Lost
+                                    : BackendResult::Kind::TimedOut },
+                  true);
       }
     });
   }
@@ -329,6 +348,7 @@
   std::string m_out;
   Done m_done;
   Ticket m_ticket{ 0 };
+  TimePoint m_openedAt{};
   TimePoint m_idleSince{};
   std::optional<std::chrono::milliseconds> m_idleLimit;
   bool m_open{ false };
@@ -337,6 +357,8 @@
   bool m_sent{ false };
   bool m_written{ false };
   bool m_sawBytes{ false };
+  /// Its deadline was brought forward.
+  bool m_limited{ false };
 };
 
 BackendClient::Impl::~Impl()
@@ -399,6 +421,16 @@
   m_idle.clear();
 }
 
+void
+BackendClient::Impl::LimitBusy(TimePoint aOpenedBefore, TimePoint aUntil)
+{
+  for (const auto& [ticket, connection] : m_busy) {
+    if (connection->WasOpenedBefore(aOpenedBefore)) {
+      connection->LimitTo(aUntil);
+    }
+  }
+}
+
 BackendClient::BackendClient(asio::io_context& aLoop,
                              BackendClientSettings aSettings)
   : m_impl(std::make_unique<Impl>(aLoop, std::move(aSettings)))
@@ -431,6 +463,12 @@
   m_impl->Abandon(aTicket);
 }
 
+void
+BackendClient::LimitBusy(TimePoint aOpenedBefore, TimePoint aUntil)
+{
+  m_impl->LimitBusy(aOpenedBefore, aUntil);
+}
+
 void
 BackendClient::CloseIdle()
 {
--- a/src/membership/membership_time.cpp
+++ b/src/membership/membership_time.cpp
@@ -226,10 +226,11 @@
 }
 
 MembershipActions
-Membership::Announce(MemberState aState, std::uint32_t aSlots)
+Membership::Announce(MemberState aState, WorkerFigures aWorker)
 {
   ++m_self.m_incarnation;
-  m_self.m_slots = aSlots;
+  m_self.m_slots = aWorker.m_slots;
+  m_self.m_workerStart = aWorker.m_start;
   return Announce(aState);
 }
 
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -31,6 +31,11 @@
       .Name("greengagehub_runs_total")
       .Help("Attempts at the own worker, by what became of them")
       .Register(m_registry);
+  prometheus::Family<prometheus::Counter>& m_refusedReports =
+    prometheus::BuildCounter()
+      .Name("greengagehub_refused_reports_total")
+      .Help("Reports about backend servers that were not taken, by reason")
+      .Register(m_registry);
   prometheus::Family<prometheus::Gauge>& m_bytes =
     prometheus::BuildGauge()
       .Name("greengagehub_control_bytes")
@@ -72,6 +77,13 @@
   m_impl->m_runs.Add({ { "result", std::string{ aResult } } }).Increment();
 }
 
+void
+Metrics::CountRefusedReport(std::string_view aReason)
+{
+  m_impl->m_refusedReports.Add({ { "reason", std::string{ aReason } } })
+    .Increment();
+}
+
 void
 Metrics::SetBytes(std::string_view aPurpose,
                   std::string_view aDirection,
--- a/src/transport/gossip_codec.cpp
+++ b/src/transport/gossip_codec.cpp
@@ -32,6 +32,7 @@
   aOut.set_link_port(aRecord.m_address.m_linkPort);
   aOut.set_slots(aRecord.m_slots);
   aOut.set_link_mbps(aRecord.m_linkMbps);
+  aOut.set_worker_start(aRecord.m_workerStart);
 }
 
 Outcome<MemberRecord>
@@ -57,6 +58,7 @@
                        static_cast<std::uint16_t>(aWire.link_port()) };
   record.m_slots = aWire.slots();
   record.m_linkMbps = aWire.link_mbps();
+  record.m_workerStart = aWire.worker_start();
   return record;
 }
 
--- a/standins/platform_worker.cpp
+++ b/standins/platform_worker.cpp
@@ -20,8 +20,12 @@
 /// switched over HTTP.
 ///
 /// Control: PUT /control with any of {"heartbeats": "http://IP:PORT",
-/// "service_ms": N, "draining": true, "restart": true, "shed": true,
-/// "fail": true, "unsigned": true, "foreign": N}. Counts: GET /counts, with the
+/// "service_ms": N, "draining": true, "restart": true, "restart_same_id": MS,
+/// "report": {...}, "shed": true, "fail": true, "unsigned": true,
+/// "foreign": N}. "restart_same_id" is a crash that closes no connection, with
+/// another start under the same id MS milliseconds of the day later (or, below
+/// zero, earlier); "report" sends one more report with these fields changed,
+/// as one that comes late or is another writer's. Counts: GET /counts, with the
 /// runs of each request id, those that were broken off, and acknowledgements.
 
 namespace {
@@ -46,6 +50,14 @@
   return std::string{ HeaderValue(aRequest.m_headers, aName) };
 }
 
+std::int64_t
+NowMs()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
 class PlatformWorker
 {
 public:
@@ -215,17 +227,7 @@
     request.m_url =
       m_heartbeats + std::string{ platform::kInstancesPath } + Id();
     request.m_timeout = std::chrono::seconds{ 1 };
-    request.m_body = Json{
-      { "service", m_options.m_service },
-      { "address",
-        fmt::format("{}:{}", m_options.m_http.m_address, m_http.Port()) },
-      { "zone", m_options.m_domain },
-      { "version", "v1" },
-      { "slots", m_options.m_slots },
-      { "state", m_draining ? "draining" : "ready" },
-      { "cold_left_ms", 0 },
-      { "seq", ++m_sequence }
-    }.dump();
+    request.m_body = ReportNow().dump();
     m_client.Send(
       std::move(request),
       [this, draining = m_draining](const HttpClientResult& aResult) {
@@ -236,6 +238,59 @@
       });
   }
 
+  [[nodiscard]] Json ReportNow()
+  {
+    return { { "service", m_options.m_service },
+             { "address",
+               fmt::format(
+                 "{}:{}", m_options.m_http.m_address, m_http.Port()) },
+             { "zone", m_options.m_domain },
+             { "version", "v1" },
+             { "slots", m_options.m_slots },
+             { "state", m_draining ? "draining" : "ready" },
+             { "cold_left_ms", 0 },
+             { "seq", ++m_sequence },
+             { "born", m_born } };
+  }
+
+  /// One report that is not the present start's own word.
+  void SendOther(const Json& aChanges)
+  {
+    Json report = ReportNow();
+    --m_sequence;
+    report.update(aChanges);
+    HttpClientRequest request;
+    request.m_method = "PUT";
+    request.m_url =
+      m_heartbeats + std::string{ platform::kInstancesPath } + Id();
+    request.m_timeout = std::chrono::seconds{ 1 };
+    request.m_body = report.dump();
+    m_client.Send(std::move(request), [this](const HttpClientResult& aResult) {
+      const bool answered = aResult.m_kind == HttpClientResult::Kind::Answered;
+      const bool refused = answered && aResult.m_response.m_status == 400;
+      m_othersAnswered += answered ? 1 : 0;
+      m_othersRefused += refused ? 1 : 0;
+    });
+  }
+
+  /// A crash without a word: what ran is never answered, and its connections
+  /// stay open.
+  void RestartUnderSameId(std::int64_t aLaterMs)
+  {
+    for (auto& [connection, run] : m_running) {
+      run.m_timer->cancel();
+      m_crashed.push_back(std::move(run));
+    }
+    m_running.clear();
+    for (Run& each : m_waiting) {
+      m_crashed.push_back(std::move(each));
+    }
+    m_waiting.clear();
+    m_born += aLaterMs;
+    m_sequence = 0;
+    m_draining = false;
+  }
+
   void Control(const std::string& aBody)
   {
     const Json wanted = Json::parse(aBody, nullptr, false);
@@ -249,7 +304,14 @@
     m_fail = wanted.value("fail", m_fail);
     m_unsigned = wanted.value("unsigned", m_unsigned);
     m_foreign = wanted.value("foreign", m_foreign);
+    if (wanted.contains("report")) {
+      SendOther(wanted["report"]);
+    }
+    if (wanted.contains("restart_same_id")) {
+      RestartUnderSameId(wanted["restart_same_id"].get<std::int64_t>());
+    }
     if (wanted.value("restart", false)) {
+      ++m_born;
       ++m_incarnation;
       m_sequence = 0;
       m_draining = false;
@@ -267,6 +329,10 @@
       { "turned_away", m_turnedAway },
       { "misdirected", m_misdirected },
       { "broken_off", m_brokenOff },
+      { "born", m_born },
+      { "sequence", m_sequence },
+      { "others_answered", m_othersAnswered },
+      { "others_refused", m_othersRefused },
       { "acknowledged", m_acknowledged },
       { "drain_acknowledged", m_drainAcknowledged }
     }.dump(-1, ' ', false, Json::error_handler_t::replace);
@@ -279,11 +345,17 @@
   HttpServer m_http;
   std::deque<Run> m_waiting;
   std::map<std::uint64_t, Run> m_running;
+  /// Of starts that have crashed; never answered.
+  std::vector<Run> m_crashed;
   std::map<std::string, std::uint32_t> m_runs;
   std::map<std::string, std::uint32_t> m_callers;
   std::string m_heartbeats;
   std::uint64_t m_sequence{ 0 };
   std::uint64_t m_incarnation{ 1 };
+  /// Unix milliseconds of the present start.
+  std::int64_t m_born{ NowMs() };
+  std::uint64_t m_othersAnswered{ 0 };
+  std::uint64_t m_othersRefused{ 0 };
   std::uint64_t m_arrivals{ 0 };
   std::uint64_t m_turnedAway{ 0 };
   std::uint64_t m_misdirected{ 0 };
--- a/tests/calls/worker_presence.cpp
+++ b/tests/calls/worker_presence.cpp
@@ -13,7 +13,7 @@
 WorkerReport
 Report(const char* aId, std::uint64_t aSequence, bool aLeaving = false)
 {
-  return { .m_id = aId,
+  return { .m_start = { aId, std::nullopt },
            .m_service = "locker-app",
            .m_slots = 18,
            .m_leaving = aLeaving,
@@ -38,10 +38,10 @@
 TEST_CASE("a farewell without notice counts as leaving")
 {
   WorkerPresence worker{ 1500ms };
-  CHECK(worker.OnLeft("a") == Change::None);
+  CHECK(worker.OnLeft(kStart, { "a", std::nullopt }) == Change::None);
   CHECK(worker.OnReport(kStart, Report("a", 1)) == Change::None);
   CHECK(worker.OnReport(kStart, Report("b", 1)) == Change::Arrived);
-  CHECK(worker.OnLeft("b") == Change::Leaving);
+  CHECK(worker.OnLeft(kStart, { "b", std::nullopt }) == Change::Leaving);
   CHECK_FALSE(worker.TakesCalls());
 }
 
@@ -62,7 +62,7 @@
     CHECK(worker.OnReport(kStart, Report("new", 2)) == Change::Arrived);
     CHECK(worker.OnReport(kStart + 1s, Report("old", 41)) == Change::None);
   }
-  CHECK(worker.Current()->m_id == "new");
+  CHECK(worker.Current()->m_start.m_id == "new");
 }
 
 TEST_CASE("a worker that was asked counts until it reports")
@@ -74,7 +74,7 @@
   CHECK(worker.TakesCalls());
   CHECK(worker.OnReport(kStart, Report("a", 1, true)) == Change::Leaving);
   CHECK(worker.OnProbed(kStart, Report("b", 0)) == Change::None);
-  CHECK(worker.Current()->m_id == "a");
+  CHECK(worker.Current()->m_start.m_id == "a");
 }
 
 TEST_CASE("where the known start has fallen silent, another one is believed")
@@ -83,5 +83,5 @@
   CHECK(worker.OnReport(kStart, Report("a", 2)) == Change::Arrived);
   CHECK(worker.IsSilent(kStart + 5s));
   CHECK(worker.OnReport(kStart + 5s, Report("b", 9)) == Change::Arrived);
-  CHECK(worker.Current()->m_id == "b");
+  CHECK(worker.Current()->m_start.m_id == "b");
 }
--- a/tests/end_to_end/platform.cpp
+++ b/tests/end_to_end/platform.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <doctest/doctest.h>
+#include <thread>
 
 // The daemon on the platform: real processes beside workers that send
 // heartbeats, with the operators' configuration in the platform's store.
@@ -155,6 +156,126 @@
   }
 }
 
+TEST_CASE("a worker that starts again under its id takes calls again")
+{
+  // The worker crashes without closing a connection and starts again under the
+  // same id, counting its reports anew. It was never taken up again: each of
+  // its reports looked late. What the former start was given would wait up to
+  // its deadline for an answer that cannot come.
+  Fleet fleet;
+  Start(fleet, 1, 700);
+  std::int64_t later = 5000;
+  SUBCASE("later by the time of day") {}
+  SUBCASE("the time of day has stepped back")
+  {
+    later = -3'600'000;
+  }
+  REQUIRE(WaitUntil(
+    [&] { return fleet.WorkerCounts("lockers-1").value("sequence", 0) >= 5; }));
+  std::thread caller{ [&] {
+    const auto status =
+      Ask(fleet, "lockers-1", "POST", "/release/1", "lost", "20000").Status();
+    CHECK(status == 502);
+  } };
+  const auto beats = [&] {
+    return fleet.WorkerCounts("lockers-1").value("acknowledged", 0);
+  };
+  REQUIRE(WaitUntil([&] { return Runs(fleet, "lost") == 1; }));
+  // What was under way when the former start last reported is certainly its.
+  const auto atRun = beats();
+  REQUIRE(WaitUntil([&] { return beats() > atRun; }));
+  fleet.ControlWorker("lockers-1", { { "restart_same_id", later } });
+  const auto atRestart = beats();
+  CHECK(WaitUntil([&] {
+    return Ask(fleet, "lockers-1", "GET", "/status/1", "again").Status() == 200;
+  }));
+  caller.join();
+  CHECK(Runs(fleet, "lost") == 1);
+  REQUIRE(WaitUntil([&] { return beats() > atRestart + 2; }));
+  CHECK(Ask(fleet, "lockers-1", "POST", "/release/1", "r2").Status() == 200);
+}
+
+TEST_CASE("reports of a former start and of other writers change nothing")
+{
+  // Beside the worker's own reports come late ones of its former start and
+  // garbage. Each gets a prompt answer; none drains the worker that serves.
+  Fleet fleet;
+  Start(fleet, 1);
+  fleet.ControlWorker("lockers-1", { { "restart_same_id", 5000 } });
+  REQUIRE(WaitUntil(
+    [&] { return fleet.WorkerCounts("lockers-1").value("sequence", 0) >= 2; }));
+  const auto born =
+    fleet.WorkerCounts("lockers-1").value("born", std::int64_t{ 0 });
+  const Json late{ { "born", born - 5000 }, { "seq", 900 } };
+  Json lateLeave = late;
+  lateLeave["state"] = "draining";
+  const std::vector<Json> others{
+    late,
+    lateLeave,
+    { { "state", "resting" }, { "seq", 901 } },
+    { { "slots", 6.5 }, { "seq", 902 } },
+    { { "slots", -1 }, { "seq", 903 } },
+    { { "slots", 1e30 }, { "seq", 904 } },
+    { { "seq", true } },
+    { { "born", "yesterday" }, { "seq", 905 } },
+    { { "state", "draining" }, { "service", "ledger" }, { "seq", 906 } },
+  };
+  for (const Json& each : others) {
+    fleet.ControlWorker("lockers-1", { { "report", each } });
+  }
+  REQUIRE(WaitUntil([&] {
+    return fleet.WorkerCounts("lockers-1").value("others_answered", 0U) ==
+           others.size();
+  }));
+  CHECK(fleet.WorkerCounts("lockers-1").value("others_refused", 0) == 6);
+  for (int i = 0; i < 5; ++i) {
+    const std::string id = "w" + std::to_string(i);
+    CHECK(Ask(fleet, "lockers-1", "POST", "/release/1", id).Status() == 200);
+  }
+}
+
+TEST_CASE("what other writers left in the store keeps nobody from serving")
+{
+  // Somebody has written under every key that daemons read: bytes that are
+  // nothing, objects with fields of other types, an address that is none. The
+  // daemons start, find each other, and serve; good entries beside it count.
+  Fleet fleet;
+  const std::vector<std::string> garbage{
+    "\xff\xfe\x01",
+    "{}",
+    "null",
+    R"({"host":7,"gossip_port":-1,"bulk_port":true,"link_port":"x"})",
+    R"({"host":"nowhere","gossip_port":9,"bulk_port":9,"link_port":9})",
+    R"({"format":1,"head":-1,"chain":7,"decisions":{}})",
+    "17\n not packed",
+  };
+  std::size_t next = 0;
+  const auto put = [&](const std::string& aKey) {
+    fleet.PutIntoStore(aKey, garbage[next++ % garbage.size()]);
+  };
+  for (int round = 0; round < 7; ++round) {
+    for (const char* place : { "0", "1", "2", "17", "x", "" }) {
+      put(std::string{ "seeds/solna/" } + place);
+    }
+    for (const char* key : { "config/copy",
+                             "config/log",
+                             "config/archive/000000000001",
+                             "config/index/0a1",
+                             "config/snapshots/1",
+                             "config/snapshots/1/0",
+                             "seeds/",
+                             "unknown" }) {
+      put(key);
+    }
+  }
+  Start(fleet, 3);
+  for (int i = 0; i < 10; ++i) {
+    const std::string id = "g" + std::to_string(i);
+    CHECK(Ask(fleet, "lockers-1", "POST", "/release/1", id).Status() == 200);
+    CHECK(Runs(fleet, id) == 1);
+  }
+}
+
 TEST_CASE("what workers hand out wrongly never reaches a caller")
 {
   Fleet fleet;
--- a/tools/testkit/fleet.cpp
+++ b/tools/testkit/fleet.cpp
@@ -252,6 +252,12 @@
 
 void
 Fleet::PutPlatformConfig(const Json& aDocument) const
+{
+  PutIntoStore(std::string{ platform::kConfigKey }, aDocument.dump());
+}
+
+void
+Fleet::PutIntoStore(const std::string& aKey, const std::string& aValue) const
 {
   HttpClientRequest request;
   request.m_method = "POST";
@@ -259,8 +265,8 @@
   request.m_body = Json{
     { "expected", Json::array() },
     { "puts",
-      { { { "key", std::string{ platform::kConfigKey } },
-          { "value", platform::ToBase64(aDocument.dump()) },
+      { { { "key", aKey },
+          { "value", platform::ToBase64(aValue) },
           { "lease_id", 0 } } } },
     { "deletes", Json::array() }
   }.dump();
--- a/tools/testkit/fleet.hpp
+++ b/tools/testkit/fleet.hpp
@@ -85,6 +85,8 @@
   [[nodiscard]] nlohmann::json WorkerCounts(const std::string& aSlot) const;
   /// \brief Writes the operators' configuration into the platform's store.
   void PutPlatformConfig(const nlohmann::json& aDocument) const;
+  /// \brief Writes any value under any key, as another writer might.
+  void PutIntoStore(const std::string& aKey, const std::string& aValue) const;
   /// \brief Runs the command that traces a request through all daemons' logs.
   [[nodiscard]] CommandResult Trace(const std::string& aId);
   [[nodiscard]] bool IsReady(const std::string& aSlot) const;
