--- /dev/null
+++ b/src/membership/membership_views.cpp
@@ -0,0 +1,185 @@
+#include "greengagehub/membership/membership.hpp"
+
+#include <algorithm>
+#include <map>
+
+// What a membership tells of its members: samples, ranks, digests, records.
+
+namespace greengagehub {
+
+namespace {
+
+/// Fast links first, as those daemons can tell the others soonest.
+bool
+GoesBefore(const MemberRow& aRow,
+           const MemberRecord& aSelf,
+           std::uint64_t aOwnKey)
+{
+  const std::uint32_t theirs = aRow.m_record.m_linkMbps;
+  return theirs != aSelf.m_linkMbps ? theirs > aSelf.m_linkMbps
+                                    : aRow.m_rankKey < aOwnKey;
+}
+
+}
+
+std::vector<MemberPeer>
+Membership::SampleNear(std::size_t aCount)
+{
+  std::vector<MemberPeer> near;
+  m_members.Rows().Each([&](MemberTable::Index, const MemberRow& aRow) {
+    const MemberRecord& record = aRow.m_record;
+    if (IsPresent(record.m_state) && record.m_domain == m_self.m_domain) {
+      near.push_back(PeerOf(record));
+    }
+  });
+  std::shuffle(near.begin(), near.end(), m_random);
+  near.resize(std::min(near.size(), aCount));
+  return near;
+}
+
+std::vector<MemberPeer>
+Membership::Sample(std::size_t aCount)
+{
+  std::vector<MemberPeer> chosen;
+  const auto capacity = m_members.Capacity();
+  const std::size_t wanted = std::min(aCount, m_members.Present());
+  std::vector<MemberTable::Index> taken;
+  // Rows of the gone are few beside the present ones, so that a bounded
+  // number of draws nearly always suffices.
+  std::size_t draws = 16 * (wanted + 1);
+  while (taken.size() < wanted && draws-- > 0) {
+    const auto index =
+      static_cast<MemberTable::Index>(Below(m_random, capacity));
+    const bool usable =
+      m_members.Has(index) && IsPresent(m_members.At(index).m_record.m_state) &&
+      std::find(taken.begin(), taken.end(), index) == taken.end();
+    if (usable) {
+      taken.push_back(index);
+      chosen.push_back(PeerOf(m_members.At(index).m_record));
+    }
+  }
+  return chosen;
+}
+
+std::vector<MemberPeer>
+Membership::SampleNearFirst(std::size_t aCount)
+{
+  std::vector<MemberPeer> chosen = SampleNear(aCount);
+  if (chosen.size() < aCount) {
+    // Too few nearby to matter whether one of them is drawn twice.
+    const auto more = Sample(aCount - chosen.size());
+    chosen.insert(chosen.end(), more.begin(), more.end());
+  }
+  return chosen;
+}
+
+std::vector<MemberPeer>
+Membership::SampleEachDomain()
+{
+  struct Drawn
+  {
+    const MemberRecord* m_record{ nullptr };
+    std::size_t m_seen{ 0 };
+  };
+  std::map<std::string_view, Drawn> drawn;
+  m_members.Rows().Each([&](MemberTable::Index, const MemberRow& aRow) {
+    const MemberRecord& record = aRow.m_record;
+    if (!IsPresent(record.m_state) || ReachOf(record) == Reach::Near) {
+      return;
+    }
+    Drawn& domain = drawn[record.m_domain];
+    if (Below(m_random, ++domain.m_seen) == 0) {
+      domain.m_record = &record;
+    }
+  });
+  std::vector<MemberPeer> chosen;
+  for (const auto& [domain, each] : drawn) {
+    chosen.push_back(PeerOf(*each.m_record));
+  }
+  return chosen;
+}
+
+std::size_t
+Membership::RankInDomain() const
+{
+  const std::uint64_t own = RankKey(m_self.m_slot);
+  std::size_t rank = 0;
+  m_members.Rows().Each([&](MemberTable::Index, const MemberRow& aRow) {
+    const MemberRecord& record = aRow.m_record;
+    const bool counts = record.m_state == MemberState::Alive &&
+                        record.m_domain == m_self.m_domain;
+    if (counts && GoesBefore(aRow, m_self, own)) {
+      ++rank;
+    }
+  });
+  return rank;
+}
+
+bool
+Membership::IsFirstOfAll() const
+{
+  const std::uint64_t own = RankKey(m_self.m_slot);
+  bool isFirst = true;
+  m_members.Rows().Each([&](MemberTable::Index, const MemberRow& aRow) {
+    const bool counts = aRow.m_record.m_state == MemberState::Alive;
+    isFirst = isFirst && !(counts && GoesBefore(aRow, m_self, own));
+  });
+  return isFirst;
+}
+
+MemberPeer
+Membership::PeerOf(const MemberRecord& aRecord) const
+{
+  return { aRecord.m_address, aRecord.m_domain != m_self.m_domain };
+}
+
+Version
+Membership::FloorOf(std::string_view aSlot) const
+{
+  const auto index = m_members.Find(aSlot);
+  return index ? m_members.At(*index).m_floor : Version{};
+}
+
+MemberDigests
+Membership::Digests() const
+{
+  MemberDigests digests = m_members.Digests();
+  digests.Add(m_self);
+  return digests;
+}
+
+std::vector<MemberRecord>
+Membership::RecordsFor(const MemberDigests& aTheirs)
+{
+  const MemberDigests own = Digests();
+  std::array<std::vector<const MemberRecord*>, MemberDigests::kBuckets> buckets;
+  std::size_t known = 0;
+  const auto take = [&](const MemberRecord& aRecord, std::uint64_t aRankKey) {
+    const std::size_t bucket = MemberDigests::BucketOf(aRankKey);
+    if (own.m_sums[bucket] != aTheirs.m_sums[bucket]) {
+      buckets[bucket].push_back(&aRecord);
+    }
+  };
+  take(m_self, RankKey(m_self.m_slot));
+  m_members.Rows().Each([&](MemberTable::Index, const MemberRow& aRow) {
+    take(aRow.m_record, aRow.m_rankKey);
+  });
+  for (const std::uint64_t each : aTheirs.m_sums) {
+    known += each != 0 ? 1 : 0;
+  }
+  // A joiner knows itself and at most the few that it has heard.
+  const bool joins = known <= MemberDigests::kBuckets / 8;
+  std::vector<MemberRecord> records;
+  const std::size_t first = Below(m_random, buckets.size());
+  for (std::size_t i = 0; i < buckets.size(); ++i) {
+    if (!joins && records.size() >= kMaxSyncRecords) {
+      break;
+    }
+    for (const MemberRecord* each : buckets[(first + i) % buckets.size()]) {
+      records.push_back(*each);
+    }
+  }
+  return records;
+}
+
+}
