Parsers of others' entries get damaged ones; the soak restarts workers under their id

20,000 to 50,000 damaged entries, always the same, through each parser of a heartbeat, seed, log, decision, manifest, copy and index line: no exception, no count out of range.

--- a/tests/config/other_writers.cpp
+++ b/tests/config/other_writers.cpp
@@ -1,5 +1,7 @@
+#include "greengagehub/config/config_copy.hpp"
 #include "greengagehub/config/decision.hpp"
 #include "greengagehub/config/store_layout.hpp"
+#include "support/damage.hpp"
 
 #include <doctest/doctest.h>
 #include <functional>
@@ -156,3 +158,30 @@
           std::vector<std::uint64_t>{ 17 });
   }
 }
+
+TEST_CASE("damaged entries of the store are refused or read, and end nothing")
+{
+  // 20,000 of each, always the same ones: no exception, no endless read.
+  Random random{ 17 };
+  const std::string log = LogToJson(SomeLog());
+  const std::string decisions =
+    DecisionsToJson({ SomeDecision(true), SomeDecision(false) });
+  const std::string manifest =
+    ManifestToJson({ { Version{ 4 }, "", {}, {}, {} }, 2 });
+  const std::string copy = FormatConfigCopy(42, "a document");
+  const std::string index = IndexDigest("p") + " 17\n";
+  constexpr std::size_t kMaxBytes = 1024;
+  for (int i = 0; i < 20'000; ++i) {
+    static_cast<void>(ParseLog(test::Damaged(log, random)));
+    static_cast<void>(ParseDecisions(test::Damaged(decisions, random)));
+    const auto read = ParseManifest(test::Damaged(manifest, random));
+    if (read) {
+      CHECK(read.value().m_parts < 1000);
+    }
+    const auto copied = ParseConfigCopy(test::Damaged(copy, random), kMaxBytes);
+    if (copied) {
+      CHECK(copied.value().m_document.size() <= kMaxBytes);
+    }
+    static_cast<void>(FindInIndex(test::Damaged(index, random), "p"));
+  }
+}
--- a/tests/membership/seed_keeper.cpp
+++ b/tests/membership/seed_keeper.cpp
@@ -1,6 +1,8 @@
 #include "greengagehub/membership/seed_keeper.hpp"
 #include "greengagehub/membership/watch_role.hpp"
 
+#include "support/damage.hpp"
+
 #include <doctest/doctest.h>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -163,3 +165,15 @@
     CHECK_FALSE(ParseSeed(each));
   }
 }
+
+TEST_CASE("damaged addresses are refused or read, and end nothing")
+{
+  Random random{ 29 };
+  const std::string whole = SeedToJson({ "10.0.0.7", 1, 2, 3 });
+  for (int i = 0; i < 50'000; ++i) {
+    const auto address = ParseSeed(test::Damaged(whole, random));
+    if (address) {
+      CHECK(address->m_gossipPort > 0);
+    }
+  }
+}
--- a/tests/platform/heartbeat.cpp
+++ b/tests/platform/heartbeat.cpp
@@ -1,4 +1,5 @@
 #include "platform/heartbeat.hpp"
+#include "support/damage.hpp"
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -122,3 +123,17 @@
     Request("DELETE", "/instances/i-7f", R"({"born":-4})")));
   CHECK_FALSE(platform::ParseNotice(Request("DELETE", "/instances/")));
 }
+
+TEST_CASE("damaged reports are refused or read, and end nothing")
+{
+  Random random{ 23 };
+  for (int i = 0; i < 50'000; ++i) {
+    const auto notice = platform::ParseNotice(
+      Request("PUT", "/instances/i-7f", test::Damaged(kBody, random)));
+    if (notice) {
+      const auto& report = std::get<WorkerReport>(notice.value());
+      CHECK(report.m_slots > 0);
+      CHECK(report.m_slots <= 100'000);
+    }
+  }
+}
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -27,6 +27,10 @@
   std::uint32_t m_seconds{ 15 };
   std::uint32_t m_daemons{ 5 };
   double m_rate{ 100.0 };
+  /// Backend servers also start again under their ids, and reports come that
+  /// are late or another writer's. Apart, as the plans of seeds that ever
+  /// failed stay as they were.
+  bool m_restarts{ false };
 };
 
 /// Something that happens at a time of the plan.
@@ -219,12 +223,45 @@
           Add(at, "change of configuration", [this] { PutConfig(); });
       }
     }
+    if (m_options.m_restarts) {
+      AddRestarts(length);
+    }
     std::stable_sort(
       m_plan.begin(), m_plan.end(), [](const Step& aLeft, const Step& aRight) {
         return aLeft.m_at < aRight.m_at;
       });
   }
 
+  /// Starts under the same id, each with reports around it that are not its
+  /// own.
+  void AddRestarts(std::uint32_t aLength)
+  {
+    static const std::vector<std::int64_t> kLater{ 1, 5'000, -3'600'000 };
+    static const std::vector<Json> kOthers{
+      { { "seq", 100'000 }, { "state", "draining" }, { "born", 1 } },
+      { { "seq", 100'001 }, { "state", "resting" } },
+      { { "seq", 100'002 }, { "slots", -1 } },
+      { { "seq", 100'003 }, { "slots", 6.5 } },
+      { { "seq", true } },
+      { { "seq", 100'004 }, { "born", "soon" }, { "state", "draining" } },
+    };
+    for (std::uint32_t i = 0; i < 2 + aLength / 2000; ++i) {
+      const auto at = Between(300, aLength * 2 / 3);
+      const std::string slot = SomeSlot();
+      const auto control = [&](std::chrono::milliseconds aAt, Json aWanted) {
+        Add(aAt, slot + "'s worker: " + aWanted.dump(), [this, slot, aWanted] {
+          m_fleet.ControlWorker(slot, aWanted);
+        });
+      };
+      control(
+        at, { { "restart_same_id", kLater[Below(m_random, kLater.size())] } });
+      for (std::uint64_t reports = Below(m_random, 4); reports > 0; --reports) {
+        control(at + Between(0, 1500),
+                { { "report", kOthers[Below(m_random, kOthers.size())] } });
+      }
+    }
+  }
+
   void AddSignal(std::chrono::milliseconds aAt,
                  std::chrono::milliseconds aUntil)
   {
@@ -433,7 +470,10 @@
                            "daemons, each with its worker")(
     "rate",
     po::value(&given.m_rate)->default_value(100.0),
-    "releases a second, and as many lookups");
+    "releases a second, and as many lookups")(
+    "restarts",
+    po::bool_switch(&given.m_restarts),
+    "backend servers also start again under their ids");
   try {
     po::variables_map values;
     po::store(po::parse_command_line(aCount, aArguments, options), values);
