A worker whose news is old is presumed as busy as its domain told lately

Hypothesis: of 60 workers nearby a daemon hears from each every few seconds, and took all others for idle; calls of a domain that is short went from one full worker to the next, while slots elsewhere stood free. Change: DomainWaits: what a kind waits in each domain, by what its workers told within the last second or so, fills in where a worker's own news is old.

--- a/include/greengagehub/calls/decision_settings.hpp
+++ b/include/greengagehub/calls/decision_settings.hpp
@@ -59,6 +59,9 @@
   /// calls miss their target, 0.6% with two (replayed load, tests/calls).
   std::uint32_t m_choices{ 2 };
 
+  /// Whether a worker whose own news is old is presumed to be as busy as what
+  /// others of its domain told lately.
+  bool m_sharesNews{ true };
   /// What a call loses of its worth when its answer comes late.
   double m_lateLoss{ 0.6 };
   /// Price of a KiB between failure domains, as a share of what a call is
--- a/include/greengagehub/calls/placing.hpp
+++ b/include/greengagehub/calls/placing.hpp
@@ -4,6 +4,41 @@
 
 namespace greengagehub {
 
+/// \brief What is presumed of a worker as far as it has told nothing lately.
+struct Presumed
+{
+  /// How long it takes for such a call.
+  Duration m_service{ 0 };
+  /// What such a call waits there.
+  Duration m_wait{ 0 };
+};
+
+/// \brief What calls of a kind wait in each failure domain, by what its workers
+/// told lately.
+///
+/// Answers the load pattern of many workers and few calls from each daemon: of
+/// 60 workers nearby a daemon hears from most only every few seconds, while
+/// their queues change within half a second. Taken for idle until they tell
+/// otherwise, the workers of a domain that has more traffic than they can take
+/// refuse one after the other, and slots in other domains stay free.
+class DomainWaits
+{
+public:
+  DomainWaits(const std::vector<const WorkerRow*>& aRows,
+              const RoutingContext& aContext);
+
+  [[nodiscard]] Duration In(std::string_view aDomain) const noexcept;
+
+private:
+  struct Told
+  {
+    std::string_view m_domain;
+    std::chrono::duration<double> m_wait{ 0.0 };
+    double m_weight{ 0.0 };
+  };
+  std::vector<Told> m_told;
+};
+
 /// \returns Share of calls that miss their target where the mean time to an
 /// answer is `aExpected`.
 [[nodiscard]] double
@@ -19,7 +54,7 @@
 ExpectedLoss(const DecisionSettings& aDecisions,
              const WorkerRow& aRow,
              const RoutingContext& aContext,
-             Duration aUnknown) noexcept;
+             const Presumed& aPresumed) noexcept;
 
 /// \brief The worker where a call loses least: by missing its target, or by the
 /// price of crossing between failure domains.
@@ -61,14 +96,13 @@
 TypicalService(const std::vector<const WorkerRow*>& aRows,
                CallKind aKind) noexcept;
 
-/// \param aUnknown service time where the worker has told none.
 /// \returns Time until a call sent now is expected to be answered, with what
 /// refusals seen there cost on average.
 [[nodiscard]] Duration
 ExpectedTime(const DecisionSettings& aDecisions,
              const WorkerRow& aRow,
              const RoutingContext& aContext,
-             Duration aUnknown) noexcept;
+             const Presumed& aPresumed) noexcept;
 
 /// \param aRequestBytes of the call's body.
 /// \param aAnswerBytes of the answers that its route gets, on average.
--- a/src/calls/placing.cpp
+++ b/src/calls/placing.cpp
@@ -1,6 +1,7 @@
 #include "greengagehub/calls/placing.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <numeric>
 
@@ -11,6 +12,13 @@
 /// News of a worker's queue counts in full when fresh and nothing after this
 /// time.
 constexpr auto kNewsLife = std::chrono::milliseconds{ 500 };
+/// What the workers of a domain told counts for each other for about so long:
+/// the load of a domain changes over seconds, the queue of one worker within
+/// half of one.
+constexpr std::chrono::milliseconds kDomainNewsLife{ 1000 };
+/// Weight of an idle worker beside what was told, so that a domain of which
+/// little has been heard for a while is tried again.
+constexpr double kIdlePrior = 0.25;
 /// One call in so many goes to a worker nearby that has told nothing yet.
 constexpr std::uint64_t kExploreOneIn = 32;
 /// A worker that has told nothing is taken for this many times slower than a
@@ -49,6 +57,42 @@
 
 }
 
+DomainWaits::DomainWaits(const std::vector<const WorkerRow*>& aRows,
+                         const RoutingContext& aContext)
+{
+  using Seconds = std::chrono::duration<double>;
+  for (const WorkerRow* each : aRows) {
+    const auto* figures = FiguresOf(*each, aContext.m_kind);
+    if (figures == nullptr) {
+      continue;
+    }
+    const double age =
+      Seconds(aContext.m_now - figures->m_at) / Seconds(kDomainNewsLife);
+    auto told =
+      std::find_if(m_told.begin(), m_told.end(), [&](const Told& aTold) {
+        return aTold.m_domain == each->m_domain;
+      });
+    if (told == m_told.end()) {
+      told = m_told.insert(m_told.end(), Told{ each->m_domain });
+    }
+    const double weight = std::exp(-age);
+    told->m_wait += weight * Seconds(figures->m_wait);
+    told->m_weight += weight;
+  }
+}
+
+Duration
+DomainWaits::In(std::string_view aDomain) const noexcept
+{
+  for (const Told& each : m_told) {
+    if (each.m_domain == aDomain) {
+      return std::chrono::duration_cast<Duration>(each.m_wait /
+                                                  (each.m_weight + kIdlePrior));
+    }
+  }
+  return Duration{ 0 };
+}
+
 Duration
 TypicalService(const std::vector<const WorkerRow*>& aRows,
                CallKind aKind) noexcept
@@ -68,16 +112,17 @@
 ExpectedTime(const DecisionSettings& aDecisions,
              const WorkerRow& aRow,
              const RoutingContext& aContext,
-             Duration aUnknown) noexcept
+             const Presumed& aPresumed) noexcept
 {
   using Seconds = std::chrono::duration<double>;
-  Seconds service = aUnknown;
-  Seconds wait{ 0.0 };
+  Seconds service = aPresumed.m_service;
+  Seconds wait = aPresumed.m_wait;
   if (const auto* known = FiguresOf(aRow, aContext.m_kind)) {
     const double age =
       Seconds(aContext.m_now - known->m_at) / Seconds(kNewsLife);
+    const double trust = std::clamp(1.0 - age, 0.0, 1.0);
     service = known->m_serviceTime;
-    wait = std::clamp(1.0 - age, 0.0, 1.0) * Seconds(known->m_wait);
+    wait = trust * Seconds(known->m_wait) + (1.0 - trust) * wait;
   }
   const double slots = std::max(1U, aRow.m_slots);
   const double load = aRow.m_inFlight / slots;
@@ -118,9 +163,9 @@
 ExpectedLoss(const DecisionSettings& aDecisions,
              const WorkerRow& aRow,
              const RoutingContext& aContext,
-             Duration aUnknown) noexcept
+             const Presumed& aPresumed) noexcept
 {
-  const Duration expected = ExpectedTime(aDecisions, aRow, aContext, aUnknown);
+  const Duration expected = ExpectedTime(aDecisions, aRow, aContext, aPresumed);
   const double late = RiskOfLateness(expected, aContext.m_targetLeft);
   const double lost = RiskOfLateness(expected, aContext.m_deadlineLeft);
   const double failed = aDecisions.m_pushesBack ? aRow.m_failures : 0.0;
@@ -144,14 +189,17 @@
     }
   }
   const Duration typical = TypicalService(aRows, aContext.m_kind);
+  const DomainWaits waits{ aRows, aContext };
   const auto cost = [&](const WorkerRow& aRow) {
     const bool isNew = FiguresOf(aRow, aContext.m_kind) == nullptr;
     // Until the first call there has ended it gets no second one.
-    const double waits = isNew && aRow.m_inFlight > 0 ? 1.0 : 0.0;
-    const Duration service =
+    const double again = isNew && aRow.m_inFlight > 0 ? 1.0 : 0.0;
+    const Presumed presumed{
       isNew ? std::chrono::duration_cast<Duration>(typical * kNewcomer)
-            : typical;
-    return ExpectedLoss(m_decisions, aRow, aContext, service) + waits +
+            : typical,
+      m_decisions.m_sharesNews ? waits.In(aRow.m_domain) : Duration{ 0 }
+    };
+    return ExpectedLoss(m_decisions, aRow, aContext, presumed) + again +
            (IsFar(aRow) ? aContext.m_crossing : 0.0);
   };
   std::size_t best = 0;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -311,6 +311,7 @@
     reader.Number("crossing_per_kib", target.m_crossingPerKib, 0.0, 100.0);
     reader.Flag("counts_request_body", target.m_countsRequestBody);
     reader.Flag("explores", target.m_explores);
+    reader.Flag("shares_news", target.m_sharesNews);
     reader.Flag("pushes_back", target.m_pushesBack);
     reader.Flag("ejects", target.m_ejects);
     reader.Flag("weighs_age", target.m_weighsAge);
--- /dev/null
+++ b/tests/calls/replay.hpp
@@ -0,0 +1,278 @@
+#pragma once
+
+#include "greengagehub/calls/dispatcher.hpp"
+#include "greengagehub/calls/run_table.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+
+namespace greengagehub::test {
+
+using namespace std::chrono_literals;
+
+/// \brief One failure domain of a replay.
+struct ReplayDomain
+{
+  std::size_t m_callers{ 40 };
+  std::size_t m_workers{ 8 };
+  /// Calls that come there, as a part of what its own workers can do.
+  double m_load{ 0.85 };
+};
+
+struct ReplaySetup
+{
+  std::vector<ReplayDomain> m_domains{ {} };
+  DecisionSettings m_decisions{};
+  /// Price of a crossing, as a share of what a call is worth.
+  double m_crossing{ 0.0 };
+  Duration m_span{ 20s };
+};
+
+struct ReplayResult
+{
+  std::size_t m_calls{ 0 };
+  std::size_t m_inTarget{ 0 };
+  std::size_t m_crossed{ 0 };
+  std::size_t m_sends{ 0 };
+
+  [[nodiscard]] double Missed() const { return 1.0 - Share(m_inTarget); }
+  [[nodiscard]] double Crossed() const { return Share(m_crossed); }
+  [[nodiscard]] double Sends() const { return Share(m_sends); }
+
+private:
+  [[nodiscard]] double Share(std::size_t aCount) const
+  {
+    return static_cast<double>(aCount) / static_cast<double>(m_calls);
+  }
+};
+
+/// \brief Many callers' daemons, few calls from each, through the product's own
+/// dispatchers and run tables in virtual time.
+///
+/// Two workers in three take 140 ms for a call, the third 62 ms; a call has
+/// 400 ms to its target and 2 s to its deadline; a hop takes 0.2 ms.
+class Replay
+{
+public:
+  explicit Replay(ReplaySetup aSetup)
+    : m_setup(std::move(aSetup))
+  {
+    for (std::size_t i = 0; i < m_setup.m_domains.size(); ++i) {
+      AddDomain(i);
+    }
+  }
+
+  ReplayResult Run()
+  {
+    for (std::size_t i = 0; i < m_setup.m_domains.size(); ++i) {
+      AddCalls(i);
+    }
+    while (!m_events.empty()) {
+      const auto next = m_events.begin();
+      m_now = next->first;
+      const auto action = std::move(next->second);
+      m_events.erase(next);
+      action();
+    }
+    return m_result;
+  }
+
+private:
+  static constexpr std::uint32_t kSlots = 6;
+  static constexpr auto kTarget = 400ms;
+  static constexpr auto kHop = std::chrono::microseconds{ 200 };
+  static constexpr auto kFast = 62ms;
+  static constexpr auto kSlow = 140ms;
+
+  struct Worker
+  {
+    RunTable m_table{ { .m_slots = kSlots, .m_queue = 4 * kSlots } };
+    std::size_t m_domain{ 0 };
+    Duration m_mean{ 0 };
+  };
+
+  static std::string NameOf(std::size_t aDomain)
+  {
+    return "domain-" + std::to_string(aDomain);
+  }
+
+  void AddDomain(std::size_t aDomain)
+  {
+    const ReplayDomain& domain = m_setup.m_domains[aDomain];
+    for (std::size_t i = 0; i < domain.m_workers; ++i) {
+      auto worker = std::make_unique<Worker>();
+      worker->m_domain = aDomain;
+      worker->m_mean = i % 3 == 2 || i == 0 ? kFast : kSlow;
+      m_workers.push_back(std::move(worker));
+    }
+    m_firstCaller.push_back(m_callers.size());
+    for (std::size_t i = 0; i < domain.m_callers; ++i) {
+      m_callers.push_back(std::make_unique<Dispatcher>(m_callers.size() + 1));
+      m_callers.back()->Routing().m_domain = NameOf(aDomain);
+      m_callers.back()->SetDecisions(m_setup.m_decisions);
+    }
+  }
+
+  void MeetWorkers()
+  {
+    for (auto& caller : m_callers) {
+      for (std::size_t i = 0; i < m_workers.size(); ++i) {
+        WorkerRow row;
+        row.m_slot = std::to_string(i);
+        row.m_service = "board";
+        row.m_domain = NameOf(m_workers[i]->m_domain);
+        row.m_slots = kSlots;
+        caller->Workers().Put(std::move(row));
+      }
+    }
+  }
+
+  void AddCalls(std::size_t aDomain)
+  {
+    if (aDomain == 0) {
+      MeetWorkers();
+    }
+    const ReplayDomain& domain = m_setup.m_domains[aDomain];
+    double capacity = 0.0;
+    for (const auto& each : m_workers) {
+      capacity +=
+        each->m_domain == aDomain
+          ? kSlots / std::chrono::duration<double>(each->m_mean).count()
+          : 0.0;
+    }
+    std::exponential_distribution<double> gap{ domain.m_load * capacity };
+    double at = 0.0;
+    while (at < std::chrono::duration<double>(m_setup.m_span).count()) {
+      at += gap(m_random);
+      const auto due = m_now + std::chrono::duration_cast<Duration>(
+                                 std::chrono::duration<double>(at));
+      const std::uint64_t id = ++m_result.m_calls;
+      const std::size_t caller = m_firstCaller[aDomain] + id % domain.m_callers;
+      m_events.emplace(due, [this, id, caller] { Begin(id, caller); });
+    }
+  }
+
+  Duration ServiceOf(const Worker& aWorker)
+  {
+    std::lognormal_distribution<double> spread{ -0.11, 0.47 };
+    return std::chrono::duration_cast<Duration>(aWorker.m_mean *
+                                                spread(m_random));
+  }
+
+  void After(Duration aSpan, std::function<void()> aAction)
+  {
+    m_events.emplace(m_now + aSpan, std::move(aAction));
+  }
+
+  void Begin(std::uint64_t aId, std::size_t aCaller)
+  {
+    CallPlan plan;
+    plan.m_service = "board";
+    plan.m_deadline = m_now + 2s;
+    plan.m_target = m_now + kTarget;
+    plan.m_kind = kTarget;
+    plan.m_crossing = m_setup.m_crossing;
+    m_began[aId] = m_now;
+    Carry(aCaller, m_callers[aCaller]->Begin(m_now, aId, std::move(plan)));
+  }
+
+  void Carry(std::size_t aCaller, const DispatchActions& aActions)
+  {
+    for (const DispatchAction& each : aActions) {
+      if (const auto* send = std::get_if<SendAttempt>(&each)) {
+        ++m_result.m_sends;
+        After(kHop,
+              [this, aCaller, attempt = *send] { Arrive(aCaller, attempt); });
+      } else if (const auto* finish = std::get_if<FinishCall>(&each)) {
+        const bool answered =
+          finish->m_answer.m_outcome == CallOutcome::Answered;
+        const Duration took = m_now - m_began.at(finish->m_call);
+        m_result.m_inTarget += answered && took <= kTarget ? 1 : 0;
+      }
+    }
+  }
+
+  void Arrive(std::size_t aCaller, const SendAttempt& aAttempt)
+  {
+    const std::size_t index = std::stoul(aAttempt.m_slot);
+    Worker& worker = *m_workers[index];
+    const CallKey key{ aCaller + 1, aAttempt.m_attempt };
+    m_workerOf[key] = index;
+    RunActions out;
+    const Admission admission =
+      worker.m_table.Admit(m_now,
+                           key,
+                           1,
+                           { .m_priority = 2,
+                             .m_kind = kTarget,
+                             .m_timeLeft = aAttempt.m_timeLeft,
+                             .m_targetLeft = aAttempt.m_targetLeft,
+                             .m_refuseIfBusy = aAttempt.m_refuseIfBusy },
+                           out);
+    const bool refused = admission.m_kind == Admission::Kind::Refused;
+    const bool crosses =
+      m_callers[aCaller]->Routing().m_domain != NameOf(worker.m_domain);
+    m_result.m_crossed += crosses && !refused ? 1 : 0;
+    if (admission.m_kind == Admission::Kind::Start) {
+      Start(key);
+    } else if (refused) {
+      Answer(key, Refuse(key.m_call, CallOutcome::NotRun, admission.m_reason));
+    }
+    Take(out);
+  }
+
+  void Start(const CallKey& aKey)
+  {
+    After(ServiceOf(*m_workers[m_workerOf.at(aKey)]), [this, aKey] {
+      Take(m_workers[m_workerOf.at(aKey)]->m_table.Finish(m_now, aKey));
+      CallAnswer answer;
+      answer.m_call = aKey.m_call;
+      answer.m_outcome = CallOutcome::Answered;
+      Answer(aKey, std::move(answer));
+    });
+  }
+
+  void Take(const RunActions& aActions)
+  {
+    for (const RefusedRun& each : aActions.m_refused) {
+      Answer(each.m_key,
+             Refuse(each.m_key.m_call, CallOutcome::NotRun, each.m_reason));
+    }
+    for (const CallKey& each : aActions.m_start) {
+      Start(each);
+    }
+  }
+
+  void Answer(const CallKey& aKey, CallAnswer aAnswer)
+  {
+    using std::chrono::duration_cast;
+    using std::chrono::microseconds;
+    const RunTable& worker = m_workers[m_workerOf.at(aKey)]->m_table;
+    aAnswer.m_load = worker.Load();
+    aAnswer.m_slots = kSlots;
+    aAnswer.m_serviceTime =
+      duration_cast<microseconds>(worker.ServiceTime(kTarget));
+    aAnswer.m_wait =
+      duration_cast<microseconds>(worker.WaitOf(m_now, 2, kTarget));
+    After(kHop, [this, aKey, answer = std::move(aAnswer)] {
+      const std::size_t caller = aKey.m_process - 1;
+      Carry(caller, m_callers[caller]->OnAnswer(m_now, answer));
+    });
+  }
+
+  ReplaySetup m_setup;
+  ReplayResult m_result{};
+  std::mt19937_64 m_random{ 7 };
+  TimePoint m_now{ 1h };
+  std::vector<std::unique_ptr<Dispatcher>> m_callers{};
+  std::vector<std::size_t> m_firstCaller{};
+  std::vector<std::unique_ptr<Worker>> m_workers{};
+  std::multimap<TimePoint, std::function<void()>> m_events{};
+  std::map<std::uint64_t, TimePoint> m_began{};
+  std::map<CallKey, std::size_t> m_workerOf{};
+};
+
+}
