A worker that has become slow is known by what still runs there

Hypothesis: a worker twelve times slower ends nothing for four seconds; its times were told as before, calls came to wait there and were answered after nine. Looked over each tick.

--- a/include/greengagehub/calls/calls.hpp
+++ b/include/greengagehub/calls/calls.hpp
@@ -12,5 +12,6 @@
 #include "greengagehub/calls/retry_budget.hpp"
 #include "greengagehub/calls/route_table.hpp"
 #include "greengagehub/calls/run_table.hpp"
+#include "greengagehub/calls/running_age.hpp"
 #include "greengagehub/calls/work_order.hpp"
 #include "greengagehub/calls/worker_table.hpp"
--- a/include/greengagehub/calls/decision_settings.hpp
+++ b/include/greengagehub/calls/decision_settings.hpp
@@ -30,6 +30,8 @@
   /// the time that its caller has left: then it is told, while the caller can
   /// still do something else.
   std::uint32_t m_latePart{ 3 };
+  /// Whether what still runs tells, too, that a worker has become slow.
+  bool m_seesSlowness{ true };
   /// Calls that gain more use all of a worker from this share on: what they
   /// leave is within the error of the estimate.
   double m_nothingLeft{ 0.95 };
--- a/include/greengagehub/calls/run_table.hpp
+++ b/include/greengagehub/calls/run_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "greengagehub/calls/call.hpp"
+#include "greengagehub/calls/running_age.hpp"
 #include "greengagehub/calls/work_order.hpp"
 
 #include <boost/intrusive/list.hpp>
@@ -127,10 +128,7 @@
   /// runs is the former one's until it ends.
   void OnWorkerRestarted();
   /// \returns Moving mean of the time that the worker takes for such calls.
-  [[nodiscard]] Duration ServiceTime(CallKind aKind) const
-  {
-    return m_services.Of(aKind);
-  }
+  [[nodiscard]] Duration ServiceTime(TimePoint aNow, CallKind aKind) const;
   /// \returns What such a call would wait if it came now.
   [[nodiscard]] Duration WaitOf(TimePoint aNow,
                                 std::uint32_t aPriority,
@@ -165,6 +163,8 @@
     TimePoint m_since;
     /// While running: which start of the worker it was handed to.
     std::uint32_t m_workerStarts{ 0 };
+    /// While running: how long it should take, if that is known.
+    std::optional<Duration> m_expected{};
   };
   struct KeyHash
   {
@@ -196,6 +196,12 @@
   [[nodiscard]] std::optional<RefusalReason> ReasonToRefuse(
     TimePoint aNow,
     const Run& aRun) const;
+  /// \returns By how many times the worker is slower than its runs that ended
+  /// tell.
+  [[nodiscard]] double SlownessAt(TimePoint aNow) const;
+  /// \brief Refuses what waits in vain, now that the worker has become slow;
+  /// another one may still be in time.
+  void RefuseInVain(TimePoint aNow, RunActions& aOut);
   [[nodiscard]] bool MakeRoom(TimePoint aNow,
                               const Run& aFor,
                               RunActions& aOut);
@@ -232,6 +238,7 @@
   ServiceTimes m_services;
   /// Starts of the worker that were followed by another.
   std::uint32_t m_workerStarts{ 0 };
+  RunningAge m_runningAge;
   OnTimeLoad m_onTime;
 };
 
--- a/include/greengagehub/calls/work_order.hpp
+++ b/include/greengagehub/calls/work_order.hpp
@@ -37,6 +37,8 @@
   /// must not be refused for the time that others take, or it would never run
   /// and stay unknown.
   [[nodiscard]] Duration Of(CallKind aKind) const;
+  /// \returns The mean of the kind, if calls of it have ended.
+  [[nodiscard]] std::optional<Duration> Known(CallKind aKind) const;
   /// \returns The mean over all calls.
   [[nodiscard]] Duration Mean() const noexcept { return m_mean; }
 
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -44,6 +44,8 @@
   [[nodiscard]] CancelResult OnCancel(CallKey aKey, bool aAbandon);
   void OnEpoch(std::uint64_t aProcess, std::uint64_t aEpoch);
   void StartLeaving();
+  /// \brief Looks over what waits, every so often.
+  void OnTick(TimePoint aNow);
   /// \brief A heartbeat told what the worker is; until the first one, and once
   /// it leaves, nothing is sent to it.
   void OnWorker(const WorkerPresence& aPresence);
--- a/src/calls/run_table.cpp
+++ b/src/calls/run_table.cpp
@@ -10,12 +10,10 @@
 /// cannot ask any more.
 constexpr auto kHorizonLife = std::chrono::hours{ 1 };
 constexpr auto kLeastRetryAfter = std::chrono::milliseconds{ 10 };
-
-std::chrono::milliseconds
-RoundUp(Duration aSpan)
-{
-  return std::chrono::ceil<std::chrono::milliseconds>(aSpan);
-}
+/// A worker that has become this many times slower is left by what waits there
+/// in vain. Below it the estimate is too near to usual spread to take back an
+/// admission.
+constexpr double kMuchSlower = 2.0;
 
 }
 
@@ -44,107 +42,6 @@
   m_services = ServiceTimes{};
 }
 
-std::uint32_t
-RunTable::OpenSlots(TimePoint aNow) const
-{
-  const Duration warmUp = m_settings.m_warmUp;
-  const Duration age = aNow - m_firstCall;
-  if (warmUp <= Duration::zero() || age >= warmUp) {
-    return m_settings.m_slots;
-  }
-  const double share =
-    std::chrono::duration<double>(age) / std::chrono::duration<double>(warmUp);
-  return std::max(1U, static_cast<std::uint32_t>(share * m_settings.m_slots));
-}
-
-std::uint32_t
-RunTable::QueueLimit(CallClass aClass) const noexcept
-{
-  // Lower classes may fill only a part, so that overload sheds them first.
-  switch (aClass) {
-    case CallClass::Critical:
-      return m_settings.m_queue;
-    case CallClass::Lookup:
-      return m_settings.m_queue * 3 / 4;
-    case CallClass::Export:
-      return m_settings.m_queue / 4;
-  }
-  return 0;
-}
-
-std::uint32_t
-RunTable::QueuedOf(CallClass aClass) const noexcept
-{
-  // Those of higher classes count too: a class may fill only its part of the
-  // queue, and not on top of what is before it.
-  std::uint32_t queued = 0;
-  for (const Run& each : m_waiting) {
-    queued += each.m_class <= aClass ? 1 : 0;
-  }
-  return queued;
-}
-
-WorkRank
-RunTable::Rank(TimePoint aNow, const Run& aRun) const
-{
-  return RankOf(m_settings.m_decisions,
-                aNow,
-                m_services.Of(aRun.m_kind),
-                aRun.m_priority,
-                aRun.m_target,
-                aRun.m_deadline);
-}
-
-Duration
-RunTable::WorkBefore(TimePoint aNow, const WorkRank& aRank) const
-{
-  Duration work = Duration::zero();
-  for (const Run& each : m_waiting) {
-    if (!aRank.IsBefore(Rank(aNow, each))) {
-      work += m_services.Of(each.m_kind);
-    }
-  }
-  return work;
-}
-
-Duration
-RunTable::WaitFor(TimePoint aNow, const WorkRank& aRank) const
-{
-  const std::uint32_t slots = OpenSlots(aNow);
-  if (m_running < slots) {
-    return Duration::zero();
-  }
-  // A slot comes free after a part of a mean run, and one for each call before
-  // it after that.
-  return (m_services.Mean() + WorkBefore(aNow, aRank)) / slots;
-}
-
-Duration
-RunTable::WaitOf(TimePoint aNow, std::uint32_t aPriority, CallKind aKind) const
-{
-  const double gain =
-    GainOf(m_settings.m_decisions, m_services.Of(aKind), aPriority, false);
-  return WaitFor(aNow, { gain, aNow + aKind.m_target, false });
-}
-
-std::optional<Duration>
-RunTable::ForeseenWait(TimePoint aNow, const WorkRank& aRank) const
-{
-  const double share =
-    m_onTime.ShareAbove(aNow, aRank.m_gain, m_settings.m_slots);
-  if (share >= m_settings.m_decisions.m_nothingLeft) {
-    return std::nullopt;
-  }
-  return std::chrono::duration_cast<Duration>(WaitFor(aNow, aRank) /
-                                              (1.0 - share));
-}
-
-std::chrono::milliseconds
-RunTable::ExpectedWait(TimePoint aNow) const
-{
-  return RoundUp(WaitFor(aNow, { 0.0, TimePoint::max(), true }));
-}
-
 RunTable::Run&
 RunTable::Remember(TimePoint aNow, CallKey aKey, State aState)
 {
@@ -190,37 +87,6 @@
   return true;
 }
 
-bool
-RunTable::IsBusyFor(TimePoint aNow, const Run& aRun) const
-{
-  const Duration left = std::max<Duration>(aRun.m_target - aNow, {});
-  return WaitFor(aNow, Rank(aNow, aRun)) >
-         left / m_settings.m_decisions.m_busyPart;
-}
-
-std::optional<RefusalReason>
-RunTable::ReasonToRefuse(TimePoint aNow, const Run& aRun) const
-{
-  const WorkRank rank = Rank(aNow, aRun);
-  const Duration service = m_services.Of(aRun.m_kind);
-  const Duration wait = WaitFor(aNow, rank);
-  if (aNow + wait + service + m_settings.m_margin > aRun.m_deadline) {
-    return RefusalReason::DeadlineTooShort;
-  }
-  const bool late = rank.m_late || aNow + wait + service > aRun.m_target;
-  const DecisionSettings& decisions = m_settings.m_decisions;
-  if (!decisions.m_refusesEarly || !late || aRun.m_target >= aRun.m_deadline) {
-    return std::nullopt;
-  }
-  const WorkRank asLate{ GainOf(decisions, service, aRun.m_priority, true),
-                         aRun.m_deadline,
-                         true };
-  const auto lateWait = ForeseenWait(aNow, asLate);
-  const Duration left = aRun.m_deadline - aNow;
-  const bool inVain = !lateWait || *lateWait > left / decisions.m_latePart;
-  return inVain ? std::optional{ RefusalReason::Overloaded } : std::nullopt;
-}
-
 Admission
 RunTable::Admit(TimePoint aNow,
                 CallKey aKey,
@@ -301,7 +167,7 @@
   // Past the first it could not be answered in time; past the second it is
   // late already, and its caller has better things to do than wait.
   const TimePoint inVain =
-    aRun.m_deadline - m_settings.m_margin - m_services.Of(aRun.m_kind);
+    aRun.m_deadline - m_settings.m_margin - ServiceTime(aNow, aRun.m_kind);
   const TimePoint patience = std::max(
     aRun.m_target,
     aNow + (aRun.m_deadline - aNow) / m_settings.m_decisions.m_latePart);
@@ -314,6 +180,10 @@
   aRun.m_state = State::Running;
   aRun.m_since = aNow;
   aRun.m_workerStarts = m_workerStarts;
+  aRun.m_expected = m_services.Known(aRun.m_kind);
+  if (aRun.m_expected) {
+    m_runningAge.Started(aNow, *aRun.m_expected);
+  }
   ++m_running;
 }
 
@@ -373,6 +243,9 @@
     return out;
   }
   Run& run = *known->second;
+  if (run.m_expected) {
+    m_runningAge.Ended(run.m_since, *run.m_expected);
+  }
   if (run.m_workerStarts == m_workerStarts) {
     m_services.Note(run.m_kind, aNow - run.m_since);
   }
@@ -441,10 +314,27 @@
   }
 }
 
+void
+RunTable::RefuseInVain(TimePoint aNow, RunActions& aOut)
+{
+  if (SlownessAt(aNow) < kMuchSlower) {
+    return;
+  }
+  for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+    Run& run = *it++;
+    if (const auto reason = ReasonToRefuse(aNow, run)) {
+      aOut.m_refused.push_back(
+        { run.m_key, *reason, std::max(ExpectedWait(aNow), kLeastRetryAfter) });
+      EndQueued(aNow, run);
+    }
+  }
+}
+
 RunActions
 RunTable::OnTick(TimePoint aNow)
 {
   RunActions out;
+  RefuseInVain(aNow, out);
   StartWaiting(aNow, out);
   Forget(aNow);
   std::erase_if(m_horizons, [aNow](const auto& aHorizon) {
--- a/src/calls/work_order.cpp
+++ b/src/calls/work_order.cpp
@@ -46,12 +46,18 @@
 
 }
 
+std::optional<Duration>
+ServiceTimes::Known(CallKind aKind) const
+{
+  const auto found = EntryOf(m_kinds, aKind);
+  return found != m_kinds.end() ? std::optional{ found->second } : std::nullopt;
+}
+
 Duration
 ServiceTimes::Of(CallKind aKind) const
 {
-  const auto found = EntryOf(m_kinds, aKind);
-  if (found != m_kinds.end()) {
-    return found->second;
+  if (const auto known = Known(aKind)) {
+    return *known;
   }
   Duration least = m_mean;
   for (const auto& [kind, mean] : m_kinds) {
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -264,6 +264,7 @@
 {
   ReleaseHeld(aNow);
   m_pool.OnTick(aNow);
+  m_service.OnTick(aNow);
   m_dispatcher.SetRetryLimits(RetryLimitsNow());
 }
 
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -268,7 +268,7 @@
   const CallKind kind = aRequest.m_kind;
   aAnswer.m_load = m_runs.Load();
   aAnswer.m_slots = m_hasWorker ? m_runs.Slots() : 0;
-  aAnswer.m_serviceTime = duration_cast<microseconds>(m_runs.ServiceTime(kind));
+  aAnswer.m_serviceTime = duration_cast<microseconds>(m_runs.ServiceTime(Clock::now(), kind));
   aAnswer.m_wait = duration_cast<microseconds>(
     m_runs.WaitOf(Clock::now(), aRequest.m_priority, kind));
   m_answer(aKey, std::move(aAnswer));
@@ -439,6 +439,14 @@
   m_trace(std::move(span));
 }
 
+void
+RunService::OnTick(TimePoint aNow)
+{
+  if (m_runs.Queued() > 0) {
+    Carry(m_runs.OnTick(aNow));
+  }
+}
+
 void
 RunService::Arm()
 {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -312,6 +312,7 @@
     reader.Flag("counts_request_body", target.m_countsRequestBody);
     reader.Flag("explores", target.m_explores);
     reader.Flag("shares_news", target.m_sharesNews);
+    reader.Flag("sees_slowness", target.m_seesSlowness);
     reader.Flag("pushes_back", target.m_pushesBack);
     reader.Flag("ejects", target.m_ejects);
     reader.Flag("weighs_age", target.m_weighsAge);
--- a/tests/calls/replay.hpp
+++ b/tests/calls/replay.hpp
@@ -254,7 +254,7 @@
     aAnswer.m_load = worker.Load();
     aAnswer.m_slots = kSlots;
     aAnswer.m_serviceTime =
-      duration_cast<microseconds>(worker.ServiceTime(kTarget));
+      duration_cast<microseconds>(worker.ServiceTime(m_now, kTarget));
     aAnswer.m_wait =
       duration_cast<microseconds>(worker.WaitOf(m_now, 2, kTarget));
     After(kHop, [this, aKey, answer = std::move(aAnswer)] {
--- a/tests/calls/worker_restart.cpp
+++ b/tests/calls/worker_restart.cpp
@@ -244,5 +244,5 @@
   CHECK(admit(4, kStart + 1s) == Admission::Kind::Queued);
   const RunActions next = table.Finish(kStart + 1100ms, { 1, 2 });
   CHECK(next.m_start == std::vector<CallKey>{ { 1, 4 } });
-  CHECK(table.ServiceTime({ 200ms }) < 100ms);
+  CHECK(table.ServiceTime(kStart + 1100ms, { 200ms }) < 100ms);
 }
