Speakers look for domains of which they know nobody

Cause: since members join by addresses of their own domain, a restart of all left the domains apart for good: nobody remembered a member of another one, and the addresses of other domains were asked only by who found none of its own. A domain without a worker of a service answered 'no worker' from then on. Who speaks is worked out at each tick in a member's first seconds. Test: membership domains.cpp 'after all lost power'; without the finder 30 checks fail.

--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -5,6 +5,7 @@
 #include "greengagehub/daemon/decision_service.hpp"
 #include "greengagehub/daemon/store_sync.hpp"
 #include "greengagehub/dissemination/disseminator.hpp"
+#include "greengagehub/membership/domain_finder.hpp"
 #include "greengagehub/membership/member_sync.hpp"
 #include "greengagehub/membership/membership.hpp"
 #include "greengagehub/membership/seed_keeper.hpp"
@@ -83,6 +84,8 @@
 private:
   void Tick();
   void Join();
+  /// \brief A speaker looks for failure domains of which nobody is known.
+  void FindDomains(TimePoint aNow);
   /// \brief Asks for members more often than probes do, for a while.
   void ContactWhileJoining(TimePoint aNow);
   void OnSeeds(const StoreReply& aReply);
@@ -135,6 +138,7 @@
   std::string m_packedSnapshot;
   Version m_packedVersion;
   MemberSync m_memberSync;
+  DomainFinder m_domainFinder;
   ReadyGate m_gate;
   TimePoint m_nextRank{};
   bool m_fallbackRead{ false };
--- a/include/greengagehub/membership/membership.hpp
+++ b/include/greengagehub/membership/membership.hpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <chrono>
+#include <set>
 #include <vector>
 
 namespace greengagehub {
@@ -78,6 +79,8 @@
   [[nodiscard]] std::vector<MemberPeer> SampleNearFirst(std::size_t aCount);
   /// \returns One present member of each other failure domain, at random.
   [[nodiscard]] std::vector<MemberPeer> SampleEachDomain();
+  /// \returns Failure domains of which a member is present, the own included.
+  [[nodiscard]] std::set<std::string, std::less<>> DomainsPresent() const;
   /// \returns Whether this member speaks for its failure domain: it probes
   /// beyond it, compares members with others and pushes versions to them. The
   /// first kSpeakers by RankInDomain() do, so that a speaker that is suspected
--- a/include/greengagehub/membership/membership_all.hpp
+++ b/include/greengagehub/membership/membership_all.hpp
@@ -3,6 +3,7 @@
 /// \file
 /// \brief Everything of the membership library.
 
+#include "greengagehub/membership/domain_finder.hpp"
 #include "greengagehub/membership/gossip_message.hpp"
 #include "greengagehub/membership/member.hpp"
 #include "greengagehub/membership/member_sync.hpp"
--- a/include/greengagehub/membership/watch_role.hpp
+++ b/include/greengagehub/membership/watch_role.hpp
@@ -90,6 +90,9 @@
 [[nodiscard]] std::string
 SeedToJson(const MemberAddress& aAddress);
 /// \returns The address, or nothing for a value that makes no sense.
+/// \returns The failure domain of a seed's key; empty for another key.
+[[nodiscard]] std::string
+DomainOfSeed(std::string_view aKey);
 [[nodiscard]] std::optional<MemberAddress>
 ParseSeed(std::string_view aText);
 /// \returns What the keys of all places of a domain begin with.
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -229,6 +229,7 @@
     Join();
   }
   ContactWhileJoining(now);
+  FindDomains(now);
   PullWhenDue(now);
   if (m_settings.m_platform.m_enabled) {
     FollowPlatform(now);
@@ -269,6 +270,21 @@
   }
 }
 
+void
+ControlPlane::FindDomains(TimePoint aNow)
+{
+  if (!m_memberSync.HasJoined() || !m_membership.SpeaksForDomain()) {
+    return;
+  }
+  for (const MemberPeer& each : m_domainFinder.ToAsk(aNow, m_membership)) {
+    Contact(each);
+  }
+  if (m_domainFinder.ReadIsDue(aNow)) {
+    m_store.Carry(MakeOldList(std::string{ kSeedPrefix }),
+                  [this](const StoreReply& aReply) { OnSeeds(aReply); });
+  }
+}
+
 void
 ControlPlane::Join()
 {
@@ -301,16 +317,24 @@
   const std::string domain = SeedPrefix(m_settings.m_domain);
   std::uint32_t taken = 0;
   std::vector<MemberPeer> far;
+  std::vector<DomainFinder::Seed> others;
   m_seedsHeard.clear();
   for (const StoreItem& each : aReply.m_items) {
     const bool isNear = each.m_key.starts_with(domain);
     taken += isNear ? 1 : 0;
     const auto address = ParseSeed(each.m_value);
     const bool other = address && !(*address == m_membership.Self().m_address);
+    if (other && !isNear) {
+      others.push_back({ DomainOfSeed(each.m_key), { *address, true } });
+    }
     if (other) {
       (isNear ? m_seedsHeard : far).push_back({ *address, !isNear });
     }
   }
+  m_domainFinder.OnSeeds(std::move(others));
+  if (m_memberSync.HasJoined()) {
+    return;
+  }
   const bool someoneNear = !m_seedsHeard.empty();
   if (!someoneNear || m_joinTries > 1) {
     // Nobody of the own domain stands there, or nobody has answered.
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -268,7 +268,8 @@
   const CallKind kind = aRequest.m_kind;
   aAnswer.m_load = m_runs.Load();
   aAnswer.m_slots = m_hasWorker ? m_runs.Slots() : 0;
-  aAnswer.m_serviceTime = duration_cast<microseconds>(m_runs.ServiceTime(Clock::now(), kind));
+  aAnswer.m_serviceTime =
+    duration_cast<microseconds>(m_runs.ServiceTime(Clock::now(), kind));
   aAnswer.m_wait = duration_cast<microseconds>(
     m_runs.WaitOf(Clock::now(), aRequest.m_priority, kind));
   m_answer(aKey, std::move(aAnswer));
--- a/src/membership/membership_time.cpp
+++ b/src/membership/membership_time.cpp
@@ -14,6 +14,7 @@
 /// A tick that comes later than this many periods means that the process was
 /// paused, not that everyone else fell silent.
 constexpr int kPausePeriods = 3;
+constexpr std::uint32_t kFirstPeriods = 5;
 
 }
 
@@ -42,6 +43,10 @@
   for (Probe& each : m_probes) {
     ContinueProbe(aNow, out, each);
   }
+  // In its first seconds a member hears of those before it at any moment.
+  if (aNow >= m_nextProbe || m_periods < kFirstPeriods) {
+    m_speaks = RankInDomain() < kSpeakers;
+  }
   if (aNow >= m_nextProbe) {
     StartProbes(aNow, out);
   }
@@ -187,7 +192,6 @@
     ForgetLost(aNow);
     ProbeLost(aOut);
   }
-  m_speaks = RankInDomain() < kSpeakers;
   StartProbe(aNow, aOut, Reach::Near);
   if (m_speaks) {
     StartProbe(aNow, aOut, Reach::Far);
--- a/src/membership/membership_views.cpp
+++ b/src/membership/membership_views.cpp
@@ -99,6 +99,18 @@
   return chosen;
 }
 
+std::set<std::string, std::less<>>
+Membership::DomainsPresent() const
+{
+  std::set<std::string, std::less<>> domains{ m_self.m_domain };
+  m_members.Rows().Each([&](MemberTable::Index, const MemberRow& aRow) {
+    if (IsPresent(aRow.m_record.m_state)) {
+      domains.insert(aRow.m_record.m_domain);
+    }
+  });
+  return domains;
+}
+
 std::size_t
 Membership::RankInDomain() const
 {
--- a/src/membership/watch_role.cpp
+++ b/src/membership/watch_role.cpp
@@ -184,6 +184,16 @@
   return named ? std::optional{ address } : std::nullopt;
 }
 
+std::string
+DomainOfSeed(std::string_view aKey)
+{
+  if (!aKey.starts_with(kSeedPrefix)) {
+    return {};
+  }
+  aKey.remove_prefix(kSeedPrefix.size());
+  return std::string{ aKey.substr(0, aKey.find('/')) };
+}
+
 std::string
 SeedPrefix(std::string_view aDomain)
 {
--- a/tests/membership/domains.cpp
+++ b/tests/membership/domains.cpp
@@ -95,3 +95,17 @@
     CHECK(group.At(i).Members().Present() + 1 == kCount);
   }
 }
+
+TEST_CASE("after all lost power the domains find each other again")
+{
+  // Each joins those of its own domain and remembers nobody else. The domains
+  // stayed apart for good: one that had no worker of a service refused all
+  // calls for it from then on (a small deployment lost a third of its worth).
+  constexpr std::uint16_t kCount = 30;
+  Group group{ kCount, kDomains };
+  group.RestartAll(2);
+  group.Run(10s);
+  for (std::uint16_t i = 1; i <= kCount; ++i) {
+    CHECK(group.At(i).Members().Present() + 1 == kCount);
+  }
+}
--- a/tests/membership/group.hpp
+++ b/tests/membership/group.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "greengagehub/membership/domain_finder.hpp"
 #include "greengagehub/membership/member_sync.hpp"
 #include "greengagehub/membership/membership.hpp"
 
@@ -42,6 +43,32 @@
     Run(20s);
   }
 
+  /// \brief All lose power and start again, and know only the first member of
+  /// their own domain; the first of each domain stands in the store for others.
+  void RestartAll(std::uint64_t aStart)
+  {
+    const auto count = static_cast<std::uint16_t>(m_members.size());
+    std::vector<DomainFinder::Seed> seeds;
+    for (std::uint16_t i = 1; i <= count; ++i) {
+      Start(i, aStart);
+      if (i <= m_domains) {
+        seeds.push_back({ At(i).Self().m_domain, { At(i).Self().m_address } });
+      }
+    }
+    for (std::uint16_t i = 1; i <= count; ++i) {
+      auto others = seeds;
+      std::erase_if(others, [&](DomainFinder::Seed& aSeed) {
+        aSeed.m_peer.m_isFar = true;
+        return aSeed.m_domain == At(i).Self().m_domain;
+      });
+      m_finders[i].OnSeeds(std::move(others));
+      if (i > m_domains) {
+        const auto first = static_cast<std::uint16_t>((i - 1) % m_domains + 1);
+        Carry(i, At(i).Contact({ At(first).Self().m_address }));
+      }
+    }
+  }
+
   [[nodiscard]] Membership& At(std::uint16_t aNumber)
   {
     return m_members.at(aNumber);
@@ -80,6 +107,7 @@
       for (auto& [number, member] : m_members) {
         if (!m_paused.contains(number)) {
           Carry(number, member.OnTick(m_now));
+          Find(number, member);
         }
       }
       Deliver();
@@ -122,6 +150,17 @@
     GossipMessage m_message;
   };
 
+  void Find(std::uint16_t aNumber, Membership& aMember)
+  {
+    const auto finder = m_finders.find(aNumber);
+    if (finder == m_finders.end() || !aMember.SpeaksForDomain()) {
+      return;
+    }
+    for (const MemberPeer& each : finder->second.ToAsk(m_now, aMember)) {
+      Carry(aNumber, aMember.Contact(each));
+    }
+  }
+
   void Deliver()
   {
     while (!m_messages.empty()) {
@@ -173,6 +212,7 @@
   TimePoint m_now{ 1h };
   std::map<std::uint16_t, Membership> m_members;
   std::map<std::uint16_t, MemberSync> m_syncs;
+  std::map<std::uint16_t, DomainFinder> m_finders;
   std::set<std::uint16_t> m_paused;
   std::deque<Message> m_messages;
   std::function<bool(std::uint16_t, std::uint16_t)> m_cut;
