--- a/src/membership/membership_views.cpp
+++ b/src/membership/membership_views.cpp
@@ -93,6 +93,7 @@
     }
   });
   std::vector<MemberPeer> chosen;
+  chosen.reserve(drawn.size());
   for (const auto& [domain, each] : drawn) {
     chosen.push_back(PeerOf(*each.m_record));
   }
--- a/tests/config/other_writers.cpp
+++ b/tests/config/other_writers.cpp
@@ -47,7 +47,9 @@
                const std::function<bool(const Json&)>& aIsRefused)
 {
   REQUIRE_FALSE(aIsRefused(aWhole));
-  for (const auto& [name, value] : aWhole.items()) {
+  for (auto field = aWhole.begin(); field != aWhole.end(); ++field) {
+    const std::string& name = field.key();
+    const Json& value = field.value();
     CAPTURE(name);
     Json without = aWhole;
     without.erase(name);
@@ -154,8 +156,9 @@
                                   std::string{ "\n\n \n\xff\n" } }) {
     CAPTURE(bad);
     CHECK(FindInIndex(bad, "p").empty());
-    CHECK(FindInIndex(bad + good + bad, "p") ==
-          std::vector<std::uint64_t>{ 17 });
+    std::string mixed = bad;
+    mixed.append(good).append(bad);
+    CHECK(FindInIndex(mixed, "p") == std::vector<std::uint64_t>{ 17 });
   }
 }
 
--- a/tests/membership/seed_keeper.cpp
+++ b/tests/membership/seed_keeper.cpp
@@ -149,7 +149,8 @@
   const std::vector<nlohmann::json> wrong{
     nullptr, true, -1, 6.5, 1e30, 70'000, "", "a name", nlohmann::json::array()
   };
-  for (const auto& [name, value] : whole.items()) {
+  for (auto field = whole.begin(); field != whole.end(); ++field) {
+    const std::string& name = field.key();
     CAPTURE(name);
     nlohmann::json without = whole;
     without.erase(name);
--- a/tests/platform/heartbeat.cpp
+++ b/tests/platform/heartbeat.cpp
@@ -82,7 +82,9 @@
   const std::vector<Json> wrong{ nullptr,       true,           -1,
                                  6.5,           1e30,           "",
                                  Json::array(), Json::object(), "4" };
-  for (const auto& [name, value] : whole.items()) {
+  for (auto field = whole.begin(); field != whole.end(); ++field) {
+    const std::string& name = field.key();
+    const Json& value = field.value();
     CAPTURE(name);
     if (name != "born") {
       Json body = whole;
