A link that fell silent delivers nothing later; who left is not sent

Ruled out: waiting at the worker's daemon (a call past its deadline is refused before each start). Change: such a link is closed so that what it still holds is dropped. Beside it: a cancellation takes back a request that waits for its link to open; it was sent when the link came up, up to a second later. Tests: transport link_pool; 'fell silent' seen failing (orderly end instead of a reset), 'caller left while the link opened' not run on the code before.

--- a/include/greengagehub/transport/link_connection.hpp
+++ b/include/greengagehub/transport/link_connection.hpp
@@ -48,6 +48,10 @@
   /// on counts as crossing, and its heads are deflated.
   void SetFar();
   void Close();
+  /// \brief Closes at once: what the system has taken and not delivered is
+  /// dropped. Otherwise a request sent into a cut goes on being sent after the
+  /// close, arrives seconds later and runs for a caller that has left.
+  void Abort();
 
 private:
   /// Room for one read; grows for a longer frame and shrinks again after it.
@@ -57,6 +61,8 @@
   void OnRead();
   void MakeRoom();
   void Write();
+  /// \param aOrderly whether what was sent is still delivered.
+  void Shut(bool aOrderly);
   void Closed();
 
   asio::ip::tcp::socket m_socket;
--- a/include/greengagehub/transport/link_pool.hpp
+++ b/include/greengagehub/transport/link_pool.hpp
@@ -61,7 +61,8 @@
   void Send(const std::string& aSlot,
             const MemberAddress& aAddress,
             LinkFrame aFrame);
-  /// \brief Sends when a connection is open, else does nothing.
+  /// \brief Sends when a connection is open. A cancellation otherwise takes
+  /// back the request that waits for it to open.
   void SendIfOpen(const std::string& aSlot, const LinkFrame& aFrame);
   /// \brief Heartbeats, silence, time limits, idle links.
   void OnTick(TimePoint aNow);
--- a/src/transport/link_connection.cpp
+++ b/src/transport/link_connection.cpp
@@ -147,15 +147,31 @@
                     });
 }
 
+void
+LinkConnection::Abort()
+{
+  asio::error_code ignored;
+  m_socket.set_option(asio::socket_base::linger{ true, 0 }, ignored);
+  Shut(false);
+}
+
 void
 LinkConnection::Close()
+{
+  Shut(true);
+}
+
+void
+LinkConnection::Shut(bool aOrderly)
 {
   if (!m_open) {
     return;
   }
   m_open = false;
   asio::error_code ignored;
-  m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  if (aOrderly) {
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  }
   m_socket.close(ignored);
   asio::post(m_socket.get_executor(),
              [self = Pointer{ this }] { self->Closed(); });
--- a/src/transport/link_pool.cpp
+++ b/src/transport/link_pool.cpp
@@ -88,8 +88,19 @@
 LinkPool::SendIfOpen(const std::string& aSlot, const LinkFrame& aFrame)
 {
   const auto found = m_links.find(aSlot);
-  if (found != m_links.end() && found->second->m_up) {
-    found->second->m_connection->Send(aFrame);
+  if (found == m_links.end()) {
+    return;
+  }
+  Link& link = *found->second;
+  if (link.m_up) {
+    link.m_connection->Send(aFrame);
+  } else if (const auto* cancel = std::get_if<LinkCancel>(&aFrame)) {
+    // Its caller has left while the link was being opened; sent then, it would
+    // run for nobody.
+    std::erase_if(link.m_waiting, [cancel](const LinkFrame& aEach) {
+      const auto* request = std::get_if<CallRequest>(&aEach);
+      return request != nullptr && request->m_call == cancel->m_call;
+    });
   }
 }
 
@@ -248,14 +259,14 @@
     }
     if (link->m_connection && !link->m_up &&
         aNow - link->m_since > m_settings.m_connectTimeout) {
-      link->m_connection->Close();
+      link->m_connection->Abort();
     }
     if (link->m_up) {
       const Duration silent = aNow - link->m_connection->LastReceived();
       if (silent > m_settings.m_silence) {
         // Something between the two ends may have lost track of this
         // connection while new ones work: waiting longer would help nobody.
-        link->m_connection->Close();
+        link->m_connection->Abort();
       } else if (aNow - link->m_lastUse > m_settings.m_idle) {
         link->m_up = false;
         link->m_connection->Close();
--- a/tests/transport/link_pool.cpp
+++ b/tests/transport/link_pool.cpp
@@ -1,7 +1,12 @@
 #include "greengagehub/transport/link_pool.hpp"
+#include "greengagehub/transport/codec.hpp"
 #include "greengagehub/transport/link_server.hpp"
 
+#include <array>
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
 #include <doctest/doctest.h>
 
 using namespace greengagehub;
@@ -51,3 +56,102 @@
   loop.poll();
   CHECK(received == 0);
 }
+
+TEST_CASE("what was sent on a link that fell silent is not delivered later")
+{
+  // A lookup is sent into a cut. The caller gives up, the link is silent for
+  // too long and is closed; when the cut heals, the system of the caller would
+  // go on and deliver what it still holds, and the lookup would run for nobody.
+  asio::io_context loop;
+  asio::ip::tcp::acceptor peer{ loop, { asio::ip::address_v4::loopback(), 0 } };
+  TrafficMeter traffic;
+  bool up = false;
+  bool lost = false;
+  LinkPool::Handlers handlers;
+  handlers.m_onFrame = [](const std::string&, const LinkFrame&) {};
+  handlers.m_onUp = [&](const std::string&, std::uint64_t) { up = true; };
+  handlers.m_onLost = [&](const std::string&) { lost = true; };
+  handlers.m_onRefused = [](const std::string&) {};
+  handlers.m_onSent = [](std::uint64_t, std::uint64_t) {};
+  handlers.m_onNotSent = [](std::uint64_t) {};
+  LinkPoolSettings settings;
+  settings.m_silence = std::chrono::milliseconds{ 50 };
+  LinkPool pool{
+    loop, LinkHello{ "caller", 1, 0 }, settings, traffic, std::move(handlers)
+  };
+  const auto until = [&](const bool& aDone) {
+    while (!aDone && loop.run_one_for(std::chrono::seconds{ 10 }) > 0) {
+    }
+    REQUIRE(aDone);
+  };
+  CallRequest request;
+  request.m_call = 7;
+  const MemberAddress address{
+    "127.0.0.1", 0, 0, peer.local_endpoint().port()
+  };
+  pool.Send("callee", address, request);
+  asio::ip::tcp::socket socket{ loop };
+  std::string hello;
+  AppendFrame(hello, LinkHello{ "callee", 2, 1 });
+  peer.async_accept(socket, [&](const asio::error_code& aError) {
+    REQUIRE_FALSE(aError);
+    asio::write(socket, asio::buffer(hello));
+  });
+  until(up);
+  // More than the systems of both ends hold, so that some is still to be sent.
+  request.m_body = std::string(1'000'000, 'x');
+  for (std::uint64_t call = 8; call < 40; ++call) {
+    request.m_call = call;
+    pool.Send("callee", address, request);
+  }
+  const TimePoint later = Clock::now() + std::chrono::seconds{ 1 };
+  pool.OnTick(later);
+  until(lost);
+  asio::error_code end;
+  std::array<char, 65536> buffer{};
+  while (!end) {
+    socket.read_some(asio::buffer(buffer), end);
+  }
+  CHECK(end == asio::error::connection_reset);
+}
+
+TEST_CASE("a request whose caller left while the link opened is not sent")
+{
+  // The first call to a worker opens the link, behind a slow network. Its
+  // caller gives up before the link is open; another's request goes out when it
+  // is.
+  asio::io_context loop;
+  std::vector<std::uint64_t> received;
+  TrafficMeter traffic;
+  LinkServer callee{ loop,
+                     "127.0.0.1",
+                     0,
+                     LinkHello{ "callee", 2, 0 },
+                     traffic,
+                     { .m_onEpoch = [](std::uint64_t, std::uint64_t) {},
+                       .m_onFrame =
+                         [&](LinkConnection&, const LinkFrame& aFrame) {
+                           received.push_back(
+                             std::get<CallRequest>(aFrame).m_call);
+                         } } };
+  LinkPool::Handlers handlers;
+  handlers.m_onFrame = [](const std::string&, const LinkFrame&) {};
+  handlers.m_onUp = [](const std::string&, std::uint64_t) {};
+  handlers.m_onLost = [](const std::string&) {};
+  handlers.m_onRefused = [](const std::string&) {};
+  handlers.m_onSent = [](std::uint64_t, std::uint64_t) {};
+  handlers.m_onNotSent = [](std::uint64_t) {};
+  LinkPool pool{
+    loop, LinkHello{ "caller", 1, 0 }, {}, traffic, std::move(handlers)
+  };
+  const MemberAddress address{ "127.0.0.1", 0, 0, callee.Port() };
+  CallRequest request;
+  request.m_call = 7;
+  pool.Send("callee", address, request);
+  pool.SendIfOpen("callee", LinkCancel{ 7, true });
+  request.m_call = 8;
+  pool.Send("callee", address, request);
+  while (received.empty() && loop.run_one_for(std::chrono::seconds{ 10 }) > 0) {
+  }
+  CHECK(received == std::vector<std::uint64_t>{ 8 });
+}
