--- a/include/greengagehub/calls/worker_table.hpp
+++ b/include/greengagehub/calls/worker_table.hpp
@@ -154,7 +154,6 @@
     return m_rows.At(aIndex);
   }
   [[nodiscard]] std::optional<Index> Find(const std::string& aSlot) const;
-  [[nodiscard]] std::size_t CountOf(const std::string& aService) const;
   /// \returns Whether a worker of the service is known that takes calls.
   [[nodiscard]] bool HasUsable(const std::string& aService) const;
 
--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -109,6 +109,9 @@
   void SetJoined();
   void SyncMembers(TimePoint aNow, const GossipMessage& aMessage);
 
+  /// A daemon with no peer and no version reads the store itself after this.
+  static constexpr auto kAloneAfter = std::chrono::milliseconds{ 1500 };
+
   const Settings& m_settings;
   const Log& m_log;
   TrafficMeter& m_traffic;
--- a/include/greengagehub/membership/domain_finder.hpp
+++ b/include/greengagehub/membership/domain_finder.hpp
@@ -35,10 +35,18 @@
   [[nodiscard]] bool ReadIsDue(TimePoint aNow);
 
 private:
+  /// Between two reads of the addresses: while a domain is missing they may be
+  /// about to be written; later, one may have come that nobody here has heard
+  /// of.
+  static constexpr std::chrono::milliseconds kFirstRead{ 1000 };
+  static constexpr std::chrono::milliseconds kLastRead{ 30'000 };
+
   std::vector<Seed> m_seeds;
   TimePoint m_nextAsk{};
   TimePoint m_nextRead{};
-  bool m_missing{ false };
+  /// Until the next read; grows while they bring nothing, as where there is one
+  /// domain only.
+  std::chrono::milliseconds m_readAfter{ kFirstRead };
 };
 
 }
--- a/src/calls/worker_table.cpp
+++ b/src/calls/worker_table.cpp
@@ -153,13 +153,6 @@
   return found->second;
 }
 
-std::size_t
-WorkerTable::CountOf(const std::string& aService) const
-{
-  const auto found = m_byService.find(aService);
-  return found == m_byService.end() ? 0 : found->second.size();
-}
-
 bool
 WorkerTable::HasUsable(const std::string& aService) const
 {
--- a/src/membership/domain_finder.cpp
+++ b/src/membership/domain_finder.cpp
@@ -9,10 +9,6 @@
 /// An answer comes within milliseconds, and callers whose domain has no worker
 /// of a service wait for it.
 constexpr std::chrono::milliseconds kAskEvery{ 200 };
-/// Between two reads of the addresses: while a domain is missing they may be
-/// about to be written; later, one may have come that nobody here has heard of.
-constexpr std::chrono::milliseconds kReadWhileMissing{ 1000 };
-constexpr std::chrono::milliseconds kReadEvery{ 30'000 };
 
 }
 
@@ -30,7 +26,9 @@
       asked.push_back(each.m_peer);
     }
   }
-  m_missing = !asked.empty() || known.size() < 2;
+  if (!asked.empty()) {
+    m_readAfter = kFirstRead;
+  }
   return asked;
 }
 
@@ -40,7 +38,8 @@
   if (aNow < m_nextRead) {
     return false;
   }
-  m_nextRead = aNow + (m_missing ? kReadWhileMissing : kReadEvery);
+  m_nextRead = aNow + m_readAfter;
+  m_readAfter = std::min(2 * m_readAfter, kLastRead);
   return true;
 }
 
--- a/tests/transport/link_pool.cpp
+++ b/tests/transport/link_pool.cpp
@@ -11,6 +11,24 @@
 
 using namespace greengagehub;
 
+namespace {
+
+/// Handlers that do nothing.
+LinkPool::Handlers
+QuietHandlers()
+{
+  LinkPool::Handlers handlers;
+  handlers.m_onFrame = [](const std::string&, const LinkFrame&) {};
+  handlers.m_onUp = [](const std::string&, std::uint64_t) {};
+  handlers.m_onLost = [](const std::string&) {};
+  handlers.m_onRefused = [](const std::string&) {};
+  handlers.m_onSent = [](std::uint64_t, std::uint64_t) {};
+  handlers.m_onNotSent = [](std::uint64_t) {};
+  return handlers;
+}
+
+}
+
 TEST_CASE("a request is never handed to another instance at the same address")
 {
   // An instance is lost for good, and its address is given to another one
@@ -30,14 +48,10 @@
                                           const LinkFrame&) { ++received; } } };
   std::vector<std::uint64_t> notSent;
   std::vector<std::string> gone;
-  LinkPool::Handlers handlers;
-  handlers.m_onFrame = [](const std::string&, const LinkFrame&) {};
-  handlers.m_onUp = [](const std::string&, std::uint64_t) {};
-  handlers.m_onLost = [](const std::string&) {};
+  LinkPool::Handlers handlers = QuietHandlers();
   handlers.m_onRefused = [&](const std::string& aSlot) {
     gone.push_back(aSlot);
   };
-  handlers.m_onSent = [](std::uint64_t, std::uint64_t) {};
   handlers.m_onNotSent = [&](std::uint64_t aAttempt) {
     notSent.push_back(aAttempt);
   };
@@ -67,13 +81,9 @@
   TrafficMeter traffic;
   bool up = false;
   bool lost = false;
-  LinkPool::Handlers handlers;
-  handlers.m_onFrame = [](const std::string&, const LinkFrame&) {};
+  LinkPool::Handlers handlers = QuietHandlers();
   handlers.m_onUp = [&](const std::string&, std::uint64_t) { up = true; };
   handlers.m_onLost = [&](const std::string&) { lost = true; };
-  handlers.m_onRefused = [](const std::string&) {};
-  handlers.m_onSent = [](std::uint64_t, std::uint64_t) {};
-  handlers.m_onNotSent = [](std::uint64_t) {};
   LinkPoolSettings settings;
   settings.m_silence = std::chrono::milliseconds{ 50 };
   LinkPool pool{
@@ -134,15 +144,8 @@
                            received.push_back(
                              std::get<CallRequest>(aFrame).m_call);
                          } } };
-  LinkPool::Handlers handlers;
-  handlers.m_onFrame = [](const std::string&, const LinkFrame&) {};
-  handlers.m_onUp = [](const std::string&, std::uint64_t) {};
-  handlers.m_onLost = [](const std::string&) {};
-  handlers.m_onRefused = [](const std::string&) {};
-  handlers.m_onSent = [](std::uint64_t, std::uint64_t) {};
-  handlers.m_onNotSent = [](std::uint64_t) {};
   LinkPool pool{
-    loop, LinkHello{ "caller", 1, 0 }, {}, traffic, std::move(handlers)
+    loop, LinkHello{ "caller", 1, 0 }, {}, traffic, QuietHandlers()
   };
   const MemberAddress address{ "127.0.0.1", 0, 0, callee.Port() };
   CallRequest request;
