--- a/include/greengagehub/calls/worker_presence.hpp
+++ b/include/greengagehub/calls/worker_presence.hpp
@@ -90,11 +90,6 @@
     std::uint64_t m_sequence{ 0 };
     TimePoint m_since{};
   };
-  /// A start that has reported and is not believed yet.
-  struct Contender
-  {
-    WorkerReport m_report;
-  };
 
   [[nodiscard]] const Former* FindFormer(TimePoint aNow,
                                          const WorkerStart& aStart) const;
@@ -114,7 +109,8 @@
   TimePoint m_formerHeardAt{};
   /// Newest last.
   std::deque<Former> m_former;
-  std::optional<Contender> m_contender;
+  /// Last report of a start that is not believed yet.
+  std::optional<WorkerReport> m_contender;
   /// Its reports tell the time of its start; one that does not is another
   /// writer's.
   bool m_tellsBorn{ false };
--- a/src/calls/worker_presence.cpp
+++ b/src/calls/worker_presence.cpp
@@ -62,18 +62,18 @@
 WorkerPresence::HasProved(TimePoint aNow, const WorkerReport& aReport)
 {
   const Former* former = FindFormer(aNow, aReport.m_start);
-  const bool tells = aReport.m_start.m_born && m_current;
-  if (!tells ||
-      (former != nullptr &&
-       (!former->m_start.m_born || aReport.m_sequence <= former->m_sequence))) {
+  const bool isOld =
+    former != nullptr &&
+    (!former->m_start.m_born || aReport.m_sequence <= former->m_sequence);
+  if (!m_current || !aReport.m_start.m_born || isOld) {
     return false;
   }
   const bool again =
-    m_contender && MayBeSame(m_contender->m_report.m_start, aReport.m_start);
-  if (again && aReport.m_sequence <= m_contender->m_report.m_sequence) {
+    m_contender && MayBeSame(m_contender->m_start, aReport.m_start);
+  if (again && aReport.m_sequence <= m_contender->m_sequence) {
     return false;
   }
-  m_contender = Contender{ aReport };
+  m_contender = aReport;
   return again && aNow - m_heardAt > kOverdueBeats * m_period;
 }
 
