Versions on trial: tried, judged, completed or rolled back by the fleet

Cause: an order under op/rollout moves a service to another version of its software, and nothing read it.

Ruled out: leaving new workers out until the order is completed by the operator (nobody else writes the status); each daemon judging by the calls it sends (one call of the new version a second, no sample for seconds).

Change: library rollout/, no I/O. RolloutTable: what is known, leave to try that is lent for 1.5 s, rules for placing. RunTally: counts beside workers, by route. RolloutHolder: leads; any daemon can take over from the record. The order is seen by the watch that follows the configuration (prefix op/), at no extra call. Settings trial_share and trial_slack; retry_slack may have a fraction, without which no daemon started on small deployments (slack 34.3).

--- a/include/greengagehub/calls/call.hpp
+++ b/include/greengagehub/calls/call.hpp
@@ -53,6 +53,8 @@
   WorkerEnded,
   /// Its content has ended too many workers.
   Held,
+  /// The worker's version is not to get calls now.
+  NotInService,
 };
 
 /// \returns The public name, such as "deadline-too-short".
--- a/include/greengagehub/calls/dispatcher.hpp
+++ b/include/greengagehub/calls/dispatcher.hpp
@@ -85,6 +85,10 @@
 /// worker is mostly older than its queue, so that all take the same one for the
 /// best.
 ///
+/// Where a version is on trial, the call draws once whether it goes there. One
+/// that did not stays with the version in service for all its tries, and one
+/// that did and failed there goes back to it.
+///
 /// A call whose content is held is not sent, nor sent again; one under which a
 /// worker has ended is sent on once, as long as that is the only end counted
 /// against its content.
@@ -118,6 +122,12 @@
     m_quarantine = &aQuarantine;
   }
 
+  /// \param aRollouts outlives the dispatcher.
+  void SetRollouts(const RolloutTable& aRollouts) noexcept
+  {
+    m_rollouts = &aRollouts;
+  }
+
   void SetDecisions(const DecisionSettings& aDecisions) noexcept
   {
     m_decisions = aDecisions;
@@ -176,6 +186,8 @@
     bool m_hasArrived{ false };
     /// Refusals that did not reach a worker, after which it went elsewhere.
     std::uint32_t m_redirects{ 0 };
+    /// It has drawn the version that is tried.
+    bool m_drewTrial{ false };
     /// Workers that were gone.
     std::uint32_t m_absent{ 0 };
     /// A worker's failure, told if no other worker does better.
@@ -212,6 +224,9 @@
   /// \returns The worker to send it to, if any is left.
   [[nodiscard]] std::optional<WorkerTable::Index> ChooseFor(TimePoint aNow,
                                                             Call& aCall);
+  /// \returns The same among those that the rule allows.
+  [[nodiscard]] std::optional<WorkerTable::Index>
+  ChooseAmong(TimePoint aNow, const Call& aCall, const VersionRule* aRule);
   /// \returns Whether asking a worker first costs little of the time that the
   /// call has, as asking went lately.
   [[nodiscard]] bool IsAskingCheap(TimePoint aNow, const Call& aCall) const;
@@ -226,6 +241,7 @@
 
   DecisionSettings m_decisions{};
   const Quarantine* m_quarantine{ nullptr };
+  const RolloutTable* m_rollouts{ nullptr };
   Random m_random;
   Policy m_policy;
   WorkerTable m_workers;
--- a/include/greengagehub/calls/worker_presence.hpp
+++ b/include/greengagehub/calls/worker_presence.hpp
@@ -16,6 +16,8 @@
   WorkerStart m_start{};
   std::string m_service{};
   std::string m_address{};
+  /// Version of its software; empty: not told.
+  std::string m_version{};
   /// Requests it processes at once.
   std::uint32_t m_slots{ 0 };
   bool m_leaving{ false };
--- a/include/greengagehub/calls/worker_table.hpp
+++ b/include/greengagehub/calls/worker_table.hpp
@@ -5,6 +5,7 @@
 #include "greengagehub/calls/worker_start.hpp"
 #include "greengagehub/core/random.hpp"
 #include "greengagehub/core/table.hpp"
+#include "greengagehub/rollout/rollout_table.hpp"
 
 #include <map>
 #include <optional>
@@ -19,6 +20,10 @@
   std::string m_slot;
   std::string m_service;
   std::string m_domain;
+  /// Of its software; empty: not told.
+  std::string m_version{};
+  /// Digest of the slot: an order among workers that all daemons share.
+  std::uint64_t m_rank{ 0 };
   std::uint32_t m_slots{ 1 };
   /// Its present start; 0: not told.
   StartTag m_start{ 0 };
@@ -161,17 +166,23 @@
   void Remove(const std::string& aSlot);
   void SetLeaving(const std::string& aSlot);
 
+  /// \returns The version that most of the service's workers have told; of
+  /// two that as many have, the one that was here first.
+  [[nodiscard]] std::string MainVersion(const std::string& aService) const;
+
   /// \param aExclude slots that this call tried already.
+  /// \param aRule which versions it may go to; none: those in MainVersion().
   template<RoutingPolicy Policy>
   [[nodiscard]] std::optional<Index> Choose(
     Policy& aPolicy,
     const std::string& aService,
     const std::vector<std::string>& aExclude,
     const RoutingContext& aContext,
-    Random& aRandom) const
+    Random& aRandom,
+    const VersionRule* aRule = nullptr) const
   {
     const std::vector<Index> usable =
-      Usable(aService, aExclude, aContext.m_now);
+      Usable(aService, aExclude, aContext.m_now, aRule);
     if (usable.empty()) {
       return std::nullopt;
     }
@@ -218,12 +229,19 @@
   [[nodiscard]] std::vector<Index> Usable(
     const std::string& aService,
     const std::vector<std::string>& aExclude,
-    TimePoint aNow) const;
+    TimePoint aNow,
+    const VersionRule* aRule) const;
+  /// \brief Leaves only those that the rule allows.
+  void KeepAllowed(std::vector<Index>& aGroup, const VersionRule& aRule) const;
+  /// \brief Notes whether the service's workers tell more than one version.
+  void NoteVersions(const std::string& aService);
 
   DecisionSettings m_decisions{};
   Table<WorkerRow> m_rows;
   std::map<std::string, Index, std::less<>> m_bySlot;
   std::map<std::string, std::vector<Index>, std::less<>> m_byService;
+  /// MainVersion() of services whose workers tell more than one.
+  std::map<std::string, std::string, std::less<>> m_mixed;
 };
 
 }
--- a/include/greengagehub/core/field_reader.hpp
+++ b/include/greengagehub/core/field_reader.hpp
@@ -43,6 +43,19 @@
     return found->get<std::uint64_t>();
   }
 
+  /// \returns A number above 0 and up to `aMost`, whole or not.
+  double Positive(const char* aName, double aMost)
+  {
+    const Json* found = Find(aName);
+    const double value =
+      found != nullptr && found->is_number() ? found->get<double>() : 0.0;
+    if (!(value > 0.0) || value > aMost) {
+      Note(aName, fmt::format("a number above 0 and up to {}", aMost));
+      return 0.0;
+    }
+    return value;
+  }
+
   [[nodiscard]] std::string Text(const char* aName)
   {
     const Json* found = Find(aName);
--- a/include/greengagehub/core/store_message.hpp
+++ b/include/greengagehub/core/store_message.hpp
@@ -43,6 +43,9 @@
   std::uint64_t m_lease{ 0 };
   /// Wait of a watch, or time to live of a new lease.
   std::chrono::milliseconds m_wait{ 0 };
+  /// For Watch, with a prefix of m_key: changes of other keys that begin so are
+  /// told too, as m_items.
+  std::string m_beside{};
   /// For Get and List: what the store tells may be seconds old. Costs a tenth,
   /// and does not count against the store's rates.
   bool m_mayBeOld{ false };
@@ -95,6 +98,12 @@
 MakeDelete(std::string aKey);
 [[nodiscard]] StoreRequest
 MakeWatch(std::string aKey, Revision aAfter, std::chrono::milliseconds aWait);
+/// \brief As MakeWatch, of all keys that begin with `aPrefix`, as does aKey.
+[[nodiscard]] StoreRequest
+MakeWatchBeside(std::string aKey,
+                std::string aPrefix,
+                Revision aAfter,
+                std::chrono::milliseconds aWait);
 [[nodiscard]] StoreRequest
 MakeCheck(std::string aKey, Revision aExpected);
 [[nodiscard]] StoreRequest
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -6,6 +6,7 @@
 #include "greengagehub/config/config_holder.hpp"
 #include "greengagehub/daemon/quarantine_keeper.hpp"
 #include "greengagehub/daemon/request_log.hpp"
+#include "greengagehub/daemon/rollout_keeper.hpp"
 #include "greengagehub/daemon/run_service.hpp"
 #include "greengagehub/daemon/start_buffer.hpp"
 #include "greengagehub/daemon/wake_sieve.hpp"
@@ -37,6 +38,7 @@
     RequestLog& m_requests;
     TrafficMeter& m_traffic;
     QuarantineKeeper& m_quarantine;
+    RolloutKeeper& m_rollouts;
     std::uint64_t m_process;
     std::function<void(Span)> m_trace;
     std::function<bool()> m_isReady;
@@ -59,6 +61,9 @@
   {
     return m_service.Runs();
   }
+  /// \brief What the own worker did, for who judges its version.
+  [[nodiscard]] WorkerCounts Counts() const { return m_service.Counts(); }
+  void CountAnew() { m_service.CountAnew(); }
   [[nodiscard]] const Dispatcher& GetDispatcher() const noexcept
   {
     return m_dispatcher;
--- a/include/greengagehub/daemon/config_feed.hpp
+++ b/include/greengagehub/daemon/config_feed.hpp
@@ -34,6 +34,10 @@
     std::function<void(Version aBefore)> m_onAdvanced;
     /// The key was read, not from a copy that may be old.
     std::function<void(Version aHead)> m_onHead;
+    /// Other keys beside it have changed.
+    std::function<void(const std::vector<StoreItem>&)> m_onBeside{};
+    /// Changes of those may have been missed.
+    std::function<void()> m_onMissed{};
   };
 
   struct Times
@@ -57,6 +61,7 @@
              ConfigHolder& aHolder,
              const Log& aLog,
              std::string aKey,
+             std::string aBeside,
              Times aTimes,
              std::uint64_t aSeed,
              Handlers aHandlers)
@@ -64,6 +69,7 @@
     , m_holder(aHolder)
     , m_log(aLog)
     , m_key(std::move(aKey))
+    , m_beside(std::move(aBeside))
     , m_times(aTimes)
     , m_random(aSeed)
     , m_handlers(std::move(aHandlers))
@@ -254,13 +260,16 @@
     if (m_idle) {
       return;
     }
-    Carry(MakeWatch(m_key, m_revision, m_times.m_watch),
+    Carry(MakeWatchBeside(m_key, m_beside, m_revision, m_times.m_watch),
           [this](StoreReply aReply) { OnWatch(std::move(aReply)); });
   }
 
   void OnWatch(StoreReply aReply)
   {
     NoteReachable(aReply.m_status);
+    if (!aReply.m_items.empty() && m_handlers.m_onBeside) {
+      m_handlers.m_onBeside(aReply.m_items);
+    }
     switch (aReply.m_status) {
       case Status::Ok:
         Take(aReply);
@@ -269,20 +278,28 @@
         if (aReply.m_storeRevision < m_revision) {
           // The store has gone back: no change would be told until it has
           // caught up.
-          Read();
+          Missed();
           return;
         }
         break;
       default:
         // Cut, turned away, or the history is gone: only a read tells what
         // was missed.
-        Read();
+        Missed();
         return;
     }
     m_revision = aReply.m_storeRevision;
     Later(m_times.m_settle, [this] { Watch(); });
   }
 
+  void Missed()
+  {
+    if (m_handlers.m_onMissed) {
+      m_handlers.m_onMissed();
+    }
+    Read();
+  }
+
   void Take(StoreReply& aReply)
   {
     const bool taken = TakeDocument(aReply.m_value, aReply.m_revision);
@@ -350,6 +367,8 @@
   ConfigHolder& m_holder;
   const Log& m_log;
   std::string m_key;
+  /// Prefix of keys that are followed in the same watch.
+  std::string m_beside;
   Times m_times;
   Random m_random;
   Handlers m_handlers;
--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -4,6 +4,7 @@
 #include "greengagehub/daemon/config_feed.hpp"
 #include "greengagehub/daemon/decision_service.hpp"
 #include "greengagehub/daemon/quarantine_keeper.hpp"
+#include "greengagehub/daemon/rollout_keeper.hpp"
 #include "greengagehub/daemon/store_sync.hpp"
 #include "greengagehub/dissemination/disseminator.hpp"
 #include "greengagehub/membership/domain_finder.hpp"
@@ -34,6 +35,10 @@
     std::function<void(const MemberEvent&)> m_onMember;
     /// A newer version is in force.
     std::function<void()> m_onVersion;
+    /// What the worker beside this daemon did since an order; no version: none
+    /// is known.
+    std::function<WorkerCounts()> m_ownCounts;
+    std::function<void()> m_countAnew;
   };
 
   ControlPlane(asio::io_context& aLoop,
@@ -58,6 +63,8 @@
   {
     return m_quarantine;
   }
+  /// \brief Versions on trial.
+  [[nodiscard]] RolloutKeeper& GetRollouts() noexcept { return m_rollouts; }
   [[nodiscard]] const platform::KvStore& GetStore() const noexcept
   {
     return m_store;
@@ -113,6 +120,18 @@
                 const QuarantineNews& aNews);
   /// \brief A peer has other verdicts: it gets these.
   void CompareVerdicts(TimePoint aNow, const GossipMessage& aMessage);
+  [[nodiscard]] RolloutKeeper::Parts RolloutParts();
+  void SpreadRollouts(const std::vector<RolloutRecord>& aRecords,
+                      RolloutKeeper::Reach aReach,
+                      RolloutTable::Change aChange);
+  void SendRollouts(const std::vector<MemberPeer>& aTo,
+                    const std::vector<RolloutRecord>& aRecords);
+  /// \brief A peer knows other roll-outs: it gets these.
+  void CompareRollouts(TimePoint aNow, const GossipMessage& aMessage);
+  void TellCounts(WorkerCounts aCounts);
+  [[nodiscard]] RolloutHolder::Workers WorkersOf(
+    const RolloutRecord& aRecord) const;
+  [[nodiscard]] std::string MainVersionOf(const std::string& aService) const;
   void RunWatchRole(TimePoint aNow);
   void FollowPlatform(TimePoint aNow);
   void CarryWatch(StoreRequest aRequest);
@@ -141,6 +160,8 @@
   DecisionService<platform::KvStore> m_decisions;
   QuarantineKeeper m_quarantine;
   TimePoint m_nextVerdicts{};
+  RolloutKeeper m_rollouts;
+  TimePoint m_nextRollouts{};
   asio::steady_timer m_tick;
   TimePoint m_nextJoin{};
   /// While it joins: whom to ask next, and where from when nobody is known.
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -9,6 +9,7 @@
 #include "greengagehub/observe/span.hpp"
 #include "greengagehub/quarantine/end_watch.hpp"
 #include "greengagehub/quarantine/quarantine.hpp"
+#include "greengagehub/rollout/rollout.hpp"
 #include "greengagehub/settings/settings.hpp"
 
 #include <asio/steady_timer.hpp>
@@ -34,6 +35,7 @@
     Metrics& m_metrics;
     RequestLog& m_requests;
     const Quarantine& m_quarantine;
+    const RolloutTable& m_rollouts;
     std::uint64_t m_seed;
     /// Delivers to the caller's daemon by whatever connection it has now.
     Answer m_answer;
@@ -65,6 +67,10 @@
   {
     return m_repeats.At(aNow);
   }
+  /// \returns What the worker did since CountAnew(); without a version if that
+  /// is not known.
+  [[nodiscard]] WorkerCounts Counts() const;
+  void CountAnew() { m_tally.Clear(); }
   /// \brief Asks the worker for its id by its health check.
   /// \param aDone called with the id, if it is well and gives one.
   void Probe(const std::string& aPath, std::function<void(std::string)> aDone);
@@ -102,6 +108,7 @@
   /// \returns Nothing if it may run.
   [[nodiscard]] std::optional<Bar> BarOf(TimePoint aNow,
                                          Fingerprint aContent) const;
+  void Tally(const Held& aHeld, const CallAnswer& aAnswer);
   void RefuseBarred(TimePoint aNow,
                     CallKey aKey,
                     const CallRequest& aRequest,
@@ -139,6 +146,10 @@
   RepeatShare m_repeats;
   BackendClient m_client;
   EndWatch m_ends;
+  RunTally m_tally;
+  /// Of the worker's software, and until when it is slow after its start.
+  std::string m_version;
+  TimePoint m_coldUntil{};
   /// Lost, and not known yet whether the worker has ended under them.
   std::vector<CallKey> m_doubted;
   /// The only start that requests are for; no id: whichever is there.
--- a/include/greengagehub/membership/gossip_message.hpp
+++ b/include/greengagehub/membership/gossip_message.hpp
@@ -3,7 +3,10 @@
 #include "greengagehub/config/decision.hpp"
 #include "greengagehub/membership/member.hpp"
 #include "greengagehub/quarantine/quarantine_news.hpp"
+#include "greengagehub/rollout/rollout_record.hpp"
+#include "greengagehub/rollout/run_counts.hpp"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +47,11 @@
   QuarantineNews m_quarantine{};
   /// Quarantine::Summary() at the sender.
   std::uint64_t m_verdicts{ 0 };
+  std::vector<RolloutRecord> m_rollouts{};
+  /// RolloutTable::Summary() at the sender.
+  std::uint64_t m_rolloutsDigest{ 0 };
+  /// Of the sender's worker, to who leads its service's roll-out.
+  std::optional<WorkerCounts> m_counts{};
 };
 
 /// \brief A message and where it goes.
--- a/include/greengagehub/membership/member.hpp
+++ b/include/greengagehub/membership/member.hpp
@@ -49,6 +49,8 @@
   std::uint32_t m_slots{ 0 };
   /// As MemberRecord::m_workerStart.
   std::uint32_t m_start{ 0 };
+  /// Of its software; empty: not told.
+  std::string m_version{};
 };
 
 /// \brief What one daemon says of itself and others pass on.
@@ -69,6 +71,8 @@
   /// A short name of the backend server's present start; 0: not told, as by an
   /// older release. What was seen of another start says nothing of this one.
   std::uint32_t m_workerStart{ 0 };
+  /// Version of the backend server's software; empty: not told.
+  std::string m_workerVersion{};
   /// Rate of its own link; the fastest of a domain read the store.
   std::uint32_t m_linkMbps{ 0 };
 };
--- a/include/greengagehub/membership/membership.hpp
+++ b/include/greengagehub/membership/membership.hpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <chrono>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -93,6 +94,8 @@
   [[nodiscard]] std::size_t RankInDomain() const;
   /// \returns Whether it is the first of all domains by the same order.
   [[nodiscard]] bool IsFirstOfAll() const;
+  /// \returns Where to reach that one; nothing if it is this member.
+  [[nodiscard]] std::optional<MemberPeer> FirstOfAll() const;
   /// \returns Where to reach the member, seen from here.
   [[nodiscard]] MemberPeer PeerOf(const MemberRecord& aRecord) const;
   [[nodiscard]] Version FloorOf(std::string_view aSlot) const;
--- a/include/greengagehub/settings/settings.hpp
+++ b/include/greengagehub/settings/settings.hpp
@@ -81,7 +81,12 @@
   /// window, from the whole fleet: a share of its requests, and some.
   double m_retryShare{ 0.2 };
   std::chrono::milliseconds m_retryWindow{ 10'000 };
-  std::uint32_t m_retrySlack{ 50 };
+  /// May have a fraction.
+  double m_retrySlack{ 50.0 };
+  /// Of a service's calls from the order to its deadline, what a bad version on
+  /// trial may get: a share, and some.
+  double m_trialShare{ 0.1 };
+  double m_trialSlack{ 50.0 };
 };
 
 struct LogSettings
--- a/include/greengagehub/transport/bulk_message.hpp
+++ b/include/greengagehub/transport/bulk_message.hpp
@@ -29,6 +29,7 @@
   /// Highest version that the asker's slot was ever seen to run.
   Version m_floor{};
   VersionDigest m_head{};
+  std::vector<RolloutRecord> m_rollouts{};
 };
 
 }
--- a/src/calls/call.cpp
+++ b/src/calls/call.cpp
@@ -44,6 +44,8 @@
       return "worker-ended";
     case RefusalReason::Held:
       return "held";
+    case RefusalReason::NotInService:
+      return "not-in-service";
   }
   return "none";
 }
--- a/src/calls/dispatch_rules.hpp
+++ b/src/calls/dispatch_rules.hpp
@@ -25,13 +25,14 @@
 /// half of them are gone, one call in 64 is refused with others left.
 inline constexpr std::uint32_t kMaxAbsent = 6;
 
-/// \returns Whether no worker is there. That says nothing of how busy the
-/// others are, and costs a message.
+/// \returns Whether no worker is there that may have the call. That says
+/// nothing of how busy the others are, and costs a message.
 inline bool
 IsAbsent(RefusalReason aReason) noexcept
 {
   return aReason == RefusalReason::WorkerUnreachable ||
-         aReason == RefusalReason::NoWorker;
+         aReason == RefusalReason::NoWorker ||
+         aReason == RefusalReason::NotInService;
 }
 
 /// \brief The same worker for a content at every daemon, as long as they know
@@ -80,6 +81,7 @@
       return WorkerTable::Verdict::Refused;
     case RefusalReason::Busy:
     case RefusalReason::Held:
+    case RefusalReason::NotInService:
       return WorkerTable::Verdict::None;
     default:
       return WorkerTable::Verdict::Good;
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -61,6 +61,29 @@
 template<RoutingPolicy Policy>
 std::optional<WorkerTable::Index>
 BasicDispatcher<Policy>::ChooseFor(TimePoint aNow, Call& aCall)
+{
+  if (m_rollouts == nullptr || m_rollouts->IsEmpty()) {
+    return ChooseAmong(aNow, aCall, nullptr);
+  }
+  const bool triesTrial = aCall.m_drewTrial && !aCall.m_hasArrived;
+  const VersionRules rules =
+    m_rollouts->RulesFor(aNow, aCall.m_plan.m_service, triesTrial);
+  if (rules.IsEmpty()) {
+    return ChooseAmong(aNow, aCall, nullptr);
+  }
+  for (const VersionRule& each : rules) {
+    if (const auto chosen = ChooseAmong(aNow, aCall, &each)) {
+      return chosen;
+    }
+  }
+  return std::nullopt;
+}
+
+template<RoutingPolicy Policy>
+std::optional<WorkerTable::Index>
+BasicDispatcher<Policy>::ChooseAmong(TimePoint aNow,
+                                     const Call& aCall,
+                                     const VersionRule* aRule)
 {
   const RoutingContext context{
     aNow,
@@ -73,13 +96,13 @@
   if (m_quarantine != nullptr && m_quarantine->IsSuspect(content)) {
     OnePlace place{ content };
     return m_workers.Choose(
-      place, aCall.m_plan.m_service, aCall.m_tried, context, m_random);
+      place, aCall.m_plan.m_service, aCall.m_tried, context, m_random, aRule);
   }
   if (aCall.m_busy.size() < m_decisions.m_maxBusy) {
     std::vector<std::string> exclude = aCall.m_tried;
     exclude.insert(exclude.end(), aCall.m_busy.begin(), aCall.m_busy.end());
     const auto chosen = m_workers.Choose(
-      m_policy, aCall.m_plan.m_service, exclude, context, m_random);
+      m_policy, aCall.m_plan.m_service, exclude, context, m_random, aRule);
     // Rather than beyond the domain it may wait at one of those that were
     // asked: what they told is weighed against the crossing.
     if (chosen && IsNear(m_policy, m_workers.At(*chosen))) {
@@ -87,7 +110,7 @@
     }
   }
   return m_workers.Choose(
-    m_policy, aCall.m_plan.m_service, aCall.m_tried, context, m_random);
+    m_policy, aCall.m_plan.m_service, aCall.m_tried, context, m_random, aRule);
 }
 
 template<RoutingPolicy Policy>
@@ -166,6 +189,9 @@
   Call call;
   call.m_id = aCall;
   call.m_plan = std::move(aPlan);
+  call.m_drewTrial =
+    m_rollouts != nullptr &&
+    m_rollouts->DrawsTrial(aNow, call.m_plan.m_service, m_random);
   m_deadlines.insert({ call.m_plan.m_deadline + kGrace, aCall });
   Call& kept = m_calls.emplace(aCall, std::move(call)).first->second;
   Try(aNow,
--- a/src/calls/worker_table.cpp
+++ b/src/calls/worker_table.cpp
@@ -1,5 +1,7 @@
 #include "greengagehub/calls/worker_table.hpp"
 
+#include "greengagehub/core/digest.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -173,6 +175,10 @@
       row.m_domain = std::move(aRow.m_domain);
       row.m_slots = aRow.m_slots;
       row.m_leaving = aRow.m_leaving;
+      if (row.m_version != aRow.m_version) {
+        row.m_version = std::move(aRow.m_version);
+        NoteVersions(row.m_service);
+      }
       if (aRow.m_start != 0) {
         TakeStart(row, aRow.m_start);
       }
@@ -182,9 +188,11 @@
   }
   const std::string slot = aRow.m_slot;
   const std::string service = aRow.m_service;
+  aRow.m_rank = ShortHashOf(slot);
   const Index index = m_rows.Insert(std::move(aRow));
   m_bySlot.emplace(slot, index);
   m_byService[service].push_back(index);
+  NoteVersions(service);
 }
 
 void
@@ -194,13 +202,73 @@
   if (!known) {
     return;
   }
-  const auto group = m_byService.find(m_rows.At(*known).m_service);
+  const std::string service = m_rows.At(*known).m_service;
+  const auto group = m_byService.find(service);
   std::erase(group->second, *known);
   if (group->second.empty()) {
     m_byService.erase(group);
   }
   m_bySlot.erase(aSlot);
   m_rows.Erase(*known);
+  NoteVersions(service);
+}
+
+std::string
+WorkerTable::MainVersion(const std::string& aService) const
+{
+  const auto group = m_byService.find(aService);
+  if (group == m_byService.end()) {
+    return {};
+  }
+  // In the order in which they came.
+  std::vector<std::pair<std::string_view, std::size_t>> counts;
+  for (const Index index : group->second) {
+    const std::string& version = m_rows.At(index).m_version;
+    const auto known = std::ranges::find(
+      counts, version, [](const auto& aEach) { return aEach.first; });
+    if (known != counts.end()) {
+      ++known->second;
+    } else if (!version.empty()) {
+      counts.emplace_back(version, 1);
+    }
+  }
+  const auto most = std::ranges::max_element(
+    counts, {}, [](const auto& aEach) { return aEach.second; });
+  return most == counts.end() ? std::string{} : std::string{ most->first };
+}
+
+void
+WorkerTable::NoteVersions(const std::string& aService)
+{
+  m_mixed.erase(aService);
+  const auto group = m_byService.find(aService);
+  if (group == m_byService.end()) {
+    return;
+  }
+  const std::string_view first = m_rows.At(group->second.front()).m_version;
+  const bool alike = std::ranges::all_of(group->second, [&](Index aIndex) {
+    return m_rows.At(aIndex).m_version == first;
+  });
+  if (!alike) {
+    m_mixed.emplace(aService, MainVersion(aService));
+  }
+}
+
+void
+WorkerTable::KeepAllowed(std::vector<Index>& aGroup,
+                         const VersionRule& aRule) const
+{
+  std::erase_if(aGroup, [&](Index aIndex) {
+    return !aRule.Allows(m_rows.At(aIndex).m_version);
+  });
+  if (aRule.m_workers == 0 || aGroup.size() <= aRule.m_workers) {
+    return;
+  }
+  const auto last = aGroup.begin() + aRule.m_workers;
+  std::ranges::nth_element(aGroup, last, {}, [this](Index aIndex) {
+    return m_rows.At(aIndex).m_rank;
+  });
+  aGroup.erase(last, aGroup.end());
 }
 
 void
@@ -214,7 +282,8 @@
 std::vector<WorkerTable::Index>
 WorkerTable::Usable(const std::string& aService,
                     const std::vector<std::string>& aExclude,
-                    TimePoint aNow) const
+                    TimePoint aNow,
+                    const VersionRule* aRule) const
 {
   std::vector<Index> usable;
   std::vector<Index> ejected;
@@ -222,11 +291,24 @@
   if (group == m_byService.end()) {
     return usable;
   }
-  for (const Index index : group->second) {
+  std::vector<Index> allowed;
+  allowed.reserve(group->second.size());
+  std::ranges::copy_if(
+    group->second, std::back_inserter(allowed), [this](Index aIndex) {
+      return !m_rows.At(aIndex).m_leaving;
+    });
+  const auto mixed = m_mixed.find(aService);
+  if (aRule != nullptr) {
+    KeepAllowed(allowed, *aRule);
+  } else if (mixed != m_mixed.end() && !mixed->second.empty()) {
+    // No order stands: a version that has just come is not in service.
+    KeepAllowed(allowed, { VersionRule::Kind::Only, mixed->second, 0, true });
+  }
+  for (const Index index : allowed) {
     const WorkerRow& row = m_rows.At(index);
     const bool tried =
       std::find(aExclude.begin(), aExclude.end(), row.m_slot) != aExclude.end();
-    if (row.m_leaving || tried) {
+    if (tried) {
       continue;
     }
     (row.m_ejectedUntil > aNow ? ejected : usable).push_back(index);
--- a/src/core/store_message.cpp
+++ b/src/core/store_message.cpp
@@ -42,6 +42,17 @@
            .m_wait = aWait };
 }
 
+StoreRequest
+MakeWatchBeside(std::string aKey,
+                std::string aPrefix,
+                Revision aAfter,
+                std::chrono::milliseconds aWait)
+{
+  StoreRequest request = MakeWatch(std::move(aKey), aAfter, aWait);
+  request.m_beside = std::move(aPrefix);
+  return request;
+}
+
 StoreRequest
 MakeCheck(std::string aKey, Revision aExpected)
 {
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -41,6 +41,7 @@
                 .m_metrics = m_parts.m_metrics,
                 .m_requests = m_parts.m_requests,
                 .m_quarantine = m_parts.m_quarantine.Table(),
+                .m_rollouts = m_parts.m_rollouts.Table(),
                 .m_seed = m_random(),
                 .m_answer =
                   [this](CallKey aKey, CallAnswer aAnswer) {
@@ -130,6 +131,7 @@
 {
   m_dispatcher.SetDecisions(m_parts.m_settings.m_runs.m_decisions);
   m_dispatcher.SetQuarantine(m_parts.m_quarantine.Table());
+  m_dispatcher.SetRollouts(m_parts.m_rollouts.Table());
   WorkerRow own;
   own.m_slot = m_parts.m_settings.m_slot;
   own.m_service = m_parts.m_settings.m_service;
--- a/src/daemon/call_gateway_links.cpp
+++ b/src/daemon/call_gateway_links.cpp
@@ -139,6 +139,7 @@
   own.m_domain = m_parts.m_settings.m_domain;
   own.m_slots = aPresence.Current()->m_slots;
   own.m_start = TagOf(aPresence.Current()->m_start);
+  own.m_version = aPresence.Current()->m_version;
   own.m_leaving = !aPresence.TakesCalls() || m_leaving;
   m_dispatcher.Workers().Put(std::move(own));
   if (!aPresence.TakesCalls()) {
@@ -165,6 +166,7 @@
   row.m_domain = aRecord.m_domain;
   row.m_slots = std::max(1U, aRecord.m_slots);
   row.m_start = aRecord.m_workerStart;
+  row.m_version = aRecord.m_workerVersion;
   row.m_leaving = !TakesCalls(aRecord.m_state) || aRecord.m_slots == 0;
   m_dispatcher.Workers().Put(std::move(row));
   m_addresses[aRecord.m_slot] = aRecord.m_address;
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -96,12 +96,18 @@
            m_holder,
            aLog,
            std::string{ platform::kConfigKey },
+           std::string{ platform::kOperatorsPrefix },
            { .m_watch = aSettings.m_store.m_watch,
              .m_settle = aSettings.m_platform.m_configApply / kSettleShare,
              .m_maxBackoff = kMaxFeedBackoff },
            m_random(),
            { .m_onAdvanced = [this](Version aBefore) { OnAdvanced(aBefore); },
-             .m_onHead = [this](Version aHead) { m_gate.HeardStore(aHead); } })
+             .m_onHead = [this](Version aHead) { m_gate.HeardStore(aHead); },
+             .m_onBeside =
+               [this](const std::vector<StoreItem>& aItems) {
+                 m_rollouts.OnStoreItems(aItems);
+               },
+             .m_onMissed = [this] { m_rollouts.OnStoreMissed(); } })
   , m_decisions(
       m_store,
       m_holder,
@@ -115,6 +121,7 @@
           Spread(aNews, aReach);
         },
         [this] { return m_membership.IsFirstOfAll(); } })
+  , m_rollouts(RolloutParts())
   , m_tick(aLoop)
   , m_memberSync(Clock::now(), m_random())
   , m_gate(aSettings.m_platform.m_enabled ? ReadyGate::Trust::StoreFirst
@@ -224,8 +231,9 @@
   FindDomains(now);
   const bool joined = m_memberSync.HasJoined();
   const bool isAlone = !joined && now - m_started >= kAloneAfter;
-  m_quarantine.OnTick(now,
-                      isAlone || (joined && m_membership.SpeaksForDomain()));
+  const bool reads = isAlone || (joined && m_membership.SpeaksForDomain());
+  m_quarantine.OnTick(now, reads);
+  m_rollouts.OnTick(now, reads && m_settings.m_platform.m_enabled);
   PullWhenDue(now);
   if (m_settings.m_platform.m_enabled) {
     FollowPlatform(now);
@@ -270,6 +278,7 @@
   if (m_settings.m_platform.m_enabled) {
     m_feed.Read();
   }
+  m_rollouts.OnWokeUp();
 }
 
 // ---------------------------------------------------------------------------
@@ -282,6 +291,7 @@
                              m_holder.Active()->m_chain };
   aSend.m_message.m_watching = IsWatching();
   aSend.m_message.m_verdicts = m_quarantine.Table().Summary();
+  aSend.m_message.m_rolloutsDigest = m_rollouts.Table().Summary();
   m_gossip.Send(aSend);
 }
 
@@ -312,7 +322,14 @@
   if (!aMessage.m_quarantine.IsEmpty()) {
     m_quarantine.OnNews(aMessage.m_quarantine);
   }
+  if (!aMessage.m_rollouts.empty()) {
+    m_rollouts.OnNews(aMessage.m_rollouts);
+  }
+  if (aMessage.m_counts) {
+    m_rollouts.OnCounts(*aMessage.m_counts);
+  }
   CompareVerdicts(now, aMessage);
+  CompareRollouts(now, aMessage);
   MembershipActions actions = m_membership.OnMessage(now, aFrom, aMessage);
   // A peer that lags gets what fits beside the answer to its probe.
   const Version theirs = aMessage.m_head.m_version;
--- a/src/daemon/control_plane_versions.cpp
+++ b/src/daemon/control_plane_versions.cpp
@@ -141,6 +141,8 @@
   if (!aAnswer) {
     return;
   }
+  // Before the members: which of their versions may have calls.
+  m_rollouts.OnNews(aAnswer->m_rollouts);
   m_gate.Raise(std::max(aAnswer->m_head.m_version, aAnswer->m_floor));
   MembershipActions news =
     m_membership.OnRecords(Clock::now(), aAnswer->m_members);
@@ -173,6 +175,7 @@
   answer.m_floor = m_membership.FloorOf(aRequest.m_slot);
   if (aRequest.m_wantMembers) {
     answer.m_members = m_membership.RecordsFor(aRequest.m_members);
+    answer.m_rollouts = m_rollouts.Table().All(Clock::now());
   }
   bool complete = false;
   answer.m_entries = m_holder.EntriesAfter(aRequest.m_have, complete);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -91,7 +91,9 @@
       m_traffic,
       { .m_onMember =
           [this](const MemberEvent& aEvent) { m_calls.OnMember(aEvent); },
-        .m_onVersion = [this] { m_calls.OnVersion(); } })
+        .m_onVersion = [this] { m_calls.OnVersion(); },
+        .m_ownCounts = [this] { return m_calls.Counts(); },
+        .m_countAnew = [this] { m_calls.CountAnew(); } })
   , m_calls({ .m_loop = m_loop,
               .m_settings = m_settings,
               .m_dialect = Dialect(),
@@ -100,6 +102,7 @@
               .m_requests = m_requests,
               .m_traffic = m_traffic,
               .m_quarantine = m_control.GetQuarantine(),
+              .m_rollouts = m_control.GetRollouts(),
               .m_process = m_process ^ m_random(),
               .m_trace = PrintSpan,
               .m_isReady = [this] { return m_control.IsReady(); },
@@ -181,8 +184,9 @@
   m_calls.OnWorker(aPresence);
   const bool leaves = m_workerLeft || !aPresence.TakesCalls();
   const WorkerReport& worker = *aPresence.Current();
-  m_control.Announce(leaves ? MemberState::Leaving : MemberState::Alive,
-                     { worker.m_slots, TagOf(worker.m_start) });
+  m_control.Announce(
+    leaves ? MemberState::Leaving : MemberState::Alive,
+    { worker.m_slots, TagOf(worker.m_start), worker.m_version });
 }
 
 void
--- a/src/daemon/platform_endpoints.cpp
+++ b/src/daemon/platform_endpoints.cpp
@@ -136,6 +136,7 @@
                      "worker_changed",
                      { { "change", NameOf(aChange) },
                        { "instance", worker.m_start.m_id },
+                       { "version", worker.m_version },
                        { "born_ms",
                          worker.m_start.m_born
                            ? worker.m_start.m_born->time_since_epoch().count()
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -76,6 +76,7 @@
             Refuse(aKey.m_call, CallOutcome::NotRun, RefusalReason::NoWorker));
     return;
   }
+  m_tally.Arrived();
   const Fingerprint content = ContentOf(m_parts.m_dialect, aRequest);
   if (const auto bar = BarOf(now, content)) {
     RefuseBarred(now, aKey, aRequest, content, *bar);
@@ -159,6 +160,10 @@
 std::optional<RunService::Bar>
 RunService::BarOf(TimePoint aNow, Fingerprint aContent) const
 {
+  if (!m_parts.m_rollouts.MayRun(
+        aNow, m_parts.m_settings.m_service, m_version)) {
+    return Bar{ RefusalReason::NotInService, {} };
+  }
   const Quarantine& quarantine = m_parts.m_quarantine;
   if (const auto left = quarantine.HeldFor(aNow, aContent)) {
     return Bar{ RefusalReason::Held, *left };
@@ -281,6 +286,7 @@
   m_held.erase(found);
   m_parts.m_metrics.CountRun(NameOf(aAnswer.m_outcome));
   TraceEnd(held, aAnswer);
+  Tally(held, aAnswer);
   if (aAnswer.m_outcome != CallOutcome::Answered) {
     const TimePoint now = Clock::now();
     m_parts.m_requests.OnRunLost(now,
--- a/src/daemon/run_service_worker.cpp
+++ b/src/daemon/run_service_worker.cpp
@@ -122,11 +122,51 @@
     return;
   }
   TakeStart(worker->m_start, aPresence.FormerHeardAt());
+  m_version = worker->m_version;
+  m_coldUntil = Clock::now() + worker->m_coldLeft;
   m_hasWorker = true;
   m_runs.Reopen();
   m_runs.SetLimits(worker->m_slots, kQueuePerSlot * worker->m_slots);
 }
 
+WorkerCounts
+RunService::Counts() const
+{
+  WorkerCounts counts;
+  counts.m_slot = m_parts.m_settings.m_slot;
+  counts.m_process = m_parts.m_seed;
+  counts.m_service = m_parts.m_settings.m_service;
+  counts.m_version = m_hasWorker ? m_version : std::string{};
+  counts.m_atWork = m_runs.Load();
+  counts.m_arrived = m_tally.CountArrived();
+  counts.m_routes = m_tally.Routes();
+  return counts;
+}
+
+void
+RunService::Tally(const Held& aHeld, const CallAnswer& aAnswer)
+{
+  constexpr std::uint16_t kGatewayTimeout = 504;
+  RunTally::Result result = RunTally::Result::Good;
+  if (aAnswer.m_outcome == CallOutcome::NotRun) {
+    return;
+  }
+  if (aAnswer.m_outcome == CallOutcome::Unknown) {
+    result = aAnswer.m_reason == RefusalReason::DeadlinePassed
+               ? RunTally::Result::Expired
+               : RunTally::Result::Lost;
+  } else if (aAnswer.m_response.m_status == kGatewayTimeout) {
+    result = RunTally::Result::Expired;
+  } else if (aAnswer.m_response.m_status >= kFirstServerError) {
+    result = RunTally::Result::Failed;
+  }
+  const TimePoint now = Clock::now();
+  m_tally.Ended(aHeld.m_request.m_kind.m_route,
+                result,
+                now - aHeld.m_started,
+                now < m_coldUntil);
+}
+
 void
 RunService::TakeStart(const WorkerStart& aStart, TimePoint aFormerHeardAt)
 {
--- a/src/membership/membership_time.cpp
+++ b/src/membership/membership_time.cpp
@@ -253,6 +253,7 @@
   ++m_self.m_incarnation;
   m_self.m_slots = aWorker.m_slots;
   m_self.m_workerStart = aWorker.m_start;
+  m_self.m_workerVersion = std::move(aWorker.m_version);
   return Announce(aState);
 }
 
--- a/src/membership/membership_views.cpp
+++ b/src/membership/membership_views.cpp
@@ -140,6 +140,23 @@
   return isFirst;
 }
 
+std::optional<MemberPeer>
+Membership::FirstOfAll() const
+{
+  const MemberRow* first = nullptr;
+  m_members.Rows().Each([&](MemberTable::Index, const MemberRow& aRow) {
+    const bool counts = aRow.m_record.m_state == MemberState::Alive;
+    const bool goesBefore =
+      first == nullptr || GoesBefore(aRow, first->m_record, first->m_rankKey);
+    if (counts && goesBefore) {
+      first = &aRow;
+    }
+  });
+  const bool isSelf =
+    first == nullptr || !GoesBefore(*first, m_self, RankKey(m_self.m_slot));
+  return isSelf ? std::nullopt : std::optional{ PeerOf(first->m_record) };
+}
+
 MemberPeer
 Membership::PeerOf(const MemberRecord& aRecord) const
 {
--- /dev/null
+++ b/src/rollout/run_counts.cpp
@@ -0,0 +1,73 @@
+#include "greengagehub/rollout/run_counts.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace greengagehub {
+
+std::size_t
+TimeCounts::BucketOf(Duration aTook) noexcept
+{
+  constexpr double kGrowth = 1.5;
+  std::chrono::duration<double, std::milli> end = kFirst;
+  std::size_t bucket = 0;
+  while (bucket + 1 < kBuckets && aTook >= end) {
+    end *= kGrowth;
+    ++bucket;
+  }
+  return bucket;
+}
+
+double
+TimeCounts::SumFrom(const Buckets& aBuckets, std::size_t aFirst) noexcept
+{
+  const auto first =
+    aBuckets.begin() + static_cast<std::ptrdiff_t>(std::min(aFirst, kBuckets));
+  return std::accumulate(first, aBuckets.end(), 0.0);
+}
+
+void
+RunTally::Clear()
+{
+  m_arrived = 0;
+  m_routes.clear();
+}
+
+RouteCounts&
+RunTally::CountsOf(std::uint64_t aRoute)
+{
+  const auto known = [this](std::uint64_t aWanted) {
+    return std::ranges::find(m_routes, aWanted, &RouteCounts::m_route);
+  };
+  auto found = known(aRoute);
+  if (found == m_routes.end() && m_routes.size() >= kMaxRoutes) {
+    aRoute = 0;
+    found = known(aRoute);
+  }
+  if (found == m_routes.end()) {
+    m_routes.push_back({ aRoute });
+    return m_routes.back();
+  }
+  return *found;
+}
+
+void
+RunTally::Ended(std::uint64_t aRoute,
+                Result aResult,
+                Duration aTook,
+                bool aIsCold)
+{
+  RouteCounts& counts = CountsOf(aRoute);
+  ++counts.m_runs;
+  counts.m_failed += aResult == Result::Failed ? 1 : 0;
+  counts.m_lost += aResult == Result::Lost ? 1 : 0;
+  const bool tellsTime = aResult == Result::Good || aResult == Result::Expired;
+  if (tellsTime && !aIsCold) {
+    const std::size_t bucket = aResult == Result::Expired
+                                 ? TimeCounts::kBuckets - 1
+                                 : TimeCounts::BucketOf(aTook);
+    ++counts.m_times.at(bucket);
+  }
+}
+
+}
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -289,7 +289,9 @@
     reader.Millis("config_apply_ms", platform.m_configApply, 1, kHourMs);
     reader.Number("retry_share", platform.m_retryShare, 0.0, 1.0);
     reader.Millis("retry_window_ms", platform.m_retryWindow, 1, kHourMs);
-    reader.Count("retry_slack", platform.m_retrySlack, 0, kMaxSlots);
+    reader.Number("retry_slack", platform.m_retrySlack, 0.0, kMaxSlots);
+    reader.Number("trial_share", platform.m_trialShare, 0.0, 1.0);
+    reader.Number("trial_slack", platform.m_trialSlack, 0.0, kMaxSlots);
     reader.Finish();
   }
 
--- a/src/transport/gossip_codec.cpp
+++ b/src/transport/gossip_codec.cpp
@@ -1,8 +1,6 @@
 #include "greengagehub/transport/codec.hpp"
 
-#include "control.pb.h"
-
-#include <algorithm>
+#include "rollout_wire.hpp"
 
 // Typed messages to and from protobuf, for all that is not calls.
 
@@ -10,17 +8,15 @@
 
 namespace {
 
+// Beside those of this unit.
+using greengagehub::FromWire;
+using greengagehub::ToWire;
+
 constexpr std::uint32_t kLastState =
   static_cast<std::uint32_t>(MemberState::Left);
 constexpr std::uint32_t kLastCause =
   static_cast<std::uint32_t>(VerdictCause::Time);
 
-Error
-Malformed(const char* aWhat)
-{
-  return Error{ ErrorCode::Corrupt, aWhat };
-}
-
 void
 ToWire(const MemberRecord& aRecord, wire::MemberRecord& aOut)
 {
@@ -37,6 +33,7 @@
   aOut.set_slots(aRecord.m_slots);
   aOut.set_link_mbps(aRecord.m_linkMbps);
   aOut.set_worker_start(aRecord.m_workerStart);
+  aOut.set_worker_version(aRecord.m_workerVersion);
 }
 
 Outcome<MemberRecord>
@@ -63,6 +60,7 @@
   record.m_slots = aWire.slots();
   record.m_linkMbps = aWire.link_mbps();
   record.m_workerStart = aWire.worker_start();
+  record.m_workerVersion = aWire.worker_version();
   return record;
 }
 
@@ -112,21 +110,6 @@
   return VersionDigest{ Version{ aWire.version() }, chain.value() };
 }
 
-std::uint32_t
-ToMs(Duration aSpan)
-{
-  const auto ms =
-    std::chrono::duration_cast<std::chrono::milliseconds>(aSpan).count();
-  return static_cast<std::uint32_t>(
-    std::clamp<std::int64_t>(ms, 0, UINT32_MAX));
-}
-
-Duration
-FromMs(std::uint32_t aMs)
-{
-  return std::chrono::milliseconds{ aMs };
-}
-
 void
 ToWire(const EndReport& aReport, wire::EndReport& aOut)
 {
@@ -236,6 +219,13 @@
     ToWire(each, *out.add_verdicts());
   }
   out.set_verdicts_digest(aMessage.m_verdicts);
+  for (const RolloutRecord& each : aMessage.m_rollouts) {
+    ToWire(each, *out.add_rollouts());
+  }
+  out.set_rollouts_digest(aMessage.m_rolloutsDigest);
+  if (aMessage.m_counts) {
+    ToWire(*aMessage.m_counts, *out.mutable_counts());
+  }
   return out;
 }
 
@@ -269,7 +259,10 @@
   auto entries = AllFromWire<VersionEntry>(in.entries());
   auto ends = AllFromWire<EndReport>(in.ends());
   auto verdicts = AllFromWire<ContentVerdict>(in.verdicts());
-  if (!sender || !head || !updates || !entries || !ends || !verdicts) {
+  auto rollouts = AllFromWire<RolloutRecord>(in.rollouts());
+  auto counts = FromWire(in.counts());
+  if (!sender || !head || !updates || !entries || !ends || !verdicts ||
+      !rollouts || !counts) {
     return Malformed("a datagram with a field out of range");
   }
   GossipMessage message;
@@ -286,6 +279,12 @@
   message.m_quarantine = { std::move(ends.value()),
                            std::move(verdicts.value()) };
   message.m_verdicts = in.verdicts_digest();
+  message.m_rollouts = std::move(rollouts.value());
+  message.m_rolloutsDigest = in.rollouts_digest();
+  if (in.has_counts()) {
+    message.m_counts = std::move(counts.value());
+    message.m_counts->m_slot = message.m_sender.m_slot;
+  }
   return message;
 }
 
@@ -339,6 +338,9 @@
   for (const MemberRecord& each : aAnswer.m_members) {
     ToWire(each, *out.add_members());
   }
+  for (const RolloutRecord& each : aAnswer.m_rollouts) {
+    ToWire(each, *out.add_rollouts());
+  }
   out.set_floor(aAnswer.m_floor.m_number);
   ToWire(aAnswer.m_head, *out.mutable_head());
   return out.SerializeAsString();
@@ -354,7 +356,8 @@
   auto entries = AllFromWire<VersionEntry>(in.entries());
   auto members = AllFromWire<MemberRecord>(in.members());
   auto head = FromWire(in.head());
-  if (!entries || !members || !head) {
+  auto rollouts = AllFromWire<RolloutRecord>(in.rollouts());
+  if (!entries || !members || !head || !rollouts) {
     return Malformed("a pull answer with a field out of range");
   }
   PullAnswer answer;
@@ -370,6 +373,7 @@
   answer.m_members = std::move(members.value());
   answer.m_floor = Version{ in.floor() };
   answer.m_head = head.value();
+  answer.m_rollouts = std::move(rollouts.value());
   return answer;
 }
 
--- a/src/transport/link_codec.cpp
+++ b/src/transport/link_codec.cpp
@@ -44,8 +44,8 @@
   return {};
 }
 
-/// \returns The reason as daemons know it that do not hold requests yet: they
-/// take a number beyond theirs for garbage and close the link.
+/// \returns The reason as older daemons know it: they take a number beyond
+/// theirs for garbage and close the link.
 RefusalReason
 OlderReason(RefusalReason aReason)
 {
@@ -54,6 +54,9 @@
       return RefusalReason::AnswerLost;
     case RefusalReason::Held:
       return RefusalReason::Cancelled;
+    case RefusalReason::NotInService:
+      // For calls there is no worker.
+      return RefusalReason::NoWorker;
     default:
       return aReason;
   }
--- a/tests/daemon/config_feed.cpp
+++ b/tests/daemon/config_feed.cpp
@@ -103,6 +103,7 @@
     m_holder,
     m_log,
     kOriginalKey,
+    "op/",
     { .m_watch = 1s, .m_settle = 1ms, .m_maxBackoff = 1ms, .m_copyEvery = 1ms },
     1,
     { .m_onAdvanced = [](Version) {},
--- a/tests/daemon/run_service.cpp
+++ b/tests/daemon/run_service.cpp
@@ -33,6 +33,7 @@
           .m_metrics = m_metrics,
           .m_requests = m_requests,
           .m_quarantine = m_quarantine,
+          .m_rollouts = m_rollouts,
           .m_seed = 1,
           .m_answer =
             [this](CallKey, CallAnswer aAnswer) {
@@ -130,6 +131,7 @@
   std::unique_ptr<HttpServer> m_worker;
   std::vector<CallAnswer> m_answers;
   Quarantine m_quarantine;
+  RolloutTable m_rollouts;
   std::vector<EndReport> m_ends;
   std::uint64_t m_lastCall{ 0 };
   RunService m_service;
