Workers on trial take turns; a verdict leaves the worst quarter of them out

Change: the control of a look is the higher one of that look and of those lately; workers on trial carry the load of old ones and give way to the next after 1.2 s; the worst quarter is left out of each sum; a larger share lasts a time of its own, not until a moment; each measure has its own excess; cold runs count, two buckets lower.

--- a/include/greengagehub/rollout/rollout_holder.hpp
+++ b/include/greengagehub/rollout/rollout_holder.hpp
@@ -44,7 +44,7 @@
                                            const Workers& aWorkers);
 
 private:
-  void Look(TimePoint aNow, const RolloutRecord& aRecord);
+  void Look(TimePoint aNow);
   [[nodiscard]] RolloutView ViewOf(TimePoint aNow,
                                    const RolloutRecord& aRecord,
                                    const Workers& aWorkers) const;
@@ -56,7 +56,9 @@
   TimePoint m_began;
   TimePoint m_lookedAt{};
   TimePoint m_toldAt{};
-  std::optional<TimePoint> m_hasAllSince;
+  /// The share that calls have had, and since when.
+  std::uint32_t m_permille{ 0 };
+  TimePoint m_permilleSince{};
   std::uint32_t m_idleLooks{ 0 };
   double m_callsPerSecond{ 0.0 };
 };
--- a/include/greengagehub/rollout/rollout_plan.hpp
+++ b/include/greengagehub/rollout/rollout_plan.hpp
@@ -30,9 +30,9 @@
   /// Calls to the service a second; 0: not known yet.
   double m_callsPerSecond{ 0.0 };
   /// Share of the calls that the new version has now, in thousandths, and for
-  /// how long it has had all.
+  /// how long it has had it.
   std::uint32_t m_permille{ 0 };
-  Duration m_hasAllFor{};
+  Duration m_hasShareFor{};
   /// Nothing runs or waits at workers of the version in service, and nothing
   /// came for them lately.
   bool m_oldIdle{ false };
--- a/include/greengagehub/rollout/rollout_record.hpp
+++ b/include/greengagehub/rollout/rollout_record.hpp
@@ -75,6 +75,9 @@
   /// How many of the new workers are used, the same ones by all daemons; 0:
   /// all. A small share on few workers puts them under the load of the others.
   std::uint32_t m_workers{ 0 };
+  /// In an order that all daemons share, the first one used; beyond the last
+  /// one it goes on with the first.
+  std::uint32_t m_first{ 0 };
   /// For how long from now on.
   Duration m_left{};
 };
--- a/include/greengagehub/rollout/rollout_table.hpp
+++ b/include/greengagehub/rollout/rollout_table.hpp
@@ -24,8 +24,9 @@
   };
   Kind m_kind{ Kind::Only };
   std::string_view m_version{};
-  /// Only the first so many of them, the same ones for all daemons; 0: all.
+  /// As in TrialLeave.
   std::uint32_t m_workers{ 0 };
+  std::uint32_t m_first{ 0 };
   /// Also those that have not told their version.
   bool m_takesUntold{ false };
 
--- a/include/greengagehub/rollout/run_counts.hpp
+++ b/include/greengagehub/rollout/run_counts.hpp
@@ -36,7 +36,8 @@
   std::uint32_t m_failed{ 0 };
   /// No answer came, or one that was not whole.
   std::uint32_t m_lost{ 0 };
-  /// Of runs that ended while the worker was warm.
+  /// Of runs that were answered well or ran out of time; as if it had been
+  /// warm, where the worker was cold.
   TimeCounts::Buckets m_times{};
 };
 
--- a/include/greengagehub/rollout/status_writer.hpp
+++ b/include/greengagehub/rollout/status_writer.hpp
@@ -57,10 +57,18 @@
   };
 
   /// \brief The store is to say this, from `aFrom` on; takes the place of what
-  /// was wanted of the service before.
+  /// was wanted of the service before. Nothing, where the store has told that
+  /// the order ended otherwise.
   void Want(RolloutStatus aStatus, TimePoint aFrom)
   {
     Drop(aStatus.m_service);
+    const auto final = m_finals.find(aStatus.m_service);
+    const bool isDecided = final != m_finals.end() &&
+                           final->second.m_target == aStatus.m_target &&
+                           final->second.m_state != aStatus.m_state;
+    if (isDecided) {
+      return;
+    }
     m_jobs.push_back({ std::move(aStatus), aFrom });
   }
 
@@ -114,6 +122,7 @@
       case Status::Ok:
         m_revisions[wanted.m_service] = aReply.m_revision;
         Done();
+        NoteFinal(wanted);
         return { std::nullopt, wanted };
       case Status::Conflict:
         m_revisions[wanted.m_service] = aReply.m_revision;
@@ -153,6 +162,9 @@
                     stands.value().m_state == aWanted.m_state);
     if (isDone || m_isStale) {
       Done();
+      if (isDone) {
+        NoteFinal(stands.value());
+      }
       return { std::nullopt,
                isDone ? std::optional{ stands.value() } : std::nullopt };
     }
@@ -160,6 +172,19 @@
     return { Put(aReply.m_revision), std::nullopt };
   }
 
+  /// What waits would be written over it, now that its revision is known.
+  void NoteFinal(const RolloutStatus& aStatus)
+  {
+    if (!IsFinal(aStatus.m_state)) {
+      return;
+    }
+    m_finals[aStatus.m_service] = aStatus;
+    std::erase_if(m_jobs, [&](const Job& aJob) {
+      return aJob.m_status.m_service == aStatus.m_service &&
+             aJob.m_status.m_target == aStatus.m_target;
+    });
+  }
+
   void Done()
   {
     m_jobs.pop_front();
@@ -180,6 +205,8 @@
   std::deque<Job> m_jobs;
   /// Of the statuses, as far as known.
   std::map<std::string, Revision> m_revisions;
+  /// How orders ended, by the store's word.
+  std::map<std::string, RolloutStatus> m_finals;
   bool m_isBusy{ false };
   /// Another has taken the place of the one under way.
   bool m_isStale{ false };
--- a/include/greengagehub/rollout/version_judge.hpp
+++ b/include/greengagehub/rollout/version_judge.hpp
@@ -78,7 +78,7 @@
   /// measures.
   static constexpr double kWrongBad = 1e-4;
   /// Of verdicts "good" on a version with the lifts below.
-  static constexpr double kWrongGood = 1e-2;
+  static constexpr double kWrongGood = 1e-3;
 
 private:
   static constexpr std::size_t kMeasures = 3;
@@ -115,6 +115,8 @@
   };
   struct Route
   {
+    /// Since the look before, for about three seconds, and since the order.
+    Control m_look;
     Control m_recent;
     Control m_all;
     /// Of the new version, by worker, lately.
@@ -132,15 +134,30 @@
                Route& aRoute,
                const RouteCounts& aNow,
                const RouteCounts& aBefore);
+  /// \returns Share of runs of the version in service that a count stands for.
+  /// The higher one of this look and of those lately: a trouble that has just
+  /// begun, or just ended, is seen at one worker a moment before the other.
+  template<class Count, class Of>
+  [[nodiscard]] static double Usual(const Route& aRoute,
+                                    double aLeast,
+                                    Count aCount,
+                                    Of aOf);
   /// \returns First bucket of times that count as slow.
   [[nodiscard]] static std::size_t SlowFrom(const Route& aRoute) noexcept;
+  /// \returns Of what came lately on a route, without the worst workers.
+  [[nodiscard]] static double RecentRatio(const Route& aRoute,
+                                          std::size_t aMeasure);
   [[nodiscard]] Judgement BadRoute() const;
   [[nodiscard]] Judgement Excess() const;
+  /// \returns Whether each route that matters has been run, and rather well.
+  [[nodiscard]] bool LeansToGood() const;
   [[nodiscard]] bool IsGood() const;
 
   std::string m_target;
   std::map<std::string, Worker> m_workers;
   std::map<std::uint64_t, Route> m_routes;
+  /// Of the new version, by worker, since the order.
+  std::map<std::string, Tallies> m_totals;
   Work m_work;
 };
 
--- a/src/calls/worker_table.cpp
+++ b/src/calls/worker_table.cpp
@@ -264,11 +264,12 @@
   if (aRule.m_workers == 0 || aGroup.size() <= aRule.m_workers) {
     return;
   }
-  const auto last = aGroup.begin() + aRule.m_workers;
-  std::ranges::nth_element(aGroup, last, {}, [this](Index aIndex) {
-    return m_rows.At(aIndex).m_rank;
-  });
-  aGroup.erase(last, aGroup.end());
+  std::ranges::sort(
+    aGroup, {}, [this](Index aIndex) { return m_rows.At(aIndex).m_rank; });
+  const auto first =
+    aGroup.begin() + static_cast<std::ptrdiff_t>(aRule.m_first % aGroup.size());
+  std::rotate(aGroup.begin(), first, aGroup.end());
+  aGroup.resize(aRule.m_workers);
 }
 
 void
@@ -302,7 +303,8 @@
     KeepAllowed(allowed, *aRule);
   } else if (mixed != m_mixed.end() && !mixed->second.empty()) {
     // No order stands: a version that has just come is not in service.
-    KeepAllowed(allowed, { VersionRule::Kind::Only, mixed->second, 0, true });
+    KeepAllowed(allowed,
+                { VersionRule::Kind::Only, mixed->second, 0, 0, true });
   }
   for (const Index index : allowed) {
     const WorkerRow& row = m_rows.At(index);
--- a/src/rollout/rollout_holder.cpp
+++ b/src/rollout/rollout_holder.cpp
@@ -17,7 +17,6 @@
 constexpr std::chrono::seconds kForgottenAfter{ 3 };
 /// Looks in a row that found nothing at the old workers.
 constexpr std::uint32_t kIdleLooks = 2;
-constexpr std::uint32_t kAll = 1000;
 /// Weight of a look in the mean rate of calls.
 constexpr double kRateWeight = 0.3;
 
@@ -35,7 +34,7 @@
 }
 
 void
-RolloutHolder::Look(TimePoint aNow, const RolloutRecord& aRecord)
+RolloutHolder::Look(TimePoint aNow)
 {
   const std::chrono::duration<double> since = aNow - m_lookedAt;
   m_lookedAt = aNow;
@@ -43,14 +42,10 @@
   const VersionJudge::Work& work = m_judge.LastWork();
   const double rate =
     (work.m_oldArrived + work.m_newArrived) / std::max(since.count(), 1e-3);
-  m_callsPerSecond += kRateWeight * (rate - m_callsPerSecond);
+  const bool isFirst = m_callsPerSecond <= 0.0;
+  m_callsPerSecond += (isFirst ? 1.0 : kRateWeight) * (rate - m_callsPerSecond);
   const bool idle = work.m_oldAtWork == 0 && work.m_oldArrived == 0;
   m_idleLooks = idle ? m_idleLooks + 1 : 0;
-  if (aRecord.m_leave.m_permille < kAll) {
-    m_hasAllSince.reset();
-  } else if (!m_hasAllSince) {
-    m_hasAllSince = aNow;
-  }
 }
 
 RolloutView
@@ -66,7 +61,7 @@
   view.m_newWorkers = aWorkers.m_new;
   view.m_callsPerSecond = m_callsPerSecond;
   view.m_permille = aRecord.m_leave.m_permille;
-  view.m_hasAllFor = m_hasAllSince ? aNow - *m_hasAllSince : Duration::zero();
+  view.m_hasShareFor = aNow - m_permilleSince;
   view.m_oldIdle = m_idleLooks >= kIdleLooks;
   return view;
 }
@@ -82,7 +77,11 @@
     return std::nullopt;
   }
   if (aNow - m_lookedAt >= kLookEvery) {
-    Look(aNow, aRecord);
+    Look(aNow);
+  }
+  if (aRecord.m_leave.m_permille != m_permille) {
+    m_permille = aRecord.m_leave.m_permille;
+    m_permilleSince = aNow;
   }
   Lead lead{ aRecord, false, m_judgement, ViewOf(aNow, aRecord, aWorkers) };
   RolloutStep step;
--- a/src/rollout/rollout_plan.cpp
+++ b/src/rollout/rollout_plan.cpp
@@ -13,21 +13,19 @@
 /// good one within a second.
 constexpr double kTrialRunsPerSecond = 60.0;
 constexpr double kLeastTrial = 0.03;
+constexpr double kMostTrial = 0.12;
 /// Part of what a bad version may get that the trial uses up.
-constexpr double kTrialPart = 0.4;
-/// Workers on trial, of which the worst quarter does not count; a third of all
-/// where there are few.
-constexpr std::uint32_t kTrialWorkers = 8;
-constexpr std::uint32_t kLeastWorkers = 2;
-constexpr std::uint32_t kTrialPartOfWorkers = 3;
-/// Steps by the part of the time that has passed.
-struct Stage
-{
-  double m_until;
-  std::uint32_t m_permille;
-};
+constexpr double kTrialPart = 0.5;
+/// The workers on trial give way to the next ones after this, so that a verdict
+/// rests on more of them.
+constexpr std::chrono::milliseconds kTurn{ 1200 };
+/// The trial lasts for this part of the time, and each larger share for
+/// another, which is shorter where the trial took too long.
 constexpr double kTrialUntil = 0.54;
-constexpr std::array kLarger{ Stage{ 0.62, 150 }, Stage{ 0.70, 400 } };
+constexpr std::array kLarger{ 150U, 400U };
+constexpr double kStepPart = 0.08;
+constexpr double kLateFrom = 0.70;
+constexpr double kLateStepPart = 0.04;
 /// A version of which nobody is sure by now is rolled back.
 constexpr double kSureBy = 0.78;
 /// The last moment to say that it is complete: before the deadline by a part of
@@ -45,24 +43,18 @@
   return all.count() > 0.0 ? age / all : 1.0;
 }
 
-/// As many as bear that share with the load of one of the old ones.
-std::uint32_t
-WorkersFor(const RolloutView& aView, std::uint32_t aPermille)
-{
-  const std::uint32_t few = std::clamp(
-    aView.m_newWorkers / kTrialPartOfWorkers, kLeastWorkers, kTrialWorkers);
-  const double share = static_cast<double>(aPermille) / kAll;
-  const auto alike =
-    static_cast<std::uint32_t>(std::ceil(share * aView.m_oldWorkers));
-  return std::max(few, alike);
-}
-
+/// As many as bear that share with the load of one of the old ones, in turn.
 TrialLeave
 LeaveAt(const RolloutView& aView, std::uint32_t aPermille)
 {
-  return { aPermille,
-           aPermille >= kAll ? 0 : WorkersFor(aView, aPermille),
-           {} };
+  if (aPermille >= kAll) {
+    return { aPermille, 0, 0, {} };
+  }
+  const double share = static_cast<double>(aPermille) / kAll;
+  const auto workers = static_cast<std::uint32_t>(
+    std::max(1.0, std::round(share * aView.m_oldWorkers)));
+  const auto turn = static_cast<std::uint32_t>(aView.m_age / kTurn);
+  return { aPermille, workers, workers * turn, {} };
 }
 
 }
@@ -76,10 +68,12 @@
   const double allowed =
     aLimits.m_maxShare + aLimits.m_slack / std::max(1.0, rate * seconds);
   const double most = kTrialPart * allowed / kTrialUntil;
-  const double share =
-    std::min(std::max(kTrialRunsPerSecond / rate, kLeastTrial), most);
+  // One worker at least is to have the load of an old one.
+  const double ofOne = 1.0 / std::max(1U, aView.m_oldWorkers);
+  const double share = std::min(
+    std::max({ kTrialRunsPerSecond / rate, kLeastTrial, ofOne }), most);
   return static_cast<std::uint32_t>(
-    std::clamp(share * kAll, 1.0, static_cast<double>(kAll)));
+    std::clamp(share, kLeastTrial / 2, kMostTrial) * kAll);
 }
 
 RolloutStep
@@ -95,34 +89,31 @@
   if (aView.m_newWorkers == 0) {
     return step;
   }
-  const bool mayGrow = aView.m_verdict == Verdict::Good && part >= kTrialUntil;
   if (aView.m_permille >= kAll) {
     step.m_leave = LeaveAt(aView, kAll);
     const auto latest =
       std::chrono::duration<double>(aView.m_duration) * kCompleteBy -
       kStoreTime;
     const bool isLate = aView.m_age >= latest;
-    const bool isDone = aView.m_oldIdle && aView.m_hasAllFor >= kHasAllFor;
+    const bool isDone = aView.m_oldIdle && aView.m_hasShareFor >= kHasAllFor;
     if (isLate || isDone) {
       step.m_state = RolloutState::Completing;
     }
     return step;
   }
-  if (!mayGrow) {
-    const std::uint32_t permille =
-      std::max(TrialPermille(aLimits, aView),
-               std::min(aView.m_permille, kLarger[0].m_permille));
-    step.m_leave = LeaveAt(aView, permille);
+  const std::uint32_t trial = TrialPermille(aLimits, aView);
+  if (aView.m_permille < kLarger.front()) {
+    const bool isTried =
+      aView.m_verdict == Verdict::Good && part >= kTrialUntil;
+    step.m_leave = LeaveAt(aView, isTried ? kLarger.front() : trial);
     return step;
   }
-  // Each step is taken in its turn, also by a daemon that took over late.
-  for (const Stage& each : kLarger) {
-    if (part < each.m_until || aView.m_permille < each.m_permille) {
-      step.m_leave = LeaveAt(aView, each.m_permille);
-      return step;
-    }
-  }
-  step.m_leave = LeaveAt(aView, kAll);
+  const double stepPart = part < kLateFrom ? kStepPart : kLateStepPart;
+  const bool grows = aView.m_verdict == Verdict::Good &&
+                     aView.m_hasShareFor >= stepPart * aView.m_duration;
+  const auto* next = std::ranges::upper_bound(kLarger, aView.m_permille);
+  const std::uint32_t larger = next == kLarger.end() ? kAll : *next;
+  step.m_leave = LeaveAt(aView, grows ? larger : aView.m_permille);
   return step;
 }
 
--- a/src/rollout/rollout_table.cpp
+++ b/src/rollout/rollout_table.cpp
@@ -215,9 +215,11 @@
   if (moved || !record.m_base.empty()) {
     const std::string& version =
       moved ? record.m_order.m_target : record.m_base;
-    return { VersionRule::Kind::Only, version, 0, othersGone };
+    return { VersionRule::Kind::Only, version, 0, 0, othersGone };
   }
-  return { VersionRule::Kind::AllBut, record.m_order.m_target, 0, othersGone };
+  return {
+    VersionRule::Kind::AllBut, record.m_order.m_target, 0, 0, othersGone
+  };
 }
 
 VersionRules
@@ -239,6 +241,7 @@
     rules.Add({ VersionRule::Kind::Only,
                 record.m_order.m_target,
                 record.m_leave.m_workers,
+                record.m_leave.m_first,
                 false });
   }
   rules.Add(InService(aNow, *entry));
--- a/src/rollout/run_counts.cpp
+++ b/src/rollout/run_counts.cpp
@@ -5,6 +5,14 @@
 
 namespace greengagehub {
 
+namespace {
+
+/// A worker that is cold takes up to about twice as long; taken off, a fault
+/// that makes it many times slower shows from its first runs on.
+constexpr std::size_t kColdBuckets = 2;
+
+}
+
 std::size_t
 TimeCounts::BucketOf(Duration aTook) noexcept
 {
@@ -61,12 +69,12 @@
   ++counts.m_runs;
   counts.m_failed += aResult == Result::Failed ? 1 : 0;
   counts.m_lost += aResult == Result::Lost ? 1 : 0;
-  const bool tellsTime = aResult == Result::Good || aResult == Result::Expired;
-  if (tellsTime && !aIsCold) {
-    const std::size_t bucket = aResult == Result::Expired
-                                 ? TimeCounts::kBuckets - 1
-                                 : TimeCounts::BucketOf(aTook);
-    ++counts.m_times.at(bucket);
+  if (aResult == Result::Expired) {
+    ++counts.m_times.back();
+  } else if (aResult == Result::Good) {
+    const std::size_t bucket = TimeCounts::BucketOf(aTook);
+    const std::size_t off = aIsCold ? kColdBuckets : 0;
+    ++counts.m_times.at(bucket - std::min(bucket, off));
   }
 }
 
--- a/src/rollout/version_judge.cpp
+++ b/src/rollout/version_judge.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace greengagehub {
 
@@ -29,19 +30,21 @@
 /// What is left of earlier runs at each look; with a look every 300 ms they
 /// count for three seconds on average.
 constexpr double kKept = 0.9;
+/// Runs lately that weigh in with those of a look.
+constexpr double kLookPrior = 10.0;
 /// A run is slow where at most this share of those of the version in service
 /// takes half as long.
 constexpr double kSlowShare = 0.05;
 constexpr std::size_t kSlowMargin = 2;
 /// Runs beyond what was expected that came to harm, after which a version is
 /// bad whichever workers and routes they were on.
-constexpr double kMostExcess = 25.0;
+constexpr double kMostExcess = 18.0;
 /// The same in standard deviations of what was expected.
 constexpr double kExcessDeviations = 5.0;
 /// One in so many of the new workers is left out as the worst.
 constexpr std::size_t kLeftOutOf = 4;
 /// Share of the runs from which on a route has to be found good itself.
-constexpr double kRouteCounts = 0.05;
+constexpr double kRouteCounts = 0.1;
 constexpr double kRouteRunsNeeded = 5.0;
 
 const RouteCounts&
@@ -53,6 +56,21 @@
   return found == aCounts.m_routes.end() ? kNone : *found;
 }
 
+/// \returns How many of the new workers are left out as the worst.
+std::size_t
+LeftOutOf(std::size_t aWorkers)
+{
+  return aWorkers > 1 ? std::max<std::size_t>(1, aWorkers / kLeftOutOf) : 0;
+}
+
+double
+SumWithoutWorst(std::vector<double> aRatios)
+{
+  std::ranges::sort(aRatios);
+  aRatios.resize(aRatios.size() - LeftOutOf(aRatios.size()));
+  return std::accumulate(aRatios.begin(), aRatios.end(), 0.0);
+}
+
 double
 Since(std::uint32_t aNow, std::uint32_t aBefore)
 {
@@ -169,6 +187,7 @@
 {
   for (auto& [id, route] : m_routes) {
     route.m_recent.Decay();
+    route.m_look = {};
   }
   for (const auto& [slot, worker] : m_workers) {
     if (IsNew(worker.m_now)) {
@@ -177,48 +196,72 @@
     for (const RouteCounts& each : worker.m_now.m_routes) {
       const RouteCounts& before = FindRoute(worker.m_before, each.m_route);
       Route& route = m_routes[each.m_route];
+      route.m_look.Add(each, before);
       route.m_recent.Add(each, before);
       route.m_all.Add(each, before);
     }
   }
 }
 
+template<class Count, class Of>
+double
+VersionJudge::Usual(const Route& aRoute, double aLeast, Count aCount, Of aOf)
+{
+  const double lately =
+    (aCount(aRoute.m_recent) + aLeast) / (aOf(aRoute.m_recent) + 1.0);
+  // A look of few runs says little by itself.
+  const double now = (aCount(aRoute.m_look) + kLookPrior * lately) /
+                     (aOf(aRoute.m_look) + kLookPrior);
+  return std::max(now, lately);
+}
+
 void
 VersionJudge::TakeNew(const std::string& aSlot,
                       Route& aRoute,
                       const RouteCounts& aNow,
                       const RouteCounts& aBefore)
 {
-  const Control& control = aRoute.m_recent;
   const double runs = Since(aNow.m_runs, aBefore.m_runs);
-  const auto usual = [&](double aHits, double aOf, std::size_t aMeasure) {
-    const double least = kMeasuresUsed.at(aMeasure).m_least;
-    return (aHits + least) / (aOf + 1.0);
-  };
   const std::size_t slowFrom = SlowFrom(aRoute);
   const double timed = TimeCounts::SumFrom(aNow.m_times, 0) -
                        TimeCounts::SumFrom(aBefore.m_times, 0);
   const double slow = TimeCounts::SumFrom(aNow.m_times, slowFrom) -
                       TimeCounts::SumFrom(aBefore.m_times, slowFrom);
+  const auto allRuns = [](const Control& aControl) { return aControl.m_runs; };
+  const auto allTimes = [](const Control& aControl) {
+    return aControl.TimesFrom(0);
+  };
+  const double failing = Usual(
+    aRoute,
+    kMeasuresUsed.at(kFailures).m_least,
+    [](const Control& aControl) { return aControl.m_failed; },
+    allRuns);
+  const double losing = Usual(
+    aRoute,
+    kMeasuresUsed.at(kLost).m_least,
+    [](const Control& aControl) { return aControl.m_lost; },
+    allRuns);
   Tallies fresh;
-  fresh.at(
-    kFailures) = { runs,
-                   Since(aNow.m_failed, aBefore.m_failed),
-                   runs * usual(control.m_failed, control.m_runs, kFailures) };
-  fresh.at(kLost) = { runs,
-                      Since(aNow.m_lost, aBefore.m_lost),
-                      runs * usual(control.m_lost, control.m_runs, kLost) };
+  fresh.at(kFailures) = { runs,
+                          Since(aNow.m_failed, aBefore.m_failed),
+                          runs * failing };
+  fresh.at(kLost) = { runs, Since(aNow.m_lost, aBefore.m_lost), runs * losing };
   // With no time of the other version there is no measure of slow.
   if (aRoute.m_all.TimesFrom(0) > 0.0) {
-    fresh.at(kSlow) = {
-      timed,
-      slow,
-      timed * usual(control.TimesFrom(slowFrom), control.TimesFrom(0), kSlow)
-    };
+    const double slowing = Usual(
+      aRoute,
+      kMeasuresUsed.at(kSlow).m_least,
+      [slowFrom](const Control& aControl) {
+        return aControl.TimesFrom(slowFrom);
+      },
+      allTimes);
+    fresh.at(kSlow) = { timed, slow, timed * slowing };
   }
   Tallies& worker = aRoute.m_workers[aSlot];
+  Tallies& total = m_totals[aSlot];
   for (std::size_t i = 0; i < kMeasures; ++i) {
     worker.at(i).Add(fresh.at(i));
+    total.at(i).Add(fresh.at(i));
     aRoute.m_sum.at(i).Add(fresh.at(i));
   }
 }
@@ -246,6 +289,19 @@
   }
 }
 
+double
+VersionJudge::RecentRatio(const Route& aRoute, std::size_t aMeasure)
+{
+  std::vector<double> ratios;
+  for (const auto& [slot, tallies] : aRoute.m_workers) {
+    const Tally& tally = tallies.at(aMeasure);
+    if (tally.m_runs > 0.0) {
+      ratios.push_back(RatioOf(tally, kMeasuresUsed.at(aMeasure)));
+    }
+  }
+  return SumWithoutWorst(std::move(ratios));
+}
+
 VersionJudge::Judgement
 VersionJudge::BadRoute() const
 {
@@ -256,27 +312,16 @@
   double highest = bound;
   for (const auto& [id, route] : m_routes) {
     for (std::size_t i = 0; i < kMeasures; ++i) {
-      const Measure& measure = kMeasuresUsed.at(i);
-      std::vector<double> ratios;
-      Tally sum;
-      for (const auto& [slot, tallies] : route.m_workers) {
-        if (tallies.at(i).m_runs > 0.0) {
-          ratios.push_back(RatioOf(tallies.at(i), measure));
-          sum.Add(tallies.at(i));
-        }
-      }
-      std::ranges::sort(ratios);
-      const std::size_t leftOut =
-        ratios.size() > 1 ? std::max<std::size_t>(1, ratios.size() / kLeftOutOf)
-                          : 0;
-      double ratio = 0.0;
-      for (std::size_t k = 0; k + leftOut < ratios.size(); ++k) {
-        ratio += ratios[k];
-      }
+      const double ratio = RecentRatio(route, i);
       if (ratio > highest) {
         highest = ratio;
-        worst = { Verdict::Bad, measure.m_cause, id,
-                  sum.m_runs,   sum.m_hits,      sum.m_expected };
+        Tally sum;
+        for (const auto& [slot, tallies] : route.m_workers) {
+          sum.Add(tallies.at(i));
+        }
+        worst = { Verdict::Bad, kMeasuresUsed.at(i).m_cause,
+                  id,           sum.m_runs,
+                  sum.m_hits,   sum.m_expected };
       }
     }
   }
@@ -286,49 +331,67 @@
 VersionJudge::Judgement
 VersionJudge::Excess() const
 {
-  Tally sum;
-  std::array<double, kMeasures> beyond{};
-  for (const auto& [id, route] : m_routes) {
-    for (std::size_t i = 0; i < kMeasures; ++i) {
-      sum.Add(route.m_sum.at(i));
-      beyond.at(i) += route.m_sum.at(i).m_hits - route.m_sum.at(i).m_expected;
+  for (std::size_t i = 0; i < kMeasures; ++i) {
+    std::vector<Tally> workers;
+    for (const auto& [slot, tallies] : m_totals) {
+      if (tallies.at(i).m_runs > 0.0) {
+        workers.push_back(tallies.at(i));
+      }
+    }
+    std::ranges::sort(workers, {}, [](const Tally& aTally) {
+      return aTally.m_hits - aTally.m_expected;
+    });
+    workers.resize(workers.size() - LeftOutOf(workers.size()));
+    Tally sum;
+    for (const Tally& each : workers) {
+      sum.Add(each);
+    }
+    const double most =
+      std::max(kMostExcess, kExcessDeviations * std::sqrt(sum.m_expected));
+    if (sum.m_hits - sum.m_expected >= most) {
+      return {
+        Verdict::Bad,  kMeasuresUsed.at(i).m_cause, 0, sum.m_runs, sum.m_hits,
+        sum.m_expected
+      };
     }
   }
-  const double most = std::max(
-    kMostExcess, kExcessDeviations * std::sqrt(std::max(0.0, sum.m_expected)));
-  if (sum.m_hits - sum.m_expected < most) {
-    return {};
-  }
-  const auto first = std::ranges::max_element(beyond) - beyond.begin();
-  return { Verdict::Bad,
-           kMeasuresUsed.at(static_cast<std::size_t>(first)).m_cause,
-           0,
-           sum.m_runs,
-           sum.m_hits,
-           sum.m_expected };
+  return {};
 }
 
 bool
-VersionJudge::IsGood() const
+VersionJudge::LeansToGood() const
 {
-  Tallies all;
   double oldRuns = 0.0;
   for (const auto& [id, route] : m_routes) {
     oldRuns += route.m_all.m_runs;
-    for (std::size_t i = 0; i < kMeasures; ++i) {
-      all.at(i).Add(route.m_sum.at(i));
-    }
   }
-  const bool everyRoute =
-    std::ranges::all_of(m_routes, [oldRuns](const auto& aEach) {
-      const Route& route = aEach.second;
-      return route.m_all.m_runs < kRouteCounts * oldRuns ||
-             route.m_sum.at(kFailures).m_runs >= kRouteRunsNeeded;
+  return oldRuns > 0.0 &&
+         std::ranges::all_of(m_routes, [oldRuns](const auto& aEach) {
+           const Route& route = aEach.second;
+           const bool isRare = route.m_all.m_runs < kRouteCounts * oldRuns;
+           return isRare ||
+                  (route.m_sum.at(kFailures).m_runs >= kRouteRunsNeeded &&
+                   RecentRatio(route, kFailures) <= 0.0);
+         });
+}
+
+bool
+VersionJudge::IsGood() const
+{
+  if (!LeansToGood()) {
+    return false;
+  }
+  return std::ranges::all_of(
+    std::array{ kFailures, kSlow }, [&](auto aMeasure) {
+      std::vector<double> ratios;
+      for (const auto& [slot, tallies] : m_totals) {
+        const Tally& tally = tallies.at(aMeasure);
+        if (tally.m_runs > 0.0) {
+          ratios.push_back(RatioOf(tally, kMeasuresUsed.at(aMeasure)));
+        }
+      }
+      return SumWithoutWorst(std::move(ratios)) <= std::log(kWrongGood);
     });
-  const double bound = std::log(kWrongGood);
-  return everyRoute && oldRuns > 0.0 &&
-         RatioOf(all.at(kFailures), kMeasuresUsed.at(kFailures)) <= bound &&
-         RatioOf(all.at(kSlow), kMeasuresUsed.at(kSlow)) <= bound;
 }
 
 VersionJudge::Judgement
--- a/src/transport/rollout_wire.cpp
+++ b/src/transport/rollout_wire.cpp
@@ -65,6 +65,7 @@
   aOut.set_step(aRecord.m_step);
   aOut.set_permille(aRecord.m_leave.m_permille);
   aOut.set_workers(aRecord.m_leave.m_workers);
+  aOut.set_first_worker(aRecord.m_leave.m_first);
   aOut.set_leave_left_ms(ToMs(aRecord.m_leave.m_left));
   aOut.set_age_ms(ToMs(aRecord.m_age));
 }
@@ -91,6 +92,7 @@
   record.m_step = aWire.step();
   record.m_leave = { aWire.permille(),
                      aWire.workers(),
+                     aWire.first_worker(),
                      FromMs(aWire.leave_left_ms()) };
   record.m_age = FromMs(aWire.age_ms());
   return record;
--- a/standins/platform_worker.cpp
+++ b/standins/platform_worker.cpp
@@ -42,6 +42,7 @@
   HttpServerSettings m_http;
   std::string m_service;
   std::string m_domain;
+  std::string m_version{ "v1" };
   std::uint32_t m_slots{ 20 };
   std::uint32_t m_queue{ 40 };
   std::uint32_t m_serviceMs{ 2 };
@@ -314,7 +315,7 @@
                            m_options.m_http.m_address,
                            m_options.m_http.m_port) },
              { "zone", m_options.m_domain },
-             { "version", "v1" },
+             { "version", m_options.m_version },
              { "slots", m_options.m_slots },
              { "state", m_draining ? "draining" : "ready" },
              { "cold_left_ms", 0 },
@@ -467,6 +468,7 @@
     "port", po::value(&given.m_http.m_port)->default_value(0), "")(
     "service", po::value(&given.m_service)->required(), "")(
     "domain", po::value(&given.m_domain)->default_value("solna"), "")(
+    "version", po::value(&given.m_version)->default_value("v1"), "")(
     "slots", po::value(&given.m_slots)->default_value(20), "")(
     "queue", po::value(&given.m_queue)->default_value(40), "")(
     "service-ms", po::value(&given.m_serviceMs)->default_value(2), "")(
--- a/tests/transport/codec.cpp
+++ b/tests/transport/codec.cpp
@@ -99,6 +99,61 @@
   CHECK(verdict.m_age == 20s);
 }
 
+TEST_CASE("a version on trial and counts of its worker come back as they were")
+{
+  GossipMessage sent = SomeGossip();
+  RolloutRecord record;
+  record.m_order = { "locker-app", "v2", 12'500ms };
+  record.m_generation = 3;
+  record.m_base = "v1";
+  record.m_state = RolloutState::RolledBack;
+  record.m_isWritten = true;
+  record.m_cause = RollbackCause::Slowness;
+  record.m_step = 17;
+  record.m_leave = { 40, 3, 6, 1200ms };
+  record.m_age = 4s;
+  sent.m_rollouts.push_back(record);
+  sent.m_rolloutsDigest = 77;
+  RouteCounts route{ 5, 100, 7, 2, {} };
+  route.m_times[3] = 80;
+  route.m_times[TimeCounts::kBuckets - 1] = 1;
+  sent.m_counts = WorkerCounts{ "ignored", 9, "locker-app", "v2", 4, 111, {} };
+  sent.m_counts->m_routes.push_back(route);
+  sent.m_sender.m_workerVersion = "v2";
+
+  const auto got = DecodeGossip(EncodeGossip(sent, 1400));
+  REQUIRE(got);
+  CHECK(got.value().m_sender.m_workerVersion == "v2");
+  CHECK(got.value().m_rolloutsDigest == 77);
+  REQUIRE(got.value().m_rollouts.size() == 1);
+  const RolloutRecord& back = got.value().m_rollouts[0];
+  CHECK(back.m_order.m_service == "locker-app");
+  CHECK(back.m_order.m_target == "v2");
+  CHECK(back.m_order.m_duration == 12'500ms);
+  CHECK(back.m_generation == 3);
+  CHECK(back.m_base == "v1");
+  CHECK(back.m_state == RolloutState::RolledBack);
+  CHECK(back.m_isWritten);
+  CHECK(back.m_cause == RollbackCause::Slowness);
+  CHECK(back.m_step == 17);
+  CHECK(back.m_leave.m_permille == 40);
+  CHECK(back.m_leave.m_workers == 3);
+  CHECK(back.m_leave.m_first == 6);
+  CHECK(back.m_leave.m_left == 1200ms);
+  CHECK(back.m_age == 4s);
+  REQUIRE(got.value().m_counts);
+  const WorkerCounts& counts = *got.value().m_counts;
+  // A daemon speaks for its own worker only.
+  CHECK(counts.m_slot == got.value().m_sender.m_slot);
+  CHECK(counts.m_process == 9);
+  CHECK(counts.m_version == "v2");
+  CHECK(counts.m_atWork == 4);
+  CHECK(counts.m_arrived == 111);
+  REQUIRE(counts.m_routes.size() == 1);
+  CHECK(counts.m_routes[0].m_failed == 7);
+  CHECK(counts.m_routes[0].m_times == route.m_times);
+}
+
 TEST_CASE("an end and a hold are told in reasons that older daemons know")
 {
   // A daemon of the release before takes a reason beyond its own for garbage
--- a/tools/testkit/fleet.cpp
+++ b/tools/testkit/fleet.cpp
@@ -273,6 +273,20 @@
   static_cast<void>(SendAndWait(std::move(request)));
 }
 
+std::string
+Fleet::FromStore(const std::string& aKey) const
+{
+  HttpClientRequest request;
+  request.m_url = m_storeUrl + "/kv-key?key=" + aKey;
+  const HttpClientResult result = SendAndWait(std::move(request));
+  const Json item = Json::parse(result.m_response.m_body, nullptr, false);
+  const bool isThere = item.is_object() && item.contains("value");
+  const auto value = isThere
+                       ? platform::FromBase64(item["value"].get<std::string>())
+                       : std::nullopt;
+  return value.value_or("");
+}
+
 CommandResult
 Fleet::Trace(const std::string& aId)
 {
--- a/tools/testkit/fleet.hpp
+++ b/tools/testkit/fleet.hpp
@@ -87,6 +87,8 @@
   void PutPlatformConfig(const nlohmann::json& aDocument) const;
   /// \brief Writes any value under any key, as another writer might.
   void PutIntoStore(const std::string& aKey, const std::string& aValue) const;
+  /// \returns What the store holds under a key; empty if it is not there.
+  [[nodiscard]] std::string FromStore(const std::string& aKey) const;
   /// \brief Runs the command that traces a request through all daemons' logs.
   [[nodiscard]] CommandResult Trace(const std::string& aId);
   [[nodiscard]] bool IsReady(const std::string& aSlot) const;
