Operators order, follow and stop roll-outs; a verdict tells what it rests on

Cause: an order could come from the platform's store only, and why a version was rolled back stood in the leader's log alone.

Change: `greengagehub rollout status|explain|start|stop` over /v1/rollouts of any daemon; the record carries runs, harmed and expected, the status in the store a reason. Gauge rollouts_open. Answers' parts shared by two units of the operators' interface.

Test: end to end, ordered, rolled back and explained by the command line; the same version ordered twice is refused."

--- a/include/greengagehub/daemon/operators_api.hpp
+++ b/include/greengagehub/daemon/operators_api.hpp
@@ -21,6 +21,9 @@
 /// | GET /v1/status          | members, calls, store              |
 /// | GET /v1/quarantine      | contents held, with their witnesses |
 /// | POST /v1/quarantine/lift?content=HEX | lets one go           |
+/// | GET /v1/rollouts        | versions on trial, and verdicts    |
+/// | POST /v1/rollouts/start?service=S&target=V&duration_ms=N | tries one |
+/// | POST /v1/rollouts/stop?service=S | rolls it back             |
 /// | POST /v1/drain          | starts to leave                    |
 /// | GET /healthz, /readyz   | alive; may take calls              |
 /// | GET /metrics            | Prometheus text                    |
@@ -55,6 +58,9 @@
   [[nodiscard]] HttpResponse Status() const;
   [[nodiscard]] HttpResponse HeldContents() const;
   [[nodiscard]] HttpResponse Lift(const HttpRequest& aRequest);
+  [[nodiscard]] HttpResponse Rollouts() const;
+  [[nodiscard]] HttpResponse StartRollout(const HttpRequest& aRequest);
+  [[nodiscard]] HttpResponse StopRollout(const HttpRequest& aRequest);
   [[nodiscard]] HttpResponse MetricsText();
 
   Parts m_parts;
--- a/include/greengagehub/daemon/rollout_keeper.hpp
+++ b/include/greengagehub/daemon/rollout_keeper.hpp
@@ -60,6 +60,12 @@
   void OnStoreMissed() noexcept { m_hasRead = false; }
   void OnNews(const std::vector<RolloutRecord>& aRecords);
   void OnCounts(const WorkerCounts& aCounts);
+  /// \brief An operator orders a roll-out.
+  /// \returns Whether it is a new order.
+  [[nodiscard]] bool Start(const RolloutOrder& aOrder);
+  /// \brief An operator has a roll-out rolled back.
+  /// \returns Whether one was under way.
+  [[nodiscard]] bool Stop(const std::string& aService);
   /// \brief The process stood still.
   void OnWokeUp() { m_table.DropLeaves(); }
 
--- a/include/greengagehub/rollout/rollout_record.hpp
+++ b/include/greengagehub/rollout/rollout_record.hpp
@@ -82,6 +82,16 @@
   Duration m_left{};
 };
 
+/// \brief What a verdict on a version rests on.
+struct RolloutGrounds
+{
+  /// Runs of the version that counted, how many came to harm, and how many of
+  /// as many would have in the version in service.
+  std::uint32_t m_runs{ 0 };
+  std::uint32_t m_harmed{ 0 };
+  std::uint32_t m_expected{ 0 };
+};
+
 /// \brief One roll-out as daemons tell each other of it. Times travel as ages:
 /// clocks of two machines are never compared.
 struct RolloutRecord
@@ -97,6 +107,7 @@
   /// Known only from the store, as being under way; not told to others.
   bool m_isResumed{ false };
   RollbackCause m_cause{ RollbackCause::None };
+  RolloutGrounds m_grounds{};
   /// Grows with each leave that its holder lends.
   std::uint64_t m_step{ 0 };
   TrialLeave m_leave{};
--- a/include/greengagehub/rollout/rollout_table.hpp
+++ b/include/greengagehub/rollout/rollout_table.hpp
@@ -130,6 +130,8 @@
   /// \returns All of them, for a daemon that has others.
   [[nodiscard]] std::vector<RolloutRecord> All(TimePoint aNow) const;
   [[nodiscard]] bool IsEmpty() const noexcept { return m_entries.empty(); }
+  /// \returns How many are neither completed nor rolled back.
+  [[nodiscard]] std::size_t CountOpen() const;
   /// \returns A digest of All() without leaves and ages; 0 if there are none.
   [[nodiscard]] std::uint64_t Summary() const noexcept { return m_summary; }
   /// \brief Forgets leaves: the process stood still for longer than they last.
--- a/include/greengagehub/rollout/status_writer.hpp
+++ b/include/greengagehub/rollout/status_writer.hpp
@@ -19,6 +19,8 @@
   std::string m_target{};
   /// Never Completing.
   RolloutState m_state{ RolloutState::Running };
+  /// Why it was rolled back; told to operators, not read back.
+  RollbackCause m_cause{ RollbackCause::None };
 };
 
 /// \brief How statuses stand in a store.
--- /dev/null
+++ b/src/daemon/operators_answers.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "greengagehub/core/clock.hpp"
+#include "greengagehub/http/http_message.hpp"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+// What answers to operators are made of.
+
+namespace greengagehub {
+
+using Json = nlohmann::json;
+
+inline std::string
+Dump(const Json& aJson)
+{
+  return aJson.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+inline HttpResponse
+Problem(std::uint16_t aStatus, std::string_view aCode, std::string_view aDetail)
+{
+  return JsonResponse(aStatus,
+                      Dump(Json{ { "error", aCode }, { "detail", aDetail } }));
+}
+
+inline std::int64_t
+Millis(Duration aSpan)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aSpan).count();
+}
+
+inline std::optional<std::uint64_t>
+ParseNumber(std::string_view aText)
+{
+  std::uint64_t number = 0;
+  const char* end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data(), end, number);
+  if (aText.empty() || parsed.ec != std::errc{} || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+}
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -1,8 +1,8 @@
 #include "greengagehub/daemon/operators_api.hpp"
 
 #include "greengagehub/daemon/wall_clock.hpp"
+#include "operators_answers.hpp"
 
-#include <charconv>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
@@ -11,44 +11,11 @@
 
 namespace {
 
-using Json = nlohmann::json;
-
 constexpr std::string_view kPatches = "/v1/patches";
 constexpr std::string_view kPatchPrefix = "/v1/patches/";
 constexpr std::size_t kMaxId = 200;
 constexpr std::size_t kMaxBody = 256UL * 1024;
 
-std::string
-Dump(const Json& aJson)
-{
-  return aJson.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
-HttpResponse
-Problem(std::uint16_t aStatus, std::string_view aCode, std::string_view aDetail)
-{
-  return JsonResponse(aStatus,
-                      Dump(Json{ { "error", aCode }, { "detail", aDetail } }));
-}
-
-std::int64_t
-Millis(Duration aSpan)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aSpan).count();
-}
-
-std::optional<std::uint64_t>
-ParseNumber(std::string_view aText)
-{
-  std::uint64_t number = 0;
-  const char* end = aText.data() + aText.size();
-  const auto parsed = std::from_chars(aText.data(), end, number);
-  if (aText.empty() || parsed.ec != std::errc{} || parsed.ptr != end) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 /// Ids stand in paths and logs: printable ASCII without blanks or slashes.
 bool
 IsValidId(std::string_view aId)
@@ -141,6 +108,10 @@
     Submit(aRequest, std::move(aResponder));
   } else if (path == "/v1/quarantine/lift") {
     aResponder.Answer(Lift(aRequest));
+  } else if (path == "/v1/rollouts/start") {
+    aResponder.Answer(StartRollout(aRequest));
+  } else if (path == "/v1/rollouts/stop") {
+    aResponder.Answer(StopRollout(aRequest));
   } else if (path == "/v1/drain") {
     aResponder.Answer(JsonResponse(202, R"({"draining":true})"));
     m_parts.m_drain();
@@ -218,6 +189,8 @@
     aResponder.Answer(Status());
   } else if (path == "/v1/quarantine") {
     aResponder.Answer(HeldContents());
+  } else if (path == "/v1/rollouts") {
+    aResponder.Answer(Rollouts());
   } else if (path == "/metrics") {
     aResponder.Answer(MetricsText());
   } else if (path == "/healthz") {
@@ -380,6 +353,10 @@
     "contents_held",
     "Requests that are not run, by content, as workers ended under them",
     static_cast<double>(m_parts.m_control.GetQuarantine().Table().CountHeld()));
+  metrics.SetGauge(
+    "rollouts_open",
+    "Versions on trial, neither completed nor rolled back",
+    static_cast<double>(m_parts.m_control.GetRollouts().Table().CountOpen()));
   metrics.SetGauge("runs_running",
                    "Attempts running at the own worker",
                    m_parts.m_calls.Runs().Running());
--- /dev/null
+++ b/src/daemon/operators_api_rollouts.cpp
@@ -0,0 +1,81 @@
+#include "greengagehub/daemon/operators_api.hpp"
+
+#include "operators_answers.hpp"
+
+// Versions on trial, for operators.
+
+namespace greengagehub {
+
+namespace {
+
+/// A day; a longer trial is a mistake.
+constexpr std::uint64_t kMaxDurationMs = 86'400'000;
+
+Json
+ToJson(const RolloutRecord& aRecord)
+{
+  return { { "service", aRecord.m_order.m_service },
+           { "target", aRecord.m_order.m_target },
+           { "in_service_before", aRecord.m_base },
+           { "state", NameOf(aRecord.m_state) },
+           { "written", aRecord.m_isWritten },
+           { "reason", NameOf(aRecord.m_cause) },
+           { "ordered_ms_ago", Millis(aRecord.m_age) },
+           { "duration_ms", aRecord.m_order.m_duration.count() },
+           { "permille", aRecord.m_leave.m_permille },
+           { "workers", aRecord.m_leave.m_workers },
+           { "runs", aRecord.m_grounds.m_runs },
+           { "harmed", aRecord.m_grounds.m_harmed },
+           { "harmed_expected", aRecord.m_grounds.m_expected } };
+}
+
+}
+
+HttpResponse
+OperatorsApi::Rollouts() const
+{
+  const RolloutTable& table = m_parts.m_control.GetRollouts().Table();
+  Json all = Json::array();
+  for (const RolloutRecord& each : table.All(Clock::now())) {
+    all.push_back(ToJson(each));
+  }
+  return JsonResponse(200, Dump(Json{ { "rollouts", std::move(all) } }));
+}
+
+HttpResponse
+OperatorsApi::StartRollout(const HttpRequest& aRequest)
+{
+  const std::string& target = aRequest.m_target;
+  const auto duration = ParseNumber(QueryValue(target, "duration_ms"));
+  const RolloutOrder order{
+    QueryValue(target, "service"),
+    QueryValue(target, "target"),
+    std::chrono::milliseconds{ static_cast<std::int64_t>(duration.value_or(0)) }
+  };
+  const bool isGood = !order.m_service.empty() && !order.m_target.empty() &&
+                      duration && *duration > 0 && *duration <= kMaxDurationMs;
+  if (!isGood) {
+    return Problem(400,
+                   "bad-order",
+                   "service and target: names; duration_ms: 1 to 86400000");
+  }
+  if (!m_parts.m_control.GetRollouts().Start(order)) {
+    return Problem(409,
+                   "order-known",
+                   "this version was ordered before; give another build "
+                   "another version");
+  }
+  return JsonResponse(202, R"({"started":true})");
+}
+
+HttpResponse
+OperatorsApi::StopRollout(const HttpRequest& aRequest)
+{
+  const std::string service = QueryValue(aRequest.m_target, "service");
+  if (!m_parts.m_control.GetRollouts().Stop(service)) {
+    return Problem(404, "not-under-way", "no roll-out of it is under way");
+  }
+  return JsonResponse(202, R"({"rolled_back":true})");
+}
+
+}
--- a/src/daemon/rollout_keeper.cpp
+++ b/src/daemon/rollout_keeper.cpp
@@ -90,7 +90,7 @@
   const RolloutState state = aRecord.m_state == RolloutState::Completing
                                ? RolloutState::Completed
                                : aRecord.m_state;
-  m_writer.Want({ service, aRecord.m_order.m_target, state },
+  m_writer.Want({ service, aRecord.m_order.m_target, state, aRecord.m_cause },
                 isOwn ? aNow : aNow + kWriteForOthersAfter);
 }
 
@@ -151,6 +151,31 @@
   Carry(aNow, service, m_table.Take(aNow, lead->m_record), Reach::All);
 }
 
+bool
+RolloutKeeper::Start(const RolloutOrder& aOrder)
+{
+  const TimePoint now = Clock::now();
+  const Change change =
+    m_table.OnOrder(now, aOrder, m_parts.m_mainVersion(aOrder.m_service));
+  Carry(now, aOrder.m_service, change, Reach::All);
+  return change == Change::State;
+}
+
+bool
+RolloutKeeper::Stop(const std::string& aService)
+{
+  const TimePoint now = Clock::now();
+  auto record = m_table.Find(now, aService);
+  if (!record || IsFinal(record->m_state)) {
+    return false;
+  }
+  record->m_state = RolloutState::RolledBack;
+  record->m_cause = RollbackCause::Operator;
+  record->m_leave = {};
+  Carry(now, aService, m_table.Take(now, *record), Reach::All);
+  return true;
+}
+
 void
 RolloutKeeper::OnCounts(const WorkerCounts& aCounts)
 {
--- a/src/greengagehub.cpp
+++ b/src/greengagehub.cpp
@@ -1,6 +1,7 @@
 #include "greengagehub/observe/request_trace.hpp"
 #include "greengagehub/settings/settings.hpp"
 #include "src/cli/quarantine.hpp"
+#include "src/cli/rollout.hpp"
 
 #include <boost/program_options.hpp>
 #include <cstdio>
@@ -35,6 +36,9 @@
   held                  requests that are not run, as workers ended under them:
                         since when, how many ends, and who saw them
   lift CONTENT          let one of these run again, everywhere
+  rollout VERB ...      versions on trial: status [SERVICE], explain [SERVICE],
+                        start SERVICE VERSION with --timeout seconds in which it
+                        is completed or rolled back, stop SERVICE
   drain                 ask a daemon to leave
   check-settings FILE   check a daemon's settings
   trace REQUEST_ID LOG...  what daemons logged about a request, in order, and
@@ -319,6 +323,9 @@
   if (command == "lift") {
     return Lift(aOptions);
   }
+  if (command == "rollout") {
+    return Rollout(aOptions);
+  }
   if (command == "drain") {
     return Drain(aOptions);
   }
--- a/src/rollout/rollout_holder.cpp
+++ b/src/rollout/rollout_holder.cpp
@@ -3,6 +3,7 @@
 #include "greengagehub/rollout/rollout_table.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace greengagehub {
 
@@ -20,6 +21,17 @@
 /// Weight of a look in the mean rate of calls.
 constexpr double kRateWeight = 0.3;
 
+RolloutGrounds
+GroundsOf(const VersionJudge::Judgement& aJudgement)
+{
+  const auto whole = [](double aCount) {
+    return static_cast<std::uint32_t>(std::lround(aCount));
+  };
+  return { whole(aJudgement.m_runs),
+           whole(aJudgement.m_hits),
+           whole(aJudgement.m_expected) };
+}
+
 }
 
 RolloutHolder::RolloutHolder(TimePoint aNow,
@@ -104,6 +116,7 @@
   RolloutRecord& record = lead.m_record;
   record.m_state = step.m_state;
   record.m_cause = step.m_cause;
+  record.m_grounds = GroundsOf(m_judgement);
   record.m_leave = step.m_leave;
   if (step.m_state == RolloutState::Running) {
     record.m_leave.m_left = RolloutTable::kLeaveTime;
--- a/src/rollout/rollout_table.cpp
+++ b/src/rollout/rollout_table.cpp
@@ -299,6 +299,15 @@
   return all;
 }
 
+std::size_t
+RolloutTable::CountOpen() const
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(m_entries, [](const auto& aEach) {
+      return !IsFinal(aEach.second.m_record.m_state);
+    }));
+}
+
 void
 RolloutTable::DropLeaves()
 {
--- a/src/transport/rollout_wire.cpp
+++ b/src/transport/rollout_wire.cpp
@@ -65,6 +65,9 @@
   aOut.set_step(aRecord.m_step);
   aOut.set_permille(aRecord.m_leave.m_permille);
   aOut.set_workers(aRecord.m_leave.m_workers);
+  aOut.set_runs(aRecord.m_grounds.m_runs);
+  aOut.set_harmed(aRecord.m_grounds.m_harmed);
+  aOut.set_harmed_expected(aRecord.m_grounds.m_expected);
   aOut.set_first_worker(aRecord.m_leave.m_first);
   aOut.set_leave_left_ms(ToMs(aRecord.m_leave.m_left));
   aOut.set_age_ms(ToMs(aRecord.m_age));
@@ -89,6 +92,7 @@
   record.m_state = static_cast<RolloutState>(aWire.state());
   record.m_isWritten = aWire.is_written();
   record.m_cause = static_cast<RollbackCause>(aWire.cause());
+  record.m_grounds = { aWire.runs(), aWire.harmed(), aWire.harmed_expected() };
   record.m_step = aWire.step();
   record.m_leave = { aWire.permille(),
                      aWire.workers(),
--- a/tests/end_to_end/rollouts.cpp
+++ b/tests/end_to_end/rollouts.cpp
@@ -145,6 +145,30 @@
   CHECK(StateOf(fleet) == "rolled_back");
 }
 
+TEST_CASE("an operator orders a roll-out, and is told why it was rolled back")
+{
+  Fleet fleet;
+  StartLockers(fleet, kOld);
+  AddNewWorkers(fleet, true);
+  Callers callers{ fleet };
+  const auto command = [&](std::vector<std::string> aWords) {
+    return fleet.Command("lockers-1", std::move(aWords));
+  };
+  const std::vector<std::string> start{ "rollout", "start",     "lockers",
+                                        "v2",      "--timeout", "20" };
+  REQUIRE(command(start).m_exitCode == 0);
+  REQUIRE(callers.CallUntil("rolled_back"));
+  const std::string told =
+    command({ "rollout", "explain", "lockers" }).m_output;
+  CAPTURE(told);
+  CHECK(told.find("v1 to v2, rolled_back") != std::string::npos);
+  CHECK(told.find("reason: failures") != std::string::npos);
+  // The same build is not tried again under the same name.
+  CHECK(command(start).m_exitCode == 1);
+  CHECK(command({ "rollout", "stop", "lockers" }).m_exitCode == 1);
+  CHECK(command({ "rollout", "begin" }).m_exitCode == 2);
+}
+
 TEST_CASE("a version that does well gets all calls and is completed")
 {
   Fleet fleet;
--- a/tests/transport/codec.cpp
+++ b/tests/transport/codec.cpp
@@ -109,6 +109,7 @@
   record.m_state = RolloutState::RolledBack;
   record.m_isWritten = true;
   record.m_cause = RollbackCause::Slowness;
+  record.m_grounds = { 120, 30, 2 };
   record.m_step = 17;
   record.m_leave = { 40, 3, 6, 1200ms };
   record.m_age = 4s;
@@ -135,6 +136,9 @@
   CHECK(back.m_state == RolloutState::RolledBack);
   CHECK(back.m_isWritten);
   CHECK(back.m_cause == RollbackCause::Slowness);
+  CHECK(back.m_grounds.m_runs == 120);
+  CHECK(back.m_grounds.m_harmed == 30);
+  CHECK(back.m_grounds.m_expected == 2);
   CHECK(back.m_step == 17);
   CHECK(back.m_leave.m_permille == 40);
   CHECK(back.m_leave.m_workers == 3);
