A fault under load is told by all harmed runs together, not without the busiest workers

Its harmed runs were at the two workers that were tried first, cold and busy; as the worst quarter they were left out, and 21 of 249 runs of the others condemned it only after 10.9 s.

Change: 30 harmed beyond what was expected, at all workers, are enough where the others show 4 too.

Replayed by a test that failed before.

--- a/bench/rollout_lab.hpp
+++ b/bench/rollout_lab.hpp
@@ -52,6 +52,8 @@
   double m_share{ 0.33 };
   /// What a slow run takes, in times of a usual one.
   double m_times{ 8.0 };
+  /// Calls at work from which on a worker fails under load.
+  std::uint32_t m_loaded{ 3 };
   std::uint32_t m_oldWorkers{ 57 };
   std::uint32_t m_newWorkers{ 57 };
   double m_callsPerSecond{ 1865.0 };
@@ -289,12 +291,11 @@
 
   [[nodiscard]] bool IsHarmed(const Worker& aWorker, const Route& aRoute)
   {
-    constexpr std::uint32_t kLoaded = 3;
     switch (m_scenario.m_fault) {
       case VersionFault::None:
         return false;
       case VersionFault::UnderLoad:
-        return aWorker.m_atWork >= kLoaded && Chance(m_scenario.m_share);
+        return aWorker.m_atWork >= m_scenario.m_loaded && Chance(m_scenario.m_share);
       case VersionFault::OneRoute:
         return aRoute.m_id == kRoutes[1].m_id && Chance(m_scenario.m_share);
       case VersionFault::Late:
--- a/include/greengagehub/rollout/version_judge.hpp
+++ b/include/greengagehub/rollout/version_judge.hpp
@@ -91,6 +91,8 @@
 
     void Add(const Tally& aOther) noexcept;
     void Decay() noexcept;
+    /// \returns Runs that came to harm beyond those expected to.
+    [[nodiscard]] double Excess() const noexcept;
   };
   /// By measure: failures, lost answers, slowness.
   using Tallies = std::array<Tally, kMeasures>;
--- a/src/rollout/version_judge.cpp
+++ b/src/rollout/version_judge.cpp
@@ -39,6 +39,10 @@
 /// Runs beyond what was expected that came to harm, after which a version is
 /// bad whichever workers and routes they were on.
 constexpr double kMostExcess = 18.0;
+/// The same with the worst workers, where the others show it too: a fault under
+/// load harms most where most runs are.
+constexpr double kMostExcessOfAll = 30.0;
+constexpr double kExcessOfRest = 4.0;
 /// The same in standard deviations of what was expected.
 constexpr double kExcessDeviations = 5.0;
 /// One in so many of the new workers is left out as the worst.
@@ -116,6 +120,12 @@
   m_expected += aOther.m_expected;
 }
 
+double
+VersionJudge::Tally::Excess() const noexcept
+{
+  return m_hits - m_expected;
+}
+
 void
 VersionJudge::Tally::Decay() noexcept
 {
@@ -338,20 +348,24 @@
         workers.push_back(tallies.at(i));
       }
     }
-    std::ranges::sort(workers, {}, [](const Tally& aTally) {
-      return aTally.m_hits - aTally.m_expected;
-    });
+    std::ranges::sort(workers, {}, &Tally::Excess);
+    Tally all;
+    for (const Tally& each : workers) {
+      all.Add(each);
+    }
     workers.resize(workers.size() - LeftOutOf(workers.size()));
-    Tally sum;
+    Tally rest;
     for (const Tally& each : workers) {
-      sum.Add(each);
+      rest.Add(each);
     }
     const double most =
-      std::max(kMostExcess, kExcessDeviations * std::sqrt(sum.m_expected));
-    if (sum.m_hits - sum.m_expected >= most) {
+      std::max(kMostExcess, kExcessDeviations * std::sqrt(rest.m_expected));
+    const bool isMostHarmed =
+      all.Excess() >= kMostExcessOfAll && rest.Excess() >= kExcessOfRest;
+    if (rest.Excess() >= most || isMostHarmed) {
       return {
-        Verdict::Bad,  kMeasuresUsed.at(i).m_cause, 0, sum.m_runs, sum.m_hits,
-        sum.m_expected
+        Verdict::Bad,  kMeasuresUsed.at(i).m_cause, 0, all.m_runs, all.m_hits,
+        all.m_expected
       };
     }
   }
--- a/tests/rollout/replays.cpp
+++ b/tests/rollout/replays.cpp
@@ -69,6 +69,21 @@
   }
 }
 
+TEST_CASE("a fault that shows at the busiest workers only is found")
+{
+  // A version fails where most slots are taken. The workers that were tried
+  // first had most of it, and were left out as the worst; the version was kept
+  // in use for five seconds after the fiftieth answer that came to harm.
+  for (const Disturbance beside : { Disturbance::None,
+                                    Disturbance::GreyWorkers,
+                                    Disturbance::FailingCallee }) {
+    CAPTURE(static_cast<int>(beside));
+    CheckBounded({ .m_fault = VersionFault::UnderLoad,
+                   .m_beside = beside,
+                   .m_loaded = 5 });
+  }
+}
+
 TEST_CASE("a good version is completed in time, whatever else goes on")
 {
   // Workers fail, are slow, lose answers, or a service that they call fails:
