Soak: a version that fails is ordered, and the store comes back from older copies

Cause: nothing played orders beside signals, store faults and restarts of the real programs; the soak never restored the store.

Checks exposure from what the workers ran, and that the store says rolled back in the end.

--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -1,6 +1,8 @@
 #include "greengagehub/core/random.hpp"
 #include "soak_config.hpp"
 #include "soak_crashing.hpp"
+#include "soak_plan.hpp"
+#include "soak_rollout.hpp"
 #include "testkit/fleet.hpp"
 #include "testkit/load.hpp"
 #include "testkit/tcp_proxy.hpp"
@@ -21,37 +23,9 @@
 using namespace greengagehub::testkit; // NOLINT
 using Json = nlohmann::json;
 
-struct Options
-{
-  std::uint64_t m_seed{ 1 };
-  std::uint32_t m_seeds{ 1 };
-  std::uint32_t m_seconds{ 15 };
-  std::uint32_t m_daemons{ 5 };
-  double m_rate{ 100.0 };
-  /// Backend servers also start again under their ids, and reports come that
-  /// are late or another writer's. Apart, as the plans of seeds that ever
-  /// failed stay as they were.
-  bool m_restarts{ false };
-  /// A request comes under which backend servers end; apart likewise.
-  bool m_crashing{ false };
-};
-
-/// Something that happens at a time of the plan.
-struct Step
-{
-  std::chrono::milliseconds m_at{ 0 };
-  std::string m_what;
-  std::function<void()> m_do;
-};
-
-struct Verdict
-{
-  std::uint64_t m_seed{ 0 };
-  CallReport m_releases;
-  CallReport m_lookups;
-  std::vector<std::string> m_plan;
-  std::vector<std::string> m_broken;
-};
+using Options = SoakOptions;
+using Step = SoakStep;
+using Verdict = SoakVerdict;
 
 class Soak
 {
@@ -73,6 +47,9 @@
                     .m_onPlatform = true });
     }
     PutConfig();
+    if (m_options.m_rollout) {
+      m_failing.emplace(m_fleet, m_options.m_daemons / 2);
+    }
   }
 
   Verdict Run()
@@ -208,6 +185,9 @@
     if (m_options.m_crashing) {
       AddCrashing(length);
     }
+    if (m_options.m_rollout) {
+      AddRollout(length);
+    }
     std::stable_sort(
       m_plan.begin(), m_plan.end(), [](const Step& aLeft, const Step& aRight) {
         return aLeft.m_at < aRight.m_at;
@@ -255,6 +235,22 @@
     }
   }
 
+  /// The order, and a store that goes back to before and behind it.
+  void AddRollout(std::uint32_t aLength)
+  {
+    Add(Between(300, aLength / 3), "order of a version that fails", [this] {
+      m_failing->Order();
+    });
+    const auto copied = Between(100, aLength / 3);
+    const auto store = [this](const char* aAction) {
+      return [this, aAction] { m_fleet.StoreAction(aAction); };
+    };
+    Add(copied, "store copied", store("/backup"));
+    Add(copied + Between(500, aLength / 3),
+        "store back from the copy",
+        store("/restore"));
+  }
+
   void AddSignal(std::chrono::milliseconds aAt,
                  std::chrono::milliseconds aUntil)
   {
@@ -287,15 +283,9 @@
   void AddStoreFault(std::chrono::milliseconds aAt,
                      std::chrono::milliseconds aUntil)
   {
-    static const std::vector<Json> kFaults{
-      { { "outage", "refuse" } },
-      { { "outage", "silent" }, { "lapse_leases", true } },
-      { { "delay_ms", 400 } },
-      { { "lose_answers", 3 } },
-      { { "lapse_leases", true } },
-    };
+    const std::vector<Json>& faults = StoreFaults();
     if (Below(m_random, 2) == 0) {
-      const Json& fault = kFaults[Below(m_random, kFaults.size())];
+      const Json& fault = faults[Below(m_random, faults.size())];
       Add(aAt, "store: " + fault.dump(), [this, fault] {
         m_fleet.SetStoreFaults(fault);
       });
@@ -324,16 +314,8 @@
   void AddWorkerFault(std::chrono::milliseconds aAt,
                       std::chrono::milliseconds aUntil)
   {
-    static const std::vector<std::pair<Json, Json>> kFaults{
-      { { { "shed", true } }, { { "shed", false } } },
-      { { { "fail", true } }, { { "fail", false } } },
-      { { { "unsigned", true } }, { { "unsigned", false } } },
-      { { { "service_ms", 400 } }, { { "service_ms", 20 } } },
-      { { { "draining", true } }, { { "restart", true } } },
-      { { { "restart", true } }, { { "restart", true } } },
-      { { { "foreign", 5 } }, { { "foreign", 0 } } },
-    };
-    const auto& pair = kFaults[Below(m_random, kFaults.size())];
+    const auto& faults = WorkerFaults();
+    const auto& pair = faults[Below(m_random, faults.size())];
     const Json& begin = pair.first;
     const Json& end = pair.second;
     const std::string slot = SomeSlot();
@@ -365,6 +347,9 @@
     // The store may have been away when the last one was written, or its answer
     // lost: only what it takes now is known to be the newest.
     PutConfig();
+    if (m_failing) {
+      m_failing->Order();
+    }
     for (const std::string& each : m_slots) {
       m_fleet.ControlWorker(each,
                             { { "shed", false },
@@ -395,6 +380,10 @@
         runs[each.key()] += each.value().get<std::uint32_t>();
       }
     }
+    const std::uint64_t inService = SumOf(runs);
+    if (m_failing) {
+      m_failing->AddRunsTo(runs);
+    }
     aOut.m_releases = CheckCalls(aReleases, runs);
     aOut.m_lookups = CheckCalls(aLookups, runs);
     // Lookups may run again; only releases must not.
@@ -408,6 +397,10 @@
     if (ends) {
       aOut.m_broken.push_back(*ends);
     }
+    const auto failing = m_failing ? m_failing->Check(inService) : std::nullopt;
+    if (failing) {
+      aOut.m_broken.push_back(*failing);
+    }
     for (const std::string& slot : m_slots) {
       if (m_fleet.Daemon(slot).Logged("lines_dropped")) {
         aOut.m_broken.push_back(slot + " dropped log lines");
@@ -423,6 +416,7 @@
   std::vector<std::string> m_slots;
   std::vector<Step> m_plan;
   std::optional<CrashingRequests> m_crashing;
+  std::optional<FailingVersion> m_failing;
   /// Daemons that the plan kills, stops or pauses.
   int m_lost{ 0 };
   std::uint64_t m_version{ 0 };
@@ -475,6 +469,9 @@
     "rate",
     po::value(&given.m_rate)->default_value(100.0),
     "releases a second, and as many lookups")(
+    "rollout",
+    po::bool_switch(&given.m_rollout),
+    "a version that fails is brought in, the store comes back from copies")(
     "restarts",
     po::bool_switch(&given.m_restarts),
     "backend servers also start again under their ids")(
