--- a/bench/rollout_lab.hpp
+++ b/bench/rollout_lab.hpp
@@ -295,7 +295,8 @@
       case VersionFault::None:
         return false;
       case VersionFault::UnderLoad:
-        return aWorker.m_atWork >= m_scenario.m_loaded && Chance(m_scenario.m_share);
+        return aWorker.m_atWork >= m_scenario.m_loaded &&
+               Chance(m_scenario.m_share);
       case VersionFault::OneRoute:
         return aRoute.m_id == kRoutes[1].m_id && Chance(m_scenario.m_share);
       case VersionFault::Late:
--- a/include/greengagehub/calls/decision_settings.hpp
+++ b/include/greengagehub/calls/decision_settings.hpp
@@ -67,8 +67,8 @@
   /// What a call loses of its worth when its answer comes late.
   double m_lateLoss{ 0.6 };
   /// Price of a KiB between failure domains, as a share of what a call is
-  /// worth: between two deployments' own prices (0.02 and 0.22 of a lookup).
-  double m_crossingPerKib{ 0.1 };
+  /// worth; operators know theirs.
+  double m_crossingPerKib{ 0.2 };
   /// Whether the bytes of a request's body count for that price.
   bool m_countsRequestBody{ true };
   /// Whether a worker that has told nothing yet is tried now and then.
