Repeats are not run where a service that they call has had its share

Ledgers turn away 55 of 100 calls: lookups use the ledger's budget up within seconds; runs that fail for it are repeated by their own service's budget, each with two lookups that count there and that no budget can refuse any more.

Ruled out: a larger reserve (repeats of runs are not bounded by it); counting ahead (the burst at the begin is over before the first inherited call is seen).

Change: a daemon beside a worker turns a repeat away, not run ("no-repeats"), where a service that repeats call has 0.8 of its budget from here used; the caller's daemon keeps to the first answer. Older daemons read it as overloaded.

--- a/include/greengagehub/calls/call.hpp
+++ b/include/greengagehub/calls/call.hpp
@@ -55,6 +55,9 @@
   Held,
   /// The worker's version is not to get calls now.
   NotInService,
+  /// A repeat, whose run would make calls to a service that has had as many
+  /// repeats as it may get.
+  NoRepeats,
 };
 
 /// \returns The public name, such as "deadline-too-short".
--- a/include/greengagehub/calls/dispatcher.hpp
+++ b/include/greengagehub/calls/dispatcher.hpp
@@ -109,6 +109,14 @@
   }
   [[nodiscard]] std::size_t InFlight() const noexcept { return m_calls.size(); }
 
+  /// \returns Whether a service other than the own one has had as many repeats
+  /// from here as it may get.
+  [[nodiscard]] bool AreRepeatsUsedUp(TimePoint aNow,
+                                      const std::string& aOwnService) const
+  {
+    return m_budget.IsUsedUpBeside(aNow, aOwnService);
+  }
+
   [[nodiscard]] Policy& Routing() noexcept { return m_policy; }
 
   void SetRetryLimits(RetryLimits aLimits) noexcept
--- a/include/greengagehub/calls/retry_budget.hpp
+++ b/include/greengagehub/calls/retry_budget.hpp
@@ -91,6 +91,15 @@
                               const std::string& aService,
                               std::uint32_t aPriority = 0);
 
+  /// \returns Whether any service but this one, for which repeated runs have
+  /// made calls, has no retry left.
+  ///
+  /// Answers the load pattern of a service that fails most calls of another's
+  /// runs: the runs are repeated within their own service's budget, and each
+  /// makes calls that no budget can refuse any more.
+  [[nodiscard]] bool IsUsedUpBeside(TimePoint aNow,
+                                    const std::string& aService) const;
+
 private:
   struct Counts
   {
@@ -99,10 +108,16 @@
     WindowCount m_retries;
     /// What was inherited and is less than one retry yet.
     double m_inherited{ 0.0 };
+    /// Whether repeated runs have made calls to it.
+    bool m_inherits{ false };
     /// Moving mean over the calls; below 0 before the first.
     double m_meanPriority{ -1.0 };
   };
 
+  [[nodiscard]] bool HasRoom(TimePoint aNow,
+                             const Counts& aCounts,
+                             double aPart) const;
+
   RetryLimits m_limits;
   std::map<std::string, Counts, std::less<>> m_services;
 };
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -44,6 +44,8 @@
     std::function<void(EndReport)> m_onEnd;
     /// A run of this content ended well.
     std::function<void(Fingerprint)> m_onRanWell;
+    /// Whether repeats may still make calls of their own.
+    std::function<bool(TimePoint)> m_mayRepeat;
   };
 
   explicit RunService(Parts aParts);
--- a/src/calls/call.cpp
+++ b/src/calls/call.cpp
@@ -46,6 +46,8 @@
       return "held";
     case RefusalReason::NotInService:
       return "not-in-service";
+    case RefusalReason::NoRepeats:
+      return "no-repeats";
   }
   return "none";
 }
--- a/src/calls/dispatch_rules.hpp
+++ b/src/calls/dispatch_rules.hpp
@@ -82,6 +82,7 @@
     case RefusalReason::Busy:
     case RefusalReason::Held:
     case RefusalReason::NotInService:
+    case RefusalReason::NoRepeats:
       return WorkerTable::Verdict::None;
     default:
       return WorkerTable::Verdict::Good;
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -236,7 +236,8 @@
     m_askTime += (aNow - aCall.m_sent - m_askTime) / kAskWeight;
     return true;
   }
-  if (aAnswer.m_reason == RefusalReason::Held) {
+  if (aAnswer.m_reason == RefusalReason::Held ||
+      aAnswer.m_reason == RefusalReason::NoRepeats) {
     return false;
   }
   // Another try may end the next worker, with all that runs there.
--- a/src/calls/retry_budget.cpp
+++ b/src/calls/retry_budget.cpp
@@ -15,6 +15,9 @@
 /// with half, as many lookups as exports can be tried again where half of all
 /// are shed.
 constexpr double kPartForOthers = 0.5;
+/// Part of a service's budget up to which runs are repeated that call it: some
+/// of its calls are made and not counted yet.
+constexpr double kPartForRuns = 0.8;
 /// Over which runs are counted for the share of repeats: some hundred at a busy
 /// worker, and over soon after a disruption.
 constexpr Duration kRunsWindow = std::chrono::seconds{ 1 };
@@ -83,6 +86,7 @@
   }
   counts.m_meanPriority += kPriorityWeight * (priority - counts.m_meanPriority);
   counts.m_inherited += aInherited;
+  counts.m_inherits = counts.m_inherits || aInherited > 0.0;
   if (counts.m_inherited >= 1.0) {
     counts.m_inherited -= 1.0;
     counts.m_retries.Add(aNow, m_limits.m_window);
@@ -98,15 +102,31 @@
     return false;
   }
   Counts& counts = m_services[aService];
-  const double calls = counts.m_calls.Sum(aNow, m_limits.m_window);
-  const double retries = counts.m_retries.Sum(aNow, m_limits.m_window);
   const bool isFirst = aPriority <= counts.m_meanPriority + kEqual;
-  const double allowed = m_limits.m_share * calls + m_limits.m_slack;
-  if (retries + 1.0 > allowed * (isFirst ? 1.0 : kPartForOthers)) {
+  if (!HasRoom(aNow, counts, isFirst ? 1.0 : kPartForOthers)) {
     return false;
   }
   counts.m_retries.Add(aNow, m_limits.m_window);
   return true;
 }
 
+bool
+RetryBudget::HasRoom(TimePoint aNow, const Counts& aCounts, double aPart) const
+{
+  const double calls = aCounts.m_calls.Sum(aNow, m_limits.m_window);
+  const double retries = aCounts.m_retries.Sum(aNow, m_limits.m_window);
+  const double allowed = m_limits.m_share * calls + m_limits.m_slack;
+  return retries + 1.0 <= allowed * aPart;
+}
+
+bool
+RetryBudget::IsUsedUpBeside(TimePoint aNow, const std::string& aService) const
+{
+  return std::ranges::any_of(m_services, [&](const auto& aEach) {
+    const Counts& counts = aEach.second;
+    return aEach.first != aService && counts.m_inherits &&
+           !HasRoom(aNow, counts, kPartForRuns);
+  });
+}
+
 }
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -55,6 +55,11 @@
                 .m_onRanWell =
                   [this](Fingerprint aContent) {
                     m_parts.m_quarantine.OnRanWell(aContent);
+                  },
+                .m_mayRepeat =
+                  [this](TimePoint aNow) {
+                    return !m_dispatcher.AreRepeatsUsedUp(
+                      aNow, m_parts.m_settings.m_service);
                   } })
   , m_server(m_parts.m_loop,
              m_parts.m_settings.m_listen.m_host,
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -76,6 +76,12 @@
             Refuse(aKey.m_call, CallOutcome::NotRun, RefusalReason::NoWorker));
     return;
   }
+  if (aRequest.m_isRepeat && !m_parts.m_mayRepeat(now)) {
+    const auto reason = RefusalReason::NoRepeats;
+    m_parts.m_metrics.CountRun(NameOf(reason));
+    Deliver(aKey, aRequest, Refuse(aKey.m_call, CallOutcome::NotRun, reason));
+    return;
+  }
   m_tally.Arrived();
   const Fingerprint content = ContentOf(m_parts.m_dialect, aRequest);
   if (const auto bar = BarOf(now, content)) {
--- a/src/transport/link_codec.cpp
+++ b/src/transport/link_codec.cpp
@@ -54,6 +54,8 @@
       return RefusalReason::AnswerLost;
     case RefusalReason::Held:
       return RefusalReason::Cancelled;
+    case RefusalReason::NoRepeats:
+      return RefusalReason::Overloaded;
     case RefusalReason::NotInService:
       // For calls there is no worker.
       return RefusalReason::NoWorker;
@@ -133,6 +135,7 @@
     out.set_outcome(static_cast<std::uint32_t>(aAnswer.m_outcome));
     out.set_reason(static_cast<std::uint32_t>(OlderReason(aAnswer.m_reason)));
     out.set_held(aAnswer.m_reason == RefusalReason::Held);
+    out.set_no_repeats(aAnswer.m_reason == RefusalReason::NoRepeats);
     if (aAnswer.m_reason == RefusalReason::WorkerEnded) {
       out.set_ends(std::max(1U, aAnswer.m_ends));
     }
@@ -214,6 +217,8 @@
   answer.m_reason = static_cast<RefusalReason>(aWire.reason());
   if (aWire.held()) {
     answer.m_reason = RefusalReason::Held;
+  } else if (aWire.no_repeats()) {
+    answer.m_reason = RefusalReason::NoRepeats;
   } else if (aWire.ends() > 0) {
     answer.m_reason = RefusalReason::WorkerEnded;
   }
--- a/tests/calls/retry_budget.cpp
+++ b/tests/calls/retry_budget.cpp
@@ -1,6 +1,10 @@
 #include "greengagehub/calls/retry_budget.hpp"
 
+#include "greengagehub/core/random.hpp"
+
+#include <deque>
 #include <doctest/doctest.h>
+#include <random>
 
 using namespace greengagehub;
 using namespace std::chrono_literals;
@@ -107,3 +111,115 @@
   CHECK(share.At(kStart + 500ms) == doctest::Approx(0.25));
   CHECK(share.At(kStart + 5s) == 0.0);
 }
+
+namespace {
+
+/// Desks whose runs each ask a service twice; the desks' failed runs are made
+/// again, and so are the service's calls that were turned away.
+class DesksAndService
+{
+public:
+  /// \returns The largest share of the window's budget that repeats at the
+  /// service have taken in any window.
+  double Play(std::chrono::seconds aShedsFrom, std::chrono::seconds aUntil)
+  {
+    double most = 0.0;
+    const TimePoint begin{ 1h };
+    for (m_now = begin; m_now < begin + aUntil; m_now += kStep) {
+      m_sheds = m_now >= begin + aShedsFrom;
+      RunEnded();
+      for (int i = 0; i < kRunsAStep; ++i) {
+        m_budget.Deposit(m_now, "desk");
+        Begin(false);
+      }
+      const double calls = m_calls.Sum(m_now, kWindow);
+      const double repeats = m_repeats.Sum(m_now, kWindow);
+      most = std::max(most, repeats / (kShare * calls + kSlack));
+    }
+    return most;
+  }
+
+private:
+  static constexpr auto kStep = 10ms;
+  static constexpr auto kWindow = 10s;
+  static constexpr auto kRunTime = 150ms;
+  static constexpr int kRunsAStep = 8;
+  static constexpr double kShare = 0.2;
+  static constexpr double kSlack = 216.0;
+  /// As daemons use of what they may.
+  static constexpr double kUsed = 0.85;
+  static constexpr double kShed = 0.55;
+
+  struct Run
+  {
+    TimePoint m_ends;
+    bool m_fails{ false };
+    bool m_isRepeat{ false };
+  };
+
+  [[nodiscard]] bool IsShed()
+  {
+    return m_sheds && std::uniform_real_distribution<>{}(m_random) < kShed;
+  }
+
+  void Begin(bool aIsRepeat)
+  {
+    m_share.Note(m_now, aIsRepeat);
+    bool fails = false;
+    for (int i = 0; i < 2; ++i) {
+      fails = Ask(aIsRepeat) || fails;
+    }
+    m_runs.push_back({ m_now + kRunTime, fails, aIsRepeat });
+  }
+
+  /// \returns Whether it failed.
+  bool Ask(bool aIsRepeat)
+  {
+    m_budget.Deposit(m_now, "service", 1, m_share.At(m_now));
+    m_calls.Add(m_now, kWindow);
+    if (aIsRepeat) {
+      m_repeats.Add(m_now, kWindow);
+    }
+    if (!IsShed()) {
+      return false;
+    }
+    if (!m_budget.Withdraw(m_now, "service", 1)) {
+      return true;
+    }
+    m_repeats.Add(m_now, kWindow);
+    return IsShed();
+  }
+
+  void RunEnded()
+  {
+    while (!m_runs.empty() && m_runs.front().m_ends <= m_now) {
+      const Run run = m_runs.front();
+      m_runs.pop_front();
+      const bool again = run.m_fails && !run.m_isRepeat &&
+                         m_budget.Withdraw(m_now, "desk") &&
+                         !m_budget.IsUsedUpBeside(m_now, "desk");
+      if (again) {
+        Begin(true);
+      }
+    }
+  }
+
+  TimePoint m_now{};
+  bool m_sheds{ false };
+  Random m_random{ 3 };
+  RetryBudget m_budget{ { kUsed * kShare, kUsed* kSlack, kWindow } };
+  RepeatShare m_share;
+  WindowCount m_calls;
+  WindowCount m_repeats;
+  std::deque<Run> m_runs;
+};
+
+}
+
+TEST_CASE("retries of runs and of their calls together keep to the budget")
+{
+  // A service turns away 55 of 100 calls from one moment on. Its calls are made
+  // again until its budget is used; the runs that failed nevertheless are made
+  // again by another service's budget, and call it anew.
+  CHECK(DesksAndService{}.Play(12s, 30s) <= 1.0);
+}
--- a/tests/daemon/run_service.cpp
+++ b/tests/daemon/run_service.cpp
@@ -42,7 +42,8 @@
           .m_trace = [](const Span&) {},
           .m_onEnd =
             [this](EndReport aReport) { m_ends.push_back(std::move(aReport)); },
-          .m_onRanWell = [](Fingerprint) {} })
+          .m_onRanWell = [](Fingerprint) {},
+          .m_mayRepeat = [](TimePoint) { return true; } })
   {
   }
 
--- a/tests/transport/codec.cpp
+++ b/tests/transport/codec.cpp
@@ -163,8 +163,9 @@
   // A daemon of the release before takes a reason beyond its own for garbage
   // and closes the link, with all calls on it.
   const auto last = RefusalReason::Busy;
-  for (const RefusalReason reason :
-       { RefusalReason::WorkerEnded, RefusalReason::Held }) {
+  for (const RefusalReason reason : { RefusalReason::WorkerEnded,
+                                      RefusalReason::Held,
+                                      RefusalReason::NoRepeats }) {
     CallAnswer sent = Refuse(3, CallOutcome::NotRun, reason, 5min);
     sent.m_ends = reason == RefusalReason::WorkerEnded ? 2 : 0;
     std::string bytes;
