--- a/include/greengagehub/daemon/rollout_keeper.hpp
+++ b/include/greengagehub/daemon/rollout_keeper.hpp
@@ -17,8 +17,6 @@
   /// How far news goes from here.
   enum class Reach : std::uint8_t
   {
-    /// A leave renewed, which a later telling makes up for: on to two.
-    Few,
     /// This daemon's own: to all failure domains.
     All,
     /// Heard: on within the own failure domain.
@@ -91,9 +89,7 @@
   void Write(std::optional<StoreRequest> aRequest);
   void OnWritten(const RolloutStatus& aStatus);
   void LogLead(const RolloutHolder::Lead& aLead) const;
-  void LogChange(TimePoint aNow,
-                 const RolloutRecord& aRecord,
-                 Reach aReach) const;
+  void LogChange(const RolloutRecord& aRecord, Reach aReach) const;
 
   Parts m_parts;
   RolloutTable m_table;
--- a/src/daemon/rollout_keeper.cpp
+++ b/src/daemon/rollout_keeper.cpp
@@ -17,6 +17,17 @@
 /// lost, or for cut off from the store.
 constexpr std::chrono::milliseconds kWriteForOthersAfter{ 700 };
 
+/// \returns What the store is to say of it.
+RolloutStatus
+StatusOf(const RolloutRecord& aRecord)
+{
+  return { aRecord.m_order.m_service,
+           aRecord.m_order.m_target,
+           aRecord.m_state == RolloutState::Completing ? RolloutState::Completed
+                                                       : aRecord.m_state,
+           aRecord.m_cause };
+}
+
 std::int64_t
 Millis(Duration aSpan)
 {
@@ -65,7 +76,7 @@
   }
   const RolloutRecord record = *m_table.Find(aNow, aService);
   if (aChange == Change::State) {
-    LogChange(aNow, record, aReach);
+    LogChange(record, aReach);
     WantStatus(aNow, record, aReach);
   }
   m_parts.m_spread({ record }, aReach, aChange);
@@ -87,11 +98,7 @@
   if (!writes || aRecord.m_isResumed) {
     return;
   }
-  const RolloutState state = aRecord.m_state == RolloutState::Completing
-                               ? RolloutState::Completed
-                               : aRecord.m_state;
-  m_writer.Want({ service, aRecord.m_order.m_target, state, aRecord.m_cause },
-                isOwn ? aNow : aNow + kWriteForOthersAfter);
+  m_writer.Want(StatusOf(aRecord), isOwn ? aNow : aNow + kWriteForOthersAfter);
 }
 
 // ---------------------------------------------------------------------------
@@ -187,12 +194,7 @@
     return;
   }
   for (const RolloutRecord& each : m_table.All(now)) {
-    const bool isOpen = each.m_state == RolloutState::Completing;
-    m_writer.Want({ each.m_order.m_service,
-                    each.m_order.m_target,
-                    isOpen ? RolloutState::Completed : each.m_state,
-                    each.m_cause },
-                  leads ? now : now + kWriteForOthersAfter);
+    m_writer.Want(StatusOf(each), leads ? now : now + kWriteForOthersAfter);
   }
 }
 
@@ -383,11 +385,8 @@
 }
 
 void
-RolloutKeeper::LogChange(TimePoint aNow,
-                         const RolloutRecord& aRecord,
-                         Reach aReach) const
+RolloutKeeper::LogChange(const RolloutRecord& aRecord, Reach aReach) const
 {
-  static_cast<void>(aNow);
   m_parts.m_log.Info(
     kComponent,
     "state",
