Workspaces: API keys, revocation within a bound, quotas over the fleet

Cause: configurations with tenants were served as if they had none.

Change: library workspaces/ without I/O. Keys are kept as digests; the header for the key is removed everywhere, that for the workspace is set by the daemon. A daemon accepts keys while it has a proof, no older than the bound, that its configuration is the newest; proofs are passed on in answers and timed by the asker's own clock. Quotas: one coordinator grants tokens that lapse 0.4 s after the question; daemons that do not reach it have a reserve that is part of the allowance. One coordinator at a time by a key in the store and confirmations; a successor waits for its predecessor's last one to lapse unless that has resigned or stood down. A workspace's priority goes before the route's. Routes of kind "download" may be repeated.

Ruled out: gossiped counts, fixed shares, tokens given back, a lease in the store (docs/design/workspaces.md).

--- a/include/greengagehub/calls/call.hpp
+++ b/include/greengagehub/calls/call.hpp
@@ -58,6 +58,14 @@
   /// A repeat, whose run would make calls to a service that has had as many
   /// repeats as it may get.
   NoRepeats,
+  /// No workspace holds the caller's key, or it sent none.
+  UnknownKey,
+  /// The workspace has used up its quota.
+  OverQuota,
+  /// Nobody grants quota now, and the daemon's reserve is used up.
+  NoCoordinator,
+  /// It is not certain enough that the caller's key is still valid.
+  KeysNotCurrent,
 };
 
 /// \returns The public name, such as "deadline-too-short".
--- a/include/greengagehub/calls/call_dialect.hpp
+++ b/include/greengagehub/calls/call_dialect.hpp
@@ -14,6 +14,10 @@
   std::string_view m_deadline{ "Greengagehub-Deadline-Ms" };
   /// Service beside which the call began.
   std::string_view m_callerService{ "Greengagehub-Caller-Service" };
+  /// A caller's API key; removed where the request is taken in.
+  std::string_view m_apiKey{ "Greengagehub-Key" };
+  /// Name of the workspace that holds the key; set by the daemon alone.
+  std::string_view m_workspace{ "Greengagehub-Workspace" };
   /// The only backend server that may run the request.
   std::string_view m_expectInstance{};
   /// On a health check's answer: which backend server gives it.
--- a/include/greengagehub/config/content.hpp
+++ b/include/greengagehub/config/content.hpp
@@ -70,6 +70,21 @@
   std::chrono::milliseconds m_targetLatency{ 0 };
   /// Workers that one call may be sent to; 0: as the daemon's settings say.
   std::uint32_t m_attempts{ 0 };
+  /// Whether callers need no API key, though there are workspaces.
+  bool m_public{ false };
+};
+
+/// \brief A named group of callers with keys, a rank and a quota of its own.
+struct Workspace
+{
+  /// Digests of its API keys; the keys themselves are never kept.
+  std::vector<Digest> m_keys{};
+  /// Rank among the workspaces, 0 first; goes before the route's rank.
+  std::uint32_t m_priority{ 0 };
+  /// Requests a second over the whole fleet; 0: no limit.
+  double m_perSecond{ 0.0 };
+  /// Requests beyond the rate that may come at once.
+  double m_burst{ 0.0 };
 };
 
 /// \brief Fleet-wide limits.
@@ -120,6 +135,10 @@
   {
     return m_routes;
   }
+  [[nodiscard]] const EntityMap<Workspace>& Workspaces() const noexcept
+  {
+    return m_workspaces;
+  }
   [[nodiscard]] const Limits& GetLimits() const noexcept { return m_limits; }
 
   /// \returns The limits as canonical JSON.
@@ -144,6 +163,7 @@
 
   EntityMap<Service> m_services;
   EntityMap<Route> m_routes;
+  EntityMap<Workspace> m_workspaces;
   Limits m_limits;
   std::string m_limitsText{ "{}" };
   Digest m_digest;
--- a/include/greengagehub/config/content_diff.hpp
+++ b/include/greengagehub/config/content_diff.hpp
@@ -21,6 +21,7 @@
   std::string m_limits;
   std::vector<NamedText> m_routes;
   std::vector<NamedText> m_services;
+  std::vector<NamedText> m_workspaces{};
 };
 
 /// \returns The merge patch (RFC 7396) that makes `aTo` of `aFrom`; it holds
--- a/include/greengagehub/config/reason.hpp
+++ b/include/greengagehub/config/reason.hpp
@@ -25,6 +25,8 @@
   StaleBase,
   UnknownBase,
   IdReused,
+  /// Two workspaces hold the same API key.
+  DuplicateKey,
 };
 
 /// \brief One broken rule, with its place in the patch or content.
--- a/include/greengagehub/core/store_message.hpp
+++ b/include/greengagehub/core/store_message.hpp
@@ -46,6 +46,10 @@
   /// For Watch, with a prefix of m_key: changes of other keys that begin so are
   /// told too, as m_items.
   std::string m_beside{};
+  /// For Check: a second key that must be at its revision as well; empty:
+  /// none.
+  std::string m_alsoKey{};
+  Revision m_alsoExpected{ 0 };
   /// For Get and List: what the store tells may be seconds old. Costs a tenth,
   /// and does not count against the store's rates.
   bool m_mayBeOld{ false };
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -9,7 +9,9 @@
 #include "greengagehub/daemon/rollout_keeper.hpp"
 #include "greengagehub/daemon/run_service.hpp"
 #include "greengagehub/daemon/start_buffer.hpp"
+#include "greengagehub/daemon/token_queue.hpp"
 #include "greengagehub/daemon/wake_sieve.hpp"
+#include "greengagehub/daemon/workspace_service.hpp"
 #include "greengagehub/http/http_server.hpp"
 #include "greengagehub/membership/membership.hpp"
 #include "greengagehub/transport/link_pool.hpp"
@@ -39,6 +41,7 @@
     TrafficMeter& m_traffic;
     QuarantineKeeper& m_quarantine;
     RolloutKeeper& m_rollouts;
+    WorkspaceService& m_workspaces;
     std::uint64_t m_process;
     std::function<void(Span)> m_trace;
     std::function<bool()> m_isReady;
@@ -106,6 +109,7 @@
     /// Key of its route's figures.
     std::string m_route{};
     std::string m_id{};
+    std::string m_workspace{};
     /// Where it was sent last, and how often.
     std::string m_slot{};
     std::uint32_t m_sends{ 0 };
@@ -130,12 +134,30 @@
   /// \brief Answers without a call having been made.
   void Refuse(const HttpRequest& aRequest,
               HttpResponder& aResponder,
-              RefusalReason aReason);
+              RefusalReason aReason,
+              std::chrono::milliseconds aRetryAfter = StartBuffer::kHoldTime,
+              const WorkspaceRow* aWorkspace = nullptr);
+  /// \brief Checks key and quota, and begins the call, holds or refuses it.
+  /// \param aIsNew false for a request that has waited for a token.
+  void Admit(const Route& aRoute,
+             const std::string& aService,
+             TimePoint aCame,
+             HttpRequest aRequest,
+             HttpResponder aResponder,
+             bool aIsNew);
+  /// \returns Whether the request's target time has passed, as far as its
+  /// deadline shows.
+  [[nodiscard]] bool IsLate(const Route& aRoute,
+                            TimePoint aCame,
+                            const HttpRequest& aRequest);
+  /// \brief Tries those again that wait for a token.
+  void RetryAdmissions();
   /// \brief Serves what came before the daemon was ready, or refuses it.
   void ReleaseHeld(TimePoint aNow);
   void Begin(const Route& aRoute,
              const std::string& aService,
              TimePoint aCame,
+             const WorkspaceRow* aWorkspace,
              HttpRequest aRequest,
              HttpResponder aDone);
   [[nodiscard]] std::string ServiceOf(const Route& aRoute);
@@ -150,6 +172,10 @@
   void OnHungUp(std::uint64_t aConnection);
   void WantService(const std::string& aService);
   void PutWorker(const MemberRecord& aRecord);
+  /// \returns Up to twice the span: those refused together must not come back
+  /// together.
+  [[nodiscard]] std::chrono::milliseconds Spread(
+    std::chrono::milliseconds aRetryAfter);
   void TraceEnd(const Waiting& aCall, const CallAnswer& aAnswer);
   void Arm();
   [[nodiscard]] RetryLimits RetryLimitsNow() const;
@@ -177,6 +203,7 @@
   std::optional<TimePoint> m_armed;
   bool m_leaving{ false };
   StartBuffer m_starting;
+  TokenQueue m_awaitingTokens;
   WakeSieve m_sieve;
   asio::steady_timer m_siftTimer;
 };
--- a/include/greengagehub/daemon/config_feed.hpp
+++ b/include/greengagehub/daemon/config_feed.hpp
@@ -4,7 +4,9 @@
 #include "greengagehub/config/config_copy.hpp"
 #include "greengagehub/core/random.hpp"
 #include "greengagehub/core/store.hpp"
+#include "greengagehub/daemon/wall_clock.hpp"
 #include "greengagehub/observe/log.hpp"
+#include "greengagehub/workspaces/quota_message.hpp"
 #include "platform/config_document.hpp"
 
 #include <algorithm>
@@ -34,6 +36,9 @@
     std::function<void(Version aBefore)> m_onAdvanced;
     /// The key was read, not from a copy that may be old.
     std::function<void(Version aHead)> m_onHead;
+    /// A read that was sent at the first moment shows this configuration, and
+    /// none that was newer then.
+    std::function<void(TimePoint aAsked, const StoreConfig&)> m_onConfirmed{};
     /// Other keys beside it have changed.
     std::function<void(const std::vector<StoreItem>&)> m_onBeside{};
     /// Changes of those may have been missed.
@@ -105,6 +110,11 @@
     }
   }
 
+  /// \returns What was read last of the configuration.
+  [[nodiscard]] const StoreConfig& Known() const noexcept { return m_known; }
+  /// \brief Takes in a configuration that another call to the store returned.
+  void Offer(StoreReply aReply) { Take(aReply); }
+
   /// \brief Whether to read the copy first.
   void SetSlowLink(bool aSlow) noexcept { m_readsCopy = aSlow; }
 
@@ -147,6 +157,7 @@
 
   void ReadOriginal()
   {
+    m_asked = BootNow();
     Carry(MakeGet(m_key),
           [this](StoreReply aReply) { OnRead(std::move(aReply)); });
   }
@@ -171,7 +182,7 @@
       Confirm(read.m_original, aReply);
       // Already in force while the store is asked: where it turns out to be
       // old, peers bring what is missing sooner than the store the whole.
-      TakeDocument(read.m_document, read.m_original);
+      TakeDocument(read.m_document, read.m_original, aReply.m_era);
     });
   }
 
@@ -179,6 +190,7 @@
   /// has not gone back meanwhile, and given its revision to something else.
   void Confirm(Revision aOriginal, const StoreReply& aCopy)
   {
+    m_asked = BootNow();
     Carry(MakeCheck(m_key, aOriginal),
           [this, aStoreRevision = aCopy.m_storeRevision, era = aCopy.m_era](
             StoreReply aReply) {
@@ -253,6 +265,9 @@
   {
     m_era = aEra;
     m_handlers.m_onHead(m_holder.GetVersion());
+    if (m_isReadable && m_handlers.m_onConfirmed) {
+      m_handlers.m_onConfirmed(m_asked, m_known);
+    }
     m_backoff = m_times.m_firstBackoff;
     m_revision = aStoreRevision;
     Watch();
@@ -319,7 +334,8 @@
 
   void Take(StoreReply& aReply)
   {
-    const bool taken = TakeDocument(aReply.m_value, aReply.m_revision);
+    const bool taken =
+      TakeDocument(aReply.m_value, aReply.m_revision, aReply.m_era);
     if (taken && m_watching) {
       m_document = std::move(aReply.m_value);
       m_documentRevision = aReply.m_revision;
@@ -328,9 +344,12 @@
   }
 
   /// \returns Whether it could be read.
-  bool TakeDocument(const std::string& aText, Revision aRevision)
+  bool TakeDocument(const std::string& aText,
+                    Revision aRevision,
+                    std::uint64_t aEra)
   {
     const auto document = m_reader.Read(aText);
+    m_isReadable = static_cast<bool>(document);
     if (!document) {
       m_log.Error("config",
                   "document_unreadable",
@@ -340,6 +359,7 @@
     }
     const Version before = m_holder.GetVersion();
     const Version version = document.value().m_version;
+    m_known = { version, aRevision, aEra };
     if (version <= before) {
       return true;
     }
@@ -397,6 +417,10 @@
   Revision m_revision{ 0 };
   /// Of the store, in which m_revision was given.
   std::uint64_t m_era{ 0 };
+  /// When the read was sent whose answer is awaited.
+  TimePoint m_asked{};
+  StoreConfig m_known{};
+  bool m_isReadable{ true };
   platform::ConfigReader m_reader;
   bool m_reachable{ true };
   bool m_watching{ false };
--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -6,6 +6,7 @@
 #include "greengagehub/daemon/quarantine_keeper.hpp"
 #include "greengagehub/daemon/rollout_keeper.hpp"
 #include "greengagehub/daemon/store_sync.hpp"
+#include "greengagehub/daemon/workspace_service.hpp"
 #include "greengagehub/dissemination/disseminator.hpp"
 #include "greengagehub/membership/domain_finder.hpp"
 #include "greengagehub/membership/member_sync.hpp"
@@ -65,6 +66,11 @@
   }
   /// \brief Versions on trial.
   [[nodiscard]] RolloutKeeper& GetRollouts() noexcept { return m_rollouts; }
+  /// \brief Keys and quotas.
+  [[nodiscard]] WorkspaceService& GetWorkspaces() noexcept
+  {
+    return m_workspaces;
+  }
   [[nodiscard]] const platform::KvStore& GetStore() const noexcept
   {
     return m_store;
@@ -121,6 +127,7 @@
   /// \brief A peer has other verdicts: it gets these.
   void CompareVerdicts(TimePoint aNow, const GossipMessage& aMessage);
   [[nodiscard]] RolloutKeeper::Parts RolloutParts();
+  [[nodiscard]] WorkspaceService::Parts WorkspaceParts(asio::io_context& aLoop);
   void SpreadRollouts(const std::vector<RolloutRecord>& aRecords,
                       RolloutKeeper::Reach aReach,
                       RolloutTable::Change aChange);
@@ -165,6 +172,9 @@
   TimePoint m_nextVerdicts{};
   RolloutKeeper m_rollouts;
   TimePoint m_nextRollouts{};
+  WorkspaceService m_workspaces;
+  /// When a datagram of any other daemon came.
+  TimePoint m_lastHeard{};
   asio::steady_timer m_tick;
   TimePoint m_nextJoin{};
   /// While it joins: whom to ask next, and where from when nobody is known.
--- a/include/greengagehub/daemon/request_log.hpp
+++ b/include/greengagehub/daemon/request_log.hpp
@@ -40,6 +40,8 @@
     std::string_view m_id{};
     std::string_view m_route{};
     std::string_view m_service{};
+    /// Whose key it came with; empty: none, or none that is known.
+    std::string_view m_workspace{};
     /// Slot of the last daemon it was sent to; empty: none.
     std::string_view m_slot{};
     const CallAnswer& m_answer;
--- a/include/greengagehub/daemon/wall_clock.hpp
+++ b/include/greengagehub/daemon/wall_clock.hpp
@@ -26,6 +26,13 @@
          std::chrono::nanoseconds{ now.tv_nsec };
 }
 
+/// \returns BootTime() as a moment, for what must not outlive a suspension.
+[[nodiscard]] inline TimePoint
+BootNow()
+{
+  return TimePoint{ std::chrono::duration_cast<Duration>(BootTime()) };
+}
+
 /// \returns The time of day in milliseconds, for records and logs.
 [[nodiscard]] inline WallTime
 WallNow()
--- a/include/greengagehub/membership/gossip_message.hpp
+++ b/include/greengagehub/membership/gossip_message.hpp
@@ -5,6 +5,7 @@
 #include "greengagehub/quarantine/quarantine_news.hpp"
 #include "greengagehub/rollout/rollout_record.hpp"
 #include "greengagehub/rollout/run_counts.hpp"
+#include "greengagehub/workspaces/quota_message.hpp"
 
 #include <optional>
 #include <string>
@@ -30,6 +31,8 @@
     PingRequest,
     /// Carries entries only.
     Push,
+    /// Carries m_quotaQuery or m_quotaReport only.
+    Quota,
   };
 
   Kind m_kind{ Kind::Ping };
@@ -52,6 +55,8 @@
   std::uint64_t m_rolloutsDigest{ 0 };
   /// Of the sender's worker, to who leads its service's roll-out.
   std::optional<WorkerCounts> m_counts{};
+  std::optional<QuotaQuery> m_quotaQuery{};
+  std::optional<QuotaReport> m_quotaReport{};
 };
 
 /// \brief A message and where it goes.
--- a/include/greengagehub/settings/settings.hpp
+++ b/include/greengagehub/settings/settings.hpp
@@ -5,6 +5,7 @@
 #include "greengagehub/dissemination/disseminator.hpp"
 #include "greengagehub/membership/membership.hpp"
 #include "greengagehub/membership/watch_role.hpp"
+#include "greengagehub/workspaces/quota_terms.hpp"
 
 #include <cstdint>
 #include <string>
@@ -89,6 +90,16 @@
   double m_trialSlack{ 50.0 };
 };
 
+/// \brief How workspaces of the configuration are served.
+struct WorkspaceSettings
+{
+  /// A key that was taken away is accepted nowhere later than this after the
+  /// store acknowledged it, also at daemons that the store or their peers do
+  /// not reach; 0: as soon as the daemon hears of it.
+  std::chrono::milliseconds m_revokeWithin{ 0 };
+  QuotaRules m_quota{};
+};
+
 struct LogSettings
 {
   std::string m_level{ "info" };
@@ -126,6 +137,7 @@
   CallSettings m_calls{};
   LogSettings m_log{};
   PlatformSettings m_platform{};
+  WorkspaceSettings m_workspaces{};
 };
 
 /// \brief Settings, or every fault in them with its place.
--- a/src/calls/call.cpp
+++ b/src/calls/call.cpp
@@ -48,6 +48,14 @@
       return "not-in-service";
     case RefusalReason::NoRepeats:
       return "no-repeats";
+    case RefusalReason::UnknownKey:
+      return "unknown-key";
+    case RefusalReason::OverQuota:
+      return "over-quota";
+    case RefusalReason::NoCoordinator:
+      return "no-coordinator";
+    case RefusalReason::KeysNotCurrent:
+      return "keys-not-current";
   }
   return "none";
 }
--- a/src/config/content.cpp
+++ b/src/config/content.cpp
@@ -56,6 +56,10 @@
   AppendEntities(out, m_routes);
   out += R"(,"services":)";
   AppendEntities(out, m_services);
+  if (!m_workspaces.empty()) {
+    out += R"(,"workspaces":)";
+    AppendEntities(out, m_workspaces);
+  }
   out += '}';
   return out;
 }
--- a/src/config/content_diff.cpp
+++ b/src/config/content_diff.cpp
@@ -86,6 +86,11 @@
   if (!services.IsEmpty()) {
     patch.Add("services", services.Text());
   }
+  const ObjectText workspaces =
+    EntitiesPatch(aFrom.Workspaces(), aTo.m_workspaces);
+  if (!workspaces.IsEmpty()) {
+    patch.Add("workspaces", workspaces.Text());
+  }
   return patch.Text();
 }
 
--- a/src/config/content_patcher.cpp
+++ b/src/config/content_patcher.cpp
@@ -13,6 +13,7 @@
 constexpr const char* kServices = "services";
 constexpr const char* kRoutes = "routes";
 constexpr const char* kLimits = "limits";
+constexpr const char* kWorkspaces = "workspaces";
 
 Service
 ParseEntity(const Json& aObject,
@@ -32,6 +33,15 @@
   return ParseRoute(aObject, aPlace, aReasons);
 }
 
+Workspace
+ParseEntity(const Json& aObject,
+            const std::string& aPlace,
+            std::vector<Reason>& aReasons,
+            const Workspace* /*aTag*/)
+{
+  return ParseWorkspace(aObject, aPlace, aReasons);
+}
+
 Digest
 EntityDigest(const char* aKind, std::string_view aName, std::string_view aText)
 {
@@ -74,16 +84,19 @@
       PatchAll(kServices, m_content.m_services, item.value());
     } else if (item.key() == kRoutes) {
       PatchAll(kRoutes, m_content.m_routes, item.value());
+    } else if (item.key() == kWorkspaces) {
+      PatchAll(kWorkspaces, m_content.m_workspaces, item.value());
     } else if (item.key() == kLimits) {
       PatchLimits(item.value());
     } else {
       Refuse(ReasonCode::UnknownField,
              "/" + PointerToken(item.key()),
-             "allowed: limits, routes, services");
+             "allowed: limits, routes, services, workspaces");
     }
   }
   CheckReferences();
   CheckMatches();
+  CheckKeys();
   return m_reasons;
 }
 
@@ -150,6 +163,8 @@
   aEntities.emplace(aName, std::move(entity));
   if (aKind == kRoutes) {
     m_touchedRoutes.insert(aName);
+  } else if (aKind == kWorkspaces) {
+    m_touchedWorkspaces.insert(aName);
   } else {
     m_removedServices.erase(aName);
   }
@@ -254,4 +269,26 @@
   }
 }
 
+void
+ContentPatcher::CheckKeys()
+{
+  if (m_touchedWorkspaces.empty()) {
+    return;
+  }
+  std::map<std::string_view, std::string> owners;
+  for (const auto& [name, workspace] : m_content.m_workspaces) {
+    for (const Digest& each : workspace->m_value.m_keys) {
+      const auto [other, isNew] = owners.emplace(each.View(), name);
+      if (!isNew && other->second != name) {
+        const bool touched = m_touchedWorkspaces.contains(name);
+        Refuse(
+          ReasonCode::DuplicateKey,
+          fmt::format("/workspaces/{}/keys", touched ? name : other->second),
+          fmt::format("workspace \"{}\" has the same key",
+                      touched ? other->second : name));
+      }
+    }
+  }
+}
+
 }
--- a/src/config/content_patcher.hpp
+++ b/src/config/content_patcher.hpp
@@ -40,12 +40,14 @@
                       const char* aField,
                       const std::string& aService);
   void CheckMatches();
+  void CheckKeys();
   void Refuse(ReasonCode aCode, std::string aPlace, std::string aDetail);
 
   Content& m_content;
   std::vector<Reason> m_reasons;
   std::set<std::string> m_touchedRoutes;
   std::set<std::string> m_removedServices;
+  std::set<std::string> m_touchedWorkspaces;
 };
 
 }
--- a/src/config/entity_parser.cpp
+++ b/src/config/entity_parser.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint32_t kMaxPriority = 100;
 constexpr std::uint32_t kMaxWeight = 1'000'000;
 constexpr std::uint32_t kMaxBytes = 1'000'000'000;
+constexpr double kMaxRate = 1e9;
+constexpr std::size_t kMaxKeys = 10'000;
 
 bool
 IsNameChar(char aChar) noexcept
@@ -41,6 +43,34 @@
                  "allowed: \"critical\", \"lookup\", \"export\"");
 }
 
+void
+ParseKeys(FieldReader& aReader, Workspace& aWorkspace)
+{
+  constexpr const char* kName = "keys";
+  const nlohmann::json* keys = aReader.Value(kName);
+  if (keys == nullptr) {
+    return;
+  }
+  if (!keys->is_array() || keys->size() > kMaxKeys) {
+    aReader.Refuse(ReasonCode::WrongType,
+                   kName,
+                   fmt::format("a list of up to {} digests", kMaxKeys));
+    return;
+  }
+  for (const nlohmann::json& each : *keys) {
+    const auto digest =
+      ParseDigest(each.is_string() ? each.get<std::string>() : std::string{});
+    if (!digest) {
+      // The entry itself may be a key by mistake, and stays unnamed.
+      aReader.Refuse(ReasonCode::OutOfRange,
+                     kName,
+                     "a key is the SHA-256 of its text, in hexadecimal");
+      return;
+    }
+    aWorkspace.m_keys.push_back(digest.value());
+  }
+}
+
 void
 ParseSplit(FieldReader& aReader, Route& aRoute)
 {
@@ -118,6 +148,26 @@
   aTarget = value->get<std::uint32_t>();
 }
 
+void
+FieldReader::Real(const char* aName, double& aTarget, double aHigh)
+{
+  const nlohmann::json* value = Find(aName);
+  if (value == nullptr) {
+    return;
+  }
+  if (!value->is_number()) {
+    Refuse(ReasonCode::WrongType, aName, "a number is needed");
+    return;
+  }
+  const double number = value->get<double>();
+  if (number < 0.0 || number > aHigh) {
+    Refuse(
+      ReasonCode::OutOfRange, aName, fmt::format("allowed: 0 to {}", aHigh));
+    return;
+  }
+  aTarget = number;
+}
+
 void
 FieldReader::Text(const char* aName, std::string& aTarget, std::size_t aMax)
 {
@@ -207,6 +257,8 @@
   reader.Number("attempts", route.m_attempts, 0, kMaxAttempts);
   route.m_priority = static_cast<std::uint32_t>(route.m_class);
   reader.Number("priority", route.m_priority, 0, kMaxPriority);
+  bool isPublicGiven = false;
+  reader.Flag("public", route.m_public, isPublicGiven);
   ParseSplit(reader, route);
   if (route.m_service.empty() == route.m_split.empty()) {
     reader.Refuse(ReasonCode::MissingField,
@@ -227,6 +279,21 @@
   return route;
 }
 
+Workspace
+ParseWorkspace(const nlohmann::json& aObject,
+               const std::string& aPlace,
+               std::vector<Reason>& aReasons)
+{
+  Workspace workspace;
+  FieldReader reader{ aObject, aPlace, aReasons };
+  ParseKeys(reader, workspace);
+  reader.Number("priority", workspace.m_priority, 0, kMaxPriority);
+  reader.Real("per_second", workspace.m_perSecond, kMaxRate);
+  reader.Real("burst", workspace.m_burst, kMaxRate);
+  reader.Finish();
+  return workspace;
+}
+
 Limits
 ParseLimits(const nlohmann::json& aObject,
             const std::string& aPlace,
--- a/src/config/entity_parser.hpp
+++ b/src/config/entity_parser.hpp
@@ -21,6 +21,8 @@
               std::uint32_t& aTarget,
               std::uint32_t aLow,
               std::uint32_t aHigh);
+  /// \brief Reads a number, whole or not, in [0, aHigh] when it is there.
+  void Real(const char* aName, double& aTarget, double aHigh);
   void Text(const char* aName, std::string& aTarget, std::size_t aMax);
   void Flag(const char* aName, bool& aTarget, bool& aPresent);
   /// \returns The field as it is, or nullptr when it is not there.
@@ -49,6 +51,10 @@
 ParseRoute(const nlohmann::json& aObject,
            const std::string& aPlace,
            std::vector<Reason>& aReasons);
+[[nodiscard]] Workspace
+ParseWorkspace(const nlohmann::json& aObject,
+               const std::string& aPlace,
+               std::vector<Reason>& aReasons);
 [[nodiscard]] Limits
 ParseLimits(const nlohmann::json& aObject,
             const std::string& aPlace,
--- a/src/config/reason.cpp
+++ b/src/config/reason.cpp
@@ -28,6 +28,7 @@
   NamedCode{ ReasonCode::StaleBase, "stale-base" },
   NamedCode{ ReasonCode::UnknownBase, "unknown-base" },
   NamedCode{ ReasonCode::IdReused, "id-reused" },
+  NamedCode{ ReasonCode::DuplicateKey, "duplicate-key" },
 };
 
 }
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -137,6 +137,7 @@
   m_dispatcher.SetDecisions(m_parts.m_settings.m_runs.m_decisions);
   m_dispatcher.SetQuarantine(m_parts.m_quarantine.Table());
   m_dispatcher.SetRollouts(m_parts.m_rollouts.Table());
+  m_parts.m_workspaces.OnDecided([this] { RetryAdmissions(); });
   WorkerRow own;
   own.m_slot = m_parts.m_settings.m_slot;
   own.m_service = m_parts.m_settings.m_service;
@@ -232,11 +233,7 @@
       kBytesWeight * (static_cast<double>(answer.m_response.m_body.size()) -
                       figures.m_answerBytes);
   }
-  if (answer.m_retryAfter.count() > 0) {
-    // Spread, or those refused together come back together.
-    answer.m_retryAfter +=
-      std::chrono::milliseconds{ Below(m_random, answer.m_retryAfter.count()) };
-  }
+  answer.m_retryAfter = Spread(answer.m_retryAfter);
   m_parts.m_metrics.CountCall(NameOf(answer.m_outcome),
                               NameOf(answer.m_reason));
   m_parts.m_metrics.ObserveLatency(
@@ -253,6 +250,7 @@
                                 { .m_id = call.m_id,
                                   .m_route = call.m_route,
                                   .m_service = call.m_request.m_service,
+                                  .m_workspace = call.m_workspace,
                                   .m_slot = call.m_slot,
                                   .m_answer = answer,
                                   .m_sends = call.m_sends,
@@ -261,6 +259,13 @@
   call.m_responder.Answer(ResponseFor(m_parts.m_dialect, answer), m_leaving);
 }
 
+std::chrono::milliseconds
+CallGateway::Spread(std::chrono::milliseconds aRetryAfter)
+{
+  return aRetryAfter +
+         std::chrono::milliseconds{ Below(m_random, aRetryAfter.count()) };
+}
+
 void
 CallGateway::TraceEnd(const Waiting& aCall, const CallAnswer& aAnswer)
 {
--- a/src/daemon/call_gateway_callers.cpp
+++ b/src/daemon/call_gateway_callers.cpp
@@ -85,21 +85,110 @@
   if (joining && m_starting.Add(Clock::now(), aCame, aRequest, aResponder)) {
     return;
   }
-  Begin(*route, service, aCame, std::move(aRequest), std::move(aResponder));
+  Admit(
+    *route, service, aCame, std::move(aRequest), std::move(aResponder), true);
+}
+
+void
+CallGateway::Admit(const Route& aRoute,
+                   const std::string& aService,
+                   TimePoint aCame,
+                   HttpRequest aRequest,
+                   HttpResponder aResponder,
+                   bool aIsNew)
+{
+  const WorkspaceAdmission admission = m_parts.m_workspaces.Admit(
+    aRoute,
+    HeaderValue(aRequest.m_headers, m_parts.m_dialect.m_apiKey),
+    aIsNew,
+    IsLate(aRoute, aCame, aRequest));
+  if (admission.m_waits) {
+    const bool hasWaited = Clock::now() - aCame >= TokenQueue::kMaxWait;
+    if (hasWaited || m_awaitingTokens.IsFull()) {
+      m_parts.m_workspaces.GiveUp(admission.m_workspace->m_id);
+      Refuse(aRequest,
+             aResponder,
+             RefusalReason::NoCoordinator,
+             TokenQueue::kMaxWait,
+             admission.m_workspace);
+      return;
+    }
+    m_awaitingTokens.Add({ std::move(aRequest),
+                           std::move(aResponder),
+                           aCame,
+                           admission.m_workspace->m_id });
+    return;
+  }
+  if (admission.m_refusal != RefusalReason::None) {
+    Refuse(aRequest,
+           aResponder,
+           admission.m_refusal,
+           admission.m_retryAfter,
+           admission.m_workspace);
+    return;
+  }
+  Begin(aRoute,
+        aService,
+        aCame,
+        admission.m_workspace,
+        std::move(aRequest),
+        std::move(aResponder));
+}
+
+bool
+CallGateway::IsLate(const Route& aRoute,
+                    TimePoint aCame,
+                    const HttpRequest& aRequest)
+{
+  if (aRoute.m_targetLatency.count() == 0) {
+    return false;
+  }
+  const auto asked = std::chrono::milliseconds{ NumberHeader(
+    aRequest.m_headers,
+    m_parts.m_dialect.m_deadline,
+    static_cast<std::uint64_t>(aRoute.m_deadline.count())) };
+  const auto age = FiguresOf(aRoute.m_host + aRoute.m_path)
+                     .m_age.Of(asked, aRequest.m_isFirstOnConnection);
+  return age + (Clock::now() - aCame) >= aRoute.m_targetLatency;
+}
+
+void
+CallGateway::RetryAdmissions()
+{
+  for (TokenQueue::Waiting& each : m_awaitingTokens.TakeAll()) {
+    m_parts.m_workspaces.GiveUp(each.m_workspace);
+    const Route* route = m_routes.Find(HostOf(each.m_request.m_headers),
+                                       PathOf(each.m_request.m_target));
+    if (route == nullptr) {
+      Refuse(each.m_request, each.m_responder, RefusalReason::NoRoute);
+      continue;
+    }
+    Admit(*route,
+          ServiceOf(*route),
+          each.m_came,
+          std::move(each.m_request),
+          std::move(each.m_responder),
+          false);
+  }
 }
 
 void
 CallGateway::Refuse(const HttpRequest& aRequest,
                     HttpResponder& aResponder,
-                    RefusalReason aReason)
+                    RefusalReason aReason,
+                    std::chrono::milliseconds aRetryAfter,
+                    const WorkspaceRow* aWorkspace)
 {
   m_parts.m_metrics.CountCall(NameOf(CallOutcome::NotRun), NameOf(aReason));
-  const CallAnswer answer = greengagehub::Refuse(
-    0, CallOutcome::NotRun, aReason, StartBuffer::kHoldTime);
+  const CallAnswer answer =
+    greengagehub::Refuse(0, CallOutcome::NotRun, aReason, Spread(aRetryAfter));
   m_parts.m_requests.OnFinished(
     Clock::now(),
     { .m_id = HeaderValue(aRequest.m_headers, m_parts.m_dialect.m_requestId),
       .m_route = aRequest.m_target,
+      .m_workspace = aWorkspace != nullptr
+                       ? std::string_view{ aWorkspace->m_name }
+                       : std::string_view{},
       .m_answer = answer,
       .m_version = m_parts.m_holder.GetVersion() });
   aResponder.Answer(ResponseFor(m_parts.m_dialect, answer));
@@ -127,6 +216,7 @@
 CallGateway::Begin(const Route& aRoute,
                    const std::string& aService,
                    TimePoint aCame,
+                   const WorkspaceRow* aWorkspace,
                    HttpRequest aRequest,
                    HttpResponder aDone)
 {
@@ -158,7 +248,10 @@
   plan.m_crossing = CrossingPrice(decisions,
                                   static_cast<double>(aRequest.m_body.size()),
                                   figures.m_answerBytes);
-  plan.m_priority = aRoute.m_priority;
+  plan.m_priority =
+    aWorkspace != nullptr
+      ? m_parts.m_workspaces.Table().RankOf(*aWorkspace, aRoute.m_priority)
+      : aRoute.m_priority;
   if (plan.m_service != m_parts.m_settings.m_service) {
     // It may come from the own worker.
     plan.m_inherited = m_service.RepeatShareAt(now);
@@ -195,7 +288,12 @@
       HttpHeader{ std::string{ m_parts.m_dialect.m_callerService },
                   m_parts.m_settings.m_service });
   }
-  request.m_priority = aRoute.m_priority;
+  if (aWorkspace != nullptr) {
+    call.m_workspace = aWorkspace->m_name;
+    request.m_headers.push_back(HttpHeader{
+      std::string{ m_parts.m_dialect.m_workspace }, aWorkspace->m_name });
+  }
+  request.m_priority = plan.m_priority;
   request.m_kind = plan.m_kind;
   request.m_body = std::move(aRequest.m_body);
   request.m_class = plan.m_class;
@@ -246,6 +344,9 @@
 CallGateway::OnHungUp(std::uint64_t aConnection)
 {
   m_starting.Drop(aConnection);
+  for (const WorkspaceId each : m_awaitingTokens.Drop(aConnection)) {
+    m_parts.m_workspaces.GiveUp(each);
+  }
   m_sieve.HungUp(aConnection);
   const auto found = m_byConnection.find(aConnection);
   if (found == m_byConnection.end()) {
--- a/src/daemon/call_headers.cpp
+++ b/src/daemon/call_headers.cpp
@@ -49,7 +49,9 @@
 std::uint16_t
 RefusalStatus(const CallAnswer& aAnswer)
 {
+  constexpr std::uint16_t kUnauthorized = 401;
   constexpr std::uint16_t kNotFound = 404;
+  constexpr std::uint16_t kTooManyRequests = 429;
   constexpr std::uint16_t kBadGateway = 502;
   constexpr std::uint16_t kUnavailable = 503;
   constexpr std::uint16_t kTimeout = 504;
@@ -63,6 +65,10 @@
       return kNotFound;
     case RefusalReason::TooDeep:
       return kLoop;
+    case RefusalReason::UnknownKey:
+      return kUnauthorized;
+    case RefusalReason::OverQuota:
+      return kTooManyRequests;
     default:
       return kUnavailable;
   }
@@ -129,6 +135,8 @@
     return IsOneOf(name, kConnectionHeaders) || IsOneOf(name, kOwnHeaders) ||
            SameHeader(name, aDialect.m_deadline) ||
            SameHeader(name, aDialect.m_callerService) ||
+           SameHeader(name, aDialect.m_apiKey) ||
+           SameHeader(name, aDialect.m_workspace) ||
            SameHeader(name, aDialect.m_expectInstance) || IsInList(named, name);
   });
   return aHeaders;
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -17,6 +17,9 @@
 /// them. One may be lost with a change on its way before it takes a peer of
 /// another domain.
 constexpr std::size_t kReaders = 2;
+/// A daemon that has heard no other one for so long is cut off; probes come
+/// about twice a second.
+constexpr auto kIsolatedAfter = std::chrono::milliseconds{ 2500 };
 /// Between two looks at who is among them, which passes over all members.
 constexpr auto kRankEvery = std::chrono::milliseconds{ 500 };
 /// Longest pause between reads of the configuration while the store is away.
@@ -103,6 +106,10 @@
            m_random(),
            { .m_onAdvanced = [this](Version aBefore) { OnAdvanced(aBefore); },
              .m_onHead = [this](Version aHead) { m_gate.HeardStore(aHead); },
+             .m_onConfirmed =
+               [this](TimePoint aAsked, const StoreConfig& aConfig) {
+                 m_workspaces.OnConfirmed(aAsked, aConfig);
+               },
              .m_onBeside =
                [this](const std::vector<StoreItem>& aItems) {
                  m_rollouts.OnStoreItems(aItems);
@@ -122,6 +129,7 @@
         },
         [this] { return m_membership.IsFirstOfAll(); } })
   , m_rollouts(RolloutParts())
+  , m_workspaces(WorkspaceParts(aLoop), aProcess, m_random())
   , m_tick(aLoop)
   , m_memberSync(Clock::now(), m_random())
   , m_gate(aSettings.m_platform.m_enabled ? ReadyGate::Trust::StoreFirst
@@ -235,6 +243,7 @@
   const bool reads = isAlone || (joined && m_membership.SpeaksForDomain());
   m_quarantine.OnTick(now, reads);
   m_rollouts.OnTick(now, reads && m_settings.m_platform.m_enabled);
+  m_workspaces.OnTick();
   PullWhenDue(now);
   if (m_settings.m_platform.m_enabled) {
     FollowPlatform(now);
@@ -316,6 +325,11 @@
 ControlPlane::OnGossip(const MemberAddress& aFrom,
                        const GossipMessage& aMessage)
 {
+  m_lastHeard = Clock::now();
+  if (aMessage.m_kind == GossipMessage::Kind::Quota) {
+    m_workspaces.OnMessage(aMessage);
+    return;
+  }
   const TimePoint now = Clock::now();
   m_gate.HeardPeer(
     aMessage.m_sender.m_slot, aMessage.m_head.m_version, aMessage.m_floor);
@@ -406,6 +420,32 @@
   m_nextRank = TimePoint{};
   m_quarantine.OnStoreRestored();
   m_rollouts.OnStoreRestored();
+  m_workspaces.OnStoreRestored();
+}
+
+WorkspaceService::Parts
+ControlPlane::WorkspaceParts(asio::io_context& aLoop)
+{
+  return { .m_loop = aLoop,
+           .m_settings = m_settings,
+           .m_log = m_log,
+           .m_store = m_store,
+           .m_holder = m_holder,
+           .m_members = [this]() -> Membership& { return m_membership; },
+           .m_hasJoined = [this] { return m_memberSync.HasJoined(); },
+           .m_hearsOthers =
+             [this] {
+               return m_membership.Members().Present() == 0 ||
+                      Clock::now() - m_lastHeard < kIsolatedAfter;
+             },
+           .m_send =
+             [this](GossipSend aSend) {
+               aSend.m_message.m_sender = m_membership.Self();
+               SendGossip(std::move(aSend));
+             },
+           .m_storeConfig = [this] { return m_feed.Known(); },
+           .m_onDocument =
+             [this](StoreReply aReply) { m_feed.Offer(std::move(aReply)); } };
 }
 
 void
--- a/src/daemon/control_plane_versions.cpp
+++ b/src/daemon/control_plane_versions.cpp
@@ -50,6 +50,7 @@
       { "before", aBefore.m_number },
       { "time_ms",
         static_cast<std::int64_t>(WallNow().time_since_epoch().count()) } });
+  m_workspaces.OnVersion();
   m_handlers.m_onVersion();
   Push(aBefore);
 }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -103,6 +103,7 @@
               .m_traffic = m_traffic,
               .m_quarantine = m_control.GetQuarantine(),
               .m_rollouts = m_control.GetRollouts(),
+              .m_workspaces = m_control.GetWorkspaces(),
               .m_process = m_process ^ m_random(),
               .m_trace = PrintSpan,
               .m_isReady = [this] { return m_control.IsReady(); },
@@ -374,6 +375,7 @@
   }
   m_draining = true;
   m_log.Info("daemon", "drain_started");
+  m_control.GetWorkspaces().Resign();
   m_drainFrom = Clock::now();
   m_drainUntil = m_drainFrom + m_settings.m_calls.m_drain;
   if (m_settings.m_platform.m_enabled) {
--- a/src/daemon/request_log.cpp
+++ b/src/daemon/request_log.cpp
@@ -34,6 +34,7 @@
              { { "request", aEnd.m_id },
                { "route", aEnd.m_route },
                { "service", aEnd.m_service },
+               { "workspace", aEnd.m_workspace },
                { "outcome", NameOf(answer.m_outcome) },
                { "reason", NameOf(answer.m_reason) },
                { "status", std::uint64_t{ StatusOf(answer) } },
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -248,6 +248,7 @@
       OnPingRequest(aNow, out, aMessage);
       break;
     case Kind::Push:
+    case Kind::Quota:
       break;
   }
   return out;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -18,8 +18,8 @@
 constexpr std::int64_t kMaxBody = 16L * 1024 * 1024;
 const std::vector<std::string> kLevels{ "debug", "info", "warning", "error" };
 const std::vector<std::string> kSections{
-  "daemon",        "listen", "operators", "worker",   "store",    "membership",
-  "dissemination", "calls",  "log",       "platform", "decisions"
+  "daemon",        "listen", "operators", "worker",   "store",     "membership",
+  "dissemination", "calls",  "log",       "platform", "decisions", "workspaces"
 };
 
 /// \returns Host and port of "IP:PORT", or nothing.
@@ -73,6 +73,7 @@
     ReadCalls();
     ReadLog();
     ReadPlatform();
+    ReadWorkspaces();
     ReadDecisions();
     if (!m_faults.empty()) {
       return m_faults;
@@ -295,6 +296,18 @@
     reader.Finish();
   }
 
+  void ReadWorkspaces()
+  {
+    WorkspaceSettings& workspaces = m_settings.m_workspaces;
+    QuotaRules& quota = workspaces.m_quota;
+    SettingsReader reader = Section("workspaces");
+    reader.Millis("revoke_within_ms", workspaces.m_revokeWithin, 0, kHourMs);
+    reader.Millis("quota_window_ms", quota.m_window, 1, kHourMs);
+    reader.Number("quota_overage", quota.m_overage, 0.0, 1.0);
+    reader.Number("quota_slack", quota.m_slack, 0.0, kMaxSlots);
+    reader.Finish();
+  }
+
   void ReadDecisions()
   {
     SettingsReader reader = Section("decisions");
--- a/src/transport/gossip_codec.cpp
+++ b/src/transport/gossip_codec.cpp
@@ -1,5 +1,6 @@
 #include "greengagehub/transport/codec.hpp"
 
+#include "quota_wire.hpp"
 #include "rollout_wire.hpp"
 
 // Typed messages to and from protobuf, for all that is not calls.
@@ -226,6 +227,12 @@
   if (aMessage.m_counts) {
     ToWire(*aMessage.m_counts, *out.mutable_counts());
   }
+  if (aMessage.m_quotaQuery) {
+    ToWire(*aMessage.m_quotaQuery, *out.mutable_quota_query());
+  }
+  if (aMessage.m_quotaReport) {
+    ToWire(*aMessage.m_quotaReport, *out.mutable_quota_report());
+  }
   return out;
 }
 
@@ -281,6 +288,12 @@
   message.m_verdicts = in.verdicts_digest();
   message.m_rollouts = std::move(rollouts.value());
   message.m_rolloutsDigest = in.rollouts_digest();
+  if (in.has_quota_query()) {
+    message.m_quotaQuery = FromWire(in.quota_query());
+  }
+  if (in.has_quota_report()) {
+    message.m_quotaReport = FromWire(in.quota_report());
+  }
   if (in.has_counts()) {
     message.m_counts = std::move(counts.value());
     message.m_counts->m_slot = message.m_sender.m_slot;
--- /dev/null
+++ b/src/transport/quota_wire.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "control.pb.h"
+#include "greengagehub/workspaces/quota_message.hpp"
+
+// Questions about quotas and their answers, to and from protobuf.
+
+namespace greengagehub {
+
+void
+ToWire(const QuotaQuery& aQuery, wire::QuotaQuery& aOut);
+[[nodiscard]] QuotaQuery
+FromWire(const wire::QuotaQuery& aWire);
+void
+ToWire(const QuotaReport& aReport, wire::QuotaReport& aOut);
+[[nodiscard]] QuotaReport
+FromWire(const wire::QuotaReport& aWire);
+
+}
--- /dev/null
+++ b/src/workspaces/freshness.cpp
@@ -0,0 +1,38 @@
+#include "greengagehub/workspaces/freshness.hpp"
+
+#include <algorithm>
+
+namespace greengagehub {
+
+void
+Freshness::OnProof(FreshnessProof aProof)
+{
+  if (aProof.m_version <= m_inForce) {
+    m_provenAt =
+      std::max(m_provenAt.value_or(aProof.m_provenAt), aProof.m_provenAt);
+    return;
+  }
+  if (m_pending.size() >= kMaxPending) {
+    m_pending.pop_front();
+  }
+  m_pending.push_back(aProof);
+}
+
+void
+Freshness::OnVersion(Version aInForce)
+{
+  m_inForce = std::max(m_inForce, aInForce);
+  std::deque<FreshnessProof> pending;
+  pending.swap(m_pending);
+  for (const FreshnessProof& each : pending) {
+    OnProof(each);
+  }
+}
+
+bool
+Freshness::IsFresh(TimePoint aNow) const noexcept
+{
+  return !IsEnforced() || (m_provenAt && aNow - *m_provenAt <= m_bound);
+}
+
+}
--- a/standins/platform_worker.cpp
+++ b/standins/platform_worker.cpp
@@ -171,6 +171,8 @@
       EndSoon();
     }
     m_callers[Header(aRun.m_request, platform::kCallerService)] += 1;
+    m_tenants[Header(aRun.m_request, platform::kTenant)] += 1;
+    m_keysSeen += Header(aRun.m_request, platform::kApiKey).empty() ? 0 : 1;
     std::uint64_t left = 0;
     const std::string text = Header(aRun.m_request, platform::kDeadline);
     std::from_chars(text.data(), text.data() + text.size(), left);
@@ -401,6 +403,8 @@
       { "targets", m_targets },
       { "ends", m_ends },
       { "callers", m_callers },
+      { "tenants", m_tenants },
+      { "keys_seen", m_keysSeen },
       { "running", m_running.size() },
       { "arrivals", m_arrivals },
       { "turned_away", m_turnedAway },
@@ -429,6 +433,9 @@
   std::map<std::string, std::uint32_t> m_runs;
   std::map<std::string, std::uint32_t> m_targets;
   std::map<std::string, std::uint32_t> m_callers;
+  std::map<std::string, std::uint32_t> m_tenants;
+  /// Requests that still carried a caller's key.
+  std::uint64_t m_keysSeen{ 0 };
   std::string m_heartbeats;
   std::uint64_t m_sequence{ 0 };
   std::uint64_t m_incarnation{ 1 };
--- a/tests/platform/config_document.cpp
+++ b/tests/platform/config_document.cpp
@@ -75,3 +75,50 @@
     CHECK_FALSE(reader.Read(text));
   }
 }
+
+TEST_CASE("tenants become workspaces, their keys digests")
+{
+  platform::ConfigReader reader;
+  const auto document = reader.Read(R"({
+    "version":"01","limits":{},
+    "tenants":[{"name":"wards","api_keys":["plain-key"],"priority":1,
+                "per_s":2.5,"burst":4}],
+    "listeners":[{"host":"a.example","rules":[
+      {"name":"r-open","kind":"download","public":true,
+       "match":{"prefix":"/open/"},
+       "action":{"service":"s","timeout_ms":1000,"attempts":2}}]}],
+    "clusters":[{"name":"s"}]})");
+  REQUIRE(document);
+  Content content;
+  REQUIRE(
+    content.Apply(PatchBetween(content, document.value().m_content)).empty());
+  const Workspace& wards = content.Workspaces().at("wards")->m_value;
+  REQUIRE(wards.m_keys.size() == 1);
+  CHECK(wards.m_keys[0] == HashOf("plain-key"));
+  CHECK(wards.m_priority == 1);
+  CHECK(wards.m_perSecond == 2.5);
+  CHECK(wards.m_burst == 4.0);
+  CHECK(content.ToJson().find("plain-key") == std::string::npos);
+  const Route& open = content.Routes().at("r-open")->m_value;
+  CHECK(open.m_public);
+  CHECK(open.m_idempotency == Route::Idempotency::Yes);
+}
+
+TEST_CASE("a damaged tenant is an error of the whole document")
+{
+  platform::ConfigReader reader;
+  for (const char* tenant : { R"({"api_keys":["k"]})",
+                              R"({"name":"a","api_keys":"k"})",
+                              R"({"name":"a","api_keys":[1]})",
+                              R"({"name":5})",
+                              R"("a")" }) {
+    CAPTURE(tenant);
+    CHECK_FALSE(reader.Read(std::string{ R"({"version":"01","tenants":[)" } +
+                            tenant + R"(],"listeners":[],"clusters":[]})"));
+  }
+  for (const char* tenants : { "{}", "5", R"("a")" }) {
+    CAPTURE(tenants);
+    CHECK_FALSE(reader.Read(std::string{ R"({"version":"01","tenants":)" } +
+                            tenants + R"(,"listeners":[],"clusters":[]})"));
+  }
+}
--- /dev/null
+++ b/tests/workspaces/workspace_table.cpp
@@ -0,0 +1,120 @@
+#include "greengagehub/workspaces/workspace_table.hpp"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+using namespace greengagehub;
+
+namespace {
+
+std::string
+Keys(std::initializer_list<std::string_view> aKeys)
+{
+  std::string list;
+  for (const std::string_view each : aKeys) {
+    list += list.empty() ? "" : ",";
+    list += fmt::format("\"{}\"", ToHex(HashOf(each)));
+  }
+  return fmt::format(R"("keys":[{}])", list);
+}
+
+Content
+With(const std::string& aPatch)
+{
+  Content content;
+  REQUIRE(content.Apply(aPatch).empty());
+  return content;
+}
+
+}
+
+TEST_CASE("a key leads to the workspace that holds it, any other to none")
+{
+  WorkspaceTable table;
+  table.Update(With(fmt::format(
+    R"({{"workspaces":{{"a":{{{},"priority":2,"per_second":2.5,"burst":7}},"b":{{{}}}}}}})",
+    Keys({ "one", "two" }),
+    Keys({ "three" }))));
+  REQUIRE(table.FindByKey("two") != nullptr);
+  CHECK(table.FindByKey("two")->m_name == "a");
+  CHECK(table.FindByKey("two")->m_perSecond == 2.5);
+  CHECK(table.FindByKey("three")->m_name == "b");
+  CHECK(table.FindByKey("four") == nullptr);
+  CHECK(table.FindByKey("") == nullptr);
+  // A digest is no key, though it stands in the configuration.
+  CHECK(table.FindByKey(ToHex(HashOf("one"))) == nullptr);
+}
+
+TEST_CASE("a key that is taken away is unknown with the version that does so")
+{
+  Content content = With(
+    fmt::format(R"({{"workspaces":{{"a":{{{}}}}}}})", Keys({ "one", "two" })));
+  WorkspaceTable table;
+  table.Update(content);
+  REQUIRE(
+    content
+      .Apply(fmt::format(R"({{"workspaces":{{"a":{{{}}}}}}})", Keys({ "two" })))
+      .empty());
+  table.Update(content);
+  CHECK(table.FindByKey("one") == nullptr);
+  CHECK(table.FindByKey("two") != nullptr);
+  REQUIRE(content.Apply(R"({"workspaces":{"a":null}})").empty());
+  table.Update(content);
+  CHECK(table.IsEmpty());
+  CHECK(table.Keys() == 0);
+}
+
+TEST_CASE("a key that moves between workspaces belongs to the new one only")
+{
+  Content content =
+    With(fmt::format(R"({{"workspaces":{{"a":{{{}}},"b":{{{}}}}}}})",
+                     Keys({ "one" }),
+                     Keys({ "two" })));
+  WorkspaceTable table;
+  table.Update(content);
+  REQUIRE(content
+            .Apply(fmt::format(R"({{"workspaces":{{"a":{{{}}},"b":{{{}}}}}}})",
+                               Keys({ "two" }),
+                               Keys({ "one" })))
+            .empty());
+  table.Update(content);
+  CHECK(table.FindByKey("one")->m_name == "b");
+  CHECK(table.FindByKey("two")->m_name == "a");
+  CHECK(table.Keys() == 2);
+}
+
+TEST_CASE("two workspaces with one key are refused, without naming it")
+{
+  Content content;
+  const auto reasons =
+    content.Apply(fmt::format(R"({{"workspaces":{{"a":{{{}}},"b":{{{}}}}}}})",
+                              Keys({ "one" }),
+                              Keys({ "one" })));
+  REQUIRE(reasons.size() == 1);
+  CHECK(reasons[0].m_code == ReasonCode::DuplicateKey);
+  CHECK(reasons[0].m_detail.find(ToHex(HashOf("one"))) == std::string::npos);
+}
+
+TEST_CASE("a key in plain text is refused and not repeated in the reason")
+{
+  Content content;
+  const auto reasons =
+    content.Apply(R"({"workspaces":{"a":{"keys":["secret"]}}})");
+  REQUIRE(reasons.size() == 1);
+  CHECK(reasons[0].m_detail.find("secret") == std::string::npos);
+}
+
+TEST_CASE("the workspace ranks before the route")
+{
+  WorkspaceTable table;
+  table.Update(With(fmt::format(
+    R"({{"services":{{"s":{{}}}},
+         "routes":{{"r":{{"path":"/a","service":"s","priority":2}}}},
+         "workspaces":{{"a":{{{},"priority":0}},"b":{{{},"priority":1}}}}}})",
+    Keys({ "one" }),
+    Keys({ "two" }))));
+  const WorkspaceRow& first = *table.FindByKey("one");
+  const WorkspaceRow& second = *table.FindByKey("two");
+  CHECK(table.RankOf(first, 0) < table.RankOf(first, 2));
+  CHECK(table.RankOf(first, 2) < table.RankOf(second, 0));
+}
