Large answers leave at the pace of the link, small ones pass them

Change: frames with a body over 16 KiB wait for their time on the link (0.85 of its rate, one pacer a daemon) and leave in parts; small frames go before those that have not begun. A worker's daemon refuses a run whose answer could not leave before its target, by the mean size of the kind's answers, what waits on the link and what is under way. A leaving daemon waits until its large answers have left. Buffers of large frames are not kept.

Ruled out: the worker queues (busiest over mean 1.7, no run refused there), processor time (0.008 cores at most), the coordinator's own load.

Tests: order on one connection, rate over connections, a close while large answers wait.

--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -87,6 +87,8 @@
   void StartLeaving();
   /// \brief Takes no more requests from callers.
   void FinishCallers();
+  /// \returns Whether answers wait for their time on this machine's link.
+  [[nodiscard]] bool HasUnsentAnswers() const { return m_server.HasUnsent(); }
   /// \returns Callers whose request is not yet answered whole.
   [[nodiscard]] std::size_t WaitingCallers() const noexcept
   {
@@ -185,6 +187,7 @@
   Parts m_parts;
   Random m_random;
   Dispatcher m_dispatcher;
+  LinkPacer m_pacer;
   RunService m_service;
   LinkServer m_server;
   LinkPool m_pool;
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "greengagehub/calls/answer_sizes.hpp"
 #include "greengagehub/calls/retry_budget.hpp"
 #include "greengagehub/calls/run_table.hpp"
 #include "greengagehub/calls/worker_presence.hpp"
@@ -11,6 +12,7 @@
 #include "greengagehub/quarantine/quarantine.hpp"
 #include "greengagehub/rollout/rollout.hpp"
 #include "greengagehub/settings/settings.hpp"
+#include "greengagehub/transport/link_pacer.hpp"
 
 #include <asio/steady_timer.hpp>
 #include <deque>
@@ -46,6 +48,8 @@
     std::function<void(Fingerprint)> m_onRanWell;
     /// Whether repeats may still make calls of their own.
     std::function<bool(TimePoint)> m_mayRepeat;
+    /// Of this machine's link; nullptr: its rate is not known.
+    const LinkPacer* m_pacer{ nullptr };
   };
 
   explicit RunService(Parts aParts);
@@ -99,6 +103,12 @@
     TimePoint m_since;
   };
 
+  /// \returns How long the answer of another such run would take to leave: what
+  /// waits on the link, the answers of runs under way, and its own.
+  [[nodiscard]] Duration TimeOnLink(TimePoint aNow, CallKind aKind) const;
+  /// \returns Whether the answer would leave too late to be of use.
+  [[nodiscard]] bool IsLinkTooBusy(TimePoint aNow,
+                                   const CallRequest& aRequest) const;
   /// Why a content is not run now.
   struct Bar
   {
@@ -158,6 +168,7 @@
   WorkerStart m_start;
   bool m_hasWorker;
   std::map<CallKey, Held> m_held;
+  AnswerSizes m_answerSizes;
   std::deque<Kept> m_kept;
   std::size_t m_keptBytes{ 0 };
   asio::steady_timer m_timer;
--- a/include/greengagehub/transport/link_connection.hpp
+++ b/include/greengagehub/transport/link_connection.hpp
@@ -3,11 +3,14 @@
 #include "greengagehub/core/clock.hpp"
 #include "greengagehub/transport/link_deflate.hpp"
 #include "greengagehub/transport/link_frame.hpp"
+#include "greengagehub/transport/link_pacer.hpp"
 #include "greengagehub/transport/traffic_meter.hpp"
 
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 #include <boost/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -27,7 +30,10 @@
   using OnFrame = std::function<void(LinkConnection&, LinkFrame)>;
   using OnClosed = std::function<void(LinkConnection&)>;
 
-  LinkConnection(asio::ip::tcp::socket aSocket, TrafficMeter& aMeter);
+  /// \param aPacer of this machine's link; nullptr: nothing is paced.
+  LinkConnection(asio::ip::tcp::socket aSocket,
+                 TrafficMeter& aMeter,
+                 LinkPacer* aPacer = nullptr);
 
   [[nodiscard]] bool IsOpen() const noexcept { return m_open; }
   /// \brief When bytes last came in.
@@ -35,6 +41,11 @@
   {
     return m_lastReceived;
   }
+  /// \returns Whether frames wait here that the system has not taken yet.
+  [[nodiscard]] bool HasUnsent() const noexcept
+  {
+    return m_open && !(m_writing.empty() && m_out.empty() && m_large.empty());
+  }
   [[nodiscard]] std::uint64_t BytesSent() const noexcept { return m_bytesSent; }
 
   /// \brief Who is at the other end, once its hello has come.
@@ -61,6 +72,12 @@
   void OnRead();
   void MakeRoom();
   void Write();
+  /// \brief Starts the next large frame once it may leave.
+  void WriteLarge();
+  /// \brief Writes the next part of m_writing.
+  void WritePart();
+  void OnPartWritten(std::size_t aSize);
+  void Append(const LinkFrame& aFrame);
   /// \param aOrderly whether what was sent is still delivered.
   void Shut(bool aOrderly);
   void Closed();
@@ -76,7 +93,15 @@
   std::unique_ptr<LinkDeflater> m_deflater;
   std::unique_ptr<LinkInflater> m_inflater;
   std::string m_out;
+  /// Large frames that have not begun; small ones go before them.
+  std::deque<LinkFrame> m_large;
   std::string m_writing;
+  /// Bytes of m_writing that have been written.
+  std::size_t m_written{ 0 };
+  /// The first large frame waits for its time on the link.
+  bool m_isPaused{ false };
+  LinkPacer* m_pacer;
+  asio::steady_timer m_pause;
   TimePoint m_lastReceived{};
   std::uint64_t m_bytesSent{ 0 };
   bool m_open{ true };
--- a/include/greengagehub/transport/link_pool.hpp
+++ b/include/greengagehub/transport/link_pool.hpp
@@ -64,6 +64,8 @@
   /// \brief Sends when a connection is open. A cancellation otherwise takes
   /// back the request that waits for it to open.
   void SendIfOpen(const std::string& aSlot, const LinkFrame& aFrame);
+  /// \brief Connections that open from now on share this machine's link.
+  void PaceBy(LinkPacer& aPacer) noexcept { m_pacer = &aPacer; }
   /// \brief Heartbeats, silence, time limits, idle links.
   void OnTick(TimePoint aNow);
 
@@ -88,6 +90,7 @@
   LinkHello m_self;
   LinkPoolSettings m_settings;
   TrafficMeter& m_meter;
+  LinkPacer* m_pacer{ nullptr };
   Handlers m_handlers;
   std::map<std::string, LinkPtr, std::less<>> m_links;
   std::uint64_t m_lastEpoch{ 0 };
--- a/include/greengagehub/transport/link_server.hpp
+++ b/include/greengagehub/transport/link_server.hpp
@@ -40,6 +40,10 @@
   /// nullptr when it has none at the moment.
   [[nodiscard]] LinkConnection* Find(std::uint64_t aProcess) const;
 
+  /// \returns Whether answers wait here for their time on the link.
+  [[nodiscard]] bool HasUnsent() const;
+  /// \brief Connections that open from now on share this machine's link.
+  void PaceBy(LinkPacer& aPacer) noexcept { m_pacer = &aPacer; }
   void Broadcast(const LinkFrame& aFrame);
   void StopAccepting();
   /// \brief Closes every connection with what is unread on it.
@@ -53,6 +57,7 @@
   asio::ip::tcp::acceptor m_acceptor;
   LinkHello m_self;
   TrafficMeter& m_meter;
+  LinkPacer* m_pacer{ nullptr };
   Handlers m_handlers;
   std::set<LinkConnection::Pointer> m_connections;
   std::map<std::uint64_t, LinkConnection::Pointer> m_byProcess;
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -35,6 +35,7 @@
   : m_parts(std::move(aParts))
   , m_random(aSeed)
   , m_dispatcher(m_random())
+  , m_pacer(m_parts.m_settings.m_linkMbps)
   , m_service({ .m_loop = m_parts.m_loop,
                 .m_settings = m_parts.m_settings,
                 .m_dialect = m_parts.m_dialect,
@@ -60,7 +61,8 @@
                   [this](TimePoint aNow) {
                     return !m_dispatcher.AreRepeatsUsedUp(
                       aNow, m_parts.m_settings.m_service);
-                  } })
+                  },
+                .m_pacer = &m_pacer })
   , m_server(m_parts.m_loop,
              m_parts.m_settings.m_listen.m_host,
              m_parts.m_settings.m_listen.m_linkPort,
@@ -134,6 +136,8 @@
 Outcome<std::uint16_t>
 CallGateway::Open()
 {
+  m_server.PaceBy(m_pacer);
+  m_pool.PaceBy(m_pacer);
   m_dispatcher.SetDecisions(m_parts.m_settings.m_runs.m_decisions);
   m_dispatcher.SetQuarantine(m_parts.m_quarantine.Table());
   m_dispatcher.SetRollouts(m_parts.m_rollouts.Table());
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -390,7 +390,7 @@
 Daemon::IsBusy() const
 {
   return m_calls.Runs().Load() > 0 || m_calls.InFlight() > 0 ||
-         m_calls.WaitingCallers() > 0;
+         m_calls.WaitingCallers() > 0 || m_calls.HasUnsentAnswers();
 }
 
 void
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -82,6 +82,20 @@
     Deliver(aKey, aRequest, Refuse(aKey.m_call, CallOutcome::NotRun, reason));
     return;
   }
+  if (IsLinkTooBusy(now, aRequest)) {
+    const auto reason = RefusalReason::Overloaded;
+    m_parts.m_requests.OnRunRefused(
+      now, IdOf(aRequest), reason, aRequest.m_timeLeft, StateNow(aRequest));
+    m_parts.m_metrics.CountRun(NameOf(reason));
+    Deliver(aKey,
+            aRequest,
+            Refuse(aKey.m_call,
+                   CallOutcome::NotRun,
+                   reason,
+                   std::chrono::ceil<std::chrono::milliseconds>(
+                     TimeOnLink(now, aRequest.m_kind) / 2)));
+    return;
+  }
   m_tally.Arrived();
   const Fingerprint content = ContentOf(m_parts.m_dialect, aRequest);
   if (const auto bar = BarOf(now, content)) {
@@ -305,6 +319,9 @@
     // The worker came through the run; a failure may have ended it sooner.
     m_parts.m_onRanWell(held.m_content);
   }
+  if (aAnswer.m_outcome == CallOutcome::Answered) {
+    m_answerSizes.Note(held.m_request.m_kind, aAnswer.m_response.m_body.size());
+  }
   if (!held.m_request.m_idempotent) {
     Keep(aKey, aAnswer);
   }
--- a/src/transport/link_connection.cpp
+++ b/src/transport/link_connection.cpp
@@ -21,12 +21,25 @@
                                                     : TrafficPurpose::Links;
 }
 
+std::size_t
+BodySizeOf(const LinkFrame& aFrame)
+{
+  if (const auto* answer = std::get_if<CallAnswer>(&aFrame)) {
+    return answer->m_response.m_body.size();
+  }
+  const auto* request = std::get_if<CallRequest>(&aFrame);
+  return request != nullptr ? request->m_body.size() : 0;
+}
+
 }
 
 LinkConnection::LinkConnection(asio::ip::tcp::socket aSocket,
-                               TrafficMeter& aMeter)
+                               TrafficMeter& aMeter,
+                               LinkPacer* aPacer)
   : m_socket(std::move(aSocket))
   , m_meter(aMeter)
+  , m_pacer(aPacer)
+  , m_pause(m_socket.get_executor())
 {
 }
 
@@ -113,15 +126,25 @@
   m_deflater = std::make_unique<LinkDeflater>();
 }
 
+void
+LinkConnection::Append(const LinkFrame& aFrame)
+{
+  const std::size_t before = m_out.size();
+  AppendFrame(m_out, aFrame, m_deflater.get());
+  m_meter.Add(PurposeOf(aFrame), m_isFar, m_out.size() - before);
+}
+
 void
 LinkConnection::Send(const LinkFrame& aFrame)
 {
   if (!m_open) {
     return;
   }
-  const std::size_t before = m_out.size();
-  AppendFrame(m_out, aFrame, m_deflater.get());
-  m_meter.Add(PurposeOf(aFrame), m_isFar, m_out.size() - before);
+  if (m_pacer != nullptr && BodySizeOf(aFrame) > LinkPacer::kPart) {
+    m_large.push_back(aFrame);
+  } else {
+    Append(aFrame);
+  }
   if (m_writing.empty()) {
     Write();
   }
@@ -130,23 +153,92 @@
 void
 LinkConnection::Write()
 {
+  if (m_out.empty()) {
+    WriteLarge();
+    return;
+  }
+  if (m_pacer != nullptr) {
+    static_cast<void>(m_pacer->Reserve(Clock::now(), m_out.size()));
+  }
   m_writing.swap(m_out);
+  m_written = 0;
+  WritePart();
+}
+
+void
+LinkConnection::WriteLarge()
+{
+  if (m_large.empty() || m_isPaused) {
+    return;
+  }
+  m_isPaused = true;
+  m_pause.expires_after(
+    m_pacer->Reserve(Clock::now(), BodySizeOf(m_large.front())));
+  m_pause.async_wait([self = Pointer{ this }](const asio::error_code& aError) {
+    self->m_isPaused = false;
+    if (aError || !self->m_open) {
+      return;
+    }
+    // Behind what was sent meanwhile.
+    self->Append(self->m_large.front());
+    self->m_large.pop_front();
+    if (self->m_writing.empty()) {
+      self->m_writing.swap(self->m_out);
+      self->m_written = 0;
+      self->WritePart();
+    }
+  });
+}
+
+void
+LinkConnection::WritePart()
+{
+  const std::size_t left = m_writing.size() - m_written;
+  const std::size_t size =
+    m_pacer != nullptr ? std::min(left, LinkPacer::kPart) : left;
   asio::async_write(m_socket,
-                    asio::buffer(m_writing),
+                    asio::buffer(m_writing.data() + m_written, size),
                     [self = Pointer{ this }](const asio::error_code& aError,
-                                             std::size_t aSize) {
-                      self->m_writing.clear();
-                      self->m_bytesSent += aSize;
+                                             std::size_t aWritten) {
+                      self->m_bytesSent += aWritten;
                       if (aError) {
+                        self->m_writing.clear();
                         self->Close();
                         return;
                       }
-                      if (!self->m_out.empty() && self->m_open) {
-                        self->Write();
-                      }
+                      self->OnPartWritten(aWritten);
                     });
 }
 
+void
+LinkConnection::OnPartWritten(std::size_t aSize)
+{
+  m_written += aSize;
+  if (m_written < m_writing.size()) {
+    if (!m_open) {
+      return;
+    }
+    // The time of the whole frame on the link is reserved; its parts leave
+    // evenly over it.
+    m_pause.expires_after(m_pacer->TimeOf(aSize));
+    m_pause.async_wait(
+      [self = Pointer{ this }](const asio::error_code& aError) {
+        if (!aError && self->m_open) {
+          self->WritePart();
+        }
+      });
+    return;
+  }
+  m_writing.clear();
+  if (m_writing.capacity() > LinkPacer::kPart) {
+    // Room for a large frame is not kept on each connection.
+    m_writing.shrink_to_fit();
+  }
+  if (m_open) {
+    Write();
+  }
+}
+
 void
 LinkConnection::Abort()
 {
@@ -168,6 +260,7 @@
     return;
   }
   m_open = false;
+  m_pause.cancel();
   asio::error_code ignored;
   if (aOrderly) {
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
--- a/src/transport/link_pool.cpp
+++ b/src/transport/link_pool.cpp
@@ -155,7 +155,8 @@
                       std::uint64_t aEpoch,
                       tcp::socket aSocket)
 {
-  aLink->m_connection = new LinkConnection(std::move(aSocket), m_meter);
+  aLink->m_connection =
+    new LinkConnection(std::move(aSocket), m_meter, m_pacer);
   const std::weak_ptr<Link> weak = aLink;
   aLink->m_connection->Start(
     [this, weak](LinkConnection& aConnection, LinkFrame aFrame) {
--- a/src/transport/link_server.cpp
+++ b/src/transport/link_server.cpp
@@ -1,5 +1,7 @@
 #include "greengagehub/transport/link_server.hpp"
 
+#include <algorithm>
+
 #include <asio/ip/address.hpp>
 
 namespace greengagehub {
@@ -37,30 +39,30 @@
 void
 LinkServer::Accept()
 {
-  m_acceptor.async_accept([this](const asio::error_code& aError,
-                                 tcp::socket aSocket) {
-    if (aError == asio::error::operation_aborted) {
-      return;
-    }
-    if (!aError) {
-      LinkConnection::Pointer connection{ new LinkConnection(std::move(aSocket),
-                                                             m_meter) };
-      m_connections.insert(connection);
-      connection->Start(
-        [this](LinkConnection& aConnection, LinkFrame aFrame) {
-          OnFrame(aConnection, std::move(aFrame));
-        },
-        [this](LinkConnection& aConnection) {
-          const auto current = m_byProcess.find(aConnection.m_peer.m_process);
-          if (current != m_byProcess.end() &&
-              current->second.get() == &aConnection) {
-            m_byProcess.erase(current);
-          }
-          m_connections.erase(LinkConnection::Pointer{ &aConnection });
-        });
-    }
-    Accept();
-  });
+  m_acceptor.async_accept(
+    [this](const asio::error_code& aError, tcp::socket aSocket) {
+      if (aError == asio::error::operation_aborted) {
+        return;
+      }
+      if (!aError) {
+        LinkConnection::Pointer connection{ new LinkConnection(
+          std::move(aSocket), m_meter, m_pacer) };
+        m_connections.insert(connection);
+        connection->Start(
+          [this](LinkConnection& aConnection, LinkFrame aFrame) {
+            OnFrame(aConnection, std::move(aFrame));
+          },
+          [this](LinkConnection& aConnection) {
+            const auto current = m_byProcess.find(aConnection.m_peer.m_process);
+            if (current != m_byProcess.end() &&
+                current->second.get() == &aConnection) {
+              m_byProcess.erase(current);
+            }
+            m_connections.erase(LinkConnection::Pointer{ &aConnection });
+          });
+      }
+      Accept();
+    });
 }
 
 void
@@ -105,6 +107,14 @@
   m_handlers.m_onFrame(aConnection, std::move(aFrame));
 }
 
+bool
+LinkServer::HasUnsent() const
+{
+  return std::any_of(m_connections.begin(),
+                     m_connections.end(),
+                     [](const auto& aEach) { return aEach->HasUnsent(); });
+}
+
 void
 LinkServer::Broadcast(const LinkFrame& aFrame)
 {
--- /dev/null
+++ b/tests/transport/link_connection.cpp
@@ -0,0 +1,98 @@
+#include "greengagehub/transport/link_connection.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace greengagehub;
+using asio::ip::tcp;
+
+namespace {
+
+LinkFrame
+AnswerOf(std::uint64_t aCall, std::size_t aBytes)
+{
+  CallAnswer answer{ .m_call = aCall, .m_outcome = CallOutcome::Answered };
+  answer.m_response.m_status = 200;
+  answer.m_response.m_body.assign(aBytes, 'x');
+  return answer;
+}
+
+struct Pair
+{
+  Pair()
+  {
+    tcp::acceptor acceptor{
+      m_loop, tcp::endpoint{ asio::ip::address_v4::loopback(), 0 }
+    };
+    tcp::socket near{ m_loop };
+    near.connect(acceptor.local_endpoint());
+    m_sender = new LinkConnection{ std::move(near), m_meter, &m_pacer };
+    m_receiver = new LinkConnection{ acceptor.accept(), m_meter };
+    const auto closed = [](LinkConnection&) {};
+    m_sender->Start([](LinkConnection&, const LinkFrame&) {}, closed);
+    m_receiver->Start(
+      [this](LinkConnection&, const LinkFrame& aFrame) {
+        m_received.push_back(std::get<CallAnswer>(aFrame));
+      },
+      closed);
+  }
+
+  void RunUntilReceived(std::size_t aCount)
+  {
+    while (m_received.size() < aCount) {
+      m_loop.run_one();
+    }
+  }
+
+  asio::io_context m_loop;
+  TrafficMeter m_meter;
+  LinkPacer m_pacer{ 100 };
+  LinkConnection::Pointer m_sender;
+  LinkConnection::Pointer m_receiver;
+  std::vector<CallAnswer> m_received;
+};
+
+}
+
+TEST_CASE("a small answer does not wait behind large ones that have not begun")
+{
+  Pair pair;
+  pair.m_sender->Send(AnswerOf(1, 300'000));
+  pair.m_sender->Send(AnswerOf(2, 300'000));
+  pair.m_sender->Send(AnswerOf(3, 100));
+  pair.RunUntilReceived(3);
+  CHECK(pair.m_received.back().m_call == 2);
+  for (const CallAnswer& each : pair.m_received) {
+    CHECK(each.m_response.m_body.size() == (each.m_call == 3 ? 100 : 300'000));
+  }
+}
+
+TEST_CASE("a connection tells that answers wait until the last one has left")
+{
+  Pair pair;
+  CHECK_FALSE(pair.m_sender->HasUnsent());
+  pair.m_sender->Send(AnswerOf(1, 300'000));
+  pair.m_sender->Send(AnswerOf(2, 300'000));
+  CHECK(pair.m_sender->HasUnsent());
+  pair.RunUntilReceived(1);
+  CHECK(pair.m_sender->HasUnsent());
+  pair.RunUntilReceived(2);
+  while (pair.m_sender->HasUnsent()) {
+    pair.m_loop.run_one();
+  }
+  CHECK(pair.m_received.size() == 2);
+}
+
+TEST_CASE("a connection that closes while large answers wait ends cleanly")
+{
+  Pair pair;
+  pair.m_sender->Send(AnswerOf(1, 300'000));
+  pair.m_sender->Send(AnswerOf(2, 300'000));
+  pair.RunUntilReceived(1);
+  pair.m_sender->Close();
+  pair.m_loop.run();
+  CHECK_FALSE(pair.m_sender->HasUnsent());
+  CHECK(pair.m_received.size() == 1);
+}
--- /dev/null
+++ b/tests/transport/link_pacer.cpp
@@ -0,0 +1,28 @@
+#include "greengagehub/transport/link_pacer.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace greengagehub;
+using namespace std::chrono_literals;
+
+TEST_CASE("large answers of many connections leave no faster than the link")
+{
+  LinkPacer pacer{ 15 };
+  const TimePoint start{ 100s };
+  Duration last{};
+  for (std::size_t bytes = 0; bytes < 540'000; bytes += LinkPacer::kPart) {
+    last = pacer.Reserve(start, LinkPacer::kPart);
+  }
+  // 540 KB at 15 Mbit/s take 288 ms.
+  CHECK(last >= 288ms - 9ms);
+  CHECK(last <= 400ms);
+  CHECK(pacer.Backlog(start + 1s) == Duration::zero());
+  CHECK(pacer.Reserve(start + 1s, LinkPacer::kPart) == Duration::zero());
+}
+
+TEST_CASE("on a link whose rate is not known nothing waits")
+{
+  LinkPacer pacer{ 0 };
+  CHECK(pacer.Reserve(TimePoint{ 1s }, 10'000'000) == Duration::zero());
+  CHECK(pacer.Reserve(TimePoint{ 1s }, 10'000'000) == Duration::zero());
+}
