Names in the field's terms: ResumeFilter, CrashDetector, SuccessLog, OnProcessResumed

Cause: a new contributor had to learn words of our own (wake sieve, end watch, good runs, woke up, told). Change: WakeSieve is ResumeFilter, EndWatch is CrashDetector, GoodRuns is SuccessLog, OnWokeUp and WokeUp are OnProcessResumed, m_told is m_reported, files accordingly. Behaviour as it was.

Ruled out: a rename of the comments in the same pass.

--- a/include/greengagehub/calls/placing.hpp
+++ b/include/greengagehub/calls/placing.hpp
@@ -36,7 +36,7 @@
     std::chrono::duration<double> m_wait{ 0.0 };
     double m_weight{ 0.0 };
   };
-  std::vector<Told> m_told;
+  std::vector<Told> m_reported;
 };
 
 /// \returns Share of calls that miss their target where the mean time to an
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -6,11 +6,11 @@
 #include "greengagehub/config/config_holder.hpp"
 #include "greengagehub/daemon/quarantine_keeper.hpp"
 #include "greengagehub/daemon/request_log.hpp"
+#include "greengagehub/daemon/resume_filter.hpp"
 #include "greengagehub/daemon/rollout_keeper.hpp"
 #include "greengagehub/daemon/run_service.hpp"
 #include "greengagehub/daemon/start_buffer.hpp"
 #include "greengagehub/daemon/token_queue.hpp"
-#include "greengagehub/daemon/wake_sieve.hpp"
 #include "greengagehub/daemon/workspace_service.hpp"
 #include "greengagehub/http/http_server.hpp"
 #include "greengagehub/membership/membership.hpp"
@@ -82,7 +82,7 @@
   void OnVersion();
   /// \brief The process was paused: what is unread on its connections is as
   /// old as the pause, and must not be taken for fresh.
-  void OnWokeUp();
+  void OnProcessResumed();
   void OnTick(TimePoint aNow);
   void StartLeaving();
   /// \brief Takes no more requests from callers.
@@ -129,8 +129,8 @@
   /// \brief A caller's request was read.
   void Take(HttpRequest aRequest, HttpResponder aResponder);
   /// \brief Lets go of what was held after this process stood still.
-  void ReleaseSifted();
-  void ReleaseSiftedAt(TimePoint aWhen);
+  void ReleaseFiltered();
+  void ReleaseFilteredAt(TimePoint aWhen);
   /// \param aCame when it was read; later than that, it was held.
   void Serve(TimePoint aCame, HttpRequest aRequest, HttpResponder aResponder);
   /// \brief Answers without a call having been made.
@@ -207,8 +207,8 @@
   bool m_leaving{ false };
   StartBuffer m_starting;
   TokenQueue m_awaitingTokens;
-  WakeSieve m_sieve;
-  asio::steady_timer m_siftTimer;
+  ResumeFilter m_resumeFilter;
+  asio::steady_timer m_filterTimer;
 };
 
 }
--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -98,7 +98,7 @@
   /// \brief The worker beside this daemon came, changed or leaves.
   void Announce(MemberState aState, WorkerFigures aWorker);
   /// \brief The process was paused: what is believed may be old.
-  void OnWokeUp();
+  void OnProcessResumed();
 
 private:
   void Tick();
--- a/include/greengagehub/daemon/request_log.hpp
+++ b/include/greengagehub/daemon/request_log.hpp
@@ -4,7 +4,7 @@
 #include "greengagehub/core/version.hpp"
 #include "greengagehub/observe/line_budget.hpp"
 #include "greengagehub/observe/log.hpp"
-#include "greengagehub/quarantine/end_watch.hpp"
+#include "greengagehub/quarantine/crash_detector.hpp"
 
 namespace greengagehub {
 
--- a/include/greengagehub/daemon/wake_sieve.hpp
+++ b/include/greengagehub/daemon/resume_filter.hpp
@@ -15,7 +15,7 @@
 /// processor time while its callers leave: in its sockets the request stands
 /// before the close or the cancellation and looks fresh. Handed on at once, it
 /// runs for a caller who left seconds ago.
-class WakeSieve
+class ResumeFilter
 {
 public:
   /// A request from another daemon.
@@ -42,9 +42,9 @@
   /// A process of which nothing ran for so long stood still. Three of the
   /// ticks that show it is alive; one that is out of its share of processor
   /// time stands for up to a tenth of a second.
-  static constexpr std::chrono::milliseconds kStill{ 300 };
+  static constexpr std::chrono::milliseconds kSuspendedAfter{ 300 };
   /// How long what is read after that is held: some passes over all sockets.
-  static constexpr std::chrono::milliseconds kSift{ 20 };
+  static constexpr std::chrono::milliseconds kHoldFor{ 20 };
 
   /// \param aBootTime time since the machine started, its suspensions too.
   void OnTick(TimePoint aNow, std::chrono::nanoseconds aBootTime) noexcept
@@ -53,7 +53,7 @@
     m_lastTick = aBootTime;
   }
   /// \returns Whether what is read now is to be held.
-  [[nodiscard]] bool Sifts(TimePoint aNow,
+  [[nodiscard]] bool Holds(TimePoint aNow,
                            std::chrono::nanoseconds aBootTime) noexcept
   {
     Look(aNow, aBootTime);
@@ -79,8 +79,8 @@
   void Look(TimePoint aNow, std::chrono::nanoseconds aBootTime) noexcept
   {
     if (m_lastTick != std::chrono::nanoseconds{} &&
-        aBootTime - m_lastTick > kStill) {
-      m_until = aNow + kSift;
+        aBootTime - m_lastTick > kSuspendedAfter) {
+      m_until = aNow + kHoldFor;
       // Looked at many times before the next tick: still only once.
       m_lastTick = aBootTime;
     }
--- a/include/greengagehub/daemon/rollout_keeper.hpp
+++ b/include/greengagehub/daemon/rollout_keeper.hpp
@@ -68,7 +68,7 @@
   /// \returns Whether one was under way.
   [[nodiscard]] bool Stop(const std::string& aService);
   /// \brief The process stood still.
-  void OnWokeUp() { m_table.DropLeaves(); }
+  void OnProcessResumed() { m_table.DropLeaves(); }
 
 private:
   using Change = RolloutTable::Change;
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -8,7 +8,7 @@
 #include "greengagehub/http/backend_client.hpp"
 #include "greengagehub/observe/metrics.hpp"
 #include "greengagehub/observe/span.hpp"
-#include "greengagehub/quarantine/end_watch.hpp"
+#include "greengagehub/quarantine/crash_detector.hpp"
 #include "greengagehub/quarantine/quarantine.hpp"
 #include "greengagehub/rollout/rollout.hpp"
 #include "greengagehub/settings/settings.hpp"
@@ -157,7 +157,7 @@
   RunTable m_runs;
   RepeatShare m_repeats;
   BackendClient m_client;
-  EndWatch m_ends;
+  CrashDetector m_ends;
   RunTally m_tally;
   /// Of the worker's software, and until when it is slow after its start.
   std::string m_version;
--- a/include/greengagehub/membership/membership.hpp
+++ b/include/greengagehub/membership/membership.hpp
@@ -193,7 +193,7 @@
   void OnPingRequest(TimePoint aNow,
                      MembershipActions& aOut,
                      const GossipMessage& aMessage);
-  void WokeUp(TimePoint aNow);
+  void OnProcessResumed(TimePoint aNow);
   [[nodiscard]] std::optional<MemberTable::Index> NextTarget(Reach aReach);
   [[nodiscard]] std::vector<MemberTable::Index>& RoundOf(
     const MemberRecord& aRecord);
--- a/include/greengagehub/quarantine/end_watch.hpp
+++ b/include/greengagehub/quarantine/crash_detector.hpp
@@ -23,7 +23,7 @@
 /// while the process lives on. It has ended only if nobody listens at its
 /// address any more, which is looked at once a connection with a request on it
 /// was closed. One that neither accepts nor refuses says nothing.
-class EndWatch
+class CrashDetector
 {
 public:
   /// \brief The backend server closed a connection on which a request ran.
--- a/include/greengagehub/quarantine/quarantine.hpp
+++ b/include/greengagehub/quarantine/quarantine.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "greengagehub/quarantine/good_runs.hpp"
 #include "greengagehub/quarantine/quarantine_news.hpp"
+#include "greengagehub/quarantine/success_log.hpp"
 
 #include <deque>
 #include <unordered_map>
@@ -199,7 +199,7 @@
   void DropOldestRecord();
   void EraseRecord(Fingerprint aContent);
 
-  GoodRuns m_goodRuns;
+  SuccessLog m_goodRuns;
   std::unordered_map<std::uint64_t, End> m_ends;
   /// Their ids, in the order in which they came to be known.
   std::deque<std::uint64_t> m_endOrder;
--- a/include/greengagehub/quarantine/good_runs.hpp
+++ b/include/greengagehub/quarantine/success_log.hpp
@@ -24,7 +24,7 @@
 /// the last kEach contents at least are remembered, and at most twice as many.
 /// Whoever floods it with others has a content forgotten, which then needs
 /// fewer ends to be held, never more.
-class GoodRuns
+class SuccessLog
 {
 public:
   /// A worker that runs 66 requests a second is remembered for a minute, in
--- a/include/greengagehub/transport/link_connection.hpp
+++ b/include/greengagehub/transport/link_connection.hpp
@@ -105,7 +105,7 @@
   TimePoint m_lastReceived{};
   std::uint64_t m_bytesSent{ 0 };
   bool m_open{ true };
-  bool m_told{ false };
+  bool m_reported{ false };
 };
 
 }
--- a/src/calls/placing.cpp
+++ b/src/calls/placing.cpp
@@ -68,12 +68,12 @@
     }
     const double age =
       Seconds(aContext.m_now - figures->m_at) / Seconds(kDomainNewsLife);
-    auto told =
-      std::find_if(m_told.begin(), m_told.end(), [&](const Told& aTold) {
+    auto told = std::find_if(
+      m_reported.begin(), m_reported.end(), [&](const Told& aTold) {
         return aTold.m_domain == each->m_domain;
       });
-    if (told == m_told.end()) {
-      told = m_told.insert(m_told.end(), Told{ each->m_domain });
+    if (told == m_reported.end()) {
+      told = m_reported.insert(m_reported.end(), Told{ each->m_domain });
     }
     const double weight = std::exp(-age);
     told->m_wait += weight * Seconds(figures->m_wait);
@@ -84,7 +84,7 @@
 Duration
 DomainWaits::In(std::string_view aDomain) const noexcept
 {
-  for (const Told& each : m_told) {
+  for (const Told& each : m_reported) {
     if (each.m_domain == aDomain) {
       return std::chrono::duration_cast<Duration>(each.m_wait /
                                                   (each.m_weight + kIdlePrior));
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -84,7 +84,7 @@
   , m_routes(Content{})
   , m_timer(m_parts.m_loop)
   , m_starting(Clock::now())
-  , m_siftTimer(m_parts.m_loop)
+  , m_filterTimer(m_parts.m_loop)
 {
 }
 
@@ -93,7 +93,7 @@
 {
   return { .m_onEpoch =
              [this](std::uint64_t aProcess, std::uint64_t aEpoch) {
-               m_sieve.CloseEpochs(aProcess, aEpoch);
+               m_resumeFilter.CloseEpochs(aProcess, aEpoch);
                m_service.OnEpoch(aProcess, aEpoch);
              },
            .m_onFrame =
@@ -296,7 +296,7 @@
 void
 CallGateway::OnTick(TimePoint aNow)
 {
-  m_sieve.OnTick(aNow, BootTime());
+  m_resumeFilter.OnTick(aNow, BootTime());
   ReleaseHeld(aNow);
   m_pool.OnTick(aNow);
   m_service.OnTick(aNow);
--- a/src/daemon/call_gateway_callers.cpp
+++ b/src/daemon/call_gateway_callers.cpp
@@ -46,14 +46,14 @@
 CallGateway::Take(HttpRequest aRequest, HttpResponder aResponder)
 {
   const TimePoint now = Clock::now();
-  if (!m_sieve.Sifts(now, BootTime())) {
+  if (!m_resumeFilter.Holds(now, BootTime())) {
     Serve(now, std::move(aRequest), std::move(aResponder));
     return;
   }
-  const bool isFirst = m_sieve.Add(
-    WakeSieve::FromCaller{ now, std::move(aRequest), std::move(aResponder) });
+  const bool isFirst = m_resumeFilter.Add(ResumeFilter::FromCaller{
+    now, std::move(aRequest), std::move(aResponder) });
   if (isFirst) {
-    ReleaseSiftedAt(m_sieve.Until());
+    ReleaseFilteredAt(m_resumeFilter.Until());
   }
 }
 
@@ -347,7 +347,7 @@
   for (const WorkspaceId each : m_awaitingTokens.Drop(aConnection)) {
     m_parts.m_workspaces.GiveUp(each);
   }
-  m_sieve.HungUp(aConnection);
+  m_resumeFilter.HungUp(aConnection);
   const auto found = m_byConnection.find(aConnection);
   if (found == m_byConnection.end()) {
     return;
--- a/src/daemon/call_gateway_links.cpp
+++ b/src/daemon/call_gateway_links.cpp
@@ -63,11 +63,11 @@
   if (auto* request = std::get_if<CallRequest>(&aFrame)) {
     const CallKey key{ process, request->m_call };
     const TimePoint now = Clock::now();
-    if (m_sieve.Sifts(now, BootTime())) {
-      const bool isFirst = m_sieve.Add(WakeSieve::FromLink{
+    if (m_resumeFilter.Holds(now, BootTime())) {
+      const bool isFirst = m_resumeFilter.Add(ResumeFilter::FromLink{
         now, key, aConnection.m_peer.m_epoch, std::move(*request) });
       if (isFirst) {
-        ReleaseSiftedAt(m_sieve.Until());
+        ReleaseFilteredAt(m_resumeFilter.Until());
       }
       return;
     }
@@ -75,7 +75,7 @@
     return;
   }
   if (const auto* cancel = std::get_if<LinkCancel>(&aFrame)) {
-    m_sieve.Cancel({ process, cancel->m_call });
+    m_resumeFilter.Cancel({ process, cancel->m_call });
     const CancelResult result =
       m_service.OnCancel({ process, cancel->m_call }, cancel->m_abandon);
     if (!cancel->m_abandon) {
@@ -219,36 +219,36 @@
 }
 
 void
-CallGateway::OnWokeUp()
+CallGateway::OnProcessResumed()
 {
-  m_sieve.DropLinks();
+  m_resumeFilter.DropLinks();
   m_server.CloseAll();
 }
 
 void
-CallGateway::ReleaseSiftedAt(TimePoint aWhen)
+CallGateway::ReleaseFilteredAt(TimePoint aWhen)
 {
-  m_siftTimer.expires_at(aWhen);
-  m_siftTimer.async_wait([this](const asio::error_code& aError) {
+  m_filterTimer.expires_at(aWhen);
+  m_filterTimer.async_wait([this](const asio::error_code& aError) {
     if (!aError) {
-      ReleaseSifted();
+      ReleaseFiltered();
     }
   });
 }
 
 void
-CallGateway::ReleaseSifted()
+CallGateway::ReleaseFiltered()
 {
   const TimePoint now = Clock::now();
-  WakeSieve::Held held = m_sieve.TakeAll();
-  for (WakeSieve::FromLink& each : held.m_links) {
+  ResumeFilter::Held held = m_resumeFilter.TakeAll();
+  for (ResumeFilter::FromLink& each : held.m_links) {
     const auto waited =
       std::chrono::duration_cast<std::chrono::microseconds>(now - each.m_read);
     each.m_request.m_timeLeft -= waited;
     each.m_request.m_targetLeft -= waited;
     m_service.OnRequest(each.m_key, each.m_epoch, std::move(each.m_request));
   }
-  for (WakeSieve::FromCaller& each : held.m_callers) {
+  for (ResumeFilter::FromCaller& each : held.m_callers) {
     Serve(each.m_came, std::move(each.m_request), std::move(each.m_responder));
   }
 }
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -283,12 +283,12 @@
 }
 
 void
-ControlPlane::OnWokeUp()
+ControlPlane::OnProcessResumed()
 {
   if (m_settings.m_platform.m_enabled) {
     m_feed.Read();
   }
-  m_rollouts.OnWokeUp();
+  m_rollouts.OnProcessResumed();
 }
 
 // ---------------------------------------------------------------------------
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -277,8 +277,8 @@
       { { "milliseconds",
           std::chrono::duration_cast<std::chrono::milliseconds>(since)
             .count() } });
-    m_calls.OnWokeUp();
-    m_control.OnWokeUp();
+    m_calls.OnProcessResumed();
+    m_control.OnProcessResumed();
   }
   m_lastTick = now;
   m_lastBootTime = bootTime;
--- a/src/daemon/wake_sieve.cpp
+++ b/src/daemon/resume_filter.cpp
@@ -1,30 +1,30 @@
-#include "greengagehub/daemon/wake_sieve.hpp"
+#include "greengagehub/daemon/resume_filter.hpp"
 
 namespace greengagehub {
 
 bool
-WakeSieve::Add(FromLink aRequest)
+ResumeFilter::Add(FromLink aRequest)
 {
   m_held.m_links.push_back(std::move(aRequest));
   return m_held.m_links.size() + m_held.m_callers.size() == 1;
 }
 
 bool
-WakeSieve::Add(FromCaller aRequest)
+ResumeFilter::Add(FromCaller aRequest)
 {
   m_held.m_callers.push_back(std::move(aRequest));
   return m_held.m_links.size() + m_held.m_callers.size() == 1;
 }
 
 void
-WakeSieve::Cancel(CallKey aKey)
+ResumeFilter::Cancel(CallKey aKey)
 {
   std::erase_if(m_held.m_links,
                 [aKey](const FromLink& aEach) { return aEach.m_key == aKey; });
 }
 
 void
-WakeSieve::CloseEpochs(std::uint64_t aProcess, std::uint64_t aBelowEpoch)
+ResumeFilter::CloseEpochs(std::uint64_t aProcess, std::uint64_t aBelowEpoch)
 {
   std::erase_if(m_held.m_links, [=](const FromLink& aEach) {
     return aEach.m_key.m_process == aProcess && aEach.m_epoch < aBelowEpoch;
@@ -32,7 +32,7 @@
 }
 
 void
-WakeSieve::HungUp(std::uint64_t aConnection)
+ResumeFilter::HungUp(std::uint64_t aConnection)
 {
   std::erase_if(m_held.m_callers, [aConnection](const FromCaller& aEach) {
     return aEach.m_request.m_connection == aConnection;
--- a/src/membership/membership_time.cpp
+++ b/src/membership/membership_time.cpp
@@ -34,7 +34,7 @@
   MembershipActions out;
   if (aNow - m_lastTick > kPausePeriods * m_settings.m_period &&
       m_lastTick != TimePoint{}) {
-    WokeUp(aNow);
+    OnProcessResumed(aNow);
   }
   m_lastTick = aNow;
   std::erase_if(
@@ -54,7 +54,7 @@
 }
 
 void
-Membership::WokeUp(TimePoint aNow)
+Membership::OnProcessResumed(TimePoint aNow)
 {
   // This process slept; the silence was its own. Suspicions start again, and
   // the probes that were under way say nothing about their targets.
--- a/src/quarantine/end_watch.cpp
+++ b/src/quarantine/crash_detector.cpp
@@ -1,18 +1,18 @@
-#include "greengagehub/quarantine/end_watch.hpp"
+#include "greengagehub/quarantine/crash_detector.hpp"
 
 #include <utility>
 
 namespace greengagehub {
 
 bool
-EndWatch::OnLost(const Witness& aRun)
+CrashDetector::OnLost(const Witness& aRun)
 {
   m_lost.push_back(aRun);
   return !std::exchange(m_looking, true);
 }
 
 std::optional<WorkerEnd>
-EndWatch::OnLooked(bool aNobodyListens)
+CrashDetector::OnLooked(bool aNobodyListens)
 {
   m_looking = false;
   std::vector<Witness> lost = std::exchange(m_lost, {});
--- a/src/transport/link_connection.cpp
+++ b/src/transport/link_connection.cpp
@@ -273,10 +273,10 @@
 void
 LinkConnection::Closed()
 {
-  if (m_told) {
+  if (m_reported) {
     return;
   }
-  m_told = true;
+  m_reported = true;
   const OnClosed onClosed = std::move(m_onClosed);
   m_onFrame = nullptr;
   if (onClosed) {
