--- a/src/greengagehubd.cpp
+++ b/src/greengagehubd.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fmt/format.h>
+#include <malloc.h>
 
 /// \file
 /// \brief The daemon beside each backend server.
@@ -14,6 +15,20 @@
 constexpr int kBadSettings = 2;
 constexpr const char* kVersion = "0.1.0";
 
+/// Larger blocks are mapped by themselves and given back when they are freed:
+/// bodies of some hundred kilobytes otherwise leave holes in the heap that stay
+/// resident.
+constexpr int kMappedFromBytes = 64 * 1024;
+/// Free memory at the end of the heap beyond this is given back.
+constexpr int kKeptFreeBytes = 256 * 1024;
+
+void
+LimitIdleMemory()
+{
+  mallopt(M_MMAP_THRESHOLD, kMappedFromBytes);
+  mallopt(M_TRIM_THRESHOLD, kKeptFreeBytes);
+}
+
 int
 RunWith(const std::string& aFile)
 {
@@ -40,6 +55,7 @@
 {
   namespace po = boost::program_options;
   std::signal(SIGPIPE, SIG_IGN);
+  LimitIdleMemory();
   po::options_description options{ "greengagehubd --settings FILE" };
   options.add_options()("settings", po::value<std::string>(), "TOML file")(
     "help", "show this")("version", "show the version");
