--- a/src/daemon/workspace_service.cpp
+++ b/src/daemon/workspace_service.cpp
@@ -170,8 +170,7 @@
     return;
   }
   if (m_role.IsLeading(now)) {
-    const QuotaReport report =
-      Answer(m_parts.m_settings.m_slot, std::move(*query));
+    const QuotaReport report = Answer(m_parts.m_settings.m_slot, *query);
     // Not from within the request that asks.
     asio::post(m_parts.m_loop,
                [this, report] { OnReport(m_parts.m_settings.m_slot, report); });
