Read of the diff: keys are looked at only where they are needed

Cause: each request's age was worked out for the admission to a workspace also where no workspace is configured; refusals of a daemon that is not ready came with a Retry-After of up to twice what it was, on all deployments. Change: a route that needs no key skips the admission; only refusals of workspaces are spread in time. The refusal for a busy link stands in a function of its own, the status of a daemon shows keys, coordinator and age of its proof, two members that nobody used are gone.

Ruled out: nothing.

--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -109,6 +109,7 @@
   /// \returns Whether the answer would leave too late to be of use.
   [[nodiscard]] bool IsLinkTooBusy(TimePoint aNow,
                                    const CallRequest& aRequest) const;
+  void RefuseForLink(TimePoint aNow, CallKey aKey, const CallRequest& aRequest);
   /// Why a content is not run now.
   struct Bar
   {
--- a/include/greengagehub/daemon/workspace_service.hpp
+++ b/include/greengagehub/daemon/workspace_service.hpp
@@ -23,8 +23,7 @@
   std::chrono::milliseconds m_retryAfter{ 0 };
   /// Tokens are being asked for; to be tried again when reports have come.
   bool m_waits{ false };
-  /// Of a request that is admitted or waits; nullptr for one that needs no
-  /// key.
+  /// Of a request with a known key.
   const WorkspaceRow* m_workspace{ nullptr };
 };
 
@@ -62,11 +61,15 @@
     return m_coordinatorSlot;
   }
 
+  /// \returns Whether requests of the route are to be admitted here.
+  [[nodiscard]] bool NeedsKey(const Route& aRoute) const noexcept
+  {
+    return !m_table.IsEmpty() && !aRoute.m_public;
+  }
   /// \param aKey as the caller sent it; empty: none.
   /// \param aIsNew false for a request that has waited.
   /// \param aIsLate its answer would come too late to earn its full worth.
-  [[nodiscard]] WorkspaceAdmission Admit(const Route& aRoute,
-                                         std::string_view aKey,
+  [[nodiscard]] WorkspaceAdmission Admit(std::string_view aKey,
                                          bool aIsNew,
                                          bool aIsLate);
   /// \brief A request waits for a token no more.
--- a/include/greengagehub/workspaces/freshness.hpp
+++ b/include/greengagehub/workspaces/freshness.hpp
@@ -37,7 +37,7 @@
   {
     return m_bound > std::chrono::milliseconds::zero();
   }
-  void SetBound(std::chrono::milliseconds aBound) noexcept { m_bound = aBound; }
+
   void OnProof(FreshnessProof aProof);
   void OnVersion(Version aInForce);
   /// \returns Whether keys may be accepted on the newest proof.
--- a/include/greengagehub/workspaces/quota_client.hpp
+++ b/include/greengagehub/workspaces/quota_client.hpp
@@ -109,7 +109,7 @@
   [[nodiscard]] static bool TakeToken(TimePoint aNow, Row& aRow);
   [[nodiscard]] static std::uint32_t TokensOf(TimePoint aNow, const Row& aRow);
   [[nodiscard]] bool TakeReserve(TimePoint aNow, Row& aRow) const;
-  [[nodiscard]] bool HasDemand() const noexcept;
+
   [[nodiscard]] std::vector<QuotaDemand> Demands(TimePoint aNow);
   [[nodiscard]] std::uint32_t Wanted(TimePoint aNow, const Row& aRow);
   void UpdateRates(TimePoint aNow);
--- a/src/daemon/call_gateway_callers.cpp
+++ b/src/daemon/call_gateway_callers.cpp
@@ -97,11 +97,13 @@
                    HttpResponder aResponder,
                    bool aIsNew)
 {
-  const WorkspaceAdmission admission = m_parts.m_workspaces.Admit(
-    aRoute,
-    HeaderValue(aRequest.m_headers, m_parts.m_dialect.m_apiKey),
-    aIsNew,
-    IsLate(aRoute, aCame, aRequest));
+  WorkspaceAdmission admission;
+  if (m_parts.m_workspaces.NeedsKey(aRoute)) {
+    admission = m_parts.m_workspaces.Admit(
+      HeaderValue(aRequest.m_headers, m_parts.m_dialect.m_apiKey),
+      aIsNew,
+      IsLate(aRoute, aCame, aRequest));
+  }
   if (admission.m_waits) {
     const bool hasWaited = Clock::now() - aCame >= TokenQueue::kMaxWait;
     if (hasWaited || m_awaitingTokens.IsFull()) {
@@ -109,7 +111,7 @@
       Refuse(aRequest,
              aResponder,
              RefusalReason::NoCoordinator,
-             TokenQueue::kMaxWait,
+             Spread(TokenQueue::kMaxWait),
              admission.m_workspace);
       return;
     }
@@ -123,7 +125,7 @@
     Refuse(aRequest,
            aResponder,
            admission.m_refusal,
-           admission.m_retryAfter,
+           Spread(admission.m_retryAfter),
            admission.m_workspace);
     return;
   }
@@ -181,7 +183,7 @@
 {
   m_parts.m_metrics.CountCall(NameOf(CallOutcome::NotRun), NameOf(aReason));
   const CallAnswer answer =
-    greengagehub::Refuse(0, CallOutcome::NotRun, aReason, Spread(aRetryAfter));
+    greengagehub::Refuse(0, CallOutcome::NotRun, aReason, aRetryAfter);
   m_parts.m_requests.OnFinished(
     Clock::now(),
     { .m_id = HeaderValue(aRequest.m_headers, m_parts.m_dialect.m_requestId),
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -59,6 +59,19 @@
            .m_limits = { .m_maxBodyBytes = kMaxBody } };
 }
 
+/// Names and figures only; never a key.
+Json
+WorkspaceStatus(const WorkspaceService& aWorkspaces)
+{
+  Json status{ { "keys", aWorkspaces.Table().Keys() },
+               { "coordinator", aWorkspaces.Coordinator() },
+               { "coordinates", aWorkspaces.IsCoordinator() } };
+  if (const auto age = aWorkspaces.ProofAge()) {
+    status["proof_age_ms"] = age->count();
+  }
+  return status;
+}
+
 }
 
 OperatorsApi::OperatorsApi(Parts aParts)
@@ -271,6 +284,7 @@
                { "running", runs.Running() },
                { "queued", runs.Queued() },
                { "in_flight", m_parts.m_calls.InFlight() },
+               { "workspaces", WorkspaceStatus(control.GetWorkspaces()) },
                { "members", std::move(members) } }));
 }
 
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -83,17 +83,7 @@
     return;
   }
   if (IsLinkTooBusy(now, aRequest)) {
-    const auto reason = RefusalReason::Overloaded;
-    m_parts.m_requests.OnRunRefused(
-      now, IdOf(aRequest), reason, aRequest.m_timeLeft, StateNow(aRequest));
-    m_parts.m_metrics.CountRun(NameOf(reason));
-    Deliver(aKey,
-            aRequest,
-            Refuse(aKey.m_call,
-                   CallOutcome::NotRun,
-                   reason,
-                   std::chrono::ceil<std::chrono::milliseconds>(
-                     TimeOnLink(now, aRequest.m_kind) / 2)));
+    RefuseForLink(now, aKey, aRequest);
     return;
   }
   m_tally.Arrived();
--- a/src/daemon/run_service_link.cpp
+++ b/src/daemon/run_service_link.cpp
@@ -26,4 +26,21 @@
          (isInTime ? aRequest.m_targetLeft : aRequest.m_timeLeft);
 }
 
+void
+RunService::RefuseForLink(TimePoint aNow,
+                          CallKey aKey,
+                          const CallRequest& aRequest)
+{
+  const auto reason = RefusalReason::Overloaded;
+  // Half of what is before it now: by then there is room again for some.
+  const auto retryAfter = std::chrono::ceil<std::chrono::milliseconds>(
+    TimeOnLink(aNow, aRequest.m_kind) / 2);
+  m_parts.m_requests.OnRunRefused(
+    aNow, IdOf(aRequest), reason, aRequest.m_timeLeft, StateNow(aRequest));
+  m_parts.m_metrics.CountRun(NameOf(reason));
+  Deliver(aKey,
+          aRequest,
+          Refuse(aKey.m_call, CallOutcome::NotRun, reason, retryAfter));
+}
+
 }
--- a/src/daemon/workspace_service.cpp
+++ b/src/daemon/workspace_service.cpp
@@ -83,14 +83,8 @@
 // Requests
 
 WorkspaceAdmission
-WorkspaceService::Admit(const Route& aRoute,
-                        std::string_view aKey,
-                        bool aIsNew,
-                        bool aIsLate)
+WorkspaceService::Admit(std::string_view aKey, bool aIsNew, bool aIsLate)
 {
-  if (m_table.IsEmpty() || aRoute.m_public) {
-    return {};
-  }
   const TimePoint now = BootNow();
   if (!m_freshness.IsFresh(now)) {
     return { .m_refusal = RefusalReason::KeysNotCurrent,
--- a/src/workspaces/quota_client.cpp
+++ b/src/workspaces/quota_client.cpp
@@ -123,12 +123,6 @@
 // ---------------------------------------------------------------------------
 // Questions
 
-bool
-QuotaClient::HasDemand() const noexcept
-{
-  return m_waiting > 0;
-}
-
 std::uint32_t
 QuotaClient::Rounded(double aReal)
 {
@@ -206,7 +200,7 @@
   }
   const bool isAsking =
     !m_questions.empty() && aNow - m_questions.back().m_asked < kAnswerTime;
-  const bool isDue = HasDemand() || aNow >= m_nextQuery;
+  const bool isDue = m_waiting > 0 || aNow >= m_nextQuery;
   if (isAsking || !isDue) {
     return std::nullopt;
   }
