Log and expose what backend servers state in their responses

What callers saw: a backend server that had named a limit got as much as before, and no log line or metric told that it had named one.

Change: the dialects name both headers, ParseWorkerSignals decodes them once, RunService keeps the statement of the latest whole response of the current incarnation (not of a 421, nor of a success without signature). Changes are logged as worker_limit, worker_limit_unreadable and worker_leaving, and gauges show both. Nothing that places, admits or sends a request depends on it yet.

Conclusion: what a daemon knew of a limit, and since when, can be seen.

--- a/include/greengagehub/calls/call_dialect.hpp
+++ b/include/greengagehub/calls/call_dialect.hpp
@@ -25,6 +25,10 @@
   std::string_view m_notExecuted{};
   /// Signature of the backend server, in successful responses.
   std::string_view m_seal{};
+  /// In responses: requests per second that the backend server accepts.
+  std::string_view m_rateLimit{ "Server-Limit" };
+  /// In responses: "1" if the backend server is about to exit.
+  std::string_view m_leaving{ "Server-Leaving" };
   /// Whether Retry-After may contain a fraction; the standard allows only whole
   /// seconds.
   bool m_fractionalRetryAfter{ false };
--- a/include/greengagehub/calls/calls.hpp
+++ b/include/greengagehub/calls/calls.hpp
@@ -14,4 +14,5 @@
 #include "greengagehub/calls/run_table.hpp"
 #include "greengagehub/calls/slowness_detector.hpp"
 #include "greengagehub/calls/work_order.hpp"
+#include "greengagehub/calls/worker_signals.hpp"
 #include "greengagehub/calls/worker_table.hpp"
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -68,6 +68,11 @@
   /// \returns Results of the local worker's runs since ResetCounts().
   [[nodiscard]] WorkerCounts Counts() const { return m_runService.Counts(); }
   void ResetCounts() { m_runService.ResetCounts(); }
+  /// \returns What the local worker stated in its latest response.
+  [[nodiscard]] const WorkerSignals& Signals() const noexcept
+  {
+    return m_runService.Signals();
+  }
   [[nodiscard]] const Dispatcher& GetDispatcher() const noexcept
   {
     return m_dispatcher;
--- a/include/greengagehub/daemon/call_headers.hpp
+++ b/include/greengagehub/daemon/call_headers.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "greengagehub/calls/call.hpp"
+#include "greengagehub/calls/worker_signals.hpp"
 #include "greengagehub/observe/span.hpp"
 #include "greengagehub/quarantine/fingerprint.hpp"
 
@@ -49,6 +50,11 @@
                   std::string_view aName,
                   std::uint64_t aDefault);
 
+/// \param aHeaders of a backend server's response.
+[[nodiscard]] WorkerSignals
+ParseWorkerSignals(const CallDialect& aDialect,
+                   const std::vector<HttpHeader>& aHeaders);
+
 [[nodiscard]] std::uint16_t
 StatusOf(const CallAnswer& aAnswer);
 
--- a/include/greengagehub/daemon/request_log.hpp
+++ b/include/greengagehub/daemon/request_log.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "greengagehub/calls/call.hpp"
+#include "greengagehub/calls/worker_signals.hpp"
 #include "greengagehub/core/version.hpp"
 #include "greengagehub/observe/log.hpp"
 #include "greengagehub/observe/log_rate_limiter.hpp"
@@ -20,9 +21,11 @@
 /// | request_held     | either              | fingerprint is quarantined     |
 /// | run_cancelled    | worker's daemon     | answer no longer needed        |
 /// | worker_ended     | worker's daemon     | process exited during runs     |
+/// | worker_limit     | worker's daemon     | stated rate limit changed      |
+/// | worker_leaving   | worker's daemon     | worker states that it exits    |
 ///
-/// The rate of all lines but `worker_ended` is limited; a line `lines_left_out`
-/// counts the omitted ones.
+/// The rate of all lines but `worker_ended` and `worker_leaving` is limited; a
+/// line `lines_left_out` counts the omitted ones.
 class RequestLog
 {
 public:
@@ -87,6 +90,11 @@
   void OnWorkerExit(std::string_view aInstance,
                     bool aIsDraining,
                     const WorkerCrash& aExit);
+  /// \brief Logs the statements of the backend server that have changed.
+  void OnWorkerSignals(TimePoint aNow,
+                       std::string_view aInstance,
+                       const WorkerSignals& aPrevious,
+                       const WorkerSignals& aCurrent);
   void OnRunCancelled(TimePoint aNow, std::string_view aId, bool aStarted);
 
   /// \brief Logs the number of omitted lines, if any.
@@ -97,8 +105,13 @@
   static constexpr double kLinesPerSecond = 200.0;
   static constexpr double kBurst = 400.0;
 
+  /// Backend servers may state another limit in every response.
+  static constexpr double kSignalLinesPerSecond = 1.0;
+  static constexpr double kSignalBurst = 10.0;
+
   const Log& m_log;
   LogRateLimiter m_budget{ kLinesPerSecond, kBurst };
+  LogRateLimiter m_signalBudget{ kSignalLinesPerSecond, kSignalBurst };
   std::uint64_t m_routineRequests{ 0 };
 };
 
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -4,6 +4,7 @@
 #include "greengagehub/calls/retry_budget.hpp"
 #include "greengagehub/calls/run_table.hpp"
 #include "greengagehub/calls/worker_presence.hpp"
+#include "greengagehub/calls/worker_signals.hpp"
 #include "greengagehub/daemon/request_log.hpp"
 #include "greengagehub/http/backend_client.hpp"
 #include "greengagehub/observe/metrics.hpp"
@@ -76,6 +77,11 @@
   /// \returns Results of runs since ResetCounts(); the version is empty while
   /// it is unknown.
   [[nodiscard]] WorkerCounts Counts() const;
+  /// \returns What the current incarnation stated in its latest response.
+  [[nodiscard]] const WorkerSignals& Signals() const noexcept
+  {
+    return m_signals;
+  }
   void ResetCounts() { m_runCounter.Clear(); }
   /// \brief Requests the worker's instance id through its health check.
   /// \param aDone called with the id if the check succeeds and returns one.
@@ -94,6 +100,8 @@
     std::chrono::sys_time<std::chrono::nanoseconds> m_spanStart;
     std::optional<TraceContext> m_parent;
     TraceContext m_span;
+    /// Value of m_workerStarts when the request was sent.
+    std::uint32_t m_workerStart{ 0 };
   };
   /// An answer that can be delivered again after a lost connection.
   struct KeptAnswer
@@ -131,6 +139,12 @@
                  Fingerprint aFingerprint,
                  const Refusal& aRefusal);
   void OnBackendResult(CallKey aKey, BackendResult aResult);
+  /// \brief Evaluates what the backend server states about itself in the
+  /// response to a run.
+  void ApplySignals(const ActiveRun& aRun, const HttpResponse& aResponse);
+  /// \returns Whether it is a success without the signature header, which the
+  /// backend server did not send.
+  [[nodiscard]] bool IsUnsigned(const HttpResponse& aResponse) const;
   [[nodiscard]] CallAnswer AnswerFrom(CallKey aKey, BackendResult aResult);
   [[nodiscard]] CallAnswer AnswerFrom(CallKey aKey, HttpResponse aResponse);
   void Execute(const RunActions& aActions);
@@ -168,6 +182,9 @@
   std::vector<CallKey> m_lostRuns;
   /// Incarnation of the worker that requests are sent to; without id: any.
   WorkerIncarnation m_incarnation;
+  /// Number of incarnations seen.
+  std::uint32_t m_workerStarts{ 0 };
+  WorkerSignals m_signals;
   bool m_hasWorker;
   std::map<CallKey, ActiveRun> m_activeRuns;
   AnswerSizes m_answerSizes;
--- a/include/greengagehub/http/http_message.hpp
+++ b/include/greengagehub/http/http_message.hpp
@@ -14,6 +14,7 @@
 };
 
 inline constexpr std::uint16_t kFirstServerError = 500;
+inline constexpr std::uint16_t kMisdirectedRequestStatus = 421;
 
 [[nodiscard]] constexpr bool
 IsSuccess(std::uint16_t aStatus) noexcept
--- a/src/daemon/call_headers.cpp
+++ b/src/daemon/call_headers.cpp
@@ -89,6 +89,20 @@
   return { std::string{ aName }, std::move(aValue) };
 }
 
+/// \returns Nothing unless the text is digits with an optional fraction.
+std::optional<double>
+ParseDecimal(std::string_view aText)
+{
+  double number = 0.0;
+  const char* end = aText.data() + aText.size();
+  const auto parsed =
+    std::from_chars(aText.data(), end, number, std::chars_format::fixed);
+  const bool isValid = !aText.empty() && aText.front() >= '0' &&
+                       aText.front() <= '9' && parsed.ec == std::errc{} &&
+                       parsed.ptr == end;
+  return isValid ? std::optional{ number } : std::nullopt;
+}
+
 }
 
 Fingerprint
@@ -166,6 +180,29 @@
   return isValid ? number : aDefault;
 }
 
+WorkerSignals
+ParseWorkerSignals(const CallDialect& aDialect,
+                   const std::vector<HttpHeader>& aHeaders)
+{
+  constexpr std::string_view kYes = "1";
+  WorkerSignals signals;
+  signals.m_isLeaving = HeaderValue(aHeaders, aDialect.m_leaving) == kYes;
+  const auto isLimit = [&](const HttpHeader& aHeader) {
+    return SameHeader(aHeader.m_name, aDialect.m_rateLimit);
+  };
+  const auto first = std::ranges::find_if(aHeaders, isLimit);
+  if (first == aHeaders.end()) {
+    return signals;
+  }
+  if (std::ranges::count_if(aHeaders, isLimit) == 1) {
+    signals.m_rateLimit = ParseDecimal(first->m_value);
+  }
+  if (!signals.m_rateLimit) {
+    signals.m_invalidRateLimit = first->m_value;
+  }
+  return signals;
+}
+
 HttpResponse
 ResponseFor(const CallDialect& aDialect, CallAnswer aAnswer)
 {
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -390,6 +390,16 @@
   metrics.SetGauge("runs_queued",
                    "Attempts waiting for the own worker",
                    m_deps.m_calls.Runs().Queued());
+  const WorkerSignals& signals = m_deps.m_calls.Signals();
+  metrics.SetGauge("worker_limited",
+                   "Whether the own worker names a limit",
+                   signals.m_rateLimit ? 1 : 0);
+  metrics.SetGauge("worker_limit",
+                   "Requests per second that the own worker takes, if limited",
+                   signals.m_rateLimit.value_or(0.0));
+  metrics.SetGauge("worker_leaving",
+                   "Whether the own worker says that it leaves",
+                   signals.m_isLeaving ? 1 : 0);
   metrics.SetGauge("malformed_messages",
                    "Messages dropped as garbage",
                    static_cast<double>(gossip.m_malformed + bulk.m_malformed));
--- a/src/daemon/request_log.cpp
+++ b/src/daemon/request_log.cpp
@@ -140,6 +140,36 @@
                   { "contents", fingerprints } });
 }
 
+void
+RequestLog::OnWorkerSignals(TimePoint aNow,
+                            std::string_view aInstance,
+                            const WorkerSignals& aPrevious,
+                            const WorkerSignals& aCurrent)
+{
+  if (aCurrent.m_rateLimit != aPrevious.m_rateLimit &&
+      m_signalBudget.TryAcquire(aNow)) {
+    m_log.Info("worker",
+               "worker_limit",
+               { { "instance", aInstance },
+                 { "limited", aCurrent.m_rateLimit.has_value() },
+                 { "per_second", aCurrent.m_rateLimit.value_or(0.0) },
+                 { "was_limited", aPrevious.m_rateLimit.has_value() },
+                 { "was_per_second", aPrevious.m_rateLimit.value_or(0.0) },
+                 { "left_out", m_signalBudget.TakeSuppressedCount() } });
+  }
+  if (aCurrent.m_invalidRateLimit != aPrevious.m_invalidRateLimit &&
+      !aCurrent.m_invalidRateLimit.empty() && m_signalBudget.TryAcquire(aNow)) {
+    m_log.Warning("worker",
+                  "worker_limit_unreadable",
+                  { { "instance", aInstance },
+                    { "text", aCurrent.m_invalidRateLimit },
+                    { "expected", "a decimal number, once" } });
+  }
+  if (aCurrent.m_isLeaving && !aPrevious.m_isLeaving) {
+    m_log.Info("worker", "worker_leaving", { { "instance", aInstance } });
+  }
+}
+
 void
 RequestLog::OnRunCancelled(TimePoint aNow, std::string_view aId, bool aStarted)
 {
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -143,6 +143,7 @@
   const auto timeLeft =
     std::chrono::duration_cast<std::chrono::milliseconds>(run.m_deadline - now);
   run.m_startedAt = now;
+  run.m_workerStart = m_workerStarts;
   m_retriedRuns.Record(now, call.m_isRetry);
   run.m_spanStart = WallNanos();
   run.m_parent =
@@ -221,9 +222,8 @@
 CallAnswer
 RunService::AnswerFrom(CallKey aKey, HttpResponse aResponse)
 {
-  constexpr std::uint16_t kMisdirectedRequest = 421;
   const auto& headers = aResponse.m_headers;
-  if (aResponse.m_status == kMisdirectedRequest) {
+  if (aResponse.m_status == kMisdirectedRequestStatus) {
     return Refuse(
       aKey.m_call, CallOutcome::NotRun, RefusalReason::WorkerReplaced);
   }
@@ -234,11 +234,7 @@
     return Refuse(
       aKey.m_call, CallOutcome::NotRun, RefusalReason::WorkerRefused);
   }
-  // A success without the signature header was not sent by the worker.
-  const bool isUnsigned = IsSuccess(aResponse.m_status) &&
-                          !m_deps.m_dialect.m_seal.empty() &&
-                          HeaderValue(headers, m_deps.m_dialect.m_seal).empty();
-  if (isUnsigned) {
+  if (IsUnsigned(aResponse)) {
     return Refuse(aKey.m_call, CallOutcome::Unknown, RefusalReason::AnswerLost);
   }
   CallAnswer answer;
@@ -275,6 +271,11 @@
 void
 RunService::OnBackendResult(CallKey aKey, BackendResult aResult)
 {
+  const auto run = m_activeRuns.find(aKey);
+  if (run != m_activeRuns.end() &&
+      aResult.m_kind == BackendResult::Kind::Answered) {
+    ApplySignals(run->second, aResult.m_response);
+  }
   const RunActions next = m_runs.Finish(Clock::now(), aKey);
   if (m_activeRuns.contains(aKey)) {
     if (aResult.m_kind == BackendResult::Kind::Answered) {
--- a/src/daemon/run_service_worker.cpp
+++ b/src/daemon/run_service_worker.cpp
@@ -179,6 +179,8 @@
     m_client.ShortenDeadlines(aPreviousLastReport,
                               Clock::now() + kPreviousAnswerGrace);
     m_runs.OnWorkerRestarted();
+    ++m_workerStarts;
+    m_signals = {};
   }
   m_incarnation = aIncarnation;
 }
