--- a/standins/backend_server.cpp
+++ b/standins/backend_server.cpp
@@ -1,6 +1,7 @@
 #include "greengagehub/core/clock.hpp"
 #include "greengagehub/http/http_server.hpp"
 #include "serve.hpp"
+#include "worker_signals.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -18,7 +19,9 @@
 ///
 /// The X-Request-Id header is a request's id; the answer returns it in header
 /// and body. Faults: PUT /faults with any of {"service_ms": N, "fail": true,
-/// "cut_after_run": N, "health": "..."}. Number of runs of each id: GET /runs.
+/// "cut_after_run": N, "health": "...", "limit": "37.6", "leaving": true}; the
+/// last two are stated in responses, see worker_signals.hpp. Number of runs of
+/// each id: GET /runs. Requests received: GET /history.
 
 namespace {
 
@@ -65,10 +68,14 @@
       aResponder.Answer(JsonResponse(200, "{}"));
     } else if (path == "/runs") {
       aResponder.Answer(JsonResponse(200, Runs()));
+    } else if (path == "/history") {
+      aResponder.Answer(JsonResponse(200, m_signals.History()));
     } else if (path == "/health") {
       aResponder.Answer(
         JsonResponse(200, Json{ { "health", m_health } }.dump()));
     } else {
+      m_signals.RecordArrival(
+        std::string{ HeaderValue(aRequest.m_headers, "x-request-id") });
       m_queue.push_back({ std::move(aRequest), std::move(aResponder) });
       StartQueued();
     }
@@ -133,6 +140,7 @@
       JsonResponse(m_fail ? 500 : 200,
                    body.dump(-1, ' ', false, Json::error_handler_t::replace));
     response.m_headers.push_back(HttpHeader{ "X-Request-Id", aId });
+    m_signals.AddTo(response, aId);
     aRun.m_responder.Answer(std::move(response));
     StartQueued();
   }
@@ -151,6 +159,7 @@
     m_fail = faults.value("fail", m_fail);
     m_cutsLeft = faults.value("cut_after_run", 0U);
     m_health = faults.value("health", m_health);
+    m_signals.Set(faults);
   }
 
   [[nodiscard]] std::string Runs() const
@@ -177,6 +186,7 @@
   std::uint32_t m_cutsLeft{ 0 };
   std::uint32_t m_cuts{ 0 };
   bool m_fail{ false };
+  standin::WorkerSignalFault m_signals;
   std::string m_health{ "good" };
   std::chrono::system_clock::time_point m_lastStart{};
 };
--- a/standins/platform_worker.cpp
+++ b/standins/platform_worker.cpp
@@ -3,6 +3,7 @@
 #include "greengagehub/http/http_server.hpp"
 #include "platform/names.hpp"
 #include "serve.hpp"
+#include "worker_signals.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -23,13 +24,15 @@
 /// Control: PUT /control with any of {"heartbeats": "http://IP:PORT",
 /// "service_ms": N, "draining": true, "restart": true, "restart_same_id": MS,
 /// "report": {...}, "shed": true, "fail": true, "unsigned": true,
-/// "foreign": N, "ends_on": "/TARGET", "ends_after_ms": N, "back_after_ms": N}.
-/// "ends_on" is the target of requests that crash the process: its connections
-/// close, and it listens again after "back_after_ms", under another id.
-/// "restart_same_id" simulates a crash that leaves connections open and a
-/// restart under the same id, with a start time that differs by MS
-/// milliseconds. "report" sends one more report with the given fields changed,
-/// such as a late or malformed one. Counters: GET /counts.
+/// "foreign": N, "limit": "37.6", "leaving": true, "ends_on": "/TARGET",
+/// "ends_after_ms": N, "back_after_ms": N}. "ends_on" is the target of requests
+/// that crash the process: its connections close, and it listens again after
+/// "back_after_ms", under another id. "restart_same_id" simulates a crash that
+/// leaves connections open and a restart under the same id, with a start time
+/// that differs by MS milliseconds. "report" sends one more report with the
+/// given fields changed, such as a late or malformed one. "limit" and "leaving"
+/// are stated in responses, see worker_signals.hpp. Counters: GET /counts.
+/// Requests received: GET /history.
 
 namespace {
 
@@ -118,6 +121,8 @@
       aResponder.Answer(JsonResponse(200, "{}"));
     } else if (path == "/counts") {
       aResponder.Answer(JsonResponse(200, Counts()));
+    } else if (path == "/history") {
+      aResponder.Answer(JsonResponse(200, m_signals.History()));
     } else {
       Admit({ std::move(aRequest), std::move(aResponder), {} });
     }
@@ -126,6 +131,7 @@
   void Admit(Run aRun)
   {
     ++m_arrivals;
+    m_signals.RecordArrival(Header(aRun.m_request, platform::kRequestId));
     const std::string wanted =
       Header(aRun.m_request, platform::kExpectInstance);
     if (!wanted.empty() && wanted != Id()) {
@@ -145,11 +151,12 @@
 
   void Reject(Run& aRun)
   {
-    aRun.m_responder.Answer(
-      { 503,
-        { { std::string{ platform::kNotExecuted }, "1" },
-          { std::string{ platform::kRequestId },
-            Header(aRun.m_request, platform::kRequestId) } } });
+    const std::string id = Header(aRun.m_request, platform::kRequestId);
+    HttpResponse response{ 503,
+                           { { std::string{ platform::kNotExecuted }, "1" },
+                             { std::string{ platform::kRequestId }, id } } };
+    m_signals.AddTo(response, id);
+    aRun.m_responder.Answer(std::move(response));
   }
 
   void StartQueued()
@@ -212,6 +219,7 @@
       response.m_headers.push_back(
         { std::string{ platform::kSeal }, "seal-" + id });
     }
+    m_signals.AddTo(response, id);
     run.m_responder.Answer(std::move(response));
     StartQueued();
   }
@@ -260,6 +268,7 @@
   void Restart()
   {
     m_isCrashing = false;
+    m_signals.Restart();
     ++m_incarnation;
     m_startedAt = NowMs();
     m_sequence = 0;
@@ -352,6 +361,7 @@
       m_abandonedRuns.push_back(std::move(each));
     }
     m_queued.clear();
+    m_signals.Restart();
     m_startedAt += aOffsetMs;
     m_sequence = 0;
     m_draining = false;
@@ -370,6 +380,7 @@
     m_fails = wanted.value("fail", m_fails);
     m_omitsSignature = wanted.value("unsigned", m_omitsSignature);
     m_foreignAnswers = wanted.value("foreign", m_foreignAnswers);
+    m_signals.Set(wanted);
     m_crashTarget = wanted.value("ends_on", m_crashTarget);
     m_crashDelay = std::chrono::milliseconds{ wanted.value(
       "ends_after_ms", m_crashDelay.count()) };
@@ -382,6 +393,7 @@
       RestartUnderSameId(wanted["restart_same_id"].get<std::int64_t>());
     }
     if (wanted.value("restart", false)) {
+      m_signals.Restart();
       ++m_startedAt;
       ++m_incarnation;
       m_sequence = 0;
@@ -442,6 +454,7 @@
   std::uint64_t m_cancelled{ 0 };
   std::uint64_t m_acknowledged{ 0 };
   std::uint32_t m_foreignAnswers{ 0 };
+  standin::WorkerSignalFault m_signals;
   std::string m_crashTarget;
   std::chrono::milliseconds m_crashDelay{ 20 };
   std::chrono::milliseconds m_restartDelay{ 500 };
--- a/tools/testkit/fleet.cpp
+++ b/tools/testkit/fleet.cpp
@@ -252,6 +252,17 @@
     SendAndWait(std::move(request)).m_response.m_body, nullptr, false);
 }
 
+std::vector<WorkerHistory>
+Fleet::WorkerHistories(const std::string& aSlot) const
+{
+  HttpClientRequest request;
+  request.m_url = BackendUrl(aSlot) + "/history";
+  const Json histories = Json::parse(
+    SendAndWait(std::move(request)).m_response.m_body, nullptr, false);
+  return histories.is_array() ? ParseHistories(histories)
+                              : std::vector<WorkerHistory>{};
+}
+
 void
 Fleet::PutPlatformConfig(const Json& aDocument) const
 {
--- a/tools/testkit/fleet.hpp
+++ b/tools/testkit/fleet.hpp
@@ -3,6 +3,7 @@
 #include "greengagehub/http/blocking_client.hpp"
 #include "testkit/load.hpp"
 #include "testkit/process.hpp"
+#include "testkit/signal_rules.hpp"
 
 #include <map>
 #include <memory>
@@ -83,6 +84,10 @@
                      const nlohmann::json& aControl) const;
   /// \returns Counters of a platform worker; not an object while it is down.
   [[nodiscard]] nlohmann::json WorkerCounts(const std::string& aSlot) const;
+  /// \returns What each incarnation of a backend server received and stated;
+  /// empty while it is down.
+  [[nodiscard]] std::vector<WorkerHistory> WorkerHistories(
+    const std::string& aSlot) const;
   void PutPlatformConfig(const nlohmann::json& aDocument) const;
   void WriteToStore(const std::string& aKey, const std::string& aValue) const;
   /// \returns The value of a key; empty if it is missing.
--- a/tools/testkit/load.cpp
+++ b/tools/testkit/load.cpp
@@ -80,6 +80,8 @@
   {
     CallRecord& record = m_records[aNumber];
     record.m_id = m_plan.m_prefix + std::to_string(aNumber);
+    record.m_sentAt = std::chrono::floor<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
     HttpClientRequest request;
     request.m_method = m_plan.m_method;
     request.m_url =
--- a/tools/testkit/load.hpp
+++ b/tools/testkit/load.hpp
@@ -33,6 +33,7 @@
 {
   std::string m_id;
   HttpClientResult m_result;
+  std::chrono::sys_time<std::chrono::milliseconds> m_sentAt{};
   /// From the time at which the call was due.
   std::chrono::nanoseconds m_latency{ 0 };
   /// "not-run" or "unknown"; empty for a worker's answer.
