--- a/include/greengagehub/calls/call.hpp
+++ b/include/greengagehub/calls/call.hpp
@@ -2,6 +2,7 @@
 
 #include "greengagehub/calls/call_dialect.hpp"
 #include "greengagehub/calls/call_kind.hpp"
+#include "greengagehub/calls/worker_incarnation.hpp"
 #include "greengagehub/config/content.hpp"
 #include "greengagehub/core/clock.hpp"
 #include "greengagehub/http/http_message.hpp"
@@ -9,6 +10,7 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -64,6 +66,8 @@
   NoCoordinator,
   /// The daemon's copy of the keys is too old to trust the caller's key.
   KeysNotCurrent,
+  /// The worker's own limit of requests per second is used up.
+  RateLimited,
 };
 
 /// \returns The name used in responses and logs, such as "deadline-too-short".
@@ -83,6 +87,22 @@
   [[nodiscard]] auto operator<=>(const CallKey&) const noexcept = default;
 };
 
+/// \brief What a daemon knows that a worker has stated about itself.
+struct WorkerStatement
+{
+  /// 0: not known.
+  IncarnationTag m_incarnation{ 0 };
+  /// Requests per second that it accepts from all daemons; empty: not limited,
+  /// or not known.
+  std::optional<double> m_rateLimit{};
+  bool m_isLeaving{ false };
+
+  [[nodiscard]] bool IsEmpty() const noexcept
+  {
+    return !m_rateLimit && !m_isLeaving;
+  }
+};
+
 /// \brief A request sent to a worker's daemon.
 struct CallRequest
 {
@@ -108,6 +128,9 @@
   /// Whether an earlier attempt of the call has reached a worker.
   bool m_isRetry{ false };
   bool m_refuseIfBusy{ false };
+  /// What the caller's daemon knows of the worker; its own daemon may have
+  /// restarted.
+  WorkerStatement m_knownStatement{};
 };
 
 /// \brief Final result of an attempt.
@@ -131,6 +154,7 @@
   std::chrono::microseconds m_wait{ 0 };
   /// WorkerCrashed: crashes counted so far for the request's fingerprint.
   std::uint32_t m_crashCount{ 0 };
+  WorkerStatement m_statement{};
 };
 
 [[nodiscard]] CallAnswer
--- a/include/greengagehub/calls/dispatcher.hpp
+++ b/include/greengagehub/calls/dispatcher.hpp
@@ -44,6 +44,8 @@
   /// Whether an earlier attempt reached a worker.
   bool m_isRetry{ false };
   bool m_refuseIfBusy{ false };
+  /// The worker's limit, if known.
+  WorkerStatement m_knownStatement{};
 };
 
 /// \brief Ask a worker's daemon to cancel an attempt that hasn't started.
@@ -87,6 +89,10 @@
 /// queueing it, as load reports are often older than the queue they describe.
 /// After `m_maxBusyReplies` such refusals the call may wait at any worker.
 ///
+/// A worker that refused a call because of its own limit gets no other until
+/// there is room again. A call for which all workers are at their limits is
+/// refused at once.
+///
 /// During a roll-out, a call is assigned at random to the canary or to the
 /// version in service. An attempt that failed at the canary is retried at the
 /// version in service, never the other way round.
@@ -163,7 +169,11 @@
   [[nodiscard]] DispatchActions OnCallerDisconnected(TimePoint aNow,
                                                      std::uint64_t aCall);
   /// \returns When OnTick() is due; nothing if no call is in flight.
-  [[nodiscard]] std::optional<TimePoint> NextDeadline() const;
+  [[nodiscard]] std::optional<TimePoint> NextDeadline() const
+  {
+    return m_deadlines.empty() ? std::nullopt
+                               : std::optional{ m_deadlines.begin()->m_at };
+  }
   /// \brief Finishes calls whose deadline has passed.
   [[nodiscard]] DispatchActions OnTick(TimePoint aNow);
   /// \brief Records the daemon process that an attempt was sent to.
--- a/include/greengagehub/calls/run_table.hpp
+++ b/include/greengagehub/calls/run_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "greengagehub/calls/call.hpp"
+#include "greengagehub/calls/send_limiter.hpp"
 #include "greengagehub/calls/slowness_detector.hpp"
 #include "greengagehub/calls/work_order.hpp"
 
@@ -70,6 +71,10 @@
 /// \brief State of every attempt at one worker: queued, running, finished, or
 /// cancelled before its request arrived.
 ///
+/// A start is sent to the worker, so starts are what a SendLimiter bounds.
+/// While it does, queued attempts are ordered by value, not by value for each
+/// second of a slot, and refusals name the limit as their reason.
+///
 /// An attempt leaves Queued once, to Running or to Refused, and only a running
 /// attempt is sent to the worker. "Not run" is reported only for attempts that
 /// are Refused, which can no longer become Running.
@@ -104,6 +109,14 @@
                                 RunActions& aOut);
   /// \returns Nothing if no attempt is queued.
   [[nodiscard]] std::optional<TimePoint> NextExpiry() const;
+  /// \returns When OnTick() is due: the next expiry, or the time at which the
+  /// worker's limit allows a queued attempt to start.
+  [[nodiscard]] std::optional<TimePoint> NextWakeUp(TimePoint aNow) const;
+  [[nodiscard]] SendLimiter& Limiter() noexcept { return m_limiter; }
+  [[nodiscard]] const SendLimiter& Limiter() const noexcept
+  {
+    return m_limiter;
+  }
   /// \brief Cancels an attempt that has not started, even if its request has
   /// not arrived yet.
   [[nodiscard]] CancelResult Cancel(TimePoint aNow, CallKey aKey);
@@ -168,14 +181,27 @@
   using RunList = boost::intrusive::list<Run>;
 
   [[nodiscard]] std::uint32_t OpenSlots(TimePoint aNow) const;
+  /// \returns Whether an arriving attempt can start before the queued ones.
+  [[nodiscard]] bool StartsAtOnce(TimePoint aNow) const;
+  /// \returns Settings of the queue order, by the scarce resource.
+  [[nodiscard]] const DecisionSettings& OrderSettings(TimePoint aNow) const;
   [[nodiscard]] std::uint32_t QueueLimit(CallClass aClass) const noexcept;
   [[nodiscard]] std::uint32_t CountAgainstLimit(
     CallClass aClass) const noexcept;
   [[nodiscard]] WorkRank Rank(TimePoint aNow, const Run& aRun) const;
   /// \returns Service time of the queued calls served before this rank.
   [[nodiscard]] Duration WorkAhead(TimePoint aNow, const WorkRank& aRank) const;
+  /// \returns Time until a slot is free for the rank.
+  [[nodiscard]] Duration SlotWait(TimePoint aNow, const WorkRank& aRank) const;
+  /// \returns Time until the worker's limit allows an attempt of the rank.
+  [[nodiscard]] Duration LimitWait(TimePoint aNow, const WorkRank& aRank) const;
   [[nodiscard]] Duration EstimateWait(TimePoint aNow,
                                       const WorkRank& aRank) const;
+  /// \returns RateLimited if the attempt waits for the worker's limit rather
+  /// than for a slot, else `aReason`.
+  [[nodiscard]] RefusalReason CauseOf(TimePoint aNow,
+                                      const Run& aRun,
+                                      RefusalReason aReason) const;
   /// \returns EstimateWait() including calls that arrive later and are served
   /// first; nothing if those use all slots.
   [[nodiscard]] std::optional<Duration> PredictedWait(
@@ -230,6 +256,9 @@
   std::uint32_t m_workerIncarnation{ 0 };
   SlownessDetector m_slowness;
   OnTimeLoad m_onTimeLoad;
+  SendLimiter m_limiter;
+  /// OrderSettings() while the limit is the scarce resource.
+  DecisionSettings m_limitedOrder;
 };
 
 }
--- a/include/greengagehub/calls/worker_presence.hpp
+++ b/include/greengagehub/calls/worker_presence.hpp
@@ -63,6 +63,9 @@
   {
     return m_current && !m_current->m_isDraining;
   }
+  /// \returns Tag of the current incarnation; 0 before its first heartbeat, as
+  /// a health check does not tell when it started.
+  [[nodiscard]] IncarnationTag CurrentTag() const;
   /// \returns When the previous incarnation last reported.
   [[nodiscard]] TimePoint PreviousLastReportAt() const noexcept
   {
@@ -74,6 +77,9 @@
   [[nodiscard]] Change OnReport(TimePoint aNow, const WorkerReport& aReport);
   /// \brief Accepts an ID from a health check until the first heartbeat.
   [[nodiscard]] Change OnProbed(TimePoint aNow, WorkerReport aReport);
+  /// \brief Handles a response in which the current incarnation states that it
+  /// is leaving.
+  [[nodiscard]] Change OnLeaving();
   /// \brief Handles the deregistration of a backend server, which may still be
   /// finishing requests.
   [[nodiscard]] Change OnDeregistered(TimePoint aNow,
--- a/include/greengagehub/calls/worker_table.hpp
+++ b/include/greengagehub/calls/worker_table.hpp
@@ -3,6 +3,7 @@
 #include "greengagehub/calls/call.hpp"
 #include "greengagehub/calls/decision_settings.hpp"
 #include "greengagehub/calls/worker_incarnation.hpp"
+#include "greengagehub/calls/worker_signal_table.hpp"
 #include "greengagehub/core/random.hpp"
 #include "greengagehub/core/table.hpp"
 #include "greengagehub/rollout/rollout_table.hpp"
@@ -48,6 +49,8 @@
   double m_refusalShare{ 0.0 };
   TimePoint m_ejectedUntil{};
   std::uint32_t m_ejections{ 0 };
+  /// Until then the worker's own limit leaves no room for another call.
+  TimePoint m_limitedUntil{};
   bool m_isUnavailable{ false };
 };
 
@@ -159,6 +162,25 @@
   void Put(WorkerRow aRow);
   void Remove(const std::string& aSlot);
   void MarkUnavailable(const std::string& aSlot);
+  /// \brief Excludes a worker that has stated that it is leaving, until
+  /// another incarnation runs there.
+  /// \param aIncarnation 0: until the next Put().
+  void MarkLeaving(TimePoint aNow,
+                   const std::string& aSlot,
+                   IncarnationTag aIncarnation);
+  /// \brief Applies what the worker has stated, and a refusal by its limit.
+  void RecordStatement(TimePoint aNow,
+                       const std::string& aSlot,
+                       const CallAnswer& aAnswer);
+  /// \returns Time until a worker that may run the call has room again, if all
+  /// that are available are at their own limits.
+  [[nodiscard]] std::optional<std::chrono::milliseconds> TimeUntilRoom(
+    TimePoint aNow,
+    const std::string& aService) const;
+  [[nodiscard]] const WorkerSignalTable& Signals() const noexcept
+  {
+    return m_signals;
+  }
 
   /// \returns The version that most workers of the service report; in a tie,
   /// the one seen first.
@@ -214,6 +236,9 @@
                     Random& aRandom);
 
 private:
+  /// \brief Resets the statistics for a new incarnation, but not attempts in
+  /// flight.
+  static void UpdateIncarnation(WorkerRow& aRow, IncarnationTag aIncarnation);
   static void RecordStats(WorkerRow& aRow,
                           TimePoint aNow,
                           const LoadReport& aReport);
@@ -230,6 +255,7 @@
   void UpdateMainVersion(const std::string& aService);
 
   DecisionSettings m_decisions{};
+  WorkerSignalTable m_signals;
   Table<WorkerRow> m_rows;
   std::map<std::string, Index, std::less<>> m_bySlot;
   std::map<std::string, std::vector<Index>, std::less<>> m_byService;
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -46,6 +46,8 @@
     std::uint64_t m_process;
     std::function<void(Span)> m_trace;
     std::function<bool()> m_isReady;
+    /// See RunService::Dependencies.
+    std::function<void(bool aIsLeaving)> m_onWorkerLeaving;
     /// Read on the first call to a service.
     std::function<const MemberTable&()> m_members;
   };
@@ -68,10 +70,9 @@
   /// \returns Results of the local worker's runs since ResetCounts().
   [[nodiscard]] WorkerCounts Counts() const { return m_runService.Counts(); }
   void ResetCounts() { m_runService.ResetCounts(); }
-  /// \returns What the local worker stated in its latest response.
-  [[nodiscard]] const WorkerSignals& Signals() const noexcept
+  [[nodiscard]] const RunService& GetRunService() const noexcept
   {
-    return m_runService.Signals();
+    return m_runService;
   }
   [[nodiscard]] const Dispatcher& GetDispatcher() const noexcept
   {
@@ -91,6 +92,9 @@
   void OnProcessResumed();
   void OnTick(TimePoint aNow);
   void StartDraining();
+  /// \brief Stops or resumes the local worker, which has stated that it is
+  /// leaving or has been replaced; for workers without heartbeats.
+  void SetWorkerLeaving(bool aIsLeaving);
   void StopAcceptingRequests();
   /// \returns Whether answers wait for capacity on this machine's network link.
   [[nodiscard]] bool HasUnsentAnswers() const { return m_server.HasUnsent(); }
@@ -176,6 +180,8 @@
   void OnCallerConnectionClosed(std::uint64_t aConnection);
   /// \brief On a service's first call, adds its workers to the routing table.
   void TrackService(const std::string& aService);
+  /// \brief Adds the local worker as it is before its first heartbeat.
+  void PutOwnWorker(bool aIsUnavailable);
   void AddOrUpdateWorker(const MemberRecord& aRecord);
   /// \returns A random time of one to two times the given one; keeps refused
   /// callers from retrying together.
--- a/include/greengagehub/daemon/daemon.hpp
+++ b/include/greengagehub/daemon/daemon.hpp
@@ -39,6 +39,9 @@
   void LogListening();
   [[nodiscard]] Outcome<std::uint16_t> Open();
   void OnWorker(const WorkerPresence& aPresence);
+  /// \param aIsLeaving false: another worker without heartbeats has taken its
+  /// place.
+  void OnWorkerLeaving(bool aIsLeaving);
   [[nodiscard]] const CallDialect& Dialect() const noexcept;
 
   std::string m_settingsPath;
--- a/include/greengagehub/daemon/platform_endpoints.hpp
+++ b/include/greengagehub/daemon/platform_endpoints.hpp
@@ -46,6 +46,9 @@
   [[nodiscard]] Outcome<std::uint16_t> Open();
   /// \brief Handles the instance id that a probe of the local worker returned.
   void OnProbed(std::string aId);
+  /// \brief Handles a response in which the local worker states that it is
+  /// leaving.
+  void OnWorkerLeaving();
 
 private:
   void OnReadiness(const HttpRequest& aRequest, HttpResponder aResponder);
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -51,6 +51,10 @@
     /// Whether the retry budget allows another retried run, with the calls that
     /// it makes.
     std::function<bool(TimePoint)> m_mayRunRetry;
+    /// Called when the worker states that it is leaving, before the response is
+    /// delivered, and where no heartbeats are sent, when another one has taken
+    /// its place.
+    std::function<void(bool aIsLeaving)> m_onLeaving{};
     /// nullptr: the network link of this machine is not paced.
     const LinkPacer* m_pacer{ nullptr };
   };
@@ -66,6 +70,8 @@
   [[nodiscard]] CancelResult OnCancel(CallKey aKey, bool aAbandon);
   void OnEpoch(std::uint64_t aProcess, std::uint64_t aEpoch);
   void StartDraining();
+  /// \brief Accepts runs again after StartDraining().
+  void StopDraining() { m_runs.Reopen(); }
   /// \brief Refuses queued runs whose wait has become too long.
   void OnTick(TimePoint aNow);
   /// Runs start only after the first heartbeat and until the worker drains.
@@ -77,6 +83,11 @@
   /// \returns Results of runs since ResetCounts(); the version is empty while
   /// it is unknown.
   [[nodiscard]] WorkerCounts Counts() const;
+  /// \returns ID of the worker; empty where it is not known.
+  [[nodiscard]] const std::string& WorkerId() const noexcept
+  {
+    return m_incarnation.m_id;
+  }
   /// \returns What the current incarnation stated in its latest response.
   [[nodiscard]] const WorkerSignals& Signals() const noexcept
   {
@@ -139,9 +150,20 @@
                  Fingerprint aFingerprint,
                  const Refusal& aRefusal);
   void OnBackendResult(CallKey aKey, BackendResult aResult);
-  /// \brief Evaluates what the backend server states about itself in the
+  /// \brief Applies what the backend server states about itself in the
   /// response to a run.
   void ApplySignals(const ActiveRun& aRun, const HttpResponse& aResponse);
+  /// \param aSentAt when the request of the response was sent.
+  void ApplySignals(TimePoint aSentAt, const WorkerSignals& aSignals);
+  /// \brief Adopts the limit that the caller's daemon knows, if this one has
+  /// started since.
+  void ApplyKnownStatement(const WorkerStatement& aStatement);
+  /// \returns What the worker has stated, for callers' daemons.
+  [[nodiscard]] WorkerStatement Statement() const;
+  /// \brief Without heartbeats: accepts runs again after a worker that was
+  /// leaving has exited and its port is open again.
+  void CheckWorkerReturn(TimePoint aNow);
+  void OnWorkerReturned();
   /// \returns Whether it is a success without the signature header, which the
   /// backend server did not send.
   [[nodiscard]] bool IsUnsigned(const HttpResponse& aResponse) const;
@@ -154,6 +176,7 @@
   /// if this is another one.
   void OnIncarnation(const WorkerIncarnation& aIncarnation,
                      TimePoint aPreviousLastReport);
+  void OnNewIncarnation();
   /// \brief Checks whether the worker exited when it closed a connection.
   void CheckWorkerAfterLoss(CallKey aKey);
   void OnListenCheck(bool aIsPortClosed);
@@ -182,9 +205,19 @@
   std::vector<CallKey> m_lostRuns;
   /// Incarnation of the worker that requests are sent to; without id: any.
   WorkerIncarnation m_incarnation;
+  /// 0: not known.
+  IncarnationTag m_incarnationTag{ 0 };
   /// Number of incarnations seen.
   std::uint32_t m_workerStarts{ 0 };
   WorkerSignals m_signals;
+  /// Set while a worker without heartbeats is leaving.
+  struct Departure
+  {
+    TimePoint m_since;
+    TimePoint m_nextCheck;
+    bool m_hasExited{ false };
+  };
+  std::optional<Departure> m_departure;
   bool m_hasWorker;
   std::map<CallKey, ActiveRun> m_activeRuns;
   AnswerSizes m_answerSizes;
--- a/include/greengagehub/membership/member.hpp
+++ b/include/greengagehub/membership/member.hpp
@@ -52,6 +52,7 @@
   std::uint32_t m_incarnation{ 0 };
   /// Version of the backend server's software; empty if unknown.
   std::string m_version{};
+  bool m_isLeaving{ false };
 };
 
 /// \brief What a daemon publishes about itself; peers forward it.
@@ -73,6 +74,9 @@
   std::uint32_t m_workerIncarnation{ 0 };
   /// Version of the backend server's software, empty if unknown.
   std::string m_workerVersion{};
+  /// Whether that incarnation of the backend server is leaving. It stays so
+  /// when the daemon restarts and does not know it any more.
+  bool m_isWorkerLeaving{ false };
   /// Rate of the daemon's network link in Mbit/s; members are ranked by it.
   std::uint32_t m_linkMbps{ 0 };
 };
--- a/src/calls/call.cpp
+++ b/src/calls/call.cpp
@@ -56,6 +56,8 @@
       return "no-coordinator";
     case RefusalReason::KeysNotCurrent:
       return "keys-not-current";
+    case RefusalReason::RateLimited:
+      return "rate-limited";
   }
   return "none";
 }
--- a/src/calls/dispatch_rules.hpp
+++ b/src/calls/dispatch_rules.hpp
@@ -21,13 +21,14 @@
 inline constexpr std::uint32_t kMaxUnavailableWorkers = 6;
 
 /// \returns Whether the call found no available worker at the daemon it was
-/// sent to, which is no sign of overload.
+/// sent to, which is no sign of overload elsewhere.
 inline bool
 IsWorkerUnavailable(RefusalReason aReason) noexcept
 {
   return aReason == RefusalReason::WorkerUnreachable ||
          aReason == RefusalReason::NoWorker ||
-         aReason == RefusalReason::NotInService;
+         aReason == RefusalReason::NotInService ||
+         aReason == RefusalReason::RateLimited;
 }
 
 /// \brief Selects the same worker for a fingerprint at every daemon that knows
@@ -77,6 +78,7 @@
     case RefusalReason::Busy:
     case RefusalReason::Quarantined:
     case RefusalReason::NotInService:
+    case RefusalReason::RateLimited:
     case RefusalReason::RetryBudgetExhausted:
       return WorkerTable::Verdict::None;
     default:
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -139,8 +139,14 @@
   // A redirect stops at a refusing worker; the budget bounds other retries.
   const bool isRefused = next && isRetry && !aPrevious.m_reachedWorker &&
                          aPrevious.m_reason != RefusalReason::Busy &&
+                         aPrevious.m_reason != RefusalReason::RateLimited &&
                          m_workers.At(*next).m_refusalShare > kMaxRefusalShare;
   if (!next || isRefused) {
+    const auto room = m_workers.TimeUntilRoom(aNow, aCall.m_plan.m_service);
+    if (!next && !isRetry && room) {
+      aPrevious = Refuse(
+        aCall.m_id, CallOutcome::NotRun, RefusalReason::RateLimited, *room);
+    }
     Finish(aOut, aCall, std::move(aPrevious));
     return;
   }
@@ -173,7 +179,8 @@
     TimeLeft(aNow, std::min(aCall.m_plan.m_target, aCall.m_plan.m_deadline)),
     aCall.m_plan.m_retriesLeft,
     aCall.m_hasReachedWorker,
-    refuseIfBusy });
+    refuseIfBusy,
+    m_workers.Signals().KnownLimit(aCall.m_slot) });
 }
 
 template<RoutingPolicy Policy>
@@ -317,6 +324,7 @@
   if (call == nullptr) {
     return out;
   }
+  m_workers.RecordStatement(aNow, call->m_slot, aAnswer);
   const LoadReport report{ aAnswer.m_load,
                            aAnswer.m_slots,
                            call->m_plan.m_kind,
@@ -467,16 +475,6 @@
   return out;
 }
 
-template<RoutingPolicy Policy>
-std::optional<TimePoint>
-BasicDispatcher<Policy>::NextDeadline() const
-{
-  if (m_deadlines.empty()) {
-    return std::nullopt;
-  }
-  return m_deadlines.begin()->m_at;
-}
-
 template<RoutingPolicy Policy>
 void
 BasicDispatcher<Policy>::RecordProcess(std::uint64_t aAttempt,
--- a/src/calls/run_table.cpp
+++ b/src/calls/run_table.cpp
@@ -16,7 +16,9 @@
 
 RunTable::RunTable(RunTableSettings aSettings)
   : m_settings(aSettings)
+  , m_limitedOrder(aSettings.m_decisions)
 {
+  m_limitedOrder.m_ranksPerSlotTime = false;
 }
 
 RunTable::~RunTable()
@@ -37,6 +39,7 @@
 {
   ++m_workerIncarnation;
   m_serviceTimes = ServiceTimes{};
+  m_limiter.Reset();
 }
 
 RunTable::Run&
@@ -119,16 +122,19 @@
   offered.m_kind = aDemand.m_kind;
   offered.m_target = aNow + aDemand.m_targetLeft;
   offered.m_deadline = aNow + aDemand.m_timeLeft;
-  const bool starts = m_running < OpenSlots(aNow);
+  const bool starts = StartsAtOnce(aNow);
   if (!starts) {
+    std::optional<RefusalReason> reason;
     if (aDemand.m_refuseIfBusy && IsBusyFor(aNow, offered)) {
-      return RefuseArrival(aNow, aKey, RefusalReason::Busy);
+      reason = RefusalReason::Busy;
+    } else {
+      reason = ReasonToRefuse(aNow, offered);
     }
-    if (const auto reason = ReasonToRefuse(aNow, offered)) {
-      return RefuseArrival(aNow, aKey, *reason);
+    if (!reason && !MakeRoom(aNow, offered, aOut)) {
+      reason = RefusalReason::Overloaded;
     }
-    if (!MakeRoom(aNow, offered, aOut)) {
-      return RefuseArrival(aNow, aKey, RefusalReason::Overloaded);
+    if (reason) {
+      return RefuseArrival(aNow, aKey, CauseOf(aNow, offered, *reason));
     }
   }
   if (const WorkRank rank = Rank(aNow, offered); !rank.m_late) {
@@ -183,6 +189,7 @@
   if (aRun.m_expectedServiceTime) {
     m_slowness.RecordStart(aNow, *aRun.m_expectedServiceTime);
   }
+  m_limiter.RecordSend(aNow);
   ++m_running;
 }
 
@@ -232,6 +239,16 @@
   return next;
 }
 
+std::optional<TimePoint>
+RunTable::NextWakeUp(TimePoint aNow) const
+{
+  const auto expiry = NextExpiry();
+  if (!expiry || m_running >= OpenSlots(aNow)) {
+    return expiry;
+  }
+  return std::min(*expiry, m_limiter.NextSendAt(aNow));
+}
+
 RunActions
 RunTable::Finish(TimePoint aNow, CallKey aKey)
 {
@@ -272,7 +289,7 @@
 RunTable::StartQueued(TimePoint aNow, RunActions& aOut)
 {
   ExpireQueued(aNow, aOut);
-  while (m_running < OpenSlots(aNow)) {
+  while (m_running < OpenSlots(aNow) && m_limiter.NextSendAt(aNow) <= aNow) {
     Run* run = HighestRanked(aNow);
     if (run == nullptr) {
       return;
@@ -292,7 +309,7 @@
     if (run.m_expires <= aNow) {
       aOut.m_refused.push_back(
         { run.m_key,
-          RefusalReason::DeadlinePassed,
+          CauseOf(aNow, run, RefusalReason::DeadlinePassed),
           std::max(ExpectedWait(aNow), kMinRetryAfter) });
       RefuseQueued(aNow, run);
     }
--- a/src/calls/run_table_waits.cpp
+++ b/src/calls/run_table_waits.cpp
@@ -33,6 +33,9 @@
 std::uint32_t
 RunTable::OpenSlots(TimePoint aNow) const
 {
+  if (m_limiter.IsUnknown(aNow)) {
+    return std::max(1U, m_settings.m_slots / 2);
+  }
   const Duration warmUp = m_settings.m_warmUp;
   const Duration age = aNow - m_firstCall;
   if (warmUp <= Duration::zero() || age >= warmUp) {
@@ -43,6 +46,22 @@
   return std::max(1U, static_cast<std::uint32_t>(share * m_settings.m_slots));
 }
 
+bool
+RunTable::StartsAtOnce(TimePoint aNow) const
+{
+  if (m_running >= OpenSlots(aNow)) {
+    return false;
+  }
+  return !m_limiter.IsLimiting(aNow) ||
+         (m_queued == 0 && m_limiter.NextSendAt(aNow) <= aNow);
+}
+
+const DecisionSettings&
+RunTable::OrderSettings(TimePoint aNow) const
+{
+  return m_limiter.IsLimiting(aNow) ? m_limitedOrder : m_settings.m_decisions;
+}
+
 std::uint32_t
 RunTable::QueueLimit(CallClass aClass) const noexcept
 {
@@ -72,7 +91,7 @@
 WorkRank
 RunTable::Rank(TimePoint aNow, const Run& aRun) const
 {
-  return RankOf(m_settings.m_decisions,
+  return RankOf(OrderSettings(aNow),
                 aNow,
                 m_serviceTimes.Estimate(aRun.m_kind),
                 aRun.m_priority,
@@ -93,7 +112,7 @@
 }
 
 Duration
-RunTable::EstimateWait(TimePoint aNow, const WorkRank& aRank) const
+RunTable::SlotWait(TimePoint aNow, const WorkRank& aRank) const
 {
   const std::uint32_t slots = OpenSlots(aNow);
   if (m_running < slots) {
@@ -104,19 +123,49 @@
   return std::chrono::duration_cast<Duration>(work * SlownessAt(aNow)) / slots;
 }
 
+Duration
+RunTable::LimitWait(TimePoint aNow, const WorkRank& aRank) const
+{
+  if (!m_limiter.IsLimiting(aNow)) {
+    return Duration::zero();
+  }
+  const auto ahead = std::ranges::count_if(m_queuedRuns, [&](const Run& aRun) {
+    return !aRank.IsBefore(Rank(aNow, aRun));
+  });
+  return m_limiter.DelayAfter(aNow, static_cast<std::size_t>(ahead));
+}
+
+Duration
+RunTable::EstimateWait(TimePoint aNow, const WorkRank& aRank) const
+{
+  return std::max(SlotWait(aNow, aRank), LimitWait(aNow, aRank));
+}
+
+RefusalReason
+RunTable::CauseOf(TimePoint aNow, const Run& aRun, RefusalReason aReason) const
+{
+  const WorkRank rank = Rank(aNow, aRun);
+  return LimitWait(aNow, rank) > SlotWait(aNow, rank)
+           ? RefusalReason::RateLimited
+           : aReason;
+}
+
 Duration
 RunTable::ExpectedWaitOfKind(TimePoint aNow,
                              std::uint32_t aPriority,
                              CallKind aKind) const
 {
   const double gain = GainOf(
-    m_settings.m_decisions, m_serviceTimes.Estimate(aKind), aPriority, false);
+    OrderSettings(aNow), m_serviceTimes.Estimate(aKind), aPriority, false);
   return EstimateWait(aNow, { gain, aNow + aKind.m_target, false });
 }
 
 std::optional<Duration>
 RunTable::PredictedWait(TimePoint aNow, const WorkRank& aRank) const
 {
+  if (m_limiter.IsLimiting(aNow)) {
+    return EstimateWait(aNow, aRank);
+  }
   const double share =
     m_onTimeLoad.ShareAbove(aNow, aRank.m_gain, m_settings.m_slots);
   if (share >= m_settings.m_decisions.m_saturatedShare) {
@@ -150,7 +199,7 @@
     return RefusalReason::DeadlineTooShort;
   }
   const bool isLate = rank.m_late || aNow + wait + service > aRun.m_target;
-  const DecisionSettings& decisions = m_settings.m_decisions;
+  const DecisionSettings& decisions = OrderSettings(aNow);
   if (!decisions.m_refusesEarly || !isLate ||
       aRun.m_target >= aRun.m_deadline) {
     return std::nullopt;
--- a/src/calls/worker_presence.cpp
+++ b/src/calls/worker_presence.cpp
@@ -26,6 +26,13 @@
          aNow - m_lastReportAt > kMaxMissedHeartbeats * m_heartbeatInterval;
 }
 
+IncarnationTag
+WorkerPresence::CurrentTag() const
+{
+  const bool isConfirmed = m_current && m_current->m_sequence > 0;
+  return isConfirmed ? TagOf(m_current->m_incarnation) : 0;
+}
+
 const WorkerPresence::PastIncarnation*
 WorkerPresence::FindPast(TimePoint aNow,
                          const WorkerIncarnation& aIncarnation) const
@@ -86,7 +93,9 @@
     return Change::None;
   }
   const bool wasLeaving = m_current->m_isDraining;
-  const bool isUnchanged = m_current->m_slots == aReport.m_slots &&
+  const bool wasConfirmed = m_current->m_sequence > 0;
+  const bool isUnchanged = wasConfirmed &&
+                           m_current->m_slots == aReport.m_slots &&
                            m_current->m_incarnation == aReport.m_incarnation;
   m_candidate.reset();
   m_lastReportAt = aNow;
@@ -150,6 +159,16 @@
   return Replace(aNow, aReport);
 }
 
+WorkerPresence::Change
+WorkerPresence::OnLeaving()
+{
+  if (!m_current || m_current->m_isDraining) {
+    return Change::None;
+  }
+  m_current->m_isDraining = true;
+  return Change::Leaving;
+}
+
 WorkerPresence::Change
 WorkerPresence::OnDeregistered(TimePoint aNow,
                                const WorkerIncarnation& aIncarnation)
@@ -158,9 +177,7 @@
     AddPast({ aIncarnation, 0, aNow });
     return Change::None;
   }
-  const bool wasLeaving = m_current->m_isDraining;
-  m_current->m_isDraining = true;
-  return wasLeaving ? Change::None : Change::Leaving;
+  return OnLeaving();
 }
 
 }
--- a/src/calls/worker_table.cpp
+++ b/src/calls/worker_table.cpp
@@ -123,29 +123,6 @@
   return best;
 }
 
-namespace {
-
-/// Resets the statistics for a new incarnation, but not attempts in flight.
-void
-UpdateIncarnation(WorkerRow& aRow, IncarnationTag aIncarnation)
-{
-  const bool isNewIncarnation =
-    aRow.m_incarnation != 0 && aRow.m_incarnation != aIncarnation;
-  aRow.m_incarnation = aIncarnation;
-  if (!isNewIncarnation) {
-    return;
-  }
-  aRow.m_reportedLoad = 0;
-  aRow.m_reportedAt = TimePoint{};
-  aRow.m_kindStats.clear();
-  aRow.m_failureShare = 0.0;
-  aRow.m_refusalShare = 0.0;
-  aRow.m_ejectedUntil = TimePoint{};
-  aRow.m_ejections = 0;
-}
-
-}
-
 std::optional<WorkerTable::Index>
 WorkerTable::Find(const std::string& aSlot) const
 {
@@ -167,6 +144,25 @@
            });
 }
 
+void
+WorkerTable::UpdateIncarnation(WorkerRow& aRow, IncarnationTag aIncarnation)
+{
+  const bool isNewIncarnation =
+    aRow.m_incarnation != 0 && aRow.m_incarnation != aIncarnation;
+  aRow.m_incarnation = aIncarnation;
+  if (!isNewIncarnation) {
+    return;
+  }
+  aRow.m_reportedLoad = 0;
+  aRow.m_reportedAt = TimePoint{};
+  aRow.m_kindStats.clear();
+  aRow.m_failureShare = 0.0;
+  aRow.m_refusalShare = 0.0;
+  aRow.m_ejectedUntil = TimePoint{};
+  aRow.m_ejections = 0;
+  aRow.m_limitedUntil = TimePoint{};
+}
+
 void
 WorkerTable::Put(WorkerRow aRow)
 {
@@ -183,6 +179,8 @@
       if (aRow.m_incarnation != 0) {
         UpdateIncarnation(row, aRow.m_incarnation);
       }
+      row.m_isUnavailable = row.m_isUnavailable ||
+                            m_signals.IsLeaving(row.m_slot, row.m_incarnation);
       return;
     }
     Remove(aRow.m_slot);
@@ -190,6 +188,8 @@
   const std::string slot = aRow.m_slot;
   const std::string service = aRow.m_service;
   aRow.m_slotHash = ShortHash(slot);
+  aRow.m_isUnavailable =
+    aRow.m_isUnavailable || m_signals.IsLeaving(slot, aRow.m_incarnation);
   const Index index = m_rows.Insert(std::move(aRow));
   m_bySlot.emplace(slot, index);
   m_byService[service].push_back(index);
@@ -289,6 +289,7 @@
 {
   std::vector<Index> available;
   std::vector<Index> ejected;
+  std::size_t limited = 0;
   const auto group = m_byService.find(aService);
   if (group == m_byService.end()) {
     return available;
@@ -315,11 +316,15 @@
     if (isExcluded) {
       continue;
     }
+    if (row.m_limitedUntil > aNow) {
+      ++limited;
+      continue;
+    }
     (row.m_ejectedUntil > aNow ? ejected : available).push_back(index);
   }
   // At most half of the workers are ejected: if most fail, the cause is
   // probably shared, and the remaining ones would be overloaded.
-  if (available.size() < ejected.size()) {
+  if (available.size() + limited < ejected.size()) {
     available.insert(available.end(), ejected.begin(), ejected.end());
   }
   return available;
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -62,6 +62,7 @@
                        return !m_dispatcher.AreRetriesUsedUp(
                          aNow, m_deps.m_settings.m_service);
                      },
+                   .m_onLeaving = m_deps.m_onWorkerLeaving,
                    .m_pacer = &m_pacer })
   , m_server(m_deps.m_loop,
              m_deps.m_settings.m_listen.m_host,
@@ -136,6 +137,18 @@
   return handlers;
 }
 
+void
+CallGateway::PutOwnWorker(bool aIsUnavailable)
+{
+  WorkerRow own;
+  own.m_slot = m_deps.m_settings.m_slot;
+  own.m_service = m_deps.m_settings.m_service;
+  own.m_domain = m_deps.m_settings.m_domain;
+  own.m_slots = m_deps.m_settings.m_runs.m_slots;
+  own.m_isUnavailable = aIsUnavailable;
+  m_dispatcher.Workers().Put(std::move(own));
+}
+
 Outcome<std::uint16_t>
 CallGateway::Open()
 {
@@ -145,16 +158,10 @@
   m_dispatcher.SetQuarantine(m_deps.m_quarantine.Table());
   m_dispatcher.SetRollouts(m_deps.m_rollouts.Table());
   m_deps.m_workspaces.SetRetryHandler([this] { RetryAdmissions(); });
-  WorkerRow own;
-  own.m_slot = m_deps.m_settings.m_slot;
-  own.m_service = m_deps.m_settings.m_service;
-  own.m_domain = m_deps.m_settings.m_domain;
-  own.m_slots = m_deps.m_settings.m_runs.m_slots;
-  own.m_isUnavailable = m_deps.m_settings.m_platform.m_enabled;
   if (m_deps.m_settings.m_platform.m_enabled) {
-    m_dispatcher.Routing().m_domain = own.m_domain;
+    m_dispatcher.Routing().m_domain = m_deps.m_settings.m_domain;
   }
-  m_dispatcher.Workers().Put(std::move(own));
+  PutOwnWorker(m_deps.m_settings.m_platform.m_enabled);
   return m_http.Open();
 }
 
@@ -190,6 +197,7 @@
   request.m_retriesLeft = aAttempt.m_retriesLeft;
   request.m_isRetry = aAttempt.m_isRetry;
   request.m_refuseIfBusy = aAttempt.m_refuseIfBusy;
+  request.m_knownStatement = aAttempt.m_knownStatement;
   if (aAttempt.m_slot == m_deps.m_settings.m_slot) {
     m_dispatcher.RecordProcess(aAttempt.m_attempt, m_deps.m_process);
     m_runService.OnRequest(
@@ -323,9 +331,20 @@
 CallGateway::StartDraining()
 {
   m_draining = true;
-  m_dispatcher.Workers().MarkUnavailable(m_deps.m_settings.m_slot);
-  m_runService.StartDraining();
-  m_server.Broadcast(LinkDraining{});
+  SetWorkerLeaving(true);
+}
+
+void
+CallGateway::SetWorkerLeaving(bool aIsLeaving)
+{
+  if (aIsLeaving) {
+    m_dispatcher.Workers().MarkUnavailable(m_deps.m_settings.m_slot);
+    m_runService.StartDraining();
+    m_server.Broadcast(LinkDraining{});
+  } else if (!m_draining) {
+    m_runService.StopDraining();
+    PutOwnWorker(false);
+  }
 }
 
 void
--- a/src/daemon/call_gateway_links.cpp
+++ b/src/daemon/call_gateway_links.cpp
@@ -139,7 +139,7 @@
   own.m_service = m_deps.m_settings.m_service;
   own.m_domain = m_deps.m_settings.m_domain;
   own.m_slots = aPresence.Current()->m_slots;
-  own.m_incarnation = TagOf(aPresence.Current()->m_incarnation);
+  own.m_incarnation = aPresence.CurrentTag();
   own.m_version = aPresence.Current()->m_version;
   own.m_isUnavailable = !aPresence.TakesCalls() || m_draining;
   m_dispatcher.Workers().Put(std::move(own));
@@ -169,6 +169,10 @@
   row.m_incarnation = aRecord.m_workerIncarnation;
   row.m_version = aRecord.m_workerVersion;
   row.m_isUnavailable = !TakesCalls(aRecord.m_state) || aRecord.m_slots == 0;
+  if (aRecord.m_isWorkerLeaving) {
+    m_dispatcher.Workers().MarkLeaving(
+      Clock::now(), aRecord.m_slot, aRecord.m_workerIncarnation);
+  }
   m_dispatcher.Workers().Put(std::move(row));
   m_addresses[aRecord.m_slot] = aRecord.m_address;
 }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -104,6 +104,8 @@
               .m_process = m_process ^ m_random(),
               .m_trace = PrintSpan,
               .m_isReady = [this] { return m_control.IsReady(); },
+              .m_onWorkerLeaving =
+                [this](bool aIsLeaving) { OnWorkerLeaving(aIsLeaving); },
               .m_members = [this]() -> const MemberTable& {
                 return m_control.Members().Members();
               } },
@@ -182,9 +184,25 @@
   m_calls.OnWorker(aPresence);
   const bool isDraining = m_isWorkerDraining || !aPresence.TakesCalls();
   const WorkerReport& worker = *aPresence.Current();
-  m_control.Announce(
-    isDraining ? MemberState::Leaving : MemberState::Alive,
-    { worker.m_slots, TagOf(worker.m_incarnation), worker.m_version });
+  m_control.Announce(isDraining ? MemberState::Leaving : MemberState::Alive,
+                     { worker.m_slots,
+                       aPresence.CurrentTag(),
+                       worker.m_version,
+                       !aPresence.TakesCalls() });
+}
+
+void
+Daemon::OnWorkerLeaving(bool aIsLeaving)
+{
+  if (m_platform) {
+    m_platform->OnWorkerLeaving();
+    return;
+  }
+  m_calls.SetWorkerLeaving(aIsLeaving);
+  if (!m_isWorkerDraining) {
+    m_control.Announce(aIsLeaving ? MemberState::Leaving : MemberState::Alive,
+                       { m_settings.m_runs.m_slots });
+  }
 }
 
 void
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -390,7 +390,7 @@
   metrics.SetGauge("runs_queued",
                    "Attempts waiting for the own worker",
                    m_deps.m_calls.Runs().Queued());
-  const WorkerSignals& signals = m_deps.m_calls.Signals();
+  const WorkerSignals& signals = m_deps.m_calls.GetRunService().Signals();
   metrics.SetGauge("worker_limited",
                    "Whether the own worker names a limit",
                    signals.m_rateLimit ? 1 : 0);
--- a/src/daemon/platform_endpoints.cpp
+++ b/src/daemon/platform_endpoints.cpp
@@ -129,6 +129,12 @@
   PublishChange(m_worker.OnProbed(Clock::now(), std::move(report)));
 }
 
+void
+PlatformEndpoints::OnWorkerLeaving()
+{
+  PublishChange(m_worker.OnLeaving());
+}
+
 void
 PlatformEndpoints::PublishChange(WorkerPresence::Change aChange)
 {
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -56,6 +56,9 @@
   , m_hasWorker(!m_deps.m_settings.m_platform.m_enabled)
   , m_timer(m_deps.m_loop)
 {
+  if (m_deps.m_settings.m_platform.m_enabled) {
+    m_runs.Limiter().ExpectFirstResponse();
+  }
 }
 
 void
@@ -70,6 +73,7 @@
       Refuse(aKey.m_call, CallOutcome::NotRun, RefusalReason::WorkerReplaced));
     return;
   }
+  ApplyKnownStatement(aRequest.m_knownStatement);
   if (!m_hasWorker) {
     Deliver(aKey,
             aRequest,
@@ -219,61 +223,13 @@
                  aRefusal.m_retryAfter));
 }
 
-CallAnswer
-RunService::AnswerFrom(CallKey aKey, HttpResponse aResponse)
-{
-  const auto& headers = aResponse.m_headers;
-  if (aResponse.m_status == kMisdirectedRequestStatus) {
-    return Refuse(
-      aKey.m_call, CallOutcome::NotRun, RefusalReason::WorkerReplaced);
-  }
-  const bool isMarkedNotExecuted =
-    !m_deps.m_dialect.m_notExecuted.empty() &&
-    !HeaderValue(headers, m_deps.m_dialect.m_notExecuted).empty();
-  if (isMarkedNotExecuted) {
-    return Refuse(
-      aKey.m_call, CallOutcome::NotRun, RefusalReason::WorkerRefused);
-  }
-  if (IsUnsigned(aResponse)) {
-    return Refuse(aKey.m_call, CallOutcome::Unknown, RefusalReason::AnswerLost);
-  }
-  CallAnswer answer;
-  answer.m_call = aKey.m_call;
-  answer.m_outcome = CallOutcome::Answered;
-  answer.m_response = std::move(aResponse);
-  return answer;
-}
-
-CallAnswer
-RunService::AnswerFrom(CallKey aKey, BackendResult aResult)
-{
-  CallAnswer answer;
-  switch (aResult.m_kind) {
-    case BackendResult::Kind::Answered:
-      answer = AnswerFrom(aKey, std::move(aResult.m_response));
-      break;
-    case BackendResult::Kind::NotSent:
-      return Refuse(
-        aKey.m_call, CallOutcome::NotRun, RefusalReason::WorkerUnreachable);
-    case BackendResult::Kind::Lost:
-      answer =
-        Refuse(aKey.m_call, CallOutcome::Unknown, RefusalReason::AnswerLost);
-      break;
-    case BackendResult::Kind::TimedOut:
-      answer = Refuse(
-        aKey.m_call, CallOutcome::Unknown, RefusalReason::DeadlinePassed);
-      break;
-  }
-  answer.m_reachedWorker = true;
-  return answer;
-}
-
 void
 RunService::OnBackendResult(CallKey aKey, BackendResult aResult)
 {
   const auto run = m_activeRuns.find(aKey);
   if (run != m_activeRuns.end() &&
       aResult.m_kind == BackendResult::Kind::Answered) {
+    // First, as the next run may not be allowed any more.
     ApplySignals(run->second, aResult.m_response);
   }
   const RunActions next = m_runs.Finish(Clock::now(), aKey);
@@ -352,6 +308,7 @@
     duration_cast<microseconds>(m_runs.ServiceTime(Clock::now(), kind));
   aAnswer.m_wait = duration_cast<microseconds>(
     m_runs.ExpectedWaitOfKind(Clock::now(), aRequest.m_priority, kind));
+  aAnswer.m_statement = Statement();
   m_deps.m_deliver(aKey, std::move(aAnswer));
 }
 
@@ -475,12 +432,13 @@
   if (m_runs.Queued() > 0) {
     Execute(m_runs.OnTick(aNow));
   }
+  CheckWorkerReturn(aNow);
 }
 
 void
 RunService::ArmTimer()
 {
-  const auto next = m_runs.NextExpiry();
+  const auto next = m_runs.NextWakeUp(Clock::now());
   if (!next || (m_timerExpiry && *m_timerExpiry <= *next)) {
     return;
   }
--- /dev/null
+++ b/src/daemon/run_service_answers.cpp
@@ -0,0 +1,63 @@
+#include "greengagehub/daemon/run_service.hpp"
+
+// Outcome of a run from the backend server's response.
+
+namespace greengagehub {
+
+bool
+RunService::IsUnsigned(const HttpResponse& aResponse) const
+{
+  return IsSuccess(aResponse.m_status) && !m_deps.m_dialect.m_seal.empty() &&
+         HeaderValue(aResponse.m_headers, m_deps.m_dialect.m_seal).empty();
+}
+
+CallAnswer
+RunService::AnswerFrom(CallKey aKey, HttpResponse aResponse)
+{
+  const auto& headers = aResponse.m_headers;
+  if (aResponse.m_status == kMisdirectedRequestStatus) {
+    return Refuse(
+      aKey.m_call, CallOutcome::NotRun, RefusalReason::WorkerReplaced);
+  }
+  const bool isMarkedNotExecuted =
+    !m_deps.m_dialect.m_notExecuted.empty() &&
+    !HeaderValue(headers, m_deps.m_dialect.m_notExecuted).empty();
+  if (isMarkedNotExecuted) {
+    return Refuse(
+      aKey.m_call, CallOutcome::NotRun, RefusalReason::WorkerRefused);
+  }
+  if (IsUnsigned(aResponse)) {
+    return Refuse(aKey.m_call, CallOutcome::Unknown, RefusalReason::AnswerLost);
+  }
+  CallAnswer answer;
+  answer.m_call = aKey.m_call;
+  answer.m_outcome = CallOutcome::Answered;
+  answer.m_response = std::move(aResponse);
+  return answer;
+}
+
+CallAnswer
+RunService::AnswerFrom(CallKey aKey, BackendResult aResult)
+{
+  CallAnswer answer;
+  switch (aResult.m_kind) {
+    case BackendResult::Kind::Answered:
+      answer = AnswerFrom(aKey, std::move(aResult.m_response));
+      break;
+    case BackendResult::Kind::NotSent:
+      return Refuse(
+        aKey.m_call, CallOutcome::NotRun, RefusalReason::WorkerUnreachable);
+    case BackendResult::Kind::Lost:
+      answer =
+        Refuse(aKey.m_call, CallOutcome::Unknown, RefusalReason::AnswerLost);
+      break;
+    case BackendResult::Kind::TimedOut:
+      answer = Refuse(
+        aKey.m_call, CallOutcome::Unknown, RefusalReason::DeadlinePassed);
+      break;
+  }
+  answer.m_reachedWorker = true;
+  return answer;
+}
+
+}
--- a/src/daemon/run_service_signals.cpp
+++ b/src/daemon/run_service_signals.cpp
@@ -5,13 +5,6 @@
 
 namespace greengagehub {
 
-bool
-RunService::IsUnsigned(const HttpResponse& aResponse) const
-{
-  return IsSuccess(aResponse.m_status) && !m_deps.m_dialect.m_seal.empty() &&
-         HeaderValue(aResponse.m_headers, m_deps.m_dialect.m_seal).empty();
-}
-
 void
 RunService::ApplySignals(const ActiveRun& aRun, const HttpResponse& aResponse)
 {
@@ -21,11 +14,45 @@
   if (!isFromCurrent) {
     return;
   }
-  const WorkerSignals signals =
-    ParseWorkerSignals(m_deps.m_dialect, aResponse.m_headers);
-  const WorkerSignals previous = std::exchange(m_signals, signals);
+  ApplySignals(aRun.m_startedAt,
+               ParseWorkerSignals(m_deps.m_dialect, aResponse.m_headers));
+}
+
+void
+RunService::ApplySignals(TimePoint aSentAt, const WorkerSignals& aSignals)
+{
+  const TimePoint now = Clock::now();
+  const WorkerSignals previous = std::exchange(m_signals, aSignals);
   m_deps.m_requestLog.OnWorkerSignals(
-    Clock::now(), m_incarnation.m_id, previous, signals);
+    now, m_incarnation.m_id, previous, aSignals);
+  if (aSignals.m_invalidRateLimit.empty()) {
+    m_runs.Limiter().OnResponse(now, aSentAt, aSignals.m_rateLimit);
+  }
+  const bool startsToLeave =
+    aSignals.m_isLeaving && !previous.m_isLeaving && m_deps.m_onLeaving;
+  if (!startsToLeave) {
+    return;
+  }
+  if (!m_deps.m_settings.m_platform.m_enabled) {
+    m_departure = Departure{ now, now };
+  }
+  m_deps.m_onLeaving(true);
+}
+
+void
+RunService::ApplyKnownStatement(const WorkerStatement& aStatement)
+{
+  const bool isOfCurrent =
+    m_incarnationTag == 0 || aStatement.m_incarnation == m_incarnationTag;
+  if (aStatement.m_rateLimit && isOfCurrent) {
+    m_runs.Limiter().Adopt(Clock::now(), *aStatement.m_rateLimit);
+  }
+}
+
+WorkerStatement
+RunService::Statement() const
+{
+  return { m_incarnationTag, m_runs.Limiter().Limit(), m_signals.m_isLeaving };
 }
 
 }
--- a/src/daemon/run_service_worker.cpp
+++ b/src/daemon/run_service_worker.cpp
@@ -1,5 +1,6 @@
 #include "greengagehub/daemon/run_service.hpp"
 
+#include "greengagehub/daemon/call_headers.hpp"
 #include "greengagehub/http/listen_check.hpp"
 
 #include <fmt/format.h>
@@ -18,6 +19,9 @@
 /// Within an instance a connection is accepted or refused at once; after a
 /// timeout, the state of the worker is unknown.
 constexpr auto kListenCheckTimeout = std::chrono::milliseconds{ 20 };
+constexpr auto kReturnCheckInterval = std::chrono::milliseconds{ 100 };
+/// A worker that was replaced between two checks is tried again after this.
+constexpr auto kMaxDeparture = std::chrono::seconds{ 60 };
 
 asio::ip::tcp::endpoint
 WorkerAddress(const Settings& aSettings)
@@ -98,18 +102,22 @@
   request.m_target = aPath;
   request.m_headers = { { "Host", m_deps.m_settings.m_worker.m_host } };
   request.m_deadline = Clock::now() + kProbeTimeout;
-  m_client.Send(std::move(request),
-                [this, done = std::move(aDone)](const BackendResult& aResult) {
-                  const HttpResponse& response = aResult.m_response;
-                  const bool isHealthy =
-                    aResult.m_kind == BackendResult::Kind::Answered &&
-                    IsSuccess(response.m_status);
-                  const std::string_view id = HeaderValue(
-                    response.m_headers, m_deps.m_dialect.m_instance);
-                  if (isHealthy && !id.empty()) {
-                    done(std::string{ id });
-                  }
-                });
+  const TimePoint sentAt = Clock::now();
+  m_runs.Limiter().RecordSend(sentAt);
+  m_client.Send(
+    std::move(request),
+    [this, sentAt, done = std::move(aDone)](const BackendResult& aResult) {
+      const HttpResponse& response = aResult.m_response;
+      const bool isHealthy = aResult.m_kind == BackendResult::Kind::Answered &&
+                             IsSuccess(response.m_status);
+      const std::string_view id =
+        HeaderValue(response.m_headers, m_deps.m_dialect.m_instance);
+      if (isHealthy && !id.empty()) {
+        done(std::string{ id });
+        ApplySignals(sentAt,
+                     ParseWorkerSignals(m_deps.m_dialect, response.m_headers));
+      }
+    });
 }
 
 void
@@ -123,6 +131,7 @@
     return;
   }
   OnIncarnation(worker->m_incarnation, aPresence.PreviousLastReportAt());
+  m_incarnationTag = aPresence.CurrentTag();
   m_version = worker->m_version;
   m_warmUpEnd = Clock::now() + worker->m_warmUpLeft;
   m_hasWorker = true;
@@ -178,11 +187,53 @@
     // new incarnation until their deadlines.
     m_client.ShortenDeadlines(aPreviousLastReport,
                               Clock::now() + kPreviousAnswerGrace);
-    m_runs.OnWorkerRestarted();
-    ++m_workerStarts;
-    m_signals = {};
+    OnNewIncarnation();
   }
   m_incarnation = aIncarnation;
 }
 
+void
+RunService::OnNewIncarnation()
+{
+  m_runs.OnWorkerRestarted();
+  ++m_workerStarts;
+  m_signals = {};
+}
+
+void
+RunService::CheckWorkerReturn(TimePoint aNow)
+{
+  if (!m_departure || aNow < m_departure->m_nextCheck) {
+    return;
+  }
+  m_departure->m_nextCheck = aNow + kReturnCheckInterval;
+  if (aNow - m_departure->m_since > kMaxDeparture) {
+    OnWorkerReturned();
+    return;
+  }
+  CheckListening(m_deps.m_loop,
+                 WorkerAddress(m_deps.m_settings),
+                 kListenCheckTimeout,
+                 [this](ListenStatus aStatus) {
+                   if (!m_departure) {
+                     return;
+                   }
+                   if (aStatus == ListenStatus::No) {
+                     m_departure->m_hasExited = true;
+                   } else if (aStatus == ListenStatus::Yes &&
+                              m_departure->m_hasExited) {
+                     OnWorkerReturned();
+                   }
+                 });
+}
+
+void
+RunService::OnWorkerReturned()
+{
+  m_departure.reset();
+  m_client.CloseIdle();
+  OnNewIncarnation();
+  m_deps.m_onLeaving(false);
+}
+
 }
--- a/src/membership/membership_time.cpp
+++ b/src/membership/membership_time.cpp
@@ -258,6 +258,7 @@
   m_self.m_slots = aWorker.m_slots;
   m_self.m_workerIncarnation = aWorker.m_incarnation;
   m_self.m_workerVersion = std::move(aWorker.m_version);
+  m_self.m_isWorkerLeaving = aWorker.m_isLeaving;
   return Announce(aState);
 }
 
--- a/src/transport/gossip_codec.cpp
+++ b/src/transport/gossip_codec.cpp
@@ -33,6 +33,7 @@
   aOut.set_link_mbps(aRecord.m_linkMbps);
   aOut.set_worker_start(aRecord.m_workerIncarnation);
   aOut.set_worker_version(aRecord.m_workerVersion);
+  aOut.set_worker_leaving(aRecord.m_isWorkerLeaving);
 }
 
 Outcome<MemberRecord>
@@ -61,6 +62,7 @@
   record.m_linkMbps = aWire.link_mbps();
   record.m_workerIncarnation = aWire.worker_start();
   record.m_workerVersion = aWire.worker_version();
+  record.m_isWorkerLeaving = aWire.worker_leaving();
   return record;
 }
 
--- a/src/transport/link_codec.cpp
+++ b/src/transport/link_codec.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace greengagehub {
 
@@ -53,6 +54,7 @@
     case RefusalReason::Quarantined:
       return RefusalReason::Cancelled;
     case RefusalReason::RetryBudgetExhausted:
+    case RefusalReason::RateLimited:
       return RefusalReason::Overloaded;
     case RefusalReason::NotInService:
       // A worker out of service is equivalent to no worker.
@@ -68,6 +70,34 @@
   return Error{ ErrorCode::Corrupt, aWhat };
 }
 
+/// The fields have the same names in requests and answers.
+template<class Message>
+void
+LimitToWire(const WorkerStatement& aStatement, Message& aOut)
+{
+  if (aStatement.m_rateLimit) {
+    aOut.set_rate_limit(*aStatement.m_rateLimit);
+  }
+  if (!aStatement.IsEmpty()) {
+    aOut.set_worker_start(aStatement.m_incarnation);
+  }
+}
+
+template<class Message>
+WorkerStatement
+LimitFromWire(const Message& aWire)
+{
+  WorkerStatement statement;
+  statement.m_incarnation = aWire.worker_start();
+  const bool isLimit = aWire.has_rate_limit() &&
+                       std::isfinite(aWire.rate_limit()) &&
+                       aWire.rate_limit() >= 0.0;
+  if (isLimit) {
+    statement.m_rateLimit = aWire.rate_limit();
+  }
+  return statement;
+}
+
 template<class Message>
 void
 HeadersToWire(const std::vector<HttpHeader>& aHeaders, Message& aOut)
@@ -125,6 +155,7 @@
     out.set_kind_route(aRequest.m_kind.m_route);
     out.set_target_us(static_cast<std::uint64_t>(
       std::max<std::int64_t>(0, aRequest.m_targetLeft.count())));
+    LimitToWire(aRequest.m_knownStatement, out);
   }
   void operator()(const CallAnswer& aAnswer) const
   {
@@ -135,6 +166,9 @@
       static_cast<std::uint32_t>(CompatibleReason(aAnswer.m_reason)));
     out.set_held(aAnswer.m_reason == RefusalReason::Quarantined);
     out.set_no_repeats(aAnswer.m_reason == RefusalReason::RetryBudgetExhausted);
+    out.set_rate_limited(aAnswer.m_reason == RefusalReason::RateLimited);
+    LimitToWire(aAnswer.m_statement, out);
+    out.set_worker_leaving(aAnswer.m_statement.m_isLeaving);
     if (aAnswer.m_reason == RefusalReason::WorkerCrashed) {
       out.set_ends(std::max(1U, aAnswer.m_crashCount));
     }
@@ -198,6 +232,7 @@
   request.m_kind = { std::chrono::milliseconds{ aWire.kind_target_ms() },
                      aWire.kind_route() };
   request.m_targetLeft = std::chrono::microseconds{ aWire.target_us() };
+  request.m_knownStatement = LimitFromWire(aWire);
   return LinkFrame{ std::move(request) };
 }
 
@@ -218,10 +253,14 @@
     answer.m_reason = RefusalReason::Quarantined;
   } else if (aWire.no_repeats()) {
     answer.m_reason = RefusalReason::RetryBudgetExhausted;
+  } else if (aWire.rate_limited()) {
+    answer.m_reason = RefusalReason::RateLimited;
   } else if (aWire.ends() > 0) {
     answer.m_reason = RefusalReason::WorkerCrashed;
   }
   answer.m_crashCount = aWire.ends();
+  answer.m_statement = LimitFromWire(aWire);
+  answer.m_statement.m_isLeaving = aWire.worker_leaving();
   answer.m_response.m_status = static_cast<std::uint16_t>(aWire.status());
   answer.m_response.m_headers = HeadersFromWire(aWire);
   answer.m_response.m_body = aBody;
--- a/tests/calls/one_worker.hpp
+++ b/tests/calls/one_worker.hpp
@@ -146,14 +146,15 @@
     Apply(m_table.Finish(m_now, key), aResults);
   }
 
-  /// Processes ends of runs and expiries of waits up to `aUntil`.
+  /// Processes ends of runs, expiries of waits and delayed starts up to
+  /// `aUntil`.
   void RunTo(TimePoint aUntil, std::vector<StreamResult>& aResults)
   {
     for (;;) {
       const TimePoint nextEnd =
         m_ends.empty() ? TimePoint::max() : m_ends.begin()->first;
       const TimePoint nextExpiry =
-        m_table.NextExpiry().value_or(TimePoint::max());
+        m_table.NextWakeUp(m_now).value_or(TimePoint::max());
       if (std::min(nextEnd, nextExpiry) > aUntil) {
         break;
       }
