Back off from a worker at its limit; show limits; soak with statements

What callers saw: calls were sent to a worker at its limit, refused, and sent on, each time.

Cause: a refusal excluded the worker only until it had room for one more call, for which all callers then competed.

Change: exponential back-off of each caller for each worker, from the time that the refusal names, times 4 at each further one, halved by each answer, with jitter, at most 1 s. Answers kept for a lost connection carry the statement, too.

Ruled out: shares of the limit for each caller, as demand is uneven.

--- a/include/greengagehub/calls/worker_table.hpp
+++ b/include/greengagehub/calls/worker_table.hpp
@@ -49,8 +49,10 @@
   double m_refusalShare{ 0.0 };
   TimePoint m_ejectedUntil{};
   std::uint32_t m_ejections{ 0 };
-  /// Until then the worker's own limit leaves no room for another call.
+  /// Until then the worker gets no call, as its own limit left no room.
   TimePoint m_limitedUntil{};
+  /// Length of that time after the latest refusal.
+  std::chrono::milliseconds m_limitBackoff{ 0 };
   bool m_isUnavailable{ false };
 };
 
@@ -168,10 +170,12 @@
   void MarkLeaving(TimePoint aNow,
                    const std::string& aSlot,
                    IncarnationTag aIncarnation);
-  /// \brief Applies what the worker has stated, and a refusal by its limit.
+  /// \brief Applies what the worker has stated. A refusal by its limit starts
+  /// or extends an exponential back-off, which answers shorten.
   void RecordStatement(TimePoint aNow,
                        const std::string& aSlot,
-                       const CallAnswer& aAnswer);
+                       const CallAnswer& aAnswer,
+                       Random& aRandom);
   /// \returns Time until a worker that may run the call has room again, if all
   /// that are available are at their own limits.
   [[nodiscard]] std::optional<std::chrono::milliseconds> TimeUntilRoom(
@@ -238,6 +242,10 @@
 private:
   /// \brief Resets the statistics for a new incarnation, but not attempts in
   /// flight.
+  static void UpdateBackoff(WorkerRow& aRow,
+                            TimePoint aNow,
+                            const CallAnswer& aAnswer,
+                            Random& aRandom);
   static void UpdateIncarnation(WorkerRow& aRow, IncarnationTag aIncarnation);
   static void RecordStats(WorkerRow& aRow,
                           TimePoint aNow,
--- a/include/greengagehub/daemon/operators_api.hpp
+++ b/include/greengagehub/daemon/operators_api.hpp
@@ -56,6 +56,8 @@
   [[nodiscard]] HttpResponse VersionStatus(const HttpRequest& aRequest);
   [[nodiscard]] HttpResponse Changes(const HttpRequest& aRequest) const;
   [[nodiscard]] HttpResponse Status() const;
+  /// \returns What the own backend server and those called have stated.
+  [[nodiscard]] HttpResponse Limits() const;
   [[nodiscard]] HttpResponse QuarantinedRequests() const;
   [[nodiscard]] HttpResponse LiftQuarantine(const HttpRequest& aRequest);
   [[nodiscard]] HttpResponse Rollouts() const;
--- a/include/greengagehub/daemon/request_log.hpp
+++ b/include/greengagehub/daemon/request_log.hpp
@@ -73,6 +73,8 @@
     std::uint32_t m_queued{ 0 };
     std::uint32_t m_slots{ 0 };
     std::chrono::microseconds m_wait{ 0 };
+    /// Requests per second that the worker states; empty: not limited.
+    std::optional<double> m_rateLimit{};
   };
   void OnRunRefused(TimePoint aNow,
                     std::string_view aId,
--- a/include/greengagehub/observe/metrics.hpp
+++ b/include/greengagehub/observe/metrics.hpp
@@ -24,6 +24,8 @@
   /// rejected.
   void CountRun(std::string_view aResult);
   void CountWorkerCrash();
+  /// \brief Counts a request sent to the local worker.
+  void CountWorkerRequest();
   void CountRejectedReport(std::string_view aReason);
   /// \brief Sets the total of control traffic, in bytes since start.
   void SetBytes(std::string_view aPurpose,
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -324,7 +324,7 @@
   if (call == nullptr) {
     return out;
   }
-  m_workers.RecordStatement(aNow, call->m_slot, aAnswer);
+  m_workers.RecordStatement(aNow, call->m_slot, aAnswer, m_random);
   const LoadReport report{ aAnswer.m_load,
                            aAnswer.m_slots,
                            call->m_plan.m_kind,
--- a/src/calls/worker_table.cpp
+++ b/src/calls/worker_table.cpp
@@ -161,6 +161,7 @@
   aRow.m_ejectedUntil = TimePoint{};
   aRow.m_ejections = 0;
   aRow.m_limitedUntil = TimePoint{};
+  aRow.m_limitBackoff = std::chrono::milliseconds{ 0 };
 }
 
 void
--- a/src/calls/worker_table_signals.cpp
+++ b/src/calls/worker_table_signals.cpp
@@ -8,9 +8,12 @@
 
 namespace {
 
-/// Longest time without a call after a refusal by a worker's limit, so that its
-/// end is noticed.
-constexpr auto kMaxLimitedTime = std::chrono::milliseconds{ 500 };
+/// Longest back-off after a refusal by a worker's limit, so that its end is
+/// noticed.
+constexpr auto kMaxLimitBackoff = std::chrono::milliseconds{ 1000 };
+/// With these, a third of the calls sent to a worker at its limit are refused.
+constexpr int kBackoffFactor = 4;
+constexpr int kBackoffDivisor = 2;
 
 }
 
@@ -31,19 +34,37 @@
   row.m_isUnavailable = true;
 }
 
+void
+WorkerTable::UpdateBackoff(WorkerRow& aRow,
+                           TimePoint aNow,
+                           const CallAnswer& aAnswer,
+                           Random& aRandom)
+{
+  if (aAnswer.m_reason == RefusalReason::RateLimited) {
+    aRow.m_limitBackoff = std::min(
+      std::max(aRow.m_limitBackoff * kBackoffFactor, aAnswer.m_retryAfter),
+      kMaxLimitBackoff);
+    aRow.m_limitedUntil =
+      aNow + aRow.m_limitBackoff / 2 + Jittered(aRandom, aRow.m_limitBackoff);
+  } else if (aAnswer.m_outcome == CallOutcome::Answered) {
+    const bool isLimited = aAnswer.m_statement.m_rateLimit.has_value();
+    aRow.m_limitBackoff = isLimited ? aRow.m_limitBackoff / kBackoffDivisor
+                                    : std::chrono::milliseconds{ 0 };
+  }
+}
+
 void
 WorkerTable::RecordStatement(TimePoint aNow,
                              const std::string& aSlot,
-                             const CallAnswer& aAnswer)
+                             const CallAnswer& aAnswer,
+                             Random& aRandom)
 {
   m_signals.OnAnswer(aNow, aSlot, aAnswer);
   if (aAnswer.m_statement.m_isLeaving) {
     MarkLeaving(aNow, aSlot, aAnswer.m_statement.m_incarnation);
   }
-  const auto known = Find(aSlot);
-  if (known && aAnswer.m_reason == RefusalReason::RateLimited) {
-    m_rows.At(*known).m_limitedUntil =
-      aNow + std::min(aAnswer.m_retryAfter, kMaxLimitedTime);
+  if (const auto known = Find(aSlot)) {
+    UpdateBackoff(m_rows.At(*known), aNow, aAnswer, aRandom);
   }
 }
 
--- /dev/null
+++ b/src/cli/limits.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "src/cli/common.hpp"
+
+namespace greengagehub::cli {
+
+/// \brief Prints the limits and departures that backend servers have stated: of
+/// the daemon's own one, and of those that its callers' requests reached.
+[[nodiscard]] int
+ShowLimits(const Options& aOptions);
+
+}
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -206,6 +206,8 @@
     aResponder.Answer(Changes(aRequest));
   } else if (path == "/v1/status") {
     aResponder.Answer(Status());
+  } else if (path == "/v1/limits") {
+    aResponder.Answer(Limits());
   } else if (path == "/v1/quarantine") {
     aResponder.Answer(QuarantinedRequests());
   } else if (path == "/v1/rollouts") {
--- a/src/daemon/request_log.cpp
+++ b/src/daemon/request_log.cpp
@@ -97,7 +97,9 @@
                { "running", std::uint64_t{ aState.m_running } },
                { "queued", std::uint64_t{ aState.m_queued } },
                { "slots", std::uint64_t{ aState.m_slots } },
-               { "wait_us", aState.m_wait.count() } });
+               { "wait_us", aState.m_wait.count() },
+               { "limited", aState.m_rateLimit.has_value() },
+               { "per_second", aState.m_rateLimit.value_or(0.0) } });
 }
 
 void
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -168,6 +168,7 @@
     HeaderValue(call.m_headers, m_deps.m_dialect.m_requestId);
   request.m_deadline = run.m_deadline + kDeadlineGrace;
   request.m_maxIdleTime = call.m_idempotent ? kMaxIdle : kMaxIdleNonIdempotent;
+  m_deps.m_metrics.CountWorkerRequest();
   run.m_ticket =
     m_client.Send(std::move(request), [this, aKey](BackendResult aResult) {
       OnBackendResult(aKey, std::move(aResult));
@@ -368,7 +369,9 @@
   if (result == CancelResult::Finished && !aAbandon) {
     for (const KeptAnswer& each : m_keptAnswers) {
       if (each.m_key == aKey) {
-        m_deps.m_deliver(aKey, each.m_answer);
+        CallAnswer answer = each.m_answer;
+        answer.m_statement = Statement();
+        m_deps.m_deliver(aKey, std::move(answer));
         return CancelResult::Running;
       }
     }
@@ -403,7 +406,8 @@
            .m_slots = m_hasWorker ? m_runs.Slots() : 0,
            .m_wait = std::chrono::duration_cast<std::chrono::microseconds>(
              m_runs.ExpectedWaitOfKind(
-               Clock::now(), aRequest.m_priority, aRequest.m_kind)) };
+               Clock::now(), aRequest.m_priority, aRequest.m_kind)),
+           .m_rateLimit = m_runs.Limiter().Limit() };
 }
 
 void
--- a/src/daemon/run_service_worker.cpp
+++ b/src/daemon/run_service_worker.cpp
@@ -104,6 +104,7 @@
   request.m_deadline = Clock::now() + kProbeTimeout;
   const TimePoint sentAt = Clock::now();
   m_runs.Limiter().RecordSend(sentAt);
+  m_deps.m_metrics.CountWorkerRequest();
   m_client.Send(
     std::move(request),
     [this, sentAt, done = std::move(aDone)](const BackendResult& aResult) {
--- a/src/greengagehub.cpp
+++ b/src/greengagehub.cpp
@@ -1,5 +1,6 @@
 #include "greengagehub/observe/request_trace.hpp"
 #include "greengagehub/settings/settings.hpp"
+#include "src/cli/limits.hpp"
 #include "src/cli/quarantine.hpp"
 #include "src/cli/rollout.hpp"
 
@@ -33,6 +34,8 @@
                         is in force on all daemons, at most --timeout seconds
   explain PATCH_ID      show the recorded decision on a patch
   status                show the state of one daemon
+  limits                list the rate limits and departures that backend servers
+                        have stated
   held                  list quarantined request fingerprints, with the worker
                         crashes that caused the quarantine
   lift FINGERPRINT      lift a quarantine on all daemons
@@ -317,6 +320,9 @@
   if (command == "status") {
     return Status(aOptions);
   }
+  if (command == "limits") {
+    return ShowLimits(aOptions);
+  }
   if (command == "held") {
     return ShowQuarantine(aOptions);
   }
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -38,6 +38,12 @@
       .Help("Ends of the own worker's process while it ran requests")
       .Register(m_registry)
       .Add({});
+  prometheus::Counter& m_workerRequests =
+    prometheus::BuildCounter()
+      .Name("greengagehub_worker_requests_total")
+      .Help("Requests sent to the own worker, health checks included")
+      .Register(m_registry)
+      .Add({});
   prometheus::Family<prometheus::Counter>& m_rejectedReports =
     prometheus::BuildCounter()
       .Name("greengagehub_refused_reports_total")
@@ -90,6 +96,12 @@
   m_impl->m_workerCrashes.Increment();
 }
 
+void
+Metrics::CountWorkerRequest()
+{
+  m_impl->m_workerRequests.Increment();
+}
+
 void
 Metrics::CountRejectedReport(std::string_view aReason)
 {
--- a/tests/calls/replay.hpp
+++ b/tests/calls/replay.hpp
@@ -19,6 +19,10 @@
   std::size_t m_workers{ 8 };
   /// Rate of calls from the domain as a fraction of its workers' capacity.
   double m_load{ 0.85 };
+  /// Number of workers that state a limit, the first ones of the domain.
+  std::size_t m_limitedWorkers{ 0 };
+  /// Their limit, in requests per second.
+  double m_limit{ 0.0 };
 };
 
 struct ReplaySetup
@@ -36,6 +40,9 @@
   std::size_t m_inTarget{ 0 };
   std::size_t m_crossed{ 0 };
   std::size_t m_sends{ 0 };
+  std::size_t m_answered{ 0 };
+  /// Runs at workers that state a limit.
+  std::size_t m_limitedRuns{ 0 };
 
   [[nodiscard]] double Missed() const { return 1.0 - Share(m_inTarget); }
   [[nodiscard]] double Crossed() const { return Share(m_crossed); }
@@ -91,6 +98,7 @@
     RunTable m_table{ { .m_slots = kSlots, .m_queue = 4 * kSlots } };
     std::size_t m_domain{ 0 };
     Duration m_mean{ 0 };
+    bool m_isLimited{ false };
   };
 
   static std::string NameOf(std::size_t aDomain)
@@ -105,6 +113,10 @@
       auto worker = std::make_unique<Worker>();
       worker->m_domain = aDomain;
       worker->m_mean = i % 3 == 2 || i == 0 ? kFast : kSlow;
+      if (i < domain.m_limitedWorkers) {
+        worker->m_isLimited = true;
+        worker->m_table.Limiter().OnResponse(m_now, m_now, domain.m_limit);
+      }
       m_workers.push_back(std::move(worker));
     }
     m_firstCaller.push_back(m_callers.size());
@@ -191,6 +203,7 @@
           finish->m_answer.m_outcome == CallOutcome::Answered;
         const Duration took = m_now - m_arrivals.at(finish->m_call);
         m_result.m_inTarget += answered && took <= kTarget ? 1 : 0;
+        m_result.m_answered += answered ? 1 : 0;
       }
     }
   }
@@ -219,14 +232,34 @@
     if (admission.m_kind == Admission::Kind::Start) {
       Start(key);
     } else if (refused) {
-      Answer(key, Refuse(key.m_call, CallOutcome::NotRun, admission.m_reason));
+      Answer(key,
+             Refuse(key.m_call,
+                    CallOutcome::NotRun,
+                    admission.m_reason,
+                    admission.m_retryAfter));
     }
     Apply(out);
+    ScheduleWakeUp(index);
+  }
+
+  /// Starts delayed by a limit need a timer; other workers start calls when
+  /// runs end.
+  void ScheduleWakeUp(std::size_t aWorker)
+  {
+    const RunTable& table = m_workers[aWorker]->m_table;
+    const auto next = table.NextWakeUp(m_now);
+    if (m_workers[aWorker]->m_isLimited && next) {
+      Schedule(*next - m_now, [this, aWorker] {
+        Apply(m_workers[aWorker]->m_table.OnTick(m_now));
+      });
+    }
   }
 
   void Start(const CallKey& aKey)
   {
-    Schedule(ServiceOf(*m_workers[m_workerOf.at(aKey)]), [this, aKey] {
+    const Worker& worker = *m_workers[m_workerOf.at(aKey)];
+    m_result.m_limitedRuns += worker.m_isLimited ? 1 : 0;
+    Schedule(ServiceOf(worker), [this, aKey] {
       Apply(m_workers[m_workerOf.at(aKey)]->m_table.Finish(m_now, aKey));
       CallAnswer answer;
       answer.m_call = aKey.m_call;
@@ -239,7 +272,10 @@
   {
     for (const RefusedRun& each : aActions.m_refused) {
       Answer(each.m_key,
-             Refuse(each.m_key.m_call, CallOutcome::NotRun, each.m_reason));
+             Refuse(each.m_key.m_call,
+                    CallOutcome::NotRun,
+                    each.m_reason,
+                    each.m_retryAfter));
     }
     for (const CallKey& each : aActions.m_start) {
       Start(each);
@@ -253,6 +289,7 @@
     const RunTable& worker = m_workers[m_workerOf.at(aKey)]->m_table;
     aAnswer.m_load = worker.Load();
     aAnswer.m_slots = kSlots;
+    aAnswer.m_statement.m_rateLimit = worker.Limiter().Limit();
     aAnswer.m_serviceTime =
       duration_cast<microseconds>(worker.ServiceTime(m_now, kTarget));
     aAnswer.m_wait =
--- a/tests/transport/codec.cpp
+++ b/tests/transport/codec.cpp
@@ -5,6 +5,7 @@
 #include "link.pb.h"
 
 #include <doctest/doctest.h>
+#include <limits>
 
 using namespace greengagehub;
 using namespace std::chrono_literals;
@@ -18,6 +19,7 @@
   message.m_kind = GossipMessage::Kind::Ack;
   message.m_sender.m_slot = "a";
   message.m_sender.m_workerIncarnation = 4'000'000'000U;
+  message.m_sender.m_isWorkerLeaving = true;
   message.m_sender.m_address = { "127.0.0.1", 1, 2, 3 };
   message.m_sequence = 77;
   message.m_head = { Version{ 9 }, Sha256("chain") };
@@ -72,6 +74,7 @@
   CHECK(got.value().m_kind == sent.m_kind);
   CHECK(got.value().m_sender.m_address == sent.m_sender.m_address);
   CHECK(got.value().m_sender.m_workerIncarnation == 4'000'000'000U);
+  CHECK(got.value().m_sender.m_isWorkerLeaving);
   CHECK(got.value().m_updates.size() == 6);
   CHECK(got.value().m_updates[3].m_state == MemberState::Suspect);
   CHECK(got.value().m_entries == sent.m_entries);
@@ -255,3 +258,52 @@
   CHECK(std::get<CallRequest>(frame.value()).m_headers.at(0).m_value ==
         "Bj\xf6rn");
 }
+
+namespace {
+
+LinkFrame
+RoundTrip(const LinkFrame& aFrame)
+{
+  std::string bytes;
+  AppendFrame(bytes, aFrame);
+  auto decoded =
+    DecodeFrame(std::string_view{ bytes }.substr(kFrameLengthBytes));
+  REQUIRE(decoded);
+  return std::move(decoded.value());
+}
+
+}
+
+TEST_CASE("what a worker states survives encoding and decoding")
+{
+  CallRequest request;
+  request.m_knownStatement = { 9, 0.0 };
+  const auto gotRequest = std::get<CallRequest>(RoundTrip(request));
+  CHECK(gotRequest.m_knownStatement.m_incarnation == 9);
+  CHECK(gotRequest.m_knownStatement.m_rateLimit == 0.0);
+
+  CallAnswer answer;
+  answer.m_reason = RefusalReason::RateLimited;
+  answer.m_statement = { 9, 37.6, true };
+  const auto gotAnswer = std::get<CallAnswer>(RoundTrip(answer));
+  CHECK(gotAnswer.m_reason == RefusalReason::RateLimited);
+  CHECK(gotAnswer.m_statement.m_rateLimit == 37.6);
+  CHECK(gotAnswer.m_statement.m_isLeaving);
+  CHECK(gotAnswer.m_statement.m_incarnation == 9);
+
+  const auto gotNone = std::get<CallAnswer>(RoundTrip(CallAnswer{}));
+  CHECK(gotNone.m_statement.IsEmpty());
+}
+
+TEST_CASE("a limit from another daemon that is no rate is ignored")
+{
+  for (const double limit : { -1.0,
+                              std::numeric_limits<double>::quiet_NaN(),
+                              std::numeric_limits<double>::infinity() }) {
+    CAPTURE(limit);
+    CallRequest request;
+    request.m_knownStatement = { 9, limit };
+    const auto got = std::get<CallRequest>(RoundTrip(request));
+    CHECK_FALSE(got.m_knownStatement.m_rateLimit);
+  }
+}
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -1,13 +1,13 @@
 #include "greengagehub/core/random.hpp"
 #include "soak_config.hpp"
 #include "soak_crashing.hpp"
+#include "soak_options.hpp"
 #include "soak_plan.hpp"
 #include "soak_rollout.hpp"
+#include "soak_signals.hpp"
 #include "testkit/fleet.hpp"
 #include "testkit/load.hpp"
-#include "testkit/tcp_proxy.hpp"
 
-#include <boost/program_options.hpp>
 #include <csignal>
 #include <fmt/format.h>
 #include <thread>
@@ -185,6 +185,9 @@
     if (m_options.m_rollout) {
       AddRollout(length);
     }
+    if (m_options.m_signals) {
+      AddSignals(length);
+    }
     std::stable_sort(
       m_plan.begin(), m_plan.end(), [](const Step& aLeft, const Step& aRight) {
         return aLeft.m_at < aRight.m_at;
@@ -194,15 +197,8 @@
   /// Restarts workers under the same id, and sends late or malformed reports.
   void AddRestarts(std::uint32_t aLength)
   {
-    static const std::vector<std::int64_t> kOffsetsMs{ 1, 5'000, -3'600'000 };
-    static const std::vector<Json> kReports{
-      { { "seq", 100'000 }, { "state", "draining" }, { "born", 1 } },
-      { { "seq", 100'001 }, { "state", "resting" } },
-      { { "seq", 100'002 }, { "slots", -1 } },
-      { { "seq", 100'003 }, { "slots", 6.5 } },
-      { { "seq", true } },
-      { { "seq", 100'004 }, { "born", "soon" }, { "state", "draining" } },
-    };
+    const auto& offsets = RestartOffsetsMs();
+    const auto& reports = ExtraReports();
     for (std::uint32_t i = 0; i < 2 + aLength / 2000; ++i) {
       const auto at = RandomTime(300, aLength * 2 / 3);
       const std::string slot = RandomSlot();
@@ -212,12 +208,12 @@
             m_fleet.ControlWorker(slot, aWanted);
           });
       };
-      control(at,
-              { { "restart_same_id",
-                  kOffsetsMs[Below(m_random, kOffsetsMs.size())] } });
-      for (std::uint64_t reports = Below(m_random, 4); reports > 0; --reports) {
+      control(
+        at,
+        { { "restart_same_id", offsets[Below(m_random, offsets.size())] } });
+      for (std::uint64_t left = Below(m_random, 4); left > 0; --left) {
         control(at + RandomTime(0, 1500),
-                { { "report", kReports[Below(m_random, kReports.size())] } });
+                { { "report", reports[Below(m_random, reports.size())] } });
       }
     }
   }
@@ -233,6 +229,19 @@
     }
   }
 
+  /// Limits change and end while daemons are killed and paused.
+  void AddSignals(std::uint32_t aLength)
+  {
+    const auto& signals = WorkerSignalFaults();
+    for (std::uint32_t i = 0; i < 4 + aLength / 1000; ++i) {
+      const Json& stated = signals[Below(m_random, signals.size())];
+      const std::string slot = RandomSlot();
+      AddStep(RandomTime(300, aLength * 2 / 3),
+              slot + "'s worker states " + stated.dump(),
+              [this, slot, stated] { m_signals.State(slot, stated); });
+    }
+  }
+
   /// Orders a failing version, and restores the store to an older copy.
   void AddRollout(std::uint32_t aLength)
   {
@@ -259,26 +268,40 @@
     };
     switch (Below(m_random, 4)) {
       case 0:
-        AddStep(aAt, slot + " paused", signal(SIGSTOP));
-        AddStep(aUntil, slot + " goes on", signal(SIGCONT));
+        AddStep(aAt, slot + " paused", [this, slot] {
+          m_signals.BeginFault(slot);
+          m_fleet.Daemon(slot).Signal(SIGSTOP);
+        });
+        AddStep(aUntil, slot + " goes on", [this, slot] {
+          m_fleet.Daemon(slot).Signal(SIGCONT);
+          m_signals.EndFault(slot);
+        });
         break;
       case 1:
-        AddStep(
-          aAt, slot + " killed", [this, slot] { m_fleet.Daemon(slot).Kill(); });
-        AddStep(
-          aUntil, slot + " started", [this, slot] { m_fleet.Restart(slot); });
+        AddStep(aAt, slot + " killed", [this, slot] {
+          m_signals.BeginFault(slot);
+          m_fleet.Daemon(slot).Kill();
+        });
+        AddStep(aUntil, slot + " started", [this, slot] { Restart(slot); });
         break;
       case 2:
         AddStep(aAt, slot + " told to stop", signal(SIGTERM));
         AddStep(aAt + std::chrono::milliseconds{ 4500 },
                 slot + " started",
-                [this, slot] { m_fleet.Restart(slot); });
+                [this, slot] { Restart(slot); });
         break;
       default:
         AddStep(aAt, slot + " told to reload", signal(SIGHUP));
     }
   }
 
+  void Restart(const std::string& aSlot)
+  {
+    m_signals.BeginFault(aSlot);
+    m_fleet.Restart(aSlot);
+    m_signals.EndFault(aSlot);
+  }
+
   void AddStoreFault(std::chrono::milliseconds aAt,
                      std::chrono::milliseconds aUntil)
   {
@@ -293,13 +316,8 @@
       });
       return;
     }
-    static const std::vector<std::pair<ProxyFault, const char*>> kFaults{
-      { ProxyFault::Delay, "delayed" },
-      { ProxyFault::Drop, "silenced" },
-      { ProxyFault::DropAnswers, "cut one way" },
-      { ProxyFault::Reset, "reset" },
-    };
-    const auto& entry = kFaults[Below(m_random, kFaults.size())];
+    const auto& proxyFaults = ProxyFaults();
+    const auto& entry = proxyFaults[Below(m_random, proxyFaults.size())];
     const ProxyFault fault = entry.first;
     const char* name = entry.second;
     AddStep(aAt,
@@ -389,6 +407,13 @@
         aOut.m_violations.push_back(Describe(*each));
       }
     }
+    if (m_options.m_signals) {
+      m_signals.AddRequests(aReleases);
+      m_signals.AddRequests(aLookups);
+      for (std::string& each : m_signals.Check()) {
+        aOut.m_violations.push_back(std::move(each));
+      }
+    }
     const auto crashes =
       m_crashing ? m_crashing->Check(m_daemonFaults) : std::nullopt;
     if (crashes) {
@@ -415,6 +440,7 @@
   std::vector<Step> m_plan;
   std::optional<CrashingRequests> m_crashing;
   std::optional<FailingVersion> m_failingVersion;
+  StatedSignals m_signals{ m_fleet, m_slots };
   /// Number of faults that kill, stop or pause a daemon.
   int m_daemonFaults{ 0 };
   std::uint64_t m_version{ 0 };
@@ -454,28 +480,7 @@
 {
   namespace po = boost::program_options;
   Options given;
-  po::options_description options{ "soak: runs the real programs under random "
-                                   "faults; a seed gives a fixed plan" };
-  options.add_options()("help", "show this")(
-    "seed", po::value(&given.m_seed)->default_value(1), "first seed")(
-    "seeds", po::value(&given.m_seeds)->default_value(1), "number of seeds")(
-    "seconds",
-    po::value(&given.m_seconds)->default_value(15),
-    "length of each plan")("daemons",
-                           po::value(&given.m_daemons)->default_value(5),
-                           "daemons, each with its worker")(
-    "rate",
-    po::value(&given.m_rate)->default_value(100.0),
-    "releases per second, and as many lookups")(
-    "rollout",
-    po::bool_switch(&given.m_rollout),
-    "also orders a failing version and restores the store from copies")(
-    "restarts",
-    po::bool_switch(&given.m_restarts),
-    "also restarts backend servers under the same ids")(
-    "crashing",
-    po::bool_switch(&given.m_crashing),
-    "also sends a request that crashes backend servers");
+  const po::options_description options = DescribeOptions(given);
   try {
     po::variables_map values;
     po::store(po::parse_command_line(aCount, aArguments, options), values);
--- a/tools/soak_plan.hpp
+++ b/tools/soak_plan.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "testkit/load.hpp"
+#include "testkit/tcp_proxy.hpp"
 
 #include <chrono>
 #include <functional>
@@ -29,6 +30,8 @@
   /// Adds the roll-out of a failing version, and restores of the store from
   /// older copies.
   bool m_rollout{ false };
+  /// Adds backend servers that state limits or that they are leaving.
+  bool m_signals{ false };
 };
 
 /// \brief An action at a time since the start of the plan.
@@ -62,6 +65,54 @@
   return kFaults;
 }
 
+/// \returns Faults of connections to the store, with their descriptions.
+inline const std::vector<std::pair<ProxyFault, const char*>>&
+ProxyFaults()
+{
+  static const std::vector<std::pair<ProxyFault, const char*>> kFaults{
+    { ProxyFault::Delay, "delayed" },
+    { ProxyFault::Drop, "silenced" },
+    { ProxyFault::DropAnswers, "cut one way" },
+    { ProxyFault::Reset, "reset" },
+  };
+  return kFaults;
+}
+
+/// \returns Changes of the start time at a restart under the same id.
+inline const std::vector<std::int64_t>&
+RestartOffsetsMs()
+{
+  static const std::vector<std::int64_t> kOffsets{ 1, 5'000, -3'600'000 };
+  return kOffsets;
+}
+
+/// \returns Fields of late and malformed reports.
+inline const std::vector<nlohmann::json>&
+ExtraReports()
+{
+  static const std::vector<nlohmann::json> kReports{
+    { { "seq", 100'000 }, { "state", "draining" }, { "born", 1 } },
+    { { "seq", 100'001 }, { "state", "resting" } },
+    { { "seq", 100'002 }, { "slots", -1 } },
+    { { "seq", 100'003 }, { "slots", 6.5 } },
+    { { "seq", true } },
+    { { "seq", 100'004 }, { "born", "soon" }, { "state", "draining" } },
+  };
+  return kReports;
+}
+
+/// \returns What backend servers state; malformed limits state nothing.
+inline const std::vector<nlohmann::json>&
+WorkerSignalFaults()
+{
+  static const std::vector<nlohmann::json> kSignals{
+    { { "limit", "3" } },     { { "limit", "8.5" } }, { { "limit", "30" } },
+    { { "limit", "0.4" } },   { { "limit", "nan" } }, { { "leaving", true } },
+    { { "limit", nullptr } },
+  };
+  return kSignals;
+}
+
 /// \returns Pairs of a worker's fault and the control request that ends it.
 inline const std::vector<std::pair<nlohmann::json, nlohmann::json>>&
 WorkerFaults()
@@ -77,5 +128,4 @@
   };
   return kFaults;
 }
-
 }
