--- a/tests/calls/limited_fleet.cpp
+++ b/tests/calls/limited_fleet.cpp
@@ -2,7 +2,7 @@
 
 #include <doctest/doctest.h>
 
-// Forty callers' daemons and five workers, of which some state a limit.
+// Callers' daemons and five workers, of which some state a limit.
 
 using namespace greengagehub;
 using test::Replay;
@@ -13,9 +13,13 @@
 constexpr double kSeconds = 20.0;
 
 ReplayResult
-RunWithLimits(std::size_t aLimitedWorkers, double aLimit, double aLoad)
+RunWithLimits(std::size_t aLimitedWorkers,
+              double aLimit,
+              double aLoad,
+              std::size_t aCallers = 40)
 {
   test::ReplaySetup setup;
+  setup.m_domains[0].m_callers = aCallers;
   setup.m_domains[0].m_workers = 5;
   setup.m_domains[0].m_load = aLoad;
   setup.m_domains[0].m_limitedWorkers = aLimitedWorkers;
@@ -50,3 +54,14 @@
   CHECK(result.m_answered <= 1.1 * allowed);
   CHECK(result.Sends() < 2.5);
 }
+
+TEST_CASE("a few callers' daemons use up low limits as well")
+{
+  // Guards against a back-off that leaves a limit unused between few callers.
+  for (const double limit : { 4.0, 15.0, 40.0 }) {
+    CAPTURE(limit);
+    const ReplayResult result = RunWithLimits(5, limit, 0.9, 9);
+    CHECK(result.m_answered >= 0.95 * kSeconds * 5 * limit);
+    CHECK(result.m_answered <= 1.1 * kSeconds * 5 * limit);
+  }
+}
--- a/tests/end_to_end/worker_signals.cpp
+++ b/tests/end_to_end/worker_signals.cpp
@@ -175,6 +175,17 @@
   CHECK(
     fleet.Command("lockers-1", { "limits" }).m_output.find("4 requests/s") !=
     std::string::npos);
+
+  // From a request's id to the limit that it met.
+  const auto found = std::ranges::find(
+    records, std::string{ "rate-limited" }, &CallRecord::m_reason);
+  REQUIRE(found != records.end());
+  CommandResult trace;
+  CHECK(WaitUntil([&] {
+    trace = fleet.Trace(found->m_id);
+    return trace.m_output.find("rate-limited") != std::string::npos;
+  }));
+  CHECK(trace.m_output.find(R"("per_second":4)") != std::string::npos);
 }
 
 TEST_CASE("a limit and a leave bind without the platform's protocol, too")
