A late answer of a worker that has left excludes no successor

Cause: an answer that states a leave marked the row of its slot, whatever incarnation the row was of by then; and a slow response that was started before its worker said so took the statement back.

Change: the row is marked only if it is of the incarnation that leaves, or of an unknown one; within an incarnation a stated leave stays.

The new test case fails on the code before: no send for the successor.

--- a/include/greengagehub/calls/worker_table.hpp
+++ b/include/greengagehub/calls/worker_table.hpp
@@ -240,12 +240,12 @@
                     Random& aRandom);
 
 private:
-  /// \brief Resets the statistics for a new incarnation, but not attempts in
-  /// flight.
   static void UpdateBackoff(WorkerRow& aRow,
                             TimePoint aNow,
                             const CallAnswer& aAnswer,
                             Random& aRandom);
+  /// \brief Resets the statistics for a new incarnation, but not attempts in
+  /// flight.
   static void UpdateIncarnation(WorkerRow& aRow, IncarnationTag aIncarnation);
   static void RecordStats(WorkerRow& aRow,
                           TimePoint aNow,
--- a/src/calls/worker_table_signals.cpp
+++ b/src/calls/worker_table_signals.cpp
@@ -27,11 +27,11 @@
   if (!known) {
     return;
   }
+  // A late answer of a former incarnation must not exclude its successor.
   WorkerRow& row = m_rows.At(*known);
-  if (aIncarnation != 0) {
-    UpdateIncarnation(row, aIncarnation);
-  }
-  row.m_isUnavailable = true;
+  const bool isOfCurrent = aIncarnation == 0 || row.m_incarnation == 0 ||
+                           row.m_incarnation == aIncarnation;
+  row.m_isUnavailable = row.m_isUnavailable || isOfCurrent;
 }
 
 void
--- a/src/daemon/run_service_signals.cpp
+++ b/src/daemon/run_service_signals.cpp
@@ -23,6 +23,8 @@
 {
   const TimePoint now = Clock::now();
   const WorkerSignals previous = std::exchange(m_signals, aSignals);
+  // A slow response may have been started before the worker said so.
+  m_signals.m_isLeaving = aSignals.m_isLeaving || previous.m_isLeaving;
   m_deps.m_requestLog.OnWorkerSignals(
     now, m_incarnation.m_id, previous, aSignals);
   if (aSignals.m_invalidRateLimit.empty()) {
--- a/tests/calls/stated_signals.cpp
+++ b/tests/calls/stated_signals.cpp
@@ -181,6 +181,7 @@
   Caller caller{ { "a", "b" } };
   caller.Begin(kStart);
   const std::string leaving = caller.m_send->m_slot;
+  caller.Workers().Put(Row(leaving, 7));
   caller.Answer(kStart, Answered({ 7, std::nullopt, true }));
   const auto isUsed = [&] {
     bool used = false;
@@ -203,6 +204,16 @@
   CHECK(isUsed());
 }
 
+TEST_CASE("a late answer of a worker that has left excludes no successor")
+{
+  Caller caller{ { "a" } };
+  caller.Begin(kStart);
+  caller.Workers().Put(Row("a", 8));
+  caller.Answer(kStart, Answered({ 7, std::nullopt, true }));
+  caller.Begin(kStart + 1s);
+  CHECK(caller.m_send);
+}
+
 TEST_CASE("a worker that states that it is leaving stays so in later reports")
 {
   WorkerPresence worker{ 1500ms };
