--- a/include/greengagehub/calls/worker_presence.hpp
+++ b/include/greengagehub/calls/worker_presence.hpp
@@ -64,7 +64,7 @@
     return m_current && !m_current->m_isDraining;
   }
   /// \returns Tag of the current incarnation; 0 before its first heartbeat, as
-  /// a health check does not tell when it started.
+  /// a health check has no start time.
   [[nodiscard]] IncarnationTag CurrentTag() const;
   /// \returns When the previous incarnation last reported.
   [[nodiscard]] TimePoint PreviousLastReportAt() const noexcept
--- a/tests/calls/stated_signals.cpp
+++ b/tests/calls/stated_signals.cpp
@@ -236,7 +236,7 @@
 
 TEST_CASE("a probed worker has no tag before its first report")
 {
-  // A health check does not tell the start time that tells incarnations apart.
+  // A health check has no start time, by which incarnations differ.
   WorkerPresence worker{ 1500ms };
   REQUIRE(worker.OnProbed(kStart, { .m_incarnation = { "i-1" } }) ==
           WorkerPresence::Change::Arrived);
--- a/tests/end_to_end/worker_signals.cpp
+++ b/tests/end_to_end/worker_signals.cpp
@@ -108,7 +108,7 @@
 
 TEST_CASE("a limit holds when the daemon beside the worker restarts")
 {
-  // The new process knows no limit; the callers that do must tell it.
+  // The new process knows no limit; callers' daemons have to send it along.
   Fleet fleet;
   StartLockers(fleet, kWorkers);
   fleet.ControlWorker("lockers-1", { { "limit", "5.5" } });
--- a/tools/testkit/fleet.cpp
+++ b/tools/testkit/fleet.cpp
@@ -257,10 +257,8 @@
 {
   HttpClientRequest request;
   request.m_url = BackendUrl(aSlot) + "/history";
-  const Json histories = Json::parse(
-    SendAndWait(std::move(request)).m_response.m_body, nullptr, false);
-  return histories.is_array() ? ParseHistories(histories)
-                              : std::vector<WorkerHistory>{};
+  return ParseHistories(Json::parse(
+    SendAndWait(std::move(request)).m_response.m_body, nullptr, false));
 }
 
 void
--- a/tools/testkit/signal_rules.cpp
+++ b/tools/testkit/signal_rules.cpp
@@ -61,6 +61,9 @@
 ParseHistories(const nlohmann::json& aHistories)
 {
   std::vector<WorkerHistory> histories;
+  if (!aHistories.is_array()) {
+    return histories;
+  }
   for (const auto& incarnation : aHistories) {
     WorkerHistory& history = histories.emplace_back();
     for (const auto& each : incarnation["limits"]) {
--- a/tools/testkit/signal_rules.hpp
+++ b/tools/testkit/signal_rules.hpp
@@ -40,7 +40,8 @@
   std::vector<Statement> m_statements;
 };
 
-/// \returns One entry for each incarnation, from a stand-in's GET /history.
+/// \returns One entry for each incarnation, from a stand-in's GET /history;
+/// empty if it did not answer.
 [[nodiscard]] std::vector<WorkerHistory>
 ParseHistories(const nlohmann::json& aHistories);
 
