Write the seed of a new rank soon, not at the next verification

Seen: "seed addresses are published again after a restore of the store" failed once beside load, at its first requirement: two seeds of the domain were not in the store within 20 s, before any restore.

Cause: a daemon that has not joined yet may write the domain's first seed. It then verifies it after up to 60 s, and SeedPublisher::OnTick looked at the daemon's rank only after that pause. Where the daemon that wrote first turned out to have the second rank, nobody wrote the second seed until then. Which daemon writes first is a matter of start times, so that it showed beside load only.

Evidence: the new test "a daemon that wrote the first seed before it knew its rank writes the seed of its rank soon" failed before the change (the second seed was empty after 2 s), and so did "a daemon whose rank alternates writes at most twice a second" (1 write in 4 s).

Ruled out by reading: the era check of the store's replies (replies of a former era are dropped), a write that is pending during a restore (it meets a conflict and is sent again), and a watch that notices the restore late (5 s at most).

Change: a change of place moves the next attempt to within a second. Ranks alternate while a fleet starts, so the pause stays as the bound.

--- a/include/greengagehub/membership/seed_publisher.hpp
+++ b/include/greengagehub/membership/seed_publisher.hpp
@@ -37,6 +37,8 @@
 
 private:
   [[nodiscard]] StoreRequest Write();
+  /// \brief Moves to another seed key, which is to be written soon.
+  void SetPlace(TimePoint aNow, std::size_t aPlace);
 
   MemberRecord m_self;
   Random m_random;
--- a/src/membership/seed_publisher.cpp
+++ b/src/membership/seed_publisher.cpp
@@ -2,6 +2,7 @@
 
 #include "greengagehub/membership/watch_lease.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <random>
 
@@ -44,10 +45,28 @@
                  m_revision);
 }
 
+void
+SeedPublisher::SetPlace(TimePoint aNow, std::size_t aPlace)
+{
+  m_place = aPlace;
+  m_revision = 0;
+  m_isWritten = false;
+  // Earlier than the verification of the former place, but limited, as ranks
+  // change often while a fleet starts.
+  m_nextAttempt =
+    std::min(m_nextAttempt, aNow + Jittered(m_random, kRetryInterval));
+}
+
 std::optional<StoreRequest>
 SeedPublisher::OnTick(TimePoint aNow, std::optional<std::size_t> aRank)
 {
-  if (m_isRequestPending || aNow < m_nextAttempt) {
+  if (m_isRequestPending) {
+    return std::nullopt;
+  }
+  if (aRank && *aRank < kSeedsPerDomain && *aRank != m_place) {
+    SetPlace(aNow, *aRank);
+  }
+  if (aNow < m_nextAttempt) {
     return std::nullopt;
   }
   if (!aRank) {
@@ -63,11 +82,6 @@
     m_isWritten = false;
     return std::nullopt;
   }
-  if (*aRank != m_place) {
-    m_place = *aRank;
-    m_revision = 0;
-    m_isWritten = false;
-  }
   if (!m_isWritten) {
     return Write();
   }
--- a/tests/membership/seed_publisher.cpp
+++ b/tests/membership/seed_publisher.cpp
@@ -138,6 +138,31 @@
   CHECK(store.HostAt(0) == "10.0.0.1");
 }
 
+TEST_CASE("a daemon that wrote the first seed before it knew its rank writes "
+          "the seed of its rank soon")
+{
+  // Guards against a second seed that is missing until the next verification.
+  FakeStore store;
+  SeedPublisher publisher{ Self("10.0.0.1"), 1 };
+  publisher.OnSeeds(kStart, false);
+  store.Run(publisher, kStart, 2s, std::nullopt);
+  REQUIRE(store.HostAt(0) == "10.0.0.1");
+  store.Run(publisher, kStart + 2s, 2s, 1);
+  CHECK(store.HostAt(1) == "10.0.0.1");
+}
+
+TEST_CASE("a daemon whose rank alternates writes at most twice a second")
+{
+  // Guards against a burst of writes while a starting fleet learns its members.
+  FakeStore store;
+  SeedPublisher publisher{ Self("10.0.0.1"), 1 };
+  for (int i = 0; i < 40; ++i) {
+    store.Run(publisher, kStart + i * 100ms, 100ms, i % 2);
+  }
+  CHECK(store.m_writes >= 2);
+  CHECK(store.m_writes <= 8);
+}
+
 TEST_CASE("malformed seeds are rejected")
 {
   // A starting daemon would wait for an answer from a malformed address.
