--- a/include/greengagehub/calls/call.hpp
+++ b/include/greengagehub/calls/call.hpp
@@ -2,6 +2,7 @@
 
 #include "greengagehub/calls/call_dialect.hpp"
 #include "greengagehub/calls/call_kind.hpp"
+#include "greengagehub/calls/call_share.hpp"
 #include "greengagehub/calls/worker_incarnation.hpp"
 #include "greengagehub/config/content.hpp"
 #include "greengagehub/core/clock.hpp"
@@ -131,6 +132,8 @@
   /// What the caller's daemon knows of the worker; its own daemon may have
   /// restarted.
   WorkerStatement m_knownStatement{};
+  /// The workspace that the slot time is charged to.
+  CallShare m_share{};
 };
 
 /// \brief Final result of an attempt.
--- /dev/null
+++ b/include/greengagehub/calls/call_share.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+
+namespace greengagehub {
+
+/// Unit of a workspace's weight; also the weight of one that states none.
+inline constexpr std::uint32_t kUnitWeight = 1000;
+
+/// \brief The workspace that a call is charged to.
+struct CallShare
+{
+  /// 0: none is known.
+  std::uint64_t m_workspace{ 0 };
+  /// In thousandths; 0: none is known.
+  std::uint32_t m_weight{ 0 };
+
+  [[nodiscard]] bool operator==(const CallShare&) const noexcept = default;
+};
+
+}
--- a/include/greengagehub/calls/dispatcher.hpp
+++ b/include/greengagehub/calls/dispatcher.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "greengagehub/calls/fair_shares.hpp"
 #include "greengagehub/calls/placement.hpp"
 #include "greengagehub/calls/retry_budget.hpp"
 #include "greengagehub/quarantine/quarantine.hpp"
@@ -30,6 +31,7 @@
   /// Probability that the call is made by a retried run.
   double m_retriedRunProbability{ 0.0 };
   Fingerprint m_fingerprint{};
+  CallShare m_share{};
 };
 
 /// \brief Send attempt `m_attempt` of call `m_call` to a worker's daemon.
--- a/include/greengagehub/calls/run_table.hpp
+++ b/include/greengagehub/calls/run_table.hpp
@@ -24,6 +24,8 @@
   std::size_t m_maxRetained{ 50'000 };
   /// Time before a queued call's deadline that is reserved for its refusal.
   std::chrono::milliseconds m_margin{ 5 };
+  /// Whether workspaces share the slots by weight.
+  bool m_sharesFairly{ true };
   DecisionSettings m_decisions{};
 };
 
@@ -139,6 +141,8 @@
   [[nodiscard]] Duration ExpectedWaitOfKind(TimePoint aNow,
                                             std::uint32_t aPriority,
                                             CallKind aKind) const;
+  /// \brief Use of the worker by workspace.
+  [[nodiscard]] const FairShares& Shares() const noexcept { return m_shares; }
   [[nodiscard]] std::uint32_t Slots() const noexcept
   {
     return m_settings.m_slots;
@@ -170,6 +174,7 @@
     TimePoint m_stateSince;
     std::uint32_t m_workerIncarnation{ 0 };
     std::optional<Duration> m_expectedServiceTime{};
+    ShareTicket m_share{};
   };
   struct KeyHash
   {
@@ -207,6 +212,9 @@
   [[nodiscard]] std::optional<Duration> PredictedWait(
     TimePoint aNow,
     const WorkRank& aRank) const;
+  /// \brief Charges an arriving attempt to its workspace, if any is in use.
+  [[nodiscard]] ShareTicket QueueShare(TimePoint aNow,
+                                       const WorkDemand& aDemand);
   [[nodiscard]] Admission RefuseArrival(TimePoint aNow,
                                         CallKey aKey,
                                         RefusalReason aReason);
@@ -222,12 +230,22 @@
   [[nodiscard]] bool MakeRoom(TimePoint aNow,
                               const Run& aFor,
                               RunActions& aOut);
+  /// \returns The queued attempt to be refused for an arriving one; nullptr if
+  /// there is none. `aIsClassFull`: it has to be one of the class's limit.
+  [[nodiscard]] Run* FindDisplaceable(TimePoint aNow,
+                                      const Run& aFor,
+                                      bool aIsClassFull);
   [[nodiscard]] Run* HighestRanked(TimePoint aNow);
   [[nodiscard]] bool IsEvicted(CallKey aKey) const;
   void EvictEnded(TimePoint aNow);
   Run& AddRun(TimePoint aNow, CallKey aKey, State aState);
   void StartRun(TimePoint aNow, Run& aRun);
   void RefuseQueued(TimePoint aNow, Run& aRun);
+  /// \brief Refuses a queued attempt and informs its caller.
+  void RefuseQueued(TimePoint aNow,
+                    Run& aRun,
+                    RefusalReason aReason,
+                    RunActions& aOut);
   void StartQueued(TimePoint aNow, RunActions& aOut);
   void ExpireQueued(TimePoint aNow, RunActions& aOut);
   static void CopyDemand(const Run& aFrom, Run& aTo);
@@ -257,6 +275,7 @@
   SlownessDetector m_slowness;
   OnTimeLoad m_onTimeLoad;
   SendLimiter m_limiter;
+  FairShares m_shares;
   /// OrderSettings() while the limit is the scarce resource.
   DecisionSettings m_limitedOrder;
 };
--- a/include/greengagehub/calls/work_order.hpp
+++ b/include/greengagehub/calls/work_order.hpp
@@ -2,6 +2,7 @@
 
 #include "greengagehub/calls/call_kind.hpp"
 #include "greengagehub/calls/decision_settings.hpp"
+#include "greengagehub/calls/fair_shares.hpp"
 #include "greengagehub/config/content.hpp"
 #include "greengagehub/core/clock.hpp"
 
@@ -24,6 +25,7 @@
   /// Time left to the target latency; at most m_timeLeft.
   std::chrono::microseconds m_targetLeft{ 0 };
   bool m_refuseIfBusy{ false };
+  CallShare m_share{};
 };
 
 /// \brief Moving average of the service time at one worker, for each kind.
@@ -46,6 +48,8 @@
 };
 
 /// \brief Queue position of a call: highest gain first, then earliest due time.
+/// Among calls of one rank, those of workspaces ahead of their shares come
+/// last.
 ///
 /// Under overload slot time is scarce: short calls pass long ones, and late
 /// calls count less.
@@ -56,9 +60,17 @@
   TimePoint m_due{};
   /// Whether the target is missed even if the call starts now.
   bool m_late{ false };
+  /// nullptr: without a share.
+  const ShareTicket* m_share{ nullptr };
+  /// Virtual time by which its workspace is ahead of its share.
+  double m_lead{ 0.0 };
 
+  /// \brief Not transitive for calls of several ranks, unless none is ahead.
   [[nodiscard]] bool IsBefore(const WorkRank& aOther) const noexcept
   {
+    if (m_lead != aOther.m_lead && IsOfSameRank(m_share, aOther.m_share)) {
+      return m_lead < aOther.m_lead;
+    }
     return m_gain != aOther.m_gain ? m_gain > aOther.m_gain
                                    : m_due < aOther.m_due;
   }
--- a/src/calls/run_table.cpp
+++ b/src/calls/run_table.cpp
@@ -65,25 +65,16 @@
 bool
 RunTable::MakeRoom(TimePoint aNow, const Run& aFor, RunActions& aOut)
 {
-  if (CountAgainstLimit(aFor.m_class) >= QueueLimit(aFor.m_class)) {
-    return false;
-  }
-  if (m_queued < m_settings.m_queue) {
+  const bool isClassFull =
+    CountAgainstLimit(aFor.m_class) >= QueueLimit(aFor.m_class);
+  if (!isClassFull && m_queued < m_settings.m_queue) {
     return true;
   }
-  Run* last = nullptr;
-  for (Run& each : m_queuedRuns) {
-    if (last == nullptr || !Rank(aNow, each).IsBefore(Rank(aNow, *last))) {
-      last = &each;
-    }
-  }
-  if (last == nullptr || !Rank(aNow, aFor).IsBefore(Rank(aNow, *last))) {
+  Run* last = FindDisplaceable(aNow, aFor, isClassFull);
+  if (last == nullptr) {
     return false;
   }
-  aOut.m_refused.push_back({ last->m_key,
-                             RefusalReason::Overloaded,
-                             std::max(ExpectedWait(aNow), kMinRetryAfter) });
-  RefuseQueued(aNow, *last);
+  RefuseQueued(aNow, *last, RefusalReason::Overloaded, aOut);
   return true;
 }
 
@@ -123,6 +114,7 @@
   offered.m_target = aNow + aDemand.m_targetLeft;
   offered.m_deadline = aNow + aDemand.m_timeLeft;
   const bool starts = StartsAtOnce(aNow);
+  offered.m_share = QueueShare(aNow, aDemand);
   if (!starts) {
     std::optional<RefusalReason> reason;
     if (aDemand.m_refuseIfBusy && IsBusyFor(aNow, offered)) {
@@ -134,10 +126,14 @@
       reason = RefusalReason::Overloaded;
     }
     if (reason) {
-      return RefuseArrival(aNow, aKey, CauseOf(aNow, offered, *reason));
+      const RefusalReason cause = CauseOf(aNow, offered, *reason);
+      m_shares.CountRefusal(offered.m_share);
+      m_shares.Drop(offered.m_share);
+      return RefuseArrival(aNow, aKey, cause);
     }
   }
-  if (const WorkRank rank = Rank(aNow, offered); !rank.m_late) {
+  if (const WorkRank rank = Rank(aNow, offered);
+      !rank.m_late && rank.m_lead == 0.0) {
     m_onTimeLoad.Add(aNow,
                      offered.m_kind,
                      rank.m_gain,
@@ -164,6 +160,7 @@
   aTo.m_kind = aFrom.m_kind;
   aTo.m_target = aFrom.m_target;
   aTo.m_deadline = aFrom.m_deadline;
+  aTo.m_share = aFrom.m_share;
 }
 
 TimePoint
@@ -190,6 +187,7 @@
     m_slowness.RecordStart(aNow, *aRun.m_expectedServiceTime);
   }
   m_limiter.RecordSend(aNow);
+  m_shares.Start(aRun.m_share, m_serviceTimes.Estimate(aRun.m_kind));
   ++m_running;
 }
 
@@ -198,11 +196,24 @@
 {
   m_queuedRuns.erase(m_queuedRuns.iterator_to(aRun));
   --m_queued;
+  m_shares.Drop(aRun.m_share);
   aRun.m_state = State::Refused;
   aRun.m_stateSince = aNow;
   m_ended.push_back(aRun);
 }
 
+void
+RunTable::RefuseQueued(TimePoint aNow,
+                       Run& aRun,
+                       RefusalReason aReason,
+                       RunActions& aOut)
+{
+  aOut.m_refused.push_back(
+    { aRun.m_key, aReason, std::max(ExpectedWait(aNow), kMinRetryAfter) });
+  m_shares.CountRefusal(aRun.m_share);
+  RefuseQueued(aNow, aRun);
+}
+
 CancelResult
 RunTable::Cancel(TimePoint aNow, CallKey aKey)
 {
@@ -264,6 +275,7 @@
   if (run.m_workerIncarnation == m_workerIncarnation) {
     m_serviceTimes.Record(run.m_kind, aNow - run.m_stateSince);
   }
+  m_shares.Finish(aNow, run.m_share, aNow - run.m_stateSince);
   run.m_state = State::Finished;
   run.m_stateSince = aNow;
   m_ended.push_back(run);
@@ -278,7 +290,10 @@
 {
   Run* next = nullptr;
   for (Run& each : m_queuedRuns) {
-    if (next == nullptr || Rank(aNow, each).IsBefore(Rank(aNow, *next))) {
+    const WorkRank rank = Rank(aNow, each);
+    // Of each rank, some workspace isn't ahead.
+    if (rank.m_lead == 0.0 &&
+        (next == nullptr || rank.IsBefore(Rank(aNow, *next)))) {
       next = &each;
     }
   }
@@ -307,11 +322,8 @@
   for (auto it = m_queuedRuns.begin(); it != m_queuedRuns.end();) {
     Run& run = *it++;
     if (run.m_expires <= aNow) {
-      aOut.m_refused.push_back(
-        { run.m_key,
-          CauseOf(aNow, run, RefusalReason::DeadlinePassed),
-          std::max(ExpectedWait(aNow), kMinRetryAfter) });
-      RefuseQueued(aNow, run);
+      const auto cause = CauseOf(aNow, run, RefusalReason::DeadlinePassed);
+      RefuseQueued(aNow, run, cause, aOut);
     }
   }
 }
@@ -338,9 +350,7 @@
   for (auto it = m_queuedRuns.begin(); it != m_queuedRuns.end();) {
     Run& run = *it++;
     if (const auto reason = ReasonToRefuse(aNow, run)) {
-      aOut.m_refused.push_back(
-        { run.m_key, *reason, std::max(ExpectedWait(aNow), kMinRetryAfter) });
-      RefuseQueued(aNow, run);
+      RefuseQueued(aNow, run, *reason, aOut);
     }
   }
 }
--- a/src/calls/run_table_waits.cpp
+++ b/src/calls/run_table_waits.cpp
@@ -91,20 +91,24 @@
 WorkRank
 RunTable::Rank(TimePoint aNow, const Run& aRun) const
 {
-  return RankOf(OrderSettings(aNow),
-                aNow,
-                m_serviceTimes.Estimate(aRun.m_kind),
-                aRun.m_priority,
-                aRun.m_target,
-                aRun.m_deadline);
+  WorkRank rank = RankOf(OrderSettings(aNow),
+                         aNow,
+                         m_serviceTimes.Estimate(aRun.m_kind),
+                         aRun.m_priority,
+                         aRun.m_target,
+                         aRun.m_deadline);
+  rank.m_share = &aRun.m_share;
+  rank.m_lead = FairShares::LeadOf(aRun.m_share.m_flow);
+  return rank;
 }
 
 Duration
 RunTable::WorkAhead(TimePoint aNow, const WorkRank& aRank) const
 {
   Duration work = Duration::zero();
+  ShareCount shares{ aRank.m_share };
   for (const Run& each : m_queuedRuns) {
-    if (!aRank.IsBefore(Rank(aNow, each))) {
+    if (!aRank.IsBefore(Rank(aNow, each)) && shares.Add(each.m_share)) {
       work += m_serviceTimes.Estimate(each.m_kind);
     }
   }
@@ -129,8 +133,9 @@
   if (!m_limiter.IsLimiting(aNow)) {
     return Duration::zero();
   }
+  ShareCount shares{ aRank.m_share };
   const auto ahead = std::ranges::count_if(m_queuedRuns, [&](const Run& aRun) {
-    return !aRank.IsBefore(Rank(aNow, aRun));
+    return !aRank.IsBefore(Rank(aNow, aRun)) && shares.Add(aRun.m_share);
   });
   return m_limiter.DelayAfter(aNow, static_cast<std::size_t>(ahead));
 }
@@ -206,7 +211,9 @@
   }
   const WorkRank lateRank{ GainOf(decisions, service, aRun.m_priority, true),
                            aRun.m_deadline,
-                           true };
+                           true,
+                           rank.m_share,
+                           rank.m_lead };
   const auto lateWait = PredictedWait(aNow, lateRank);
   const Duration left = aRun.m_deadline - aNow;
   const bool waitsTooLong =
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -43,7 +43,8 @@
            .m_kind = aRequest.m_kind,
            .m_timeLeft = aRequest.m_timeLeft,
            .m_targetLeft = std::min(aRequest.m_targetLeft, aRequest.m_timeLeft),
-           .m_refuseIfBusy = aRequest.m_refuseIfBusy };
+           .m_refuseIfBusy = aRequest.m_refuseIfBusy,
+           .m_share = aRequest.m_share };
 }
 
 }
--- a/src/transport/link_codec.cpp
+++ b/src/transport/link_codec.cpp
@@ -156,6 +156,8 @@
     out.set_target_us(static_cast<std::uint64_t>(
       std::max<std::int64_t>(0, aRequest.m_targetLeft.count())));
     LimitToWire(aRequest.m_knownStatement, out);
+    out.set_workspace(aRequest.m_share.m_workspace);
+    out.set_workspace_weight(aRequest.m_share.m_weight);
   }
   void operator()(const CallAnswer& aAnswer) const
   {
@@ -233,6 +235,7 @@
                      aWire.kind_route() };
   request.m_targetLeft = std::chrono::microseconds{ aWire.target_us() };
   request.m_knownStatement = LimitFromWire(aWire);
+  request.m_share = { aWire.workspace(), aWire.workspace_weight() };
   return LinkFrame{ std::move(request) };
 }
 
--- a/tests/calls/replay.hpp
+++ b/tests/calls/replay.hpp
@@ -25,6 +25,15 @@
   double m_limit{ 0.0 };
 };
 
+struct ReplayWorkspace
+{
+  CallShare m_share{};
+  /// Rate of calls, relative to the usual one, which is equal for all.
+  double m_rate{ 1.0 };
+  /// Rate above which calls are not admitted; 0: no limit.
+  double m_limit{ 0.0 };
+};
+
 struct ReplaySetup
 {
   std::vector<ReplayDomain> m_domains{ {} };
@@ -32,6 +41,21 @@
   /// Cost of a crossing as a fraction of a call's value.
   double m_crossingCost{ 0.0 };
   Duration m_span{ 20s };
+  /// The usual calls of all of them are the load of a domain; empty: calls
+  /// without workspace.
+  std::vector<ReplayWorkspace> m_workspaces{};
+  bool m_sharesFairly{ true };
+};
+
+struct ReplayWorkspaceResult
+{
+  std::size_t m_calls{ 0 };
+  /// Calls not admitted by the limit.
+  std::size_t m_overQuota{ 0 };
+  std::size_t m_answered{ 0 };
+  std::size_t m_inTarget{ 0 };
+  /// Slot time of its runs.
+  Duration m_slotTime{ 0 };
 };
 
 struct ReplayResult
@@ -43,6 +67,9 @@
   std::size_t m_answered{ 0 };
   /// Runs at workers that state a limit.
   std::size_t m_limitedRuns{ 0 };
+  std::vector<ReplayWorkspaceResult> m_workspaces{};
+  /// Starts, refusals and answers in their order.
+  std::uint64_t m_digest{ 0 };
 
   [[nodiscard]] double Missed() const { return 1.0 - Share(m_inTarget); }
   [[nodiscard]] double Crossed() const { return Share(m_crossed); }
@@ -66,6 +93,7 @@
   explicit Replay(ReplaySetup aSetup)
     : m_setup(std::move(aSetup))
   {
+    m_result.m_workspaces.resize(m_setup.m_workspaces.size());
     for (std::size_t i = 0; i < m_setup.m_domains.size(); ++i) {
       AddDomain(i);
     }
@@ -95,7 +123,11 @@
 
   struct Worker
   {
-    RunTable m_table{ { .m_slots = kSlots, .m_queue = 4 * kSlots } };
+    explicit Worker(const RunTableSettings& aSettings)
+      : m_table(aSettings)
+    {
+    }
+    RunTable m_table;
     std::size_t m_domain{ 0 };
     Duration m_mean{ 0 };
     bool m_isLimited{ false };
@@ -110,7 +142,10 @@
   {
     const ReplayDomain& domain = m_setup.m_domains[aDomain];
     for (std::size_t i = 0; i < domain.m_workers; ++i) {
-      auto worker = std::make_unique<Worker>();
+      auto worker = std::make_unique<Worker>(
+        RunTableSettings{ .m_slots = kSlots,
+                          .m_queue = 4 * kSlots,
+                          .m_sharesFairly = m_setup.m_sharesFairly });
       worker->m_domain = aDomain;
       worker->m_mean = i % 3 == 2 || i == 0 ? kFast : kSlow;
       if (i < domain.m_limitedWorkers) {
@@ -154,14 +189,47 @@
           ? kSlots / std::chrono::duration<double>(each->m_mean).count()
           : 0.0;
     }
-    std::exponential_distribution<double> gap{ domain.m_load * capacity };
+    const double rate = domain.m_load * capacity;
+    if (m_setup.m_workspaces.empty()) {
+      AddArrivals(aDomain, rate, m_random, kNoWorkspace);
+      return;
+    }
+    const double usual =
+      rate / static_cast<double>(m_setup.m_workspaces.size());
+    for (std::size_t i = 0; i < m_setup.m_workspaces.size(); ++i) {
+      // A workspace's arrivals do not depend on the others.
+      std::mt19937_64 random{ 1000 * (aDomain + 1) + i };
+      AddArrivals(aDomain, usual * m_setup.m_workspaces[i].m_rate, random, i);
+    }
+  }
+
+  void AddArrivals(std::size_t aDomain,
+                   double aRate,
+                   std::mt19937_64& aRandom,
+                   std::size_t aWorkspace)
+  {
+    const std::size_t callers = m_setup.m_domains[aDomain].m_callers;
+    std::exponential_distribution<double> gap{ aRate };
     double offset = 0.0;
     while (offset < std::chrono::duration<double>(m_setup.m_span).count()) {
-      offset += gap(m_random);
+      offset += gap(aRandom);
       const auto arrival = m_now + std::chrono::duration_cast<Duration>(
                                      std::chrono::duration<double>(offset));
       const std::uint64_t id = ++m_result.m_calls;
-      const std::size_t caller = m_firstCaller[aDomain] + id % domain.m_callers;
+      const std::size_t caller = m_firstCaller[aDomain] + id % callers;
+      if (aWorkspace != kNoWorkspace) {
+        m_workspaceOf[id] = aWorkspace;
+        ReplayWorkspaceResult& result = m_result.m_workspaces[aWorkspace];
+        ++result.m_calls;
+        const ReplayWorkspace& workspace = m_setup.m_workspaces[aWorkspace];
+        const double admitted = aRate * workspace.m_limit / workspace.m_rate;
+        if (workspace.m_limit > 0.0 &&
+            static_cast<double>(result.m_calls - result.m_overQuota) >
+              admitted * (offset + 1.0)) {
+          ++result.m_overQuota;
+          continue;
+        }
+      }
       m_events.emplace(arrival, [this, id, caller] { Begin(id, caller); });
     }
   }
@@ -186,6 +254,7 @@
     plan.m_target = m_now + kTarget;
     plan.m_kind = kTarget;
     plan.m_crossingCost = m_setup.m_crossingCost;
+    plan.m_share = ShareOf(aId);
     m_arrivals[aId] = m_now;
     Execute(aCaller, m_callers[aCaller]->Begin(m_now, aId, std::move(plan)));
   }
@@ -204,6 +273,13 @@
         const Duration took = m_now - m_arrivals.at(finish->m_call);
         m_result.m_inTarget += answered && took <= kTarget ? 1 : 0;
         m_result.m_answered += answered ? 1 : 0;
+        Digest(finish->m_call, answered ? 3 : 4);
+        if (const auto found = m_workspaceOf.find(finish->m_call);
+            found != m_workspaceOf.end()) {
+          ReplayWorkspaceResult& result = m_result.m_workspaces[found->second];
+          result.m_answered += answered ? 1 : 0;
+          result.m_inTarget += answered && took <= kTarget ? 1 : 0;
+        }
       }
     }
   }
@@ -214,6 +290,7 @@
     Worker& worker = *m_workers[index];
     const CallKey key{ aCaller + 1, aAttempt.m_attempt };
     m_workerOf[key] = index;
+    m_callOf[key] = aAttempt.m_call;
     RunActions out;
     const Admission admission =
       worker.m_table.Admit(m_now,
@@ -223,7 +300,8 @@
                              .m_kind = kTarget,
                              .m_timeLeft = aAttempt.m_timeLeft,
                              .m_targetLeft = aAttempt.m_targetLeft,
-                             .m_refuseIfBusy = aAttempt.m_refuseIfBusy },
+                             .m_refuseIfBusy = aAttempt.m_refuseIfBusy,
+                             .m_share = ShareOf(aAttempt.m_call) },
                            out);
     const bool refused = admission.m_kind == Admission::Kind::Refused;
     const bool isCrossing =
@@ -259,7 +337,13 @@
   {
     const Worker& worker = *m_workers[m_workerOf.at(aKey)];
     m_result.m_limitedRuns += worker.m_isLimited ? 1 : 0;
-    Schedule(ServiceOf(worker), [this, aKey] {
+    Digest(aKey.m_call, 1);
+    const Duration service = ServiceOf(worker);
+    if (const auto found = m_workspaceOf.find(m_callOf.at(aKey));
+        found != m_workspaceOf.end()) {
+      m_result.m_workspaces[found->second].m_slotTime += service;
+    }
+    Schedule(service, [this, aKey] {
       Apply(m_workers[m_workerOf.at(aKey)]->m_table.Finish(m_now, aKey));
       CallAnswer answer;
       answer.m_call = aKey.m_call;
@@ -271,6 +355,7 @@
   void Apply(const RunActions& aActions)
   {
     for (const RefusedRun& each : aActions.m_refused) {
+      Digest(each.m_key.m_call, 2);
       Answer(each.m_key,
              Refuse(each.m_key.m_call,
                     CallOutcome::NotRun,
@@ -300,6 +385,23 @@
     });
   }
 
+  [[nodiscard]] CallShare ShareOf(std::uint64_t aCall) const
+  {
+    const auto found = m_workspaceOf.find(aCall);
+    return found != m_workspaceOf.end()
+             ? m_setup.m_workspaces[found->second].m_share
+             : CallShare{};
+  }
+
+  void Digest(std::uint64_t aCall, std::uint64_t aWhat)
+  {
+    m_result.m_digest =
+      (m_result.m_digest ^ (8 * aCall + aWhat)) * 0x9E3779B97F4A7C15U;
+    m_result.m_digest ^= m_result.m_digest >> 29U;
+  }
+
+  static constexpr std::size_t kNoWorkspace = SIZE_MAX;
+
   ReplaySetup m_setup;
   ReplayResult m_result{};
   std::mt19937_64 m_random{ 7 };
@@ -310,6 +412,8 @@
   std::multimap<TimePoint, std::function<void()>> m_events{};
   std::map<std::uint64_t, TimePoint> m_arrivals{};
   std::map<CallKey, std::size_t> m_workerOf{};
+  std::map<CallKey, std::uint64_t> m_callOf{};
+  std::map<std::uint64_t, std::size_t> m_workspaceOf{};
 };
 
 }
