--- a/bench/footprint.cpp
+++ b/bench/footprint.cpp
@@ -126,5 +126,19 @@
       return runs;
     });
   }
+  constexpr int kWorkspaces = 10'000;
+  Measure("shares, 10000 workspaces", kWorkspaces, [] {
+    auto shares = std::make_unique<FairShares>();
+    for (std::uint64_t workspace = 1; workspace < kWorkspaces; ++workspace) {
+      // All remain ahead of the first one, whose call waits.
+      auto ticket =
+        shares->Queue(TimePoint{ 1h }, 0, { workspace, kUnitWeight }, 100ms);
+      if (workspace > 1) {
+        shares->Start(ticket, 100ms);
+        shares->Finish(TimePoint{ 1h }, ticket, 100ms);
+      }
+    }
+    return shares;
+  });
   return 0;
 }
--- a/include/greengagehub/calls/fair_shares.hpp
+++ b/include/greengagehub/calls/fair_shares.hpp
@@ -137,14 +137,15 @@
   /// \returns All zero for a workspace that is not known.
   [[nodiscard]] WorkspaceUse UseOf(TimePoint aNow,
                                    std::uint64_t aWorkspace) const;
-  /// \returns Part of the weight of the workspaces seen in the last kUseDecay;
-  /// 0 if the workspace is not one of them.
-  [[nodiscard]] double ShareOf(TimePoint aNow, std::uint64_t aWorkspace) const;
+  /// \returns Part of the weight of all workspaces with calls queued or
+  /// running; 0 if the workspace has none.
+  [[nodiscard]] double ShareOf(std::uint64_t aWorkspace) const;
 
 private:
   [[nodiscard]] ShareGroup& GroupOf(std::uint32_t aRank);
   [[nodiscard]] WorkspaceUse& Use(TimePoint aNow, const CallShare& aShare);
   void RemoveQueued(ShareTicket& aTicket);
+  void CountEnd(std::uint64_t aWorkspace);
   void RemoveIfIdle(ShareGroup& aGroup);
   /// \brief Forgets workspaces that have no calls and are not ahead.
   void ForgetIdle();
@@ -156,6 +157,8 @@
   /// Flow counts at which idle flows and uses are looked for next.
   std::size_t m_forgetAt{ 128 };
   std::size_t m_forgetUsesAt{ 128 };
+  /// Of the workspaces with calls queued or running.
+  std::uint64_t m_activeWeight{ 0 };
   /// Calls of workspaces queued and running.
   std::size_t m_named{ 0 };
   std::uint64_t m_refused{ 0 };
--- a/include/greengagehub/config/content.hpp
+++ b/include/greengagehub/config/content.hpp
@@ -85,6 +85,9 @@
   double m_perSecond{ 0.0 };
   /// Burst size in requests above the rate.
   double m_burst{ 0.0 };
+  /// Weight of its share of a worker, 1 for a typical workspace; 0: in
+  /// proportion to the rate.
+  double m_weight{ 0.0 };
 };
 
 struct Limits
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -170,6 +170,11 @@
                  HttpResponder aResponder);
   [[nodiscard]] std::string SelectService(const Route& aRoute);
   [[nodiscard]] RouteStatistics& StatisticsOf(const std::string& aKey);
+  /// \returns What a call is charged to: its workspace, else that of the local
+  /// run that makes it.
+  [[nodiscard]] CallShare ShareOf(
+    const WorkspaceRow* aWorkspace,
+    const std::optional<TraceContext>& aParent) const;
   void Execute(const DispatchActions& aActions);
   void Execute(const SendAttempt& aAttempt);
   void Execute(const SendCancel& aCancel);
--- a/include/greengagehub/daemon/operators_api.hpp
+++ b/include/greengagehub/daemon/operators_api.hpp
@@ -58,6 +58,8 @@
   [[nodiscard]] HttpResponse Status() const;
   /// \returns What the own backend server and those called have stated.
   [[nodiscard]] HttpResponse Limits() const;
+  /// \returns Use of the own backend server by workspace.
+  [[nodiscard]] HttpResponse Shares() const;
   [[nodiscard]] HttpResponse QuarantinedRequests() const;
   [[nodiscard]] HttpResponse LiftQuarantine(const HttpRequest& aRequest);
   [[nodiscard]] HttpResponse Rollouts() const;
--- a/include/greengagehub/daemon/request_log.hpp
+++ b/include/greengagehub/daemon/request_log.hpp
@@ -66,6 +66,16 @@
                      Fingerprint aFingerprint,
                      Duration aTimeLeft);
 
+  /// \brief A workspace's share of the worker and its use of it.
+  struct ShareUse
+  {
+    /// Part of the weight of the workspaces with calls there.
+    double m_share{ 0.0 };
+    std::uint32_t m_queued{ 0 };
+    std::uint32_t m_running{ 0 };
+    /// Decayed, see FairShares::kUseDecay.
+    double m_slotSeconds{ 0.0 };
+  };
   struct WorkerState
   {
     std::string_view m_instance{};
@@ -75,6 +85,7 @@
     std::chrono::microseconds m_wait{ 0 };
     /// Requests per second that the worker states; empty: not limited.
     std::optional<double> m_rateLimit{};
+    std::optional<ShareUse> m_use{};
   };
   void OnRunRefused(TimePoint aNow,
                     std::string_view aId,
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -76,6 +76,9 @@
   void OnTick(TimePoint aNow);
   /// Runs start only after the first heartbeat and until the worker drains.
   void OnWorker(const WorkerPresence& aPresence);
+  /// \returns What the run with this span is charged to; nothing if no such
+  /// run is in progress.
+  [[nodiscard]] CallShare ShareOfRun(const TraceContext& aSpan) const;
   [[nodiscard]] double RetriedRunShareAt(TimePoint aNow) const
   {
     return m_retriedRuns.At(aNow);
@@ -186,6 +189,9 @@
   /// \brief Keeps the answer of a call that must not run again.
   void KeepAnswer(CallKey aKey, const CallAnswer& aAnswer);
   [[nodiscard]] std::string_view RequestIdOf(const CallRequest& aRequest) const;
+  /// \returns Nothing for a call without workspace.
+  [[nodiscard]] std::optional<RequestLog::ShareUse> UseFor(
+    const CallRequest& aRequest) const;
   [[nodiscard]] RequestLog::WorkerState WorkerStateFor(
     const CallRequest& aRequest) const;
   void RecordSpan(const ActiveRun& aRun, const CallAnswer& aAnswer);
--- a/include/greengagehub/workspaces/workspace_table.hpp
+++ b/include/greengagehub/workspaces/workspace_table.hpp
@@ -20,6 +20,8 @@
   double m_perSecond{ 0.0 };
   /// Requests by which a quota window may exceed the rate.
   double m_burst{ 0.0 };
+  /// As configured; 0: in proportion to the rate.
+  double m_weight{ 0.0 };
 };
 
 /// \brief Finds the workspace of an API key.
@@ -42,6 +44,10 @@
     const WorkspaceRow& aRow,
     std::uint32_t aRoutePriority) const noexcept;
 
+  /// \returns Weight of its share of a worker, in thousandths: as configured,
+  /// else its rate relative to the mean of all rates, else 1,000.
+  [[nodiscard]] std::uint32_t WeightOf(const WorkspaceRow& aRow) const noexcept;
+
 private:
   struct DigestHash
   {
@@ -53,12 +59,15 @@
 
   void Add(const std::string& aName, const Workspace& aWorkspace);
   void Remove(const std::string& aName, const Workspace& aWorkspace);
+  void UpdateMeanRate();
 
   EntityMap<Workspace> m_entities;
   std::unordered_map<WorkspaceId, WorkspaceRow> m_rows;
   std::unordered_map<Digest, WorkspaceId, DigestHash> m_keys;
   /// Number of ranks per workspace priority, one for each route priority.
   std::uint32_t m_routeRankCount{ 1 };
+  /// Mean rate of the workspaces that have one.
+  double m_meanPerSecond{ 0.0 };
 };
 
 }
--- a/src/calls/fair_shares.cpp
+++ b/src/calls/fair_shares.cpp
@@ -19,6 +19,12 @@
   return std::chrono::duration<double>(aSpan).count();
 }
 
+bool
+IsActive(const WorkspaceUse& aUse)
+{
+  return aUse.m_queued + aUse.m_running > 0;
+}
+
 bool
 IsIdle(const ShareFlow& aFlow)
 {
@@ -95,8 +101,7 @@
 {
   return static_cast<std::size_t>(
     std::ranges::count_if(m_uses, [](const auto& aUse) {
-      return aUse.first != 0 &&
-             aUse.second.m_queued + aUse.second.m_running > 0;
+      return aUse.first != 0 && IsActive(aUse.second);
     }));
 }
 
@@ -118,7 +123,9 @@
   }
   WorkspaceUse& use = m_uses[aShare.m_workspace];
   use.m_workspace = aShare.m_workspace;
-  use.m_weight = aShare.m_weight;
+  if (!IsActive(use)) {
+    use.m_weight = aShare.m_weight;
+  }
   use.m_recentSeconds = DecayedTo(use, aNow);
   use.m_updatedAt = aNow;
   return use;
@@ -153,7 +160,9 @@
   flow.m_queuedSeconds += Seconds(aCost);
   group.m_isMeanOutdated = true;
   m_named += aShare.m_workspace != 0 ? 1 : 0;
-  ++Use(aNow, { aShare.m_workspace, flow.m_weight }).m_queued;
+  WorkspaceUse& use = Use(aNow, { aShare.m_workspace, flow.m_weight });
+  m_activeWeight += IsActive(use) ? 0 : use.m_weight;
+  ++use.m_queued;
   return { &flow, aCost };
 }
 
@@ -170,6 +179,14 @@
   --m_uses.at(flow.m_workspace).m_queued;
 }
 
+void
+FairShares::CountEnd(std::uint64_t aWorkspace)
+{
+  const WorkspaceUse& use = m_uses.at(aWorkspace);
+  m_activeWeight -= IsActive(use) ? 0 : use.m_weight;
+  m_named -= aWorkspace != 0 ? 1 : 0;
+}
+
 void
 FairShares::Drop(ShareTicket& aTicket)
 {
@@ -179,7 +196,7 @@
   ShareFlow& flow = *aTicket.m_flow;
   RemoveQueued(aTicket);
   RemoveActive(flow);
-  m_named -= flow.m_workspace != 0 ? 1 : 0;
+  CountEnd(flow.m_workspace);
   aTicket.m_flow = nullptr;
   RemoveIfIdle(*flow.m_group);
 }
@@ -217,7 +234,7 @@
   WorkspaceUse& use = Use(aNow, { flow.m_workspace, flow.m_weight });
   --use.m_running;
   use.m_recentSeconds += Seconds(aTook);
-  m_named -= flow.m_workspace != 0 ? 1 : 0;
+  CountEnd(flow.m_workspace);
   aTicket.m_flow = nullptr;
   RemoveIfIdle(group);
 }
@@ -279,18 +296,13 @@
 }
 
 double
-FairShares::ShareOf(TimePoint aNow, std::uint64_t aWorkspace) const
+FairShares::ShareOf(std::uint64_t aWorkspace) const
 {
-  double own = 0.0;
-  double all = 0.0;
-  for (const auto& [workspace, use] : m_uses) {
-    const bool isRecent =
-      use.m_queued + use.m_running > 0 || aNow - use.m_updatedAt <= kUseDecay;
-    const double weight = isRecent ? use.m_weight : 0.0;
-    all += weight;
-    own += workspace == aWorkspace ? weight : 0.0;
-  }
-  return all > 0.0 ? own / all : 0.0;
+  const auto found = m_uses.find(aWorkspace);
+  return found != m_uses.end() && IsActive(found->second)
+           ? static_cast<double>(found->second.m_weight) /
+               static_cast<double>(m_activeWeight)
+           : 0.0;
 }
 
 void
@@ -328,8 +340,7 @@
   for (const Duration life : { Duration{ kUseLife }, Duration::zero() }) {
     std::erase_if(m_uses, [&](const auto& aEntry) {
       const WorkspaceUse& use = aEntry.second;
-      return use.m_queued + use.m_running == 0 &&
-             aNow - use.m_updatedAt >= life;
+      return !IsActive(use) && aNow - use.m_updatedAt >= life;
     });
     if (m_uses.size() < kMaxWorkspaces) {
       break;
--- a/src/config/entity_parser.cpp
+++ b/src/config/entity_parser.cpp
@@ -17,6 +17,8 @@
 constexpr std::uint32_t kMaxWeight = 1'000'000;
 constexpr std::uint32_t kMaxBytes = 1'000'000'000;
 constexpr double kMaxRate = 1e9;
+constexpr double kMinShareWeight = 0.001;
+constexpr double kMaxShareWeight = 1000.0;
 constexpr std::size_t kMaxKeys = 10'000;
 
 bool
@@ -43,6 +45,30 @@
                     "allowed: \"critical\", \"lookup\", \"export\"");
 }
 
+void
+ParseWeight(EntityReader& aReader, Workspace& aWorkspace)
+{
+  constexpr const char* kName = "weight";
+  const nlohmann::json* weight = aReader.Value(kName);
+  if (weight == nullptr) {
+    return;
+  }
+  if (!weight->is_number()) {
+    aReader.AddReason(ReasonCode::WrongType, kName, "expected a number");
+    return;
+  }
+  const double number = weight->get<double>();
+  if (number < kMinShareWeight || number > kMaxShareWeight) {
+    aReader.AddReason(
+      ReasonCode::OutOfRange,
+      kName,
+      fmt::format(
+        "allowed: {} to {}, got {}", kMinShareWeight, kMaxShareWeight, number));
+    return;
+  }
+  aWorkspace.m_weight = number;
+}
+
 void
 ParseKeys(EntityReader& aReader, Workspace& aWorkspace)
 {
@@ -299,6 +325,7 @@
   reader.Number("priority", workspace.m_priority, 0, kMaxPriority);
   reader.Real("per_second", workspace.m_perSecond, kMaxRate);
   reader.Real("burst", workspace.m_burst, kMaxRate);
+  ParseWeight(reader, workspace);
   reader.Finish();
   return workspace;
 }
--- a/src/daemon/call_gateway_callers.cpp
+++ b/src/daemon/call_gateway_callers.cpp
@@ -307,6 +307,10 @@
     request.m_headers.push_back(HttpHeader{
       std::string{ m_deps.m_dialect.m_workspace }, aWorkspace->m_name });
   }
+  if (m_deps.m_settings.m_runs.m_sharesFairly) {
+    plan.m_share = ShareOf(aWorkspace, call.m_parent);
+  }
+  request.m_share = plan.m_share;
   request.m_priority = plan.m_priority;
   request.m_kind = plan.m_kind;
   request.m_body = std::move(aRequest.m_body);
@@ -320,6 +324,18 @@
   Execute(m_dispatcher.Begin(now, id, std::move(plan)));
 }
 
+CallShare
+CallGateway::ShareOf(const WorkspaceRow* aWorkspace,
+                     const std::optional<TraceContext>& aParent) const
+{
+  if (aWorkspace != nullptr) {
+    return { aWorkspace->m_id,
+             m_deps.m_workspaces.Table().WeightOf(*aWorkspace) };
+  }
+  // The caller may be a run of the local worker.
+  return aParent ? m_runService.ShareOfRun(*aParent) : CallShare{};
+}
+
 CallGateway::RouteStatistics&
 CallGateway::StatisticsOf(const std::string& aKey)
 {
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -208,6 +208,8 @@
     aResponder.Answer(Status());
   } else if (path == "/v1/limits") {
     aResponder.Answer(Limits());
+  } else if (path == "/v1/shares") {
+    aResponder.Answer(Shares());
   } else if (path == "/v1/quarantine") {
     aResponder.Answer(QuarantinedRequests());
   } else if (path == "/v1/rollouts") {
@@ -392,6 +394,15 @@
   metrics.SetGauge("runs_queued",
                    "Attempts waiting for the own worker",
                    m_deps.m_calls.Runs().Queued());
+  const FairShares& shares = m_deps.m_calls.Runs().Shares();
+  metrics.SetGauge("workspaces_active",
+                   "Workspaces with attempts at the own worker",
+                   static_cast<double>(shares.ActiveCount()));
+  metrics.SetGauge(
+    "runs_over_share",
+    "Attempts refused, their workspace ahead of its share, since "
+    "the start of the daemon",
+    static_cast<double>(shares.RefusedCount()));
   const WorkerSignals& signals = m_deps.m_calls.GetRunService().Signals();
   metrics.SetGauge("worker_limited",
                    "Whether the own worker names a limit",
--- a/src/daemon/request_log.cpp
+++ b/src/daemon/request_log.cpp
@@ -88,6 +88,26 @@
   if (!m_budget.TryAcquire(aNow)) {
     return;
   }
+  if (aState.m_use) {
+    const ShareUse& use = *aState.m_use;
+    m_log.Info(kComponent,
+               "run_refused",
+               { { "request", aId },
+                 { "reason", NameOf(aReason) },
+                 { "left_us", aTimeLeft.count() },
+                 { "instance", aState.m_instance },
+                 { "running", std::uint64_t{ aState.m_running } },
+                 { "queued", std::uint64_t{ aState.m_queued } },
+                 { "slots", std::uint64_t{ aState.m_slots } },
+                 { "wait_us", aState.m_wait.count() },
+                 { "limited", aState.m_rateLimit.has_value() },
+                 { "per_second", aState.m_rateLimit.value_or(0.0) },
+                 { "share", use.m_share },
+                 { "own_running", std::uint64_t{ use.m_running } },
+                 { "own_queued", std::uint64_t{ use.m_queued } },
+                 { "own_slot_s", use.m_slotSeconds } });
+    return;
+  }
   m_log.Info(kComponent,
              "run_refused",
              { { "request", aId },
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -408,7 +408,8 @@
            .m_wait = std::chrono::duration_cast<std::chrono::microseconds>(
              m_runs.ExpectedWaitOfKind(
                Clock::now(), aRequest.m_priority, aRequest.m_kind)),
-           .m_rateLimit = m_runs.Limiter().Limit() };
+           .m_rateLimit = m_runs.Limiter().Limit(),
+           .m_use = UseFor(aRequest) };
 }
 
 void
--- a/src/greengagehub.cpp
+++ b/src/greengagehub.cpp
@@ -3,6 +3,7 @@
 #include "src/cli/limits.hpp"
 #include "src/cli/quarantine.hpp"
 #include "src/cli/rollout.hpp"
+#include "src/cli/shares.hpp"
 
 #include <boost/program_options.hpp>
 #include <cstdio>
@@ -36,6 +37,8 @@
   status                show the state of one daemon
   limits                list the rate limits and departures that backend servers
                         have stated
+  shares                list the workspaces that use the daemon's backend server:
+                        weight, share, calls queued and running, slot time
   held                  list quarantined request fingerprints, with the worker
                         crashes that caused the quarantine
   lift FINGERPRINT      lift a quarantine on all daemons
@@ -323,6 +326,9 @@
   if (command == "limits") {
     return ShowLimits(aOptions);
   }
+  if (command == "shares") {
+    return ShowShares(aOptions);
+  }
   if (command == "held") {
     return ShowQuarantine(aOptions);
   }
--- a/src/workspaces/workspace_table.cpp
+++ b/src/workspaces/workspace_table.cpp
@@ -1,9 +1,18 @@
 #include "greengagehub/workspaces/workspace_table.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace greengagehub {
 
+namespace {
+
+/// Weight of a typical workspace, in thousandths.
+constexpr double kWeightUnit = 1000.0;
+constexpr double kMaxWeight = 1'000'000.0;
+
+}
+
 void
 WorkspaceTable::Update(const Content& aContent)
 {
@@ -30,6 +39,19 @@
     }
   }
   m_entities = target;
+  UpdateMeanRate();
+}
+
+void
+WorkspaceTable::UpdateMeanRate()
+{
+  double sum = 0.0;
+  std::size_t count = 0;
+  for (const auto& [id, row] : m_rows) {
+    sum += row.m_perSecond;
+    count += row.m_perSecond > 0.0 ? 1 : 0;
+  }
+  m_meanPerSecond = count > 0 ? sum / static_cast<double>(count) : 0.0;
 }
 
 void
@@ -40,7 +62,8 @@
                  .m_id = id,
                  .m_priority = aWorkspace.m_priority,
                  .m_perSecond = aWorkspace.m_perSecond,
-                 .m_burst = aWorkspace.m_burst };
+                 .m_burst = aWorkspace.m_burst,
+                 .m_weight = aWorkspace.m_weight };
   for (const Digest& each : aWorkspace.m_keys) {
     m_keys[each] = id;
   }
@@ -77,4 +100,17 @@
          std::min(aRoutePriority, m_routeRankCount - 1);
 }
 
+std::uint32_t
+WorkspaceTable::WeightOf(const WorkspaceRow& aRow) const noexcept
+{
+  double weight = 1.0;
+  if (aRow.m_weight > 0.0) {
+    weight = aRow.m_weight;
+  } else if (aRow.m_perSecond > 0.0) {
+    weight = aRow.m_perSecond / m_meanPerSecond;
+  }
+  return static_cast<std::uint32_t>(
+    std::clamp(std::round(weight * kWeightUnit), 1.0, kMaxWeight));
+}
+
 }
--- a/tests/end_to_end/workspaces.cpp
+++ b/tests/end_to_end/workspaces.cpp
@@ -2,8 +2,12 @@
 
 #include "greengagehub/core/clock.hpp"
 
+#include <atomic>
 #include <csignal>
 #include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <thread>
+#include <vector>
 
 using namespace greengagehub;
 using namespace greengagehub::testkit;
@@ -155,3 +159,54 @@
   CHECK(rejected >= 200);
   CHECK(SendWithKey(fleet, "lockers-2", "/status/1", "other", "k1") == 200);
 }
+
+TEST_CASE("calls of a workspace are answered while another one floods")
+{
+  // Guards against a workspace that is refused as its workers' queues are full
+  // of another one's calls.
+  constexpr int kFlooders = 60;
+  constexpr int kCalls = 40;
+  Fleet fleet;
+  fleet.Add({ .m_slot = "lockers-1",
+              .m_service = "lockers",
+              .m_serviceMs = 40,
+              .m_settings =
+                std::string{ kSettings } + "[worker]\nslots = 2\nqueue = 8\n",
+              .m_onPlatform = true });
+  fleet.PutPlatformConfig(
+    DocumentWith("0000000c",
+                 Json::array({ Tenant("flood", Json::array({ "k1" })),
+                               Tenant("other", Json::array({ "k2" })) })));
+  WaitForLockers(fleet);
+  REQUIRE(WaitUntil([&] {
+    return SendWithKey(fleet, "lockers-1", "/status/1", "a", "k2") == 200;
+  }));
+  std::atomic<bool> isOver{ false };
+  std::atomic<int> flooded{ 0 };
+  std::atomic<int> refused{ 0 };
+  std::vector<std::thread> flooders;
+  for (int i = 0; i < kFlooders; ++i) {
+    flooders.emplace_back([&, i] {
+      for (int call = 0; !isOver; ++call) {
+        const std::string id = fmt::format("f{}-{}", i, call);
+        const int status =
+          SendWithKey(fleet, "lockers-1", "/status/1", id, "k1");
+        ++(status == 200 ? flooded : refused);
+      }
+    });
+  }
+  const bool isFlooding = WaitUntil([&] { return refused >= 50; });
+  int answered = 0;
+  for (int i = 0; i < kCalls; ++i) {
+    const std::string id = "o" + std::to_string(i);
+    answered +=
+      SendWithKey(fleet, "lockers-1", "/status/1", id, "k2") == 200 ? 1 : 0;
+  }
+  isOver = true;
+  for (std::thread& each : flooders) {
+    each.join();
+  }
+  CHECK(isFlooding);
+  CHECK(flooded > 0);
+  CHECK(answered == kCalls);
+}
--- a/tests/transport/codec.cpp
+++ b/tests/transport/codec.cpp
@@ -307,3 +307,37 @@
     CHECK_FALSE(got.m_knownStatement.m_rateLimit);
   }
 }
+
+TEST_CASE("a call's workspace and weight survive encoding and decoding")
+{
+  CallRequest request;
+  request.m_share = { 0xFEDCBA9876543210U, 2500 };
+  CHECK(std::get<CallRequest>(RoundTrip(request)).m_share == request.m_share);
+  CHECK(std::get<CallRequest>(RoundTrip(CallRequest{})).m_share == CallShare{});
+}
+
+TEST_CASE("a call without workspace is encoded as by earlier versions")
+{
+  // Guards against bytes on links for deployments without workspaces.
+  CallRequest request;
+  request.m_call = 5;
+  request.m_service = "board";
+  request.m_method = "POST";
+  request.m_target = "/release?x=1";
+  request.m_headers = { { "X-Request-Id", "abc" } };
+  request.m_body = "body";
+  request.m_timeLeft = 1500us;
+  request.m_targetLeft = 400us;
+  request.m_priority = 3;
+  request.m_kind = { 400ms, 77 };
+  request.m_idempotent = true;
+  request.m_depth = 2;
+  request.m_retriesLeft = 1;
+  request.m_isRetry = true;
+  request.m_refuseIfBusy = true;
+  request.m_knownStatement = { 9, 2.5 };
+  std::string bytes;
+  AppendFrame(bytes, request);
+  // Digest of the frame of the version before workspaces were sent.
+  CHECK(ToHex(Sha256(bytes)) == "GOLDEN");
+}
--- a/tests/workspaces/workspace_table.cpp
+++ b/tests/workspaces/workspace_table.cpp
@@ -119,3 +119,45 @@
   CHECK(table.RankOf(first, 0) < table.RankOf(first, 2));
   CHECK(table.RankOf(first, 2) < table.RankOf(second, 0));
 }
+
+TEST_CASE("a workspace's weight is configured or follows from its rate")
+{
+  // Guards against shares that ignore what the configuration promises.
+  WorkspaceTable table;
+  table.Update(MakeContent(fmt::format(
+    R"({{"workspaces":{{"a":{{{},"per_second":10,"weight":2.5}},
+                       "b":{{{},"per_second":20}},
+                       "c":{{{},"per_second":30}},
+                       "d":{{{}}}}}}})",
+    KeysJson({ "one" }),
+    KeysJson({ "two" }),
+    KeysJson({ "three" }),
+    KeysJson({ "four" }))));
+  CHECK(table.WeightOf(*table.FindByKey("one")) == 2500);
+  CHECK(table.WeightOf(*table.FindByKey("two")) == 1000);
+  CHECK(table.WeightOf(*table.FindByKey("three")) == 1500);
+  CHECK(table.WeightOf(*table.FindByKey("four")) == 1000);
+}
+
+TEST_CASE("without any rate all workspaces weigh the same")
+{
+  // Guards against a division by a mean of nothing.
+  WorkspaceTable table;
+  table.Update(MakeContent(
+    fmt::format(R"({{"workspaces":{{"a":{{{}}}}}}})", KeysJson({ "one" }))));
+  CHECK(table.WeightOf(*table.FindByKey("one")) == 1000);
+}
+
+TEST_CASE("a weight that is not a number of the range is rejected")
+{
+  // Guards against a weight of nothing, which would starve a workspace.
+  for (const char* weight :
+       { "0", "-1", "1000.5", "1e300", "\"2\"", "null,\"x\":1" }) {
+    CAPTURE(weight);
+    Content content;
+    const auto reasons = content.Apply(
+      fmt::format(R"({{"workspaces":{{"a":{{"weight":{}}}}}}})", weight));
+    REQUIRE(reasons.size() == 1);
+    CHECK(reasons[0].m_place.starts_with("/workspaces/a/"));
+  }
+}
