--- a/include/greengagehub/calls/run_table.hpp
+++ b/include/greengagehub/calls/run_table.hpp
@@ -235,6 +235,13 @@
   [[nodiscard]] Run* FindDisplaceable(TimePoint aNow,
                                       const Run& aFor,
                                       bool aIsClassFull);
+  /// \returns The last queued attempt of other ranks, if `aFor` is before it.
+  [[nodiscard]] Run* LastOfOtherRanks(TimePoint aNow, const Run& aFor);
+  /// \returns The last attempt of the rank's workspace that is furthest ahead,
+  /// if it is further ahead than `aFor`'s.
+  [[nodiscard]] Run* LastOfFurthestAhead(TimePoint aNow,
+                                         const Run& aFor,
+                                         bool aIsClassFull);
   [[nodiscard]] Run* HighestRanked(TimePoint aNow);
   [[nodiscard]] bool IsEvicted(CallKey aKey) const;
   void EvictEnded(TimePoint aNow);
--- a/src/calls/fair_shares.cpp
+++ b/src/calls/fair_shares.cpp
@@ -326,7 +326,7 @@
                !(keepsAhead && flow.m_startTag > group.m_virtualTime);
       });
     }
-    if (m_flowCount < kMaxWorkspaces) {
+    if (m_flowCount <= kMaxWorkspaces / 2) {
       break;
     }
   }
@@ -342,7 +342,7 @@
       const WorkspaceUse& use = aEntry.second;
       return !IsActive(use) && aNow - use.m_updatedAt >= life;
     });
-    if (m_uses.size() < kMaxWorkspaces) {
+    if (m_uses.size() <= kMaxWorkspaces / 2) {
       break;
     }
   }
--- a/src/calls/run_table_shares.cpp
+++ b/src/calls/run_table_shares.cpp
@@ -18,45 +18,56 @@
 }
 
 RunTable::Run*
-RunTable::FindDisplaceable(TimePoint aNow, const Run& aFor, bool aIsClassFull)
+RunTable::LastOfOtherRanks(TimePoint aNow, const Run& aFor)
 {
-  const WorkRank rank = Rank(aNow, aFor);
-  // The last one of other ranks, and the last one of the workspace that is
-  // furthest ahead.
   Run* last = nullptr;
-  Run* ahead = nullptr;
   for (Run& each : m_queuedRuns) {
-    const WorkRank other = Rank(aNow, each);
-    if (!IsOfSameRank(&aFor.m_share, &each.m_share)) {
-      if (last == nullptr || !other.IsBefore(Rank(aNow, *last))) {
-        last = &each;
-      }
-      continue;
-    }
-    const ShareFlow* flow = each.m_share.m_flow;
-    const bool isOwn = flow == aFor.m_share.m_flow;
-    const bool isCounted = !aIsClassFull || each.m_class <= aFor.m_class;
-    const bool isFurther = isOwn
-                             ? !aIsClassFull && rank.IsBefore(other)
-                             : FairShares::FinishTag(*flow) >
-                                 FairShares::FinishTag(*aFor.m_share.m_flow);
-    if (!isCounted || !isFurther) {
-      continue;
-    }
-    const ShareFlow* best = ahead != nullptr ? ahead->m_share.m_flow : flow;
-    const double difference =
-      FairShares::FinishTag(*flow) - FairShares::FinishTag(*best);
-    if (ahead == nullptr || difference > 0.0 ||
-        (difference == 0.0 && !other.IsBefore(Rank(aNow, *ahead)))) {
-      ahead = &each;
+    const bool isBehind =
+      last == nullptr || !Rank(aNow, each).IsBefore(Rank(aNow, *last));
+    if (isBehind && !IsOfSameRank(&aFor.m_share, &each.m_share)) {
+      last = &each;
     }
   }
   const bool isOutranked =
-    !aIsClassFull && last != nullptr && rank.IsBefore(Rank(aNow, *last));
-  if (isOutranked && (ahead == nullptr || last->m_priority > aFor.m_priority)) {
-    return last;
+    last != nullptr && Rank(aNow, aFor).IsBefore(Rank(aNow, *last));
+  return isOutranked ? last : nullptr;
+}
+
+RunTable::Run*
+RunTable::LastOfFurthestAhead(TimePoint aNow,
+                              const Run& aFor,
+                              bool aIsClassFull)
+{
+  Run* last = nullptr;
+  // Of two calls of a workspace, the one of lower rank.
+  const auto isBehind = [&](const Run& aOne, const Run& aOther) {
+    const ShareFlow& one = *aOne.m_share.m_flow;
+    const ShareFlow& other = *aOther.m_share.m_flow;
+    return &one != &other
+             ? FairShares::FinishTag(one) > FairShares::FinishTag(other)
+             : Rank(aNow, aOther).IsBefore(Rank(aNow, aOne));
+  };
+  for (Run& each : m_queuedRuns) {
+    const bool isOwn = each.m_share.m_flow == aFor.m_share.m_flow;
+    const bool isCounted =
+      !aIsClassFull || (each.m_class <= aFor.m_class && !isOwn);
+    if (IsOfSameRank(&aFor.m_share, &each.m_share) && isCounted &&
+        isBehind(each, aFor) && (last == nullptr || !isBehind(*last, each))) {
+      last = &each;
+    }
   }
-  return ahead;
+  return last;
+}
+
+RunTable::Run*
+RunTable::FindDisplaceable(TimePoint aNow, const Run& aFor, bool aIsClassFull)
+{
+  Run* ahead = LastOfFurthestAhead(aNow, aFor, aIsClassFull);
+  Run* outranked = aIsClassFull ? nullptr : LastOfOtherRanks(aNow, aFor);
+  const bool isPreferred =
+    outranked != nullptr &&
+    (ahead == nullptr || outranked->m_priority > aFor.m_priority);
+  return isPreferred ? outranked : ahead;
 }
 
 }
