--- a/src/calls/run_table_waits.cpp
+++ b/src/calls/run_table_waits.cpp
@@ -14,6 +14,21 @@
   return std::chrono::ceil<std::chrono::milliseconds>(aSpan);
 }
 
+/// \returns Whether the call's workspace is within its share and passes queued
+/// calls of one that is ahead: these leave it room, also where the load is
+/// high.
+bool
+PassesAnother(const WorkRank& aRank)
+{
+  if (aRank.m_lead > 0.0 || aRank.m_share == nullptr ||
+      aRank.m_share->m_flow == nullptr) {
+    return false;
+  }
+  return std::ranges::any_of(
+    aRank.m_share->m_flow->m_group->m_queuedFlows,
+    [](const ShareFlow& aFlow) { return FairShares::LeadOf(&aFlow) > 0.0; });
+}
+
 }
 
 Duration
@@ -91,20 +106,24 @@
 WorkRank
 RunTable::Rank(TimePoint aNow, const Run& aRun) const
 {
-  return RankOf(OrderSettings(aNow),
-                aNow,
-                m_serviceTimes.Estimate(aRun.m_kind),
-                aRun.m_priority,
-                aRun.m_target,
-                aRun.m_deadline);
+  WorkRank rank = RankOf(OrderSettings(aNow),
+                         aNow,
+                         m_serviceTimes.Estimate(aRun.m_kind),
+                         aRun.m_priority,
+                         aRun.m_target,
+                         aRun.m_deadline);
+  rank.m_share = &aRun.m_share;
+  rank.m_lead = FairShares::LeadOf(aRun.m_share.m_flow);
+  return rank;
 }
 
 Duration
 RunTable::WorkAhead(TimePoint aNow, const WorkRank& aRank) const
 {
   Duration work = Duration::zero();
+  ShareCount shares{ aRank.m_share };
   for (const Run& each : m_queuedRuns) {
-    if (!aRank.IsBefore(Rank(aNow, each))) {
+    if (!aRank.IsBefore(Rank(aNow, each)) && shares.Add(each.m_share)) {
       work += m_serviceTimes.Estimate(each.m_kind);
     }
   }
@@ -129,8 +148,9 @@
   if (!m_limiter.IsLimiting(aNow)) {
     return Duration::zero();
   }
+  ShareCount shares{ aRank.m_share };
   const auto ahead = std::ranges::count_if(m_queuedRuns, [&](const Run& aRun) {
-    return !aRank.IsBefore(Rank(aNow, aRun));
+    return !aRank.IsBefore(Rank(aNow, aRun)) && shares.Add(aRun.m_share);
   });
   return m_limiter.DelayAfter(aNow, static_cast<std::size_t>(ahead));
 }
@@ -163,7 +183,7 @@
 std::optional<Duration>
 RunTable::PredictedWait(TimePoint aNow, const WorkRank& aRank) const
 {
-  if (m_limiter.IsLimiting(aNow)) {
+  if (m_limiter.IsLimiting(aNow) || PassesAnother(aRank)) {
     return EstimateWait(aNow, aRank);
   }
   const double share =
@@ -206,7 +226,9 @@
   }
   const WorkRank lateRank{ GainOf(decisions, service, aRun.m_priority, true),
                            aRun.m_deadline,
-                           true };
+                           true,
+                           rank.m_share,
+                           rank.m_lead };
   const auto lateWait = PredictedWait(aNow, lateRank);
   const Duration left = aRun.m_deadline - aNow;
   const bool waitsTooLong =
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -43,7 +43,8 @@
            .m_kind = aRequest.m_kind,
            .m_timeLeft = aRequest.m_timeLeft,
            .m_targetLeft = std::min(aRequest.m_targetLeft, aRequest.m_timeLeft),
-           .m_refuseIfBusy = aRequest.m_refuseIfBusy };
+           .m_refuseIfBusy = aRequest.m_refuseIfBusy,
+           .m_share = aRequest.m_share };
 }
 
 }
@@ -407,7 +408,8 @@
            .m_wait = std::chrono::duration_cast<std::chrono::microseconds>(
              m_runs.ExpectedWaitOfKind(
                Clock::now(), aRequest.m_priority, aRequest.m_kind)),
-           .m_rateLimit = m_runs.Limiter().Limit() };
+           .m_rateLimit = m_runs.Limiter().Limit(),
+           .m_use = UseFor(aRequest) };
 }
 
 void
