Confirm the coordinator's role also while configurations change

Seen: a storm of configurations makes a sound coordinator stand down. Two confirmations in a row that met a newer configuration ended its term.

Cause: one conditional call covers the configuration and the coordinator's key. A conflict over the configuration counted as a failed call, though the reply names the current revision of both keys and so shows whether the role is still held.

Change: InterpretStoreCheck reads from a reply what it shows about each key. A conflict over the configuration confirms or refutes the role, one over the role confirms the configuration. A key that is missing in a conflict does not exist; a conflict without items shows nothing. A revision of another era of the store, and a version whose revision is unknown, are no longer confirmed by a check that succeeds; the next check asks without a revision and is answered with the value. A reply that belongs to an earlier term is not applied to the present one.

Code that proves freshness moves to workspace_freshness.cpp.

--- a/include/greengagehub/core/store_message.hpp
+++ b/include/greengagehub/core/store_message.hpp
@@ -77,6 +77,8 @@
 
   Status m_status{ Status::Unknown };
   Revision m_revision{ 0 };
+  /// Conflict of a Check: current revision of the request's m_secondKey.
+  Revision m_secondRevision{ 0 };
   /// Revision of the store at the reply; the next watch continues from it.
   Revision m_storeRevision{ 0 };
   std::string m_value{};
--- a/include/greengagehub/daemon/workspace_service.hpp
+++ b/include/greengagehub/daemon/workspace_service.hpp
@@ -99,14 +99,6 @@
   void Resign();
 
 private:
-  /// A revision check in progress at the store.
-  struct StoreCheck
-  {
-    TimePoint m_sentAt{};
-    StoredConfig m_config{};
-    bool m_confirmsRole{ false };
-  };
-
   void SendNextQuery();
   void ArmQueryTimeout();
   void SendQuery(const MemberPeer& aTo, QuotaQuery aQuery);
@@ -121,6 +113,7 @@
   void CheckStoreIfStale(TimePoint aNow);
   void SendStoreCheck(bool aConfirmsRole);
   void OnStoreCheck(const StoreCheck& aCheck, StoreReply aReply);
+  void ApplyRoleResult(TimePoint aSentAt, StoreCheckResult::Role aRole);
   void ReadCoordinatorKey();
   void ClaimCoordinatorKey();
   [[nodiscard]] StoredConfig KnownConfig() const;
@@ -138,6 +131,8 @@
   std::string m_coordinatorSlot;
   TimePoint m_lastCoordinatorReport{};
   StoredConfig m_reportedConfig;
+  /// Highest era of the store in a reply to a check; 0: none yet.
+  std::uint64_t m_storeEra{ 0 };
   bool m_isHighestRanked{ false };
   TimePoint m_nextRankCheck{};
   TimePoint m_nextStoreCheck{};
--- a/include/greengagehub/workspaces/workspaces.hpp
+++ b/include/greengagehub/workspaces/workspaces.hpp
@@ -9,4 +9,5 @@
 #include "greengagehub/workspaces/quota_client.hpp"
 #include "greengagehub/workspaces/quota_coordinator.hpp"
 #include "greengagehub/workspaces/quota_message.hpp"
+#include "greengagehub/workspaces/store_check.hpp"
 #include "greengagehub/workspaces/workspace_table.hpp"
--- a/src/daemon/workspace_service.cpp
+++ b/src/daemon/workspace_service.cpp
@@ -1,7 +1,6 @@
 #include "greengagehub/daemon/workspace_service.hpp"
 
 #include "greengagehub/daemon/wall_clock.hpp"
-#include "platform/names.hpp"
 
 #include <algorithm>
 #include <asio/post.hpp>
@@ -19,10 +18,6 @@
 constexpr std::chrono::milliseconds kMemberSilence{ 6000 };
 /// Interval of the rank check, which iterates over all members.
 constexpr std::chrono::milliseconds kRankCheckInterval{ 500 };
-/// A daemon checks the store itself once its proof is older than the bound
-/// divided by this.
-constexpr int kStaleDivisor = 3;
-constexpr std::chrono::milliseconds kStoreCheckInterval{ 1000 };
 /// Subtracted from the bound: the time that a request takes from its caller to
 /// this daemon.
 constexpr std::chrono::milliseconds kProofMargin{ 200 };
@@ -52,29 +47,12 @@
 {
 }
 
-std::optional<std::chrono::milliseconds>
-WorkspaceService::ProofAge() const
-{
-  const auto provenAt = m_freshness.ProvenAt();
-  if (!provenAt) {
-    return std::nullopt;
-  }
-  return std::chrono::ceil<std::chrono::milliseconds>(BootNow() - *provenAt);
-}
-
 bool
 WorkspaceService::IsCoordinator() const
 {
   return m_coordinatorRole.IsLeading(BootNow());
 }
 
-StoredConfig
-WorkspaceService::KnownConfig() const
-{
-  const StoredConfig read = m_deps.m_storeConfig();
-  return m_reportedConfig.m_version > read.m_version ? m_reportedConfig : read;
-}
-
 WorkspaceAdmission
 WorkspaceService::Admit(std::string_view aKey, bool aIsNew, bool aIsLate)
 {
@@ -119,13 +97,6 @@
   m_freshness.OnVersion(active->m_version);
 }
 
-void
-WorkspaceService::OnConfirmed(TimePoint aReadSentAt,
-                              const StoredConfig& aConfig)
-{
-  m_freshness.OnProof({ aReadSentAt, aConfig.m_version });
-}
-
 std::optional<MemberPeer>
 WorkspaceService::SelectQueryPeer()
 {
@@ -341,69 +312,6 @@
   }
 }
 
-void
-WorkspaceService::CheckStoreIfStale(TimePoint aNow)
-{
-  const auto provenAt = m_freshness.ProvenAt();
-  const auto bound = m_deps.m_settings.m_workspaces.m_maxRevokeDelay;
-  const bool isStale = !provenAt || aNow - *provenAt > bound / kStaleDivisor;
-  const bool isCheckDue =
-    m_freshness.IsEnforced() && isStale && aNow >= m_nextStoreCheck;
-  if (isCheckDue) {
-    m_nextStoreCheck = aNow + Jittered(m_random, kStoreCheckInterval);
-    SendStoreCheck(false);
-  }
-}
-
-void
-WorkspaceService::SendStoreCheck(bool aConfirmsRole)
-{
-  const StoreCheck check{ BootNow(), KnownConfig(), aConfirmsRole };
-  StoreRequest request =
-    MakeCheck(std::string{ platform::kConfigKey }, check.m_config.m_revision);
-  if (aConfirmsRole) {
-    request.m_secondKey = kCoordinatorKey;
-    request.m_secondExpected = m_coordinatorRole.ExpectedRevision();
-  }
-  m_deps.m_store.Execute(std::move(request), [this, check](StoreReply aReply) {
-    OnStoreCheck(check, std::move(aReply));
-  });
-}
-
-void
-WorkspaceService::OnStoreCheck(const StoreCheck& aCheck, StoreReply aReply)
-{
-  using Status = StoreReply::Status;
-  const TimePoint now = BootNow();
-  const bool isOk = aReply.m_status == Status::Ok;
-  const bool isConflict = aReply.m_status == Status::Conflict;
-  const bool configDiffers =
-    isConflict && aReply.m_revision != aCheck.m_config.m_revision;
-  if (isOk) {
-    m_freshness.OnProof({ aCheck.m_sentAt, aCheck.m_config.m_version });
-  }
-  if (aCheck.m_confirmsRole && m_coordinatorRole.HoldsKey()) {
-    if (isOk) {
-      m_coordinatorRole.OnConfirmed(now, aCheck.m_sentAt, true);
-      m_lastCoordinatorReport = now;
-    } else if (isConflict && !configDiffers) {
-      m_deps.m_log.Info("workspaces", "coordinator_deposed");
-      m_coordinatorRole.OnConfirmed(now, aCheck.m_sentAt, false);
-    } else {
-      m_coordinatorRole.OnStoreCallFailed(now);
-    }
-    if (m_coordinatorRole.StandDownIfFailing(now)) {
-      m_deps.m_log.Warning("workspaces", "coordinator_stood_down");
-      AnnounceCoordinator({});
-    }
-  }
-  if (configDiffers && !aReply.m_value.empty()) {
-    m_deps.m_onNewerConfig(std::move(aReply));
-    const StoredConfig read = m_deps.m_storeConfig();
-    m_freshness.OnProof({ aCheck.m_sentAt, read.m_version });
-  }
-}
-
 void
 WorkspaceService::ReadCoordinatorKey()
 {
