Renew no proof with a configuration that cannot be read

Seen by review: while the store holds a document that cannot be read, keys stay accepted for as long as it is there, though it may revoke them.

Cause: a check that met such a document applied it and then took the configuration read last, the older one, as proven. The feed's own reads check whether the last document was readable; replies to checks did not.

Change: ConfigFeed::OnStoreReply returns the configuration that the reply held, or nothing if it cannot be read, and only what it returns is proven.

--- a/include/greengagehub/daemon/config_feed.hpp
+++ b/include/greengagehub/daemon/config_feed.hpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <asio/steady_timer.hpp>
 #include <functional>
+#include <optional>
 
 namespace greengagehub {
 
@@ -113,7 +114,12 @@
     return m_lastRead;
   }
   /// \brief Applies a configuration that another request to the store returned.
-  void OnStoreReply(StoreReply aReply) { ApplyReply(aReply); }
+  /// \returns The configuration; nothing if it cannot be read.
+  std::optional<StoredConfig> OnStoreReply(StoreReply aReply)
+  {
+    ApplyReply(aReply);
+    return m_isLastReadValid ? std::optional{ m_lastRead } : std::nullopt;
+  }
 
   /// \brief Sets whether to read the compressed copy first.
   void SetSlowLink(bool aSlow) noexcept { m_prefersCopy = aSlow; }
--- a/include/greengagehub/daemon/workspace_service.hpp
+++ b/include/greengagehub/daemon/workspace_service.hpp
@@ -49,7 +49,9 @@
     std::function<void(GossipSend)> m_send;
     /// Version and revision of the configuration read last from the store.
     std::function<StoredConfig()> m_storeConfig;
-    std::function<void(StoreReply)> m_onNewerConfig;
+    /// Applies the configuration in a reply; returns nothing if it cannot be
+    /// read.
+    std::function<std::optional<StoredConfig>(StoreReply)> m_onNewerConfig;
   };
 
   WorkspaceService(Dependencies aDependencies,
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -439,7 +439,7 @@
            .m_storeConfig = [this] { return m_configFeed.LastRead(); },
            .m_onNewerConfig =
              [this](StoreReply aReply) {
-               m_configFeed.OnStoreReply(std::move(aReply));
+               return m_configFeed.OnStoreReply(std::move(aReply));
              } };
 }
 
--- a/src/daemon/workspace_freshness.cpp
+++ b/src/daemon/workspace_freshness.cpp
@@ -89,9 +89,10 @@
     result.m_config == StoreCheckResult::Config::Changed &&
     !aReply.m_value.empty();
   if (hasNewerConfig) {
-    m_deps.m_onNewerConfig(std::move(aReply));
-    const StoredConfig read = m_deps.m_storeConfig();
-    m_freshness.OnProof({ aCheck.m_sentAt, read.m_version });
+    // One that cannot be read may revoke keys, so it renews no proof.
+    if (const auto read = m_deps.m_onNewerConfig(std::move(aReply))) {
+      m_freshness.OnProof({ aCheck.m_sentAt, read->m_version });
+    }
   }
 }
 
--- a/tests/daemon/config_feed.cpp
+++ b/tests/daemon/config_feed.cpp
@@ -245,3 +245,23 @@
   fixture.m_feed.Read();
   CHECK(fixture.m_holder.GetVersion() == Version{ 6 });
 }
+
+TEST_CASE("a document that cannot be read yields no configuration to confirm")
+{
+  // Guards against a check that meets such a document and renews the proof of
+  // the one in force, whose keys the document may revoke.
+  FeedFixture fixture;
+  fixture.m_feed.Read();
+  REQUIRE(fixture.m_holder.GetVersion() == Version{ 5 });
+  const StoreReply unreadable{ .m_status = StoreReply::Status::Conflict,
+                               .m_revision = 9,
+                               .m_value = "{\"version\":" };
+  CHECK_FALSE(fixture.m_feed.OnStoreReply(unreadable));
+  const auto read =
+    fixture.m_feed.OnStoreReply({ .m_status = StoreReply::Status::Conflict,
+                                  .m_revision = 10,
+                                  .m_value = Document(6) });
+  REQUIRE(read);
+  CHECK(read->m_version == Version{ 6 });
+  CHECK(read->m_revision == 10);
+}
--- a/tests/end_to_end/workspaces.cpp
+++ b/tests/end_to_end/workspaces.cpp
@@ -1,6 +1,7 @@
 #include "platform_fleet.hpp"
 
 #include "greengagehub/core/clock.hpp"
+#include "platform/names.hpp"
 
 #include <csignal>
 #include <doctest/doctest.h>
@@ -130,6 +131,30 @@
   }));
 }
 
+TEST_CASE("no key is accepted while the newest configuration cannot be read")
+{
+  // It may revoke keys. A check that met it renewed the proof of the one in
+  // force.
+  Fleet fleet;
+  StartWithTenants(
+    fleet, 2, Json::array({ Tenant("first", Json::array({ "k1" })) }));
+  for (const char* slot : { "lockers-1", "lockers-2" }) {
+    REQUIRE(WaitUntil(
+      [&] { return SendWithKey(fleet, slot, "/status/1", "a", "k1") == 200; }));
+  }
+  fleet.WriteToStore(std::string{ platform::kConfigKey }, "{");
+  for (const char* slot : { "lockers-1", "lockers-2" }) {
+    CHECK(WaitUntil(
+      [&] { return SendWithKey(fleet, slot, "/status/1", "b", "k1") == 503; }));
+  }
+  CHECK(SendWithKey(fleet, "lockers-1", "/open/1", "open", "") == 200);
+  fleet.PutPlatformConfig(DocumentWith(
+    "0000000f", Json::array({ Tenant("first", Json::array({ "k1" })) })));
+  CHECK(WaitUntil([&] {
+    return SendWithKey(fleet, "lockers-1", "/status/1", "c", "k1") == 200;
+  }));
+}
+
 TEST_CASE("a workspace's quota holds across all daemons")
 {
   Fleet fleet;
