Check workspaces' keys and quotas without a platform

Cause: WorkspaceService did nothing unless a platform is enabled: no coordinator was elected, and proofs of freshness came only from the platform's configuration key.

Change: the service is given the key to check and a handler that applies what a check returns. Without a platform that is the decision log: its revision changes with each decision, its head is the newest version. A check that succeeds proves the version known by that revision, one in conflict returns the log, whose versions are staged before its head is proven. Reads of the log prove its head, watches do not. A log that cannot be read, that is older than the version in force or has another history proves nothing, so that a daemon accepts no keys after the bound while its store is behind the fleet. The coordinator's confirmation covers its role in the same call, as before.

--- a/include/greengagehub/daemon/store_sync.hpp
+++ b/include/greengagehub/daemon/store_sync.hpp
@@ -3,7 +3,9 @@
 #include "greengagehub/config/config.hpp"
 #include "greengagehub/core/random.hpp"
 #include "greengagehub/core/store.hpp"
+#include "greengagehub/daemon/wall_clock.hpp"
 #include "greengagehub/observe/log.hpp"
+#include "greengagehub/workspaces/quota_message.hpp"
 
 #include <asio/steady_timer.hpp>
 #include <functional>
@@ -26,6 +28,10 @@
     std::function<void(Version aBefore)> m_onAdvanced;
     /// The log was read.
     std::function<void(Version aHead)> m_onHead;
+    /// A linearizable read sent at `aRequestedAt` returned a log with this
+    /// head; no newer version was acknowledged before that time.
+    std::function<void(TimePoint aRequestedAt, const StoredConfig&)>
+      m_onConfirmed{};
   };
 
   struct Times
@@ -56,6 +62,30 @@
   [[nodiscard]] bool IsBehind() const noexcept { return m_isBehind; }
   [[nodiscard]] bool IsReachable() const noexcept { return m_isReachable; }
 
+  /// \returns Head of the log that was read last and is followed, and the
+  /// log's revision.
+  [[nodiscard]] const StoredConfig& LastRead() const noexcept
+  {
+    return m_lastRead;
+  }
+
+  /// \brief Stages the versions of a log that another linearizable request to
+  /// the store returned.
+  /// \returns The log's head; nothing if the log cannot be read or followed.
+  std::optional<StoredConfig> OnStoreReply(const StoreReply& aReply)
+  {
+    auto log = ReadLog(aReply);
+    // Peers may have sent newer versions since the request was answered.
+    if (!log || log->m_head < m_holder.GetVersion()) {
+      return std::nullopt;
+    }
+    const auto head = Follow(*log, aReply);
+    if (head && !StageAfter(*log, m_holder.GetVersion())) {
+      Read();
+    }
+    return head;
+  }
+
   void SetWatching(bool aWatching)
   {
     const bool isStart = aWatching && !m_isWatching;
@@ -74,11 +104,16 @@
   }
 
 private:
+  /// Starts a new round. Replies to requests of earlier rounds are dropped.
   void Read()
   {
     m_isBusy = true;
+    ++m_round;
+    m_timer.cancel();
     Execute(MakeGet(std::string{ kLogKey }),
-            [this](StoreReply aReply) { OnLog(std::move(aReply)); });
+            [this, sentAt = BootNow()](const StoreReply& aReply) {
+              OnLog(aReply, sentAt);
+            });
   }
 
   void Watch()
@@ -88,7 +123,7 @@
       return;
     }
     Execute(MakeWatch(std::string{ kLogKey }, m_revision, m_times.m_watch),
-            [this](StoreReply aReply) {
+            [this](const StoreReply& aReply) {
               if (aReply.m_status == StoreReply::Status::NotModified) {
                 OnWatchTimeout(aReply.m_storeRevision);
                 return;
@@ -97,7 +132,8 @@
                 Read();
                 return;
               }
-              OnLog(std::move(aReply));
+              // A watch proves nothing: it may have missed later changes.
+              OnLog(aReply, std::nullopt);
             });
   }
 
@@ -113,17 +149,24 @@
     Watch();
   }
 
-  void Execute(StoreRequest aRequest, StoreDone aDone)
+  template<class Next>
+  void Execute(StoreRequest aRequest, Next aNext)
   {
-    m_store.Execute(std::move(aRequest), std::move(aDone));
+    m_store.Execute(std::move(aRequest),
+                    [this, round = m_round, next = std::move(aNext)](
+                      const StoreReply& aReply) mutable {
+                      if (round == m_round) {
+                        next(aReply);
+                      }
+                    });
   }
 
   void RetryLater()
   {
     m_timer.expires_after(Jittered(m_random, m_backoff));
     m_backoff = std::min(2 * m_backoff, m_times.m_maxBackoff);
-    m_timer.async_wait([this](const asio::error_code& aError) {
-      if (aError) {
+    m_timer.async_wait([this, round = m_round](const asio::error_code& aError) {
+      if (aError || round != m_round) {
         return;
       }
       if (m_isWatching) {
@@ -134,7 +177,8 @@
     });
   }
 
-  void OnLog(StoreReply aReply)
+  /// \param aSentAt when the read was sent; nothing for a watch.
+  void OnLog(const StoreReply& aReply, std::optional<TimePoint> aSentAt)
   {
     using Status = StoreReply::Status;
     const bool isReachable =
@@ -148,37 +192,64 @@
       return;
     }
     m_backoff = m_times.m_firstBackoff;
-    DecisionLog log;
-    if (aReply.m_status == Status::Ok) {
-      auto parsed = ParseLog(aReply.m_value);
-      if (!parsed) {
-        m_log.Error("store",
-                    "log_unreadable",
-                    { { "detail", parsed.error().m_message } });
-        RetryLater();
-        return;
-      }
-      log = std::move(parsed.value());
+    auto log = ReadLog(aReply);
+    if (!log) {
+      RetryLater();
+      return;
     }
     m_revision = aReply.m_storeRevision;
-    ApplyLog(std::move(log));
+    const auto head = Follow(*log, aReply);
+    m_handlers.m_onHead(log->m_head);
+    if (head && aSentAt && m_handlers.m_onConfirmed) {
+      m_handlers.m_onConfirmed(*aSentAt, *head);
+    }
+    if (!head || StageAfter(*log, m_holder.GetVersion())) {
+      Watch();
+    } else {
+      ReadSnapshot(std::move(*log));
+    }
+  }
+
+  /// \returns The log in a reply, empty if the key does not exist; nothing if
+  /// it cannot be read.
+  std::optional<DecisionLog> ReadLog(const StoreReply& aReply)
+  {
+    if (aReply.m_status == StoreReply::Status::NotFound) {
+      return DecisionLog{};
+    }
+    auto parsed = ParseLog(aReply.m_value);
+    if (!parsed) {
+      m_log.Error(
+        "store", "log_unreadable", { { "detail", parsed.error().m_message } });
+      return std::nullopt;
+    }
+    return std::move(parsed.value());
   }
 
-  void ApplyLog(DecisionLog aLog)
+  /// \returns The log's head; nothing if the log is not followed.
+  std::optional<StoredConfig> Follow(const DecisionLog& aLog,
+                                     const StoreReply& aReply)
   {
     CheckHistory(aLog);
-    m_handlers.m_onHead(aLog.m_head);
-    const Version before = m_holder.GetVersion();
-    if (m_isBehind || aLog.m_head <= before) {
-      Watch();
-      return;
+    if (m_isBehind) {
+      return std::nullopt;
     }
-    const auto entries = aLog.EntriesAfter(before);
-    if (!entries) {
-      ReadSnapshot(std::move(aLog));
-      return;
+    m_lastRead = { aLog.m_head, aReply.m_revision, aReply.m_era };
+    return m_lastRead;
+  }
+
+  /// \returns Whether the log has all versions after `aBefore`; otherwise the
+  /// snapshot must be read.
+  bool StageAfter(const DecisionLog& aLog, Version aBefore)
+  {
+    if (aLog.m_head <= aBefore) {
+      return true;
+    }
+    const auto entries = aLog.EntriesAfter(aBefore);
+    if (entries) {
+      Stage(*entries, aBefore);
     }
-    Stage(*entries, before);
+    return entries.has_value();
   }
 
   void Stage(const std::vector<VersionEntry>& aEntries, Version aBefore)
@@ -198,7 +269,6 @@
     if (m_holder.GetVersion() > aBefore) {
       m_handlers.m_onAdvanced(aBefore);
     }
-    Watch();
   }
 
   void CheckHistory(const DecisionLog& aLog)
@@ -227,7 +297,7 @@
   void OnSnapshotStep(SnapshotReader::Step aStep)
   {
     if (auto* request = std::get_if<StoreRequest>(&aStep)) {
-      Execute(std::move(*request), [this](StoreReply aReply) {
+      Execute(std::move(*request), [this](const StoreReply& aReply) {
         OnSnapshotStep(m_snapshot.OnReply(aReply));
       });
       return;
@@ -247,6 +317,7 @@
     }
     const auto entries = m_snapshotLog.EntriesAfter(m_holder.GetVersion());
     Stage(entries.value_or(std::vector<VersionEntry>{}), before);
+    Watch();
   }
 
   StoreType& m_store;
@@ -257,7 +328,9 @@
   Handlers m_handlers;
   asio::steady_timer m_timer;
   std::chrono::milliseconds m_backoff;
+  std::uint64_t m_round{ 0 };
   Revision m_revision{ 0 };
+  StoredConfig m_lastRead{};
   SnapshotReader m_snapshot{ Version{} };
   DecisionLog m_snapshotLog;
   bool m_isWatching{ false };
--- a/include/greengagehub/daemon/workspace_service.hpp
+++ b/include/greengagehub/daemon/workspace_service.hpp
@@ -47,10 +47,12 @@
     /// Whether another daemon sent a message recently, or none is known.
     std::function<bool()> m_hasPeerContact;
     std::function<void(GossipSend)> m_send;
+    /// Store key that changes with every version of the configuration.
+    std::string m_configKey;
     /// Version and revision of the configuration read last from the store.
     std::function<StoredConfig()> m_storeConfig;
     /// Applies the configuration in a reply; returns nothing if it cannot be
-    /// read.
+    /// read or followed.
     std::function<std::optional<StoredConfig>(StoreReply)> m_onNewerConfig;
   };
 
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -90,7 +90,11 @@
       m_random(),
       { .m_onAdvanced = [this](Version aBefore) { OnAdvanced(aBefore); },
         .m_onHead =
-          [this](Version aHead) { m_readinessGate.RecordStoreHead(aHead); } })
+          [this](Version aHead) { m_readinessGate.RecordStoreHead(aHead); },
+        .m_onConfirmed =
+          [this](TimePoint aRequestedAt, const StoredConfig& aConfig) {
+            m_workspaces.OnConfirmed(aRequestedAt, aConfig);
+          } })
   , m_configFeed(
       aLoop,
       m_store,
@@ -419,28 +423,36 @@
 WorkspaceService::Dependencies
 ControlPlane::WorkspaceDependencies(asio::io_context& aLoop)
 {
-  return { .m_loop = aLoop,
-           .m_settings = m_settings,
-           .m_log = m_log,
-           .m_store = m_store,
-           .m_holder = m_holder,
-           .m_members = [this]() -> Membership& { return m_membership; },
-           .m_hasJoined = [this] { return m_memberSync.HasJoined(); },
-           .m_hasPeerContact =
-             [this] {
-               return m_membership.Members().Present() == 0 ||
-                      Clock::now() - m_lastDatagramAt < kIsolatedAfter;
-             },
-           .m_send =
-             [this](GossipSend aSend) {
-               aSend.m_message.m_sender = m_membership.Self();
-               SendGossip(std::move(aSend));
-             },
-           .m_storeConfig = [this] { return m_configFeed.LastRead(); },
-           .m_onNewerConfig =
-             [this](StoreReply aReply) {
-               return m_configFeed.OnStoreReply(std::move(aReply));
-             } };
+  const bool isOnPlatform = m_settings.m_platform.m_enabled;
+  return {
+    .m_loop = aLoop,
+    .m_settings = m_settings,
+    .m_log = m_log,
+    .m_store = m_store,
+    .m_holder = m_holder,
+    .m_members = [this]() -> Membership& { return m_membership; },
+    .m_hasJoined = [this] { return m_memberSync.HasJoined(); },
+    .m_hasPeerContact =
+      [this] {
+        return m_membership.Members().Present() == 0 ||
+               Clock::now() - m_lastDatagramAt < kIsolatedAfter;
+      },
+    .m_send =
+      [this](GossipSend aSend) {
+        aSend.m_message.m_sender = m_membership.Self();
+        SendGossip(std::move(aSend));
+      },
+    .m_configKey = std::string{ isOnPlatform ? platform::kConfigKey : kLogKey },
+    .m_storeConfig =
+      [this, isOnPlatform] {
+        return isOnPlatform ? m_configFeed.LastRead() : m_storeSync.LastRead();
+      },
+    .m_onNewerConfig =
+      [this, isOnPlatform](StoreReply aReply) {
+        return isOnPlatform ? m_configFeed.OnStoreReply(std::move(aReply))
+                            : m_storeSync.OnStoreReply(aReply);
+      }
+  };
 }
 
 void
--- a/src/daemon/workspace_freshness.cpp
+++ b/src/daemon/workspace_freshness.cpp
@@ -1,7 +1,8 @@
 #include "greengagehub/daemon/workspace_service.hpp"
 
 #include "greengagehub/daemon/wall_clock.hpp"
-#include "platform/names.hpp"
+
+#include <tuple>
 
 // Proofs that the configuration in force is the newest: checks of the store's
 // revision, which also confirm the coordinator's role.
@@ -30,9 +31,14 @@
 StoredConfig
 WorkspaceService::KnownConfig() const
 {
+  const auto isNewer = [](const StoredConfig& aLeft,
+                          const StoredConfig& aRight) {
+    return std::tie(aLeft.m_version, aLeft.m_era, aLeft.m_revision) >
+           std::tie(aRight.m_version, aRight.m_era, aRight.m_revision);
+  };
   const StoredConfig read = m_deps.m_storeConfig();
   StoredConfig known =
-    m_reportedConfig.m_version > read.m_version ? m_reportedConfig : read;
+    isNewer(m_reportedConfig, read) ? m_reportedConfig : read;
   if (known.m_era < m_storeEra) {
     known.m_revision = 0;
   }
@@ -67,11 +73,10 @@
   if (aConfirmsRole) {
     check.m_term = m_coordinatorRole.ExpectedRevision();
   }
-  m_deps.m_store.Execute(
-    MakeStoreCheck(std::string{ platform::kConfigKey }, check),
-    [this, check](StoreReply aReply) {
-      OnStoreCheck(check, std::move(aReply));
-    });
+  m_deps.m_store.Execute(MakeStoreCheck(m_deps.m_configKey, check),
+                         [this, check](StoreReply aReply) {
+                           OnStoreCheck(check, std::move(aReply));
+                         });
 }
 
 void
--- a/src/daemon/workspace_service.cpp
+++ b/src/daemon/workspace_service.cpp
@@ -245,7 +245,7 @@
 WorkspaceService::OnTick()
 {
   const TimePoint now = BootNow();
-  if (m_table.IsEmpty() || !m_deps.m_settings.m_platform.m_enabled) {
+  if (m_table.IsEmpty()) {
     m_lastCoordinatorReport = now;
     return;
   }
--- a/standins/backend_server.cpp
+++ b/standins/backend_server.cpp
@@ -1,3 +1,4 @@
+#include "greengagehub/calls/call_dialect.hpp"
 #include "greengagehub/core/clock.hpp"
 #include "greengagehub/http/http_server.hpp"
 #include "serve.hpp"
@@ -21,7 +22,7 @@
 /// and body. Faults: PUT /faults with any of {"service_ms": N, "fail": true,
 /// "cut_after_run": N, "health": "...", "limit": "37.6", "leaving": true}; the
 /// last two are stated in responses, see worker_signals.hpp. Number of runs of
-/// each id: GET /runs. Requests received: GET /history.
+/// each id and each workspace: GET /runs. Requests received: GET /history.
 
 namespace {
 
@@ -107,6 +108,7 @@
     const std::string id{ HeaderValue(aRun.m_request.m_headers,
                                       "x-request-id") };
     ++m_runs[id];
+    RecordWorkspace(aRun.m_request);
     m_lastStart = std::chrono::system_clock::now();
     if (m_cutsLeft > 0) {
       // The call counts as run, but its connection closes without an answer.
@@ -129,6 +131,15 @@
         const asio::error_code&) mutable { Finish(std::move(run), id); });
   }
 
+  void RecordWorkspace(const HttpRequest& aRequest)
+  {
+    const CallDialect dialect;
+    ++m_workspaces[std::string{
+      HeaderValue(aRequest.m_headers, dialect.m_workspace) }];
+    m_keysSeen +=
+      HeaderValue(aRequest.m_headers, dialect.m_apiKey).empty() ? 0 : 1;
+  }
+
   void Finish(Run aRun, const std::string& aId)
   {
     --m_running;
@@ -168,10 +179,9 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(
         m_lastStart.time_since_epoch());
     return Json{
-      { "runs", m_runs },
-      { "most_running", m_maxRunning },
-      { "cuts", m_cuts },
-      { "last_start_ms", lastStart.count() }
+      { "runs", m_runs },          { "workspaces", m_workspaces },
+      { "keys_seen", m_keysSeen }, { "most_running", m_maxRunning },
+      { "cuts", m_cuts },          { "last_start_ms", lastStart.count() }
     }.dump(-1, ' ', false, Json::error_handler_t::replace);
   }
 
@@ -181,6 +191,10 @@
   HttpServer m_http;
   std::deque<Run> m_queue;
   std::map<std::string, std::uint32_t> m_runs;
+  /// Runs by workspace; those without one under "".
+  std::map<std::string, std::uint32_t> m_workspaces;
+  /// Requests that arrived with an API key.
+  std::uint32_t m_keysSeen{ 0 };
   std::uint32_t m_running{ 0 };
   std::uint32_t m_maxRunning{ 0 };
   std::uint32_t m_cutsLeft{ 0 };
