--- a/include/greengagehub/daemon/workspace_service.hpp
+++ b/include/greengagehub/daemon/workspace_service.hpp
@@ -47,9 +47,13 @@
     /// Whether another daemon sent a message recently, or none is known.
     std::function<bool()> m_hasPeerContact;
     std::function<void(GossipSend)> m_send;
+    /// Store key that changes with every version of the configuration.
+    std::string m_configKey;
     /// Version and revision of the configuration read last from the store.
     std::function<StoredConfig()> m_storeConfig;
-    std::function<void(StoreReply)> m_onNewerConfig;
+    /// Applies the configuration in a reply; returns nothing if it cannot be
+    /// read or followed.
+    std::function<std::optional<StoredConfig>(StoreReply)> m_onNewerConfig;
   };
 
   WorkspaceService(Dependencies aDependencies,
@@ -99,14 +103,6 @@
   void Resign();
 
 private:
-  /// A revision check in progress at the store.
-  struct StoreCheck
-  {
-    TimePoint m_sentAt{};
-    StoredConfig m_config{};
-    bool m_confirmsRole{ false };
-  };
-
   void SendNextQuery();
   void ArmQueryTimeout();
   void SendQuery(const MemberPeer& aTo, QuotaQuery aQuery);
@@ -121,6 +117,7 @@
   void CheckStoreIfStale(TimePoint aNow);
   void SendStoreCheck(bool aConfirmsRole);
   void OnStoreCheck(const StoreCheck& aCheck, StoreReply aReply);
+  void ApplyRoleResult(TimePoint aSentAt, StoreCheckResult::Role aRole);
   void ReadCoordinatorKey();
   void ClaimCoordinatorKey();
   [[nodiscard]] StoredConfig KnownConfig() const;
@@ -138,6 +135,8 @@
   std::string m_coordinatorSlot;
   TimePoint m_lastCoordinatorReport{};
   StoredConfig m_reportedConfig;
+  /// Highest era of the store in a reply to a check; 0: none yet.
+  std::uint64_t m_storeEra{ 0 };
   bool m_isHighestRanked{ false };
   TimePoint m_nextRankCheck{};
   TimePoint m_nextStoreCheck{};
