--- a/include/greengagehub/calls/decision_settings.hpp
+++ b/include/greengagehub/calls/decision_settings.hpp
@@ -38,6 +38,14 @@
   /// Further workers tried after a refusal; each costs a round trip.
   std::uint32_t m_maxRedirects{ 2 };
 
+  // Late binding.
+
+  /// Workers at which a call is announced that only busy ones could take; 0: it
+  /// is queued at one of them.
+  std::uint32_t m_reservations{ 0 };
+  /// Offers made beyond the free slots, to bridge their round trip.
+  std::uint32_t m_offersAhead{ 0 };
+
   // Placement.
 
   /// Workers compared in the local failure domain, and as many in all others
--- a/tests/calls/replay.hpp
+++ b/tests/calls/replay.hpp
@@ -4,6 +4,7 @@
 #include "greengagehub/calls/run_table.hpp"
 
 #include <algorithm>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -25,26 +26,81 @@
   double m_limit{ 0.0 };
 };
 
+/// \brief Workers of unequal and varying speed.
+struct UnequalWorkers
+{
+  Duration m_mean{ 240ms };
+  /// Factors of the mean speed, spread evenly over the workers.
+  double m_slowest{ 0.5 };
+  double m_fastest{ 1.7 };
+  /// One worker in four is slower by this factor for a fifth of the time.
+  double m_burst{ 2.5 };
+  Duration m_burstPeriod{ 10s };
+  /// Time over which the workers reach their speed, starting at half of it.
+  Duration m_coldTime{ 3s };
+};
+
+enum class ReplayQueueing
+{
+  /// Dispatchers and run tables.
+  Product,
+  /// One queue that knows all free slots and speeds, at no cost.
+  Shared,
+};
+
 struct ReplaySetup
 {
   std::vector<ReplayDomain> m_domains{ {} };
   DecisionSettings m_decisions{};
+  ReplayQueueing m_queueing{ ReplayQueueing::Product };
+  std::optional<UnequalWorkers> m_unequal{};
+  std::uint32_t m_slots{ 6 };
+  std::chrono::milliseconds m_target{ 400 };
+  /// Standard deviation of the logarithm of a service time.
+  double m_spread{ 0.47 };
+  Duration m_hop{ std::chrono::microseconds{ 200 } };
+  /// Between failure domains.
+  Duration m_farHop{ std::chrono::microseconds{ 200 } };
+  /// Time in which a daemon sends or receives a message; one at a time.
+  Duration m_messageTime{ 0 };
   /// Cost of a crossing as a fraction of a call's value.
   double m_crossingCost{ 0.0 };
   Duration m_span{ 20s };
+  /// Calls that arrive earlier don't count as late or in time.
+  Duration m_countFrom{ 0 };
 };
 
 struct ReplayResult
 {
   std::size_t m_calls{ 0 };
+  std::size_t m_counted{ 0 };
   std::size_t m_inTarget{ 0 };
   std::size_t m_crossed{ 0 };
   std::size_t m_sends{ 0 };
   std::size_t m_answered{ 0 };
   /// Runs at workers that state a limit.
   std::size_t m_limitedRuns{ 0 };
+  /// Frames between daemons.
+  std::size_t m_messages{ 0 };
+  std::vector<Duration> m_latencies{};
+  /// Time in which slots were held for offers.
+  Duration m_heldTime{ 0 };
+  Duration m_busyTime{ 0 };
 
-  [[nodiscard]] double Missed() const { return 1.0 - Share(m_inTarget); }
+  [[nodiscard]] double Messages() const { return Share(m_messages); }
+  [[nodiscard]] Duration LatencyAt(double aShare) const
+  {
+    std::vector<Duration> sorted = m_latencies;
+    std::ranges::sort(sorted);
+    return sorted.empty() ? Duration{ 0 }
+                          : sorted[static_cast<std::size_t>(
+                              aShare * static_cast<double>(sorted.size() - 1))];
+  }
+  [[nodiscard]] double Missed() const
+  {
+    return 1.0 -
+           static_cast<double>(m_inTarget) / static_cast<double>(m_counted);
+  }
   [[nodiscard]] double Crossed() const { return Share(m_crossed); }
   [[nodiscard]] double Sends() const { return Share(m_sends); }
 
@@ -59,7 +115,7 @@
 /// real dispatchers and run tables.
 ///
 /// Mean service times are 140 ms for two workers in three and 62 ms for the
-/// rest.
+/// rest, unless the setup has others.
 class Replay
 {
 public:
@@ -83,22 +139,35 @@
       m_events.erase(next);
       action();
     }
+    for (const auto& each : m_workers) {
+      m_result.m_heldTime += each->m_table.Offers().m_heldTime;
+    }
     return m_result;
   }
 
 private:
-  static constexpr std::uint32_t kSlots = 6;
-  static constexpr auto kTarget = 400ms;
-  static constexpr auto kHop = std::chrono::microseconds{ 200 };
+  static constexpr int kDeadlineTargets = 5;
+  /// Longer than slots are held.
+  static constexpr auto kOfferCheck = 51ms;
   static constexpr auto kFast = 62ms;
   static constexpr auto kSlow = 140ms;
 
   struct Worker
   {
-    RunTable m_table{ { .m_slots = kSlots, .m_queue = 4 * kSlots } };
+    explicit Worker(const RunTableSettings& aSettings)
+      : m_table(aSettings)
+    {
+    }
+
+    RunTable m_table;
     std::size_t m_domain{ 0 };
     Duration m_mean{ 0 };
     bool m_isLimited{ false };
+    /// The caller's daemon that is also the worker's.
+    std::size_t m_daemon{ 0 };
+    Duration m_burstPhase{ -1 };
+    /// Of the shared queue.
+    std::uint32_t m_running{ 0 };
   };
 
   static std::string NameOf(std::size_t aDomain)
@@ -110,8 +179,12 @@
   {
     const ReplayDomain& domain = m_setup.m_domains[aDomain];
     for (std::size_t i = 0; i < domain.m_workers; ++i) {
-      auto worker = std::make_unique<Worker>();
+      auto worker = std::make_unique<Worker>(
+        RunTableSettings{ .m_slots = m_setup.m_slots,
+                          .m_queue = 4 * m_setup.m_slots,
+                          .m_decisions = m_setup.m_decisions });
       worker->m_domain = aDomain;
+      worker->m_daemon = m_callers.size() + i % domain.m_callers;
       worker->m_mean = i % 3 == 2 || i == 0 ? kFast : kSlow;
       if (i < domain.m_limitedWorkers) {
         worker->m_isLimited = true;
@@ -120,6 +193,7 @@
       m_workers.push_back(std::move(worker));
     }
     m_firstCaller.push_back(m_callers.size());
+    m_daemonFree.resize(m_callers.size() + domain.m_callers);
     for (std::size_t i = 0; i < domain.m_callers; ++i) {
       m_callers.push_back(std::make_unique<Dispatcher>(m_callers.size() + 1));
       m_callers.back()->Routing().m_domain = NameOf(aDomain);
@@ -135,8 +209,9 @@
         row.m_slot = std::to_string(i);
         row.m_service = "board";
         row.m_domain = NameOf(m_workers[i]->m_domain);
-        row.m_slots = kSlots;
+        row.m_slots = m_setup.m_slots;
         caller->Workers().Put(std::move(row));
+        caller->SetTakesAnnouncements(std::to_string(i), true);
       }
     }
   }
@@ -144,15 +219,19 @@
   void AddCalls(std::size_t aDomain)
   {
     if (aDomain == 0) {
+      SetUnequalSpeeds();
       AddWorkerRows();
     }
     const ReplayDomain& domain = m_setup.m_domains[aDomain];
     double capacity = 0.0;
     for (const auto& each : m_workers) {
-      capacity +=
-        each->m_domain == aDomain
-          ? kSlots / std::chrono::duration<double>(each->m_mean).count()
-          : 0.0;
+      capacity += each->m_domain == aDomain
+                    ? m_setup.m_slots / MeanOf(*each, m_now + 1h).count()
+                    : 0.0;
+    }
+    if (m_setup.m_unequal) {
+      capacity = UnequalCapacity() * static_cast<double>(domain.m_callers) /
+                 static_cast<double>(m_callers.size());
     }
     std::exponential_distribution<double> gap{ domain.m_load * capacity };
     double offset = 0.0;
@@ -166,11 +245,71 @@
     }
   }
 
+  using Seconds = std::chrono::duration<double>;
+
+  void SetUnequalSpeeds()
+  {
+    if (!m_setup.m_unequal) {
+      return;
+    }
+    const UnequalWorkers& unequal = *m_setup.m_unequal;
+    std::vector<Worker*> workers;
+    for (const auto& each : m_workers) {
+      workers.push_back(each.get());
+    }
+    std::ranges::shuffle(workers, m_random);
+    const auto last =
+      static_cast<double>(std::max<std::size_t>(1, workers.size() - 1));
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+      const double speed =
+        unequal.m_slowest +
+        (unequal.m_fastest - unequal.m_slowest) * static_cast<double>(i) / last;
+      workers[i]->m_mean =
+        std::chrono::duration_cast<Duration>(unequal.m_mean / speed);
+      if (i % 4 == 1) {
+        workers[i]->m_burstPhase =
+          unequal.m_burstPeriod * static_cast<int>(i % 7) / 7;
+      }
+    }
+  }
+
+  [[nodiscard]] double UnequalCapacity() const
+  {
+    const double calm = 1.0 - 0.2 * (1.0 - 1.0 / m_setup.m_unequal->m_burst);
+    double capacity = 0.0;
+    for (const auto& each : m_workers) {
+      const double share = each->m_burstPhase >= Duration{ 0 } ? calm : 1.0;
+      capacity += share * m_setup.m_slots / Seconds(each->m_mean).count();
+    }
+    return capacity;
+  }
+
+  /// \returns Mean service time of calls that start at a time.
+  [[nodiscard]] Seconds MeanOf(const Worker& aWorker, TimePoint aAt) const
+  {
+    Seconds mean = aWorker.m_mean;
+    if (!m_setup.m_unequal) {
+      return mean;
+    }
+    const UnequalWorkers& unequal = *m_setup.m_unequal;
+    const Duration age = aAt - m_start;
+    if (age < unequal.m_coldTime) {
+      mean *= 2.0 - Seconds(age) / Seconds(unequal.m_coldTime);
+    }
+    const bool isBurst = aWorker.m_burstPhase >= Duration{ 0 } &&
+                         (age + aWorker.m_burstPhase) % unequal.m_burstPeriod <
+                           unequal.m_burstPeriod / 5;
+    return isBurst ? mean * unequal.m_burst : mean;
+  }
+
   Duration ServiceOf(const Worker& aWorker)
   {
-    std::lognormal_distribution<double> spread{ -0.11, 0.47 };
-    return std::chrono::duration_cast<Duration>(aWorker.m_mean *
-                                                spread(m_random));
+    const double spread = m_setup.m_spread;
+    std::lognormal_distribution<double> draw{ -spread * spread / 2, spread };
+    const auto took = std::chrono::duration_cast<Duration>(
+      MeanOf(aWorker, m_now) * draw(m_random));
+    m_result.m_busyTime += took;
+    return took;
   }
 
   void Schedule(Duration aSpan, std::function<void()> aAction)
@@ -178,15 +317,105 @@
     m_events.emplace(m_now + aSpan, std::move(aAction));
   }
 
+  /// \brief Sends a frame between the daemons of a caller and a worker.
+  void Transmit(std::size_t aFrom,
+                std::size_t aTo,
+                std::size_t aCaller,
+                const Worker& aWorker,
+                std::function<void()> aAction)
+  {
+    const bool isFar =
+      m_callers[aCaller]->Routing().m_domain != NameOf(aWorker.m_domain);
+    ++m_result.m_messages;
+    Schedule(Occupy(aFrom) + (isFar ? m_setup.m_farHop : m_setup.m_hop),
+             [this, aTo, action = std::move(aAction)]() mutable {
+               if (m_setup.m_messageTime > Duration{ 0 }) {
+                 Schedule(Occupy(aTo), std::move(action));
+               } else {
+                 action();
+               }
+             });
+  }
+
+  /// \returns Time until the daemon has handled another message.
+  Duration Occupy(std::size_t aDaemon)
+  {
+    TimePoint& free = m_daemonFree[aDaemon];
+    free = std::max(free, m_now) + m_setup.m_messageTime;
+    return free - m_now;
+  }
+
+  void BeginShared(std::uint64_t aId)
+  {
+    RecordArrival(aId);
+    m_sharedQueue.push_back(aId);
+    ServeShared();
+  }
+
+  /// Starts each call at the fastest worker that has a free slot.
+  void ServeShared()
+  {
+    while (!m_sharedQueue.empty()) {
+      Worker* fastest = nullptr;
+      for (const auto& each : m_workers) {
+        const bool isFree = each->m_running < m_setup.m_slots;
+        if (isFree && (fastest == nullptr ||
+                       MeanOf(*each, m_now) < MeanOf(*fastest, m_now))) {
+          fastest = each.get();
+        }
+      }
+      if (fastest == nullptr) {
+        return;
+      }
+      const std::uint64_t id = m_sharedQueue.front();
+      m_sharedQueue.pop_front();
+      const Duration hops = 2 * m_setup.m_farHop;
+      const TimePoint latest = m_arrivals.at(id) + m_setup.m_target - hops;
+      if (m_now + MeanOf(*fastest, m_now) > latest && m_now > m_arrivals[id]) {
+        continue;
+      }
+      ++fastest->m_running;
+      Schedule(ServiceOf(*fastest), [this, fastest, id, hops] {
+        --fastest->m_running;
+        RecordLatency(id, m_now + hops - m_arrivals.at(id));
+        ServeShared();
+      });
+    }
+  }
+
+  [[nodiscard]] bool IsCounted(std::uint64_t aId) const
+  {
+    return m_arrivals.at(aId) - m_start >= m_setup.m_countFrom;
+  }
+
+  void RecordLatency(std::uint64_t aId, Duration aTook)
+  {
+    ++m_result.m_answered;
+    if (IsCounted(aId)) {
+      m_result.m_inTarget += aTook <= m_setup.m_target ? 1 : 0;
+      m_result.m_latencies.push_back(aTook);
+    }
+  }
+
+  void RecordArrival(std::uint64_t aId)
+  {
+    m_arrivals[aId] = m_now;
+    m_result.m_counted += IsCounted(aId) ? 1 : 0;
+  }
+
   void Begin(std::uint64_t aId, std::size_t aCaller)
   {
+    if (m_setup.m_queueing == ReplayQueueing::Shared) {
+      BeginShared(aId);
+      return;
+    }
     CallPlan plan;
     plan.m_service = "board";
-    plan.m_deadline = m_now + 2s;
-    plan.m_target = m_now + kTarget;
-    plan.m_kind = kTarget;
+    plan.m_deadline = m_now + kDeadlineTargets * m_setup.m_target;
+    plan.m_target = m_now + m_setup.m_target;
+    plan.m_kind = m_setup.m_target;
     plan.m_crossingCost = m_setup.m_crossingCost;
-    m_arrivals[aId] = m_now;
+    RecordArrival(aId);
     Execute(aCaller, m_callers[aCaller]->Begin(m_now, aId, std::move(plan)));
   }
 
@@ -195,15 +424,21 @@
     for (const DispatchAction& each : aActions) {
       if (const auto* send = std::get_if<SendAttempt>(&each)) {
         ++m_result.m_sends;
-        Schedule(kHop, [this, aCaller, attempt = *send] {
-          Deliver(aCaller, attempt);
-        });
+        const Worker& worker = *m_workers[std::stoul(send->m_slot)];
+        Transmit(
+          aCaller,
+          worker.m_daemon,
+          aCaller,
+          worker,
+          [this, aCaller, attempt = *send] { Deliver(aCaller, attempt); });
+      } else if (const auto* cancel = std::get_if<SendCancel>(&each)) {
+        SendWithdrawal(aCaller, *cancel);
+      } else if (const auto* announce = std::get_if<SendAnnouncement>(&each)) {
+        Announce(aCaller, *announce);
       } else if (const auto* finish = std::get_if<FinishCall>(&each)) {
-        const bool answered =
-          finish->m_answer.m_outcome == CallOutcome::Answered;
-        const Duration took = m_now - m_arrivals.at(finish->m_call);
-        m_result.m_inTarget += answered && took <= kTarget ? 1 : 0;
-        m_result.m_answered += answered ? 1 : 0;
+        if (finish->m_answer.m_outcome == CallOutcome::Answered) {
+          RecordLatency(finish->m_call, m_now - m_arrivals.at(finish->m_call));
+        }
       }
     }
   }
@@ -220,7 +455,7 @@
                            key,
                            1,
                            { .m_priority = 2,
-                             .m_kind = kTarget,
+                             .m_kind = m_setup.m_target,
                              .m_timeLeft = aAttempt.m_timeLeft,
                              .m_targetLeft = aAttempt.m_targetLeft,
                              .m_refuseIfBusy = aAttempt.m_refuseIfBusy },
@@ -280,6 +515,58 @@
     for (const CallKey& each : aActions.m_start) {
       Start(each);
     }
+    for (const CallKey& each : aActions.m_offered) {
+      Offer(each);
+    }
+  }
+
+  void Announce(std::size_t aCaller, const SendAnnouncement& aAnnouncement)
+  {
+    const std::size_t index = std::stoul(aAnnouncement.m_slot);
+    Worker& worker = *m_workers[index];
+    const CallKey key{ aCaller + 1, aAnnouncement.m_attempt };
+    m_workerOf[key] = index;
+    const auto receive = [this, &worker, key, each = aAnnouncement] {
+      const Admission admission =
+        worker.m_table.Announce(m_now,
+                                key,
+                                1,
+                                { .m_priority = 2,
+                                  .m_kind = m_setup.m_target,
+                                  .m_timeLeft = each.m_timeLeft,
+                                  .m_targetLeft = each.m_targetLeft });
+      if (admission.m_kind == Admission::Kind::Offered) {
+        Offer(key);
+      } else if (admission.m_kind == Admission::Kind::Refused) {
+        Answer(
+          key,
+          Refuse(key.m_call, CallOutcome::NotRun, admission.m_reason, 1ms));
+      }
+    };
+    Transmit(aCaller, worker.m_daemon, aCaller, worker, receive);
+  }
+
+  void Offer(const CallKey& aKey)
+  {
+    const std::size_t index = m_workerOf.at(aKey);
+    const std::size_t caller = aKey.m_process - 1;
+    Worker& worker = *m_workers[index];
+    Transmit(worker.m_daemon, caller, caller, worker, [this, aKey, index] {
+      const std::size_t to = aKey.m_process - 1;
+      Execute(
+        to, m_callers[to]->OnOffer(m_now, std::to_string(index), aKey.m_call));
+    });
+    Schedule(kOfferCheck,
+             [this, &worker] { Apply(worker.m_table.OnTick(m_now)); });
+  }
+
+  void SendWithdrawal(std::size_t aCaller, const SendCancel& aCancel)
+  {
+    Worker& worker = *m_workers[std::stoul(aCancel.m_slot)];
+    const CallKey key{ aCaller + 1, aCancel.m_attempt };
+    Transmit(aCaller, worker.m_daemon, aCaller, worker, [this, &worker, key] {
+      Apply(worker.m_table.Withdraw(m_now, key));
+    });
   }
 
   void Answer(const CallKey& aKey, CallAnswer aAnswer)
@@ -288,21 +575,27 @@
     using std::chrono::microseconds;
     const RunTable& worker = m_workers[m_workerOf.at(aKey)]->m_table;
     aAnswer.m_load = worker.Load();
-    aAnswer.m_slots = kSlots;
+    aAnswer.m_slots = m_setup.m_slots;
     aAnswer.m_statement.m_rateLimit = worker.Limiter().Limit();
     aAnswer.m_serviceTime =
-      duration_cast<microseconds>(worker.ServiceTime(m_now, kTarget));
-    aAnswer.m_wait =
-      duration_cast<microseconds>(worker.ExpectedWaitOfKind(m_now, 2, kTarget));
-    Schedule(kHop, [this, aKey, answer = std::move(aAnswer)] {
-      const std::size_t caller = aKey.m_process - 1;
-      Execute(caller, m_callers[caller]->OnAnswer(m_now, answer));
-    });
+      duration_cast<microseconds>(worker.ServiceTime(m_now, m_setup.m_target));
+    aAnswer.m_wait = duration_cast<microseconds>(
+      worker.ExpectedWaitOfKind(m_now, 2, m_setup.m_target));
+    const std::size_t caller = aKey.m_process - 1;
+    const Worker& from = *m_workers[m_workerOf.at(aKey)];
+    Transmit(from.m_daemon,
+             caller,
+             caller,
+             from,
+             [this, caller, answer = std::move(aAnswer)] {
+               Execute(caller, m_callers[caller]->OnAnswer(m_now, answer));
+             });
   }
 
   ReplaySetup m_setup;
   ReplayResult m_result{};
   std::mt19937_64 m_random{ 7 };
+  TimePoint m_start{ 1h };
   TimePoint m_now{ 1h };
   std::vector<std::unique_ptr<Dispatcher>> m_callers{};
   std::vector<std::size_t> m_firstCaller{};
@@ -310,6 +603,8 @@
   std::multimap<TimePoint, std::function<void()>> m_events{};
   std::map<std::uint64_t, TimePoint> m_arrivals{};
   std::map<CallKey, std::size_t> m_workerOf{};
+  std::vector<TimePoint> m_daemonFree{};
+  std::deque<std::uint64_t> m_sharedQueue{};
 };
 
 }
