--- a/tests/calls/replay.hpp
+++ b/tests/calls/replay.hpp
@@ -68,6 +68,7 @@
   Duration m_span{ 20s };
   /// Calls that arrive earlier don't count as late or in time.
   Duration m_countFrom{ 0 };
+  std::uint64_t m_seed{ 7 };
 };
 
 struct ReplayResult
@@ -121,6 +122,7 @@
 public:
   explicit Replay(ReplaySetup aSetup)
     : m_setup(std::move(aSetup))
+    , m_random(m_setup.m_seed)
   {
     for (std::size_t i = 0; i < m_setup.m_domains.size(); ++i) {
       AddDomain(i);
@@ -594,7 +596,7 @@
 
   ReplaySetup m_setup;
   ReplayResult m_result{};
-  std::mt19937_64 m_random{ 7 };
+  std::mt19937_64 m_random;
   TimePoint m_start{ 1h };
   TimePoint m_now{ 1h };
   std::vector<std::unique_ptr<Dispatcher>> m_callers{};
--- a/tests/calls/unequal_fleet.hpp
+++ b/tests/calls/unequal_fleet.hpp
@@ -66,6 +66,7 @@
             double aLoad,
             Duration aMessageTime = 1ms,
             Duration aCountFrom = Duration{ 0 },
+            std::uint64_t aSeed = 7,
             Duration aSpan = 20s)
 {
   struct Kind
@@ -95,6 +96,7 @@
     setup.m_crossingCost = 0.1;
     setup.m_span = aSpan;
     setup.m_countFrom = aCountFrom;
+    setup.m_seed = aSeed;
     setup.m_domains.clear();
     const std::size_t workers = kind.m_workers * aDaemons / kDaemonsOfShape;
     for (std::size_t i = 0; i < kDomains; ++i) {
