--- a/include/greengagehub/calls/call.hpp
+++ b/include/greengagehub/calls/call.hpp
@@ -128,6 +128,8 @@
   /// Whether an earlier attempt of the call has reached a worker.
   bool m_isRetry{ false };
   bool m_refuseIfBusy{ false };
+  /// When the worker's daemon received it; not sent.
+  TimePoint m_receivedAt{};
   /// What the caller's daemon knows of the worker; its own daemon may have
   /// restarted.
   WorkerStatement m_knownStatement{};
@@ -152,6 +154,9 @@
   std::chrono::microseconds m_serviceTime{ 0 };
   /// Expected queueing delay of another such call at the worker.
   std::chrono::microseconds m_wait{ 0 };
+  /// Time between the attempt's arrival at the worker's daemon and this answer;
+  /// empty: not known.
+  std::optional<std::chrono::microseconds> m_timeAtWorker{};
   /// WorkerCrashed: crashes counted so far for the request's fingerprint.
   std::uint32_t m_crashCount{ 0 };
   WorkerStatement m_statement{};
--- a/include/greengagehub/calls/calls.hpp
+++ b/include/greengagehub/calls/calls.hpp
@@ -9,7 +9,6 @@
 #include "greengagehub/calls/decision_settings.hpp"
 #include "greengagehub/calls/dispatcher.hpp"
 #include "greengagehub/calls/placement.hpp"
-#include "greengagehub/calls/reservations.hpp"
 #include "greengagehub/calls/retry_budget.hpp"
 #include "greengagehub/calls/route_table.hpp"
 #include "greengagehub/calls/run_table.hpp"
--- a/include/greengagehub/calls/decision_settings.hpp
+++ b/include/greengagehub/calls/decision_settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 
 namespace greengagehub {
@@ -38,19 +39,15 @@
   /// Further workers tried after a refusal; each costs a round trip.
   std::uint32_t m_maxRedirects{ 2 };
 
-  // Late binding.
-
-  /// Workers at which a call is announced that only busy ones could take; 0: it
-  /// is queued at one of them.
-  std::uint32_t m_reservations{ 0 };
-  /// Offers made beyond the free slots, to bridge their round trip.
-  std::uint32_t m_offersAhead{ 0 };
-
   // Placement.
 
   /// Workers compared in the local failure domain, and as many in all others
   /// together; 0: all.
   std::uint32_t m_choices{ 2 };
+  /// The weight of a worker's report falls linearly to zero over this time.
+  std::chrono::milliseconds m_reportLifetime{ 3000 };
+  /// Whether the time that attempts spend outside the worker's daemon counts.
+  bool m_countsTransit{ true };
   /// Whether the mean of a worker's domain replaces outdated load reports.
   bool m_usesDomainReports{ true };
   /// Fraction of its value that a call loses by a late answer.
--- a/include/greengagehub/calls/dispatcher.hpp
+++ b/include/greengagehub/calls/dispatcher.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "greengagehub/calls/placement.hpp"
-#include "greengagehub/calls/reservations.hpp"
 #include "greengagehub/calls/retry_budget.hpp"
 #include "greengagehub/quarantine/quarantine.hpp"
 
@@ -49,17 +48,6 @@
   WorkerStatement m_knownStatement{};
 };
 
-/// \brief Announce attempt `m_attempt` of call `m_call` to a worker's daemon;
-/// its request may follow.
-struct SendAnnouncement
-{
-  std::uint64_t m_call{ 0 };
-  std::uint64_t m_attempt{ 0 };
-  std::string m_slot;
-  std::chrono::microseconds m_timeLeft{ 0 };
-  std::chrono::microseconds m_targetLeft{ 0 };
-};
-
 /// \brief Ask a worker's daemon to cancel an attempt that hasn't started.
 struct SendCancel
 {
@@ -87,8 +75,7 @@
   CallAnswer m_answer;
 };
 
-using DispatchAction =
-  std::variant<SendAttempt, SendAnnouncement, SendCancel, FinishCall>;
+using DispatchAction = std::variant<SendAttempt, SendCancel, FinishCall>;
 using DispatchActions = std::vector<DispatchAction>;
 
 /// \brief The caller's side of calls: selects workers, retries attempts, and
@@ -102,10 +89,6 @@
 /// queueing it, as load reports are often older than the queue they describe.
 /// After `m_maxBusyReplies` such refusals the call may wait at any worker.
 ///
-/// With reservations, the call is then announced at several workers instead. It
-/// is sent to the first that offers a slot, and the other announcements are
-/// withdrawn. An announcement is not an attempt: it cannot run.
-///
 /// A worker that refused a call because of its own limit gets no other until
 /// there is room again. A call for which all workers are at their limits is
 /// refused at once.
@@ -170,11 +153,6 @@
                                       CallPlan aPlan);
   /// \brief Ignores an answer to an earlier attempt.
   [[nodiscard]] DispatchActions OnAnswer(TimePoint aNow, CallAnswer aAnswer);
-  /// \brief Sends the request to a worker that holds a slot for it, or declines
-  /// if the call needs none any more.
-  [[nodiscard]] DispatchActions OnOffer(TimePoint aNow,
-                                        const std::string& aSlot,
-                                        std::uint64_t aAttempt);
   [[nodiscard]] DispatchActions OnCancelResult(TimePoint aNow,
                                                std::uint64_t aAttempt,
                                                AttemptState aState);
@@ -200,15 +178,6 @@
   [[nodiscard]] DispatchActions OnTick(TimePoint aNow);
   /// \brief Records the daemon process that an attempt was sent to.
   void RecordProcess(std::uint64_t aAttempt, std::uint64_t aProcess);
-  /// \brief Records whether the daemon of a slot accepts announcements.
-  void SetTakesAnnouncements(const std::string& aSlot, bool aTakes)
-  {
-    m_reservations.SetSupport(aSlot, aTakes);
-  }
-  [[nodiscard]] const Reservations& GetReservations() const noexcept
-  {
-    return m_reservations;
-  }
 
 private:
   struct Call
@@ -229,7 +198,6 @@
     /// Refusals by daemons before the call reached a worker.
     std::uint32_t m_redirects{ 0 };
     bool m_isAssignedToCanary{ false };
-    bool m_wasAnnounced{ false };
     std::uint32_t m_unavailableAttempts{ 0 };
     /// A server error, returned to the caller if no retry succeeds.
     std::optional<CallAnswer> m_fallback{};
@@ -241,25 +209,6 @@
                     DispatchActions& aOut,
                     Call& aCall,
                     CallAnswer aPrevious);
-  void SendTo(TimePoint aNow,
-              DispatchActions& aOut,
-              Call& aCall,
-              WorkerTable::Index aWorker,
-              std::uint64_t aAttempt,
-              bool aRefuseIfBusy);
-  [[nodiscard]] bool MayReserve(const Call& aCall) const;
-  /// \returns Whether the call was announced at a worker.
-  bool Reserve(TimePoint aNow, DispatchActions& aOut, Call& aCall);
-  /// \brief Continues without offers once the last announcement is lost.
-  void OnAnnouncementLost(TimePoint aNow,
-                          DispatchActions& aOut,
-                          const Announcement& aAnnouncement,
-                          CallAnswer aAnswer);
-  void OnDeclined(TimePoint aNow,
-                  DispatchActions& aOut,
-                  const Announcement& aAnnouncement,
-                  CallAnswer aAnswer);
-  void WithdrawAll(DispatchActions& aOut, std::uint64_t aCall);
   void Finish(DispatchActions& aOut, Call& aCall, CallAnswer aAnswer);
   void OnWorkerAnswer(TimePoint aNow,
                       DispatchActions& aOut,
@@ -309,7 +258,6 @@
   Policy m_policy;
   WorkerTable m_workers;
   RetryBudget m_budget;
-  Reservations m_reservations;
   std::unordered_map<std::uint64_t, Call> m_calls;
   std::unordered_map<std::uint64_t, std::uint64_t> m_attempts;
   std::set<Deadline> m_deadlines;
--- a/include/greengagehub/calls/placement.hpp
+++ b/include/greengagehub/calls/placement.hpp
@@ -9,6 +9,7 @@
 {
   Duration m_service{ 0 };
   Duration m_wait{ 0 };
+  Duration m_transit{ 0 };
 };
 
 /// \brief Average queue wait in each failure domain for one kind of calls.
@@ -84,7 +85,14 @@
 MeanServiceTime(const std::vector<const WorkerRow*>& aRows,
                 CallKind aKind) noexcept;
 
-/// \returns Queue wait and service time, plus a penalty for recent refusals.
+/// \returns Mean over the workers with a recent measurement; 0 without any.
+[[nodiscard]] Duration
+MeanTransitTime(const DecisionSettings& aDecisions,
+                const std::vector<const WorkerRow*>& aRows,
+                TimePoint aNow) noexcept;
+
+/// \returns Queue wait, service and transit time, plus a penalty for recent
+/// refusals.
 [[nodiscard]] Duration
 ExpectedResponseTime(const DecisionSettings& aDecisions,
                      const WorkerRow& aRow,
--- a/include/greengagehub/calls/run_table.hpp
+++ b/include/greengagehub/calls/run_table.hpp
@@ -24,8 +24,6 @@
   std::size_t m_maxRetained{ 50'000 };
   /// Time before a queued call's deadline that is reserved for its refusal.
   std::chrono::milliseconds m_margin{ 5 };
-  /// Time that a slot is held for an offer.
-  std::chrono::milliseconds m_offerTimeout{ 50 };
   DecisionSettings m_decisions{};
 };
 
@@ -38,8 +36,6 @@
     Refused,
     /// The attempt is already known; no action is needed.
     Duplicate,
-    /// A slot is held for the announced attempt.
-    Offered,
   };
   Kind m_kind{ Kind::Refused };
   RefusalReason m_reason{ RefusalReason::None };
@@ -70,22 +66,6 @@
 {
   std::vector<CallKey> m_start;
   std::vector<RefusedRun> m_refused;
-  /// Announced attempts for which a slot is now held.
-  std::vector<CallKey> m_offered{};
-};
-
-/// \brief Announcements at one worker since the start of the process.
-struct OfferCounts
-{
-  std::uint64_t m_announced{ 0 };
-  std::uint64_t m_offered{ 0 };
-  /// Offers followed by the request.
-  std::uint64_t m_taken{ 0 };
-  /// Offers followed by a withdrawal or the loss of the connection.
-  std::uint64_t m_declined{ 0 };
-  std::uint64_t m_timedOut{ 0 };
-  /// Total time of slots held for offers.
-  Duration m_heldTime{ 0 };
 };
 
 /// \brief State of every attempt at one worker: queued, running, finished, or
@@ -95,12 +75,6 @@
 /// While it does, queued attempts are ordered by value, not by value for each
 /// second of a slot, and refusals name the limit as their reason.
 ///
-/// An announced attempt is one whose request may follow. It is ordered like a
-/// queued one, but instead of being started it gets a slot that is held for a
-/// short time. Its request then starts in that slot; a withdrawal, the loss of
-/// the connection or a timeout frees the slot. It is never sent to the worker
-/// without its request, and nothing is remembered of it afterwards.
-///
 /// An attempt leaves Queued once, to Running or to Refused, and only a running
 /// attempt is sent to the worker. "Not run" is reported only for attempts that
 /// are Refused, which can no longer become Running.
@@ -114,19 +88,9 @@
 
   [[nodiscard]] std::uint32_t Running() const noexcept { return m_running; }
   [[nodiscard]] std::uint32_t Queued() const noexcept { return m_queued; }
-  /// \returns Slots held for offers.
-  [[nodiscard]] std::uint32_t Held() const noexcept
-  {
-    return static_cast<std::uint32_t>(m_heldRuns.size());
-  }
-  /// \returns Announced attempts without a slot.
-  [[nodiscard]] std::uint32_t Announced() const noexcept
-  {
-    return static_cast<std::uint32_t>(m_announcedRuns.size());
-  }
   [[nodiscard]] std::uint32_t Load() const noexcept
   {
-    return m_running + m_queued + Held();
+    return m_running + m_queued;
   }
   [[nodiscard]] std::size_t RetainedCount() const noexcept
   {
@@ -143,23 +107,7 @@
                                 std::uint64_t aEpoch,
                                 const WorkDemand& aDemand,
                                 RunActions& aOut);
-  /// \brief Handles an announcement. Its request may follow once a slot has
-  /// been offered.
-  /// \returns Offered, Queued or Refused; Duplicate if the attempt is known.
-  [[nodiscard]] Admission Announce(TimePoint aNow,
-                                   CallKey aKey,
-                                   std::uint64_t aEpoch,
-                                   const WorkDemand& aDemand);
-  /// \brief Drops an announcement and frees the slot held for it.
-  [[nodiscard]] RunActions Withdraw(TimePoint aNow, CallKey aKey);
-  /// \brief Drops announcements from the caller's older connections.
-  [[nodiscard]] RunActions WithdrawEpochs(TimePoint aNow,
-                                          std::uint64_t aProcess,
-                                          std::uint64_t aBelowEpoch);
-  /// \returns Whether the attempt is announced and its request has not arrived.
-  [[nodiscard]] bool IsAnnounced(CallKey aKey) const;
-  [[nodiscard]] const OfferCounts& Offers() const noexcept { return m_offers; }
-  /// \returns Nothing if no attempt is queued or announced.
+  /// \returns Nothing if no attempt is queued.
   [[nodiscard]] std::optional<TimePoint> NextExpiry() const;
   /// \returns When OnTick() is due: the next expiry, or the time at which the
   /// worker's limit allows a queued attempt to start.
@@ -205,9 +153,6 @@
     Finished,
     /// Never executed.
     Refused,
-    Announced,
-    /// Announced, with a slot.
-    Held,
   };
   struct Run : boost::intrusive::list_base_hook<>
   {
@@ -236,11 +181,6 @@
   using RunList = boost::intrusive::list<Run>;
 
   [[nodiscard]] std::uint32_t OpenSlots(TimePoint aNow) const;
-  /// \returns Whether another slot, or one about to be free, may be offered.
-  [[nodiscard]] bool MayOffer(TimePoint aNow) const
-  {
-    return Load() < OpenSlots(aNow) + m_settings.m_decisions.m_offersAhead;
-  }
   /// \returns Whether an arriving attempt can start before the queued ones.
   [[nodiscard]] bool StartsAtOnce(TimePoint aNow) const;
   /// \returns Settings of the queue order, by the scarce resource.
@@ -282,25 +222,12 @@
   [[nodiscard]] bool MakeRoom(TimePoint aNow,
                               const Run& aFor,
                               RunActions& aOut);
-  [[nodiscard]] Run* HighestRanked(TimePoint aNow, RunList& aList) const;
+  [[nodiscard]] Run* HighestRanked(TimePoint aNow);
   [[nodiscard]] bool IsEvicted(CallKey aKey) const;
   void EvictEnded(TimePoint aNow);
   Run& AddRun(TimePoint aNow, CallKey aKey, State aState);
   void StartRun(TimePoint aNow, Run& aRun);
   void RefuseQueued(TimePoint aNow, Run& aRun);
-  void HoldSlot(TimePoint aNow, Run& aRun);
-  void OfferSlots(TimePoint aNow, RunActions& aOut);
-  /// \brief Forgets an announced attempt.
-  void EraseAnnounced(TimePoint aNow, Run& aRun);
-  void ExpireAnnounced(TimePoint aNow, RunActions& aOut);
-  void RefuseAnnounced(TimePoint aNow, RefusalReason aReason, RunActions& aOut);
-  /// \brief Forgets the announcement of a request that has arrived.
-  /// \returns Whether a slot was held for it.
-  bool TakeAnnounced(TimePoint aNow, CallKey aKey);
-  [[nodiscard]] Run OfferedRun(TimePoint aNow,
-                               CallKey aKey,
-                               std::uint64_t aEpoch,
-                               const WorkDemand& aDemand) const;
   void StartQueued(TimePoint aNow, RunActions& aOut);
   void ExpireQueued(TimePoint aNow, RunActions& aOut);
   static void CopyDemand(const Run& aFrom, Run& aTo);
@@ -310,11 +237,6 @@
   std::unordered_map<CallKey, std::unique_ptr<Run>, KeyHash> m_runs;
   /// Queued attempts in order of arrival.
   RunList m_queuedRuns;
-  /// Announced attempts without a slot, in order of arrival.
-  RunList m_announcedRuns;
-  /// Announced attempts with a slot, oldest first.
-  RunList m_heldRuns;
-  OfferCounts m_offers;
   /// Finished and refused attempts, oldest first.
   RunList m_ended;
   /// Highest attempt number evicted for a caller process. Numbers of a process
--- a/include/greengagehub/calls/worker_table.hpp
+++ b/include/greengagehub/calls/worker_table.hpp
@@ -43,6 +43,10 @@
     TimePoint m_at{};
   };
   std::vector<KindStats> m_kindStats{};
+  /// Moving average of the time of attempts outside the worker's daemon: both
+  /// daemons' sending and receiving, and the network.
+  Duration m_transitTime{ 0 };
+  TimePoint m_transitAt{};
   /// Moving average of the share of failed attempts, in [0, 1].
   double m_failureShare{ 0.0 };
   /// Moving average of the share of attempts refused for overload, in [0, 1].
@@ -156,6 +160,7 @@
   {
     return m_rows.At(aIndex);
   }
+  [[nodiscard]] const Table<WorkerRow>& Rows() const noexcept { return m_rows; }
   [[nodiscard]] std::optional<Index> Find(const std::string& aSlot) const;
   [[nodiscard]] bool HasAvailableWorker(const std::string& aService) const;
 
@@ -220,6 +225,9 @@
     m_decisions = aDecisions;
   }
   void RecordSent(Index aIndex);
+  void RecordTransit(const std::string& aSlot,
+                     TimePoint aNow,
+                     Duration aTransitTime);
   /// \returns Mean over the workers that have answered a call.
   [[nodiscard]] double MeanFailureShare(const std::string& aService) const;
   /// \brief What an attempt shows about its worker.
--- a/include/greengagehub/daemon/operators_api.hpp
+++ b/include/greengagehub/daemon/operators_api.hpp
@@ -58,6 +58,10 @@
   [[nodiscard]] HttpResponse Status() const;
   /// \returns What the own backend server and those called have stated.
   [[nodiscard]] HttpResponse Limits() const;
+  /// \returns The longest mean time of attempts outside a worker's daemon, of
+  /// those measured in the last 3 s; 0 without any.
+  [[nodiscard]] std::chrono::duration<double> LongestTransit(
+    TimePoint aNow) const;
   [[nodiscard]] HttpResponse QuarantinedRequests() const;
   [[nodiscard]] HttpResponse LiftQuarantine(const HttpRequest& aRequest);
   [[nodiscard]] HttpResponse Rollouts() const;
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -134,9 +134,6 @@
         aCall.m_id, CallOutcome::NotRun, RefusalReason::Quarantined, *left));
     return;
   }
-  if (MayReserve(aCall) && Reserve(aNow, aOut, aCall)) {
-    return;
-  }
   const auto next = SelectWorker(aNow, aCall);
   const bool isRetry = !aCall.m_tried.empty();
   // A redirect stops at a refusing worker; the budget bounds other retries.
@@ -165,22 +162,10 @@
     // Decays without samples, so that busy replies are requested again.
     m_busyReplyTime -= m_busyReplyTime / kBusyReplyDecayDivisor;
   }
+  m_workers.RecordSent(*next);
   m_attempts.erase(aCall.m_attempt);
-  SendTo(aNow, aOut, aCall, *next, ++m_lastAttempt, refuseIfBusy);
-}
-
-template<RoutingPolicy Policy>
-void
-BasicDispatcher<Policy>::SendTo(TimePoint aNow,
-                                DispatchActions& aOut,
-                                Call& aCall,
-                                WorkerTable::Index aWorker,
-                                std::uint64_t aAttempt,
-                                bool aRefuseIfBusy)
-{
-  m_workers.RecordSent(aWorker);
-  aCall.m_attempt = aAttempt;
-  aCall.m_slot = m_workers.At(aWorker).m_slot;
+  aCall.m_attempt = ++m_lastAttempt;
+  aCall.m_slot = m_workers.At(*next).m_slot;
   aCall.m_process = 0;
   aCall.m_sentAt = aNow;
   aCall.m_inDoubt = false;
@@ -194,7 +179,7 @@
     TimeLeft(aNow, std::min(aCall.m_plan.m_target, aCall.m_plan.m_deadline)),
     aCall.m_plan.m_retriesLeft,
     aCall.m_hasReachedWorker,
-    aRefuseIfBusy,
+    refuseIfBusy,
     m_workers.Signals().KnownLimit(aCall.m_slot) });
 }
 
@@ -335,15 +320,16 @@
 BasicDispatcher<Policy>::OnAnswer(TimePoint aNow, CallAnswer aAnswer)
 {
   DispatchActions out;
-  if (const auto announced = m_reservations.Take(aAnswer.m_call)) {
-    OnDeclined(aNow, out, *announced, std::move(aAnswer));
-    return out;
-  }
   Call* call = FindByAttempt(aAnswer.m_call);
   if (call == nullptr) {
     return out;
   }
   m_workers.RecordStatement(aNow, call->m_slot, aAnswer, m_random);
+  if (aAnswer.m_timeAtWorker) {
+    const Duration transit = aNow - call->m_sentAt - *aAnswer.m_timeAtWorker;
+    m_workers.RecordTransit(
+      call->m_slot, aNow, std::max<Duration>(transit, {}));
+  }
   const LoadReport report{ aAnswer.m_load,
                            aAnswer.m_slots,
                            call->m_plan.m_kind,
@@ -363,6 +349,147 @@
   return out;
 }
 
+template<RoutingPolicy Policy>
+DispatchActions
+BasicDispatcher<Policy>::OnCancelResult(TimePoint aNow,
+                                        std::uint64_t aAttempt,
+                                        AttemptState aState)
+{
+  DispatchActions out;
+  Call* call = FindByAttempt(aAttempt);
+  if (call == nullptr || !call->m_inDoubt) {
+    return out;
+  }
+  if (aState == AttemptState::Started) {
+    call->m_inDoubt = false; // the answer arrives on the new connection
+    return out;
+  }
+  EndAttempt(aNow, *call, Verdict::Failed, std::nullopt);
+  const auto outcome = aState == AttemptState::NotStarted
+                         ? CallOutcome::NotRun
+                         : CallOutcome::Unknown;
+  RetryOrFinish(aNow, out, *call, Refuse(0, outcome, RefusalReason::LinkLost));
+  return out;
+}
+
+template<RoutingPolicy Policy>
+DispatchActions
+BasicDispatcher<Policy>::OnLinkLost(TimePoint aNow, const std::string& aSlot)
+{
+  DispatchActions out;
+  std::vector<std::uint64_t> affected;
+  for (const auto& [id, call] : m_calls) {
+    if (call.m_slot == aSlot && !call.m_inDoubt) {
+      affected.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : affected) {
+    Call& call = m_calls.at(id);
+    if (!call.m_plan.m_idempotent) {
+      call.m_inDoubt = true; // the state is queried on the next connection
+      continue;
+    }
+    EndAttempt(aNow, call, Verdict::Failed, std::nullopt);
+    RetryOrFinish(aNow,
+                  out,
+                  call,
+                  Refuse(id, CallOutcome::Unknown, RefusalReason::LinkLost));
+  }
+  return out;
+}
+
+template<RoutingPolicy Policy>
+DispatchActions
+BasicDispatcher<Policy>::OnLinkUp(TimePoint aNow,
+                                  const std::string& aSlot,
+                                  std::uint64_t aProcess)
+{
+  DispatchActions out;
+  std::vector<std::uint64_t> inDoubt;
+  for (const auto& [id, call] : m_calls) {
+    if (call.m_slot == aSlot && call.m_inDoubt) {
+      inDoubt.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : inDoubt) {
+    Call& call = m_calls.at(id);
+    if (call.m_process == aProcess) {
+      out.emplace_back(SendCancel{ call.m_attempt, aSlot, false });
+      continue;
+    }
+    EndAttempt(aNow, call, Verdict::Failed, std::nullopt);
+    RetryOrFinish(aNow,
+                  out,
+                  call,
+                  Refuse(id, CallOutcome::Unknown, RefusalReason::Restarted));
+  }
+  return out;
+}
+
+template<RoutingPolicy Policy>
+DispatchActions
+BasicDispatcher<Policy>::OnSendFailed(TimePoint aNow, std::uint64_t aAttempt)
+{
+  DispatchActions out;
+  if (Call* call = FindByAttempt(aAttempt)) {
+    EndAttempt(aNow, *call, Verdict::Failed, std::nullopt);
+    RetryOrFinish(aNow,
+                  out,
+                  *call,
+                  Refuse(0, CallOutcome::NotRun, RefusalReason::LinkLost));
+  }
+  return out;
+}
+
+template<RoutingPolicy Policy>
+DispatchActions
+BasicDispatcher<Policy>::OnCallerDisconnected(TimePoint aNow,
+                                              std::uint64_t aCall)
+{
+  DispatchActions out;
+  const auto found = m_calls.find(aCall);
+  if (found == m_calls.end()) {
+    return out;
+  }
+  Call& call = found->second;
+  if (!call.m_inDoubt) {
+    out.emplace_back(SendCancel{ call.m_attempt, call.m_slot, true });
+  }
+  EndAttempt(aNow, call, Verdict::Good, std::nullopt);
+  Finish(
+    out, call, Refuse(aCall, CallOutcome::Unknown, RefusalReason::Cancelled));
+  return out;
+}
+
+template<RoutingPolicy Policy>
+DispatchActions
+BasicDispatcher<Policy>::OnTick(TimePoint aNow)
+{
+  DispatchActions out;
+  while (!m_deadlines.empty() && m_deadlines.begin()->m_at <= aNow) {
+    const std::uint64_t id = m_deadlines.begin()->m_call;
+    Call& call = m_calls.at(id);
+    if (!call.m_inDoubt) {
+      out.emplace_back(SendCancel{ call.m_attempt, call.m_slot, true });
+    }
+    EndAttempt(aNow, call, Verdict::Failed, std::nullopt);
+    Finish(out,
+           call,
+           Refuse(id, CallOutcome::Unknown, RefusalReason::DeadlinePassed));
+  }
+  return out;
+}
+
+template<RoutingPolicy Policy>
+void
+BasicDispatcher<Policy>::RecordProcess(std::uint64_t aAttempt,
+                                       std::uint64_t aProcess)
+{
+  if (Call* call = FindByAttempt(aAttempt)) {
+    call->m_process = aProcess;
+  }
+}
+
 template class BasicDispatcher<RandomChoice>;
 template class BasicDispatcher<TwoChoices>;
 template class BasicDispatcher<ShortestQueue>;
--- a/src/calls/placement.cpp
+++ b/src/calls/placement.cpp
@@ -9,9 +9,7 @@
 
 namespace {
 
-/// The weight of a reported wait falls linearly to zero over this time.
-constexpr auto kReportLifetime = std::chrono::milliseconds{ 500 };
-/// Longer than kReportLifetime, as a domain's load changes more slowly.
+/// A domain's load changes more slowly than that of a worker.
 constexpr std::chrono::milliseconds kDomainReportDecay{ 1000 };
 /// Weight of a zero wait, so that a domain without recent reports gets calls.
 constexpr double kIdleWeight = 0.25;
@@ -100,6 +98,22 @@
   return known > 0 ? sum / known : Duration{ kDefaultServiceTime };
 }
 
+Duration
+MeanTransitTime(const DecisionSettings& aDecisions,
+                const std::vector<const WorkerRow*>& aRows,
+                TimePoint aNow) noexcept
+{
+  Duration sum{ 0 };
+  int known = 0;
+  for (const WorkerRow* each : aRows) {
+    if (aNow - each->m_transitAt < aDecisions.m_reportLifetime) {
+      sum += each->m_transitTime;
+      ++known;
+    }
+  }
+  return known > 0 ? sum / known : Duration{ 0 };
+}
+
 Duration
 ExpectedResponseTime(const DecisionSettings& aDecisions,
                      const WorkerRow& aRow,
@@ -110,8 +124,8 @@
   Seconds service = aAssumed.m_service;
   Seconds wait = aAssumed.m_wait;
   if (const auto* known = FindStats(aRow, aContext.m_kind)) {
-    const double age =
-      Seconds(aContext.m_now - known->m_at) / Seconds(kReportLifetime);
+    const double age = Seconds(aContext.m_now - known->m_at) /
+                       Seconds(aDecisions.m_reportLifetime);
     const double freshness = std::clamp(1.0 - age, 0.0, 1.0);
     service = known->m_serviceTime;
     wait = freshness * Seconds(known->m_wait) + (1.0 - freshness) * wait;
@@ -121,6 +135,13 @@
   const double excessLoad = std::max(0.0, load - 1.0);
   const double slowdown = kLoadSlowdown * std::min(1.0, load);
   Seconds expected = service * (1.0 + excessLoad + slowdown) + wait;
+  if (aDecisions.m_countsTransit) {
+    const double age = Seconds(aContext.m_now - aRow.m_transitAt) /
+                       Seconds(aDecisions.m_reportLifetime);
+    const double fresh = std::clamp(1.0 - age, 0.0, 1.0);
+    expected += fresh * Seconds(aRow.m_transitTime) +
+                (1.0 - fresh) * Seconds(aAssumed.m_transit);
+  }
   if (aDecisions.m_penalizesFailures) {
     expected += aRow.m_refusalShare * kRefusalCost;
   }
@@ -187,6 +208,8 @@
   }
   const Duration meanService = MeanServiceTime(aRows, aContext.m_kind);
   const DomainWaits waits{ aRows, aContext };
+  const Duration meanTransit =
+    MeanTransitTime(m_decisions, aRows, aContext.m_now);
   const auto cost = [&](const WorkerRow& aRow) {
     const bool isUnreported = FindStats(aRow, aContext.m_kind) == nullptr;
     // A worker without reports gets no second call before the first has ended.
@@ -197,7 +220,8 @@
                                   : meanService,
                                 m_decisions.m_usesDomainReports
                                   ? waits.ExpectedWait(aRow.m_domain)
-                                  : Duration{ 0 } };
+                                  : Duration{ 0 },
+                                meanTransit };
     return ExpectedLoss(m_decisions, aRow, aContext, assumed) + probePenalty +
            (IsInOtherDomain(aRow) ? aContext.m_crossingCost : 0.0);
   };
--- a/src/calls/run_table.cpp
+++ b/src/calls/run_table.cpp
@@ -24,8 +24,6 @@
 RunTable::~RunTable()
 {
   m_queuedRuns.clear();
-  m_announcedRuns.clear();
-  m_heldRuns.clear();
   m_ended.clear();
 }
 
@@ -99,7 +97,6 @@
   if (m_firstCall == TimePoint{}) {
     m_firstCall = aNow;
   }
-  const bool isHeld = TakeAnnounced(aNow, aKey);
   const auto known = m_runs.find(aKey);
   if (known != m_runs.end()) {
     // Refused or cancelled before: "not run" was reported already.
@@ -108,27 +105,29 @@
              RefusalReason::Cancelled,
              {} };
   }
-  if (!isHeld && IsEvicted(aKey)) {
+  if (IsEvicted(aKey)) {
     return { Admission::Kind::Duplicate, RefusalReason::None, {} };
   }
   if (m_draining) {
     return RefuseArrival(aNow, aKey, RefusalReason::Leaving);
   }
   if (aDemand.m_timeLeft <= m_settings.m_margin) {
-    const auto refused =
-      RefuseArrival(aNow, aKey, RefusalReason::DeadlineTooShort);
-    if (isHeld) {
-      StartQueued(aNow, aOut);
-    }
-    return refused;
+    return RefuseArrival(aNow, aKey, RefusalReason::DeadlineTooShort);
   }
-  const Run offered = OfferedRun(aNow, aKey, aEpoch, aDemand);
+  Run offered;
+  offered.m_key = aKey;
+  offered.m_epoch = aEpoch;
+  offered.m_class = aDemand.m_class;
+  offered.m_priority = aDemand.m_priority;
+  offered.m_kind = aDemand.m_kind;
+  offered.m_target = aNow + aDemand.m_targetLeft;
+  offered.m_deadline = aNow + aDemand.m_timeLeft;
   const bool starts = StartsAtOnce(aNow);
   if (!starts) {
     std::optional<RefusalReason> reason;
-    if (!isHeld && aDemand.m_refuseIfBusy && IsBusyFor(aNow, offered)) {
+    if (aDemand.m_refuseIfBusy && IsBusyFor(aNow, offered)) {
       reason = RefusalReason::Busy;
-    } else if (!isHeld) {
+    } else {
       reason = ReasonToRefuse(aNow, offered);
     }
     if (!reason && !MakeRoom(aNow, offered, aOut)) {
@@ -207,7 +206,6 @@
 CancelResult
 RunTable::Cancel(TimePoint aNow, CallKey aKey)
 {
-  TakeAnnounced(aNow, aKey);
   const auto known = m_runs.find(aKey);
   if (known == m_runs.end() && IsEvicted(aKey)) {
     return CancelResult::Evicted;
@@ -235,10 +233,8 @@
 RunTable::NextExpiry() const
 {
   std::optional<TimePoint> next;
-  for (const RunList* each : { &m_queuedRuns, &m_announcedRuns, &m_heldRuns }) {
-    for (const Run& run : *each) {
-      next = next ? std::min(*next, run.m_expires) : run.m_expires;
-    }
+  for (const Run& run : m_queuedRuns) {
+    next = next ? std::min(*next, run.m_expires) : run.m_expires;
   }
   return next;
 }
@@ -247,8 +243,7 @@
 RunTable::NextWakeUp(TimePoint aNow) const
 {
   const auto expiry = NextExpiry();
-  const bool isWaiting = !m_queuedRuns.empty() || !m_announcedRuns.empty();
-  if (!isWaiting || m_running >= OpenSlots(aNow)) {
+  if (!expiry || m_running >= OpenSlots(aNow)) {
     return expiry;
   }
   return std::min(*expiry, m_limiter.NextSendAt(aNow));
@@ -279,10 +274,10 @@
 }
 
 RunTable::Run*
-RunTable::HighestRanked(TimePoint aNow, RunList& aList) const
+RunTable::HighestRanked(TimePoint aNow)
 {
   Run* next = nullptr;
-  for (Run& each : aList) {
+  for (Run& each : m_queuedRuns) {
     if (next == nullptr || Rank(aNow, each).IsBefore(Rank(aNow, *next))) {
       next = &each;
     }
@@ -294,18 +289,16 @@
 RunTable::StartQueued(TimePoint aNow, RunActions& aOut)
 {
   ExpireQueued(aNow, aOut);
-  ExpireAnnounced(aNow, aOut);
   while (m_running < OpenSlots(aNow) && m_limiter.NextSendAt(aNow) <= aNow) {
-    Run* run = HighestRanked(aNow, m_queuedRuns);
+    Run* run = HighestRanked(aNow);
     if (run == nullptr) {
-      break;
+      return;
     }
     m_queuedRuns.erase(m_queuedRuns.iterator_to(*run));
     --m_queued;
     StartRun(aNow, *run);
     aOut.m_start.push_back(run->m_key);
   }
-  OfferSlots(aNow, aOut);
 }
 
 void
@@ -399,7 +392,6 @@
     out.m_refused.push_back({ run.m_key, RefusalReason::Leaving, {} });
     RefuseQueued(aNow, run);
   }
-  RefuseAnnounced(aNow, RefusalReason::Leaving, out);
   return out;
 }
 
--- a/src/calls/run_table_waits.cpp
+++ b/src/calls/run_table_waits.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr int kWorkersPerAnnouncement = 2;
-
 std::chrono::milliseconds
 RoundUp(Duration aSpan)
 {
@@ -110,12 +108,6 @@
       work += m_serviceTimes.Estimate(each.m_kind);
     }
   }
-  for (const Run& each : m_announcedRuns) {
-    if (!aRank.IsBefore(Rank(aNow, each))) {
-      // Most of them are announced at several workers and run at one.
-      work += m_serviceTimes.Estimate(each.m_kind) / kWorkersPerAnnouncement;
-    }
-  }
   return work;
 }
 
--- a/src/calls/worker_table.cpp
+++ b/src/calls/worker_table.cpp
@@ -19,6 +19,8 @@
 /// Share of failures, above the lowest of the service, that ejects a worker.
 constexpr double kEjectionThreshold = 0.55;
 constexpr std::size_t kMaxKindsPerWorker = 16;
+/// Divisor of a new sample in the moving average of the transit time.
+constexpr int kTransitTimeDivisor = 8;
 constexpr auto kFirstEjectionTime = std::chrono::milliseconds{ 1000 };
 constexpr std::uint32_t kMaxEjectionDoublings = 5;
 
@@ -337,6 +339,19 @@
   ++m_rows.At(aIndex).m_inFlight;
 }
 
+void
+WorkerTable::RecordTransit(const std::string& aSlot,
+                           TimePoint aNow,
+                           Duration aTransitTime)
+{
+  if (const auto known = Find(aSlot)) {
+    WorkerRow& row = m_rows.At(*known);
+    row.m_transitTime +=
+      (aTransitTime - row.m_transitTime) / kTransitTimeDivisor;
+    row.m_transitAt = aNow;
+  }
+}
+
 void
 WorkerTable::RecordStats(WorkerRow& aRow,
                          TimePoint aNow,
--- a/src/cli/limits.cpp
+++ b/src/cli/limits.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr double kMsInSecond = 1000.0;
+constexpr double kMicrosInMs = 1000.0;
 
 /// \returns Such as "17.3 requests/s" or "leaving"; "no limit" without either.
 std::string
@@ -58,6 +59,12 @@
                each.value("age_ms", 0.0) / kMsInSecond);
   }
   fmt::print("{} known from calls\n", known.size());
+  for (const Json& each : answer->value("transit", Json::array())) {
+    fmt::print("transit to {}: {:.1f} ms, {:.1f} s ago\n",
+               each.value("slot", ""),
+               each.value("transit_us", 0.0) / kMicrosInMs,
+               each.value("age_ms", 0.0) / kMsInSecond);
+  }
   return Done;
 }
 
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -392,6 +392,10 @@
   metrics.SetGauge("runs_queued",
                    "Attempts waiting for the own worker",
                    m_deps.m_calls.Runs().Queued());
+  metrics.SetGauge("transit_seconds",
+                   "Longest time of attempts outside a worker's daemon, of "
+                   "those measured in the last 3 s",
+                   LongestTransit(Clock::now()).count());
   const WorkerSignals& signals = m_deps.m_calls.GetRunService().Signals();
   metrics.SetGauge("worker_limited",
                    "Whether the own worker names a limit",
--- a/src/daemon/operators_api_limits.cpp
+++ b/src/daemon/operators_api_limits.cpp
@@ -2,7 +2,9 @@
 
 #include "operators_answers.hpp"
 
-// What backend servers state about themselves.
+#include <algorithm>
+
+// What backend servers state about themselves, and transit times to them.
 
 namespace greengagehub {
 
@@ -24,6 +26,23 @@
   return own;
 }
 
+Json
+TransitTimes(TimePoint aNow, const WorkerTable& aWorkers)
+{
+  Json times = Json::array();
+  aWorkers.Rows().Each([&](WorkerTable::Index, const WorkerRow& aRow) {
+    if (aRow.m_transitAt != TimePoint{}) {
+      times.push_back({ { "slot", aRow.m_slot },
+                        { "transit_us",
+                          std::chrono::duration_cast<std::chrono::microseconds>(
+                            aRow.m_transitTime)
+                            .count() },
+                        { "age_ms", Millis(aNow - aRow.m_transitAt) } });
+    }
+  });
+  return times;
+}
+
 }
 
 HttpResponse
@@ -42,10 +61,26 @@
     }
     known.push_back(std::move(each));
   }
+  const WorkerTable& workers = m_deps.m_calls.GetDispatcher().Workers();
   return JsonResponse(
     200,
     Dump(Json{ { "own", OwnWorker(now, m_deps.m_calls.GetRunService()) },
-               { "known", std::move(known) } }));
+               { "known", std::move(known) },
+               { "transit", TransitTimes(now, workers) } }));
+}
+
+std::chrono::duration<double>
+OperatorsApi::LongestTransit(TimePoint aNow) const
+{
+  constexpr auto kMaxAge = std::chrono::seconds{ 3 };
+  Duration longest{ 0 };
+  m_deps.m_calls.GetDispatcher().Workers().Rows().Each(
+    [&](WorkerTable::Index, const WorkerRow& aRow) {
+      if (aNow - aRow.m_transitAt < kMaxAge) {
+        longest = std::max(longest, aRow.m_transitTime);
+      }
+    });
+  return longest;
 }
 
 }
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -65,6 +65,7 @@
 RunService::OnRequest(CallKey aKey, std::uint64_t aEpoch, CallRequest aRequest)
 {
   const TimePoint now = Clock::now();
+  aRequest.m_receivedAt = now;
   if (aRequest.m_service != m_deps.m_settings.m_service) {
     // The request is meant for the instance that used this address before.
     Deliver(
@@ -303,12 +304,15 @@
   using std::chrono::duration_cast;
   using std::chrono::microseconds;
   const CallKind kind = aRequest.m_kind;
+  const TimePoint now = Clock::now();
+  aAnswer.m_timeAtWorker =
+    duration_cast<microseconds>(now - aRequest.m_receivedAt);
   aAnswer.m_load = m_runs.Load();
   aAnswer.m_slots = m_hasWorker ? m_runs.Slots() : 0;
   aAnswer.m_serviceTime =
-    duration_cast<microseconds>(m_runs.ServiceTime(Clock::now(), kind));
+    duration_cast<microseconds>(m_runs.ServiceTime(now, kind));
   aAnswer.m_wait = duration_cast<microseconds>(
-    m_runs.ExpectedWaitOfKind(Clock::now(), aRequest.m_priority, kind));
+    m_runs.ExpectedWaitOfKind(now, aRequest.m_priority, kind));
   aAnswer.m_statement = Statement();
   m_deps.m_deliver(aKey, std::move(aAnswer));
 }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -328,6 +328,8 @@
     reader.Flag("counts_request_body", target.m_countsRequestBody);
     reader.Flag("explores", target.m_explores);
     reader.Flag("shares_news", target.m_usesDomainReports);
+    reader.Flag("counts_transit", target.m_countsTransit);
+    reader.Millis("report_lifetime_ms", target.m_reportLifetime, 1, 60'000);
     reader.Flag("sees_slowness", target.m_detectsSlowness);
     reader.Flag("pushes_back", target.m_penalizesFailures);
     reader.Flag("ejects", target.m_ejects);
--- a/src/transport/link_codec.cpp
+++ b/src/transport/link_codec.cpp
@@ -17,6 +17,8 @@
 constexpr std::uint32_t kLastReason =
   static_cast<std::uint32_t>(RefusalReason::Busy);
 constexpr unsigned kByteBits = 8;
+/// Longer than any attempt; a higher value is no time.
+constexpr std::chrono::microseconds kMaxTimeAtWorker = std::chrono::hours{ 1 };
 
 constexpr std::size_t kHeadLengthBytes = 4;
 /// Top bit of the head length: the head is compressed.
@@ -182,6 +184,10 @@
     out.set_wait_us(static_cast<std::uint64_t>(aAnswer.m_wait.count()));
     out.set_service_us(
       static_cast<std::uint64_t>(aAnswer.m_serviceTime.count()));
+    if (aAnswer.m_timeAtWorker) {
+      out.set_time_at_worker_us(
+        static_cast<std::uint64_t>(aAnswer.m_timeAtWorker->count()));
+    }
   }
   void operator()(const LinkCancel& aCancel) const
   {
@@ -270,6 +276,12 @@
   answer.m_slots = aWire.slots();
   answer.m_wait = std::chrono::microseconds{ aWire.wait_us() };
   answer.m_serviceTime = std::chrono::microseconds{ aWire.service_us() };
+  constexpr auto kMaxTime =
+    static_cast<std::uint64_t>(kMaxTimeAtWorker.count());
+  if (aWire.has_time_at_worker_us() && aWire.time_at_worker_us() <= kMaxTime) {
+    answer.m_timeAtWorker =
+      std::chrono::microseconds{ aWire.time_at_worker_us() };
+  }
   return LinkFrame{ std::move(answer) };
 }
 
--- a/tests/calls/dispatcher.cpp
+++ b/tests/calls/dispatcher.cpp
@@ -404,3 +404,47 @@
   CHECK(fixture.m_send.m_slot == nearSlot);
   CHECK_FALSE(fixture.m_send.m_refuseIfBusy);
 }
+
+TEST_CASE("the time of an attempt outside the worker's daemon is recorded")
+{
+  SingleCall call{ true };
+  const auto& workers = call.m_dispatcher.Workers();
+  const auto row = workers.Find(call.m_slot);
+  REQUIRE(row);
+  CallAnswer answer;
+  answer.m_call = call.m_attempt;
+  answer.m_outcome = CallOutcome::Answered;
+  SUBCASE("with the time at the worker")
+  {
+    answer.m_timeAtWorker = 20ms;
+    call.Apply(call.m_dispatcher.OnAnswer(kStart + 100ms, answer));
+    CHECK(workers.At(*row).m_transitTime == 10ms);
+    CHECK(workers.At(*row).m_transitAt == kStart + 100ms);
+  }
+  SUBCASE("from a daemon that does not state it: nothing")
+  {
+    // Guards against run times that count as transit times.
+    call.Apply(call.m_dispatcher.OnAnswer(kStart + 100ms, answer));
+    CHECK(workers.At(*row).m_transitTime == 0ms);
+  }
+  SUBCASE("with a time longer than the call: as zero")
+  {
+    // Guards against a worker that attracts calls by a false time.
+    answer.m_timeAtWorker = 10s;
+    call.Apply(call.m_dispatcher.OnAnswer(kStart + 100ms, answer));
+    CHECK(workers.At(*row).m_transitTime == 0ms);
+  }
+}
+
+TEST_CASE("busy replies show the transit time of a worker without runs")
+{
+  // Guards against a worker whose backlog is unknown because it only refuses.
+  SingleCall call{ true };
+  const std::string first = call.m_slot;
+  CallAnswer busy =
+    Refuse(call.m_attempt, CallOutcome::NotRun, RefusalReason::Busy);
+  busy.m_timeAtWorker = 0ms;
+  call.Apply(call.m_dispatcher.OnAnswer(kStart + 40ms, busy));
+  const auto& workers = call.m_dispatcher.Workers();
+  CHECK(workers.At(*workers.Find(first)).m_transitTime == 5ms);
+}
--- a/tests/calls/placement.cpp
+++ b/tests/calls/placement.cpp
@@ -239,3 +239,36 @@
   REQUIRE(next.m_start.size() == 1);
   CHECK(next.m_start[0].m_call == 3);
 }
+
+TEST_CASE("the transit time to a worker's daemon counts like a wait")
+{
+  // Guards against an idle worker whose daemon has a backlog of messages, which
+  // its reports don't show.
+  std::vector<WorkerRow> rows{ Row("slow", "solna"), Row("quick", "solna") };
+  AddStats(rows[0], kLookup, 30ms);
+  AddStats(rows[1], kLookup, 60ms);
+  Random random{ 1 };
+  CHECK(Choose(rows, kLookup, 0.0, random) == 0);
+  rows[0].m_transitTime = 100ms;
+  rows[0].m_transitAt = kStart;
+  rows[1].m_transitAt = kStart;
+  CHECK(Choose(rows, kLookup, 0.0, random) == 1);
+
+  SUBCASE("an old measurement loses its weight, so that the worker is tried "
+          "again")
+  {
+    rows[0].m_transitAt = kStart - DecisionSettings{}.m_reportLifetime;
+    CHECK(Choose(rows, kLookup, 0.0, random) == 0);
+  }
+  SUBCASE("a worker without a measurement counts like the others, so that a "
+          "backlog of the own daemon speaks for none")
+  {
+    rows.push_back(Row("unmeasured", "solna"));
+    AddStats(rows[2], kLookup, 65ms);
+    rows[1].m_transitTime = 100ms;
+    rows[1].m_transitAt = kStart;
+    for (int i = 0; i < 20; ++i) {
+      CHECK(Choose(rows, kLookup, 0.0, random) != 2);
+    }
+  }
+}
--- a/tests/calls/replay.hpp
+++ b/tests/calls/replay.hpp
@@ -84,9 +84,6 @@
   /// Frames between daemons.
   std::size_t m_messages{ 0 };
   std::vector<Duration> m_latencies{};
-  /// Time in which slots were held for offers.
-  Duration m_heldTime{ 0 };
-  Duration m_busyTime{ 0 };
 
   [[nodiscard]] double Messages() const { return Share(m_messages); }
   [[nodiscard]] Duration LatencyAt(double aShare) const
@@ -141,16 +138,11 @@
       m_events.erase(next);
       action();
     }
-    for (const auto& each : m_workers) {
-      m_result.m_heldTime += each->m_table.Offers().m_heldTime;
-    }
     return m_result;
   }
 
 private:
   static constexpr int kDeadlineTargets = 5;
-  /// Longer than slots are held.
-  static constexpr auto kOfferCheck = 51ms;
   static constexpr auto kFast = 62ms;
   static constexpr auto kSlow = 140ms;
 
@@ -213,7 +205,6 @@
         row.m_domain = NameOf(m_workers[i]->m_domain);
         row.m_slots = m_setup.m_slots;
         caller->Workers().Put(std::move(row));
-        caller->SetTakesAnnouncements(std::to_string(i), true);
       }
     }
   }
@@ -310,7 +301,6 @@
     std::lognormal_distribution<double> draw{ -spread * spread / 2, spread };
     const auto took = std::chrono::duration_cast<Duration>(
       MeanOf(aWorker, m_now) * draw(m_random));
-    m_result.m_busyTime += took;
     return took;
   }
 
@@ -433,10 +423,6 @@
           aCaller,
           worker,
           [this, aCaller, attempt = *send] { Deliver(aCaller, attempt); });
-      } else if (const auto* cancel = std::get_if<SendCancel>(&each)) {
-        SendWithdrawal(aCaller, *cancel);
-      } else if (const auto* announce = std::get_if<SendAnnouncement>(&each)) {
-        Announce(aCaller, *announce);
       } else if (const auto* finish = std::get_if<FinishCall>(&each)) {
         if (finish->m_answer.m_outcome == CallOutcome::Answered) {
           RecordLatency(finish->m_call, m_now - m_arrivals.at(finish->m_call));
@@ -451,6 +437,7 @@
     Worker& worker = *m_workers[index];
     const CallKey key{ aCaller + 1, aAttempt.m_attempt };
     m_workerOf[key] = index;
+    m_deliveredAt[key] = m_now;
     RunActions out;
     const Admission admission =
       worker.m_table.Admit(m_now,
@@ -517,58 +504,6 @@
     for (const CallKey& each : aActions.m_start) {
       Start(each);
     }
-    for (const CallKey& each : aActions.m_offered) {
-      Offer(each);
-    }
-  }
-
-  void Announce(std::size_t aCaller, const SendAnnouncement& aAnnouncement)
-  {
-    const std::size_t index = std::stoul(aAnnouncement.m_slot);
-    Worker& worker = *m_workers[index];
-    const CallKey key{ aCaller + 1, aAnnouncement.m_attempt };
-    m_workerOf[key] = index;
-    const auto receive = [this, &worker, key, each = aAnnouncement] {
-      const Admission admission =
-        worker.m_table.Announce(m_now,
-                                key,
-                                1,
-                                { .m_priority = 2,
-                                  .m_kind = m_setup.m_target,
-                                  .m_timeLeft = each.m_timeLeft,
-                                  .m_targetLeft = each.m_targetLeft });
-      if (admission.m_kind == Admission::Kind::Offered) {
-        Offer(key);
-      } else if (admission.m_kind == Admission::Kind::Refused) {
-        Answer(
-          key,
-          Refuse(key.m_call, CallOutcome::NotRun, admission.m_reason, 1ms));
-      }
-    };
-    Transmit(aCaller, worker.m_daemon, aCaller, worker, receive);
-  }
-
-  void Offer(const CallKey& aKey)
-  {
-    const std::size_t index = m_workerOf.at(aKey);
-    const std::size_t caller = aKey.m_process - 1;
-    Worker& worker = *m_workers[index];
-    Transmit(worker.m_daemon, caller, caller, worker, [this, aKey, index] {
-      const std::size_t to = aKey.m_process - 1;
-      Execute(
-        to, m_callers[to]->OnOffer(m_now, std::to_string(index), aKey.m_call));
-    });
-    Schedule(kOfferCheck,
-             [this, &worker] { Apply(worker.m_table.OnTick(m_now)); });
-  }
-
-  void SendWithdrawal(std::size_t aCaller, const SendCancel& aCancel)
-  {
-    Worker& worker = *m_workers[std::stoul(aCancel.m_slot)];
-    const CallKey key{ aCaller + 1, aCancel.m_attempt };
-    Transmit(aCaller, worker.m_daemon, aCaller, worker, [this, &worker, key] {
-      Apply(worker.m_table.Withdraw(m_now, key));
-    });
   }
 
   void Answer(const CallKey& aKey, CallAnswer aAnswer)
@@ -578,6 +513,8 @@
     const RunTable& worker = m_workers[m_workerOf.at(aKey)]->m_table;
     aAnswer.m_load = worker.Load();
     aAnswer.m_slots = m_setup.m_slots;
+    aAnswer.m_timeAtWorker =
+      duration_cast<microseconds>(m_now - m_deliveredAt.at(aKey));
     aAnswer.m_statement.m_rateLimit = worker.Limiter().Limit();
     aAnswer.m_serviceTime =
       duration_cast<microseconds>(worker.ServiceTime(m_now, m_setup.m_target));
@@ -605,6 +542,7 @@
   std::multimap<TimePoint, std::function<void()>> m_events{};
   std::map<std::uint64_t, TimePoint> m_arrivals{};
   std::map<CallKey, std::size_t> m_workerOf{};
+  std::map<CallKey, TimePoint> m_deliveredAt{};
   std::vector<TimePoint> m_daemonFree{};
   std::deque<std::uint64_t> m_sharedQueue{};
 };
--- a/tests/daemon/run_service.cpp
+++ b/tests/daemon/run_service.cpp
@@ -314,3 +314,27 @@
   CHECK(fixture.Call(RunServiceFixture::ReleaseRequest()).m_reason ==
         RefusalReason::Quarantined);
 }
+
+TEST_CASE("answers state how long the attempt was at the daemon")
+{
+  // Guards against queueing and run times that callers' daemons take for a
+  // backlog of messages.
+  RunServiceFixture fixture{ [&](const HttpRequest&, HttpResponder aResponder) {
+    aResponder.Answer({ 200, { { "Seal", "s" }, { "Id", "r1" } } });
+  } };
+  SUBCASE("of a run")
+  {
+    const TimePoint before = Clock::now();
+    const CallAnswer answer = fixture.Call(RunServiceFixture::ReleaseRequest());
+    REQUIRE(answer.m_timeAtWorker);
+    CHECK(*answer.m_timeAtWorker > 0us);
+    CHECK(*answer.m_timeAtWorker <= Clock::now() - before);
+  }
+  SUBCASE("of a refusal")
+  {
+    fixture.DrainWorker();
+    const CallAnswer answer = fixture.Call(RunServiceFixture::ReleaseRequest());
+    CHECK(answer.m_reason == RefusalReason::Leaving);
+    CHECK(answer.m_timeAtWorker);
+  }
+}
--- a/tests/settings/settings.cpp
+++ b/tests/settings/settings.cpp
@@ -38,6 +38,8 @@
 counts_time = false
 crossing_per_kib = 0.2
 max_busy = 0
+counts_transit = false
+report_lifetime_ms = 500
 )",
                                       "good.toml");
   REQUIRE(settings);
@@ -45,15 +47,19 @@
   CHECK_FALSE(decisions.m_ranksPerSlotTime);
   CHECK(decisions.m_crossingPerKib == 0.2);
   CHECK(decisions.m_maxBusyReplies == 0);
+  CHECK_FALSE(decisions.m_countsTransit);
+  CHECK(decisions.m_reportLifetime == std::chrono::milliseconds{ 500 });
   CHECK(decisions.m_refusesEarly);
 
   const auto bad = ParseSettings(std::string{ kValid } + R"([decisions]
 ejects = 1
 late_credit = 2.0
+counts_transit = "no"
+report_lifetime_ms = 0
 )",
                                  "bad.toml");
   REQUIRE_FALSE(bad);
-  CHECK(bad.error().size() == 2);
+  CHECK(bad.error().size() == 4);
 }
 
 TEST_CASE("all errors of a file are reported, each with its line")
--- a/tests/transport/codec.cpp
+++ b/tests/transport/codec.cpp
@@ -307,3 +307,22 @@
     CHECK_FALSE(got.m_knownStatement.m_rateLimit);
   }
 }
+
+TEST_CASE("the time at the worker is optional, and bounded")
+{
+  CallAnswer answer;
+  answer.m_timeAtWorker = 0us;
+  CHECK(std::get<CallAnswer>(RoundTrip(answer)).m_timeAtWorker == 0us);
+  answer.m_timeAtWorker = 12'345us;
+  CHECK(std::get<CallAnswer>(RoundTrip(answer)).m_timeAtWorker == 12'345us);
+  // As from a daemon that does not know the field.
+  answer.m_timeAtWorker.reset();
+  CHECK_FALSE(std::get<CallAnswer>(RoundTrip(answer)).m_timeAtWorker);
+  // Guards against an overflow in the arithmetic with a damaged value.
+  for (const auto each : { std::chrono::microseconds{ -1 },
+                           std::chrono::microseconds::max(),
+                           std::chrono::microseconds{ 2h } }) {
+    answer.m_timeAtWorker = each;
+    CHECK_FALSE(std::get<CallAnswer>(RoundTrip(answer)).m_timeAtWorker);
+  }
+}
