--- a/include/greengagehub/calls/decision_settings.hpp
+++ b/include/greengagehub/calls/decision_settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 
 namespace greengagehub {
@@ -43,6 +44,10 @@
   /// Workers compared in the local failure domain, and as many in all others
   /// together; 0: all.
   std::uint32_t m_choices{ 2 };
+  /// The weight of a worker's report falls linearly to zero over this time.
+  std::chrono::milliseconds m_reportLifetime{ 3000 };
+  /// Whether the time that attempts spend outside the worker's daemon counts.
+  bool m_countsTransit{ true };
   /// Whether the mean of a worker's domain replaces outdated load reports.
   bool m_usesDomainReports{ true };
   /// Fraction of its value that a call loses by a late answer.
--- a/include/greengagehub/daemon/operators_api.hpp
+++ b/include/greengagehub/daemon/operators_api.hpp
@@ -60,6 +60,10 @@
   [[nodiscard]] HttpResponse Limits() const;
   /// \returns Use of the own backend server by workspace.
   [[nodiscard]] HttpResponse Shares() const;
+  /// \returns The longest mean time of attempts outside a worker's daemon, of
+  /// those measured in the last 3 s; 0 without any.
+  [[nodiscard]] std::chrono::duration<double> LongestTransit(
+    TimePoint aNow) const;
   [[nodiscard]] HttpResponse QuarantinedRequests() const;
   [[nodiscard]] HttpResponse LiftQuarantine(const HttpRequest& aRequest);
   [[nodiscard]] HttpResponse Rollouts() const;
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -403,6 +403,10 @@
     "Attempts refused, their workspace ahead of its share, since "
     "the start of the daemon",
     static_cast<double>(shares.RefusedCount()));
+  metrics.SetGauge("transit_seconds",
+                   "Longest time of attempts outside a worker's daemon, of "
+                   "those measured in the last 3 s",
+                   LongestTransit(Clock::now()).count());
   const WorkerSignals& signals = m_deps.m_calls.GetRunService().Signals();
   metrics.SetGauge("worker_limited",
                    "Whether the own worker names a limit",
