--- a/include/greengagehub/calls/call.hpp
+++ b/include/greengagehub/calls/call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "greengagehub/calls/answer_sizes.hpp"
 #include "greengagehub/calls/call_dialect.hpp"
 #include "greengagehub/calls/call_kind.hpp"
 #include "greengagehub/calls/worker_incarnation.hpp"
@@ -68,6 +69,8 @@
   KeysNotCurrent,
   /// The worker's own limit of requests per second is used up.
   RateLimited,
+  /// The answer would not pass a network link in time.
+  LinkBusy,
 };
 
 /// \returns The name used in responses and logs, such as "deadline-too-short".
@@ -131,6 +134,10 @@
   /// What the caller's daemon knows of the worker; its own daemon may have
   /// restarted.
   WorkerStatement m_knownStatement{};
+  /// Time that the answer takes on the link of the caller's daemon.
+  std::chrono::microseconds m_answerTransfer{ 0 };
+  /// As learnt by the caller's daemon.
+  AnswerSize m_answerSize{};
 };
 
 /// \brief Final result of an attempt.
@@ -155,6 +162,9 @@
   /// WorkerCrashed: crashes counted so far for the request's fingerprint.
   std::uint32_t m_crashCount{ 0 };
   WorkerStatement m_statement{};
+  /// Time from the end of a run until another such answer would have left the
+  /// link of the worker's instance; 0 for small answers.
+  std::chrono::microseconds m_linkWait{ 0 };
 };
 
 [[nodiscard]] CallAnswer
--- a/include/greengagehub/calls/dispatcher.hpp
+++ b/include/greengagehub/calls/dispatcher.hpp
@@ -30,6 +30,9 @@
   /// Probability that the call is made by a retried run.
   double m_retriedRunProbability{ 0.0 };
   Fingerprint m_fingerprint{};
+  /// Time that the answer of a worker elsewhere takes into this instance; zero
+  /// if it is small.
+  Duration m_remoteTransfer{ 0 };
 };
 
 /// \brief Send attempt `m_attempt` of call `m_call` to a worker's daemon.
@@ -93,6 +96,9 @@
 /// there is room again. A call for which all workers are at their limits is
 /// refused at once.
 ///
+/// A call that a worker's daemon refused for its network link is sent to another
+/// worker only if that one is known to have room.
+///
 /// During a roll-out, a call is assigned at random to the canary or to the
 /// version in service. An attempt that failed at the canary is retried at the
 /// version in service, never the other way round.
--- a/include/greengagehub/calls/placement.hpp
+++ b/include/greengagehub/calls/placement.hpp
@@ -9,6 +9,8 @@
 {
   Duration m_service{ 0 };
   Duration m_wait{ 0 };
+  /// Time that the answer takes on this instance's link; added to reports, too.
+  Duration m_transfer{ 0 };
 };
 
 /// \brief Average queue wait in each failure domain for one kind of calls.
@@ -61,6 +63,8 @@
 {
   /// Own failure domain; empty: all workers count as near.
   std::string m_domain{};
+  /// Answers of the worker beside this daemon do not cross the link.
+  std::string m_ownSlot{};
   DecisionSettings m_decisions{};
 
   [[nodiscard]] bool IsInOtherDomain(const WorkerRow& aRow) const
@@ -84,7 +88,12 @@
 MeanServiceTime(const std::vector<const WorkerRow*>& aRows,
                 CallKind aKind) noexcept;
 
-/// \returns Queue wait and service time, plus a penalty for recent refusals.
+/// \returns Whether the worker has lately reported that a call of the kind
+/// would be answered before its target.
+[[nodiscard]] bool
+IsKnownToHaveRoom(const WorkerRow& aRow, const RoutingContext& aContext) noexcept;
+
+/// \returns Waits, service time and transfer, plus a penalty for recent refusals.
 [[nodiscard]] Duration
 ExpectedResponseTime(const DecisionSettings& aDecisions,
                      const WorkerRow& aRow,
--- a/include/greengagehub/calls/worker_table.hpp
+++ b/include/greengagehub/calls/worker_table.hpp
@@ -38,7 +38,8 @@
   {
     CallKind m_kind{};
     std::chrono::microseconds m_serviceTime{ 0 };
-    /// Queue wait of another call of the kind at that time.
+    /// Wait of another call of the kind at that time, for a slot and for the
+    /// network link.
     std::chrono::microseconds m_wait{ 0 };
     TimePoint m_at{};
   };
@@ -65,6 +66,7 @@
   std::uint32_t m_slots{ 0 };
   CallKind m_kind{};
   std::chrono::microseconds m_serviceTime{ 0 };
+  /// For a slot and for the network link.
   std::chrono::microseconds m_wait{ 0 };
 };
 
@@ -77,6 +79,8 @@
   /// Cost of crossing between failure domains, as a share of the call's value.
   double m_crossingCost{ 0.0 };
   Duration m_deadlineLeft{ std::chrono::seconds{ 10 } };
+  /// Time that the answer takes into this instance; zero if it is small.
+  Duration m_remoteTransfer{ 0 };
 };
 
 template<class T>
--- a/include/greengagehub/core/core.hpp
+++ b/include/greengagehub/core/core.hpp
@@ -8,6 +8,7 @@
 #include "greengagehub/core/digest.hpp"
 #include "greengagehub/core/error.hpp"
 #include "greengagehub/core/field_reader.hpp"
+#include "greengagehub/core/link_pacer.hpp"
 #include "greengagehub/core/outcome.hpp"
 #include "greengagehub/core/random.hpp"
 #include "greengagehub/core/store_message.hpp"
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -13,7 +13,7 @@
 #include "greengagehub/quarantine/quarantine.hpp"
 #include "greengagehub/rollout/rollout.hpp"
 #include "greengagehub/settings/settings.hpp"
-#include "greengagehub/transport/link_pacer.hpp"
+#include "greengagehub/core/link_pacer.hpp"
 
 #include <asio/steady_timer.hpp>
 #include <deque>
--- a/src/calls/call.cpp
+++ b/src/calls/call.cpp
@@ -58,6 +58,8 @@
       return "keys-not-current";
     case RefusalReason::RateLimited:
       return "rate-limited";
+    case RefusalReason::LinkBusy:
+      return "link-busy";
   }
   return "none";
 }
--- a/src/calls/dispatch_rules.hpp
+++ b/src/calls/dispatch_rules.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "greengagehub/calls/worker_table.hpp"
+#include "greengagehub/calls/dispatcher.hpp"
 #include "greengagehub/core/digest.hpp"
 #include "greengagehub/quarantine/fingerprint.hpp"
 
@@ -31,6 +31,33 @@
          aReason == RefusalReason::RateLimited;
 }
 
+inline RoutingContext
+ContextOf(TimePoint aNow, const CallPlan& aPlan)
+{
+  return { aNow,
+           aPlan.m_kind,
+           std::min(aPlan.m_target, aPlan.m_deadline) - aNow,
+           aPlan.m_crossingCost,
+           aPlan.m_deadline - aNow,
+           aPlan.m_remoteTransfer };
+}
+
+/// \returns Whether a worker would probably refuse the call for the same reason
+/// as the previous one, so that another redirect is of no use.
+inline bool
+WouldRefuseToo(const CallAnswer& aPrevious,
+               const WorkerRow& aRow,
+               const RoutingContext& aContext)
+{
+  if (aPrevious.m_reason == RefusalReason::LinkBusy) {
+    return !IsKnownToHaveRoom(aRow, aContext);
+  }
+  return !aPrevious.m_reachedWorker &&
+         aPrevious.m_reason != RefusalReason::Busy &&
+         aPrevious.m_reason != RefusalReason::RateLimited &&
+         aRow.m_refusalShare > kMaxRefusalShare;
+}
+
 /// \brief Selects the same worker for a fingerprint at every daemon that knows
 /// the same workers (rendezvous hashing).
 ///
@@ -80,6 +107,7 @@
     case RefusalReason::NotInService:
     case RefusalReason::RateLimited:
     case RefusalReason::RetryBudgetExhausted:
+    case RefusalReason::LinkBusy:
       return WorkerTable::Verdict::None;
     default:
       return WorkerTable::Verdict::Good;
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -83,13 +83,7 @@
                                             const Call& aCall,
                                             const VersionRule* aRule)
 {
-  const RoutingContext context{
-    aNow,
-    aCall.m_plan.m_kind,
-    std::min(aCall.m_plan.m_target, aCall.m_plan.m_deadline) - aNow,
-    aCall.m_plan.m_crossingCost,
-    aCall.m_plan.m_deadline - aNow
-  };
+  const RoutingContext context = ContextOf(aNow, aCall.m_plan);
   const Fingerprint fingerprint = aCall.m_plan.m_fingerprint;
   if (m_quarantine != nullptr && m_quarantine->IsSuspect(fingerprint)) {
     RendezvousPolicy pinned{ fingerprint };
@@ -137,10 +131,10 @@
   const auto next = SelectWorker(aNow, aCall);
   const bool isRetry = !aCall.m_tried.empty();
   // A redirect stops at a refusing worker; the budget bounds other retries.
-  const bool isRefused = next && isRetry && !aPrevious.m_reachedWorker &&
-                         aPrevious.m_reason != RefusalReason::Busy &&
-                         aPrevious.m_reason != RefusalReason::RateLimited &&
-                         m_workers.At(*next).m_refusalShare > kMaxRefusalShare;
+  const bool isRefused =
+    next && isRetry &&
+    WouldRefuseToo(
+      aPrevious, m_workers.At(*next), ContextOf(aNow, aCall.m_plan));
   if (!next || isRefused) {
     const auto room = m_workers.TimeUntilRoom(aNow, aCall.m_plan.m_service);
     if (!next && !isRetry && room) {
@@ -329,7 +323,7 @@
                            aAnswer.m_slots,
                            call->m_plan.m_kind,
                            aAnswer.m_serviceTime,
-                           aAnswer.m_wait };
+                           aAnswer.m_wait + aAnswer.m_linkWait };
   if (aAnswer.m_outcome == CallOutcome::Answered) {
     const bool failed = aAnswer.m_response.m_status >= kFirstServerError;
     EndAttempt(aNow, *call, failed ? Verdict::Failed : Verdict::Good, report);
--- a/src/calls/placement.cpp
+++ b/src/calls/placement.cpp
@@ -120,13 +120,23 @@
   const double load = aRow.m_inFlight / slots;
   const double excessLoad = std::max(0.0, load - 1.0);
   const double slowdown = kLoadSlowdown * std::min(1.0, load);
-  Seconds expected = service * (1.0 + excessLoad + slowdown) + wait;
+  Seconds expected =
+    service * (1.0 + excessLoad + slowdown) + wait + aAssumed.m_transfer;
   if (aDecisions.m_penalizesFailures) {
     expected += aRow.m_refusalShare * kRefusalCost;
   }
   return std::chrono::duration_cast<Duration>(expected);
 }
 
+bool
+IsKnownToHaveRoom(const WorkerRow& aRow, const RoutingContext& aContext) noexcept
+{
+  const auto* stats = FindStats(aRow, aContext.m_kind);
+  return stats != nullptr && aContext.m_now - stats->m_at < kReportLifetime &&
+         stats->m_wait + stats->m_serviceTime + aContext.m_remoteTransfer <
+           aContext.m_targetLeft;
+}
+
 double
 CrossingCost(const DecisionSettings& aDecisions,
              double aRequestBytes,
@@ -197,6 +207,9 @@
                                   : meanService,
                                 m_decisions.m_usesDomainReports
                                   ? waits.ExpectedWait(aRow.m_domain)
+                                  : Duration{ 0 },
+                                aRow.m_slot != m_ownSlot
+                                  ? aContext.m_remoteTransfer
                                   : Duration{ 0 } };
     return ExpectedLoss(m_decisions, aRow, aContext, assumed) + probePenalty +
            (IsInOtherDomain(aRow) ? aContext.m_crossingCost : 0.0);
--- a/src/transport/link_codec.cpp
+++ b/src/transport/link_codec.cpp
@@ -55,6 +55,7 @@
       return RefusalReason::Cancelled;
     case RefusalReason::RetryBudgetExhausted:
     case RefusalReason::RateLimited:
+    case RefusalReason::LinkBusy:
       return RefusalReason::Overloaded;
     case RefusalReason::NotInService:
       // A worker out of service is equivalent to no worker.
@@ -156,6 +157,12 @@
     out.set_target_us(static_cast<std::uint64_t>(
       std::max<std::int64_t>(0, aRequest.m_targetLeft.count())));
     LimitToWire(aRequest.m_knownStatement, out);
+    out.set_answer_transfer_us(
+      static_cast<std::uint64_t>(aRequest.m_answerTransfer.count()));
+    out.set_answer_bytes(
+      static_cast<std::uint64_t>(aRequest.m_answerSize.m_mean));
+    out.set_answer_spread_bytes(
+      static_cast<std::uint64_t>(aRequest.m_answerSize.m_deviation));
   }
   void operator()(const CallAnswer& aAnswer) const
   {
@@ -167,6 +174,9 @@
     out.set_held(aAnswer.m_reason == RefusalReason::Quarantined);
     out.set_no_repeats(aAnswer.m_reason == RefusalReason::RetryBudgetExhausted);
     out.set_rate_limited(aAnswer.m_reason == RefusalReason::RateLimited);
+    out.set_link_busy(aAnswer.m_reason == RefusalReason::LinkBusy);
+    out.set_link_wait_us(
+      static_cast<std::uint64_t>(aAnswer.m_linkWait.count()));
     LimitToWire(aAnswer.m_statement, out);
     out.set_worker_leaving(aAnswer.m_statement.m_isLeaving);
     if (aAnswer.m_reason == RefusalReason::WorkerCrashed) {
@@ -208,6 +218,17 @@
   }
 };
 
+/// Bounds what another daemon may make this one expect.
+constexpr std::uint64_t kMaxAnswerBytes = 16UL * 1024 * 1024;
+constexpr std::chrono::microseconds kMaxLinkTime = std::chrono::minutes{ 1 };
+
+std::chrono::microseconds
+LinkTimeFrom(std::uint64_t aMicroseconds)
+{
+  const auto longest = static_cast<std::uint64_t>(kMaxLinkTime.count());
+  return std::chrono::microseconds{ std::min(aMicroseconds, longest) };
+}
+
 Outcome<LinkFrame>
 RequestFrom(const wire::CallRequest& aWire, std::string_view aBody)
 {
@@ -233,6 +254,11 @@
                      aWire.kind_route() };
   request.m_targetLeft = std::chrono::microseconds{ aWire.target_us() };
   request.m_knownStatement = LimitFromWire(aWire);
+  request.m_answerTransfer = LinkTimeFrom(aWire.answer_transfer_us());
+  request.m_answerSize = {
+    static_cast<double>(std::min(aWire.answer_bytes(), kMaxAnswerBytes)),
+    static_cast<double>(std::min(aWire.answer_spread_bytes(), kMaxAnswerBytes))
+  };
   return LinkFrame{ std::move(request) };
 }
 
@@ -255,6 +281,8 @@
     answer.m_reason = RefusalReason::RetryBudgetExhausted;
   } else if (aWire.rate_limited()) {
     answer.m_reason = RefusalReason::RateLimited;
+  } else if (aWire.link_busy()) {
+    answer.m_reason = RefusalReason::LinkBusy;
   } else if (aWire.ends() > 0) {
     answer.m_reason = RefusalReason::WorkerCrashed;
   }
@@ -270,6 +298,7 @@
   answer.m_slots = aWire.slots();
   answer.m_wait = std::chrono::microseconds{ aWire.wait_us() };
   answer.m_serviceTime = std::chrono::microseconds{ aWire.service_us() };
+  answer.m_linkWait = LinkTimeFrom(aWire.link_wait_us());
   return LinkFrame{ std::move(answer) };
 }
 
--- /dev/null
+++ b/tests/calls/link_replay.hpp
@@ -0,0 +1,581 @@
+#pragma once
+
+#include "greengagehub/calls/dispatcher.hpp"
+#include "greengagehub/calls/link_booking.hpp"
+#include "greengagehub/calls/run_table.hpp"
+#include "greengagehub/core/link_pacer.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+
+namespace greengagehub::test {
+
+using namespace std::chrono_literals;
+
+struct LinkReplaySetup
+{
+  /// Whether the links are booked; otherwise a worker's daemon compares the
+  /// pacer's backlog and the mean sizes of its active runs with the time left,
+  /// and answers to clients are not paced.
+  bool m_booksLinks{ true };
+  /// Downloads per second, as a multiple of what the workers' links carry.
+  double m_load{ 2.4 };
+  std::size_t m_workers{ 10 };
+  std::uint32_t m_workerMbps{ 15 };
+  /// Callers' daemons on instances of their own.
+  std::size_t m_callers{ 12 };
+  std::uint32_t m_callerMbps{ 100 };
+  /// Callers' daemons on the first workers' instances.
+  std::size_t m_callersBesideWorkers{ 0 };
+  Duration m_span{ 20s };
+};
+
+struct LinkReplayResult
+{
+  std::size_t m_calls{ 0 };
+  std::size_t m_runs{ 0 };
+  std::size_t m_inTarget{ 0 };
+  std::size_t m_inDeadline{ 0 };
+  std::size_t m_refused{ 0 };
+  std::size_t m_attempts{ 0 };
+  /// Longest time that a small message waited for others on a link.
+  Duration m_smallDelay{ 0 };
+  /// Mean used share of what the pacers of the workers' links may use, after
+  /// the first two seconds and until the last call.
+  double m_used{ 0.0 };
+
+  [[nodiscard]] double ArrivedShare() const { return Share(m_inDeadline); }
+  [[nodiscard]] double InTargetShare() const { return Share(m_inTarget); }
+
+private:
+  [[nodiscard]] double Share(std::size_t aCount) const
+  {
+    return m_runs == 0
+             ? 1.0
+             : static_cast<double>(aCount) / static_cast<double>(m_runs);
+  }
+};
+
+/// \brief Simulates downloads over slow links in virtual time, with the real
+/// dispatchers, run tables, pacers and bookings. A link is a rate in each
+/// direction.
+class LinkReplay
+{
+public:
+  explicit LinkReplay(LinkReplaySetup aSetup)
+    : m_setup(aSetup)
+  {
+    for (std::size_t i = 0; i < m_setup.m_workers; ++i) {
+      AddInstance(m_setup.m_workerMbps);
+      m_workers.push_back(std::make_unique<Worker>());
+    }
+    for (std::size_t i = 0; i < m_setup.m_callersBesideWorkers; ++i) {
+      AddCaller(i);
+    }
+    for (std::size_t i = 0; i < m_setup.m_callers; ++i) {
+      AddInstance(m_setup.m_callerMbps);
+      AddCaller(m_instances.size() - 1);
+    }
+  }
+
+  LinkReplayResult Run()
+  {
+    AddCalls();
+    AddSmallMessages();
+    while (!m_events.empty()) {
+      const auto next = m_events.begin();
+      m_now = next->first;
+      const auto action = std::move(next->second);
+      m_events.erase(next);
+      action();
+    }
+    const double carried =
+      m_instances[0]->m_pacer.Rate() *
+      std::chrono::duration<double>(m_setup.m_span - kWarmUp).count() *
+      static_cast<double>(m_setup.m_workers);
+    m_result.m_used = m_carriedBytes / carried;
+    return m_result;
+  }
+
+  /// \returns Bytes still booked on all links.
+  [[nodiscard]] std::size_t BookedBytes() const
+  {
+    std::size_t bytes = 0;
+    for (const auto& each : m_instances) {
+      bytes += each->m_out.BookedBytes() + each->m_in.BookedBytes();
+    }
+    return bytes;
+  }
+
+private:
+  static constexpr std::uint32_t kSlots = 20;
+  static constexpr auto kTarget = 1500ms;
+  static constexpr auto kDeadline = 4s;
+  static constexpr auto kService = 160ms;
+  static constexpr auto kHop = 1ms;
+  static constexpr auto kWarmUp = 2s;
+  static constexpr auto kSmallInterval = 20ms;
+  static constexpr std::size_t kSmallBytes = 200;
+  static constexpr double kMeanBytes = 90'000.0;
+  static constexpr double kMaxBytes = 540'000.0;
+  static constexpr double kSpread = 0.6;
+  static constexpr double kBytesPerMbit = 125'000.0;
+  static constexpr CallKind kKind{ kTarget };
+
+  struct Instance
+  {
+    explicit Instance(std::uint32_t aMbps, bool aBooks)
+      : m_pacer(aMbps)
+      , m_out(aBooks ? m_pacer.Rate() : 0.0)
+      , m_in(aBooks ? m_pacer.Rate() : 0.0)
+      , m_wireRate(aMbps * kBytesPerMbit)
+    {
+    }
+
+    LinkPacer m_pacer;
+    LinkBooking m_out;
+    LinkBooking m_in;
+    double m_wireRate;
+    /// When the link itself has sent and received all that was written.
+    TimePoint m_wireOutFree{};
+    TimePoint m_wireInFree{};
+  };
+  struct Worker
+  {
+    RunTable m_table{ { .m_slots = kSlots, .m_queue = 4 * kSlots } };
+    AnswerSizes m_sizes;
+    std::map<CallKey, std::size_t> m_active;
+  };
+  struct Caller
+  {
+    explicit Caller(std::uint64_t aSeed)
+      : m_dispatcher(aSeed)
+    {
+    }
+    Dispatcher m_dispatcher;
+    std::size_t m_instance{ 0 };
+    AnswerSizes m_sizes;
+  };
+  /// A call at its caller's daemon.
+  struct Call
+  {
+    std::size_t m_caller{ 0 };
+    TimePoint m_arrival;
+    LinkReservation m_out{};
+    LinkReservation m_in{};
+  };
+  struct RunState
+  {
+    std::size_t m_caller{ 0 };
+    std::size_t m_worker{ 0 };
+    LinkReservation m_out{};
+  };
+
+  static std::string SlotOf(std::size_t aInstance)
+  {
+    return std::to_string(aInstance);
+  }
+
+  void AddInstance(std::uint32_t aMbps)
+  {
+    m_instances.push_back(
+      std::make_unique<Instance>(aMbps, m_setup.m_booksLinks));
+  }
+
+  void AddCaller(std::size_t aInstance)
+  {
+    auto caller = std::make_unique<Caller>(m_callers.size() + 1);
+    caller->m_instance = aInstance;
+    caller->m_dispatcher.Routing().m_ownSlot = SlotOf(aInstance);
+    for (std::size_t i = 0; i < m_setup.m_workers; ++i) {
+      WorkerRow row;
+      row.m_slot = SlotOf(i);
+      row.m_service = "archive";
+      row.m_slots = kSlots;
+      caller->m_dispatcher.Workers().Put(std::move(row));
+    }
+    m_callers.push_back(std::move(caller));
+  }
+
+  void AddCalls()
+  {
+    const double carried = m_instances[0]->m_pacer.Rate() *
+                           static_cast<double>(m_setup.m_workers) / kMeanBytes;
+    std::exponential_distribution<double> gap{ m_setup.m_load * carried };
+    double offset = gap(m_random);
+    while (offset < std::chrono::duration<double>(m_setup.m_span).count()) {
+      const std::uint64_t id = ++m_result.m_calls;
+      const std::size_t caller = Below(m_random, m_callers.size());
+      m_events.emplace(m_now + std::chrono::duration_cast<Duration>(
+                                 std::chrono::duration<double>(offset)),
+                       [this, id, caller] { Begin(id, caller); });
+      offset += gap(m_random);
+    }
+  }
+
+  void AddSmallMessages()
+  {
+    for (Duration at = kSmallInterval; at < m_setup.m_span;
+         at += kSmallInterval) {
+      m_events.emplace(m_now + at, [this] {
+        for (auto& each : m_instances) {
+          static_cast<void>(each->m_pacer.Reserve(m_now, kSmallBytes));
+          m_result.m_smallDelay = std::max(
+            m_result.m_smallDelay, Duration{ each->m_wireOutFree - m_now });
+          WriteOut(*each, kSmallBytes);
+        }
+      });
+    }
+  }
+
+  void Schedule(Duration aSpan, std::function<void()> aAction)
+  {
+    m_events.emplace(m_now + aSpan, std::move(aAction));
+  }
+
+  std::size_t DrawBytes()
+  {
+    std::lognormal_distribution<double> size{
+      std::log(kMeanBytes) - kSpread * kSpread / 2, kSpread
+    };
+    return static_cast<std::size_t>(std::min(kMaxBytes, size(m_random)));
+  }
+
+  Duration DrawService()
+  {
+    std::lognormal_distribution<double> spread{ -0.045, 0.3 };
+    return std::chrono::duration_cast<Duration>(
+      spread(m_random) * std::chrono::duration<double>(kService));
+  }
+
+  static Duration WireTime(const Instance& aInstance, std::size_t aBytes)
+  {
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      static_cast<double>(aBytes) / aInstance.m_wireRate));
+  }
+
+  /// Puts bytes on the wire of the link behind those written before.
+  void WriteOut(Instance& aInstance, std::size_t aBytes)
+  {
+    aInstance.m_wireOutFree = std::max(aInstance.m_wireOutFree, m_now) +
+                              WireTime(aInstance, aBytes);
+  }
+
+  /// Sends a large message in the pacer's turn, part by part; aDone is called
+  /// when its last byte has left.
+  void SendPaced(std::size_t aInstance,
+                 std::size_t aBytes,
+                 std::function<void()> aDone)
+  {
+    Instance& instance = *m_instances[aInstance];
+    auto turn = std::make_shared<LinkTurn>(&instance.m_pacer, aBytes);
+    Schedule(turn->Reserve(m_now), [this, aInstance, aBytes, turn, aDone] {
+      SendPart(aInstance, aBytes, turn, aDone);
+    });
+  }
+
+  void SendPart(std::size_t aInstance,
+                std::size_t aLeft,
+                const std::shared_ptr<LinkTurn>& aTurn,
+                const std::function<void()>& aDone)
+  {
+    Instance& instance = *m_instances[aInstance];
+    const std::size_t part = std::min(aLeft, LinkPacer::kPartBytes);
+    WriteOut(instance, part);
+    aTurn->OnSent(part);
+    CountCarried(aInstance, part);
+    const Duration partTime = instance.m_pacer.TransmissionTime(part);
+    if (part == aLeft) {
+      Schedule(partTime, aDone);
+      return;
+    }
+    Schedule(partTime, [this, aInstance, left = aLeft - part, aTurn, aDone] {
+      SendPart(aInstance, left, aTurn, aDone);
+    });
+  }
+
+  void CountCarried(std::size_t aInstance, std::size_t aBytes)
+  {
+    const bool isCounted = aInstance < m_setup.m_workers &&
+                           m_now - TimePoint{} >= kWarmUp &&
+                           m_now - TimePoint{} < m_setup.m_span;
+    m_carriedBytes += isCounted ? static_cast<double>(aBytes) : 0.0;
+  }
+
+  void Begin(std::uint64_t aId, std::size_t aCaller)
+  {
+    Caller& caller = *m_callers[aCaller];
+    Instance& instance = *m_instances[caller.m_instance];
+    CallPlan plan;
+    plan.m_service = "archive";
+    plan.m_idempotent = true;
+    plan.m_deadline = m_now + kDeadline;
+    plan.m_target = m_now + kTarget;
+    plan.m_kind = kKind;
+    const LinkDemand demand{ .m_size = caller.m_sizes.SizeOf(kKind),
+                             .m_readyIn = kService,
+                             .m_targetLeft = kTarget,
+                             .m_deadlineLeft = kDeadline,
+                             .m_target = kTarget };
+    const Duration backlog = instance.m_pacer.Backlog(m_now);
+    if (!instance.m_out.Check(m_now, backlog, demand).IsAccepted()) {
+      ++m_result.m_refused;
+      return;
+    }
+    plan.m_remoteTransfer = instance.m_in.WaitOf(m_now, {}, demand);
+    Call& call = m_calls[aId];
+    call.m_caller = aCaller;
+    call.m_arrival = m_now;
+    call.m_out = instance.m_out.Book(m_now, demand);
+    Execute(aCaller, caller.m_dispatcher.Begin(m_now, aId, std::move(plan)));
+  }
+
+  void Execute(std::size_t aCaller, const DispatchActions& aActions)
+  {
+    for (const DispatchAction& each : aActions) {
+      if (const auto* send = std::get_if<SendAttempt>(&each)) {
+        ++m_result.m_attempts;
+        BookIn(*send);
+        Schedule(kHop, [this, aCaller, attempt = *send] {
+          Deliver(aCaller, attempt);
+        });
+      } else if (const auto* finish = std::get_if<FinishCall>(&each)) {
+        Finish(*finish);
+      }
+    }
+  }
+
+  void BookIn(const SendAttempt& aAttempt)
+  {
+    Call& call = m_calls.at(aAttempt.m_call);
+    Caller& caller = *m_callers[call.m_caller];
+    Instance& instance = *m_instances[caller.m_instance];
+    call.m_in = {};
+    if (aAttempt.m_slot != SlotOf(caller.m_instance)) {
+      call.m_in =
+        instance.m_in.Book(m_now,
+                           { .m_size = caller.m_sizes.SizeOf(kKind),
+                             .m_readyIn = kService });
+    }
+  }
+
+  bool IsRefusedByMean(Worker& aWorker,
+                       const Instance& aInstance,
+                       const SendAttempt& aAttempt) const
+  {
+    const std::size_t mean = aWorker.m_sizes.MeanSize(kKind);
+    const std::size_t bytes = mean * (aWorker.m_active.size() + 1);
+    const Duration left = aAttempt.m_targetLeft.count() > 0
+                            ? aAttempt.m_targetLeft
+                            : aAttempt.m_timeLeft;
+    return mean > LinkPacer::kPartBytes &&
+           aInstance.m_pacer.Backlog(m_now) +
+               aInstance.m_pacer.TransmissionTime(bytes) >
+             left;
+  }
+
+  void Deliver(std::size_t aCaller, const SendAttempt& aAttempt)
+  {
+    const std::size_t index = std::stoul(aAttempt.m_slot);
+    Worker& worker = *m_workers[index];
+    Instance& instance = *m_instances[index];
+    const CallKey key{ aCaller + 1, aAttempt.m_attempt };
+    RunState run{ aCaller, index };
+    const bool isLocal = m_callers[aCaller]->m_instance == index;
+    const Instance& callers = *m_instances[m_callers[aCaller]->m_instance];
+    const Duration transfer =
+      m_setup.m_booksLinks
+        ? callers.m_out.TransferTime(m_callers[aCaller]->m_sizes.SizeOf(kKind))
+        : Duration{ 0 };
+    const LinkDemand demand{ .m_size = worker.m_sizes.SizeOf(kKind),
+                             .m_readyIn = ReadyIn(worker),
+                             .m_targetLeft = aAttempt.m_targetLeft - transfer,
+                             .m_deadlineLeft = aAttempt.m_timeLeft - transfer,
+                             .m_target = kTarget };
+    if (m_setup.m_booksLinks) {
+      const auto decision = instance.m_out.Check(
+        m_now, instance.m_pacer.Backlog(m_now), demand);
+      if (!isLocal && !decision.IsAccepted()) {
+        Answer(run, key, Refused(key, RefusalReason::LinkBusy));
+        return;
+      }
+    } else if (IsRefusedByMean(worker, instance, aAttempt)) {
+      Answer(run, key, Refused(key, RefusalReason::Overloaded));
+      return;
+    }
+    RunActions out;
+    const Admission admission =
+      worker.m_table.Admit(m_now,
+                           key,
+                           1,
+                           { .m_priority = 2,
+                             .m_kind = kKind,
+                             .m_timeLeft = aAttempt.m_timeLeft,
+                             .m_targetLeft = aAttempt.m_targetLeft,
+                             .m_refuseIfBusy = aAttempt.m_refuseIfBusy },
+                           out);
+    if (admission.m_kind == Admission::Kind::Refused) {
+      Answer(run, key, Refused(key, admission.m_reason));
+    } else {
+      if (!isLocal) {
+        run.m_out = instance.m_out.Book(m_now, demand);
+      }
+      worker.m_active.emplace(key, 0);
+      m_runs.emplace(key, std::move(run));
+    }
+    if (admission.m_kind == Admission::Kind::Start) {
+      Start(key);
+    }
+    Apply(out);
+  }
+
+  Duration ReadyIn(const Worker& aWorker) const
+  {
+    return aWorker.m_table.ServiceTime(m_now, kKind) +
+           aWorker.m_table.ExpectedWaitOfKind(m_now, 2, kKind);
+  }
+
+  static CallAnswer Refused(CallKey aKey, RefusalReason aReason)
+  {
+    return Refuse(aKey.m_call, CallOutcome::NotRun, aReason, 100ms);
+  }
+
+  void Start(CallKey aKey)
+  {
+    ++m_result.m_runs;
+    Schedule(DrawService(), [this, aKey] { End(aKey); });
+  }
+
+  void Apply(const RunActions& aActions)
+  {
+    for (const RefusedRun& each : aActions.m_refused) {
+      RunState run = TakeRun(each.m_key);
+      Answer(run, each.m_key, Refused(each.m_key, each.m_reason));
+    }
+    for (const CallKey& each : aActions.m_start) {
+      Start(each);
+    }
+  }
+
+  RunState TakeRun(CallKey aKey)
+  {
+    const auto found = m_runs.find(aKey);
+    RunState run = std::move(found->second);
+    m_runs.erase(found);
+    m_workers[run.m_worker]->m_active.erase(aKey);
+    return run;
+  }
+
+  void End(CallKey aKey)
+  {
+    RunState run = TakeRun(aKey);
+    Worker& worker = *m_workers[run.m_worker];
+    const RunActions next = worker.m_table.Finish(m_now, aKey);
+    CallAnswer answer;
+    answer.m_call = aKey.m_call;
+    answer.m_outcome = CallOutcome::Answered;
+    answer.m_response.m_status = 200;
+    const std::size_t bytes = DrawBytes();
+    answer.m_response.m_body.resize(bytes);
+    worker.m_sizes.Record(kKind, bytes);
+    Answer(run, aKey, std::move(answer));
+    Apply(next);
+  }
+
+  /// Adds the worker's state to an answer and sends it to the caller's daemon.
+  void Answer(RunState& aRun, CallKey aKey, CallAnswer aAnswer)
+  {
+    using std::chrono::microseconds;
+    Worker& worker = *m_workers[aRun.m_worker];
+    Instance& instance = *m_instances[aRun.m_worker];
+    aAnswer.m_reachedWorker = aAnswer.m_outcome == CallOutcome::Answered;
+    aAnswer.m_load = worker.m_table.Load();
+    aAnswer.m_slots = kSlots;
+    aAnswer.m_serviceTime = std::chrono::duration_cast<microseconds>(
+      worker.m_table.ServiceTime(m_now, kKind));
+    aAnswer.m_wait = std::chrono::duration_cast<microseconds>(
+      worker.m_table.ExpectedWaitOfKind(m_now, 2, kKind));
+    aAnswer.m_linkWait = std::chrono::duration_cast<microseconds>(
+      instance.m_out.WaitOf(m_now,
+                            instance.m_pacer.Backlog(m_now),
+                            { .m_size = worker.m_sizes.SizeOf(kKind),
+                              .m_readyIn = ReadyIn(worker) }));
+    const std::size_t caller = aKey.m_process - 1;
+    const std::size_t bytes = aAnswer.m_response.m_body.size();
+    auto receive = [this, caller, answer = std::move(aAnswer)]() mutable {
+      Execute(caller,
+              m_callers[caller]->m_dispatcher.OnAnswer(m_now, answer));
+    };
+    if (bytes == 0 || m_callers[caller]->m_instance == aRun.m_worker) {
+      Schedule(kHop, std::move(receive));
+      return;
+    }
+    SendPaced(aRun.m_worker,
+              bytes,
+              [this, caller, bytes, receive = std::move(receive)] {
+                ReceiveIn(caller, bytes, receive);
+              });
+    instance.m_out.HandOver(m_now,
+                            instance.m_pacer.Backlog(m_now),
+                            std::move(aRun.m_out),
+                            bytes);
+  }
+
+  void ReceiveIn(std::size_t aCaller,
+                 std::size_t aBytes,
+                 std::function<void()> aReceive)
+  {
+    Instance& instance = *m_instances[m_callers[aCaller]->m_instance];
+    // The bytes arrive while they leave the other link; the last part is on
+    // both at a time.
+    const TimePoint start =
+      std::max(instance.m_wireInFree, m_now - WireTime(instance, aBytes));
+    instance.m_wireInFree = start + WireTime(instance, aBytes);
+    Schedule(std::max(Duration{ kHop }, instance.m_wireInFree - m_now),
+             std::move(aReceive));
+  }
+
+  void Finish(const FinishCall& aFinish)
+  {
+    Call call = std::move(m_calls.at(aFinish.m_call));
+    m_calls.erase(aFinish.m_call);
+    if (aFinish.m_answer.m_outcome != CallOutcome::Answered) {
+      ++m_result.m_refused;
+      return;
+    }
+    Caller& caller = *m_callers[call.m_caller];
+    Instance& instance = *m_instances[caller.m_instance];
+    const std::size_t bytes = aFinish.m_answer.m_response.m_body.size();
+    caller.m_sizes.Record(kKind, bytes);
+    const auto arrive = [this, arrival = call.m_arrival] {
+      m_result.m_inTarget += m_now - arrival <= kTarget ? 1 : 0;
+      m_result.m_inDeadline += m_now - arrival <= kDeadline ? 1 : 0;
+    };
+    if (!m_setup.m_booksLinks) {
+      WriteOut(instance, bytes);
+      CountCarried(caller.m_instance, bytes);
+      Schedule(instance.m_wireOutFree - m_now, arrive);
+      return;
+    }
+    SendPaced(caller.m_instance, bytes, arrive);
+    instance.m_out.HandOver(
+      m_now, instance.m_pacer.Backlog(m_now), std::move(call.m_out), bytes);
+  }
+
+  LinkReplaySetup m_setup;
+  LinkReplayResult m_result;
+  double m_carriedBytes{ 0.0 };
+  Random m_random{ 1 };
+  TimePoint m_now{};
+  std::vector<std::unique_ptr<Instance>> m_instances;
+  std::vector<std::unique_ptr<Worker>> m_workers;
+  std::vector<std::unique_ptr<Caller>> m_callers;
+  std::map<std::uint64_t, Call> m_calls;
+  std::map<CallKey, RunState> m_runs;
+  std::multimap<TimePoint, std::function<void()>> m_events;
+};
+
+}
--- a/tests/transport/link_pacer.cpp
+++ b/tests/transport/link_pacer.cpp
@@ -1,4 +1,4 @@
-#include "greengagehub/transport/link_pacer.hpp"
+#include "greengagehub/core/link_pacer.hpp"
 
 #include <doctest/doctest.h>
 
