--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -2,6 +2,7 @@
 
 #include "greengagehub/calls/call_age_estimator.hpp"
 #include "greengagehub/calls/dispatcher.hpp"
+#include "greengagehub/calls/link_booking.hpp"
 #include "greengagehub/calls/route_table.hpp"
 #include "greengagehub/config/config_holder.hpp"
 #include "greengagehub/daemon/quarantine_service.hpp"
@@ -79,6 +80,14 @@
     return m_dispatcher;
   }
   [[nodiscard]] std::size_t Links() const noexcept { return m_pool.Size(); }
+  [[nodiscard]] const LinkPacer& Pacer() const noexcept { return m_pacer; }
+  /// \returns Bookings of answers that leave this instance.
+  [[nodiscard]] const LinkBooking& LinkOut() const noexcept
+  {
+    return m_linkOut;
+  }
+  /// \returns Bookings of answers from other instances.
+  [[nodiscard]] const LinkBooking& LinkIn() const noexcept { return m_linkIn; }
 
   [[nodiscard]] Outcome<std::uint16_t> Open();
   void OnMember(const MemberEvent& aEvent);
@@ -123,12 +132,18 @@
     /// Slot of the latest attempt; empty: none.
     std::string m_slot{};
     std::uint32_t m_attempts{ 0 };
+    /// Of the answer to the client.
+    LinkReservation m_linkOut{};
+    /// Of the answer of a worker elsewhere.
+    LinkReservation m_linkIn{};
   };
   struct RouteStatistics
   {
     CallAgeEstimator m_age;
     std::uint64_t m_routeHash{ 0 };
     double m_meanAnswerBytes{ 1024.0 };
+    /// Moving average of the time until an answer, without refusals.
+    Duration m_meanAnswerTime{ 0 };
   };
 
   void OnCallerRequest(HttpRequest aRequest, HttpResponder aResponder);
@@ -168,12 +183,30 @@
                  const WorkspaceRow* aWorkspace,
                  HttpRequest aRequest,
                  HttpResponder aResponder);
+  /// \returns What the answer to a call asks of this instance's link.
+  [[nodiscard]] LinkDemand LinkDemandOf(TimePoint aNow,
+                                        const CallPlan& aPlan,
+                                        const RouteStatistics& aStatistics)
+    const;
+  /// \brief Refuses a call at once whose answer cannot pass this instance's
+  /// link in time, and books the link otherwise.
+  /// \returns Until there is room; nothing if the call is accepted.
+  [[nodiscard]] std::optional<std::chrono::milliseconds> BookLink(
+    TimePoint aNow,
+    bool aIsFromThisInstance,
+    const LinkDemand& aDemand,
+    CallPlan& aPlan,
+    PendingCall& aCall);
+  void RefuseForLink(PendingCall& aCall,
+                     std::chrono::milliseconds aRetryAfter);
+  /// \brief Books the link in for the answer to an attempt at another instance.
+  void BookLinkIn(PendingCall& aCall, const std::string& aSlot);
   [[nodiscard]] std::string SelectService(const Route& aRoute);
   [[nodiscard]] RouteStatistics& StatisticsOf(const std::string& aKey);
-  void Execute(const DispatchActions& aActions);
+  void Execute(DispatchActions aActions);
   void Execute(const SendAttempt& aAttempt);
   void Execute(const SendCancel& aCancel);
-  void Execute(const FinishCall& aFinish);
+  void Execute(FinishCall& aFinish);
   void OnServerFrame(LinkConnection& aConnection, LinkFrame aFrame);
   void OnPoolFrame(LinkFrame aFrame);
   void Deliver(CallKey aKey, CallAnswer aAnswer);
@@ -197,6 +230,9 @@
   Random m_random;
   Dispatcher m_dispatcher;
   LinkPacer m_pacer;
+  LinkBooking m_linkOut;
+  LinkBooking m_linkIn;
+  AnswerSizes m_answerSizes;
   RunService m_runService;
   LinkServer m_server;
   LinkPool m_pool;
--- a/include/greengagehub/daemon/request_log.hpp
+++ b/include/greengagehub/daemon/request_log.hpp
@@ -73,6 +73,10 @@
     std::uint32_t m_queued{ 0 };
     std::uint32_t m_slots{ 0 };
     std::chrono::microseconds m_wait{ 0 };
+    /// Booked on the link of this instance.
+    std::size_t m_linkBytes{ 0 };
+    /// Until an answer would have left the link, from the end of its run.
+    std::chrono::microseconds m_linkWait{ 0 };
     /// Requests per second that the worker states; empty: not limited.
     std::optional<double> m_rateLimit{};
   };
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "greengagehub/calls/answer_sizes.hpp"
+#include "greengagehub/calls/link_booking.hpp"
 #include "greengagehub/calls/retry_budget.hpp"
 #include "greengagehub/calls/run_table.hpp"
 #include "greengagehub/calls/worker_presence.hpp"
@@ -55,8 +55,13 @@
     /// delivered, and where no heartbeats are sent, when another one has taken
     /// its place.
     std::function<void(bool aIsLeaving)> m_onLeaving{};
-    /// nullptr: the network link of this machine is not paced.
+    /// nullptr: the network link of this instance is not paced or booked.
     const LinkPacer* m_pacer{ nullptr };
+    /// Bookings of the link out.
+    LinkBooking* m_linkOut{ nullptr };
+    /// Process number of this daemon, whose own calls' answers leave by its
+    /// HTTP server.
+    std::uint64_t m_process{ 0 };
   };
 
   explicit RunService(Dependencies aDependencies);
@@ -113,6 +118,9 @@
     TraceContext m_span;
     /// Value of m_workerStarts when the request was sent.
     std::uint32_t m_workerStart{ 0 };
+    /// Of the connection that the request came by.
+    std::uint64_t m_epoch{ 0 };
+    LinkReservation m_linkOut{};
   };
   /// An answer that can be delivered again after a lost connection.
   struct KeptAnswer
@@ -122,16 +130,24 @@
     TimePoint m_finishedAt;
   };
 
-  /// \returns Time until the answer of another run of this kind would be sent,
-  /// after the backlog of the link and the answers of all active runs.
-  [[nodiscard]] Duration AnswerSendTime(TimePoint aNow, CallKind aKind) const;
-  /// \returns Whether a large answer would be sent after the target time, or
-  /// after the deadline if the target time has passed.
-  [[nodiscard]] bool IsLinkTooBusy(TimePoint aNow,
-                                   const CallRequest& aRequest) const;
-  void RefuseForBusyLink(TimePoint aNow,
-                         CallKey aKey,
-                         const CallRequest& aRequest);
+  /// \returns Whether the answer leaves by a link to another daemon whose
+  /// bookings are kept.
+  [[nodiscard]] bool UsesLink(CallKey aKey) const noexcept
+  {
+    return m_deps.m_linkOut != nullptr && aKey.m_process != m_deps.m_process;
+  }
+  [[nodiscard]] LinkDemand LinkDemandOf(TimePoint aNow,
+                                        const CallRequest& aRequest) const;
+  [[nodiscard]] Duration LinkBacklog(TimePoint aNow) const noexcept;
+  /// \returns Time from the end of a run until another such answer would have
+  /// left the link.
+  [[nodiscard]] Duration LinkWaitOf(TimePoint aNow,
+                                    const CallRequest& aRequest) const;
+  /// \brief Refuses a run whose answer the link has no room for in time.
+  /// \returns Whether it was refused.
+  [[nodiscard]] bool RefuseForBusyLink(TimePoint aNow,
+                                       CallKey aKey,
+                                       const CallRequest& aRequest);
   struct Refusal
   {
     RefusalReason m_reason{ RefusalReason::None };
--- a/include/greengagehub/http/http_message.hpp
+++ b/include/greengagehub/http/http_message.hpp
@@ -40,6 +40,9 @@
   std::string m_body;
   /// Connection id, as passed to the server's ClosedHandler.
   std::uint64_t m_connection{ 0 };
+  /// Whether the client is on this instance, so that the answer does not cross
+  /// its network link.
+  bool m_isFromThisInstance{ false };
   bool m_isFirstOnConnection{ true };
 };
 
--- a/include/greengagehub/http/http_server.hpp
+++ b/include/greengagehub/http/http_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "greengagehub/core/link_pacer.hpp"
 #include "greengagehub/core/outcome.hpp"
 #include "greengagehub/http/http_message.hpp"
 
@@ -81,6 +82,8 @@
 
   /// \returns The port, or ErrorCode::Io.
   [[nodiscard]] Outcome<std::uint16_t> Open();
+  /// \brief Counts and paces answers to clients on other instances.
+  void UsePacer(LinkPacer& aPacer) noexcept;
   /// \brief Changes the limits, also for open connections.
   void SetLimits(HttpServerLimits aLimits);
   /// \brief Stops accepting connections; each open one closes after its next
--- a/include/greengagehub/settings/settings.hpp
+++ b/include/greengagehub/settings/settings.hpp
@@ -60,6 +60,8 @@
   std::chrono::microseconds m_spin{ 0 };
   /// Maximum share of a processor used for polling.
   std::uint32_t m_spinPercent{ 5 };
+  /// Whether large answers are booked on a link of known bandwidth.
+  bool m_booksLinks{ true };
 };
 
 /// \brief Limits set by the platform that hosts the fleet. Without a platform,
--- a/include/greengagehub/transport/link_connection.hpp
+++ b/include/greengagehub/transport/link_connection.hpp
@@ -57,7 +57,7 @@
 
   void Start(FrameHandler aOnFrame, ClosedHandler aOnClosed);
   /// \brief Queues a frame; does nothing after a close.
-  void Send(const LinkFrame& aFrame);
+  void Send(LinkFrame aFrame);
   /// \brief Marks the peer as being in another failure domain: later frames
   /// are counted as cross-domain traffic and their heads are compressed.
   void SetCrossesDomains();
@@ -77,6 +77,7 @@
   void Write();
   /// \brief Encodes the next large frame when the pacer allows it.
   void ScheduleLargeFrame();
+  void EncodeLargeFrame();
   /// \brief Writes the next part of m_writeBuffer; all of it without a pacer.
   void WritePart();
   void OnPartWritten(std::size_t aSize);
@@ -96,15 +97,26 @@
   std::unique_ptr<LinkDeflater> m_deflater;
   std::unique_ptr<LinkInflater> m_inflater;
   std::string m_encoded;
+  /// Bytes of m_encoded for which link time is reserved.
+  std::size_t m_reservedBytes{ 0 };
+  struct LargeFrame
+  {
+    LinkFrame m_frame;
+    LinkTurn m_turn;
+  };
   /// Large frames not yet encoded; small frames overtake them.
-  std::deque<LinkFrame> m_largeFrames;
+  std::deque<LargeFrame> m_largeFrames;
+  /// Turn of the large frame that is encoded.
+  LinkTurn m_turn;
   std::string m_writeBuffer;
   /// Bytes of m_writeBuffer already written.
   std::size_t m_written{ 0 };
-  /// The first large frame waits for m_pacingTimer.
+  /// The first large frame waits for m_turnTimer.
   bool m_isLargeScheduled{ false };
   LinkPacer* m_pacer;
-  asio::steady_timer m_pacingTimer;
+  asio::steady_timer m_turnTimer;
+  /// Pause between two parts of m_writeBuffer.
+  asio::steady_timer m_partTimer;
   TimePoint m_lastReceived{};
   std::uint64_t m_bytesSent{ 0 };
   bool m_isOpen{ true };
--- a/src/calls/link_booking.cpp
+++ b/src/calls/link_booking.cpp
@@ -124,8 +124,15 @@
   for (const auto& [id, share] : m_shares) {
     weights += share.m_weight;
   }
+  double variance = aDemand.m_size.m_deviation * aDemand.m_size.m_deviation;
+  for (const auto& [id, entry] : m_entries) {
+    variance += entry.m_size.m_deviation * entry.m_size.m_deviation;
+  }
+  // What can leave in time for certain, also if the link is idle until then.
   const double room =
-    m_bytesPerSecond * std::chrono::duration<double>(aLimit).count();
+    m_bytesPerSecond *
+      std::chrono::duration<double>(aLimit - aDemand.m_readyIn).count() -
+    kSpreadMargin * std::sqrt(variance);
   const double held =
     m_bookedBytes +
     m_bytesPerSecond * std::chrono::duration<double>(aBacklog).count();
@@ -219,7 +226,7 @@
                       LinkReservation aReservation,
                       std::size_t aBytes)
 {
-  if (aReservation.m_booking != this) {
+  if (aReservation.m_booking != this || aBytes <= kMinBytes) {
     return;
   }
   const WorkspaceId workspace = m_entries.at(aReservation.m_id).m_workspace;
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -12,6 +12,8 @@
 
 /// Weight of one answer in RouteStatistics::m_meanAnswerBytes.
 constexpr double kAnswerSizeWeight = 0.05;
+/// Divisor of one answer in RouteStatistics::m_meanAnswerTime.
+constexpr int kAnswerTimeDivisor = 20;
 
 LinkHello
 MakeHello(const Settings& aSettings, std::uint64_t aProcess)
@@ -36,6 +38,8 @@
   , m_random(aSeed)
   , m_dispatcher(m_random())
   , m_pacer(m_deps.m_settings.m_linkMbps)
+  , m_linkOut(m_deps.m_settings.m_calls.m_booksLinks ? m_pacer.Rate() : 0.0)
+  , m_linkIn(m_deps.m_settings.m_calls.m_booksLinks ? m_pacer.Rate() : 0.0)
   , m_runService({ .m_loop = m_deps.m_loop,
                    .m_settings = m_deps.m_settings,
                    .m_dialect = m_deps.m_dialect,
@@ -63,7 +67,9 @@
                          aNow, m_deps.m_settings.m_service);
                      },
                    .m_onLeaving = m_deps.m_onWorkerLeaving,
-                   .m_pacer = &m_pacer })
+                   .m_pacer = &m_pacer,
+                   .m_linkOut = &m_linkOut,
+                   .m_process = m_deps.m_process })
   , m_server(m_deps.m_loop,
              m_deps.m_settings.m_listen.m_host,
              m_deps.m_settings.m_listen.m_linkPort,
@@ -154,6 +160,8 @@
 {
   m_server.UsePacer(m_pacer);
   m_pool.UsePacer(m_pacer);
+  m_http.UsePacer(m_pacer);
+  m_dispatcher.Routing().m_ownSlot = m_deps.m_settings.m_slot;
   m_dispatcher.SetDecisions(m_deps.m_settings.m_runs.m_decisions);
   m_dispatcher.SetQuarantine(m_deps.m_quarantine.Table());
   m_dispatcher.SetRollouts(m_deps.m_rollouts.Table());
@@ -166,10 +174,10 @@
 }
 
 void
-CallGateway::Execute(const DispatchActions& aActions)
+CallGateway::Execute(DispatchActions aActions)
 {
-  for (const DispatchAction& each : aActions) {
-    std::visit([this](const auto& aAction) { Execute(aAction); }, each);
+  for (DispatchAction& each : aActions) {
+    std::visit([this](auto& aAction) { Execute(aAction); }, each);
   }
   ArmTimer();
 }
@@ -190,6 +198,7 @@
                                   pending.m_attempts,
                                   aAttempt.m_timeLeft);
   }
+  BookLinkIn(pending, aAttempt.m_slot);
   CallRequest request = pending.m_request;
   request.m_call = aAttempt.m_attempt;
   request.m_timeLeft = aAttempt.m_timeLeft;
@@ -225,7 +234,7 @@
 }
 
 void
-CallGateway::Execute(const FinishCall& aFinish)
+CallGateway::Execute(FinishCall& aFinish)
 {
   const auto found = m_pending.find(aFinish.m_call);
   if (found == m_pending.end()) {
@@ -238,15 +247,21 @@
       connection->second == aFinish.m_call) {
     m_latestCallByConnection.erase(connection);
   }
-  CallAnswer answer = aFinish.m_answer;
+  CallAnswer answer = std::move(aFinish.m_answer);
   if (answer.m_outcome == CallOutcome::Answered) {
+    m_answerSizes.Record(call.m_request.m_kind,
+                         answer.m_response.m_body.size());
     RouteStatistics& statistics = StatisticsOf(call.m_routeKey);
+    statistics.m_meanAnswerTime +=
+      (Clock::now() - call.m_receivedAt - statistics.m_meanAnswerTime) /
+      kAnswerTimeDivisor;
     statistics.m_meanAnswerBytes +=
       kAnswerSizeWeight *
       (static_cast<double>(answer.m_response.m_body.size()) -
        statistics.m_meanAnswerBytes);
   }
-  answer.m_retryAfter = WithJitter(answer.m_retryAfter);
+  const auto retryAfter = answer.m_retryAfter;
+  answer.m_retryAfter = WithJitter(retryAfter);
   m_deps.m_metrics.CountCall(NameOf(answer.m_outcome), NameOf(answer.m_reason));
   m_deps.m_metrics.ObserveLatency(
     std::chrono::duration<double>(Clock::now() - call.m_receivedAt).count());
@@ -257,7 +272,7 @@
       now,
       call.m_id,
       CallFingerprint(m_deps.m_dialect, call.m_request),
-      aFinish.m_answer.m_retryAfter);
+      retryAfter);
   }
   m_deps.m_requestLog.OnFinished(now,
                                  { .m_id = call.m_id,
@@ -269,7 +284,11 @@
                                    .m_attempts = call.m_attempts,
                                    .m_duration = now - call.m_receivedAt,
                                    .m_version = call.m_config->m_version });
-  call.m_responder.Answer(ResponseFor(m_deps.m_dialect, answer), m_draining);
+  const std::size_t bytes = answer.m_response.m_body.size();
+  call.m_responder.Answer(ResponseFor(m_deps.m_dialect, std::move(answer)),
+                          m_draining);
+  m_linkOut.HandOver(
+    now, m_pacer.Backlog(now), std::move(call.m_linkOut), bytes);
 }
 
 std::chrono::milliseconds
--- a/src/daemon/call_gateway_callers.cpp
+++ b/src/daemon/call_gateway_callers.cpp
@@ -313,6 +313,12 @@
   request.m_class = plan.m_class;
   request.m_idempotent = plan.m_idempotent;
   plan.m_fingerprint = CallFingerprint(m_deps.m_dialect, request);
+  const LinkDemand demand = LinkDemandOf(now, plan, statistics);
+  if (const auto retryAfter = BookLink(
+        now, aRequest.m_isFromThisInstance, demand, plan, call)) {
+    RefuseForLink(call, *retryAfter);
+    return;
+  }
 
   const std::uint64_t id = ++m_lastCall;
   m_latestCallByConnection[call.m_connection] = id;
--- a/src/daemon/request_log.cpp
+++ b/src/daemon/request_log.cpp
@@ -98,6 +98,8 @@
                { "queued", std::uint64_t{ aState.m_queued } },
                { "slots", std::uint64_t{ aState.m_slots } },
                { "wait_us", aState.m_wait.count() },
+               { "link_bytes", std::uint64_t{ aState.m_linkBytes } },
+               { "link_wait_us", aState.m_linkWait.count() },
                { "limited", aState.m_rateLimit.has_value() },
                { "per_second", aState.m_rateLimit.value_or(0.0) } });
 }
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -86,8 +86,7 @@
     Deliver(aKey, aRequest, Refuse(aKey.m_call, CallOutcome::NotRun, reason));
     return;
   }
-  if (IsLinkTooBusy(now, aRequest)) {
-    RefuseForBusyLink(now, aKey, aRequest);
+  if (RefuseForBusyLink(now, aKey, aRequest)) {
     return;
   }
   m_runCounter.Arrived();
@@ -120,6 +119,11 @@
     ActiveRun run;
     run.m_deadline = now + aRequest.m_timeLeft;
     run.m_fingerprint = fingerprint;
+    run.m_epoch = aEpoch;
+    if (UsesLink(aKey)) {
+      run.m_linkOut =
+        m_deps.m_linkOut->Book(now, LinkDemandOf(now, aRequest));
+    }
     run.m_request = std::move(aRequest);
     m_activeRuns.emplace(aKey, std::move(run));
   }
@@ -253,7 +257,7 @@
 RunService::FinishRun(CallKey aKey, CallAnswer aAnswer)
 {
   const auto found = m_activeRuns.find(aKey);
-  const ActiveRun run = std::move(found->second);
+  ActiveRun run = std::move(found->second);
   m_activeRuns.erase(found);
   m_deps.m_metrics.CountRun(NameOf(aAnswer.m_outcome));
   RecordSpan(run, aAnswer);
@@ -278,7 +282,13 @@
   if (!run.m_request.m_idempotent) {
     KeepAnswer(aKey, aAnswer);
   }
+  const std::size_t bytes = aAnswer.m_response.m_body.size();
   Deliver(aKey, run.m_request, std::move(aAnswer));
+  if (UsesLink(aKey)) {
+    const TimePoint now = Clock::now();
+    m_deps.m_linkOut->HandOver(
+      now, LinkBacklog(now), std::move(run.m_linkOut), bytes);
+  }
 }
 
 void
@@ -309,6 +319,8 @@
     duration_cast<microseconds>(m_runs.ServiceTime(Clock::now(), kind));
   aAnswer.m_wait = duration_cast<microseconds>(
     m_runs.ExpectedWaitOfKind(Clock::now(), aRequest.m_priority, kind));
+  aAnswer.m_linkWait =
+    duration_cast<microseconds>(LinkWaitOf(Clock::now(), aRequest));
   aAnswer.m_statement = Statement();
   m_deps.m_deliver(aKey, std::move(aAnswer));
 }
@@ -383,6 +395,11 @@
 RunService::OnEpoch(std::uint64_t aProcess, std::uint64_t aEpoch)
 {
   m_runs.CloseEpochs(Clock::now(), aProcess, aEpoch);
+  std::erase_if(m_activeRuns, [&](const auto& aEach) {
+    const ActiveRun& run = aEach.second;
+    return aEach.first.m_process == aProcess && run.m_ticket == 0 &&
+           run.m_epoch < aEpoch;
+  });
 }
 
 void
@@ -407,6 +424,11 @@
            .m_wait = std::chrono::duration_cast<std::chrono::microseconds>(
              m_runs.ExpectedWaitOfKind(
                Clock::now(), aRequest.m_priority, aRequest.m_kind)),
+           .m_linkBytes = m_deps.m_linkOut != nullptr
+                            ? m_deps.m_linkOut->BookedBytes()
+                            : 0,
+           .m_linkWait = std::chrono::duration_cast<std::chrono::microseconds>(
+             LinkWaitOf(Clock::now(), aRequest)),
            .m_rateLimit = m_runs.Limiter().Limit() };
 }
 
--- a/src/daemon/run_service_link.cpp
+++ b/src/daemon/run_service_link.cpp
@@ -1,50 +1,60 @@
 #include "greengagehub/daemon/run_service.hpp"
 
-// Admission of runs with large answers to the network link of this machine.
+// Admission of runs with large answers to the network link of this instance.
 
 namespace greengagehub {
 
+LinkDemand
+RunService::LinkDemandOf(TimePoint aNow, const CallRequest& aRequest) const
+{
+  const CallKind kind = aRequest.m_kind;
+  const AnswerSize known = m_answerSizes.SizeOf(kind);
+  const auto& transfer = aRequest.m_answerTransfer;
+  return { .m_size = known.m_mean > 0.0 ? known : aRequest.m_answerSize,
+           .m_readyIn =
+             m_runs.ServiceTime(aNow, kind) +
+             m_runs.ExpectedWaitOfKind(aNow, aRequest.m_priority, kind),
+           .m_targetLeft = aRequest.m_targetLeft - transfer,
+           .m_deadlineLeft = aRequest.m_timeLeft - transfer,
+           .m_target = kind.m_target };
+}
+
 Duration
-RunService::AnswerSendTime(TimePoint aNow, CallKind aKind) const
+RunService::LinkBacklog(TimePoint aNow) const noexcept
 {
-  std::size_t bytes = m_answerSizes.MeanSize(aKind);
-  for (const auto& [key, run] : m_activeRuns) {
-    bytes += m_answerSizes.MeanSize(run.m_request.m_kind);
-  }
-  return m_deps.m_pacer->Backlog(aNow) +
-         m_deps.m_pacer->TransmissionTime(bytes);
+  return m_deps.m_pacer != nullptr ? m_deps.m_pacer->Backlog(aNow)
+                                   : Duration::zero();
 }
 
-bool
-RunService::IsLinkTooBusy(TimePoint aNow, const CallRequest& aRequest) const
+Duration
+RunService::LinkWaitOf(TimePoint aNow, const CallRequest& aRequest) const
 {
-  if (m_deps.m_pacer == nullptr ||
-      m_answerSizes.MeanSize(aRequest.m_kind) <= LinkPacer::kPartBytes) {
-    return false;
+  if (m_deps.m_linkOut == nullptr) {
+    return Duration::zero();
   }
-  const bool isBeforeTarget = aRequest.m_targetLeft.count() > 0;
-  return AnswerSendTime(aNow, aRequest.m_kind) >
-         (isBeforeTarget ? aRequest.m_targetLeft : aRequest.m_timeLeft);
+  return m_deps.m_linkOut->WaitOf(
+    aNow, LinkBacklog(aNow), LinkDemandOf(aNow, aRequest));
 }
 
-void
+bool
 RunService::RefuseForBusyLink(TimePoint aNow,
                               CallKey aKey,
                               const CallRequest& aRequest)
 {
-  const auto reason = RefusalReason::Overloaded;
-  // By then half of the data before the answer has been sent.
-  const auto retryAfter = std::chrono::ceil<std::chrono::milliseconds>(
-    AnswerSendTime(aNow, aRequest.m_kind) / 2);
-  m_deps.m_requestLog.OnRunRefused(aNow,
-                                   RequestIdOf(aRequest),
-                                   reason,
-                                   aRequest.m_timeLeft,
-                                   WorkerStateFor(aRequest));
-  m_deps.m_metrics.CountRun(NameOf(reason));
-  Deliver(aKey,
-          aRequest,
-          Refuse(aKey.m_call, CallOutcome::NotRun, reason, retryAfter));
+  if (!UsesLink(aKey)) {
+    return false;
+  }
+  const LinkDecision decision = m_deps.m_linkOut->Check(
+    aNow, LinkBacklog(aNow), LinkDemandOf(aNow, aRequest));
+  if (decision.IsAccepted()) {
+    return false;
+  }
+  RefuseRun(aNow,
+            aKey,
+            aRequest,
+            {},
+            { RefusalReason::LinkBusy, decision.m_retryAfter });
+  return true;
 }
 
 }
--- /dev/null
+++ b/src/http/http_connection.hpp
@@ -0,0 +1,360 @@
+#pragma once
+
+#include "greengagehub/http/http_server.hpp"
+
+#include "message_parser.hpp"
+#include "message_text.hpp"
+#include "paced_writer.hpp"
+
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <boost/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <map>
+
+namespace greengagehub {
+
+inline constexpr std::size_t kHttpReadBytes = 8UL * 1024;
+/// Limit of pipelined bytes buffered per connection.
+inline constexpr std::size_t kMaxHttpReadAhead = 64UL * 1024;
+/// Time to read and discard input after the last answer: closing with unread
+/// bytes would reset the connection, and the client could lose the answer.
+inline constexpr auto kHttpLingerTime = std::chrono::milliseconds{ 1000 };
+inline constexpr auto kHttpWriteTimeout = std::chrono::seconds{ 60 };
+
+// Connections of an HTTP server.
+
+struct HttpServer::Impl
+{
+  class Connection;
+  using Pointer = boost::intrusive_ptr<Connection>;
+
+  explicit Impl(asio::io_context& aLoop)
+    : m_loop(aLoop)
+    , m_acceptor(aLoop)
+    , m_timeoutTimer(aLoop)
+  {
+  }
+
+  void Accept();
+  /// Accepts the connections in the listen queue without waiting for more.
+  void AcceptPending();
+  void AddConnection(asio::ip::tcp::socket aSocket);
+  void CheckTimeouts();
+
+  asio::io_context& m_loop;
+  HttpServerSettings m_settings;
+  LinkPacer* m_pacer{ nullptr };
+  Handler m_handler;
+  ClosedHandler m_closed;
+  asio::ip::tcp::acceptor m_acceptor;
+  asio::steady_timer m_timeoutTimer;
+  std::map<std::uint64_t, Pointer> m_connections;
+  std::uint64_t m_lastConnection{ 0 };
+  std::uint16_t m_port{ 0 };
+  bool m_isStopped{ false };
+};
+
+class HttpServer::Impl::Connection
+  : public boost::intrusive_ref_counter<Connection,
+                                        boost::thread_unsafe_counter>
+{
+public:
+  Connection(Impl& aServer, asio::ip::tcp::socket aSocket, std::uint64_t aId)
+    : m_server(&aServer)
+    , m_socket(std::move(aSocket))
+    , m_writer(m_socket)
+    , m_id(aId)
+    , m_stateSince(Clock::now())
+  {
+  }
+
+  void Start()
+  {
+    asio::error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay{ true }, ignored);
+    m_isFromThisInstance = m_socket.remote_endpoint(ignored).address() ==
+                           m_socket.local_endpoint(ignored).address();
+    Read();
+  }
+
+  /// Closes the socket; handlers that complete later do nothing.
+  void Detach()
+  {
+    m_server = nullptr;
+    asio::error_code ignored;
+    m_writer.Cancel();
+    m_socket.close(ignored);
+  }
+
+  void CheckTimeout(TimePoint aNow)
+  {
+    const HttpServerLimits& limits = m_server->m_settings.m_limits;
+    const auto age = aNow - m_stateSince;
+    switch (m_state) {
+      case State::Idle:
+        if (m_closesAfterAnswer || age > limits.m_idleTimeout) {
+          Close();
+        }
+        return;
+      case State::Receiving:
+        // A body has the idle timeout in addition to the head timeout.
+        if (!m_parser.HasHead() && age > limits.m_headTimeout) {
+          constexpr std::uint16_t kRequestTimeout = 408;
+          Refuse(kRequestTimeout);
+        } else if (age > limits.m_headTimeout + limits.m_idleTimeout) {
+          Close();
+        }
+        return;
+      case State::Handling:
+        if (age > m_server->m_settings.m_handlerTimeout) {
+          Close();
+        }
+        return;
+      case State::Answering:
+        if (age > kHttpWriteTimeout) {
+          Close();
+        }
+        return;
+      case State::Lingering:
+        if (age > kHttpLingerTime) {
+          Close();
+        }
+        return;
+    }
+  }
+
+  [[nodiscard]] bool IsBusy() const noexcept
+  {
+    return m_state == State::Receiving || m_state == State::Handling ||
+           m_state == State::Answering;
+  }
+
+  /// Closes the connection after the current request, or at the next timeout
+  /// check if it is idle and no unread request has arrived by then.
+  void Finish() { m_closesAfterAnswer = true; }
+
+  void Answer(std::uint64_t aRequest,
+              const HttpResponse& aResponse,
+              bool aClose)
+  {
+    if (m_server == nullptr || m_state != State::Handling ||
+        aRequest != m_requests) {
+      return;
+    }
+    m_closesAfterAnswer = m_closesAfterAnswer || aClose;
+    Write(ResponseText(aResponse, m_isHeadRequest, m_closesAfterAnswer));
+  }
+
+private:
+  enum class State : std::uint8_t
+  {
+    Idle,
+    Receiving,
+    Handling,
+    Answering,
+    /// The last answer was sent; further input is discarded.
+    Lingering,
+  };
+
+  void SetState(State aState)
+  {
+    m_state = aState;
+    m_stateSince = Clock::now();
+  }
+
+  void Read()
+  {
+    if (m_isReading || m_unparsed.size() >= kMaxHttpReadAhead) {
+      return;
+    }
+    m_isReading = true;
+    m_socket.async_read_some(
+      asio::buffer(m_buffer),
+      [self = Pointer{ this }](const asio::error_code& aError,
+                               std::size_t aSize) {
+        self->m_isReading = false;
+        if (self->m_server == nullptr) {
+          return;
+        }
+        if (aError) {
+          self->Close();
+          return;
+        }
+        self->OnBytes({ self->m_buffer.data(), aSize });
+      });
+  }
+
+  void OnBytes(std::string_view aBytes)
+  {
+    if (m_state != State::Lingering) {
+      m_unparsed.append(aBytes);
+      Parse();
+    }
+    if (m_server != nullptr) {
+      Read();
+    }
+  }
+
+  void Parse()
+  {
+    while (!m_unparsed.empty() &&
+           (m_state == State::Idle || m_state == State::Receiving)) {
+      if (m_state == State::Idle) {
+        const HttpServerLimits& limits = m_server->m_settings.m_limits;
+        m_parser.Reset();
+        m_parser.SetLimits({ limits.m_maxHeadBytes, limits.m_maxBodyBytes });
+        m_hasSentContinue = false;
+        SetState(State::Receiving);
+      }
+      std::size_t consumed = 0;
+      const auto status = m_parser.Feed(m_unparsed, consumed);
+      m_unparsed.erase(0, consumed);
+      if (!OnParsed(status)) {
+        return;
+      }
+    }
+  }
+
+  /// \returns Whether to continue parsing the received bytes.
+  bool OnParsed(MessageParser::Status aStatus)
+  {
+    constexpr std::uint16_t kBadRequest = 400;
+    constexpr std::uint16_t kBodyTooLarge = 413;
+    constexpr std::uint16_t kHeadTooLarge = 431;
+    switch (aStatus) {
+      case MessageParser::Status::NeedsMore:
+        SendContinueIfExpected();
+        return false;
+      case MessageParser::Status::Complete:
+        DispatchRequest();
+        return true;
+      case MessageParser::Status::HeadTooLarge:
+        Refuse(kHeadTooLarge);
+        return false;
+      case MessageParser::Status::BodyTooLarge:
+        Refuse(kBodyTooLarge);
+        return false;
+      case MessageParser::Status::Malformed:
+        Refuse(kBadRequest);
+        return false;
+    }
+    return false;
+  }
+
+  void SendContinueIfExpected()
+  {
+    const bool isExpected =
+      m_parser.HasHead() && !m_hasSentContinue &&
+      SameHeader(HeaderValue(m_parser.Headers(), "expect"), "100-continue");
+    if (!isExpected) {
+      return;
+    }
+    m_hasSentContinue = true;
+    asio::error_code ignored;
+    asio::write(
+      m_socket,
+      asio::buffer(std::string_view{ "HTTP/1.1 100 Continue\r\n\r\n" }),
+      ignored);
+  }
+
+  void DispatchRequest()
+  {
+    SetState(State::Handling);
+    ++m_requests;
+    HttpRequest request;
+    request.m_method = m_parser.Method();
+    request.m_target = std::move(m_parser.Target());
+    request.m_headers = std::move(m_parser.Headers());
+    request.m_body = std::move(m_parser.Body());
+    request.m_connection = m_id;
+    request.m_isFirstOnConnection = m_requests == 1;
+    request.m_isFromThisInstance = m_isFromThisInstance;
+    m_isHeadRequest = request.m_method == "HEAD";
+    m_closesAfterAnswer = !m_parser.KeepsAlive() || m_server->m_isStopped;
+    m_server->m_handler(
+      std::move(request),
+      HttpResponder{ [self = Pointer{ this }, number = m_requests](
+                       HttpResponse aResponse, bool aClose) {
+        self->Answer(number, aResponse, aClose);
+      } });
+  }
+
+  void Refuse(std::uint16_t aStatus)
+  {
+    m_closesAfterAnswer = true;
+    m_unparsed.clear();
+    Write(ResponseText({ aStatus }, false, true));
+  }
+
+  void Write(std::string aText)
+  {
+    SetState(State::Answering);
+    LinkPacer* pacer = m_isFromThisInstance ? nullptr : m_server->m_pacer;
+    m_writer.Write(
+      pacer,
+      std::move(aText),
+      [self = Pointer{ this }](const asio::error_code& aError) {
+        if (self->m_server == nullptr) {
+          return;
+        }
+        if (aError) {
+          self->Close();
+          return;
+        }
+        self->OnWritten();
+      });
+  }
+
+  void OnWritten()
+  {
+    if (m_closesAfterAnswer) {
+      asio::error_code ignored;
+      m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+      SetState(State::Lingering);
+      m_unparsed.clear();
+      Read();
+      return;
+    }
+    SetState(State::Idle);
+    Parse();
+    if (m_server != nullptr) {
+      Read();
+    }
+  }
+
+  void Close()
+  {
+    if (m_server == nullptr) {
+      return;
+    }
+    Impl& server = *m_server;
+    const bool wasHandling = m_state == State::Handling;
+    const Pointer self{ this };
+    Detach();
+    server.m_connections.erase(m_id);
+    if (wasHandling && server.m_closed) {
+      server.m_closed(m_id);
+    }
+  }
+
+  Impl* m_server;
+  asio::ip::tcp::socket m_socket;
+  PacedWriter m_writer;
+  std::uint64_t m_id;
+  TimePoint m_stateSince;
+  MessageParser m_parser{ MessageParser::Side::Requests };
+  std::array<char, kHttpReadBytes> m_buffer{};
+  std::string m_unparsed;
+  std::uint64_t m_requests{ 0 };
+  State m_state{ State::Idle };
+  bool m_isReading{ false };
+  bool m_isFromThisInstance{ false };
+  bool m_isHeadRequest{ false };
+  bool m_closesAfterAnswer{ false };
+  bool m_hasSentContinue{ false };
+};
+
+}
--- /dev/null
+++ b/src/http/paced_writer.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "greengagehub/core/link_pacer.hpp"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <string>
+
+namespace greengagehub {
+
+/// \brief Writes messages to a socket, large ones in their turn on the link and
+/// in parts. The owner must keep it alive until the handler is called.
+class PacedWriter
+{
+public:
+  using Handler = std::function<void(const asio::error_code&)>;
+
+  explicit PacedWriter(asio::ip::tcp::socket& aSocket)
+    : m_socket(aSocket)
+    , m_timer(aSocket.get_executor())
+  {
+  }
+
+  /// \param aPacer nullptr: the message does not cross the link.
+  void Write(LinkPacer* aPacer, std::string aText, Handler aDone);
+  /// \brief Ends a wait, with an error, and returns its time on the link.
+  void Cancel()
+  {
+    m_timer.cancel();
+    m_turn = {};
+  }
+
+private:
+  void WriteAll(Handler aDone);
+  void WaitAndWritePart(Duration aDelay, Handler aDone);
+  void WritePart(Handler aDone);
+  void OnPartWritten(std::size_t aSize, Handler aDone);
+  /// \brief Frees the message and calls the handler.
+  void Finish(const asio::error_code& aError, const Handler& aDone);
+
+  asio::ip::tcp::socket& m_socket;
+  asio::steady_timer m_timer;
+  LinkPacer* m_pacer{ nullptr };
+  LinkTurn m_turn;
+  std::string m_text;
+  std::size_t m_written{ 0 };
+};
+
+}
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -277,6 +277,7 @@
     reader.Count("spin_us", spin, 0, 10'000);
     calls.m_spin = std::chrono::microseconds{ spin };
     reader.Count("spin_percent", calls.m_spinPercent, 0, 100);
+    reader.Flag("books_links", calls.m_booksLinks);
     reader.ReportUnknownKeys();
   }
 
--- a/src/transport/link_connection.cpp
+++ b/src/transport/link_connection.cpp
@@ -39,7 +39,8 @@
   : m_socket(std::move(aSocket))
   , m_meter(aMeter)
   , m_pacer(aPacer)
-  , m_pacingTimer(m_socket.get_executor())
+  , m_turnTimer(m_socket.get_executor())
+  , m_partTimer(m_socket.get_executor())
 {
 }
 
@@ -136,13 +137,15 @@
 }
 
 void
-LinkConnection::Send(const LinkFrame& aFrame)
+LinkConnection::Send(LinkFrame aFrame)
 {
   if (!m_isOpen) {
     return;
   }
-  if (m_pacer != nullptr && BodySizeOf(aFrame) > LinkPacer::kPartBytes) {
-    m_largeFrames.push_back(aFrame);
+  const std::size_t bodySize = BodySizeOf(aFrame);
+  if (m_pacer != nullptr && bodySize > LinkPacer::kPartBytes) {
+    m_largeFrames.push_back(
+      { std::move(aFrame), LinkTurn{ m_pacer, bodySize } });
   } else {
     Encode(aFrame);
   }
@@ -159,8 +162,10 @@
     return;
   }
   if (m_pacer != nullptr) {
-    static_cast<void>(m_pacer->Reserve(Clock::now(), m_encoded.size()));
+    static_cast<void>(
+      m_pacer->Reserve(Clock::now(), m_encoded.size() - m_reservedBytes));
   }
+  m_reservedBytes = 0;
   m_writeBuffer.swap(m_encoded);
   m_written = 0;
   WritePart();
@@ -173,25 +178,32 @@
     return;
   }
   m_isLargeScheduled = true;
-  m_pacingTimer.expires_after(
-    m_pacer->Reserve(Clock::now(), BodySizeOf(m_largeFrames.front())));
-  m_pacingTimer.async_wait(
+  m_turnTimer.expires_after(
+    m_largeFrames.front().m_turn.Reserve(Clock::now()));
+  m_turnTimer.async_wait(
     [self = Pointer{ this }](const asio::error_code& aError) {
       self->m_isLargeScheduled = false;
       if (aError || !self->m_isOpen) {
         return;
       }
-      // Append it after frames that were encoded during the wait.
-      self->Encode(self->m_largeFrames.front());
-      self->m_largeFrames.pop_front();
+      self->EncodeLargeFrame();
       if (self->m_writeBuffer.empty()) {
-        self->m_writeBuffer.swap(self->m_encoded);
-        self->m_written = 0;
-        self->WritePart();
+        self->Write();
       }
     });
 }
 
+void
+LinkConnection::EncodeLargeFrame()
+{
+  // Append it after frames that were encoded during the wait.
+  LargeFrame large = std::move(m_largeFrames.front());
+  m_largeFrames.pop_front();
+  m_reservedBytes += BodySizeOf(large.m_frame);
+  Encode(large.m_frame);
+  m_turn = std::move(large.m_turn);
+}
+
 void
 LinkConnection::WritePart()
 {
@@ -216,13 +228,14 @@
 LinkConnection::OnPartWritten(std::size_t aSize)
 {
   m_written += aSize;
+  m_turn.OnSent(aSize);
   if (m_written < m_writeBuffer.size()) {
     if (!m_isOpen) {
       return;
     }
     // The link time of the entire frame is reserved; spread its parts over it.
-    m_pacingTimer.expires_after(m_pacer->TransmissionTime(aSize));
-    m_pacingTimer.async_wait(
+    m_partTimer.expires_after(m_pacer->TransmissionTime(aSize));
+    m_partTimer.async_wait(
       [self = Pointer{ this }](const asio::error_code& aError) {
         if (!aError && self->m_isOpen) {
           self->WritePart();
@@ -260,7 +273,10 @@
     return;
   }
   m_isOpen = false;
-  m_pacingTimer.cancel();
+  m_turnTimer.cancel();
+  m_partTimer.cancel();
+  m_turn = {};
+  m_largeFrames.clear();
   asio::error_code ignored;
   if (aIsOrderly) {
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
--- a/tests/calls/link_replay.hpp
+++ b/tests/calls/link_replay.hpp
@@ -158,6 +158,8 @@
     Dispatcher m_dispatcher;
     std::size_t m_instance{ 0 };
     AnswerSizes m_sizes;
+    /// Moving average of the time until an answer arrives.
+    Duration m_answerTime{ kService };
   };
   /// A call at its caller's daemon.
   struct Call
@@ -316,7 +318,7 @@
     plan.m_target = m_now + kTarget;
     plan.m_kind = kKind;
     const LinkDemand demand{ .m_size = caller.m_sizes.SizeOf(kKind),
-                             .m_readyIn = kService,
+                             .m_readyIn = caller.m_answerTime,
                              .m_targetLeft = kTarget,
                              .m_deadlineLeft = kDeadline,
                              .m_target = kTarget };
@@ -358,7 +360,7 @@
       call.m_in =
         instance.m_in.Book(m_now,
                            { .m_size = caller.m_sizes.SizeOf(kKind),
-                             .m_readyIn = kService });
+                             .m_readyIn = caller.m_answerTime });
     }
   }
 
@@ -388,7 +390,7 @@
     const Instance& callers = *m_instances[m_callers[aCaller]->m_instance];
     const Duration transfer =
       m_setup.m_booksLinks
-        ? callers.m_out.TransferTime(m_callers[aCaller]->m_sizes.SizeOf(kKind))
+        ? TransferOf(*m_callers[aCaller], callers)
         : Duration{ 0 };
     const LinkDemand demand{ .m_size = worker.m_sizes.SizeOf(kKind),
                              .m_readyIn = ReadyIn(worker),
@@ -432,6 +434,15 @@
     Apply(out);
   }
 
+  /// \returns Time that an answer takes on the link of its caller's daemon.
+  Duration TransferOf(const Caller& aCaller, const Instance& aInstance) const
+  {
+    const LinkDemand demand{ .m_size = aCaller.m_sizes.SizeOf(kKind),
+                             .m_readyIn = aCaller.m_answerTime };
+    return aInstance.m_out.WaitOf(
+      m_now, aInstance.m_pacer.Backlog(m_now), demand);
+  }
+
   Duration ReadyIn(const Worker& aWorker) const
   {
     return aWorker.m_table.ServiceTime(m_now, kKind) +
@@ -550,6 +561,7 @@
     Instance& instance = *m_instances[caller.m_instance];
     const std::size_t bytes = aFinish.m_answer.m_response.m_body.size();
     caller.m_sizes.Record(kKind, bytes);
+    caller.m_answerTime += (m_now - call.m_arrival - caller.m_answerTime) / 20;
     const auto arrive = [this, arrival = call.m_arrival] {
       m_result.m_inTarget += m_now - arrival <= kTarget ? 1 : 0;
       m_result.m_inDeadline += m_now - arrival <= kDeadline ? 1 : 0;
--- a/tests/transport/link_connection.cpp
+++ b/tests/transport/link_connection.cpp
@@ -96,3 +96,54 @@
   CHECK_FALSE(pair.m_sender->HasUnsent());
   CHECK(pair.m_received.size() == 1);
 }
+
+TEST_CASE("a batch of small frames does not restart the turn of a large one")
+{
+  // Guards against link time that is reserved twice when small frames of more
+  // than a part are written while a large one waits for its turn.
+  ConnectionPair pair;
+  // 100 ms on the link; the large frame waits for them.
+  static_cast<void>(pair.m_pacer.Reserve(Clock::now(), 1'062'500));
+  const std::uint64_t before = pair.m_pacer.ReservedBytes();
+  pair.m_sender->Send(MakeAnswer(1, 300'000));
+  for (std::uint64_t i = 2; i <= 5; ++i) {
+    pair.m_sender->Send(MakeAnswer(i, 10'000));
+  }
+  pair.RunUntilReceived(5);
+  while (pair.m_sender->HasUnsent()) {
+    pair.m_loop.run_one();
+  }
+  CHECK(pair.m_received.back().m_call == 1);
+  const std::uint64_t reserved = pair.m_pacer.ReservedBytes() - before;
+  CHECK(reserved >= 340'000);
+  // Heads of frames take some bytes.
+  CHECK(reserved <= 341'000);
+  CHECK(pair.m_pacer.WaitingBytes() == 0);
+}
+
+TEST_CASE("large frames count in the backlog while they wait for their turn")
+{
+  // Guards against calls accepted beside answers that the pacer does not know.
+  ConnectionPair pair;
+  for (std::uint64_t i = 1; i <= 3; ++i) {
+    pair.m_sender->Send(MakeAnswer(i, 300'000));
+  }
+  CHECK(pair.m_pacer.WaitingBytes() + pair.m_pacer.ReservedBytes() == 900'000);
+  pair.RunUntilReceived(3);
+  CHECK(pair.m_pacer.WaitingBytes() == 0);
+}
+
+TEST_CASE("a lost connection returns the link time of its unsent answers")
+{
+  // Guards against a link that counts as busy with answers nobody receives.
+  ConnectionPair pair;
+  for (std::uint64_t i = 1; i <= 3; ++i) {
+    pair.m_sender->Send(MakeAnswer(i, 300'000));
+  }
+  pair.RunUntilReceived(1);
+  pair.m_sender->Close();
+  pair.m_loop.run();
+  CHECK(pair.m_pacer.WaitingBytes() == 0);
+  CHECK(pair.m_pacer.ReservedBytes() >= 300'000);
+  CHECK(pair.m_pacer.ReservedBytes() <= 300'000 + LinkPacer::kPartBytes);
+}
--- a/tests/transport/link_pacer.cpp
+++ b/tests/transport/link_pacer.cpp
@@ -26,3 +26,24 @@
   CHECK(pacer.Reserve(TimePoint{ 1s }, 10'000'000) == Duration::zero());
   CHECK(pacer.Reserve(TimePoint{ 1s }, 10'000'000) == Duration::zero());
 }
+
+TEST_CASE("a message that is not sent returns its link time")
+{
+  // Guards against phantom backlog after a lost connection.
+  LinkPacer pacer{ 15 };
+  const TimePoint now{ 100s };
+  {
+    LinkTurn turn{ &pacer, 300'000 };
+    CHECK(pacer.WaitingBytes() == 300'000);
+    CHECK(pacer.Backlog(now) == pacer.TransmissionTime(300'000));
+    CHECK(turn.Reserve(now) == Duration::zero());
+    CHECK(pacer.WaitingBytes() == 0);
+    CHECK(pacer.Backlog(now) == pacer.TransmissionTime(300'000));
+    turn.OnSent(100'000);
+    LinkTurn moved = std::move(turn);
+    CHECK(pacer.ReservedBytes() == 300'000);
+  }
+  CHECK(pacer.ReservedBytes() == 100'000);
+  CHECK(pacer.Backlog(now) <=
+        pacer.TransmissionTime(100'000) + Duration{ 1000 });
+}
