--- a/include/greengagehub/daemon/operators_api.hpp
+++ b/include/greengagehub/daemon/operators_api.hpp
@@ -58,6 +58,7 @@
   [[nodiscard]] HttpResponse Status() const;
   /// \returns What the own backend server and those called have stated.
   [[nodiscard]] HttpResponse Limits() const;
+  void SetLinkGauges() const;
   [[nodiscard]] HttpResponse QuarantinedRequests() const;
   [[nodiscard]] HttpResponse LiftQuarantine(const HttpRequest& aRequest);
   [[nodiscard]] HttpResponse Rollouts() const;
--- a/src/cli/limits.cpp
+++ b/src/cli/limits.cpp
@@ -36,6 +36,22 @@
   }
 }
 
+void
+PrintLink(const Json& aLink)
+{
+  if (!aLink.value("known", false)) {
+    fmt::print("network link: rate not known, not booked\n");
+    return;
+  }
+  fmt::print("network link: {} bytes in {} calls booked out, {} bytes booked "
+             "in, backlog {} ms, {} calls refused\n",
+             aLink.value("booked_out_bytes", 0),
+             aLink.value("booked_out_calls", 0),
+             aLink.value("booked_in_bytes", 0),
+             aLink.value("backlog_ms", 0),
+             aLink.value("refused", 0));
+}
+
 }
 
 int
@@ -50,6 +66,7 @@
     return Done;
   }
   PrintOwn(answer->value("own", Json::object()));
+  PrintLink(answer->value("link", Json::object()));
   const Json known = answer->value("known", Json::array());
   for (const Json& each : known) {
     fmt::print("{}: {}, {:.1f} s ago\n",
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -402,6 +402,7 @@
   metrics.SetGauge("worker_leaving",
                    "Whether the own worker says that it leaves",
                    signals.m_isLeaving ? 1 : 0);
+  SetLinkGauges();
   metrics.SetGauge("malformed_messages",
                    "Messages dropped as garbage",
                    static_cast<double>(gossip.m_malformed + bulk.m_malformed));
--- a/src/daemon/operators_api_limits.cpp
+++ b/src/daemon/operators_api_limits.cpp
@@ -2,7 +2,8 @@
 
 #include "operators_answers.hpp"
 
-// What backend servers state about themselves.
+// What backend servers state about themselves, and what is booked on the
+// network link.
 
 namespace greengagehub {
 
@@ -24,6 +25,42 @@
   return own;
 }
 
+Json
+LinkState(TimePoint aNow, const CallGateway& aCalls)
+{
+  const LinkPacer& pacer = aCalls.Pacer();
+  return { { "known", pacer.IsEnabled() },
+           { "bytes_per_second", pacer.Rate() },
+           { "backlog_ms", Millis(pacer.Backlog(aNow)) },
+           { "booked_out_bytes", aCalls.LinkOut().BookedBytes() },
+           { "booked_out_calls", aCalls.LinkOut().BookedCalls() },
+           { "booked_in_bytes", aCalls.LinkIn().BookedBytes() },
+           { "refused",
+             aCalls.LinkOut().Refused() + aCalls.LinkIn().Refused() } };
+}
+
+}
+
+void
+OperatorsApi::SetLinkGauges() const
+{
+  const CallGateway& calls = m_deps.m_calls;
+  Metrics& metrics = m_deps.m_metrics;
+  const std::chrono::duration<double> backlog =
+    calls.Pacer().Backlog(Clock::now());
+  metrics.SetGauge("link_booked_out_bytes",
+                   "Expected bytes of accepted answers that leave by the link",
+                   static_cast<double>(calls.LinkOut().BookedBytes()));
+  metrics.SetGauge("link_booked_in_bytes",
+                   "Expected bytes of answers from other instances",
+                   static_cast<double>(calls.LinkIn().BookedBytes()));
+  metrics.SetGauge("link_refused",
+                   "Calls refused for the own link since start",
+                   static_cast<double>(calls.LinkOut().Refused() +
+                                       calls.LinkIn().Refused()));
+  metrics.SetGauge("link_backlog_seconds",
+                   "Until the bytes handed to the link have left",
+                   backlog.count());
 }
 
 HttpResponse
@@ -44,7 +81,8 @@
   }
   return JsonResponse(
     200,
-    Dump(Json{ { "own", OwnWorker(now, m_deps.m_calls.GetRunService()) },
+    Dump(Json{ { "link", LinkState(now, m_deps.m_calls) },
+               { "own", OwnWorker(now, m_deps.m_calls.GetRunService()) },
                { "known", std::move(known) } }));
 }
 
--- a/src/greengagehub.cpp
+++ b/src/greengagehub.cpp
@@ -35,7 +35,7 @@
   explain PATCH_ID      show the recorded decision on a patch
   status                show the state of one daemon
   limits                list the rate limits and departures that backend servers
-                        have stated
+                        have stated, and what is booked on the network link
   held                  list quarantined request fingerprints, with the worker
                         crashes that caused the quarantine
   lift FINGERPRINT      lift a quarantine on all daemons
--- a/tests/settings/settings.cpp
+++ b/tests/settings/settings.cpp
@@ -134,3 +134,17 @@
   CHECK(named.error().at(0).m_message.find("http://IP:PORT") !=
         std::string::npos);
 }
+
+TEST_CASE("books_links is true or false, and on without it")
+{
+  // Guards against a misspelt switch that leaves links booked, or unbooked.
+  const auto parse = [](const std::string& aCalls) {
+    return ParseSettings(std::string{ kValid } + "[calls]\n" + aCalls + "\n",
+                         "calls.toml");
+  };
+  CHECK(parse("").value().m_calls.m_booksLinks);
+  CHECK_FALSE(parse("books_links = false").value().m_calls.m_booksLinks);
+  CHECK_FALSE(parse("books_links = 0"));
+  CHECK_FALSE(parse("books_links = \"no\""));
+  CHECK_FALSE(parse("book_links = false"));
+}
