--- a/include/greengagehub/calls/dispatcher.hpp
+++ b/include/greengagehub/calls/dispatcher.hpp
@@ -96,8 +96,8 @@
 /// there is room again. A call for which all workers are at their limits is
 /// refused at once.
 ///
-/// A call that a worker's daemon refused for its network link is sent to another
-/// worker only if that one is known to have room.
+/// A call that a worker's daemon refused for its network link is sent to
+/// another worker only if that one is known to have room.
 ///
 /// During a roll-out, a call is assigned at random to the canary or to the
 /// version in service. An attempt that failed at the canary is retried at the
--- a/include/greengagehub/calls/placement.hpp
+++ b/include/greengagehub/calls/placement.hpp
@@ -91,9 +91,11 @@
 /// \returns Whether the worker has lately reported that a call of the kind
 /// would be answered before its target.
 [[nodiscard]] bool
-IsKnownToHaveRoom(const WorkerRow& aRow, const RoutingContext& aContext) noexcept;
+IsKnownToHaveRoom(const WorkerRow& aRow,
+                  const RoutingContext& aContext) noexcept;
 
-/// \returns Waits, service time and transfer, plus a penalty for recent refusals.
+/// \returns Waits, service time and transfer, plus a penalty for recent
+/// refusals.
 [[nodiscard]] Duration
 ExpectedResponseTime(const DecisionSettings& aDecisions,
                      const WorkerRow& aRow,
--- a/include/greengagehub/core/link_pacer.hpp
+++ b/include/greengagehub/core/link_pacer.hpp
@@ -91,9 +91,8 @@
       if (m_bytesPerSecond <= 0.0) {
         return Duration::zero();
       }
-      return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>{ static_cast<double>(aBytes) /
-                                       m_bytesPerSecond });
+      return std::chrono::duration_cast<Duration>(std::chrono::duration<double>{
+        static_cast<double>(aBytes) / m_bytesPerSecond });
     }
     [[nodiscard]] Duration Reserve(TimePoint aNow, std::size_t aBytes) noexcept
     {
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -184,10 +184,10 @@
                  HttpRequest aRequest,
                  HttpResponder aResponder);
   /// \returns What the answer to a call asks of this instance's link.
-  [[nodiscard]] LinkDemand LinkDemandOf(TimePoint aNow,
-                                        const CallPlan& aPlan,
-                                        const RouteStatistics& aStatistics)
-    const;
+  [[nodiscard]] LinkDemand LinkDemandOf(
+    TimePoint aNow,
+    const CallPlan& aPlan,
+    const RouteStatistics& aStatistics) const;
   /// \brief Refuses a call at once whose answer cannot pass this instance's
   /// link in time, and books the link otherwise.
   /// \returns Until there is room; nothing if the call is accepted.
@@ -197,8 +197,7 @@
     const LinkDemand& aDemand,
     CallPlan& aPlan,
     PendingCall& aCall);
-  void RefuseForLink(PendingCall& aCall,
-                     std::chrono::milliseconds aRetryAfter);
+  void RefuseForLink(PendingCall& aCall, std::chrono::milliseconds aRetryAfter);
   /// \brief Books the link in for the answer to an attempt at another instance.
   void BookLinkIn(PendingCall& aCall, const std::string& aSlot);
   [[nodiscard]] std::string SelectService(const Route& aRoute);
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -5,6 +5,7 @@
 #include "greengagehub/calls/run_table.hpp"
 #include "greengagehub/calls/worker_presence.hpp"
 #include "greengagehub/calls/worker_signals.hpp"
+#include "greengagehub/core/link_pacer.hpp"
 #include "greengagehub/daemon/request_log.hpp"
 #include "greengagehub/http/backend_client.hpp"
 #include "greengagehub/observe/metrics.hpp"
@@ -13,7 +14,6 @@
 #include "greengagehub/quarantine/quarantine.hpp"
 #include "greengagehub/rollout/rollout.hpp"
 #include "greengagehub/settings/settings.hpp"
-#include "greengagehub/core/link_pacer.hpp"
 
 #include <asio/steady_timer.hpp>
 #include <deque>
--- a/include/greengagehub/transport/link_connection.hpp
+++ b/include/greengagehub/transport/link_connection.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "greengagehub/core/clock.hpp"
+#include "greengagehub/core/link_pacer.hpp"
 #include "greengagehub/transport/link_deflate.hpp"
 #include "greengagehub/transport/link_frame.hpp"
-#include "greengagehub/core/link_pacer.hpp"
 #include "greengagehub/transport/traffic_meter.hpp"
 
 #include <asio/ip/tcp.hpp>
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -131,10 +131,10 @@
   const auto next = SelectWorker(aNow, aCall);
   const bool isRetry = !aCall.m_tried.empty();
   // A redirect stops at a refusing worker; the budget bounds other retries.
-  const bool isRefused =
-    next && isRetry &&
-    WouldRefuseToo(
-      aPrevious, m_workers.At(*next), ContextOf(aNow, aCall.m_plan));
+  const bool isRefused = next && isRetry &&
+                         WouldRefuseToo(aPrevious,
+                                        m_workers.At(*next),
+                                        ContextOf(aNow, aCall.m_plan));
   if (!next || isRefused) {
     const auto room = m_workers.TimeUntilRoom(aNow, aCall.m_plan.m_service);
     if (!next && !isRetry && room) {
--- a/src/calls/link_booking.cpp
+++ b/src/calls/link_booking.cpp
@@ -165,8 +165,8 @@
     return decision;
   }
   ++m_refused;
-  decision.m_retryAfter =
-    std::max(kMinRetryAfter, std::chrono::ceil<std::chrono::milliseconds>(wait));
+  decision.m_retryAfter = std::max(
+    kMinRetryAfter, std::chrono::ceil<std::chrono::milliseconds>(wait));
   return decision;
 }
 
@@ -176,10 +176,9 @@
   if (!Books(aDemand.m_size)) {
     return {};
   }
-  m_entries.emplace(++m_lastId,
-                    Entry{ aNow + aDemand.m_readyIn,
-                           aDemand.m_size,
-                           aDemand.m_workspace });
+  m_entries.emplace(
+    ++m_lastId,
+    Entry{ aNow + aDemand.m_readyIn, aDemand.m_size, aDemand.m_workspace });
   m_bookedBytes += aDemand.m_size.m_mean;
   Share& share = m_shares[aDemand.m_workspace];
   share.m_weight = aDemand.m_weight;
@@ -194,8 +193,7 @@
   const auto found = m_entries.find(aId);
   const Entry entry = found->second;
   m_entries.erase(found);
-  m_bookedBytes =
-    m_entries.empty() ? 0.0 : m_bookedBytes - entry.m_size.m_mean;
+  m_bookedBytes = m_entries.empty() ? 0.0 : m_bookedBytes - entry.m_size.m_mean;
   Discharge(entry.m_workspace, entry.m_size.m_mean);
 }
 
--- a/src/calls/placement.cpp
+++ b/src/calls/placement.cpp
@@ -129,7 +129,8 @@
 }
 
 bool
-IsKnownToHaveRoom(const WorkerRow& aRow, const RoutingContext& aContext) noexcept
+IsKnownToHaveRoom(const WorkerRow& aRow,
+                  const RoutingContext& aContext) noexcept
 {
   const auto* stats = FindStats(aRow, aContext.m_kind);
   return stats != nullptr && aContext.m_now - stats->m_at < kReportLifetime &&
@@ -201,16 +202,14 @@
     const bool isUnreported = FindStats(aRow, aContext.m_kind) == nullptr;
     // A worker without reports gets no second call before the first has ended.
     const double probePenalty = isUnreported && aRow.m_inFlight > 0 ? 1.0 : 0.0;
-    const AssumedTimes assumed{ isUnreported
-                                  ? std::chrono::duration_cast<Duration>(
-                                      meanService * kUnreportedSlowdown)
-                                  : meanService,
-                                m_decisions.m_usesDomainReports
-                                  ? waits.ExpectedWait(aRow.m_domain)
-                                  : Duration{ 0 },
-                                aRow.m_slot != m_ownSlot
-                                  ? aContext.m_remoteTransfer
-                                  : Duration{ 0 } };
+    const AssumedTimes assumed{
+      isUnreported ? std::chrono::duration_cast<Duration>(meanService *
+                                                          kUnreportedSlowdown)
+                   : meanService,
+      m_decisions.m_usesDomainReports ? waits.ExpectedWait(aRow.m_domain)
+                                      : Duration{ 0 },
+      aRow.m_slot != m_ownSlot ? aContext.m_remoteTransfer : Duration{ 0 }
+    };
     return ExpectedLoss(m_decisions, aRow, aContext, assumed) + probePenalty +
            (IsInOtherDomain(aRow) ? aContext.m_crossingCost : 0.0);
   };
--- a/src/daemon/call_gateway_bookings.cpp
+++ b/src/daemon/call_gateway_bookings.cpp
@@ -70,10 +70,8 @@
 CallGateway::RefuseForLink(PendingCall& aCall,
                            std::chrono::milliseconds aRetryAfter)
 {
-  const CallAnswer answer = greengagehub::Refuse(0,
-                                                 CallOutcome::NotRun,
-                                                 RefusalReason::LinkBusy,
-                                                 WithJitter(aRetryAfter));
+  const CallAnswer answer = greengagehub::Refuse(
+    0, CallOutcome::NotRun, RefusalReason::LinkBusy, WithJitter(aRetryAfter));
   m_deps.m_metrics.CountCall(NameOf(answer.m_outcome), NameOf(answer.m_reason));
   m_deps.m_requestLog.OnFinished(Clock::now(),
                                  { .m_id = aCall.m_id,
--- a/src/daemon/call_gateway_callers.cpp
+++ b/src/daemon/call_gateway_callers.cpp
@@ -314,8 +314,8 @@
   request.m_idempotent = plan.m_idempotent;
   plan.m_fingerprint = CallFingerprint(m_deps.m_dialect, request);
   const LinkDemand demand = LinkDemandOf(now, plan, statistics);
-  if (const auto retryAfter = BookLink(
-        now, aRequest.m_isFromThisInstance, demand, plan, call)) {
+  if (const auto retryAfter =
+        BookLink(now, aRequest.m_isFromThisInstance, demand, plan, call)) {
     RefuseForLink(call, *retryAfter);
     return;
   }
--- a/src/daemon/operators_api_limits.cpp
+++ b/src/daemon/operators_api_limits.cpp
@@ -54,10 +54,10 @@
   metrics.SetGauge("link_booked_in_bytes",
                    "Expected bytes of answers from other instances",
                    static_cast<double>(calls.LinkIn().BookedBytes()));
-  metrics.SetGauge("link_refused",
-                   "Calls refused for the own link since start",
-                   static_cast<double>(calls.LinkOut().Refused() +
-                                       calls.LinkIn().Refused()));
+  metrics.SetGauge(
+    "link_refused",
+    "Calls refused for the own link since start",
+    static_cast<double>(calls.LinkOut().Refused() + calls.LinkIn().Refused()));
   metrics.SetGauge("link_backlog_seconds",
                    "Until the bytes handed to the link have left",
                    backlog.count());
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -121,8 +121,7 @@
     run.m_fingerprint = fingerprint;
     run.m_epoch = aEpoch;
     if (UsesLink(aKey)) {
-      run.m_linkOut =
-        m_deps.m_linkOut->Book(now, LinkDemandOf(now, aRequest));
+      run.m_linkOut = m_deps.m_linkOut->Book(now, LinkDemandOf(now, aRequest));
     }
     run.m_request = std::move(aRequest);
     m_activeRuns.emplace(aKey, std::move(run));
@@ -424,9 +423,8 @@
            .m_wait = std::chrono::duration_cast<std::chrono::microseconds>(
              m_runs.ExpectedWaitOfKind(
                Clock::now(), aRequest.m_priority, aRequest.m_kind)),
-           .m_linkBytes = m_deps.m_linkOut != nullptr
-                            ? m_deps.m_linkOut->BookedBytes()
-                            : 0,
+           .m_linkBytes =
+             m_deps.m_linkOut != nullptr ? m_deps.m_linkOut->BookedBytes() : 0,
            .m_linkWait = std::chrono::duration_cast<std::chrono::microseconds>(
              LinkWaitOf(Clock::now(), aRequest)),
            .m_rateLimit = m_runs.Limiter().Limit() };
--- a/src/http/http_connection.hpp
+++ b/src/http/http_connection.hpp
@@ -293,19 +293,18 @@
   {
     SetState(State::Answering);
     LinkPacer* pacer = m_isFromThisInstance ? nullptr : m_server->m_pacer;
-    m_writer.Write(
-      pacer,
-      std::move(aText),
-      [self = Pointer{ this }](const asio::error_code& aError) {
-        if (self->m_server == nullptr) {
-          return;
-        }
-        if (aError) {
-          self->Close();
-          return;
-        }
-        self->OnWritten();
-      });
+    m_writer.Write(pacer,
+                   std::move(aText),
+                   [self = Pointer{ this }](const asio::error_code& aError) {
+                     if (self->m_server == nullptr) {
+                       return;
+                     }
+                     if (aError) {
+                       self->Close();
+                       return;
+                     }
+                     self->OnWritten();
+                   });
   }
 
   void OnWritten()
--- a/src/transport/link_connection.cpp
+++ b/src/transport/link_connection.cpp
@@ -178,8 +178,7 @@
     return;
   }
   m_isLargeScheduled = true;
-  m_turnTimer.expires_after(
-    m_largeFrames.front().m_turn.Reserve(Clock::now()));
+  m_turnTimer.expires_after(m_largeFrames.front().m_turn.Reserve(Clock::now()));
   m_turnTimer.async_wait(
     [self = Pointer{ this }](const asio::error_code& aError) {
       self->m_isLargeScheduled = false;
--- a/tests/calls/link_booking.cpp
+++ b/tests/calls/link_booking.cpp
@@ -13,15 +13,14 @@
 void
 Report(const std::string& aName, const LinkReplayResult& aResult)
 {
-  MESSAGE(aName << ": " << aResult.m_calls << " calls, " << aResult.m_runs
-                << " run, arrived before the deadline "
-                << aResult.ArrivedShare() << " of them, before the target "
-                << aResult.InTargetShare() << ", used " << aResult.m_used
-                << ", attempts " << aResult.m_attempts << ", small delay "
-                << std::chrono::duration<double, std::milli>(
-                     aResult.m_smallDelay)
-                     .count()
-                << " ms");
+  MESSAGE(
+    aName
+    << ": " << aResult.m_calls << " calls, " << aResult.m_runs
+    << " run, arrived before the deadline " << aResult.ArrivedShare()
+    << " of them, before the target " << aResult.InTargetShare() << ", used "
+    << aResult.m_used << ", attempts " << aResult.m_attempts << ", small delay "
+    << std::chrono::duration<double, std::milli>(aResult.m_smallDelay).count()
+    << " ms");
 }
 
 constexpr double kRate = 1'600'000.0;
@@ -59,8 +58,8 @@
   for (const Asker& each : aAskers) {
     weights += each.m_weight;
   }
-  const double certain = kRate * 1.34 - 2.0 * kDownload.m_deviation *
-                                          std::sqrt(1.0 + aBooked);
+  const double certain =
+    kRate * 1.34 - 2.0 * kDownload.m_deviation * std::sqrt(1.0 + aBooked);
   return certain * aAsker.m_weight / weights;
 }
 
@@ -236,8 +235,8 @@
   CHECK(refused.m_kind == LinkDecision::Kind::NoRoom);
   CHECK(refused.m_departure > 2s);
   const Duration left = 2s - refused.m_retryAfter;
-  CHECK(booking.Check(now + refused.m_retryAfter, left, DownloadOf())
-          .IsAccepted());
+  CHECK(
+    booking.Check(now + refused.m_retryAfter, left, DownloadOf()).IsAccepted());
   CHECK_FALSE(booking.Check(now, left + 100ms, DownloadOf()).IsAccepted());
 }
 
--- a/tests/calls/link_replay.hpp
+++ b/tests/calls/link_replay.hpp
@@ -1,14 +1,9 @@
 #pragma once
 
 #include "greengagehub/calls/dispatcher.hpp"
-#include "greengagehub/calls/link_booking.hpp"
 #include "greengagehub/calls/run_table.hpp"
-#include "greengagehub/core/link_pacer.hpp"
+#include "simulated_link.hpp"
 
-#include <algorithm>
-#include <functional>
-#include <map>
-#include <memory>
 #include <random>
 
 namespace greengagehub::test {
@@ -85,18 +80,16 @@
   {
     AddCalls();
     AddSmallMessages();
-    while (!m_events.empty()) {
-      const auto next = m_events.begin();
-      m_now = next->first;
-      const auto action = std::move(next->second);
-      m_events.erase(next);
-      action();
+    m_events.Run();
+    double sent = 0.0;
+    for (std::size_t i = 0; i < m_setup.m_workers; ++i) {
+      sent += m_instances[i]->CountedBytes();
     }
     const double carried =
       m_instances[0]->m_pacer.Rate() *
       std::chrono::duration<double>(m_setup.m_span - kWarmUp).count() *
       static_cast<double>(m_setup.m_workers);
-    m_result.m_used = m_carriedBytes / carried;
+    m_result.m_used = sent / carried;
     return m_result;
   }
 
@@ -122,27 +115,8 @@
   static constexpr double kMeanBytes = 90'000.0;
   static constexpr double kMaxBytes = 540'000.0;
   static constexpr double kSpread = 0.6;
-  static constexpr double kBytesPerMbit = 125'000.0;
   static constexpr CallKind kKind{ kTarget };
 
-  struct Instance
-  {
-    explicit Instance(std::uint32_t aMbps, bool aBooks)
-      : m_pacer(aMbps)
-      , m_out(aBooks ? m_pacer.Rate() : 0.0)
-      , m_in(aBooks ? m_pacer.Rate() : 0.0)
-      , m_wireRate(aMbps * kBytesPerMbit)
-    {
-    }
-
-    LinkPacer m_pacer;
-    LinkBooking m_out;
-    LinkBooking m_in;
-    double m_wireRate;
-    /// When the link itself has sent and received all that was written.
-    TimePoint m_wireOutFree{};
-    TimePoint m_wireInFree{};
-  };
   struct Worker
   {
     RunTable m_table{ { .m_slots = kSlots, .m_queue = 4 * kSlots } };
@@ -184,7 +158,9 @@
   void AddInstance(std::uint32_t aMbps)
   {
     m_instances.push_back(
-      std::make_unique<Instance>(aMbps, m_setup.m_booksLinks));
+      std::make_unique<SimulatedLink>(m_events, aMbps, m_setup.m_booksLinks));
+    m_instances.back()->Count(TimePoint{} + kWarmUp,
+                              TimePoint{} + m_setup.m_span);
   }
 
   void AddCaller(std::size_t aInstance)
@@ -211,9 +187,9 @@
     while (offset < std::chrono::duration<double>(m_setup.m_span).count()) {
       const std::uint64_t id = ++m_result.m_calls;
       const std::size_t caller = Below(m_random, m_callers.size());
-      m_events.emplace(m_now + std::chrono::duration_cast<Duration>(
-                                 std::chrono::duration<double>(offset)),
-                       [this, id, caller] { Begin(id, caller); });
+      m_events.Schedule(std::chrono::duration_cast<Duration>(
+                          std::chrono::duration<double>(offset)),
+                        [this, id, caller] { Begin(id, caller); });
       offset += gap(m_random);
     }
   }
@@ -222,22 +198,17 @@
   {
     for (Duration at = kSmallInterval; at < m_setup.m_span;
          at += kSmallInterval) {
-      m_events.emplace(m_now + at, [this] {
+      m_events.Schedule(at, [this] {
         for (auto& each : m_instances) {
-          static_cast<void>(each->m_pacer.Reserve(m_now, kSmallBytes));
-          m_result.m_smallDelay = std::max(
-            m_result.m_smallDelay, Duration{ each->m_wireOutFree - m_now });
-          WriteOut(*each, kSmallBytes);
+          static_cast<void>(each->m_pacer.Reserve(m_events.Now(), kSmallBytes));
+          m_result.m_smallDelay =
+            std::max(m_result.m_smallDelay, each->OutDelay());
+          static_cast<void>(each->WriteOut(kSmallBytes));
         }
       });
     }
   }
 
-  void Schedule(Duration aSpan, std::function<void()> aAction)
-  {
-    m_events.emplace(m_now + aSpan, std::move(aAction));
-  }
-
   std::size_t DrawBytes()
   {
     std::lognormal_distribution<double> size{
@@ -253,86 +224,33 @@
       spread(m_random) * std::chrono::duration<double>(kService));
   }
 
-  static Duration WireTime(const Instance& aInstance, std::size_t aBytes)
-  {
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-      static_cast<double>(aBytes) / aInstance.m_wireRate));
-  }
-
-  /// Puts bytes on the wire of the link behind those written before.
-  void WriteOut(Instance& aInstance, std::size_t aBytes)
-  {
-    aInstance.m_wireOutFree = std::max(aInstance.m_wireOutFree, m_now) +
-                              WireTime(aInstance, aBytes);
-  }
-
-  /// Sends a large message in the pacer's turn, part by part; aDone is called
-  /// when its last byte has left.
-  void SendPaced(std::size_t aInstance,
-                 std::size_t aBytes,
-                 std::function<void()> aDone)
-  {
-    Instance& instance = *m_instances[aInstance];
-    auto turn = std::make_shared<LinkTurn>(&instance.m_pacer, aBytes);
-    Schedule(turn->Reserve(m_now), [this, aInstance, aBytes, turn, aDone] {
-      SendPart(aInstance, aBytes, turn, aDone);
-    });
-  }
-
-  void SendPart(std::size_t aInstance,
-                std::size_t aLeft,
-                const std::shared_ptr<LinkTurn>& aTurn,
-                const std::function<void()>& aDone)
-  {
-    Instance& instance = *m_instances[aInstance];
-    const std::size_t part = std::min(aLeft, LinkPacer::kPartBytes);
-    WriteOut(instance, part);
-    aTurn->OnSent(part);
-    CountCarried(aInstance, part);
-    const Duration partTime = instance.m_pacer.TransmissionTime(part);
-    if (part == aLeft) {
-      Schedule(partTime, aDone);
-      return;
-    }
-    Schedule(partTime, [this, aInstance, left = aLeft - part, aTurn, aDone] {
-      SendPart(aInstance, left, aTurn, aDone);
-    });
-  }
-
-  void CountCarried(std::size_t aInstance, std::size_t aBytes)
-  {
-    const bool isCounted = aInstance < m_setup.m_workers &&
-                           m_now - TimePoint{} >= kWarmUp &&
-                           m_now - TimePoint{} < m_setup.m_span;
-    m_carriedBytes += isCounted ? static_cast<double>(aBytes) : 0.0;
-  }
-
   void Begin(std::uint64_t aId, std::size_t aCaller)
   {
     Caller& caller = *m_callers[aCaller];
-    Instance& instance = *m_instances[caller.m_instance];
+    SimulatedLink& instance = *m_instances[caller.m_instance];
     CallPlan plan;
     plan.m_service = "archive";
     plan.m_idempotent = true;
-    plan.m_deadline = m_now + kDeadline;
-    plan.m_target = m_now + kTarget;
+    plan.m_deadline = m_events.Now() + kDeadline;
+    plan.m_target = m_events.Now() + kTarget;
     plan.m_kind = kKind;
     const LinkDemand demand{ .m_size = caller.m_sizes.SizeOf(kKind),
                              .m_readyIn = caller.m_answerTime,
                              .m_targetLeft = kTarget,
                              .m_deadlineLeft = kDeadline,
                              .m_target = kTarget };
-    const Duration backlog = instance.m_pacer.Backlog(m_now);
-    if (!instance.m_out.Check(m_now, backlog, demand).IsAccepted()) {
+    const Duration backlog = instance.m_pacer.Backlog(m_events.Now());
+    if (!instance.m_out.Check(m_events.Now(), backlog, demand).IsAccepted()) {
       ++m_result.m_refused;
       return;
     }
-    plan.m_remoteTransfer = instance.m_in.WaitOf(m_now, {}, demand);
+    plan.m_remoteTransfer = instance.m_in.WaitOf(m_events.Now(), {}, demand);
     Call& call = m_calls[aId];
     call.m_caller = aCaller;
-    call.m_arrival = m_now;
-    call.m_out = instance.m_out.Book(m_now, demand);
-    Execute(aCaller, caller.m_dispatcher.Begin(m_now, aId, std::move(plan)));
+    call.m_arrival = m_events.Now();
+    call.m_out = instance.m_out.Book(m_events.Now(), demand);
+    Execute(aCaller,
+            caller.m_dispatcher.Begin(m_events.Now(), aId, std::move(plan)));
   }
 
   void Execute(std::size_t aCaller, const DispatchActions& aActions)
@@ -341,7 +259,7 @@
       if (const auto* send = std::get_if<SendAttempt>(&each)) {
         ++m_result.m_attempts;
         BookIn(*send);
-        Schedule(kHop, [this, aCaller, attempt = *send] {
+        m_events.Schedule(kHop, [this, aCaller, attempt = *send] {
           Deliver(aCaller, attempt);
         });
       } else if (const auto* finish = std::get_if<FinishCall>(&each)) {
@@ -354,18 +272,17 @@
   {
     Call& call = m_calls.at(aAttempt.m_call);
     Caller& caller = *m_callers[call.m_caller];
-    Instance& instance = *m_instances[caller.m_instance];
+    SimulatedLink& instance = *m_instances[caller.m_instance];
     call.m_in = {};
     if (aAttempt.m_slot != SlotOf(caller.m_instance)) {
-      call.m_in =
-        instance.m_in.Book(m_now,
-                           { .m_size = caller.m_sizes.SizeOf(kKind),
-                             .m_readyIn = caller.m_answerTime });
+      call.m_in = instance.m_in.Book(m_events.Now(),
+                                     { .m_size = caller.m_sizes.SizeOf(kKind),
+                                       .m_readyIn = caller.m_answerTime });
     }
   }
 
   bool IsRefusedByMean(Worker& aWorker,
-                       const Instance& aInstance,
+                       const SimulatedLink& aInstance,
                        const SendAttempt& aAttempt) const
   {
     const std::size_t mean = aWorker.m_sizes.MeanSize(kKind);
@@ -374,7 +291,7 @@
                             ? aAttempt.m_targetLeft
                             : aAttempt.m_timeLeft;
     return mean > LinkPacer::kPartBytes &&
-           aInstance.m_pacer.Backlog(m_now) +
+           aInstance.m_pacer.Backlog(m_events.Now()) +
                aInstance.m_pacer.TransmissionTime(bytes) >
              left;
   }
@@ -383,15 +300,14 @@
   {
     const std::size_t index = std::stoul(aAttempt.m_slot);
     Worker& worker = *m_workers[index];
-    Instance& instance = *m_instances[index];
+    SimulatedLink& instance = *m_instances[index];
     const CallKey key{ aCaller + 1, aAttempt.m_attempt };
     RunState run{ aCaller, index };
     const bool isLocal = m_callers[aCaller]->m_instance == index;
-    const Instance& callers = *m_instances[m_callers[aCaller]->m_instance];
-    const Duration transfer =
-      m_setup.m_booksLinks
-        ? TransferOf(*m_callers[aCaller], callers)
-        : Duration{ 0 };
+    const SimulatedLink& callers = *m_instances[m_callers[aCaller]->m_instance];
+    const Duration transfer = m_setup.m_booksLinks
+                                ? TransferOf(*m_callers[aCaller], callers)
+                                : Duration{ 0 };
     const LinkDemand demand{ .m_size = worker.m_sizes.SizeOf(kKind),
                              .m_readyIn = ReadyIn(worker),
                              .m_targetLeft = aAttempt.m_targetLeft - transfer,
@@ -399,7 +315,7 @@
                              .m_target = kTarget };
     if (m_setup.m_booksLinks) {
       const auto decision = instance.m_out.Check(
-        m_now, instance.m_pacer.Backlog(m_now), demand);
+        m_events.Now(), instance.m_pacer.Backlog(m_events.Now()), demand);
       if (!isLocal && !decision.IsAccepted()) {
         Answer(run, key, Refused(key, RefusalReason::LinkBusy));
         return;
@@ -410,7 +326,7 @@
     }
     RunActions out;
     const Admission admission =
-      worker.m_table.Admit(m_now,
+      worker.m_table.Admit(m_events.Now(),
                            key,
                            1,
                            { .m_priority = 2,
@@ -423,7 +339,7 @@
       Answer(run, key, Refused(key, admission.m_reason));
     } else {
       if (!isLocal) {
-        run.m_out = instance.m_out.Book(m_now, demand);
+        run.m_out = instance.m_out.Book(m_events.Now(), demand);
       }
       worker.m_active.emplace(key, 0);
       m_runs.emplace(key, std::move(run));
@@ -435,18 +351,19 @@
   }
 
   /// \returns Time that an answer takes on the link of its caller's daemon.
-  Duration TransferOf(const Caller& aCaller, const Instance& aInstance) const
+  Duration TransferOf(const Caller& aCaller,
+                      const SimulatedLink& aInstance) const
   {
     const LinkDemand demand{ .m_size = aCaller.m_sizes.SizeOf(kKind),
                              .m_readyIn = aCaller.m_answerTime };
     return aInstance.m_out.WaitOf(
-      m_now, aInstance.m_pacer.Backlog(m_now), demand);
+      m_events.Now(), aInstance.m_pacer.Backlog(m_events.Now()), demand);
   }
 
   Duration ReadyIn(const Worker& aWorker) const
   {
-    return aWorker.m_table.ServiceTime(m_now, kKind) +
-           aWorker.m_table.ExpectedWaitOfKind(m_now, 2, kKind);
+    return aWorker.m_table.ServiceTime(m_events.Now(), kKind) +
+           aWorker.m_table.ExpectedWaitOfKind(m_events.Now(), 2, kKind);
   }
 
   static CallAnswer Refused(CallKey aKey, RefusalReason aReason)
@@ -457,7 +374,7 @@
   void Start(CallKey aKey)
   {
     ++m_result.m_runs;
-    Schedule(DrawService(), [this, aKey] { End(aKey); });
+    m_events.Schedule(DrawService(), [this, aKey] { End(aKey); });
   }
 
   void Apply(const RunActions& aActions)
@@ -484,7 +401,7 @@
   {
     RunState run = TakeRun(aKey);
     Worker& worker = *m_workers[run.m_worker];
-    const RunActions next = worker.m_table.Finish(m_now, aKey);
+    const RunActions next = worker.m_table.Finish(m_events.Now(), aKey);
     CallAnswer answer;
     answer.m_call = aKey.m_call;
     answer.m_outcome = CallOutcome::Answered;
@@ -501,54 +418,40 @@
   {
     using std::chrono::microseconds;
     Worker& worker = *m_workers[aRun.m_worker];
-    Instance& instance = *m_instances[aRun.m_worker];
+    SimulatedLink& instance = *m_instances[aRun.m_worker];
     aAnswer.m_reachedWorker = aAnswer.m_outcome == CallOutcome::Answered;
     aAnswer.m_load = worker.m_table.Load();
     aAnswer.m_slots = kSlots;
     aAnswer.m_serviceTime = std::chrono::duration_cast<microseconds>(
-      worker.m_table.ServiceTime(m_now, kKind));
+      worker.m_table.ServiceTime(m_events.Now(), kKind));
     aAnswer.m_wait = std::chrono::duration_cast<microseconds>(
-      worker.m_table.ExpectedWaitOfKind(m_now, 2, kKind));
+      worker.m_table.ExpectedWaitOfKind(m_events.Now(), 2, kKind));
     aAnswer.m_linkWait = std::chrono::duration_cast<microseconds>(
-      instance.m_out.WaitOf(m_now,
-                            instance.m_pacer.Backlog(m_now),
+      instance.m_out.WaitOf(m_events.Now(),
+                            instance.m_pacer.Backlog(m_events.Now()),
                             { .m_size = worker.m_sizes.SizeOf(kKind),
                               .m_readyIn = ReadyIn(worker) }));
     const std::size_t caller = aKey.m_process - 1;
     const std::size_t bytes = aAnswer.m_response.m_body.size();
     auto receive = [this, caller, answer = std::move(aAnswer)]() mutable {
       Execute(caller,
-              m_callers[caller]->m_dispatcher.OnAnswer(m_now, answer));
+              m_callers[caller]->m_dispatcher.OnAnswer(m_events.Now(), answer));
     };
     if (bytes == 0 || m_callers[caller]->m_instance == aRun.m_worker) {
-      Schedule(kHop, std::move(receive));
+      m_events.Schedule(kHop, std::move(receive));
       return;
     }
-    SendPaced(aRun.m_worker,
-              bytes,
-              [this, caller, bytes, receive = std::move(receive)] {
-                ReceiveIn(caller, bytes, receive);
-              });
-    instance.m_out.HandOver(m_now,
-                            instance.m_pacer.Backlog(m_now),
+    instance.SendPaced(bytes,
+                       [this, caller, bytes, receive = std::move(receive)] {
+                         m_instances[m_callers[caller]->m_instance]->Receive(
+                           bytes, kHop, receive);
+                       });
+    instance.m_out.HandOver(m_events.Now(),
+                            instance.m_pacer.Backlog(m_events.Now()),
                             std::move(aRun.m_out),
                             bytes);
   }
 
-  void ReceiveIn(std::size_t aCaller,
-                 std::size_t aBytes,
-                 std::function<void()> aReceive)
-  {
-    Instance& instance = *m_instances[m_callers[aCaller]->m_instance];
-    // The bytes arrive while they leave the other link; the last part is on
-    // both at a time.
-    const TimePoint start =
-      std::max(instance.m_wireInFree, m_now - WireTime(instance, aBytes));
-    instance.m_wireInFree = start + WireTime(instance, aBytes);
-    Schedule(std::max(Duration{ kHop }, instance.m_wireInFree - m_now),
-             std::move(aReceive));
-  }
-
   void Finish(const FinishCall& aFinish)
   {
     Call call = std::move(m_calls.at(aFinish.m_call));
@@ -558,36 +461,35 @@
       return;
     }
     Caller& caller = *m_callers[call.m_caller];
-    Instance& instance = *m_instances[caller.m_instance];
+    SimulatedLink& instance = *m_instances[caller.m_instance];
     const std::size_t bytes = aFinish.m_answer.m_response.m_body.size();
     caller.m_sizes.Record(kKind, bytes);
-    caller.m_answerTime += (m_now - call.m_arrival - caller.m_answerTime) / 20;
+    caller.m_answerTime +=
+      (m_events.Now() - call.m_arrival - caller.m_answerTime) / 20;
     const auto arrive = [this, arrival = call.m_arrival] {
-      m_result.m_inTarget += m_now - arrival <= kTarget ? 1 : 0;
-      m_result.m_inDeadline += m_now - arrival <= kDeadline ? 1 : 0;
+      m_result.m_inTarget += m_events.Now() - arrival <= kTarget ? 1 : 0;
+      m_result.m_inDeadline += m_events.Now() - arrival <= kDeadline ? 1 : 0;
     };
     if (!m_setup.m_booksLinks) {
-      WriteOut(instance, bytes);
-      CountCarried(caller.m_instance, bytes);
-      Schedule(instance.m_wireOutFree - m_now, arrive);
+      m_events.Schedule(instance.WriteOut(bytes), arrive);
       return;
     }
-    SendPaced(caller.m_instance, bytes, arrive);
-    instance.m_out.HandOver(
-      m_now, instance.m_pacer.Backlog(m_now), std::move(call.m_out), bytes);
+    instance.SendPaced(bytes, arrive);
+    instance.m_out.HandOver(m_events.Now(),
+                            instance.m_pacer.Backlog(m_events.Now()),
+                            std::move(call.m_out),
+                            bytes);
   }
 
   LinkReplaySetup m_setup;
   LinkReplayResult m_result;
-  double m_carriedBytes{ 0.0 };
   Random m_random{ 1 };
-  TimePoint m_now{};
-  std::vector<std::unique_ptr<Instance>> m_instances;
+  EventQueue m_events;
+  std::vector<std::unique_ptr<SimulatedLink>> m_instances;
   std::vector<std::unique_ptr<Worker>> m_workers;
   std::vector<std::unique_ptr<Caller>> m_callers;
   std::map<std::uint64_t, Call> m_calls;
   std::map<CallKey, RunState> m_runs;
-  std::multimap<TimePoint, std::function<void()>> m_events;
 };
 
 }
--- a/tests/daemon/link_bookings.cpp
+++ b/tests/daemon/link_bookings.cpp
@@ -86,8 +86,7 @@
       if (aTruncates) {
         each.Answer({ 101, {} }, true);
       } else {
-        each.Answer(
-          { 200, { { "Id", "r1" } }, std::string(aBytes, 'x') });
+        each.Answer({ 200, { { "Id", "r1" } }, std::string(aBytes, 'x') });
       }
     }
     m_held.clear();
@@ -184,8 +183,7 @@
   const std::size_t booked = service.m_linkOut.BookedCalls();
   REQUIRE(booked > service.m_service.Runs().Running());
   service.m_service.OnEpoch(kCallersProcess, 2);
-  CHECK(service.m_linkOut.BookedCalls() ==
-        service.m_service.Runs().Running());
+  CHECK(service.m_linkOut.BookedCalls() == service.m_service.Runs().Running());
 }
 
 TEST_CASE("a link of unknown rate refuses no downloads")
--- a/tests/http/paced_answers.cpp
+++ b/tests/http/paced_answers.cpp
@@ -34,9 +34,9 @@
     m_socket.open(tcp::v4());
     m_socket.bind({ asio::ip::make_address(aClient), 0 });
     m_socket.connect({ asio::ip::make_address("127.0.0.1"), port });
-    asio::write(m_socket,
-                asio::buffer(std::string{
-                  "GET / HTTP/1.1\r\nHost: a\r\n\r\n" }));
+    asio::write(
+      m_socket,
+      asio::buffer(std::string{ "GET / HTTP/1.1\r\nHost: a\r\n\r\n" }));
     Read();
   }
 
--- a/tests/transport/codec.cpp
+++ b/tests/transport/codec.cpp
@@ -307,3 +307,33 @@
     CHECK_FALSE(got.m_knownStatement.m_rateLimit);
   }
 }
+
+TEST_CASE("what daemons tell each other about links survives encoding")
+{
+  CallRequest request;
+  request.m_answerTransfer = std::chrono::milliseconds{ 250 };
+  request.m_answerSize = { 90'000.0, 54'000.0 };
+  const auto gotRequest = std::get<CallRequest>(RoundTrip(request));
+  CHECK(gotRequest.m_answerTransfer == std::chrono::milliseconds{ 250 });
+  CHECK(gotRequest.m_answerSize.m_mean == 90'000.0);
+  CHECK(gotRequest.m_answerSize.m_deviation == 54'000.0);
+
+  CallAnswer answer;
+  answer.m_reason = RefusalReason::LinkBusy;
+  answer.m_linkWait = std::chrono::milliseconds{ 800 };
+  const auto gotAnswer = std::get<CallAnswer>(RoundTrip(answer));
+  CHECK(gotAnswer.m_reason == RefusalReason::LinkBusy);
+  CHECK(gotAnswer.m_linkWait == std::chrono::milliseconds{ 800 });
+}
+
+TEST_CASE("what another daemon states about its link is bounded")
+{
+  // Guards against overflows from another daemon's numbers.
+  CallRequest request;
+  request.m_answerTransfer = std::chrono::hours{ 1'000'000 };
+  request.m_answerSize = { 1e18, 1e18 };
+  const auto got = std::get<CallRequest>(RoundTrip(request));
+  CHECK(got.m_answerTransfer <= std::chrono::minutes{ 1 });
+  CHECK(got.m_answerSize.m_mean <= 16.0 * 1024 * 1024);
+  CHECK(got.m_answerSize.m_deviation <= 16.0 * 1024 * 1024);
+}
