--- a/include/greengagehub/calls/link_booking.hpp
+++ b/include/greengagehub/calls/link_booking.hpp
@@ -87,6 +87,10 @@
 public:
   /// Answers of no more bytes are not booked.
   static constexpr double kMinBytes = 16.0 * 1024;
+  /// Answers are accepted behind no more expected bytes, which bounds the
+  /// memory that waiting answers take; keeps a link of 15 Mbit/s busy for a
+  /// second.
+  static constexpr double kMaxHeldBytes = 2.0 * 1024 * 1024;
 
   /// \param aBytesPerSecond 0: unknown, nothing is booked or refused.
   explicit LinkBooking(double aBytesPerSecond) noexcept
@@ -113,7 +117,8 @@
                 LinkReservation aReservation,
                 std::size_t aBytes);
   /// \returns Time from the end of a run until its answer would have left; zero
-  /// if answers of that size are not booked.
+  /// if answers of that size are not booked, at least the target if there is no
+  /// room in memory.
   [[nodiscard]] Duration WaitOf(TimePoint aNow,
                                 Duration aBacklog,
                                 const LinkDemand& aDemand) const;
@@ -160,6 +165,11 @@
   };
 
   [[nodiscard]] Duration TimeFor(double aBytes) const noexcept;
+  /// \returns Latest departure behind no more than kMaxHeldBytes.
+  [[nodiscard]] Duration HeldLimit(const LinkDemand& aDemand) const noexcept
+  {
+    return aDemand.m_readyIn + TimeFor(kMaxHeldBytes);
+  }
   [[nodiscard]] bool IsBeyondShare(TimePoint aNow,
                                    Duration aLimit,
                                    Duration aBacklog,
--- a/src/calls/link_booking.cpp
+++ b/src/calls/link_booking.cpp
@@ -97,9 +97,13 @@
                     Duration aBacklog,
                     const LinkDemand& aDemand) const
 {
-  return Books(aDemand.m_size)
-           ? DepartureOf(aNow, aBacklog, aDemand) - aDemand.m_readyIn
-           : Duration::zero();
+  if (!Books(aDemand.m_size)) {
+    return Duration::zero();
+  }
+  const Duration departure = DepartureOf(aNow, aBacklog, aDemand);
+  const Duration wait = departure - aDemand.m_readyIn;
+  return departure > HeldLimit(aDemand) ? std::max(wait, aDemand.m_target)
+                                        : wait;
 }
 
 bool
@@ -151,7 +155,7 @@
   if (!Books(aDemand.m_size)) {
     return decision;
   }
-  const Duration limit = LimitOf(aDemand);
+  const Duration limit = std::min(LimitOf(aDemand), HeldLimit(aDemand));
   decision.m_departure = DepartureOf(aNow, aBacklog, aDemand);
   const bool isBeyond = IsBeyondShare(aNow, limit, aBacklog, aDemand);
   Duration wait{ 0 };
