--- a/include/greengagehub/calls/calls.hpp
+++ b/include/greengagehub/calls/calls.hpp
@@ -3,6 +3,7 @@
 /// \file
 /// \brief Includes the public headers of the calls library.
 
+#include "greengagehub/calls/answer_sizes.hpp"
 #include "greengagehub/calls/call.hpp"
 #include "greengagehub/calls/call_age_estimator.hpp"
 #include "greengagehub/calls/call_kind.hpp"
@@ -10,6 +11,7 @@
 #include "greengagehub/calls/decision_settings.hpp"
 #include "greengagehub/calls/dispatcher.hpp"
 #include "greengagehub/calls/fair_shares.hpp"
+#include "greengagehub/calls/link_booking.hpp"
 #include "greengagehub/calls/placement.hpp"
 #include "greengagehub/calls/retry_budget.hpp"
 #include "greengagehub/calls/route_table.hpp"
--- a/include/greengagehub/daemon/operators_api.hpp
+++ b/include/greengagehub/daemon/operators_api.hpp
@@ -64,6 +64,7 @@
   /// those measured in the last 3 s; 0 without any.
   [[nodiscard]] std::chrono::duration<double> LongestTransit(
     TimePoint aNow) const;
+  void SetLinkGauges() const;
   [[nodiscard]] HttpResponse QuarantinedRequests() const;
   [[nodiscard]] HttpResponse LiftQuarantine(const HttpRequest& aRequest);
   [[nodiscard]] HttpResponse Rollouts() const;
--- a/src/greengagehub.cpp
+++ b/src/greengagehub.cpp
@@ -36,7 +36,7 @@
   explain PATCH_ID      show the recorded decision on a patch
   status                show the state of one daemon
   limits                list the rate limits and departures that backend servers
-                        have stated
+                        have stated, and what is booked on the network link
   shares                list the workspaces that use the daemon's backend server:
                         weight, share, calls queued and running, slot time
   held                  list quarantined request fingerprints, with the worker
--- a/src/transport/link_codec.cpp
+++ b/src/transport/link_codec.cpp
@@ -57,6 +57,7 @@
       return RefusalReason::Cancelled;
     case RefusalReason::RetryBudgetExhausted:
     case RefusalReason::RateLimited:
+    case RefusalReason::LinkBusy:
       return RefusalReason::Overloaded;
     case RefusalReason::NotInService:
       // A worker out of service is equivalent to no worker.
@@ -160,6 +161,12 @@
     LimitToWire(aRequest.m_knownStatement, out);
     out.set_workspace(aRequest.m_share.m_workspace);
     out.set_workspace_weight(aRequest.m_share.m_weight);
+    out.set_answer_transfer_us(
+      static_cast<std::uint64_t>(aRequest.m_answerTransfer.count()));
+    out.set_answer_bytes(
+      static_cast<std::uint64_t>(aRequest.m_answerSize.m_mean));
+    out.set_answer_spread_bytes(
+      static_cast<std::uint64_t>(aRequest.m_answerSize.m_deviation));
   }
   void operator()(const CallAnswer& aAnswer) const
   {
@@ -171,6 +178,9 @@
     out.set_held(aAnswer.m_reason == RefusalReason::Quarantined);
     out.set_no_repeats(aAnswer.m_reason == RefusalReason::RetryBudgetExhausted);
     out.set_rate_limited(aAnswer.m_reason == RefusalReason::RateLimited);
+    out.set_link_busy(aAnswer.m_reason == RefusalReason::LinkBusy);
+    out.set_link_wait_us(
+      static_cast<std::uint64_t>(aAnswer.m_linkWait.count()));
     LimitToWire(aAnswer.m_statement, out);
     out.set_worker_leaving(aAnswer.m_statement.m_isLeaving);
     if (aAnswer.m_reason == RefusalReason::WorkerCrashed) {
@@ -216,6 +226,17 @@
   }
 };
 
+/// Bounds what another daemon may make this one expect.
+constexpr std::uint64_t kMaxAnswerBytes = 16UL * 1024 * 1024;
+constexpr std::chrono::microseconds kMaxLinkTime = std::chrono::minutes{ 1 };
+
+std::chrono::microseconds
+LinkTimeFrom(std::uint64_t aMicroseconds)
+{
+  const auto longest = static_cast<std::uint64_t>(kMaxLinkTime.count());
+  return std::chrono::microseconds{ std::min(aMicroseconds, longest) };
+}
+
 Outcome<LinkFrame>
 RequestFrom(const wire::CallRequest& aWire, std::string_view aBody)
 {
@@ -242,6 +263,11 @@
   request.m_targetLeft = std::chrono::microseconds{ aWire.target_us() };
   request.m_knownStatement = LimitFromWire(aWire);
   request.m_share = { aWire.workspace(), aWire.workspace_weight() };
+  request.m_answerTransfer = LinkTimeFrom(aWire.answer_transfer_us());
+  request.m_answerSize = {
+    static_cast<double>(std::min(aWire.answer_bytes(), kMaxAnswerBytes)),
+    static_cast<double>(std::min(aWire.answer_spread_bytes(), kMaxAnswerBytes))
+  };
   return LinkFrame{ std::move(request) };
 }
 
@@ -264,6 +290,8 @@
     answer.m_reason = RefusalReason::RetryBudgetExhausted;
   } else if (aWire.rate_limited()) {
     answer.m_reason = RefusalReason::RateLimited;
+  } else if (aWire.link_busy()) {
+    answer.m_reason = RefusalReason::LinkBusy;
   } else if (aWire.ends() > 0) {
     answer.m_reason = RefusalReason::WorkerCrashed;
   }
@@ -285,6 +313,7 @@
     answer.m_timeAtWorker =
       std::chrono::microseconds{ aWire.time_at_worker_us() };
   }
+  answer.m_linkWait = LinkTimeFrom(aWire.link_wait_us());
   return LinkFrame{ std::move(answer) };
 }
 
