Quota client, allocation and reserve for several shards

Callers of a workspace saw 503 no-coordinator for about 2 s at each change of the one quota coordinator, also far below their limit.

The decision code divides an allowance among N shards and queries the next shard when one does not answer within its timeout or grants in part. Shares of the reserve were re-divided without an end, so that their sum could exceed the reserve: they now expire and are booked until a window after their expiry. A receipt lets a token or a use of the reserve come back with its original expiry.

--- a/include/greengagehub/workspaces/quota_client.hpp
+++ b/include/greengagehub/workspaces/quota_client.hpp
@@ -4,13 +4,15 @@
 #include "greengagehub/core/random.hpp"
 #include "greengagehub/workspaces/quota_allocation.hpp"
 #include "greengagehub/workspaces/quota_message.hpp"
+#include "greengagehub/workspaces/shard_link.hpp"
+#include "greengagehub/workspaces/token_purse.hpp"
 
+#include <array>
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <optional>
-#include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace greengagehub {
 
@@ -23,23 +25,44 @@
     Waiting,
     /// The workspace has used up its quota.
     OverQuota,
-    /// The coordinator does not answer and the reserve is used up.
+    /// No coordinator answers and the reserve is used up.
     NoCoordinator,
   };
   Kind m_kind{ Kind::Admitted };
   std::chrono::milliseconds m_retryAfter{ 0 };
+  /// For Return(), if the request was admitted.
+  QuotaReceipt m_receipt{};
 };
 
-/// \brief Admits requests against tokens that the coordinator grants to this
-/// daemon, and queries the coordinator for more.
+/// \brief State of a workspace at this daemon, for operators.
+struct WorkspaceQuotaStatus
+{
+  WorkspaceId m_workspace{ 0 };
+  std::uint32_t m_tokens{ 0 };
+  std::uint32_t m_waiting{ 0 };
+  /// Requests per second.
+  double m_rate{ 0.0 };
+  /// Requests per window.
+  std::uint32_t m_reserve{ 0 };
+  /// Time left in which no shard that answers has tokens; 0: none.
+  std::chrono::milliseconds m_overQuotaFor{ 0 };
+};
+
+/// \brief Admits requests against tokens that the coordinators of the quota
+/// shards grant to this daemon, and queries them for more.
 ///
 /// Tokens are prefetched for busy workspaces; other requests wait one round
-/// trip for their token. While the coordinator does not answer, requests are
-/// admitted from the reserve that it assigned earlier.
+/// trip for their token. Each workspace and daemon have a shard of their own
+/// choice; when that one does not answer in time or has too few tokens, the
+/// next one is queried at once. While a shard does not answer and the others
+/// have no tokens, requests are admitted from the reserve.
 class QuotaClient
 {
 public:
-  QuotaClient(QuotaTolerance aTolerance, std::uint64_t aSeed);
+  /// \param aShards number of shards, 1 to kMaxQuotaShards.
+  QuotaClient(QuotaTolerance aTolerance,
+              std::uint64_t aSeed,
+              std::uint32_t aShards = 1);
 
   /// \brief Consumes a token, or part of the reserve, for one request.
   /// \param aIsNew false for the retry of a waiting request, after CancelWait.
@@ -50,79 +73,109 @@
                                        bool aIsLate = false);
   /// \brief Ends the wait of one request whose decision was Waiting.
   void CancelWait(WorkspaceId aWorkspace);
+  /// \brief Takes back what admitted a request that has run nowhere.
+  void Return(TimePoint aNow,
+              WorkspaceId aWorkspace,
+              const QuotaReceipt& aReceipt);
+  /// \brief Drops what was granted under a higher limit.
+  void OnLimitLowered(WorkspaceId aWorkspace);
+  /// \brief Sets the number of shards that the coordinators state.
+  void SetShardCount(std::uint32_t aShards);
 
+  /// \returns The next query, if any; to be called until there is none.
   [[nodiscard]] std::optional<QuotaQuery> NextQuery(TimePoint aNow);
   /// \returns When the answered query was sent; nothing if late or duplicate.
   [[nodiscard]] std::optional<TimePoint> OnReport(TimePoint aNow,
                                                   const QuotaReport& aReport);
   /// \brief Drops pending queries, so that the next one is sent at once.
-  void OnCoordinatorReady() noexcept;
-  /// \returns Whether no coordinator has answered for kSilenceTimeout.
+  void OnCoordinatorReady(std::uint32_t aShard = 0);
+  /// \returns Whether no shard has answered for kSilenceTimeout.
   [[nodiscard]] bool IsCoordinatorSilent(TimePoint aNow) const noexcept;
 
+  [[nodiscard]] std::uint32_t ShardCount() const noexcept { return m_shards; }
+  /// \param aShard below kMaxQuotaShards.
+  [[nodiscard]] const ShardLink& Link(std::uint32_t aShard) const
+  {
+    return m_links.at(aShard).m_link;
+  }
+  [[nodiscard]] std::uint32_t CountSilentShards(TimePoint aNow) const;
+  /// \returns Workspaces with recent requests, the busiest first.
+  [[nodiscard]] std::vector<WorkspaceQuotaStatus> Status(TimePoint aNow) const;
+
   /// Interval of queries without demands, which renew the freshness proof.
   static constexpr std::chrono::milliseconds kQueryInterval{ 400 };
-  /// Time without an answer after which the next query may be sent.
-  static constexpr std::chrono::milliseconds kAnswerTimeout{ 100 };
-  /// Time without an answer after which the reserve is used.
+  static constexpr std::chrono::milliseconds kAnswerTimeout =
+    ShardLink::kAnswerTimeout;
+  /// Time without any answer after which requests no longer wait for one.
   static constexpr std::chrono::milliseconds kSilenceTimeout{ 400 };
   /// Maximum number of demands per query, so that it fits in a datagram.
   static constexpr std::size_t kMaxDemands = 40;
 
 private:
-  struct TokenBatch
-  {
-    std::uint32_t m_tokens{ 0 };
-    TimePoint m_expiresAt{};
-  };
   struct WorkspaceState
   {
-    std::deque<TokenBatch> m_batches{};
+    TokenPurse m_purse{};
     std::uint32_t m_waiting{ 0 };
     /// Requests since the last update of m_rate.
     std::uint32_t m_arrivals{ 0 };
     /// Requests per second, moving average.
     double m_rate{ 0.0 };
-    /// After a partial grant, no tokens are requested and requests without a
-    /// token are rejected until then.
-    TimePoint m_overQuotaUntil{};
-    /// After a partial grant, late requests are rejected until then.
+    /// By shard: after a partial grant, no tokens are requested until then.
+    std::array<TimePoint, kMaxQuotaShards> m_deniedUntil{};
+    /// After a denial by all shards, late requests are rejected until then.
     TimePoint m_scarceUntil{};
-    /// Requests per quota window that may be admitted from the reserve.
-    std::uint32_t m_reserve{ 0 };
-    std::deque<TimePoint> m_reserveUses{};
     TimePoint m_lastArrival{};
   };
-
-  struct PendingQuery
+  struct LinkState
   {
-    std::uint64_t m_sequence{ 0 };
-    TimePoint m_sentAt{};
+    ShardLink m_link{};
+    /// When a query without waiting requests is due; for prefetching, and to
+    /// hear of the coordinator.
+    TimePoint m_nextPrefetchAt{};
+    TimePoint m_nextIdleAt{};
   };
 
-  [[nodiscard]] static bool TakeToken(TimePoint aNow, WorkspaceState& aState);
-  [[nodiscard]] static std::uint32_t CountTokens(TimePoint aNow,
-                                                 const WorkspaceState& aState);
-  [[nodiscard]] bool TakeReserve(TimePoint aNow, WorkspaceState& aState) const;
-
-  [[nodiscard]] std::vector<QuotaDemand> CollectDemands(TimePoint aNow);
+  /// \returns The shard to query for a workspace; nothing if all have denied.
+  [[nodiscard]] std::optional<std::uint32_t> SelectShard(
+    TimePoint aNow,
+    WorkspaceId aWorkspace,
+    const WorkspaceState& aState) const;
+  [[nodiscard]] bool HasDenied(TimePoint aNow,
+                               const WorkspaceState& aState,
+                               std::uint32_t aShard) const
+  {
+    return aNow < aState.m_deniedUntil.at(aShard);
+  }
+  [[nodiscard]] bool IsReserveOpen(TimePoint aNow) const;
+  [[nodiscard]] QuotaDecision DecideWithoutToken(TimePoint aNow,
+                                                 WorkspaceId aWorkspace,
+                                                 WorkspaceState& aState);
+  [[nodiscard]] std::vector<QuotaDemand> CollectDemands(TimePoint aNow,
+                                                        std::uint32_t aShard);
   [[nodiscard]] std::uint32_t CountWantedTokens(TimePoint aNow,
                                                 const WorkspaceState& aState);
+  [[nodiscard]] std::optional<QuotaQuery> QueryShard(TimePoint aNow,
+                                                     std::uint32_t aShard);
+  /// \returns Whether requests wait for a token of this shard.
+  [[nodiscard]] bool HasWaiting(TimePoint aNow, std::uint32_t aShard) const;
   void UpdateRates(TimePoint aNow);
-  void ApplyGrant(TimePoint aNow, TimePoint aSentAt, const QuotaGrant& aGrant);
+  void ApplyGrant(TimePoint aNow,
+                  TimePoint aSentAt,
+                  std::uint32_t aShard,
+                  const QuotaGrant& aGrant);
+  [[nodiscard]] std::chrono::milliseconds IdleInterval();
   /// \returns `aValue` rounded up or down at random, with `aValue` as mean.
   [[nodiscard]] std::uint32_t RoundStochastically(double aValue);
 
   QuotaTolerance m_tolerance;
   Random m_random;
+  std::uint32_t m_shards;
+  /// Part of the choice of each workspace's first shard.
+  std::uint64_t m_daemon;
+  std::array<LinkState, kMaxQuotaShards> m_links{};
   std::unordered_map<WorkspaceId, WorkspaceState> m_workspaces;
   std::uint32_t m_waiting{ 0 };
   std::uint64_t m_sequence{ 0 };
-  /// Unanswered queries, newest last.
-  std::deque<PendingQuery> m_pendingQueries;
-  /// When the first query since the last coordinator answer was sent.
-  std::optional<TimePoint> m_unansweredSince;
-  TimePoint m_nextQueryAt{};
   TimePoint m_ratesUpdatedAt{};
 };
 
--- a/include/greengagehub/workspaces/quota_message.hpp
+++ b/include/greengagehub/workspaces/quota_message.hpp
@@ -29,7 +29,7 @@
   /// After a partial grant: delay before the next demand; 0 otherwise.
   std::chrono::milliseconds m_retryAfter{ 0 };
   /// Thousandths of requests that the daemon may admit per quota window while
-  /// the coordinator does not answer.
+  /// a shard does not answer, for kReserveLifetime.
   std::uint32_t m_milliReserve{ 0 };
 };
 
@@ -39,6 +39,10 @@
 {
   std::uint64_t m_sequence{ 0 };
   std::vector<QuotaDemand> m_demands{};
+  std::uint32_t m_shard{ 0 };
+  /// False for daemons that know shard 0 only and keep shares of the reserve
+  /// without end.
+  bool m_knowsShards{ true };
 };
 
 /// \brief Last known state of the operators' configuration in the store.
@@ -54,9 +58,10 @@
 struct QuotaReport
 {
   std::uint64_t m_sequence{ 0 };
-  /// Slot of the coordinator as known to the sender; empty: unknown or none.
+  /// Slot of the shard's coordinator as known to the sender; empty: unknown or
+  /// none.
   std::string m_coordinator{};
-  /// Revision of kCoordinatorKey; 0: unknown.
+  /// Revision of the shard's key; 0: unknown.
   Revision m_term{ 0 };
   /// False while a new coordinator waits for its predecessor's lease.
   bool m_isGranting{ false };
@@ -65,6 +70,11 @@
   /// Configuration that the proof applies to.
   StoredConfig m_config{};
   std::vector<QuotaGrant> m_grants{};
+  std::uint32_t m_shard{ 0 };
+  /// From the coordinator of shard 0: number of shards; 0: unknown.
+  std::uint32_t m_shards{ 0 };
+  /// Term of the shard that the sender has ended; 0: none.
+  Revision m_endedTerm{ 0 };
 };
 
 }
--- a/include/greengagehub/workspaces/workspaces.hpp
+++ b/include/greengagehub/workspaces/workspaces.hpp
@@ -9,4 +9,7 @@
 #include "greengagehub/workspaces/quota_client.hpp"
 #include "greengagehub/workspaces/quota_coordinator.hpp"
 #include "greengagehub/workspaces/quota_message.hpp"
+#include "greengagehub/workspaces/reserve_book.hpp"
+#include "greengagehub/workspaces/shard_link.hpp"
+#include "greengagehub/workspaces/token_purse.hpp"
 #include "greengagehub/workspaces/workspace_table.hpp"
--- a/src/workspaces/quota_client.cpp
+++ b/src/workspaces/quota_client.cpp
@@ -24,79 +24,63 @@
 constexpr std::chrono::milliseconds kLateRetryAfter{ 1500 };
 constexpr std::chrono::milliseconds kOverQuotaRetryAfter{ 500 };
 constexpr double kMilliPerUnit = 1000.0;
+constexpr std::uint32_t kMilliPerUnitInteger = 1000;
+/// With several shards, each hears of this daemon after at most this many
+/// times kQueryInterval.
+constexpr std::uint32_t kMaxIdleFactor = 3;
 
 }
 
-QuotaClient::QuotaClient(QuotaTolerance aTolerance, std::uint64_t aSeed)
+QuotaClient::QuotaClient(QuotaTolerance aTolerance,
+                         std::uint64_t aSeed,
+                         std::uint32_t aShards)
   : m_tolerance(aTolerance)
   , m_random(aSeed)
+  , m_shards(std::clamp(aShards, 1U, kMaxQuotaShards))
+  , m_daemon(m_random())
 {
 }
 
-bool
-QuotaClient::TakeToken(TimePoint aNow, WorkspaceState& aState)
-{
-  while (!aState.m_batches.empty() &&
-         (aState.m_batches.front().m_tokens == 0 ||
-          aState.m_batches.front().m_expiresAt <= aNow)) {
-    aState.m_batches.pop_front();
-  }
-  if (aState.m_batches.empty()) {
-    return false;
-  }
-  --aState.m_batches.front().m_tokens;
-  return true;
-}
-
-std::uint32_t
-QuotaClient::CountTokens(TimePoint aNow, const WorkspaceState& aState)
-{
-  std::uint32_t tokens = 0;
-  for (const TokenBatch& each : aState.m_batches) {
-    tokens += each.m_expiresAt > aNow ? each.m_tokens : 0;
-  }
-  return tokens;
-}
-
-bool
-QuotaClient::TakeReserve(TimePoint aNow, WorkspaceState& aState) const
-{
-  while (!aState.m_reserveUses.empty() &&
-         aNow - aState.m_reserveUses.front() >= m_tolerance.m_window) {
-    aState.m_reserveUses.pop_front();
-  }
-  if (aState.m_reserveUses.size() >= aState.m_reserve) {
-    return false;
-  }
-  aState.m_reserveUses.push_back(aNow);
-  return true;
-}
-
 QuotaDecision
 QuotaClient::TryAdmit(TimePoint aNow,
                       WorkspaceId aWorkspace,
                       bool aIsNew,
                       bool aIsLate)
 {
-  using Kind = QuotaDecision::Kind;
   WorkspaceState& state = m_workspaces[aWorkspace];
   state.m_lastArrival = aNow;
   state.m_arrivals += aIsNew ? 1 : 0;
   if (aIsLate && aNow < state.m_scarceUntil) {
-    return { Kind::OverQuota, kLateRetryAfter };
+    return { QuotaDecision::Kind::OverQuota, kLateRetryAfter };
+  }
+  if (const auto token = state.m_purse.TakeToken(aNow)) {
+    return { .m_receipt = *token };
   }
-  if (TakeToken(aNow, state)) {
-    return {};
+  return DecideWithoutToken(aNow, aWorkspace, state);
+}
+
+QuotaDecision
+QuotaClient::DecideWithoutToken(TimePoint aNow,
+                                WorkspaceId aWorkspace,
+                                WorkspaceState& aState)
+{
+  using Kind = QuotaDecision::Kind;
+  const auto shard = SelectShard(aNow, aWorkspace, aState);
+  const bool mayAnswer = shard && !m_links.at(*shard).m_link.IsSilent(aNow);
+  if (!mayAnswer && IsReserveOpen(aNow)) {
+    if (const auto use =
+          aState.m_purse.TakeReserve(aNow, m_tolerance.m_window)) {
+      return { .m_receipt = *use };
+    }
   }
-  if (aNow < state.m_overQuotaUntil) {
+  const bool hasAnswers = CountSilentShards(aNow) < m_shards;
+  if (!mayAnswer && (!shard || (hasAnswers && m_shards > 1))) {
     return { Kind::OverQuota, kOverQuotaRetryAfter };
   }
-  if (IsCoordinatorSilent(aNow)) {
-    return TakeReserve(aNow, state)
-             ? QuotaDecision{}
-             : QuotaDecision{ Kind::NoCoordinator, kOverQuotaRetryAfter };
+  if (!mayAnswer && IsCoordinatorSilent(aNow)) {
+    return { Kind::NoCoordinator, kOverQuotaRetryAfter };
   }
-  ++state.m_waiting;
+  ++aState.m_waiting;
   ++m_waiting;
   return { Kind::Waiting };
 }
@@ -111,10 +95,83 @@
   }
 }
 
+void
+QuotaClient::Return(TimePoint aNow,
+                    WorkspaceId aWorkspace,
+                    const QuotaReceipt& aReceipt)
+{
+  const auto entry = m_workspaces.find(aWorkspace);
+  if (entry != m_workspaces.end()) {
+    entry->second.m_purse.Return(aNow, aReceipt);
+  }
+}
+
+void
+QuotaClient::OnLimitLowered(WorkspaceId aWorkspace)
+{
+  const auto entry = m_workspaces.find(aWorkspace);
+  if (entry != m_workspaces.end()) {
+    entry->second.m_purse.Clear();
+  }
+}
+
+void
+QuotaClient::SetShardCount(std::uint32_t aShards)
+{
+  const std::uint32_t shards = std::clamp(aShards, 1U, kMaxQuotaShards);
+  for (std::uint32_t i = m_shards; i < shards; ++i) {
+    m_links.at(i) = {};
+  }
+  m_shards = shards;
+}
+
+std::optional<std::uint32_t>
+QuotaClient::SelectShard(TimePoint aNow,
+                         WorkspaceId aWorkspace,
+                         const WorkspaceState& aState) const
+{
+  const auto first =
+    static_cast<std::uint32_t>((aWorkspace ^ m_daemon) % m_shards);
+  std::optional<std::uint32_t> silent;
+  for (std::uint32_t i = 0; i < m_shards; ++i) {
+    const std::uint32_t shard = (first + i) % m_shards;
+    if (HasDenied(aNow, aState, shard)) {
+      continue;
+    }
+    const ShardLink& link = m_links.at(shard).m_link;
+    if (!link.IsSilent(aNow)) {
+      return shard;
+    }
+    const bool isLongestAgo =
+      !silent || link.LastSentAt() < m_links.at(*silent).m_link.LastSentAt();
+    silent = isLongestAgo ? shard : *silent;
+  }
+  return silent;
+}
+
+bool
+QuotaClient::IsReserveOpen(TimePoint aNow) const
+{
+  return m_shards == 1 ? IsCoordinatorSilent(aNow)
+                       : CountSilentShards(aNow) > 0;
+}
+
+std::uint32_t
+QuotaClient::CountSilentShards(TimePoint aNow) const
+{
+  return static_cast<std::uint32_t>(std::count_if(
+    m_links.begin(), m_links.begin() + m_shards, [&](const LinkState& aEach) {
+      return aEach.m_link.IsSilent(aNow);
+    }));
+}
+
 bool
 QuotaClient::IsCoordinatorSilent(TimePoint aNow) const noexcept
 {
-  return m_unansweredSince && aNow - *m_unansweredSince >= kSilenceTimeout;
+  return std::all_of(
+    m_links.begin(), m_links.begin() + m_shards, [&](const LinkState& aEach) {
+      return aEach.m_link.SilentFor(aNow) >= kSilenceTimeout;
+    });
 }
 
 std::uint32_t
@@ -127,22 +184,22 @@
 std::uint32_t
 QuotaClient::CountWantedTokens(TimePoint aNow, const WorkspaceState& aState)
 {
-  if (aNow < aState.m_overQuotaUntil) {
-    return 0;
-  }
   const double expected = aState.m_rate * kPrefetchPeriod.count();
   const double missing =
-    expected - static_cast<double>(CountTokens(aNow, aState));
+    expected - static_cast<double>(aState.m_purse.CountTokens(aNow));
   // Prefetching small amounts would leave tokens unused at many daemons.
   const bool prefetches = expected >= kMinPrefetchTokens && missing > 0.0;
   return aState.m_waiting + (prefetches ? RoundStochastically(missing) : 0);
 }
 
 std::vector<QuotaDemand>
-QuotaClient::CollectDemands(TimePoint aNow)
+QuotaClient::CollectDemands(TimePoint aNow, std::uint32_t aShard)
 {
   std::vector<QuotaDemand> demands;
   for (auto& [id, state] : m_workspaces) {
+    if (SelectShard(aNow, id, state) != aShard) {
+      continue;
+    }
     const std::uint32_t wanted = CountWantedTokens(aNow, state);
     if (wanted > 0) {
       demands.push_back({ id,
@@ -186,60 +243,97 @@
   }
 }
 
+bool
+QuotaClient::HasWaiting(TimePoint aNow, std::uint32_t aShard) const
+{
+  return m_waiting > 0 &&
+         std::any_of(
+           m_workspaces.begin(), m_workspaces.end(), [&](const auto& aEach) {
+             return aEach.second.m_waiting > 0 &&
+                    SelectShard(aNow, aEach.first, aEach.second) == aShard;
+           });
+}
+
+std::chrono::milliseconds
+QuotaClient::IdleInterval()
+{
+  const std::uint32_t factor = std::min(m_shards, kMaxIdleFactor);
+  return Jittered(m_random, kQueryInterval * factor);
+}
+
 std::optional<QuotaQuery>
-QuotaClient::NextQuery(TimePoint aNow)
+QuotaClient::QueryShard(TimePoint aNow, std::uint32_t aShard)
 {
-  while (!m_pendingQueries.empty() &&
-         aNow - m_pendingQueries.front().m_sentAt >= kTokenLifetime) {
-    m_pendingQueries.pop_front();
+  LinkState& state = m_links.at(aShard);
+  if (state.m_link.IsAwaitingAnswer(aNow)) {
+    return std::nullopt;
   }
-  const bool isQueryPending =
-    !m_pendingQueries.empty() &&
-    aNow - m_pendingQueries.back().m_sentAt < kAnswerTimeout;
-  const bool isDue = m_waiting > 0 || aNow >= m_nextQueryAt;
-  if (isQueryPending || !isDue) {
+  const bool isSilent = state.m_link.IsSilent(aNow);
+  // A silent shard is probed sooner than the others.
+  const bool isIdleDue =
+    aNow >= state.m_nextIdleAt ||
+    (isSilent && aNow - state.m_link.LastSentAt() >= kQueryInterval);
+  std::vector<QuotaDemand> demands;
+  const bool isPrefetchDue = aNow >= state.m_nextPrefetchAt;
+  if (!isIdleDue && !isPrefetchDue && !HasWaiting(aNow, aShard)) {
     return std::nullopt;
   }
   UpdateRates(aNow);
-  m_nextQueryAt = aNow + Jittered(m_random, kQueryInterval);
-  m_pendingQueries.push_back({ ++m_sequence, aNow });
-  m_unansweredSince = m_unansweredSince.value_or(aNow);
-  return QuotaQuery{ m_sequence, CollectDemands(aNow) };
+  demands = CollectDemands(aNow, aShard);
+  if (isPrefetchDue) {
+    state.m_nextPrefetchAt = aNow + Jittered(m_random, kQueryInterval);
+  }
+  if (demands.empty() && !isIdleDue) {
+    return std::nullopt;
+  }
+  state.m_nextIdleAt = aNow + IdleInterval();
+  state.m_nextPrefetchAt = aNow + Jittered(m_random, kQueryInterval);
+  state.m_link.OnSent(aNow, ++m_sequence);
+  return QuotaQuery{ .m_sequence = m_sequence,
+                     .m_demands = std::move(demands),
+                     .m_shard = aShard };
+}
+
+std::optional<QuotaQuery>
+QuotaClient::NextQuery(TimePoint aNow)
+{
+  for (std::uint32_t i = 0; i < m_shards; ++i) {
+    if (auto query = QueryShard(aNow, i)) {
+      return query;
+    }
+  }
+  return std::nullopt;
 }
 
 std::optional<TimePoint>
 QuotaClient::OnReport(TimePoint aNow, const QuotaReport& aReport)
 {
-  const auto query =
-    std::find_if(m_pendingQueries.begin(),
-                 m_pendingQueries.end(),
-                 [&](const PendingQuery& aEach) {
-                   return aEach.m_sequence == aReport.m_sequence;
-                 });
-  if (query == m_pendingQueries.end()) {
+  if (aReport.m_shard >= kMaxQuotaShards) {
     return std::nullopt;
   }
-  const TimePoint sentAt = query->m_sentAt;
-  m_pendingQueries.erase(query);
-  if (aReport.m_isGranting) {
-    m_unansweredSince.reset();
-  }
-  for (const QuotaGrant& each : aReport.m_grants) {
-    ApplyGrant(aNow, sentAt, each);
+  const auto sentAt =
+    m_links.at(aReport.m_shard)
+      .m_link.OnAnswer(aNow, aReport.m_sequence, aReport.m_isGranting);
+  if (sentAt) {
+    for (const QuotaGrant& each : aReport.m_grants) {
+      ApplyGrant(aNow, *sentAt, aReport.m_shard, each);
+    }
   }
   return sentAt;
 }
 
 void
-QuotaClient::OnCoordinatorReady() noexcept
+QuotaClient::OnCoordinatorReady(std::uint32_t aShard)
 {
-  m_pendingQueries.clear();
-  m_unansweredSince.reset();
+  if (aShard < kMaxQuotaShards) {
+    m_links.at(aShard).m_link.OnReady();
+  }
 }
 
 void
 QuotaClient::ApplyGrant(TimePoint aNow,
                         TimePoint aSentAt,
+                        std::uint32_t aShard,
                         const QuotaGrant& aGrant)
 {
   const auto entry = m_workspaces.find(aGrant.m_workspace);
@@ -247,15 +341,43 @@
     return;
   }
   WorkspaceState& state = entry->second;
-  if (aGrant.m_tokens > 0) {
-    state.m_batches.push_back({ aGrant.m_tokens, aSentAt + kTokenLifetime });
-  }
-  state.m_reserve = RoundStochastically(aGrant.m_milliReserve / kMilliPerUnit);
+  state.m_purse.AddTokens(aGrant.m_tokens, aSentAt + kTokenLifetime);
+  state.m_purse.SetReserve(aShard,
+                           aGrant.m_milliReserve / kMilliPerUnitInteger,
+                           aSentAt + kReserveLifetime);
   if (aGrant.m_retryAfter.count() > 0) {
-    state.m_overQuotaUntil =
+    state.m_deniedUntil.at(aShard) =
       aNow + std::max(aGrant.m_retryAfter, kMinOverQuotaTime);
-    state.m_scarceUntil = aNow + kScarcityTime;
+    const auto next = SelectShard(aNow, aGrant.m_workspace, state);
+    if (!next || m_links.at(*next).m_link.IsSilent(aNow)) {
+      state.m_scarceUntil = aNow + kScarcityTime;
+    }
+  }
+}
+
+std::vector<WorkspaceQuotaStatus>
+QuotaClient::Status(TimePoint aNow) const
+{
+  std::vector<WorkspaceQuotaStatus> all;
+  for (const auto& [id, state] : m_workspaces) {
+    const TimePoint overQuotaUntil = *std::min_element(
+      state.m_deniedUntil.begin(), state.m_deniedUntil.begin() + m_shards);
+    all.push_back(
+      { .m_workspace = id,
+        .m_tokens = state.m_purse.CountTokens(aNow),
+        .m_waiting = state.m_waiting,
+        .m_rate = state.m_rate,
+        .m_reserve = state.m_purse.ReserveShare(aNow),
+        .m_overQuotaFor = std::chrono::ceil<std::chrono::milliseconds>(
+          std::max(Duration::zero(), overQuotaUntil - aNow)) });
   }
+  std::sort(
+    all.begin(),
+    all.end(),
+    [](const WorkspaceQuotaStatus& aLeft, const WorkspaceQuotaStatus& aRight) {
+      return aLeft.m_rate > aRight.m_rate;
+    });
+  return all;
 }
 
 }
--- a/src/workspaces/quota_coordinator.cpp
+++ b/src/workspaces/quota_coordinator.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace greengagehub {
 
@@ -16,6 +17,8 @@
 constexpr std::chrono::milliseconds kMaxRetryAfter{ 500 };
 /// Lower bound of a daemon's rate, in requests per second.
 constexpr double kMinRate = 0.02;
+/// Weight of a new report in the average of a daemon's rate.
+constexpr double kRateWeight = 0.2;
 constexpr double kMilliPerUnit = 1000.0;
 
 }
@@ -70,7 +73,11 @@
     RemoveSilentDaemons(aNow, aBucket);
   }
   DaemonRate& daemonRate = aBucket.m_daemonRates[aSlot];
-  const double rate = std::max(kMinRate, aDemand.m_milliRate / kMilliPerUnit);
+  const double reported =
+    std::max(kMinRate, aDemand.m_milliRate / kMilliPerUnit);
+  const double rate =
+    isNew ? reported
+          : daemonRate.m_rate + kRateWeight * (reported - daemonRate.m_rate);
   aBucket.m_totalRate += rate - daemonRate.m_rate;
   daemonRate = { rate, aNow };
 }
@@ -79,7 +86,8 @@
 QuotaCoordinator::Grant(TimePoint aNow,
                         std::uint64_t aSlot,
                         const QuotaDemand& aDemand,
-                        const QuotaAllocation& aAllocation)
+                        const QuotaAllocation& aAllocation,
+                        bool aGetsReserve)
 {
   TokenBucket& bucket = BucketOf(aDemand.m_workspace);
   Refill(aNow, bucket, aAllocation);
@@ -91,24 +99,64 @@
   QuotaGrant grant{ .m_workspace = aDemand.m_workspace,
                     .m_tokens = static_cast<std::uint32_t>(granted) };
   if (granted < wanted) {
+    // A later demand would find a bucket that has overflowed.
+    const double missing =
+      std::min(wanted - granted, std::max(1.0, aAllocation.m_capacity));
     const auto refill = std::chrono::milliseconds{ std::lround(
-      kMilliPerUnit * (wanted - granted) /
-      std::max(aAllocation.m_rate, kMinRate)) };
+      kMilliPerUnit * missing / std::max(aAllocation.m_rate, kMinRate)) };
     grant.m_retryAfter = std::clamp<std::chrono::milliseconds>(
       refill, kMinRetryAfter, kMaxRetryAfter);
   }
-  const double reserveShare =
-    bucket.m_daemonRates[aSlot].m_rate / std::max(bucket.m_totalRate, kMinRate);
-  grant.m_milliReserve = static_cast<std::uint32_t>(
-    kMilliPerUnit * aAllocation.m_reserve * std::min(1.0, reserveShare));
+  if (aGetsReserve) {
+    grant.m_milliReserve = static_cast<std::uint32_t>(kMilliPerUnit) *
+                           GrantReserve(aNow, aSlot, bucket, aAllocation);
+  }
+  m_granted += grant.m_tokens;
   return grant;
 }
 
+std::uint32_t
+QuotaCoordinator::GrantReserve(TimePoint aNow,
+                               std::uint64_t aSlot,
+                               TokenBucket& aBucket,
+                               const QuotaAllocation& aAllocation) const
+{
+  const auto bookedFor = kReserveLifetime + m_tolerance.m_window;
+  if (aNow - m_startedAt < bookedFor) {
+    return 0;
+  }
+  const double part = aBucket.m_daemonRates[aSlot].m_rate /
+                      std::max(aBucket.m_totalRate, kMinRate);
+  const double share = aAllocation.m_reserve * std::min(1.0, part);
+  // Of daemons with equal shares below one request, always the same get one:
+  // a share that moves is booked at two daemons.
+  const double rounding = std::ldexp(
+    static_cast<double>(aSlot), -std::numeric_limits<std::uint64_t>::digits);
+  return aBucket.m_reserve.Grant(aNow,
+                                 aSlot,
+                                 static_cast<std::uint32_t>(share + rounding),
+                                 aAllocation.m_reserve,
+                                 bookedFor);
+}
+
+QuotaAllocation
+QuotaCoordinator::AllocationOf(const WorkspaceRow& aWorkspace) const noexcept
+{
+  const std::uint32_t used = CountUsedShards(
+    m_tolerance, aWorkspace.m_perSecond, aWorkspace.m_burst, m_shard.m_count);
+  return m_shard.m_index < used ? AllocateQuota(m_tolerance,
+                                                aWorkspace.m_perSecond,
+                                                aWorkspace.m_burst,
+                                                m_shard.m_count)
+                                : QuotaAllocation{};
+}
+
 std::vector<QuotaGrant>
 QuotaCoordinator::OnDemands(TimePoint aNow,
                             std::string_view aSlot,
                             const std::vector<QuotaDemand>& aDemands,
-                            const WorkspaceTable& aTable)
+                            const WorkspaceTable& aTable,
+                            bool aGetsReserve)
 {
   const std::uint64_t slot = ShortHash(aSlot);
   std::vector<QuotaGrant> grants;
@@ -122,11 +170,8 @@
           .m_tokens = workspace != nullptr ? each.m_wanted : 0 });
       continue;
     }
-    grants.push_back(Grant(
-      aNow,
-      slot,
-      each,
-      AllocateQuota(m_tolerance, workspace->m_perSecond, workspace->m_burst)));
+    grants.push_back(
+      Grant(aNow, slot, each, AllocationOf(*workspace), aGetsReserve));
   }
   return grants;
 }
