Elect a coordinator for each quota shard

Callers saw 503 no-coordinator for about 2 s at each change of the one quota coordinator. With workspaces.quota_shards = N each of N coordinators grants a part, elected by a key of its own; the key of shard 0 states N, and the other shards grant only while it does and has done so for a lease, as a daemon of the previous version grants the whole allowance from that key.

- CoordinatorRoles confirms all shards that a daemon holds by one check, which also confirms keys that are unchanged where another key of the check differs.
- ShardStatement names an unbroken sequence of holders, so that the other shards go on when shard 0 only changes its holder.
- A coordinator that few of its peers query releases its key and abstains.
- A call that ended 'not run' returns its token.
- A process no longer takes the end of a former process of its slot for granted: 'a restarted daemon waits for the lease of its old self' failed with the former rule, as did five others of coordinator roles.

--- a/include/greengagehub/core/store_message.hpp
+++ b/include/greengagehub/core/store_message.hpp
@@ -11,6 +11,15 @@
 /// \brief Revision of a key in the store; 0 if the key does not exist.
 using Revision = std::uint64_t;
 
+/// Maximum number of keys that one request may compare.
+inline constexpr std::size_t kMaxExpectedKeys = 32;
+
+struct ExpectedKey
+{
+  std::string m_key;
+  Revision m_revision{ 0 };
+};
+
 /// \brief One request to the platform's key-value store; a Store executes it.
 struct StoreRequest
 {
@@ -44,9 +53,9 @@
   /// Watch: prefix of m_key; changes of other keys with the prefix are reported
   /// in m_items. Empty for none.
   std::string m_watchPrefix{};
-  /// Check: second key, which must be at m_secondExpected; empty for none.
-  std::string m_secondKey{};
-  Revision m_secondExpected{ 0 };
+  /// Check: further keys and the revisions that they must have; at most
+  /// kMaxExpectedKeys with m_key.
+  std::vector<ExpectedKey> m_alsoExpected{};
   /// Get and List: allows a stale read, exempt from the store's rate limits.
   bool m_allowStale{ false };
 };
@@ -55,6 +64,8 @@
 {
   std::string m_key;
   std::string m_value;
+  /// Of the answer to a failed check; otherwise 0.
+  Revision m_revision{ 0 };
 };
 
 struct StoreReply
@@ -81,6 +92,7 @@
   Revision m_storeRevision{ 0 };
   std::string m_value{};
   std::uint64_t m_lease{ 0 };
+  /// Check, if it failed: the existing keys among those compared.
   std::vector<StoreItem> m_items{};
   /// Incremented when a restore from a backup sets revisions back; 0: unknown.
   std::uint64_t m_era{ 0 };
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -120,6 +120,8 @@
     std::string m_routeKey{};
     std::string m_id{};
     std::string m_workspace{};
+    WorkspaceId m_workspaceId{ 0 };
+    QuotaReceipt m_receipt{};
     /// Slot of the latest attempt; empty: none.
     std::string m_slot{};
     std::uint32_t m_attempts{ 0 };
@@ -165,7 +167,7 @@
   void StartCall(const Route& aRoute,
                  const std::string& aService,
                  TimePoint aReceivedAt,
-                 const WorkspaceRow* aWorkspace,
+                 const WorkspaceAdmission& aAdmission,
                  HttpRequest aRequest,
                  HttpResponder aResponder);
   [[nodiscard]] std::string SelectService(const Route& aRoute);
--- a/include/greengagehub/daemon/workspace_service.hpp
+++ b/include/greengagehub/daemon/workspace_service.hpp
@@ -2,13 +2,13 @@
 
 #include "greengagehub/calls/call.hpp"
 #include "greengagehub/config/config_holder.hpp"
+#include "greengagehub/daemon/quota_service.hpp"
 #include "greengagehub/membership/membership.hpp"
 #include "greengagehub/observe/log.hpp"
 #include "greengagehub/settings/settings.hpp"
 #include "greengagehub/workspaces/workspaces.hpp"
 #include "platform/kv_store.hpp"
 
-#include <asio/steady_timer.hpp>
 #include <functional>
 #include <optional>
 #include <string>
@@ -26,6 +26,8 @@
   bool m_waits{ false };
   /// Workspace of the key; nullptr: the key is unknown or was not checked.
   const WorkspaceRow* m_workspace{ nullptr };
+  /// For Return(), if the request is admitted.
+  QuotaReceipt m_receipt{};
 };
 
 /// \brief Checks keys and quotas of workspaces, and exchanges quota messages
@@ -60,11 +62,7 @@
   /// \returns Age of the newest proof that the active configuration is current;
   /// empty: none.
   [[nodiscard]] std::optional<std::chrono::milliseconds> ProofAge() const;
-  [[nodiscard]] bool IsCoordinator() const;
-  [[nodiscard]] const std::string& Coordinator() const noexcept
-  {
-    return m_coordinatorSlot;
-  }
+  [[nodiscard]] const QuotaService& Quotas() const noexcept { return m_quota; }
 
   /// \returns Whether requests of the route need an API key.
   [[nodiscard]] bool NeedsKey(const Route& aRoute) const noexcept
@@ -79,24 +77,26 @@
                                          bool aIsNew,
                                          bool aIsLate);
   /// \brief Ends the wait of one request for a token.
-  void CancelWait(WorkspaceId aWorkspace)
+  void CancelWait(WorkspaceId aWorkspace) { m_quota.CancelWait(aWorkspace); }
+  /// \brief Takes back what admitted a request that has run nowhere.
+  void Return(WorkspaceId aWorkspace, const QuotaReceipt& aReceipt)
   {
-    m_quotaClient.CancelWait(aWorkspace);
+    m_quota.Return(aWorkspace, aReceipt);
   }
   /// \param aHandler called when waiting requests are to be admitted again.
   void SetRetryHandler(std::function<void()> aHandler)
   {
-    m_retryHandler = std::move(aHandler);
+    m_quota.SetRetryHandler(std::move(aHandler));
   }
 
   void OnVersion();
   /// \param aReadSentAt when the read that returned `aConfig` was sent.
   void OnConfirmed(TimePoint aReadSentAt, const StoredConfig& aConfig);
-  void OnMessage(const GossipMessage& aMessage);
+  void OnMessage(const GossipMessage& aMessage) { m_quota.OnMessage(aMessage); }
   void OnTick();
   void OnStoreRestored();
   /// \brief Gives up the coordinator role before this daemon exits.
-  void Resign();
+  void Resign() { m_quota.Resign(); }
 
 private:
   /// A revision check in progress at the store.
@@ -104,46 +104,24 @@
   {
     TimePoint m_sentAt{};
     StoredConfig m_config{};
-    bool m_confirmsRole{ false };
+    /// Keys of the coordinator roles; empty: none.
+    CoordinatorRoles::Check m_roles{};
   };
 
-  void SendNextQuery();
-  void ArmQueryTimeout();
-  void SendQuery(const MemberPeer& aTo, QuotaQuery aQuery);
-  [[nodiscard]] std::optional<MemberPeer> SelectQueryPeer();
-  [[nodiscard]] QuotaReport AnswerQuery(std::string_view aSlot,
-                                        const QuotaQuery& aQuery);
-  void OnReport(std::string_view aFrom, const QuotaReport& aReport);
-  /// \param aCoordinator slot of the coordinator; empty: none.
-  void AnnounceCoordinator(const std::string& aCoordinator);
-  void AdvanceRole(TimePoint aNow);
-  [[nodiscard]] bool IsCandidate(TimePoint aNow);
+  [[nodiscard]] QuotaService::Dependencies QuotaDependencies();
+  void AddProof(QuotaReport& aReport) const;
   void CheckStoreIfStale(TimePoint aNow);
-  void SendStoreCheck(bool aConfirmsRole);
+  void SendStoreCheck(CoordinatorRoles::Check aRoles);
   void OnStoreCheck(const StoreCheck& aCheck, StoreReply aReply);
-  void ReadCoordinatorKey();
-  void ClaimCoordinatorKey();
   [[nodiscard]] StoredConfig KnownConfig() const;
 
   Dependencies m_deps;
   Random m_random;
   WorkspaceTable m_table;
   ConfigFreshness m_freshness;
-  QuotaClient m_quotaClient;
-  QuotaCoordinator m_coordinator;
-  CoordinatorRole m_coordinatorRole;
-  std::function<void()> m_retryHandler;
-  asio::steady_timer m_queryTimeout;
-  /// Slot of the coordinator; empty: unknown.
-  std::string m_coordinatorSlot;
-  TimePoint m_lastCoordinatorReport{};
   StoredConfig m_reportedConfig;
-  bool m_isHighestRanked{ false };
-  TimePoint m_nextRankCheck{};
   TimePoint m_nextStoreCheck{};
-  /// Random addition to kRelaySilence and kMemberSilence, so that daemons do
-  /// not claim the role at the same time.
-  std::chrono::milliseconds m_claimDelay{ 0 };
+  QuotaService m_quota;
 };
 
 }
--- a/include/greengagehub/membership/membership.hpp
+++ b/include/greengagehub/membership/membership.hpp
@@ -89,6 +89,9 @@
   /// \returns Whether this daemon ranks first among the live members of all
   /// domains.
   [[nodiscard]] bool IsHighestRanked() const;
+  /// \returns Number of live members that come before this daemon in an order
+  /// by hash, which is another one for each quota shard.
+  [[nodiscard]] std::size_t RankForShard(std::uint32_t aShard) const;
   /// \returns Nothing if this daemon ranks first.
   [[nodiscard]] std::optional<MemberPeer> HighestRanked() const;
   [[nodiscard]] MemberPeer PeerOf(const MemberRecord& aRecord) const;
--- a/include/greengagehub/settings/settings.hpp
+++ b/include/greengagehub/settings/settings.hpp
@@ -93,6 +93,8 @@
   /// the store and its peers; 0: no limit.
   std::chrono::milliseconds m_maxRevokeDelay{ 0 };
   QuotaTolerance m_quota{};
+  /// Number of quota shards, each with a coordinator of its own.
+  std::uint32_t m_quotaShards{ 1 };
 };
 
 struct LogSettings
--- a/include/greengagehub/workspaces/coordinator_role.hpp
+++ b/include/greengagehub/workspaces/coordinator_role.hpp
@@ -3,6 +3,8 @@
 #include "greengagehub/core/clock.hpp"
 #include "greengagehub/core/random.hpp"
 #include "greengagehub/core/store_message.hpp"
+#include "greengagehub/workspaces/quota_allocation.hpp"
+#include "greengagehub/workspaces/shard_condition.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -13,16 +15,25 @@
 
 namespace greengagehub {
 
-/// Store key whose value names the quota coordinator.
+/// Store key whose value names the coordinator of quota shard 0.
 inline constexpr std::string_view kCoordinatorKey = "workspaces/coordinator";
 
-/// \brief Elects the daemon that grants quota tokens: at most one at a time.
+/// \returns Store key whose value names the coordinator of a shard.
+[[nodiscard]] std::string
+CoordinatorKey(std::uint32_t aShard);
+
+/// \brief Elects the daemon that grants the tokens of a quota shard: at most
+/// one at a time.
 ///
-/// The daemon that last wrote kCoordinatorKey is the coordinator. A check that
+/// The daemon that last wrote the shard's key is its coordinator. A check that
 /// the key is unchanged renews its lease, counted from the sending of the
 /// check. A successor overwrites the key, which fails the predecessor's checks,
 /// and waits for kLeaseDuration before it grants tokens.
 ///
+/// The key of shard 0 also states the number of shards (ShardStatement). The
+/// other shards lead only while ShardCondition is met as well, and their checks
+/// cover both keys.
+///
 /// The clock must advance during suspension. Clocks of different daemons are
 /// never compared.
 class CoordinatorRole
@@ -30,8 +41,8 @@
 public:
   CoordinatorRole(std::string aSlot,
                   std::uint64_t aProcess,
-                  TimePoint aStarted,
-                  std::uint64_t aSeed);
+                  std::uint64_t aSeed,
+                  QuotaShard aShard = {});
 
   /// Store operation to perform next.
   enum class Step : std::uint8_t
@@ -42,7 +53,7 @@
     Claim,
     /// Check that the key is at revision ExpectedRevision().
     Confirm,
-    /// Write an empty value if the key is at revision ExpectedRevision(); a
+    /// Write ReleaseValue() if the key is at revision ExpectedRevision(); a
     /// successor then need not wait.
     Release,
   };
@@ -50,6 +61,9 @@
   /// \param aIsCandidate this daemon may become the coordinator.
   /// \param aIsSilent no coordinator has answered recently.
   [[nodiscard]] Step OnTick(TimePoint aNow, bool aIsCandidate, bool aIsSilent);
+  /// \brief Lets another shard's check confirm this role as well.
+  /// \returns Whether it does; OnConfirmed() or OnStoreCallFailed() follows.
+  [[nodiscard]] bool JoinConfirm(TimePoint aNow);
   void OnRead(TimePoint aNow, const StoreReply& aReply);
   void OnClaimed(TimePoint aNow, TimePoint aSent, const StoreReply& aReply);
   /// \param aIsOurs whether the key was at revision ExpectedRevision().
@@ -76,6 +90,11 @@
   /// \brief Stops granting tokens permanently.
   /// \returns Step::Release if the key is to be released.
   [[nodiscard]] Step Resign() noexcept;
+  /// \brief Stops granting tokens, and claims nothing for kAbstainTime.
+  /// \returns Step::Release if the key is to be released.
+  [[nodiscard]] Step Abstain(TimePoint aNow) noexcept;
+  /// \brief The check was answered, but proved nothing about this role.
+  void OnUndecided(TimePoint aNow) noexcept;
 
   [[nodiscard]] bool IsLeading(TimePoint aNow) const noexcept;
   /// \returns Whether the predecessor's lease delays this coordinator.
@@ -89,8 +108,12 @@
   {
     return m_revision;
   }
-  /// \returns The slot and the process id.
+  /// \returns The slot and the process id, for shard 0 with the statement of
+  /// the number of shards.
   [[nodiscard]] std::string KeyValue() const;
+  /// \returns An empty value, for shard 0 with the statement.
+  [[nodiscard]] std::string ReleaseValue() const;
+  [[nodiscard]] QuotaShard Shard() const noexcept { return m_shard; }
   /// \returns true once for each time that this daemon starts to lead.
   [[nodiscard]] bool TakeStarted(TimePoint aNow) noexcept;
 
@@ -103,18 +126,21 @@
   static constexpr std::uint32_t kMaxFailures = 2;
   /// Maximum delay before the next claim after losing or failing one.
   static constexpr std::chrono::milliseconds kReclaimDelay{ 3000 };
+  static constexpr std::chrono::milliseconds kAbstainTime{ 10'000 };
 
 private:
   void LoseKey(TimePoint aNow);
-  /// \returns Whether a process in this slot wrote the value.
-  [[nodiscard]] bool IsFromOwnSlot(std::string_view aValue) const;
-  /// \returns Until when the writer of the replaced value may grant tokens.
+  [[nodiscard]] std::string Holder() const;
+  /// \returns Whether a process in this slot wrote the predecessor's value.
+  [[nodiscard]] bool IsFromOwnSlot() const;
+  /// \returns Until when tokens of the predecessor, or of shards that its
+  /// statement allowed, may be granted.
   [[nodiscard]] TimePoint PredecessorLeaseEnd(TimePoint aNow) const;
 
   std::string m_slot;
   std::uint64_t m_process;
-  TimePoint m_started;
   Random m_random;
+  QuotaShard m_shard;
   Revision m_revision{ 0 };
   /// Revision of the key that the last claim replaced.
   Revision m_predecessorRevision{ 0 };
@@ -133,7 +159,9 @@
   /// When the last successful claim or confirmation was sent.
   TimePoint m_leaseStart{};
   TimePoint m_nextStepAt{};
-  std::string m_predecessorValue{};
+  ShardStatement m_predecessor{};
+  /// ShardStatement::m_since of this daemon's claim.
+  std::string m_since{};
 };
 
 }
--- a/include/greengagehub/workspaces/quota_client.hpp
+++ b/include/greengagehub/workspaces/quota_client.hpp
@@ -84,6 +84,8 @@
 
   /// \returns The next query, if any; to be called until there is none.
   [[nodiscard]] std::optional<QuotaQuery> NextQuery(TimePoint aNow);
+  /// \returns When the next awaited answer is overdue, if any is awaited.
+  [[nodiscard]] std::optional<TimePoint> NextTimeout(TimePoint aNow) const;
   /// \returns When the answered query was sent; nothing if late or duplicate.
   [[nodiscard]] std::optional<TimePoint> OnReport(TimePoint aNow,
                                                   const QuotaReport& aReport);
--- a/include/greengagehub/workspaces/quota_message.hpp
+++ b/include/greengagehub/workspaces/quota_message.hpp
@@ -75,6 +75,9 @@
   std::uint32_t m_shards{ 0 };
   /// Term of the shard that the sender has ended; 0: none.
   Revision m_endedTerm{ 0 };
+  /// Announcement of a shard above 0: coordinator of shard 0, for daemons that
+  /// know no other shard.
+  std::string m_firstCoordinator{};
 };
 
 }
--- a/include/greengagehub/workspaces/workspace_table.hpp
+++ b/include/greengagehub/workspaces/workspace_table.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace greengagehub {
 
@@ -29,7 +30,8 @@
 class WorkspaceTable
 {
 public:
-  void Update(const Content& aContent);
+  /// \returns Workspaces whose limit is lower than before.
+  std::vector<WorkspaceId> Update(const Content& aContent);
 
   [[nodiscard]] bool IsEmpty() const noexcept { return m_rows.empty(); }
   [[nodiscard]] std::size_t KeyCount() const noexcept { return m_keys.size(); }
@@ -51,6 +53,9 @@
     }
   };
 
+  /// \returns Workspaces of `aTarget` whose limit is lower than here.
+  [[nodiscard]] std::vector<WorkspaceId> FindLowered(
+    const EntityMap<Workspace>& aTarget) const;
   void Add(const std::string& aName, const Workspace& aWorkspace);
   void Remove(const std::string& aName, const Workspace& aWorkspace);
 
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -246,6 +246,9 @@
       (static_cast<double>(answer.m_response.m_body.size()) -
        statistics.m_meanAnswerBytes);
   }
+  if (answer.m_outcome == CallOutcome::NotRun) {
+    m_deps.m_workspaces.Return(call.m_workspaceId, call.m_receipt);
+  }
   answer.m_retryAfter = WithJitter(answer.m_retryAfter);
   m_deps.m_metrics.CountCall(NameOf(answer.m_outcome), NameOf(answer.m_reason));
   m_deps.m_metrics.ObserveLatency(
--- a/src/daemon/call_gateway_callers.cpp
+++ b/src/daemon/call_gateway_callers.cpp
@@ -138,7 +138,7 @@
   StartCall(aRoute,
             aService,
             aReceivedAt,
-            admission.m_workspace,
+            admission,
             std::move(aRequest),
             std::move(aResponder));
 }
@@ -226,10 +226,11 @@
 CallGateway::StartCall(const Route& aRoute,
                        const std::string& aService,
                        TimePoint aReceivedAt,
-                       const WorkspaceRow* aWorkspace,
+                       const WorkspaceAdmission& aAdmission,
                        HttpRequest aRequest,
                        HttpResponder aResponder)
 {
+  const WorkspaceRow* workspace = aAdmission.m_workspace;
   const TimePoint now = Clock::now();
   const DecisionSettings& decisions = m_deps.m_settings.m_runs.m_decisions;
   const auto& headers = aRequest.m_headers;
@@ -263,8 +264,8 @@
                  static_cast<double>(aRequest.m_body.size()),
                  statistics.m_meanAnswerBytes);
   plan.m_priority =
-    aWorkspace != nullptr
-      ? m_deps.m_workspaces.Table().RankOf(*aWorkspace, aRoute.m_priority)
+    workspace != nullptr
+      ? m_deps.m_workspaces.Table().RankOf(*workspace, aRoute.m_priority)
       : aRoute.m_priority;
   if (plan.m_service != m_deps.m_settings.m_service) {
     // The caller may be the local worker, in one of its retried runs.
@@ -302,10 +303,12 @@
       HttpHeader{ std::string{ m_deps.m_dialect.m_callerService },
                   m_deps.m_settings.m_service });
   }
-  if (aWorkspace != nullptr) {
-    call.m_workspace = aWorkspace->m_name;
+  if (workspace != nullptr) {
+    call.m_workspace = workspace->m_name;
+    call.m_workspaceId = workspace->m_id;
+    call.m_receipt = aAdmission.m_receipt;
     request.m_headers.push_back(HttpHeader{
-      std::string{ m_deps.m_dialect.m_workspace }, aWorkspace->m_name });
+      std::string{ m_deps.m_dialect.m_workspace }, workspace->m_name });
   }
   request.m_priority = plan.m_priority;
   request.m_kind = plan.m_kind;
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -65,8 +65,8 @@
 WorkspaceStatus(const WorkspaceService& aWorkspaces)
 {
   Json status{ { "keys", aWorkspaces.Table().KeyCount() },
-               { "coordinator", aWorkspaces.Coordinator() },
-               { "coordinates", aWorkspaces.IsCoordinator() } };
+               { "coordinator", aWorkspaces.Quotas().Coordinator() },
+               { "coordinates", aWorkspaces.Quotas().IsCoordinator() } };
   if (const auto age = aWorkspaces.ProofAge()) {
     status["proof_age_ms"] = age->count();
   }
--- a/src/membership/membership_views.cpp
+++ b/src/membership/membership_views.cpp
@@ -141,6 +141,24 @@
   return isFirst;
 }
 
+std::size_t
+Membership::RankForShard(std::uint32_t aShard) const
+{
+  // An odd multiplier for each shard permutes the keys, so that none collide.
+  constexpr std::uint64_t kMultiplier = 0x9E3779B97F4A7C15;
+  const auto keyOf = [&](std::uint64_t aRankKey) {
+    const std::uint64_t key = (aRankKey ^ (aShard * kMultiplier)) * kMultiplier;
+    return (key ^ (key >> 32U)) * kMultiplier;
+  };
+  const std::uint64_t own = keyOf(RankKey(m_self.m_slot));
+  std::size_t rank = 0;
+  m_members.Rows().Each([&](MemberTable::Index, const MemberRow& aRow) {
+    const bool isCandidate = aRow.m_record.m_state == MemberState::Alive;
+    rank += isCandidate && keyOf(aRow.m_rankKey) < own ? 1 : 0;
+  });
+  return rank;
+}
+
 std::optional<MemberPeer>
 Membership::HighestRanked() const
 {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -306,6 +306,7 @@
     reader.Millis("quota_window_ms", quota.m_window, 1, kHourMs);
     reader.Number("quota_overage", quota.m_overage, 0.0, 1.0);
     reader.Number("quota_slack", quota.m_slack, 0.0, kMaxSlots);
+    reader.Count("quota_shards", workspaces.m_quotaShards, 1, kMaxQuotaShards);
     reader.ReportUnknownKeys();
   }
 
--- a/src/workspaces/coordinator_role.cpp
+++ b/src/workspaces/coordinator_role.cpp
@@ -5,23 +5,44 @@
 
 namespace greengagehub {
 
+std::string
+CoordinatorKey(std::uint32_t aShard)
+{
+  return aShard == 0 ? std::string{ kCoordinatorKey }
+                     : fmt::format("{}/{}", kCoordinatorKey, aShard);
+}
+
 CoordinatorRole::CoordinatorRole(std::string aSlot,
                                  std::uint64_t aProcess,
-                                 TimePoint aStarted,
-                                 std::uint64_t aSeed)
+                                 std::uint64_t aSeed,
+                                 QuotaShard aShard)
   : m_slot(std::move(aSlot))
   , m_process(aProcess)
-  , m_started(aStarted)
   , m_random(aSeed)
+  , m_shard(aShard)
 {
 }
 
 std::string
-CoordinatorRole::KeyValue() const
+CoordinatorRole::Holder() const
 {
   return fmt::format("{} {}", m_slot, m_process);
 }
 
+std::string
+CoordinatorRole::KeyValue() const
+{
+  return m_shard.m_index == 0 ? Format({ m_shard.m_count, m_since, Holder() })
+                              : Holder();
+}
+
+std::string
+CoordinatorRole::ReleaseValue() const
+{
+  return m_shard.m_index == 0 ? Format({ m_shard.m_count, m_since, {} })
+                              : std::string{};
+}
+
 CoordinatorRole::Step
 CoordinatorRole::OnTick(TimePoint aNow, bool aIsCandidate, bool aIsSilent)
 {
@@ -41,6 +62,17 @@
   return m_canClaim ? Step::Claim : Step::Read;
 }
 
+bool
+CoordinatorRole::JoinConfirm(TimePoint aNow)
+{
+  if (!m_holdsKey || m_isCallPending || m_hasResigned) {
+    return false;
+  }
+  m_isCallPending = true;
+  m_nextStepAt = aNow + kConfirmInterval;
+  return true;
+}
+
 void
 CoordinatorRole::OnRead(TimePoint aNow, const StoreReply& aReply)
 {
@@ -52,36 +84,36 @@
   }
   m_revision = exists ? aReply.m_revision : 0;
   // A restored store may have lost the key of a coordinator that still leads.
-  m_predecessorValue = exists ? aReply.m_value : "unknown";
-  const bool isUnknownCoordinator = exists && !m_predecessorValue.empty() &&
-                                    !IsFromOwnSlot(m_predecessorValue) &&
-                                    m_revision > m_newestTerm &&
-                                    m_revision != m_endedTerm;
+  m_predecessor = ParseShardStatement(exists ? aReply.m_value : "unknown");
+  const bool continues =
+    m_shard.m_count > 1 && m_predecessor.m_shards == m_shard.m_count;
+  m_since = continues ? m_predecessor.m_since
+                      : fmt::format("{:x}.{}", m_process, m_revision);
+  const bool isUnknownCoordinator =
+    exists && !m_predecessor.m_holder.empty() && !IsFromOwnSlot() &&
+    m_revision > m_newestTerm && m_revision != m_endedTerm;
   m_newestTerm = std::max(m_newestTerm, m_revision);
   m_canClaim = !isUnknownCoordinator;
   m_nextStepAt = isUnknownCoordinator ? aNow + kAnnounceGrace : aNow;
 }
 
 bool
-CoordinatorRole::IsFromOwnSlot(std::string_view aValue) const
+CoordinatorRole::IsFromOwnSlot() const
 {
-  return aValue.starts_with(m_slot + " ");
+  return m_predecessor.m_holder.starts_with(m_slot + " ");
 }
 
 TimePoint
 CoordinatorRole::PredecessorLeaseEnd(TimePoint aNow) const
 {
   const bool hasEnded =
-    m_predecessorValue.empty() ||
+    m_predecessor.m_holder.empty() ||
     (m_predecessorRevision != 0 && m_predecessorRevision == m_endedTerm);
-  if (hasEnded) {
-    return aNow;
-  }
-  const bool isFormerProcess =
-    IsFromOwnSlot(m_predecessorValue) && m_predecessorValue != KeyValue();
-  // An earlier process in this slot wrote the key before this process started.
-  return isFormerProcess ? std::max(aNow, m_started + kLeaseDuration)
-                         : aNow + kLeaseDuration;
+  // With another number of shards, those above 0 may still grant their parts.
+  const bool isSameDivision =
+    m_shard.m_index != 0 || m_predecessor.m_shards == m_shard.m_count;
+  // A former process of this slot may still run, so its lease counts as well.
+  return hasEnded && isSameDivision ? aNow : aNow + kLeaseDuration;
 }
 
 void
@@ -166,6 +198,23 @@
   return hadKey ? Step::Release : Step::None;
 }
 
+CoordinatorRole::Step
+CoordinatorRole::Abstain(TimePoint aNow) noexcept
+{
+  const bool hadKey = m_holdsKey;
+  m_holdsKey = false;
+  m_canClaim = false;
+  m_nextStepAt = aNow + kAbstainTime;
+  return hadKey ? Step::Release : Step::None;
+}
+
+void
+CoordinatorRole::OnUndecided(TimePoint aNow) noexcept
+{
+  m_isCallPending = false;
+  m_nextStepAt = aNow;
+}
+
 bool
 CoordinatorRole::IsLeading(TimePoint aNow) const noexcept
 {
--- a/src/workspaces/quota_client.cpp
+++ b/src/workspaces/quota_client.cpp
@@ -305,6 +305,20 @@
   return std::nullopt;
 }
 
+std::optional<TimePoint>
+QuotaClient::NextTimeout(TimePoint aNow) const
+{
+  std::optional<TimePoint> next;
+  for (std::uint32_t i = 0; i < m_shards; ++i) {
+    const ShardLink& link = m_links.at(i).m_link;
+    if (link.IsAwaitingAnswer(aNow)) {
+      const TimePoint timeout = link.LastSentAt() + kAnswerTimeout;
+      next = std::min(next.value_or(timeout), timeout);
+    }
+  }
+  return next;
+}
+
 std::optional<TimePoint>
 QuotaClient::OnReport(TimePoint aNow, const QuotaReport& aReport)
 {
--- a/src/workspaces/workspace_table.cpp
+++ b/src/workspaces/workspace_table.cpp
@@ -4,7 +4,27 @@
 
 namespace greengagehub {
 
-void
+std::vector<WorkspaceId>
+WorkspaceTable::FindLowered(const EntityMap<Workspace>& aTarget) const
+{
+  std::vector<WorkspaceId> lowered;
+  for (const auto& [name, workspace] : aTarget) {
+    const Workspace& now = workspace->m_value;
+    const auto before = m_rows.find(ShortHash(name));
+    if (before == m_rows.end() || now.m_perSecond <= 0.0) {
+      continue;
+    }
+    const bool isLowered = before->second.m_perSecond <= 0.0 ||
+                           now.m_perSecond < before->second.m_perSecond ||
+                           now.m_burst < before->second.m_burst;
+    if (isLowered) {
+      lowered.push_back(before->first);
+    }
+  }
+  return lowered;
+}
+
+std::vector<WorkspaceId>
 WorkspaceTable::Update(const Content& aContent)
 {
   m_routeRankCount = 1;
@@ -14,8 +34,9 @@
   }
   const EntityMap<Workspace>& target = aContent.Workspaces();
   if (target == m_entities) {
-    return;
+    return {};
   }
+  std::vector<WorkspaceId> lowered = FindLowered(target);
   // Removals come first, as a key may move between workspaces.
   for (const auto& [name, workspace] : m_entities) {
     const auto found = target.find(name);
@@ -30,6 +51,7 @@
     }
   }
   m_entities = target;
+  return lowered;
 }
 
 void
--- a/tests/workspaces/coordinator_role.cpp
+++ b/tests/workspaces/coordinator_role.cpp
@@ -77,7 +77,7 @@
 TEST_CASE("a paused coordinator grants no tokens after it resumes")
 {
   StoredKey key;
-  CoordinatorRole role{ "a", 1, kStart, 7 };
+  CoordinatorRole role{ "a", 1, 7 };
   RunAlone(kStart, kStart + 3s, role, key);
   REQUIRE(role.IsLeading(kStart + 3s));
   CHECK_FALSE(role.IsLeading(kStart + 6s));
@@ -87,9 +87,9 @@
           "has expired")
 {
   StoredKey key;
-  CoordinatorRole first{ "a", 1, kStart, 7 };
+  CoordinatorRole first{ "a", 1, 7 };
   RunAlone(kStart, kStart + 3s, first, key);
-  CoordinatorRole second{ "b", 2, kStart, 8 };
+  CoordinatorRole second{ "b", 2, 8 };
   TimePoint now = kStart + 3s;
   for (; !second.HoldsKey(); now += 50ms) {
     Execute(now, second.OnTick(now, true, true), second, key);
@@ -107,11 +107,11 @@
 TEST_CASE("the successor of a coordinator that resigned need not wait")
 {
   StoredKey key;
-  CoordinatorRole first{ "a", 1, kStart, 7 };
+  CoordinatorRole first{ "a", 1, 7 };
   RunAlone(kStart, kStart + 3s, first, key);
   Execute(kStart + 3s, first.Resign(), first, key);
   CHECK_FALSE(first.IsLeading(kStart + 3s));
-  CoordinatorRole second{ "b", 2, kStart, 8 };
+  CoordinatorRole second{ "b", 2, 8 };
   RunAlone(kStart + 3s, kStart + 3100ms, second, key);
   CHECK(second.IsLeading(kStart + 3100ms));
 }
@@ -120,7 +120,7 @@
           "successor need not wait")
 {
   StoredKey key;
-  CoordinatorRole first{ "a", 1, kStart, 7 };
+  CoordinatorRole first{ "a", 1, 7 };
   RunAlone(kStart, kStart + 3s, first, key);
   TimePoint now = kStart + 3s;
   while (!first.StandDownIfFailing(now)) {
@@ -131,7 +131,7 @@
     now += 50ms;
   }
   CHECK_FALSE(first.IsLeading(now));
-  CoordinatorRole second{ "b", 2, kStart, 8 };
+  CoordinatorRole second{ "b", 2, 8 };
   second.OnTermEnded(first.ExpectedRevision());
   RunAlone(now, now + 100ms, second, key);
   CHECK(second.IsLeading(now + 100ms));
@@ -141,9 +141,9 @@
           "predecessor's lease to expire")
 {
   StoredKey key;
-  CoordinatorRole first{ "a", 1, kStart, 7 };
+  CoordinatorRole first{ "a", 1, 7 };
   RunAlone(kStart, kStart + 3s, first, key);
-  CoordinatorRole second{ "b", 2, kStart, 8 };
+  CoordinatorRole second{ "b", 2, 8 };
   second.OnTermReported(first.ExpectedRevision());
   const TimePoint now = kStart + 3s;
   Execute(now, second.OnTick(now, true, true), second, key);
@@ -159,9 +159,9 @@
   "a candidate waits for a report of the coordinator that the key names")
 {
   StoredKey key;
-  CoordinatorRole first{ "a", 1, kStart, 7 };
+  CoordinatorRole first{ "a", 1, 7 };
   RunAlone(kStart, kStart + 3s, first, key);
-  CoordinatorRole second{ "b", 2, kStart, 8 };
+  CoordinatorRole second{ "b", 2, 8 };
   RunAlone(kStart + 3s, kStart + 3500ms, second, key);
   CHECK_FALSE(second.HoldsKey());
   RunAlone(kStart + 3600ms, kStart + 4s, second, key);
@@ -171,7 +171,7 @@
 TEST_CASE("restoring the store from an older copy ends the coordinator's lease")
 {
   StoredKey key;
-  CoordinatorRole role{ "a", 1, kStart, 7 };
+  CoordinatorRole role{ "a", 1, 7 };
   RunAlone(kStart, kStart + 3s, role, key);
   role.OnStoreRestored(kStart + 3s);
   CHECK_FALSE(role.IsLeading(kStart + 3s));
@@ -263,7 +263,7 @@
           "ordered, delayed or lost")
 {
   State state;
-  state.m_roles = { { "a", 1, kStart - 10s, 7 }, { "b", 2, kStart - 10s, 8 } };
+  state.m_roles = { { "a", 1, 7 }, { "b", 2, 8 } };
   state.m_pendingReplies.resize(2);
   state.m_sentAt.resize(2);
   // All orders are tried from the time that the first daemon leads.
