--- a/src/daemon/quota_service_roles.cpp
+++ b/src/daemon/quota_service_roles.cpp
@@ -62,13 +62,15 @@
 Duration
 QuotaService::SilenceOf(TimePoint aNow, std::uint32_t aShard) const
 {
+  const Duration sinceReport = aNow - m_shards.at(aShard).m_lastReport;
   if (m_roles.Count() == 1) {
-    return aNow - m_shards.front().m_lastReport;
+    return sinceReport;
   }
-  // A daemon queries each shard more rarely than shards fall silent.
+  // A daemon queries each shard more rarely than shards fall silent. One that
+  // waits for its predecessor's lease reports without granting.
   return m_roles.Role(aShard).HoldsKey()
            ? Duration::zero()
-           : m_client.Link(aShard).SilentFor(aNow);
+           : std::min(sinceReport, m_client.Link(aShard).SilentFor(aNow));
 }
 
 bool
