Show quota shards: greengagehub quotas, metrics; end-to-end test

'greengagehub quotas' and GET /v1/quotas show the shards with their coordinators as known to a daemon, and the workspaces that are busy there. Metrics greengagehub_quota_*.

Real processes showed that one of five daemons came first for several shards, and its end took them all: a daemon that holds or ranks first for another shard waits longer.

--- a/include/greengagehub/daemon/operators_api.hpp
+++ b/include/greengagehub/daemon/operators_api.hpp
@@ -58,6 +58,8 @@
   [[nodiscard]] HttpResponse Status() const;
   /// \returns What the own backend server and those called have stated.
   [[nodiscard]] HttpResponse Limits() const;
+  [[nodiscard]] HttpResponse Quotas() const;
+  void SetQuotaMetrics(Metrics& aMetrics) const;
   [[nodiscard]] HttpResponse QuarantinedRequests() const;
   [[nodiscard]] HttpResponse LiftQuarantine(const HttpRequest& aRequest);
   [[nodiscard]] HttpResponse Rollouts() const;
--- a/include/greengagehub/daemon/quota_service.hpp
+++ b/include/greengagehub/daemon/quota_service.hpp
@@ -135,6 +135,8 @@
   void AdvanceShard(TimePoint aNow, std::uint32_t aShard);
   void UpdateRanks(TimePoint aNow);
   [[nodiscard]] Duration SilenceOf(TimePoint aNow, std::uint32_t aShard) const;
+  /// \returns Other shards that this daemon holds, or ranks first for.
+  [[nodiscard]] std::size_t CountOtherShards(std::uint32_t aShard) const;
   [[nodiscard]] bool IsCandidate(std::uint32_t aShard, Duration aSilence);
   void Execute(std::vector<CoordinatorRoles::Action> aActions);
   void Execute(CoordinatorRoles::Action aAction);
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -208,6 +208,8 @@
     aResponder.Answer(Status());
   } else if (path == "/v1/limits") {
     aResponder.Answer(Limits());
+  } else if (path == "/v1/quotas") {
+    aResponder.Answer(Quotas());
   } else if (path == "/v1/quarantine") {
     aResponder.Answer(QuarantinedRequests());
   } else if (path == "/v1/rollouts") {
@@ -402,6 +404,7 @@
   metrics.SetGauge("worker_leaving",
                    "Whether the own worker says that it leaves",
                    signals.m_isLeaving ? 1 : 0);
+  SetQuotaMetrics(metrics);
   metrics.SetGauge("malformed_messages",
                    "Messages dropped as garbage",
                    static_cast<double>(gossip.m_malformed + bulk.m_malformed));
--- a/src/daemon/quota_service_roles.cpp
+++ b/src/daemon/quota_service_roles.cpp
@@ -18,6 +18,9 @@
 constexpr std::chrono::milliseconds kMemberSilence{ 6000 };
 /// For shards above 0: added for each daemon that ranks before.
 constexpr std::chrono::milliseconds kRankDelay{ 300 };
+/// For shards above 0: added for each other shard of this daemon, so that one
+/// daemon does not end several.
+constexpr std::chrono::milliseconds kSpreadDelay{ 900 };
 /// Interval of the rank check, which iterates over all members.
 constexpr std::chrono::milliseconds kRankCheckInterval{ 500 };
 
@@ -73,6 +76,17 @@
            : std::min(sinceReport, m_client.Link(aShard).SilentFor(aNow));
 }
 
+std::size_t
+QuotaService::CountOtherShards(std::uint32_t aShard) const
+{
+  std::size_t count = 0;
+  for (std::uint32_t i = 0; i < m_roles.Count(); ++i) {
+    const bool isFirst = i < aShard && m_shards.at(i).m_rank == 0;
+    count += i != aShard && (isFirst || m_roles.Role(i).HoldsKey()) ? 1 : 0;
+  }
+  return count;
+}
+
 bool
 QuotaService::IsCandidate(std::uint32_t aShard, Duration aSilence)
 {
@@ -82,8 +96,10 @@
   const Membership& members = m_deps.m_members();
   const std::size_t rank = m_shards.at(aShard).m_rank;
   if (aShard > 0) {
-    const auto delay = std::min<Duration>(
-      kMemberSilence, kHighestRankedSilence + kRankDelay * rank);
+    const auto delay =
+      std::min<Duration>(kMemberSilence,
+                         kHighestRankedSilence + kRankDelay * rank +
+                           kSpreadDelay * CountOtherShards(aShard));
     return m_client.ShardCount() == m_roles.Count() && aSilence >= delay;
   }
   return rank == 0 ||
--- a/src/greengagehub.cpp
+++ b/src/greengagehub.cpp
@@ -2,6 +2,7 @@
 #include "greengagehub/settings/settings.hpp"
 #include "src/cli/limits.hpp"
 #include "src/cli/quarantine.hpp"
+#include "src/cli/quotas.hpp"
 #include "src/cli/rollout.hpp"
 
 #include <boost/program_options.hpp>
@@ -36,6 +37,8 @@
   status                show the state of one daemon
   limits                list the rate limits and departures that backend servers
                         have stated
+  quotas                list the quota shards with their coordinators, and the
+                        workspaces that are busy at the daemon
   held                  list quarantined request fingerprints, with the worker
                         crashes that caused the quarantine
   lift FINGERPRINT      lift a quarantine on all daemons
@@ -323,6 +326,9 @@
   if (command == "limits") {
     return ShowLimits(aOptions);
   }
+  if (command == "quotas") {
+    return ShowQuotas(aOptions);
+  }
   if (command == "held") {
     return ShowQuarantine(aOptions);
   }
--- a/tests/end_to_end/workspaces.cpp
+++ b/tests/end_to_end/workspaces.cpp
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <doctest/doctest.h>
+#include <functional>
 
 using namespace greengagehub;
 using namespace greengagehub::testkit;
@@ -48,6 +49,23 @@
   WaitForLockers(aFleet);
 }
 
+CallResult
+CallWithKey(const Fleet& aFleet,
+            const std::string& aSlot,
+            const std::string& aTarget,
+            const std::string& aId,
+            const std::string& aKey)
+{
+  return aFleet.Call(aSlot,
+                     "GET",
+                     aTarget,
+                     { { "Host", "a.example" },
+                       { "X-Greengagehub-Request-Id", aId },
+                       { "X-Greengagehub-Deadline-Ms", "1000" },
+                       { "X-Greengagehub-Key", aKey },
+                       { "X-Greengagehub-Tenant", "forged" } });
+}
+
 int
 SendWithKey(const Fleet& aFleet,
             const std::string& aSlot,
@@ -55,16 +73,7 @@
             const std::string& aId,
             const std::string& aKey)
 {
-  return aFleet
-    .Call(aSlot,
-          "GET",
-          aTarget,
-          { { "Host", "a.example" },
-            { "X-Greengagehub-Request-Id", aId },
-            { "X-Greengagehub-Deadline-Ms", "1000" },
-            { "X-Greengagehub-Key", aKey },
-            { "X-Greengagehub-Tenant", "forged" } })
-    .Status();
+  return CallWithKey(aFleet, aSlot, aTarget, aId, aKey).Status();
 }
 
 }
@@ -155,3 +164,108 @@
   CHECK(rejected >= 200);
   CHECK(SendWithKey(fleet, "lockers-2", "/status/1", "other", "k1") == 200);
 }
+
+namespace {
+
+constexpr const char* kShardedSettings = "[workspaces]\n"
+                                         "revoke_within_ms = 1500\n"
+                                         "quota_shards = 4\n";
+
+Json
+Quotas(Fleet& aFleet, const std::string& aSlot)
+{
+  return Json::parse(
+    aFleet.Command(aSlot, { "quotas", "--json" }).m_output, nullptr, false);
+}
+
+/// \returns The coordinator of a shard as known to a daemon; empty: unknown.
+std::string
+CoordinatorOf(Fleet& aFleet, const std::string& aSlot, std::size_t aShard)
+{
+  const Json quotas = Quotas(aFleet, aSlot);
+  if (!quotas.is_object() || quotas["shards"].size() != 4) {
+    return {};
+  }
+  const Json& shard = quotas["shards"][aShard];
+  return shard.value("silent", true) ? "" : shard.value("coordinator", "");
+}
+
+void
+StartSharded(Fleet& aFleet, int aCount)
+{
+  for (int i = 1; i <= aCount; ++i) {
+    aFleet.Add({ .m_slot = "lockers-" + std::to_string(i),
+                 .m_service = "lockers",
+                 .m_settings = kShardedSettings,
+                 .m_onPlatform = true });
+  }
+  aFleet.PutPlatformConfig(DocumentWith(
+    "0000000c", Json::array({ Tenant("first", Json::array({ "k1" }), 800) })));
+  WaitForLockers(aFleet);
+}
+
+/// Sends requests below the limit by the given daemon until `aIsDone`.
+/// \returns Answers of the quota; others come from ended backend servers.
+int
+ServeUntil(const Fleet& aFleet,
+           const std::string& aSlot,
+           const std::string& aId,
+           const std::function<bool()>& aIsDone)
+{
+  int rejected = 0;
+  int sent = 0;
+  int others = 0;
+  REQUIRE(WaitUntil([&] {
+    const CallResult result = CallWithKey(
+      aFleet, aSlot, "/status/1", aId + std::to_string(sent++), "k1");
+    const std::string& body = result.m_result.m_response.m_body;
+    const bool isRejected = body.find("over-quota") != std::string::npos ||
+                            body.find("no-coordinator") != std::string::npos;
+    rejected += isRejected ? 1 : 0;
+    others += !isRejected && result.Status() != 200 ? 1 : 0;
+    return aIsDone();
+  }));
+  MESSAGE(aId << ": " << sent << " requests, " << rejected
+              << " rejected by the quota, " << others << " failed otherwise");
+  return rejected;
+}
+
+}
+
+TEST_CASE("a workspace below its quota is served on while the coordinator of a "
+          "shard is killed or paused")
+{
+  // Guards against 503 to all workspaces until the next coordinator grants.
+  for (const int signal : { SIGKILL, SIGSTOP }) {
+    Fleet fleet;
+    StartSharded(fleet, 5);
+    REQUIRE(WaitUntil([&] {
+      for (std::size_t i = 0; i < 4; ++i) {
+        if (CoordinatorOf(fleet, "lockers-1", i).empty()) {
+          return false;
+        }
+      }
+      return SendWithKey(fleet, "lockers-1", "/status/1", "a", "k1") == 200;
+    }));
+    // The daemon that is asked stays; another one coordinates one shard at
+    // least with five daemons and four shards, or there is nothing to end.
+    std::size_t shard = 4;
+    for (std::size_t i = 0; i < 4; ++i) {
+      const std::string holder = CoordinatorOf(fleet, "lockers-1", i);
+      shard = holder != "lockers-1" ? i : shard;
+    }
+    REQUIRE(shard < 4);
+    const std::string ended = CoordinatorOf(fleet, "lockers-1", shard);
+    CAPTURE(ended);
+    fleet.Daemon(ended).Signal(signal);
+    const int rejected =
+      ServeUntil(fleet, "lockers-1", "served-" + std::to_string(signal), [&] {
+        const std::string next = CoordinatorOf(fleet, "lockers-1", shard);
+        return !next.empty() && next != ended;
+      });
+    CHECK(rejected == 0);
+    if (signal == SIGSTOP) {
+      fleet.Daemon(ended).Signal(SIGCONT);
+    }
+  }
+}
