--- a/include/greengagehub/calls/call_share.hpp
+++ b/include/greengagehub/calls/call_share.hpp
@@ -18,4 +18,13 @@
   [[nodiscard]] bool operator==(const CallShare&) const noexcept = default;
 };
 
+/// \returns The weight in units; 1 if none is known.
+[[nodiscard]] inline double
+WeightInUnits(const CallShare& aShare) noexcept
+{
+  const std::uint32_t weight =
+    aShare.m_weight > 0 ? aShare.m_weight : kUnitWeight;
+  return static_cast<double>(weight) / kUnitWeight;
+}
+
 }
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -129,6 +129,8 @@
     std::string m_routeKey{};
     std::string m_id{};
     std::string m_workspace{};
+    WorkspaceId m_workspaceId{ 0 };
+    QuotaReceipt m_receipt{};
     /// Slot of the latest attempt; empty: none.
     std::string m_slot{};
     std::uint32_t m_attempts{ 0 };
@@ -180,7 +182,7 @@
   void StartCall(const Route& aRoute,
                  const std::string& aService,
                  TimePoint aReceivedAt,
-                 const WorkspaceRow* aWorkspace,
+                 const WorkspaceAdmission& aAdmission,
                  HttpRequest aRequest,
                  HttpResponder aResponder);
   /// \returns What the answer to a call asks of this instance's link.
--- a/include/greengagehub/daemon/operators_api.hpp
+++ b/include/greengagehub/daemon/operators_api.hpp
@@ -65,6 +65,8 @@
   [[nodiscard]] std::chrono::duration<double> LongestTransit(
     TimePoint aNow) const;
   void SetLinkGauges() const;
+  [[nodiscard]] HttpResponse Quotas() const;
+  void SetQuotaMetrics(Metrics& aMetrics) const;
   [[nodiscard]] HttpResponse QuarantinedRequests() const;
   [[nodiscard]] HttpResponse LiftQuarantine(const HttpRequest& aRequest);
   [[nodiscard]] HttpResponse Rollouts() const;
--- a/include/greengagehub/workspaces/workspace_table.hpp
+++ b/include/greengagehub/workspaces/workspace_table.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace greengagehub {
 
@@ -31,7 +32,8 @@
 class WorkspaceTable
 {
 public:
-  void Update(const Content& aContent);
+  /// \returns Workspaces whose limit is lower than before.
+  std::vector<WorkspaceId> Update(const Content& aContent);
 
   [[nodiscard]] bool IsEmpty() const noexcept { return m_rows.empty(); }
   [[nodiscard]] std::size_t KeyCount() const noexcept { return m_keys.size(); }
@@ -57,6 +59,9 @@
     }
   };
 
+  /// \returns Workspaces of `aTarget` whose limit is lower than here.
+  [[nodiscard]] std::vector<WorkspaceId> FindLowered(
+    const EntityMap<Workspace>& aTarget) const;
   void Add(const std::string& aName, const Workspace& aWorkspace);
   void Remove(const std::string& aName, const Workspace& aWorkspace);
   void UpdateMeanRate();
--- a/src/calls/placement.cpp
+++ b/src/calls/placement.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+/// A worker that reported room longer ago may have accepted other calls since.
+constexpr auto kRoomLifetime = std::chrono::milliseconds{ 500 };
 /// A domain's load changes more slowly than that of a worker.
 constexpr std::chrono::milliseconds kDomainReportDecay{ 1000 };
 /// Weight of a zero wait, so that a domain without recent reports gets calls.
@@ -154,7 +156,7 @@
                   const RoutingContext& aContext) noexcept
 {
   const auto* stats = FindStats(aRow, aContext.m_kind);
-  return stats != nullptr && aContext.m_now - stats->m_at < kReportLifetime &&
+  return stats != nullptr && aContext.m_now - stats->m_at < kRoomLifetime &&
          stats->m_wait + stats->m_serviceTime + aContext.m_remoteTransfer <
            aContext.m_targetLeft;
 }
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -260,6 +260,9 @@
       (static_cast<double>(answer.m_response.m_body.size()) -
        statistics.m_meanAnswerBytes);
   }
+  if (answer.m_outcome == CallOutcome::NotRun) {
+    m_deps.m_workspaces.Return(call.m_workspaceId, call.m_receipt);
+  }
   const auto retryAfter = answer.m_retryAfter;
   answer.m_retryAfter = WithJitter(retryAfter);
   m_deps.m_metrics.CountCall(NameOf(answer.m_outcome), NameOf(answer.m_reason));
--- a/src/daemon/call_gateway_bookings.cpp
+++ b/src/daemon/call_gateway_bookings.cpp
@@ -15,7 +15,9 @@
            .m_readyIn = aStatistics.m_meanAnswerTime,
            .m_targetLeft = std::min(aPlan.m_target, aPlan.m_deadline) - aNow,
            .m_deadlineLeft = aPlan.m_deadline - aNow,
-           .m_target = aPlan.m_kind.m_target };
+           .m_target = aPlan.m_kind.m_target,
+           .m_workspace = aPlan.m_share.m_workspace,
+           .m_weight = WeightInUnits(aPlan.m_share) };
 }
 
 std::optional<std::chrono::milliseconds>
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -65,8 +65,8 @@
 WorkspaceStatus(const WorkspaceService& aWorkspaces)
 {
   Json status{ { "keys", aWorkspaces.Table().KeyCount() },
-               { "coordinator", aWorkspaces.Coordinator() },
-               { "coordinates", aWorkspaces.IsCoordinator() } };
+               { "coordinator", aWorkspaces.Quotas().Coordinator() },
+               { "coordinates", aWorkspaces.Quotas().IsCoordinator() } };
   if (const auto age = aWorkspaces.ProofAge()) {
     status["proof_age_ms"] = age->count();
   }
@@ -210,6 +210,8 @@
     aResponder.Answer(Limits());
   } else if (path == "/v1/shares") {
     aResponder.Answer(Shares());
+  } else if (path == "/v1/quotas") {
+    aResponder.Answer(Quotas());
   } else if (path == "/v1/quarantine") {
     aResponder.Answer(QuarantinedRequests());
   } else if (path == "/v1/rollouts") {
@@ -418,6 +420,7 @@
                    "Whether the own worker says that it leaves",
                    signals.m_isLeaving ? 1 : 0);
   SetLinkGauges();
+  SetQuotaMetrics(metrics);
   metrics.SetGauge("malformed_messages",
                    "Messages dropped as garbage",
                    static_cast<double>(gossip.m_malformed + bulk.m_malformed));
--- a/src/daemon/run_service_link.cpp
+++ b/src/daemon/run_service_link.cpp
@@ -16,7 +16,9 @@
              m_runs.ExpectedWaitOfKind(aNow, aRequest.m_priority, kind),
            .m_targetLeft = aRequest.m_targetLeft - transfer,
            .m_deadlineLeft = aRequest.m_timeLeft - transfer,
-           .m_target = kind.m_target };
+           .m_target = kind.m_target,
+           .m_workspace = aRequest.m_share.m_workspace,
+           .m_weight = WeightInUnits(aRequest.m_share) };
 }
 
 Duration
--- a/src/daemon/workspace_freshness.cpp
+++ b/src/daemon/workspace_freshness.cpp
@@ -5,7 +5,7 @@
 #include <tuple>
 
 // Proofs that the configuration in force is the newest: checks of the store's
-// revision, which also confirm the coordinator's role.
+// revision, which also confirm the coordinator roles.
 
 namespace greengagehub {
 
@@ -62,19 +62,17 @@
     m_freshness.IsEnforced() && isStale && aNow >= m_nextStoreCheck;
   if (isCheckDue) {
     m_nextStoreCheck = aNow + Jittered(m_random, kStoreCheckInterval);
-    SendStoreCheck(false);
+    SendStoreCheck({});
   }
 }
 
 void
-WorkspaceService::SendStoreCheck(bool aConfirmsRole)
+WorkspaceService::SendStoreCheck(CoordinatorRoles::Check aRoles)
 {
-  StoreCheck check{ BootNow(), KnownConfig(), {} };
-  if (aConfirmsRole) {
-    check.m_term = m_coordinatorRole.ExpectedRevision();
-  }
-  m_deps.m_store.Execute(MakeStoreCheck(m_deps.m_configKey, check),
-                         [this, check](StoreReply aReply) {
+  StoreCheck check{ BootNow(), KnownConfig(), std::move(aRoles) };
+  StoreRequest request = MakeStoreCheck(m_deps.m_configKey, check);
+  m_deps.m_store.Execute(std::move(request),
+                         [this, check = std::move(check)](StoreReply aReply) {
                            OnStoreCheck(check, std::move(aReply));
                          });
 }
@@ -82,18 +80,13 @@
 void
 WorkspaceService::OnStoreCheck(const StoreCheck& aCheck, StoreReply aReply)
 {
-  const StoreCheckResult result = InterpretStoreCheck(aCheck, aReply);
+  const ConfigCheckResult result = InterpretStoreCheck(aCheck, aReply);
   m_storeEra = std::max(m_storeEra, aReply.m_era);
-  if (result.m_config == StoreCheckResult::Config::Current) {
+  if (result == ConfigCheckResult::Current) {
     m_freshness.OnProof({ aCheck.m_sentAt, aCheck.m_config.m_version });
   }
-  if (aCheck.m_term == m_coordinatorRole.ExpectedRevision()) {
-    ApplyRoleResult(aCheck.m_sentAt, result.m_role);
-  }
-  const bool hasNewerConfig =
-    result.m_config == StoreCheckResult::Config::Changed &&
-    !aReply.m_value.empty();
-  if (hasNewerConfig) {
+  m_quota.OnChecked(BootNow(), aCheck.m_roles, aReply);
+  if (result == ConfigCheckResult::Changed && !aReply.m_value.empty()) {
     // One that cannot be read may revoke keys, so it renews no proof.
     if (const auto read = m_deps.m_onNewerConfig(std::move(aReply))) {
       m_freshness.OnProof({ aCheck.m_sentAt, read->m_version });
@@ -101,32 +94,4 @@
   }
 }
 
-void
-WorkspaceService::ApplyRoleResult(TimePoint aSentAt,
-                                  StoreCheckResult::Role aRole)
-{
-  using Role = StoreCheckResult::Role;
-  if (!m_coordinatorRole.HoldsKey()) {
-    return;
-  }
-  const TimePoint now = BootNow();
-  switch (aRole) {
-    case Role::Confirmed:
-      m_coordinatorRole.OnConfirmed(now, aSentAt, true);
-      m_lastCoordinatorReport = now;
-      break;
-    case Role::Lost:
-      m_deps.m_log.Info("workspaces", "coordinator_deposed");
-      m_coordinatorRole.OnConfirmed(now, aSentAt, false);
-      break;
-    case Role::Unknown:
-      m_coordinatorRole.OnStoreCallFailed(now);
-      break;
-  }
-  if (m_coordinatorRole.StandDownIfFailing(now)) {
-    m_deps.m_log.Warning("workspaces", "coordinator_stood_down");
-    AnnounceCoordinator({});
-  }
-}
-
 }
--- a/src/greengagehub.cpp
+++ b/src/greengagehub.cpp
@@ -2,6 +2,7 @@
 #include "greengagehub/settings/settings.hpp"
 #include "src/cli/limits.hpp"
 #include "src/cli/quarantine.hpp"
+#include "src/cli/quotas.hpp"
 #include "src/cli/rollout.hpp"
 #include "src/cli/shares.hpp"
 
@@ -39,6 +40,8 @@
                         have stated, and what is booked on the network link
   shares                list the workspaces that use the daemon's backend server:
                         weight, share, calls queued and running, slot time
+  quotas                list the quota shards with their coordinators, and the
+                        workspaces that are busy at the daemon
   held                  list quarantined request fingerprints, with the worker
                         crashes that caused the quarantine
   lift FINGERPRINT      lift a quarantine on all daemons
@@ -329,6 +332,9 @@
   if (command == "shares") {
     return ShowShares(aOptions);
   }
+  if (command == "quotas") {
+    return ShowQuotas(aOptions);
+  }
   if (command == "held") {
     return ShowQuarantine(aOptions);
   }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -308,6 +308,7 @@
     reader.Number("quota_overage", quota.m_overage, 0.0, 1.0);
     reader.Number("quota_slack", quota.m_slack, 0.0, kMaxSlots);
     reader.Flag("fair_shares", m_settings.m_runs.m_sharesFairly);
+    reader.Count("quota_shards", workspaces.m_quotaShards, 1, kMaxQuotaShards);
     reader.ReportUnknownKeys();
   }
 
--- a/src/workspaces/store_check.cpp
+++ b/src/workspaces/store_check.cpp
@@ -1,6 +1,6 @@
 #include "greengagehub/workspaces/store_check.hpp"
 
-#include "greengagehub/workspaces/coordinator_role.hpp"
+#include <algorithm>
 
 namespace greengagehub {
 
@@ -9,17 +9,13 @@
 {
   StoreRequest request =
     MakeCheck(std::move(aConfigKey), aCheck.m_config.m_revision);
-  if (aCheck.m_term) {
-    request.m_secondKey = kCoordinatorKey;
-    request.m_secondExpected = *aCheck.m_term;
-  }
+  request.m_alsoExpected = aCheck.m_roles.m_keys;
   return request;
 }
 
 namespace {
 
-using Config = StoreCheckResult::Config;
-using Role = StoreCheckResult::Role;
+using Result = ConfigCheckResult;
 
 /// A restored store assigns the same revisions again.
 bool
@@ -29,48 +25,53 @@
   return known != 0 && aReply.m_era != 0 && known != aReply.m_era;
 }
 
-Config
-ConfigIfUnchanged(const StoreCheck& aCheck, const StoreReply& aReply) noexcept
+Result
+ResultIfUnchanged(const StoreCheck& aCheck, const StoreReply& aReply) noexcept
 {
   const StoredConfig& config = aCheck.m_config;
   // Some reports name a version without its revision.
   const bool isRevisionKnown =
     config.m_revision != 0 || config.m_version == Version{};
-  return isRevisionKnown && !IsOtherEra(aCheck, aReply) ? Config::Current
-                                                        : Config::Unknown;
+  return isRevisionKnown && !IsOtherEra(aCheck, aReply) ? Result::Current
+                                                        : Result::Unknown;
 }
 
-Role
-RoleInConflict(const StoreCheck& aCheck, const StoreReply& aReply) noexcept
+/// \returns Whether a conflict shows a change of a coordinator's key.
+bool
+HasRoleChanged(const StoreCheck& aCheck, const StoreReply& aReply) noexcept
 {
-  if (!aCheck.m_term) {
-    return Role::Unknown;
-  }
-  return aReply.m_secondRevision == *aCheck.m_term ? Role::Confirmed
-                                                   : Role::Lost;
+  return std::ranges::any_of(
+    aCheck.m_roles.m_keys, [&](const ExpectedKey& aKey) {
+      const auto found = std::ranges::find(
+        aReply.m_items, aKey.m_key, [](const StoreItem& aEach) -> const auto& {
+          return aEach.m_key;
+        });
+      const Revision now =
+        found != aReply.m_items.end() ? found->m_revision : 0;
+      return now != aKey.m_revision;
+    });
 }
 
 }
 
-StoreCheckResult
+ConfigCheckResult
 InterpretStoreCheck(const StoreCheck& aCheck, const StoreReply& aReply) noexcept
 {
   using Status = StoreReply::Status;
   if (aReply.m_status == Status::Ok) {
-    return { ConfigIfUnchanged(aCheck, aReply),
-             aCheck.m_term ? Role::Confirmed : Role::Unknown };
+    return ResultIfUnchanged(aCheck, aReply);
   }
   if (aReply.m_status != Status::Conflict) {
-    return {};
+    return Result::Unknown;
   }
   const bool hasSameRevision = aReply.m_revision == aCheck.m_config.m_revision;
-  const Role role = RoleInConflict(aCheck, aReply);
-  if (hasSameRevision && role != Role::Lost) {
-    return {};
+  if (hasSameRevision && !HasRoleChanged(aCheck, aReply)) {
+    // No key that was compared differs.
+    return Result::Unknown;
   }
-  const bool isChanged = !hasSameRevision || IsOtherEra(aCheck, aReply);
-  return { isChanged ? Config::Changed : ConfigIfUnchanged(aCheck, aReply),
-           role };
+  return hasSameRevision && !IsOtherEra(aCheck, aReply)
+           ? ResultIfUnchanged(aCheck, aReply)
+           : Result::Changed;
 }
 
 }
--- a/tests/platform/kv_store.cpp
+++ b/tests/platform/kv_store.cpp
@@ -26,8 +26,7 @@
                            fmt::format("http://127.0.0.1:{}", port.value()),
                            5s };
   StoreRequest request = MakeCheck("config", 4);
-  request.m_secondKey = "role";
-  request.m_secondExpected = 9;
+  request.m_alsoExpected = { { "role", 9 } };
   std::optional<StoreReply> reply;
   store.Execute(std::move(request), [&](StoreReply aReply) {
     reply = std::move(aReply);
@@ -38,6 +37,18 @@
   return *reply;
 }
 
+/// \returns 0 if the reply does not hold the key.
+Revision
+RevisionOf(const StoreReply& aReply, const std::string& aKey)
+{
+  for (const StoreItem& each : aReply.m_items) {
+    if (each.m_key == aKey) {
+      return each.m_revision;
+    }
+  }
+  return 0;
+}
+
 std::string
 Item(const char* aKey, int aRevision, const std::string& aValue)
 {
@@ -58,12 +69,12 @@
   CHECK(both.m_status == StoreReply::Status::Conflict);
   CHECK(both.m_revision == 5);
   CHECK(both.m_value == "{}");
-  CHECK(both.m_secondRevision == 9);
+  CHECK(RevisionOf(both, "role") == 9);
   const StoreReply one =
     CheckAnsweredWith(412, R"({"items":[)" + Item("role", 10, "b 2") + "]}");
   CHECK(one.m_status == StoreReply::Status::Conflict);
   CHECK(one.m_revision == 0);
-  CHECK(one.m_secondRevision == 10);
+  CHECK(RevisionOf(one, "role") == 10);
 }
 
 TEST_CASE("a conflict without items does not show that the keys are missing")
