Let a daemon without peers grant quotas

Seen: the new test "a daemon alone checks keys and quotas" failed in two runs of two: no request of a workspace with a rate was answered with 200.

Cause: only a daemon that has joined the fleet may become the quota coordinator, and one that has no peers never joins.

--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -103,6 +103,13 @@
   void DiscoverDomains(TimePoint aNow);
   void ContactWhileJoining(TimePoint aNow);
   void OnSeeds(const StoreReply& aReply);
+  /// \returns Whether this daemon knows its peers, or that it has none.
+  [[nodiscard]] bool KnowsPeers() const
+  {
+    const bool isAlone =
+      m_hasFoundNoPeers && m_membership.Members().Present() == 0;
+    return m_memberSync.HasJoined() || isAlone;
+  }
   void Contact(const MemberPeer& aPeer);
   void OnGossip(const MemberAddress& aFrom, const GossipMessage& aMessage);
   void Execute(MembershipActions aActions);
@@ -188,6 +195,8 @@
   ReadinessGate m_readinessGate;
   TimePoint m_nextRank{};
   bool m_hasFallbackRead{ false };
+  /// The seeds read last, some time after the start, named no other daemon.
+  bool m_hasFoundNoPeers{ false };
 };
 
 }
--- a/include/greengagehub/daemon/workspace_service.hpp
+++ b/include/greengagehub/daemon/workspace_service.hpp
@@ -43,7 +43,8 @@
     platform::KvStore& m_store;
     const ConfigHolder& m_holder;
     std::function<Membership&()> m_members;
-    std::function<bool()> m_hasJoined;
+    /// Whether this daemon has joined the fleet, or has no peers.
+    std::function<bool()> m_knowsPeers;
     /// Whether another daemon sent a message recently, or none is known.
     std::function<bool()> m_hasPeerContact;
     std::function<void(GossipSend)> m_send;
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -431,7 +431,7 @@
     .m_store = m_store,
     .m_holder = m_holder,
     .m_members = [this]() -> Membership& { return m_membership; },
-    .m_hasJoined = [this] { return m_memberSync.HasJoined(); },
+    .m_knowsPeers = [this] { return KnowsPeers(); },
     .m_hasPeerContact =
       [this] {
         return m_membership.Members().Present() == 0 ||
--- a/src/daemon/control_plane_joining.cpp
+++ b/src/daemon/control_plane_joining.cpp
@@ -107,6 +107,10 @@
     }
   }
   m_domainDiscovery.OnSeeds(std::move(otherDomainSeeds));
+  // Daemons that start together publish their seeds late.
+  m_hasFoundNoPeers = Clock::now() - m_startedAt >= kStandaloneAfter &&
+                      m_settings.m_seeds.empty() && m_knownSeeds.empty() &&
+                      otherDomainPeers.empty();
   if (m_memberSync.HasJoined()) {
     return;
   }
--- a/src/daemon/workspace_service.cpp
+++ b/src/daemon/workspace_service.cpp
@@ -257,7 +257,7 @@
 bool
 WorkspaceService::IsCandidate(TimePoint aNow)
 {
-  if (!m_deps.m_hasJoined() || !m_deps.m_hasPeerContact()) {
+  if (!m_deps.m_knowsPeers() || !m_deps.m_hasPeerContact()) {
     return false;
   }
   const Membership& members = m_deps.m_members();
--- a/tests/end_to_end/own_workspaces.cpp
+++ b/tests/end_to_end/own_workspaces.cpp
@@ -142,6 +142,16 @@
   CHECK(workspaces.size() == 2);
 }
 
+TEST_CASE("a daemon alone checks keys and quotas")
+{
+  Fleet fleet;
+  StartFleet(fleet, 1, { { "first", WorkspaceWith({ "k1" }, 5) } });
+  WaitUntilServed(fleet, "lockers-1", "k1");
+  CHECK(WaitUntil(
+    [&] { return Send(fleet, "lockers-1", "/status", "flood", "k1") == 429; }));
+  CHECK(Send(fleet, "lockers-1", "/status", "unknown", "other") == 401);
+}
+
 TEST_CASE("a key that a patch revokes is rejected by a daemon that is cut off")
 {
   // The daemon is paused during the revocation and resumes without store or
