--- a/include/greengagehub/daemon/quota_service.hpp
+++ b/include/greengagehub/daemon/quota_service.hpp
@@ -29,7 +29,7 @@
     platform::KvStore& m_store;
     const WorkspaceTable& m_table;
     std::function<Membership&()> m_members;
-    std::function<bool()> m_hasJoined;
+    std::function<bool()> m_knowsPeers;
     std::function<bool()> m_hasPeerContact;
     std::function<void(GossipSend)> m_send;
     /// Adds this daemon's proof to an answer.
--- a/src/daemon/quota_service_roles.cpp
+++ b/src/daemon/quota_service_roles.cpp
@@ -90,7 +90,7 @@
 bool
 QuotaService::IsCandidate(std::uint32_t aShard, Duration aSilence)
 {
-  if (!m_deps.m_hasJoined() || !m_deps.m_hasPeerContact()) {
+  if (!m_deps.m_knowsPeers() || !m_deps.m_hasPeerContact()) {
     return false;
   }
   const Membership& members = m_deps.m_members();
--- a/src/daemon/workspace_service.cpp
+++ b/src/daemon/workspace_service.cpp
@@ -39,7 +39,7 @@
            .m_store = m_deps.m_store,
            .m_table = m_table,
            .m_members = m_deps.m_members,
-           .m_hasJoined = m_deps.m_hasJoined,
+           .m_knowsPeers = m_deps.m_knowsPeers,
            .m_hasPeerContact = m_deps.m_hasPeerContact,
            .m_send = m_deps.m_send,
            .m_addProof = [this](QuotaReport& aReport) { AddProof(aReport); },
