--- a/src/calls/fair_shares.cpp
+++ b/src/calls/fair_shares.cpp
@@ -325,7 +325,7 @@
       m_flowCount -= std::erase_if(group.m_flows, [&](const auto& aEntry) {
         const ShareFlow& flow = aEntry.second;
         return IsIdle(flow) &&
-               !(keepsAhead && flow.m_startTag > group.m_virtualTime);
+               !(keepsAhead && flow.m_startTag > flow.m_group->m_virtualTime);
       });
     }
     if (m_flowCount <= kKeptAtMost) {
--- a/tests/daemon/run_service.cpp
+++ b/tests/daemon/run_service.cpp
@@ -17,19 +17,22 @@
                                 .m_notExecuted = "Not-Executed",
                                 .m_seal = "Seal",
                                 .m_sendsHopHeaders = false };
+constexpr CallDialect kHopDialect{ .m_requestId = "Id",
+                                   .m_sendsHopHeaders = true };
 
 /// A run service with an HTTP server in place of the worker.
 class RunServiceFixture
 {
 public:
   explicit RunServiceFixture(HttpServer::Handler aWorker,
-                             std::uint32_t aSlots = 20)
+                             std::uint32_t aSlots = 20,
+                             const CallDialect& aDialect = kDialect)
     : m_worker(std::make_unique<HttpServer>(m_loop,
                                             HttpServerSettings{},
                                             std::move(aWorker)))
     , m_service({ .m_loop = m_loop,
                   .m_settings = MakeSettings(aSlots),
-                  .m_dialect = kDialect,
+                  .m_dialect = aDialect,
                   .m_metrics = m_metrics,
                   .m_requestLog = m_requestLog,
                   .m_quarantine = m_quarantine,
@@ -81,6 +84,13 @@
     m_service.OnRequest({ 1, ++m_lastCall }, 0, std::move(aRequest));
   }
 
+  /// \returns What a request with this header is charged to.
+  [[nodiscard]] CallShare ShareOfRun(std::string_view aTraceparent) const
+  {
+    const auto parent = ParseTraceparent(aTraceparent);
+    return parent ? m_service.ShareOfRun(*parent) : CallShare{};
+  }
+
   void DrainWorker() { m_service.StartDraining(); }
   /// Reports the fingerprint as quarantined by another daemon.
   void QuarantineRequests(Fingerprint aFingerprint)
@@ -314,3 +324,29 @@
   CHECK(fixture.Call(RunServiceFixture::ReleaseRequest()).m_reason ==
         RefusalReason::Quarantined);
 }
+
+TEST_CASE("a request that a run makes is charged to the run's workspace")
+{
+  // Guards against a workspace that gets more than its share by nested calls.
+  CallShare during;
+  std::string traceparent;
+  std::function<void(const HttpRequest&)> onRun;
+  RunServiceFixture fixture{ [&](HttpRequest aRequest,
+                                 HttpResponder aResponder) {
+                              onRun(aRequest);
+                              aResponder.Answer({ .m_status = 200 });
+                            },
+                             20,
+                             kHopDialect };
+  onRun = [&](const HttpRequest& aRequest) {
+    traceparent = HeaderValue(aRequest.m_headers, kTraceparentHeader);
+    during = fixture.ShareOfRun(traceparent);
+  };
+  CallRequest request = RunServiceFixture::ReleaseRequest();
+  request.m_share = { 7, 2500 };
+  CHECK(fixture.Call(request).m_outcome == CallOutcome::Answered);
+  CHECK(during == request.m_share);
+  CHECK_FALSE(traceparent.empty());
+  // The run has ended.
+  CHECK(fixture.ShareOfRun(traceparent) == CallShare{});
+}
--- a/tests/end_to_end/workspaces.cpp
+++ b/tests/end_to_end/workspaces.cpp
@@ -186,6 +186,7 @@
   std::atomic<int> flooded{ 0 };
   std::atomic<int> refused{ 0 };
   std::vector<std::thread> flooders;
+  flooders.reserve(kFlooders);
   for (int i = 0; i < kFlooders; ++i) {
     flooders.emplace_back([&, i] {
       for (int call = 0; !isOver; ++call) {
@@ -203,6 +204,7 @@
     answered +=
       SendWithKey(fleet, "lockers-1", "/status/1", id, "k2") == 200 ? 1 : 0;
   }
+  const std::string shares = fleet.Command("lockers-1", { "shares" }).m_output;
   isOver = true;
   for (std::thread& each : flooders) {
     each.join();
@@ -210,4 +212,7 @@
   CHECK(isFlooding);
   CHECK(flooded > 0);
   CHECK(answered == kCalls);
+  INFO(shares);
+  CHECK(shares.find("flood") != std::string::npos);
+  CHECK(shares.find("other") != std::string::npos);
 }
--- a/tests/settings/settings.cpp
+++ b/tests/settings/settings.cpp
@@ -56,6 +56,19 @@
   CHECK(bad.error().size() == 2);
 }
 
+TEST_CASE("fair shares are on unless the workspaces section turns them off")
+{
+  // Guards against a switch that takes anything else than a truth value.
+  const auto parse = [](const char* aLine) {
+    return ParseSettings(std::string{ kValid } + "[workspaces]\n" + aLine,
+                         "s.toml");
+  };
+  CHECK(parse("").value().m_runs.m_sharesFairly);
+  CHECK_FALSE(parse("fair_shares = false\n").value().m_runs.m_sharesFairly);
+  CHECK_FALSE(parse("fair_shares = 1\n"));
+  CHECK_FALSE(parse("fair_share = true\n"));
+}
+
 TEST_CASE("all errors of a file are reported, each with its line")
 {
   const std::string bad = std::string{ kValid } + R"([calls]
