--- a/tests/end_to_end/transit_times.cpp
+++ b/tests/end_to_end/transit_times.cpp
@@ -81,9 +81,8 @@
   Fleet fleet;
   StartUnequalLockers(fleet);
   const auto records =
-    RunLoad(StatusLoad(fleet), { { kCalls / 3, [&fleet] {
-                                       fleet.Restart("lockers-5");
-                                  } } });
+    RunLoad(StatusLoad(fleet),
+            { { kCalls / 3, [&fleet] { fleet.Restart("lockers-5"); } } });
   CHECK(CountAnswered(records) >= records.size() * 9 / 10);
   REQUIRE(WaitUntil([&] { return fleet.IsReady("lockers-5"); }));
   CHECK(WaitUntil([&] {
