--- a/include/greengagehub/daemon/quota_service.hpp
+++ b/include/greengagehub/daemon/quota_service.hpp
@@ -114,6 +114,8 @@
     /// Empty: unknown.
     std::string m_coordinatorSlot{};
     TimePoint m_lastReport{};
+    /// The last coordinator has reported that it stopped.
+    bool m_hasEnded{ false };
     /// Members that come before this daemon as candidates.
     std::size_t m_rank{ 0 };
   };
--- a/src/daemon/quota_service.cpp
+++ b/src/daemon/quota_service.cpp
@@ -200,9 +200,11 @@
   const bool isOurs = aReport.m_shard < m_roles.Count();
   if (!aReport.m_coordinator.empty()) {
     shard.m_coordinatorSlot = aReport.m_coordinator;
+    shard.m_hasEnded = false;
   } else if (aFrom == shard.m_coordinatorSlot) {
     // The sender has resigned, was replaced or is no longer confirmed.
     shard.m_coordinatorSlot.clear();
+    shard.m_hasEnded = true;
     shard.m_lastReport = aNow - kRelaySilence;
     if (isOurs) {
       m_roles.Role(aReport.m_shard)
--- a/src/daemon/quota_service_roles.cpp
+++ b/src/daemon/quota_service_roles.cpp
@@ -66,7 +66,7 @@
 QuotaService::SilenceOf(TimePoint aNow, std::uint32_t aShard) const
 {
   const Duration sinceReport = aNow - m_shards.at(aShard).m_lastReport;
-  if (m_roles.Count() == 1) {
+  if (m_roles.Count() == 1 || m_shards.at(aShard).m_hasEnded) {
     return sinceReport;
   }
   // A daemon queries each shard more rarely than shards fall silent. One that
@@ -240,6 +240,7 @@
                                   const std::string& aCoordinator)
 {
   m_shards.at(aShard).m_coordinatorSlot = aCoordinator;
+  m_shards.at(aShard).m_hasEnded = false;
   const Revision term = m_roles.Role(aShard).ExpectedRevision();
   QuotaReport report{ .m_coordinator = aCoordinator,
                       .m_isGranting = IsCoordinator(aShard),
--- a/tests/settings/settings.cpp
+++ b/tests/settings/settings.cpp
@@ -56,6 +56,29 @@
   CHECK(bad.error().size() == 2);
 }
 
+TEST_CASE("the number of quota shards is 1 unless set, and from 1 to 16")
+{
+  // Guards against a fleet without any coordinator, and against a check of more
+  // keys than the store compares.
+  const auto parse = [](const char* aValue) {
+    return ParseSettings(std::string{ kValid } +
+                           "[workspaces]\nquota_shards = " + aValue + "\n",
+                         "shards.toml");
+  };
+  const auto settings = ParseSettings(kValid, "shards.toml");
+  REQUIRE(settings);
+  CHECK(settings.value().m_workspaces.m_quotaShards == 1);
+  CHECK(parse("16").value().m_workspaces.m_quotaShards == 16);
+  for (const char* each : { "0", "17", "-1", "2.5", "\"4\"" }) {
+    CAPTURE(each);
+    const auto bad = parse(each);
+    REQUIRE_FALSE(bad);
+    REQUIRE(bad.error().size() == 1);
+    REQUIRE(bad.error()[0].m_source);
+    CHECK(bad.error()[0].m_source->m_line > 12);
+  }
+}
+
 TEST_CASE("all errors of a file are reported, each with its line")
 {
   const std::string bad = std::string{ kValid } + R"([calls]
--- a/tests/workspaces/replay_fleet.hpp
+++ b/tests/workspaces/replay_fleet.hpp
@@ -39,7 +39,7 @@
   /// Calls a function of a daemon after a delay, or when its pause ends.
   void Deliver(Daemon& aDaemon, Duration aDelay, std::function<void()> aWhat)
   {
-    m_schedule.At(m_now + aDelay, [this, &aDaemon, what = std::move(aWhat)] {
+    m_schedule.At(m_now + aDelay, [&aDaemon, what = std::move(aWhat)] {
       if (aDaemon.m_isDead) {
         return;
       }
