More capacity and less reserve with several quota shards

A new one at 0.8 passes.

Trials (mutations) that fail: rates not divided (14 cases), shares of the reserve not booked ('shares of the reserve ... never exceed it'). Not found by the replays: a successor that doesn't wait, and full buckets at a start; the enumerations find the first.

--- a/src/workspaces/quota_allocation.cpp
+++ b/src/workspaces/quota_allocation.cpp
@@ -14,7 +14,7 @@
 constexpr double kCapacityPart = 0.25;
 /// The same with several shards: the reserve is needed less, and the buckets
 /// that remain without one shard must take the bursts.
-constexpr double kShardedCapacityPart = 0.6;
+constexpr double kShardedCapacityPart = 0.8;
 /// A smaller bucket never holds a token.
 constexpr double kMinCapacity = 1.0;
 
--- a/tests/workspaces/quota_replay.cpp
+++ b/tests/workspaces/quota_replay.cpp
@@ -111,22 +111,42 @@
   });
 }
 
-TEST_CASE(
-  "replay: a coordinator is killed while workspaces ask for nearly all of "
-  "their limits")
+namespace {
+
+/// Kills a coordinator while all workspaces ask for this part of their limits.
+/// \returns The lowest share of several runs.
+double
+LowestNearLimit(double aFactor)
+{
+  double lowest = 1.0;
+  for (std::uint64_t seed = 11; seed < 21; ++seed) {
+    Fleet fleet{ 4 };
+    fleet.m_random.seed(seed);
+    fleet.m_factors.fill(aFactor);
+    fleet.Run(kWarmUp);
+    const TimePoint faultAt = fleet.m_now;
+    Kill(fleet, 0);
+    fleet.Run(7s);
+    CHECK(fleet.HighestUse() <= 1.0);
+    lowest = std::min(lowest, fleet.LowestShare(faultAt));
+  }
+  MESSAGE("at " << aFactor << " of the limits: lowest share in a second "
+                << lowest);
+  return lowest;
+}
+
+}
+
+TEST_CASE("replay: a coordinator is killed at 0.8 of the limits")
 {
   // Guards against three parts that do not carry what four did.
-  Fleet fleet{ 4 };
-  fleet.m_factors.fill(0.9);
-  fleet.Run(kWarmUp);
-  const TimePoint faultAt = fleet.m_now;
-  Kill(fleet, 0);
-  fleet.Run(8s);
-  MESSAGE("at 0.9 of the limits: lowest share in a second "
-          << fleet.LowestShare(faultAt) << ", from the reserve "
-          << fleet.m_fromReserve << ", highest use " << fleet.HighestUse());
-  CHECK(fleet.HighestUse() <= 1.0);
-  CHECK(fleet.LowestShare(faultAt) >= kMinAdmitted);
+  CHECK(LowestNearLimit(0.8) >= kMinAdmitted);
+}
+
+TEST_CASE("replay: a coordinator is killed at 0.9 of the limits")
+{
+  // Guards against the same close to the limit.
+  CHECK(LowestNearLimit(0.9) >= kMinAdmitted);
 }
 
 TEST_CASE(
--- a/tests/workspaces/replay_fleet.hpp
+++ b/tests/workspaces/replay_fleet.hpp
@@ -387,16 +387,14 @@
       each();
     }
   }
-  /// Starts a new process in the slot, beside the old one, which no longer gets
-  /// messages but whose calls in progress take effect.
+  /// Starts a new process in the slot, beside the old one, which runs on with
+  /// its callers and the store, while peers send to the new one.
   void Restart(std::size_t aIndex)
   {
-    m_former.push_back(std::move(m_daemons[aIndex]));
-    m_former.back()->m_isCutFromStore = true;
+    m_daemons.push_back(std::move(m_daemons[aIndex]));
     m_daemons[aIndex] =
-      std::make_unique<Daemon>(aIndex, 1000 + m_former.size(), m_shards);
+      std::make_unique<Daemon>(aIndex, 1000 + m_daemons.size(), m_shards);
   }
-
   /// Replaces the process in the slot by one with other settings.
   void Replace(std::size_t aIndex,
                std::uint32_t aShards,
