--- a/standins/backend_server.cpp
+++ b/standins/backend_server.cpp
@@ -19,9 +19,10 @@
 ///
 /// The X-Request-Id header is a request's id; the answer returns it in header
 /// and body. Faults: PUT /faults with any of {"service_ms": N, "fail": true,
-/// "cut_after_run": N, "health": "...", "limit": "37.6", "leaving": true}; the
-/// last two are stated in responses, see worker_signals.hpp. Number of runs of
-/// each id: GET /runs. Requests received: GET /history.
+/// "cut_after_run": N, "answer_bytes": N, "health": "...", "limit": "37.6",
+/// "leaving": true}; the last two are stated in responses, see
+/// worker_signals.hpp. Number of runs of each id: GET /runs. Requests received:
+/// GET /history.
 
 namespace {
 
@@ -132,10 +133,13 @@
   void Finish(Run aRun, const std::string& aId)
   {
     --m_running;
-    const Json body{ { "id", aId },
-                     { "method", aRun.m_request.m_method },
-                     { "target", aRun.m_request.m_target },
-                     { "body", aRun.m_request.m_body } };
+    Json body{ { "id", aId },
+               { "method", aRun.m_request.m_method },
+               { "target", aRun.m_request.m_target },
+               { "body", aRun.m_request.m_body } };
+    if (m_answerBytes > 0) {
+      body["padding"] = std::string(m_answerBytes, 'x');
+    }
     HttpResponse response =
       JsonResponse(m_fail ? 500 : 200,
                    body.dump(-1, ' ', false, Json::error_handler_t::replace));
@@ -157,6 +161,7 @@
     }
     m_options.m_serviceMs = faults.value("service_ms", m_options.m_serviceMs);
     m_fail = faults.value("fail", m_fail);
+    m_answerBytes = faults.value("answer_bytes", m_answerBytes);
     m_cutsLeft = faults.value("cut_after_run", 0U);
     m_health = faults.value("health", m_health);
     m_signals.Set(faults);
@@ -184,6 +189,8 @@
   std::uint32_t m_running{ 0 };
   std::uint32_t m_maxRunning{ 0 };
   std::uint32_t m_cutsLeft{ 0 };
+  /// Added to each answer.
+  std::size_t m_answerBytes{ 0 };
   std::uint32_t m_cuts{ 0 };
   bool m_fail{ false };
   standin::WorkerSignalFault m_signals;
--- a/tools/testkit/fleet.cpp
+++ b/tools/testkit/fleet.cpp
@@ -70,7 +70,7 @@
   const WorkerSpec& spec = aNode.m_spec;
   return fmt::format(
     "[daemon]\nslot = \"{}\"\nservice = \"{}\"\n"
-    "region = \"{}\"\ndomain = \"{}\"\n"
+    "region = \"{}\"\ndomain = \"{}\"\nlink_mbps = {}\n"
     "[operators]\ntoken = \"{}\"\n"
     "[worker]\nurl = \"http://127.0.0.1:{}\"\n"
     "slots = {}\nqueue = {}\n"
@@ -79,6 +79,7 @@
     spec.m_service,
     spec.m_region,
     spec.m_domain,
+    spec.m_linkMbps,
     kToken,
     aNode.m_backendPort,
     spec.m_slots,
--- a/tools/testkit/fleet.hpp
+++ b/tools/testkit/fleet.hpp
@@ -23,6 +23,8 @@
   std::uint32_t m_queue{ 40 };
   /// Service time of a call, in milliseconds.
   std::uint32_t m_serviceMs{ 2 };
+  /// Rate of the instance's network link; 0: not known to the daemon.
+  std::uint32_t m_linkMbps{ 0 };
   /// Additional sections of the daemon's settings file, as TOML.
   std::string m_settings{};
   std::vector<std::string> m_backendArguments{};
