--- a/include/greengagehub/calls/worker_table.hpp
+++ b/include/greengagehub/calls/worker_table.hpp
@@ -225,9 +225,12 @@
     m_decisions = aDecisions;
   }
   void RecordSent(Index aIndex);
-  void RecordTransit(const std::string& aSlot,
-                     TimePoint aNow,
-                     Duration aTransitTime);
+  /// \param aTook time from sending an attempt to its answer.
+  /// \param aTimeAtWorker part of it at the worker's daemon; empty: not known.
+  void RecordTransit(TimePoint aNow,
+                     const std::string& aSlot,
+                     Duration aTook,
+                     std::optional<std::chrono::microseconds> aTimeAtWorker);
   /// \returns Mean over the workers that have answered a call.
   [[nodiscard]] double MeanFailureShare(const std::string& aService) const;
   /// \brief What an attempt shows about its worker.
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -325,11 +325,8 @@
     return out;
   }
   m_workers.RecordStatement(aNow, call->m_slot, aAnswer, m_random);
-  if (aAnswer.m_timeAtWorker) {
-    const Duration transit = aNow - call->m_sentAt - *aAnswer.m_timeAtWorker;
-    m_workers.RecordTransit(
-      call->m_slot, aNow, std::max<Duration>(transit, {}));
-  }
+  m_workers.RecordTransit(
+    aNow, call->m_slot, aNow - call->m_sentAt, aAnswer.m_timeAtWorker);
   const LoadReport report{ aAnswer.m_load,
                            aAnswer.m_slots,
                            call->m_plan.m_kind,
--- a/src/calls/worker_table.cpp
+++ b/src/calls/worker_table.cpp
@@ -340,16 +340,20 @@
 }
 
 void
-WorkerTable::RecordTransit(const std::string& aSlot,
-                           TimePoint aNow,
-                           Duration aTransitTime)
+WorkerTable::RecordTransit(
+  TimePoint aNow,
+  const std::string& aSlot,
+  Duration aTook,
+  std::optional<std::chrono::microseconds> aTimeAtWorker)
 {
-  if (const auto known = Find(aSlot)) {
-    WorkerRow& row = m_rows.At(*known);
-    row.m_transitTime +=
-      (aTransitTime - row.m_transitTime) / kTransitTimeDivisor;
-    row.m_transitAt = aNow;
+  const auto known = Find(aSlot);
+  if (!known || !aTimeAtWorker) {
+    return;
   }
+  WorkerRow& row = m_rows.At(*known);
+  const Duration transit = std::max<Duration>(aTook - *aTimeAtWorker, {});
+  row.m_transitTime += (transit - row.m_transitTime) / kTransitTimeDivisor;
+  row.m_transitAt = aNow;
 }
 
 void
