--- a/src/calls/dispatch_rules.hpp
+++ b/src/calls/dispatch_rules.hpp
@@ -19,6 +19,8 @@
 inline constexpr double kCommonCauseFailureShare = 0.2;
 
 inline constexpr std::uint32_t kMaxUnavailableWorkers = 6;
+/// Larger answers take time on links, which says nothing about other calls.
+inline constexpr std::size_t kMaxTransitBytes = 16UL * 1024;
 
 /// \returns Whether the call found no available worker at the daemon it was
 /// sent to, which is no sign of overload elsewhere.
