--- a/include/greengagehub/calls/link_booking.hpp
+++ b/include/greengagehub/calls/link_booking.hpp
@@ -77,7 +77,8 @@
 ///
 /// A large answer is accepted only if it can leave the link before its target;
 /// if that has passed, before its deadline and behind no more than half a
-/// target's worth of other bytes, so that late calls leave room for others.
+/// target's worth of other bytes, so that late calls leave room for others. An
+/// answer that takes longer than its target alone is accepted on an idle link.
 ///
 /// Workspaces share what can leave in that time by weight: a workspace may book
 /// its share, and beyond it as long as as much stays free for others as it has
@@ -87,9 +88,8 @@
 public:
   /// Answers of no more bytes are not booked.
   static constexpr double kMinBytes = 16.0 * 1024;
-  /// Answers are accepted behind no more expected bytes, which bounds the
-  /// memory that waiting answers take; keeps a link of 15 Mbit/s busy for a
-  /// second.
+  /// Answers are accepted behind no more expected bytes of others, which bounds
+  /// the memory that waiting answers take.
   static constexpr double kMaxHeldBytes = 1.5 * 1024 * 1024;
 
   /// \param aBytesPerSecond 0: unknown, nothing is booked or refused.
@@ -168,7 +168,8 @@
   /// \returns Latest departure behind no more than kMaxHeldBytes.
   [[nodiscard]] Duration HeldLimit(const LinkDemand& aDemand) const noexcept
   {
-    return aDemand.m_readyIn + TimeFor(kMaxHeldBytes);
+    return aDemand.m_readyIn + TimeFor(kMaxHeldBytes) +
+           TransferTime(aDemand.m_size);
   }
   [[nodiscard]] bool IsBeyondShare(TimePoint aNow,
                                    Duration aLimit,
--- a/src/calls/link_booking.cpp
+++ b/src/calls/link_booking.cpp
@@ -155,7 +155,10 @@
   if (!Books(aDemand.m_size)) {
     return decision;
   }
-  const Duration limit = std::min(LimitOf(aDemand), HeldLimit(aDemand));
+  const bool isIdle = m_entries.empty() && aBacklog == Duration::zero();
+  const Duration limit = isIdle
+                           ? aDemand.m_deadlineLeft
+                           : std::min(LimitOf(aDemand), HeldLimit(aDemand));
   decision.m_departure = DepartureOf(aNow, aBacklog, aDemand);
   const bool isBeyond = IsBeyondShare(aNow, limit, aBacklog, aDemand);
   Duration wait{ 0 };
--- a/tests/calls/link_booking.cpp
+++ b/tests/calls/link_booking.cpp
@@ -271,6 +271,24 @@
   CHECK_FALSE(booking.Check(now, 0s, late).IsAccepted());
 }
 
+TEST_CASE("an answer that takes longer than its target runs on an idle link")
+{
+  // Guards against a kind of calls that is refused whatever the load.
+  LinkBooking booking{ kRate };
+  LinkDemand huge = DownloadOf();
+  huge.m_size = { 2'000'000.0, 1'000'000.0 };
+  const TimePoint now{ 100s };
+  CHECK(booking.Check(now, {}, huge).IsAccepted());
+  const LinkReservation first = booking.Book(now, huge);
+  CHECK_FALSE(booking.Check(now, {}, huge).IsAccepted());
+  LinkDemand large = DownloadOf();
+  large.m_size = { 600'000.0, 300'000.0 };
+  large.m_targetLeft = 4s;
+  LinkBooking other{ kRate };
+  const LinkReservation second = other.Book(now, large);
+  CHECK(other.Check(now, {}, large).IsAccepted());
+}
+
 TEST_CASE("a link of unknown rate and small answers are not booked")
 {
   // Guards against changed decisions where no large answers or no rates are
