Mend what the reviews of the joined parts found

Found by reading, by reviewers who had not written the parts:

- A new coordinator could answer queries between its claim and the next tick from buckets of an earlier term, or full ones of none, and deal its whole reserve.
It is started before it answers.
- A shard above 0 could be claimed on a reading of shard 0's key that was long out of date.
- A daemon that held no key abstained for 10 s as long as shard 0 had no coordinator.
- A coordinator counted its own queries when it looked whether peers reach it.
- A call refused for the caller's link kept its quota token; the link in was booked without its workspace; answers that had left before a pause of the link, and shares on a link that is free, led to refusals.
- With a workspace ahead of its share, its rank competed with others by the best call of the rest only, so that lower ranks went first.

--- a/include/greengagehub/calls/run_table.hpp
+++ b/include/greengagehub/calls/run_table.hpp
@@ -243,6 +243,8 @@
                                          const Run& aFor,
                                          bool aIsClassFull);
   [[nodiscard]] Run* HighestRanked(TimePoint aNow);
+  /// \returns The first call of the rank, by lead and then by value.
+  [[nodiscard]] Run* FirstWithinShare(TimePoint aNow, Run& aBest);
   [[nodiscard]] bool IsEvicted(CallKey aKey) const;
   void EvictEnded(TimePoint aNow);
   Run& AddRun(TimePoint aNow, CallKey aKey, State aState);
--- a/include/greengagehub/calls/work_order.hpp
+++ b/include/greengagehub/calls/work_order.hpp
@@ -71,6 +71,11 @@
     if (m_lead != aOther.m_lead && IsOfSameRank(m_share, aOther.m_share)) {
       return m_lead < aOther.m_lead;
     }
+    return IsWorthMore(aOther);
+  }
+  /// \returns Whether the call comes first regardless of shares.
+  [[nodiscard]] bool IsWorthMore(const WorkRank& aOther) const noexcept
+  {
     return m_gain != aOther.m_gain ? m_gain > aOther.m_gain
                                    : m_due < aOther.m_due;
   }
--- a/src/calls/link_booking.cpp
+++ b/src/calls/link_booking.cpp
@@ -83,11 +83,15 @@
   }
   std::ranges::sort(before, {}, &Entry::m_readyAt);
   TimePoint freeAt = aNow + aBacklog;
-  double variance = aDemand.m_size.m_deviation * aDemand.m_size.m_deviation;
+  const double own = aDemand.m_size.m_deviation * aDemand.m_size.m_deviation;
+  double variance = own;
   for (const Entry* each : before) {
+    // Answers that left before a pause of the link delay no later one.
+    variance = freeAt <= each->m_readyAt ? own : variance;
     freeAt = std::max(freeAt, each->m_readyAt) + TimeFor(each->m_size.m_mean);
     variance += each->m_size.m_deviation * each->m_size.m_deviation;
   }
+  variance = freeAt <= readyAt ? own : variance;
   return std::max(freeAt, readyAt) - aNow + TimeFor(aDemand.m_size.m_mean) +
          TimeFor(kSpreadMargin * std::sqrt(variance));
 }
@@ -121,7 +125,9 @@
            aNow - aEach.second.m_lastAskedAt > kActiveTime;
   });
   const bool isAlone = m_shares.size() == 1 && aDemand.m_workspace == 0;
-  if (isAlone || own.m_bytes <= 0.0) {
+  const bool isLinkFree = DepartureOf(aNow, aBacklog, aDemand) <=
+                          aDemand.m_readyIn + TransferTime(aDemand.m_size);
+  if (isAlone || own.m_bytes <= 0.0 || isLinkFree) {
     return false;
   }
   double weights = 0.0;
--- a/src/calls/run_table.cpp
+++ b/src/calls/run_table.cpp
@@ -288,16 +288,15 @@
 RunTable::Run*
 RunTable::HighestRanked(TimePoint aNow)
 {
-  Run* next = nullptr;
+  Run* best = nullptr;
   for (Run& each : m_queuedRuns) {
-    const WorkRank rank = Rank(aNow, each);
-    // Of each rank, some workspace isn't ahead.
-    if (rank.m_lead == 0.0 &&
-        (next == nullptr || rank.IsBefore(Rank(aNow, *next)))) {
-      next = &each;
+    if (best == nullptr || Rank(aNow, each).IsWorthMore(Rank(aNow, *best))) {
+      best = &each;
     }
   }
-  return next;
+  return best == nullptr || Rank(aNow, *best).m_lead == 0.0
+           ? best
+           : FirstWithinShare(aNow, *best);
 }
 
 void
--- a/src/calls/run_table_shares.cpp
+++ b/src/calls/run_table_shares.cpp
@@ -17,6 +17,21 @@
                         m_serviceTimes.Estimate(aDemand.m_kind));
 }
 
+RunTable::Run*
+RunTable::FirstWithinShare(TimePoint aNow, Run& aBest)
+{
+  // A rank whose best call is ahead is served nevertheless, by another
+  // workspace of the rank.
+  Run* first = &aBest;
+  for (Run& each : m_queuedRuns) {
+    const bool isOfRank = IsOfSameRank(&aBest.m_share, &each.m_share);
+    if (isOfRank && Rank(aNow, each).IsBefore(Rank(aNow, *first))) {
+      first = &each;
+    }
+  }
+  return first;
+}
+
 RunTable::Run*
 RunTable::LastOfOtherRanks(TimePoint aNow, const Run& aFor)
 {
--- a/src/daemon/call_gateway_bookings.cpp
+++ b/src/daemon/call_gateway_bookings.cpp
@@ -65,13 +65,16 @@
   aCall.m_linkIn = m_linkIn.Book(
     Clock::now(),
     { .m_size = request.m_answerSize,
-      .m_readyIn = StatisticsOf(aCall.m_routeKey).m_meanAnswerTime });
+      .m_readyIn = StatisticsOf(aCall.m_routeKey).m_meanAnswerTime,
+      .m_workspace = request.m_share.m_workspace,
+      .m_weight = WeightInUnits(request.m_share) });
 }
 
 void
 CallGateway::RefuseForLink(PendingCall& aCall,
                            std::chrono::milliseconds aRetryAfter)
 {
+  m_deps.m_workspaces.Return(aCall.m_workspaceId, aCall.m_receipt);
   const CallAnswer answer = greengagehub::Refuse(
     0, CallOutcome::NotRun, RefusalReason::LinkBusy, WithJitter(aRetryAfter));
   m_deps.m_metrics.CountCall(NameOf(answer.m_outcome), NameOf(answer.m_reason));
--- a/src/daemon/quota_service.cpp
+++ b/src/daemon/quota_service.cpp
@@ -156,6 +156,10 @@
   }
   Shard& shard = m_shards.at(index);
   const bool isOurs = index < m_roles.Count();
+  if (isOurs) {
+    // A lease may have begun since the last tick, and buckets start empty.
+    AdvanceShard(now, index);
+  }
   const bool isLeading = IsCoordinator(index);
   if (isLeading || (isOurs && m_roles.Role(index).IsAwaitingPredecessor(now))) {
     report.m_coordinator = m_deps.m_settings.m_slot;
@@ -168,7 +172,9 @@
   }
   if (isLeading) {
     report.m_shards = m_roles.Count();
-    shard.m_queriers.OnQuery(now, ShortHash(aSlot));
+    if (aSlot != m_deps.m_settings.m_slot) {
+      shard.m_queriers.OnQuery(now, ShortHash(aSlot));
+    }
     report.m_grants = shard.m_coordinator.OnDemands(
       now, aSlot, aQuery.m_demands, m_deps.m_table, aQuery.m_knowsShards);
   }
--- a/src/daemon/quota_service_roles.cpp
+++ b/src/daemon/quota_service_roles.cpp
@@ -186,7 +186,10 @@
       m_roles.OnClaimed(now, aSent, aAction.m_shard, aReply);
       if (m_roles.Role(aAction.m_shard).HoldsKey()) {
         LogChange(LogLevel::Info, "coordinator_claimed", aAction.m_shard);
-        AnnounceCoordinator(aAction.m_shard, m_deps.m_settings.m_slot);
+        AdvanceShard(now, aAction.m_shard);
+        if (!m_roles.IsLeading(now, aAction.m_shard)) {
+          AnnounceCoordinator(aAction.m_shard, m_deps.m_settings.m_slot);
+        }
       }
       break;
     case Kind::Release:
--- a/src/workspaces/coordinator_role.cpp
+++ b/src/workspaces/coordinator_role.cpp
@@ -202,6 +202,8 @@
 CoordinatorRole::Abstain(TimePoint aNow) noexcept
 {
   const bool hadKey = m_holdsKey;
+  // The reply to a check in progress is not awaited.
+  m_isCallPending = m_isCallPending && !hadKey;
   m_holdsKey = false;
   m_canClaim = false;
   m_nextStepAt = aNow + kAbstainTime;
--- a/src/workspaces/coordinator_roles.cpp
+++ b/src/workspaces/coordinator_roles.cpp
@@ -45,12 +45,15 @@
 {
   const CoordinatorRole& role = m_roles.at(aShard);
   switch (aKind) {
-    case Action::Kind::Claim:
-      return { aKind,
-               aShard,
-               MakePut(CoordinatorKey(aShard),
-                       role.KeyValue(),
-                       role.ExpectedRevision()) };
+    case Action::Kind::Claim: {
+      StoreRequest claim = MakePut(
+        CoordinatorKey(aShard), role.KeyValue(), role.ExpectedRevision());
+      if (aShard > 0) {
+        claim.m_alsoExpected = { { CoordinatorKey(0),
+                                   m_condition.ExpectedRevision() } };
+      }
+      return { aKind, aShard, std::move(claim) };
+    }
     case Action::Kind::Release:
       return { aKind,
                aShard,
@@ -143,6 +146,9 @@
   }
   m_condition.OnRead(aNow, aReply);
   for (std::uint32_t i = 1; i < Count() && !m_condition.IsStated(); ++i) {
+    if (!m_roles.at(i).HoldsKey()) {
+      continue;
+    }
     for (Action& each : Abstain(aNow, i)) {
       actions.push_back(std::move(each));
     }
@@ -158,6 +164,10 @@
 {
   CoordinatorRole& role = m_roles.at(aShard);
   role.OnClaimed(aNow, aSent, aReply);
+  const bool isConflict = aReply.m_status == Status::Conflict;
+  if (aShard > 0 && isConflict && !aReply.m_items.empty()) {
+    m_condition.OnRead(aNow, FindKey(aReply, CoordinatorKey(0)));
+  }
   if (aShard == 0 && role.HoldsKey()) {
     m_condition.OnRead(aNow,
                        { .m_status = Status::Ok,
