--- a/include/greengagehub/workspaces/quota_client.hpp
+++ b/include/greengagehub/workspaces/quota_client.hpp
@@ -132,7 +132,7 @@
   {
     ShardLink m_link{};
     /// When a query without waiting requests is due; for prefetching, and to
-    /// hear of the coordinator.
+    /// learn of the coordinator.
     TimePoint m_nextPrefetchAt{};
     TimePoint m_nextIdleAt{};
   };
--- a/src/workspaces/quota_client.cpp
+++ b/src/workspaces/quota_client.cpp
@@ -25,8 +25,8 @@
 constexpr std::chrono::milliseconds kOverQuotaRetryAfter{ 500 };
 constexpr double kMilliPerUnit = 1000.0;
 constexpr std::uint32_t kMilliPerUnitInteger = 1000;
-/// With several shards, each hears of this daemon after at most this many
-/// times kQueryInterval.
+/// With several shards, each gets a query of this daemon after at most this
+/// many times kQueryInterval.
 constexpr std::uint32_t kMaxIdleFactor = 3;
 
 }
