Rank each queued call once; one name for the size from which answers are paced

Found by reading the whole change: the search for the call to start computed the rank of the best one again for each queued call, on the path of every start, and the size up to which an answer counts for transit times was LinkPacer::kPartBytes under another name. Behaviour is the same.

--- a/src/calls/dispatch_rules.hpp
+++ b/src/calls/dispatch_rules.hpp
@@ -22,8 +22,6 @@
 /// Unavailable workers that one call passes by. Where half of the workers are
 /// gone, one call in 64 is refused although others are left.
 inline constexpr std::uint32_t kMaxUnavailableWorkers = 6;
-/// Larger answers take time on links, which says nothing about other calls.
-inline constexpr std::size_t kMaxTransitBytes = 16UL * 1024;
 
 /// \returns Whether the call found no available worker at the daemon it was
 /// sent to, which is no sign of overload elsewhere.
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -2,6 +2,8 @@
 
 #include "dispatch_rules.hpp"
 
+#include "greengagehub/core/link_pacer.hpp"
+
 #include <algorithm>
 
 namespace greengagehub {
@@ -321,7 +323,8 @@
     return out;
   }
   m_workers.RecordStatement(aNow, call->m_slot, aAnswer, m_random);
-  if (aAnswer.m_response.m_body.size() <= kMaxTransitBytes) {
+  // A paced answer takes time on links, which says nothing about other calls.
+  if (aAnswer.m_response.m_body.size() <= LinkPacer::kPartBytes) {
     m_workers.RecordTransit(
       aNow, call->m_slot, aNow - call->m_sentAt, aAnswer.m_timeAtWorker);
   }
--- a/src/calls/run_table.cpp
+++ b/src/calls/run_table.cpp
@@ -289,14 +289,15 @@
 RunTable::HighestRanked(TimePoint aNow)
 {
   Run* best = nullptr;
+  WorkRank highest;
   for (Run& each : m_queuedRuns) {
-    if (best == nullptr || Rank(aNow, each).IsWorthMore(Rank(aNow, *best))) {
+    const WorkRank rank = Rank(aNow, each);
+    if (best == nullptr || rank.IsWorthMore(highest)) {
       best = &each;
+      highest = rank;
     }
   }
-  return best == nullptr || Rank(aNow, *best).m_lead == 0.0
-           ? best
-           : FirstWithinShare(aNow, *best);
+  return highest.m_lead == 0.0 ? best : FirstWithinShare(aNow, *best);
 }
 
 void
--- a/src/calls/run_table_shares.cpp
+++ b/src/calls/run_table_shares.cpp
@@ -23,10 +23,15 @@
   // A rank whose best call is ahead is served nevertheless, by another
   // workspace of the rank.
   Run* first = &aBest;
+  WorkRank highest = Rank(aNow, aBest);
   for (Run& each : m_queuedRuns) {
-    const bool isOfRank = IsOfSameRank(&aBest.m_share, &each.m_share);
-    if (isOfRank && Rank(aNow, each).IsBefore(Rank(aNow, *first))) {
+    if (!IsOfSameRank(&aBest.m_share, &each.m_share)) {
+      continue;
+    }
+    const WorkRank rank = Rank(aNow, each);
+    if (rank.IsBefore(highest)) {
       first = &each;
+      highest = rank;
     }
   }
   return first;
