Wait for a near refill while a quota shard is missing

Cause: a request that all shards that answer have denied was rejected at once, whether the next token was 10 ms or a second away. Three of four shards refill 0.82 of the rate and three quarters of what the buckets held; once these are used up, the shortage is 0.08 of the rate for as long as the shard is missing, a queue of tens of milliseconds, while a request may wait 400 ms for a token. In the same state a denial lasted longer than needed: its delay counted whole tokens and ignored the part of the next one that the bucket already holds.

Ruled out: tokens lying unused at other shards (the levels of all three are low at the same time); expired tokens (the daemons hold none); the allowance as the limit (its highest use is 0.76).

Change: while a shard is silent, and for the 3 s in which the buckets of its next coordinator, which start empty, refill, a denied request waits if a refill is due within 250 ms and no more requests wait than it can serve; the others are rejected at once as before, and so are all denied ones with all shards in service. A wait in vain ends with 429 (over-quota), not 503. The timer of the queries is set forward when a denial ends before the awaited answer is overdue.

Tests: "while a shard is silent, a request waits for a near refill", "requests beyond what a refill can serve do not wait for it" and "a denial ends when the bucket holds the missing token" failed on the code before.

--- a/include/greengagehub/daemon/quota_service.hpp
+++ b/include/greengagehub/daemon/quota_service.hpp
@@ -45,6 +45,7 @@
     std::uint64_t m_granted{ 0 };
     std::uint64_t m_admitted{ 0 };
     std::uint64_t m_fromReserve{ 0 };
+    std::uint64_t m_awaitedRefill{ 0 };
     std::uint64_t m_overQuota{ 0 };
     std::uint64_t m_noCoordinator{ 0 };
     std::uint64_t m_returned{ 0 };
@@ -160,7 +161,8 @@
   Counts m_counts;
   std::function<void()> m_retryHandler;
   asio::steady_timer m_queryTimeout;
-  bool m_isTimeoutArmed{ false };
+  /// When m_queryTimeout expires, if it runs.
+  std::optional<TimePoint> m_timeoutAt;
   TimePoint m_nextRankCheck{};
   /// Random addition to kRelaySilence and kMemberSilence, so that daemons do
   /// not claim the role at the same time.
--- a/include/greengagehub/daemon/workspace_service.hpp
+++ b/include/greengagehub/daemon/workspace_service.hpp
@@ -24,6 +24,8 @@
   /// The request waits for tokens; Admit() is to be called again when the
   /// handler of SetRetryHandler() runs.
   bool m_waits{ false };
+  /// Of a request that waits for too long.
+  RefusalReason m_refusalAfterWait{ RefusalReason::NoCoordinator };
   /// Workspace of the key; nullptr: the key is unknown or was not checked.
   const WorkspaceRow* m_workspace{ nullptr };
   /// For Return(), if the request is admitted.
--- a/include/greengagehub/workspaces/quota_client.hpp
+++ b/include/greengagehub/workspaces/quota_client.hpp
@@ -30,6 +30,9 @@
   };
   Kind m_kind{ Kind::Admitted };
   std::chrono::milliseconds m_retryAfter{ 0 };
+  /// Waiting: all shards that answer have denied, and one of them will soon
+  /// have tokens. A request that gets none is over the quota.
+  bool m_isForRefill{ false };
   /// For Return(), if the request was admitted.
   QuotaReceipt m_receipt{};
 };
@@ -55,7 +58,8 @@
 /// trip for their token. Each workspace and daemon have a shard of their own
 /// choice; when that one does not answer in time or has too few tokens, the
 /// next one is queried at once. While a shard does not answer and the others
-/// have no tokens, requests are admitted from the reserve.
+/// have no tokens, requests are admitted from the reserve; then, and until the
+/// buckets of the next coordinator have refilled, a few wait for a refill.
 class QuotaClient
 {
 public:
@@ -84,7 +88,8 @@
 
   /// \returns The next query, if any; to be called until there is none.
   [[nodiscard]] std::optional<QuotaQuery> NextQuery(TimePoint aNow);
-  /// \returns When the next awaited answer is overdue, if any is awaited.
+  /// \returns When the next awaited answer is overdue, or a shard that has
+  /// denied a waiting request may be queried again, if any.
   [[nodiscard]] std::optional<TimePoint> NextTimeout(TimePoint aNow) const;
   /// \returns When the answered query was sent; nothing if late or duplicate.
   [[nodiscard]] std::optional<TimePoint> OnReport(TimePoint aNow,
@@ -122,6 +127,10 @@
     std::uint32_t m_arrivals{ 0 };
     /// Requests per second, moving average.
     double m_rate{ 0.0 };
+    /// Tokens since the last update of m_grantRate.
+    std::uint32_t m_grants{ 0 };
+    /// Tokens per second, moving average.
+    double m_grantRate{ 0.0 };
     /// By shard: after a partial grant, no tokens are requested until then.
     std::array<TimePoint, kMaxQuotaShards> m_deniedUntil{};
     /// After a denial by all shards, late requests are rejected until then.
@@ -152,6 +161,15 @@
   [[nodiscard]] QuotaDecision DecideWithoutToken(TimePoint aNow,
                                                  WorkspaceId aWorkspace,
                                                  WorkspaceState& aState);
+  /// \returns When a shard that answers and has denied may be queried again.
+  [[nodiscard]] std::optional<TimePoint> NextRefill(
+    TimePoint aNow,
+    const WorkspaceState& aState) const;
+  /// \returns Whether a request that all shards deny waits for a refill.
+  [[nodiscard]] bool AwaitsRefill(TimePoint aNow,
+                                  const WorkspaceState& aState) const;
+  [[nodiscard]] QuotaDecision Wait(WorkspaceState& aState,
+                                   bool aIsForRefill) noexcept;
   [[nodiscard]] std::vector<QuotaDemand> CollectDemands(TimePoint aNow,
                                                         std::uint32_t aShard);
   [[nodiscard]] std::uint32_t CountWantedTokens(TimePoint aNow,
@@ -179,6 +197,8 @@
   std::uint32_t m_waiting{ 0 };
   std::uint64_t m_sequence{ 0 };
   TimePoint m_ratesUpdatedAt{};
+  /// Last time at which any shard was silent.
+  TimePoint m_lastSilentAt{};
 };
 
 }
--- a/src/daemon/call_gateway_callers.cpp
+++ b/src/daemon/call_gateway_callers.cpp
@@ -116,7 +116,7 @@
       m_deps.m_workspaces.CancelWait(admission.m_workspace->m_id);
       Refuse(aRequest,
              aResponder,
-             RefusalReason::NoCoordinator,
+             admission.m_refusalAfterWait,
              WithJitter(TokenQueue::kMaxWait),
              admission.m_workspace);
       return;
--- a/src/daemon/quota_service.cpp
+++ b/src/daemon/quota_service.cpp
@@ -48,6 +48,7 @@
         decision.m_receipt.m_kind == QuotaReceipt::Kind::Reserve ? 1 : 0;
       break;
     case QuotaDecision::Kind::Waiting:
+      m_counts.m_awaitedRefill += aIsNew && decision.m_isForRefill ? 1 : 0;
       SendQueries();
       break;
     case QuotaDecision::Kind::OverQuota:
@@ -126,16 +127,17 @@
 {
   const TimePoint now = BootNow();
   const auto next = m_client.NextTimeout(now);
-  if (!next || m_isTimeoutArmed) {
+  if (!next || (m_timeoutAt && *m_timeoutAt <= *next)) {
     return;
   }
-  m_isTimeoutArmed = true;
+  m_timeoutAt = next;
+  // Cancels the wait for a later timeout.
   m_queryTimeout.expires_after(*next - now);
   m_queryTimeout.async_wait([this](const asio::error_code& aError) {
-    m_isTimeoutArmed = false;
     if (aError) {
       return;
     }
+    m_timeoutAt.reset();
     // Without an answer, waiting requests are decided or queried again.
     if (m_retryHandler) {
       m_retryHandler();
--- a/src/daemon/workspace_service.cpp
+++ b/src/daemon/workspace_service.cpp
@@ -90,7 +90,11 @@
     case QuotaDecision::Kind::Admitted:
       break;
     case QuotaDecision::Kind::Waiting:
-      return { .m_waits = true, .m_workspace = workspace };
+      return { .m_waits = true,
+               .m_refusalAfterWait = decision.m_isForRefill
+                                       ? RefusalReason::OverQuota
+                                       : RefusalReason::NoCoordinator,
+               .m_workspace = workspace };
     case QuotaDecision::Kind::OverQuota:
       return { .m_refusal = RefusalReason::OverQuota,
                .m_retryAfter = decision.m_retryAfter,
--- a/src/workspaces/quota_client.cpp
+++ b/src/workspaces/quota_client.cpp
@@ -20,6 +20,13 @@
 constexpr std::chrono::milliseconds kMinOverQuotaTime{ 50 };
 /// Time after a partial grant during which late requests are rejected.
 constexpr std::chrono::milliseconds kScarcityTime{ 1500 };
+/// A request waits for a refill that is expected within this time.
+constexpr std::chrono::milliseconds kMaxRefillWait{ 250 };
+/// Requests of a workspace that wait for a refill at any grant rate.
+constexpr double kMinRefillWaiters = 4.0;
+/// Time after the silence of a shard in which buckets, which start empty, are
+/// expected to refill.
+constexpr std::chrono::milliseconds kRecoveryTime{ 3000 };
 /// Retry delay reported for late requests while tokens are scarce.
 constexpr std::chrono::milliseconds kLateRetryAfter{ 1500 };
 constexpr std::chrono::milliseconds kOverQuotaRetryAfter{ 500 };
@@ -75,14 +82,53 @@
   }
   const bool hasAnswers = CountSilentShards(aNow) < m_shards;
   if (!mayAnswer && (!shard || (hasAnswers && m_shards > 1))) {
-    return { Kind::OverQuota, kOverQuotaRetryAfter };
+    if (!AwaitsRefill(aNow, aState)) {
+      return { Kind::OverQuota, kOverQuotaRetryAfter };
+    }
+    return Wait(aState, true);
   }
   if (!mayAnswer && IsCoordinatorSilent(aNow)) {
     return { Kind::NoCoordinator, kOverQuotaRetryAfter };
   }
+  return Wait(aState, false);
+}
+
+QuotaDecision
+QuotaClient::Wait(WorkspaceState& aState, bool aIsForRefill) noexcept
+{
   ++aState.m_waiting;
   ++m_waiting;
-  return { Kind::Waiting };
+  return { .m_kind = QuotaDecision::Kind::Waiting,
+           .m_isForRefill = aIsForRefill };
+}
+
+std::optional<TimePoint>
+QuotaClient::NextRefill(TimePoint aNow, const WorkspaceState& aState) const
+{
+  std::optional<TimePoint> next;
+  for (std::uint32_t i = 0; i < m_shards; ++i) {
+    const TimePoint end = aState.m_deniedUntil.at(i);
+    if (end > aNow && !m_links.at(i).m_link.IsSilent(aNow)) {
+      next = std::min(next.value_or(end), end);
+    }
+  }
+  return next;
+}
+
+bool
+QuotaClient::AwaitsRefill(TimePoint aNow, const WorkspaceState& aState) const
+{
+  // With all shards in service, a workspace that all deny is over its quota.
+  if (aNow - m_lastSilentAt > kRecoveryTime) {
+    return false;
+  }
+  const auto refill = NextRefill(aNow, aState);
+  const std::chrono::duration<double> maxWait = kMaxRefillWait;
+  // Of more requests, some would wait in vain.
+  const double servable =
+    kMinRefillWaiters + aState.m_grantRate * maxWait.count();
+  return refill && *refill - aNow <= kMaxRefillWait &&
+         aState.m_waiting < servable;
 }
 
 void
@@ -236,7 +282,10 @@
     WorkspaceState& state = each->second;
     state.m_rate +=
       kRateSmoothing * (state.m_arrivals / interval.count() - state.m_rate);
+    state.m_grantRate +=
+      kRateSmoothing * (state.m_grants / interval.count() - state.m_grantRate);
     state.m_arrivals = 0;
+    state.m_grants = 0;
     const bool isIdle =
       state.m_waiting == 0 && aNow - state.m_lastArrival > kIdleExpiry;
     each = isIdle ? m_workspaces.erase(each) : std::next(each);
@@ -297,6 +346,9 @@
 std::optional<QuotaQuery>
 QuotaClient::NextQuery(TimePoint aNow)
 {
+  if (CountSilentShards(aNow) > 0) {
+    m_lastSilentAt = aNow;
+  }
   for (std::uint32_t i = 0; i < m_shards; ++i) {
     if (auto query = QueryShard(aNow, i)) {
       return query;
@@ -316,6 +368,13 @@
       next = std::min(next.value_or(timeout), timeout);
     }
   }
+  for (const auto& [id, state] : m_workspaces) {
+    const auto refill =
+      state.m_waiting > 0 ? NextRefill(aNow, state) : std::nullopt;
+    if (refill) {
+      next = std::min(next.value_or(*refill), *refill);
+    }
+  }
   return next;
 }
 
@@ -355,6 +414,7 @@
     return;
   }
   WorkspaceState& state = entry->second;
+  state.m_grants += aGrant.m_tokens;
   state.m_purse.AddTokens(aGrant.m_tokens, aSentAt + kTokenLifetime);
   state.m_purse.SetReserve(aShard,
                            aGrant.m_milliReserve / kMilliPerUnitInteger,
--- a/src/workspaces/quota_coordinator.cpp
+++ b/src/workspaces/quota_coordinator.cpp
@@ -99,9 +99,11 @@
   QuotaGrant grant{ .m_workspace = aDemand.m_workspace,
                     .m_tokens = static_cast<std::uint32_t>(granted) };
   if (granted < wanted) {
-    // A later demand would find a bucket that has overflowed.
+    // A later demand would find a bucket that has overflowed. The bucket may
+    // hold a part of the next token.
     const double missing =
-      std::min(wanted - granted, std::max(1.0, aAllocation.m_capacity));
+      std::min(wanted - granted, std::max(1.0, aAllocation.m_capacity)) -
+      std::max(0.0, bucket.m_tokens);
     const auto refill = std::chrono::milliseconds{ std::lround(
       kMilliPerUnit * missing / std::max(aAllocation.m_rate, kMinRate)) };
     grant.m_retryAfter = std::clamp<std::chrono::milliseconds>(
--- a/tests/workspaces/quota.cpp
+++ b/tests/workspaces/quota.cpp
@@ -2,6 +2,7 @@
 #include "greengagehub/workspaces/quota_coordinator.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 #include <random>
@@ -272,3 +273,27 @@
   CHECK(client.TryAdmit(kStart + kTokenLifetime, 9, true).m_kind ==
         QuotaDecision::Kind::Waiting);
 }
+
+TEST_CASE("a denial ends when the bucket holds the missing token")
+{
+  // Guards against a retry delay that ignores the part of a token in the
+  // bucket.
+  const WorkspaceTable table = MakeTable(4, 0);
+  const double rate = AllocateQuota(kTolerance, 4, 0).m_rate;
+  QuotaCoordinator coordinator{ kTolerance };
+  coordinator.Start(kStart);
+  const auto demand = [&](TimePoint aNow) {
+    return coordinator
+      .OnDemands(
+        aNow, "d1", { { .m_workspace = ShortHash("w"), .m_wanted = 1 } }, table)
+      .front();
+  };
+  const auto interval = std::chrono::milliseconds{ std::lround(1000 / rate) };
+  const QuotaGrant empty = demand(kStart);
+  CHECK(empty.m_tokens == 0);
+  CHECK(empty.m_retryAfter >= interval);
+  const QuotaGrant partial = demand(kStart + interval / 2);
+  CHECK(partial.m_tokens == 0);
+  CHECK(partial.m_retryAfter <= interval / 2 + 1ms);
+  CHECK(demand(kStart + interval + 1ms).m_tokens == 1);
+}
--- a/tests/workspaces/quota_client.cpp
+++ b/tests/workspaces/quota_client.cpp
@@ -138,6 +138,98 @@
         Decision::OverQuota);
 }
 
+namespace {
+
+/// Lets one of two shards answer once and the other one fall silent.
+/// \returns The shard that answers.
+std::uint32_t
+SilenceOneShard(QuotaClient& aClient, TimePoint& aNow)
+{
+  REQUIRE(aClient.TryAdmit(aNow, kWorkspace, true).m_kind == Decision::Waiting);
+  auto queries = TakeQueries(aClient, aNow);
+  const auto answers = ShardWithDemand(queries);
+  REQUIRE(answers);
+  static_cast<void>(aClient.OnReport(aNow, Answer(queries[*answers], 1)));
+  REQUIRE(Retry(aClient, aNow) == Decision::Admitted);
+  aNow += 1s;
+  static_cast<void>(TakeQueries(aClient, aNow));
+  return *answers;
+}
+
+/// Has the shard that answers deny a new request.
+void
+DenyNext(QuotaClient& aClient,
+         std::uint32_t aShard,
+         TimePoint& aNow,
+         std::chrono::milliseconds aRetryAfter)
+{
+  aNow += QuotaClient::kAnswerTimeout;
+  REQUIRE(aClient.TryAdmit(aNow, kWorkspace, true).m_kind == Decision::Waiting);
+  auto queries = TakeQueries(aClient, aNow);
+  REQUIRE(queries.contains(aShard));
+  REQUIRE_FALSE(queries[aShard].m_demands.empty());
+  static_cast<void>(
+    aClient.OnReport(aNow, Answer(queries[aShard], 0, aRetryAfter)));
+}
+
+}
+
+TEST_CASE("while a shard is silent, a request waits for a near refill")
+{
+  // Guards against rejections below the limit while a token is about to come.
+  QuotaClient client{ {}, 1, 2 };
+  TimePoint now = kStart;
+  const std::uint32_t shard = SilenceOneShard(client, now);
+  DenyNext(client, shard, now, 50ms);
+  client.CancelWait(kWorkspace);
+  const QuotaDecision denied = client.TryAdmit(now, kWorkspace, false);
+  CHECK(denied.m_kind == Decision::Waiting);
+  CHECK(denied.m_isForRefill);
+  CHECK(client.NextTimeout(now).value_or(now + 1s) <= now + 50ms);
+  now += 50ms;
+  auto queries = TakeQueries(client, now);
+  REQUIRE(queries.contains(shard));
+  static_cast<void>(client.OnReport(now, Answer(queries[shard], 1)));
+  CHECK(Retry(client, now) == Decision::Admitted);
+}
+
+TEST_CASE("requests beyond what a refill can serve do not wait for it")
+{
+  // Guards against a queue of requests that are rejected only after their wait.
+  QuotaClient client{ {}, 1, 2 };
+  TimePoint now = kStart;
+  const std::uint32_t shard = SilenceOneShard(client, now);
+  DenyNext(client, shard, now, 100ms);
+  int waiting = 0;
+  while (waiting < 100 &&
+         client.TryAdmit(now, kWorkspace, true).m_kind == Decision::Waiting) {
+    ++waiting;
+  }
+  CHECK(waiting >= 1);
+  CHECK(waiting <= 10);
+}
+
+TEST_CASE("a request does not wait for a refill that is far away")
+{
+  // Guards against waits for tokens that cannot come in time.
+  QuotaClient client{ {}, 1, 2 };
+  TimePoint now = kStart;
+  const std::uint32_t shard = SilenceOneShard(client, now);
+  DenyNext(client, shard, now, 500ms);
+  CHECK(Retry(client, now) == Decision::OverQuota);
+}
+
+TEST_CASE("with all shards in service, a denied request does not wait")
+{
+  // Guards against late rejections of a workspace that is over its quota.
+  QuotaClient client{ {}, 1, 1 };
+  TimePoint now = kStart;
+  REQUIRE(client.TryAdmit(now, kWorkspace, true).m_kind == Decision::Waiting);
+  auto queries = TakeQueries(client, now);
+  static_cast<void>(client.OnReport(now, Answer(queries[0], 0, 100ms)));
+  CHECK(Retry(client, now) == Decision::OverQuota);
+}
+
 TEST_CASE("a daemon with one coordinator asks no other shard")
 {
   // Guards against queries to shards that the coordinators do not state.
