Query the quota shards in turn

Cause: each daemon sent the demands of a workspace to one shard, chosen by hash, and to others only when that one had denied. Of 62 daemons 10 to 22 choose the same shard, whose part of the rate serves 19 of them at 0.9 of the limit. Such a shard's bucket stays empty while others are full, and when the coordinator of a full one is killed, what it held is lost and its daemons all turn to the same neighbour.

Change: the shard to query first moves on with each answer. A dead shard's demand is spread over all others, and live shards hold about the same level.

Tests: "a workspace queries the shards in turn" failed before.

--- a/include/greengagehub/workspaces/quota_client.hpp
+++ b/include/greengagehub/workspaces/quota_client.hpp
@@ -55,11 +55,12 @@
 /// shards grant to this daemon, and queries them for more.
 ///
 /// Tokens are prefetched for busy workspaces; other requests wait one round
-/// trip for their token. Each workspace and daemon have a shard of their own
-/// choice; when that one does not answer in time or has too few tokens, the
-/// next one is queried at once. While a shard does not answer and the others
-/// have no tokens, requests are admitted from the reserve; then, and until the
-/// buckets of the next coordinator have refilled, a few wait for a refill.
+/// trip for their token. The shards are queried in turn, each workspace and
+/// daemon beginning with one of their own; when one does not answer in time or
+/// has too few tokens, the next one is queried at once. While a shard does not
+/// answer and the others have no tokens, requests are admitted from the
+/// reserve; then, and until the buckets of the next coordinator have refilled,
+/// a few wait for a refill.
 class QuotaClient
 {
 public:
@@ -131,6 +132,8 @@
     std::uint32_t m_grants{ 0 };
     /// Tokens per second, moving average.
     double m_grantRate{ 0.0 };
+    /// Follows the shard that answered last; empty: the first one, by hash.
+    std::optional<std::uint64_t> m_nextShard{};
     /// By shard: after a partial grant, no tokens are requested until then.
     std::array<TimePoint, kMaxQuotaShards> m_deniedUntil{};
     /// After a denial by all shards, late requests are rejected until then.
@@ -190,7 +193,7 @@
   QuotaTolerance m_tolerance;
   Random m_random;
   std::uint32_t m_shards;
-  /// Part of the choice of each workspace's first shard.
+  /// Part of the choice of the shard that a workspace begins with.
   std::uint64_t m_daemon;
   std::array<LinkState, kMaxQuotaShards> m_links{};
   std::unordered_map<WorkspaceId, WorkspaceState> m_workspaces;
--- a/src/workspaces/quota_client.cpp
+++ b/src/workspaces/quota_client.cpp
@@ -176,8 +176,8 @@
                          WorkspaceId aWorkspace,
                          const WorkspaceState& aState) const
 {
-  const auto first =
-    static_cast<std::uint32_t>((aWorkspace ^ m_daemon) % m_shards);
+  const auto first = static_cast<std::uint32_t>(
+    aState.m_nextShard.value_or(aWorkspace ^ m_daemon) % m_shards);
   std::optional<std::uint32_t> silent;
   for (std::uint32_t i = 0; i < m_shards; ++i) {
     const std::uint32_t shard = (first + i) % m_shards;
@@ -419,6 +419,8 @@
   state.m_purse.SetReserve(aShard,
                            aGrant.m_milliReserve / kMilliPerUnitInteger,
                            aSentAt + kReserveLifetime);
+  // Shards have the same parts, so that each has to get the same demand.
+  state.m_nextShard = aShard + 1;
   if (aGrant.m_retryAfter.count() > 0) {
     state.m_deniedUntil.at(aShard) =
       aNow + std::max(aGrant.m_retryAfter, kMinOverQuotaTime);
--- a/tests/workspaces/quota_client.cpp
+++ b/tests/workspaces/quota_client.cpp
@@ -61,6 +61,29 @@
 
 }
 
+TEST_CASE("a workspace queries the shards in turn")
+{
+  // Guards against shards that run empty while others are full.
+  QuotaClient client{ {}, 1, 4 };
+  TimePoint now = kStart;
+  std::map<std::uint32_t, int> demands;
+  for (int i = 0; i < 8; ++i, now += 10ms) {
+    REQUIRE(client.TryAdmit(now, kWorkspace, true).m_kind == Decision::Waiting);
+    auto queries = TakeQueries(client, now);
+    const auto shard = ShardWithDemand(queries);
+    REQUIRE(shard);
+    ++demands[*shard];
+    for (const auto& [each, query] : queries) {
+      QuotaReport report = Answer(query, 1);
+      report.m_grants.resize(query.m_demands.size());
+      static_cast<void>(client.OnReport(now + 5ms, report));
+    }
+    CHECK(Retry(client, now + 5ms) == Decision::Admitted);
+  }
+  CHECK(demands ==
+        std::map<std::uint32_t, int>{ { 0, 2 }, { 1, 2 }, { 2, 2 }, { 3, 2 } });
+}
+
 TEST_CASE("a request waits for a dead shard for one timeout")
 {
   // Guards against requests that wait for a coordinator which has ended.
