Reject a flooding workspace at once while a shard is missing

Cause: a denial tells nothing of the demand of other daemons. Each daemon let a few requests wait, and all daemons together far more than the live shards can serve.

Change: a workspace that all shards denied while all were in service, within the last 5 s, does not wait for a refill. A gauge counts those that wait.

Test: "a workspace that was over its quota does not wait for a refill" failed before.

Conclusion: a flood that begins while a shard is missing, or while the fleet starts, still waits within the bound for each daemon.

--- a/include/greengagehub/workspaces/quota_client.hpp
+++ b/include/greengagehub/workspaces/quota_client.hpp
@@ -139,6 +139,8 @@
     /// After a denial by all shards, late requests are rejected until then.
     TimePoint m_scarceUntil{};
     TimePoint m_lastArrival{};
+    /// Last denial by all shards while all were in service.
+    TimePoint m_overQuotaAt{};
   };
   struct LinkState
   {
@@ -168,6 +170,8 @@
   [[nodiscard]] std::optional<TimePoint> NextRefill(
     TimePoint aNow,
     const WorkspaceState& aState) const;
+  /// \returns Whether all shards are in service, with refilled buckets.
+  [[nodiscard]] bool IsComplete(TimePoint aNow) const noexcept;
   /// \returns Whether a request that all shards deny waits for a refill.
   [[nodiscard]] bool AwaitsRefill(TimePoint aNow,
                                   const WorkspaceState& aState) const;
--- a/src/daemon/operators_api_quotas.cpp
+++ b/src/daemon/operators_api_quotas.cpp
@@ -78,6 +78,9 @@
   set("quota_reserve_used",
       "Requests admitted from the reserve since start",
       counts.m_fromReserve);
+  set("quota_refill_waits",
+      "Requests that waited for a refill since start, as a shard was missing",
+      counts.m_awaitedRefill);
   set("quota_refused_over_quota",
       "Requests refused since start, as no shard had tokens",
       counts.m_overQuota);
--- a/src/workspaces/quota_client.cpp
+++ b/src/workspaces/quota_client.cpp
@@ -27,6 +27,9 @@
 /// Time after the silence of a shard in which buckets, which start empty, are
 /// expected to refill.
 constexpr std::chrono::milliseconds kRecoveryTime{ 3000 };
+/// Time after a denial by all shards in which a workspace is taken to exceed
+/// its quota.
+constexpr std::chrono::milliseconds kOverQuotaMemory{ 5000 };
 /// Retry delay reported for late requests while tokens are scarce.
 constexpr std::chrono::milliseconds kLateRetryAfter{ 1500 };
 constexpr std::chrono::milliseconds kOverQuotaRetryAfter{ 500 };
@@ -82,10 +85,11 @@
   }
   const bool hasAnswers = CountSilentShards(aNow) < m_shards;
   if (!mayAnswer && (!shard || (hasAnswers && m_shards > 1))) {
-    if (!AwaitsRefill(aNow, aState)) {
-      return { Kind::OverQuota, kOverQuotaRetryAfter };
+    if (AwaitsRefill(aNow, aState)) {
+      return Wait(aState, true);
     }
-    return Wait(aState, true);
+    aState.m_overQuotaAt = IsComplete(aNow) ? aNow : aState.m_overQuotaAt;
+    return { Kind::OverQuota, kOverQuotaRetryAfter };
   }
   if (!mayAnswer && IsCoordinatorSilent(aNow)) {
     return { Kind::NoCoordinator, kOverQuotaRetryAfter };
@@ -115,11 +119,19 @@
   return next;
 }
 
+bool
+QuotaClient::IsComplete(TimePoint aNow) const noexcept
+{
+  return aNow - m_lastSilentAt > kRecoveryTime;
+}
+
 bool
 QuotaClient::AwaitsRefill(TimePoint aNow, const WorkspaceState& aState) const
 {
-  // With all shards in service, a workspace that all deny is over its quota.
-  if (aNow - m_lastSilentAt > kRecoveryTime) {
+  // One that was over its quota with all shards in service needs more than a
+  // refill.
+  const bool wasOverQuota = aNow - aState.m_overQuotaAt < kOverQuotaMemory;
+  if (IsComplete(aNow) || wasOverQuota) {
     return false;
   }
   const auto refill = NextRefill(aNow, aState);
--- a/tests/workspaces/quota_client.cpp
+++ b/tests/workspaces/quota_client.cpp
@@ -232,6 +232,32 @@
   CHECK(waiting <= 10);
 }
 
+TEST_CASE("a workspace that was over its quota does not wait for a refill")
+{
+  // Guards against late rejections of a workspace that floods while a shard is
+  // missing.
+  QuotaClient client{ {}, 1, 2 };
+  TimePoint now = kStart;
+  REQUIRE(client.TryAdmit(now, kWorkspace, true).m_kind == Decision::Waiting);
+  std::uint32_t answering = 0;
+  for (int i = 0; i < 2; ++i) {
+    auto queries = TakeQueries(client, now);
+    const auto shard = ShardWithDemand(queries);
+    REQUIRE(shard);
+    answering = *shard;
+    for (const auto& [each, query] : queries) {
+      static_cast<void>(
+        client.OnReport(now, Answer(query, 0, each == *shard ? 300ms : 0ms)));
+    }
+  }
+  REQUIRE(Retry(client, now) == Decision::OverQuota);
+  // From now on the other shard is silent.
+  now += 1s;
+  static_cast<void>(TakeQueries(client, now));
+  DenyNext(client, answering, now, 50ms);
+  CHECK(Retry(client, now) == Decision::OverQuota);
+}
+
 TEST_CASE("a request does not wait for a refill that is far away")
 {
   // Guards against waits for tokens that cannot come in time.
