Report answers that are errors in all commands, and commands that did not run

Operators: a command against a daemon that answers with an error shows "no limit", "0 known" or version 0 and exits with 0.

Cause of the failed test: the program was not there to run while a build replaced it. The test kit checked neither whether a command started nor whether it exited, and took its empty output for an answer.

The output of then was not kept, so that this is the likely cause of the one failure seen, not a proved one.

Ruled out: a forgotten limit. It would print "no limit", and the other checks of the test, which need the limit during the load and in the log after it, held.

Found while reading what an empty output can mean: GetJson took any JSON for an answer, whatever the status, and printed nothing for a body without JSON.

If it fails again, the message says which of the two it is.

--- a/src/cli/common.cpp
+++ b/src/cli/common.cpp
@@ -47,14 +47,25 @@
 std::optional<Json>
 GetJson(const Options& aOptions, const std::string& aPath)
 {
+  constexpr std::uint16_t kOk = 200;
   const HttpClientResult result =
     SendAndWait(MakeRequest(aOptions, "GET", aPath));
   if (result.m_kind != HttpClientResult::Kind::Answered) {
     ReportUnreachable(aOptions, result);
     return std::nullopt;
   }
-  Json body = Json::parse(result.m_response.m_body, nullptr, false);
-  if (body.is_discarded()) {
+  const HttpResponse& response = result.m_response;
+  Json body = Json::parse(response.m_body, nullptr, false);
+  // An error has a body as well, without the fields of an answer.
+  if (response.m_status != kOk || !body.is_object()) {
+    fmt::print(stderr,
+               "{}{}: expected status {} and a JSON object, got status {} and "
+               "\"{}\"\n",
+               aOptions.m_daemon,
+               aPath,
+               kOk,
+               response.m_status,
+               response.m_body);
     return std::nullopt;
   }
   return body;
--- a/src/cli/common.hpp
+++ b/src/cli/common.hpp
@@ -57,8 +57,8 @@
 int
 ReportUnreachable(const Options& aOptions, const HttpClientResult& aResult);
 
-/// \returns The body of a GET, or nothing if it failed; a connection error is
-/// printed.
+/// \returns The JSON object that a GET was answered with; nothing if there was
+/// no answer, another status than 200, or another body, which is printed.
 [[nodiscard]] std::optional<Json>
 GetJson(const Options& aOptions, const std::string& aPath);
 
--- a/tools/testkit/fleet.cpp
+++ b/tools/testkit/fleet.cpp
@@ -348,17 +348,28 @@
 
 CommandResult
 Fleet::Command(const std::string& aSlot, std::vector<std::string> aArguments)
+{
+  return CommandTo(OperatorsUrl(aSlot), std::move(aArguments));
+}
+
+CommandResult
+Fleet::CommandTo(const std::string& aUrl, std::vector<std::string> aArguments)
 {
   aArguments.insert(aArguments.begin(), CLI_PROGRAM);
-  aArguments.insert(aArguments.end(),
-                    { "--daemon", OperatorsUrl(aSlot), "--token", kToken });
+  aArguments.insert(aArguments.end(), { "--daemon", aUrl, "--token", kToken });
   const std::string log =
     m_directory.File(fmt::format("command.{}.log", ++m_logFileCount));
   Process process{ std::move(aArguments), log };
-  CommandResult result;
-  result.m_exitCode = process.Wait().value_or(-1);
-  result.m_output = ReadFile(log + ".out") + ReadFile(log);
-  return result;
+  const std::optional<int> exitCode = process.Wait();
+  if (!exitCode) {
+    // Its output is empty or partial, which must not pass for an answer.
+    throw std::runtime_error{ fmt::format(
+      "{} did not exit by itself; start error {}; its log: {}",
+      CLI_PROGRAM,
+      process.StartError(),
+      process.Log()) };
+  }
+  return { *exitCode, ReadFile(log + ".out") + ReadFile(log) };
 }
 
 void
--- a/tools/testkit/fleet.hpp
+++ b/tools/testkit/fleet.hpp
@@ -48,7 +48,6 @@
   }
 };
 
-/// m_exitCode is -1 if the command line did not exit.
 struct CommandResult
 {
   int m_exitCode{ -1 };
@@ -109,8 +108,12 @@
                                             const std::string& aPath,
                                             std::string aBody = {}) const;
   /// \brief Runs the command line against a daemon's operators API.
+  /// \throws std::runtime_error if it does not start or exit by itself.
   [[nodiscard]] CommandResult Command(const std::string& aSlot,
                                       std::vector<std::string> aArguments);
+  /// \brief The same against any URL.
+  [[nodiscard]] CommandResult CommandTo(const std::string& aUrl,
+                                        std::vector<std::string> aArguments);
   void SetStoreFaults(const nlohmann::json& aFaults) const;
   /// \brief Sends a POST request to the store, such as "/backup" or "/restore".
   void PostToStore(const std::string& aPath) const;
--- a/tools/testkit/process.cpp
+++ b/tools/testkit/process.cpp
@@ -71,12 +71,9 @@
                                    (m_logFile + ".out").c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND,
                                    0600);
-  m_running = posix_spawn(&m_pid,
-                          arguments.front(),
-                          &actions,
-                          nullptr,
-                          arguments.data(),
-                          environ) == 0;
+  m_startError = posix_spawn(
+    &m_pid, arguments.front(), &actions, nullptr, arguments.data(), environ);
+  m_running = m_startError == 0;
   posix_spawn_file_actions_destroy(&actions);
 }
 
@@ -89,6 +86,7 @@
   : m_pid(std::exchange(aOther.m_pid, -1))
   , m_logFile(std::move(aOther.m_logFile))
   , m_running(std::exchange(aOther.m_running, false))
+  , m_startError(aOther.m_startError)
   , m_exitCode(aOther.m_exitCode)
 {
 }
@@ -101,6 +99,7 @@
     m_pid = std::exchange(aOther.m_pid, -1);
     m_logFile = std::move(aOther.m_logFile);
     m_running = std::exchange(aOther.m_running, false);
+    m_startError = aOther.m_startError;
     m_exitCode = aOther.m_exitCode;
   }
   return *this;
--- a/tools/testkit/process.hpp
+++ b/tools/testkit/process.hpp
@@ -51,6 +51,8 @@
   [[nodiscard]] std::string Log() const;
   [[nodiscard]] bool HasLogged(const std::string& aEvent) const;
   [[nodiscard]] bool IsRunning();
+  /// \returns The error number with which the start failed; 0: none.
+  [[nodiscard]] int StartError() const noexcept { return m_startError; }
 
   void Signal(int aSignal) const;
   /// \brief Sends SIGKILL and waits until the process has exited.
@@ -65,6 +67,7 @@
   pid_t m_pid{ -1 };
   std::string m_logFile;
   bool m_running{ false };
+  int m_startError{ 0 };
   std::optional<int> m_exitCode;
 };
 
