State what the gauge of refill waits counts

The gauge counts requests that have to wait for a refill when they arrive; one that first waits for an answer and then for a refill is not counted.

--- a/src/daemon/operators_api_quotas.cpp
+++ b/src/daemon/operators_api_quotas.cpp
@@ -79,7 +79,8 @@
       "Requests admitted from the reserve since start",
       counts.m_fromReserve);
   set("quota_refill_waits",
-      "Requests that waited for a refill since start, as a shard was missing",
+      "Requests that all shards had denied at arrival and that waited for a "
+      "refill",
       counts.m_awaitedRefill);
   set("quota_refused_over_quota",
       "Requests refused since start, as no shard had tokens",
