Check the start of every command of the test kit

Cause: Trace ran the command line without checking that it starts or exits, the same fault as in Command; it was only hidden by the retries around it. Change: both go through RunCommand.

--- a/tools/testkit/fleet.cpp
+++ b/tools/testkit/fleet.cpp
@@ -43,15 +43,6 @@
 const std::string kEphemeralListenSection =
   "[listen]\nreadiness = \"127.0.0.1:0\"\nheartbeats = \"127.0.0.1:0\"\n";
 
-std::string
-ReadFile(const std::string& aFile)
-{
-  std::ifstream file{ aFile };
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 }
 
 Fleet::Fleet()
@@ -305,13 +296,7 @@
   for (const auto& [slot, node] : m_nodes) {
     arguments.push_back(node.m_outputFile);
   }
-  const std::string log =
-    m_directory.File(fmt::format("command.{}.log", ++m_logFileCount));
-  Process process{ std::move(arguments), log };
-  CommandResult result;
-  result.m_exitCode = process.Wait().value_or(-1);
-  result.m_output = ReadFile(log + ".out");
-  return result;
+  return RunCommand(std::move(arguments));
 }
 
 CallResult
@@ -357,19 +342,23 @@
 {
   aArguments.insert(aArguments.begin(), CLI_PROGRAM);
   aArguments.insert(aArguments.end(), { "--daemon", aUrl, "--token", kToken });
-  const std::string log =
-    m_directory.File(fmt::format("command.{}.log", ++m_logFileCount));
-  Process process{ std::move(aArguments), log };
+  return RunCommand(std::move(aArguments));
+}
+
+CommandResult
+Fleet::RunCommand(std::vector<std::string> aArguments)
+{
+  Process process{ std::move(aArguments),
+                   m_directory.File(
+                     fmt::format("command.{}.log", ++m_logFileCount)) };
   const std::optional<int> exitCode = process.Wait();
   if (!exitCode) {
     // Its output is empty or partial, which must not pass for an answer.
-    throw std::runtime_error{ fmt::format(
-      "{} did not exit by itself; start error {}; its log: {}",
-      CLI_PROGRAM,
-      process.StartError(),
-      process.Log()) };
+    throw std::runtime_error{ "command did not exit by itself; start error " +
+                              std::to_string(process.StartError()) +
+                              "; its log: " + process.Log() };
   }
-  return { *exitCode, ReadFile(log + ".out") + ReadFile(log) };
+  return { *exitCode, process.Log() };
 }
 
 void
--- a/tools/testkit/fleet.hpp
+++ b/tools/testkit/fleet.hpp
@@ -142,6 +142,7 @@
                         const std::string& aText) const;
 
 private:
+  [[nodiscard]] CommandResult RunCommand(std::vector<std::string> aArguments);
   struct Node
   {
     WorkerSpec m_spec;
