Search for the next refill only while requests wait

NextTimeout runs after each query and report; since the wait for a refill it visited all workspaces each time, also when none had a waiting request. The total of waiting requests is known, as HasWaiting uses it.

--- a/src/workspaces/quota_client.cpp
+++ b/src/workspaces/quota_client.cpp
@@ -380,6 +380,9 @@
       next = std::min(next.value_or(timeout), timeout);
     }
   }
+  if (m_waiting == 0) {
+    return next;
+  }
   for (const auto& [id, state] : m_workspaces) {
     const auto refill =
       state.m_waiting > 0 ? NextRefill(aNow, state) : std::nullopt;
