Log how a configuration version came, and count failed pulls and gaps

Failed pulls, failed reads and entries on another version left no line.

Change: these fields and lines, and metrics of the same events. Nothing that is decided changes: Disseminator only remembers when a version above the one in force was first reported.

--- a/include/greengagehub/daemon/config_feed.hpp
+++ b/include/greengagehub/daemon/config_feed.hpp
@@ -5,6 +5,7 @@
 #include "greengagehub/core/random.hpp"
 #include "greengagehub/core/store.hpp"
 #include "greengagehub/daemon/wall_clock.hpp"
+#include "greengagehub/dissemination/version_origin.hpp"
 #include "greengagehub/observe/log.hpp"
 #include "greengagehub/workspaces/quota_message.hpp"
 #include "platform/config_document.hpp"
@@ -34,7 +35,7 @@
   struct Handlers
   {
     /// A newer version is in force.
-    std::function<void(Version aBefore)> m_onAdvanced;
+    std::function<void(Version aBefore, VersionChannel)> m_onAdvanced;
     /// The newest version was read, or a copy of it was confirmed.
     std::function<void(Version aHead)> m_onHead;
     /// A linearizable read sent at `aRequestedAt` returned this configuration;
@@ -117,7 +118,7 @@
   /// \returns The configuration; nothing if it cannot be read.
   std::optional<StoredConfig> OnStoreReply(StoreReply aReply)
   {
-    ApplyReply(aReply);
+    ApplyReply(aReply, VersionChannel::StoreCheck);
     return m_isLastReadValid ? std::optional{ m_lastRead } : std::nullopt;
   }
 
@@ -162,6 +163,7 @@
   void ReadOriginal()
   {
     m_requestedAt = BootNow();
+    m_sentAt = m_requestedAt;
     Execute(MakeGet(m_key),
             [this](StoreReply aReply) { OnRead(std::move(aReply)); });
   }
@@ -169,26 +171,29 @@
   void ReadCopy()
   {
     // A stale read is enough: CheckOriginal() detects an outdated copy.
-    Execute(
-      MakeStaleGet(std::string{ kConfigCopyKey }), [this](StoreReply aReply) {
-        if (aReply.m_status != Status::Ok) {
-          ReadOriginal();
-          return;
-        }
-        auto copy = ParseConfigCopy(aReply.m_value, kMaxUnpackedBytes);
-        if (!copy) {
-          m_log.Warning("config",
-                        "copy_unreadable",
-                        { { "detail", copy.error().m_message } });
-          ReadOriginal();
-          return;
-        }
-        const ConfigCopy& read = copy.value();
-        CheckOriginal(read.m_originalRevision, aReply);
-        // The copy takes effect before the check is answered. If it is
-        // outdated, peers send the missing versions.
-        ApplyDocument(read.m_document, read.m_originalRevision, aReply.m_era);
-      });
+    Execute(MakeStaleGet(std::string{ kConfigCopyKey }),
+            [this](StoreReply aReply) {
+              if (aReply.m_status != Status::Ok) {
+                ReadOriginal();
+                return;
+              }
+              auto copy = ParseConfigCopy(aReply.m_value, kMaxUnpackedBytes);
+              if (!copy) {
+                m_log.Warning("config",
+                              "copy_unreadable",
+                              { { "detail", copy.error().m_message } });
+                ReadOriginal();
+                return;
+              }
+              const ConfigCopy& read = copy.value();
+              CheckOriginal(read.m_originalRevision, aReply);
+              // The copy takes effect before the check is answered. If it is
+              // outdated, peers send the missing versions.
+              ApplyDocument(read.m_document,
+                            read.m_originalRevision,
+                            aReply.m_era,
+                            VersionChannel::StoreCopy);
+            });
   }
 
   /// Checks that the original still has the revision the copy was made from.
@@ -208,7 +213,7 @@
                 return;
               }
               if (changed) {
-                ApplyReply(aReply);
+                ApplyReply(aReply, VersionChannel::StoreCheck);
               }
               // The next watch covers changes made after the copy was read.
               OnNewestKnown(aStoreRevision, era);
@@ -258,8 +263,9 @@
   {
     UpdateReachable(aReply.m_status);
     if (aReply.m_status == Status::Ok) {
-      ApplyReply(aReply);
+      ApplyReply(aReply, VersionChannel::StoreRead);
     } else if (aReply.m_status != Status::NotFound) {
+      LogFailure("read_failed");
       ScheduleInRound(m_backoff, [this] { Read(); });
       m_backoff = std::min(2 * m_backoff, m_times.m_maxBackoff);
       return;
@@ -287,6 +293,7 @@
     if (m_isIdle) {
       return;
     }
+    m_sentAt = BootNow();
     Execute(MakePrefixWatch(m_key, m_watchPrefix, m_revision, m_times.m_watch),
             [this](StoreReply aReply) { OnWatch(std::move(aReply)); });
   }
@@ -305,7 +312,7 @@
     }
     switch (aReply.m_status) {
       case Status::Ok:
-        ApplyReply(aReply);
+        ApplyReply(aReply, VersionChannel::StoreWatch);
         break;
       case Status::NotModified:
         if (aReply.m_storeRevision < m_revision) {
@@ -317,6 +324,7 @@
         break;
       default:
         // The request failed or the history was compacted.
+        LogFailure("watch_failed");
         OnChangesMissed();
         return;
     }
@@ -339,10 +347,10 @@
     Read();
   }
 
-  void ApplyReply(StoreReply& aReply)
+  void ApplyReply(StoreReply& aReply, VersionChannel aChannel)
   {
     const bool applied =
-      ApplyDocument(aReply.m_value, aReply.m_revision, aReply.m_era);
+      ApplyDocument(aReply.m_value, aReply.m_revision, aReply.m_era, aChannel);
     if (applied && m_isWatching) {
       m_document = std::move(aReply.m_value);
       m_documentRevision = aReply.m_revision;
@@ -353,7 +361,8 @@
   /// \returns Whether the document could be parsed.
   bool ApplyDocument(const std::string& aText,
                      Revision aRevision,
-                     std::uint64_t aEra)
+                     std::uint64_t aEra,
+                     VersionChannel aChannel)
   {
     const auto document = m_reader.Read(aText);
     m_isLastReadValid = static_cast<bool>(document);
@@ -380,11 +389,19 @@
         { { "version", version.m_number }, { "revision", aRevision } });
     }
     if (result == StageResult::Applied) {
-      m_handlers.m_onAdvanced(before);
+      m_handlers.m_onAdvanced(before, aChannel);
     }
     return true;
   }
 
+  void LogFailure(std::string_view aEvent) const
+  {
+    using std::chrono::milliseconds;
+    const auto elapsed =
+      std::chrono::duration_cast<milliseconds>(BootNow() - m_sentAt);
+    m_log.Info("store", aEvent, { { "after_ms", elapsed.count() } });
+  }
+
   void UpdateReachable(Status aStatus)
   {
     const bool isReachable =
@@ -425,6 +442,8 @@
   std::uint64_t m_era{ 0 };
   /// When the last read or check was sent.
   TimePoint m_requestedAt{};
+  /// When the last read or watch was sent.
+  TimePoint m_sentAt{};
   StoredConfig m_lastRead{};
   bool m_isLastReadValid{ true };
   platform::ConfigReader m_reader;
--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -74,6 +74,15 @@
   [[nodiscard]] const GossipSocket& Gossip() const noexcept { return m_gossip; }
   [[nodiscard]] const BulkChannel& Bulk() const noexcept { return m_bulk; }
   [[nodiscard]] bool IsWatching() const;
+  [[nodiscard]] const VersionCounts& Versions() const noexcept
+  {
+    return m_versionCounts;
+  }
+  [[nodiscard]] Version HighestKnownVersion() const noexcept
+  {
+    return std::max(m_holder.GetVersion(),
+                    m_disseminator.HighestKnownVersion());
+  }
   [[nodiscard]] bool IsStoreBehind() const noexcept
   {
     return m_storeSync.IsBehind();
@@ -114,14 +123,15 @@
   void OnGossip(const MemberAddress& aFrom, const GossipMessage& aMessage);
   void Execute(MembershipActions aActions);
   void SendGossip(GossipSend aSend);
-  void StageAll(const std::vector<VersionEntry>& aEntries);
-  void OnAdvanced(Version aBefore);
+  void StageAll(const std::vector<VersionEntry>& aEntries,
+                const VersionOrigin& aOrigin);
+  void OnAdvanced(Version aBefore, const VersionOrigin& aOrigin);
   void PushEntries(Version aBefore);
   [[nodiscard]] std::vector<MemberPeer> PushTargets(std::uint32_t aFanout);
   void PullWhenDue(TimePoint aNow);
   void RecordAnswerBytes(const PullRequest& aRequest, std::size_t aBytes);
   void PullFrom(const MemberPeer& aPeer, bool aPullsMembers);
-  void OnPulled(std::optional<PullAnswer> aAnswer);
+  void OnPulled(const MemberPeer& aPeer, std::optional<PullAnswer> aAnswer);
   [[nodiscard]] PullAnswer ServePull(const PullRequest& aRequest);
   void PublishQuarantine(const QuarantineUpdate& aUpdate,
                          QuarantineService::Scope aScope);
@@ -168,6 +178,7 @@
   BulkChannel m_bulk;
   Membership m_membership;
   Disseminator m_disseminator;
+  VersionCounts m_versionCounts{};
   WatchLease m_watchLease;
   SeedPublisher m_seedPublisher;
   StoreSync<platform::KvStore> m_storeSync;
--- a/include/greengagehub/daemon/operators_api.hpp
+++ b/include/greengagehub/daemon/operators_api.hpp
@@ -72,6 +72,7 @@
   [[nodiscard]] HttpResponse Rollouts() const;
   [[nodiscard]] HttpResponse StartRollout(const HttpRequest& aRequest);
   [[nodiscard]] HttpResponse StopRollout(const HttpRequest& aRequest);
+  void SetVersionMetrics();
   [[nodiscard]] HttpResponse MetricsText();
 
   Dependencies m_deps;
--- a/include/greengagehub/dissemination/disseminator.hpp
+++ b/include/greengagehub/dissemination/disseminator.hpp
@@ -40,6 +40,10 @@
     return m_highestKnownVersion;
   }
 
+  /// \returns When a version above `aInForce` was first reported; nothing if
+  /// none was.
+  [[nodiscard]] std::optional<TimePoint> ReportedAt(Version aInForce) const;
+
   /// \returns Entries to push after the holder advanced from `aBefore`.
   [[nodiscard]] std::vector<VersionEntry> EntriesToPush(
     const ConfigHolder& aHolder,
@@ -68,6 +72,8 @@
   DisseminationSettings m_settings;
   Random m_random;
   Version m_highestKnownVersion;
+  /// When a version above the one in force was first reported.
+  TimePoint m_behindSince{};
   std::vector<MemberPeer> m_sources;
   /// Takes precedence over m_sources.
   std::optional<MemberPeer> m_ownDomainSource;
--- a/include/greengagehub/observe/metrics.hpp
+++ b/include/greengagehub/observe/metrics.hpp
@@ -33,6 +33,9 @@
                 std::uint64_t aTotal);
   /// \brief Sets the total of requests to the store since start.
   void SetStoreCalls(std::string_view aKind, std::uint64_t aTotal);
+  /// \brief Sets the total of events in the exchange of configuration versions
+  /// since start.
+  void SetVersionEvents(std::string_view aEvent, std::uint64_t aTotal);
   /// \param aName without the prefix `greengagehub_`.
   void SetGauge(std::string_view aName, std::string_view aHelp, double aValue);
   /// \brief Records the time from a caller's request to its response.
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -89,7 +89,10 @@
       { .m_watch = aSettings.m_store.m_watch,
         .m_maxBackoff = aSettings.m_store.m_maxBackoff },
       m_random(),
-      { .m_onAdvanced = [this](Version aBefore) { OnAdvanced(aBefore); },
+      { .m_onAdvanced =
+          [this](Version aBefore) {
+            OnAdvanced(aBefore, { VersionChannel::StoreRead });
+          },
         .m_onHead =
           [this](Version aHead) { m_readinessGate.RecordStoreHead(aHead); },
         .m_onConfirmed =
@@ -108,7 +111,10 @@
           aSettings.m_platform.m_maxConfigDelay / kCoalesceDivisor,
         .m_maxBackoff = kMaxFeedBackoff },
       m_random(),
-      { .m_onAdvanced = [this](Version aBefore) { OnAdvanced(aBefore); },
+      { .m_onAdvanced =
+          [this](Version aBefore, VersionChannel aChannel) {
+            OnAdvanced(aBefore, { aChannel });
+          },
         .m_onHead =
           [this](Version aHead) { m_readinessGate.RecordStoreHead(aHead); },
         .m_onConfirmed =
@@ -120,12 +126,13 @@
             m_rollouts.OnStoreItems(aItems);
           },
         .m_onChangesMissed = [this] { m_rollouts.OnStoreChangesMissed(); } })
-  , m_decisions(
-      m_store,
-      m_holder,
-      aLog,
-      CompactionLimits{},
-      [this](const std::vector<VersionEntry>& aEntries) { StageAll(aEntries); })
+  , m_decisions(m_store,
+                m_holder,
+                aLog,
+                CompactionLimits{},
+                [this](const std::vector<VersionEntry>& aEntries) {
+                  StageAll(aEntries, { VersionChannel::Decision });
+                })
   , m_quarantine({ m_store,
                    aLog,
                    [this](const QuarantineUpdate& aUpdate,
@@ -333,7 +340,10 @@
   m_readinessGate.RecordPeer(aMessage.m_sender.m_slot,
                              aMessage.m_head.m_version,
                              aMessage.m_minimumVersion);
-  StageAll(aMessage.m_entries);
+  const bool isAnswer = aMessage.m_kind == GossipMessage::Kind::Ack;
+  StageAll(aMessage.m_entries,
+           { isAnswer ? VersionChannel::Repair : VersionChannel::Push,
+             aMessage.m_sender.m_slot });
   if (!aMessage.m_quarantine.IsEmpty()) {
     m_quarantine.OnUpdate(aMessage.m_quarantine);
   }
--- a/src/daemon/control_plane_versions.cpp
+++ b/src/daemon/control_plane_versions.cpp
@@ -2,6 +2,8 @@
 
 #include "greengagehub/daemon/wall_clock.hpp"
 
+#include <fmt/format.h>
+
 // Exchange of configuration versions between daemons: staging, push, pull and
 // serving pulls.
 
@@ -24,11 +26,21 @@
 }
 
 void
-ControlPlane::StageAll(const std::vector<VersionEntry>& aEntries)
+ControlPlane::StageAll(const std::vector<VersionEntry>& aEntries,
+                       const VersionOrigin& aOrigin)
 {
   const Version before = m_holder.GetVersion();
   for (const VersionEntry& each : aEntries) {
     const StageResult result = m_holder.Stage(each);
+    if (result == StageResult::Gap) {
+      ++m_versionCounts.m_gaps;
+      m_log.Info("config",
+                 "entry_on_another_version",
+                 { { "version", each.m_version.m_number },
+                   { "base", each.m_base.value_or(Version{}).m_number },
+                   { "in_force", m_holder.GetVersion().m_number },
+                   { "peer", aOrigin.m_peer } });
+    }
     if (result == StageResult::Forked || result == StageResult::Corrupt) {
       m_log.Error("config",
                   "version_not_usable",
@@ -37,18 +49,25 @@
     }
   }
   if (m_holder.GetVersion() > before) {
-    OnAdvanced(before);
+    OnAdvanced(before, aOrigin);
   }
 }
 
 void
-ControlPlane::OnAdvanced(Version aBefore)
+ControlPlane::OnAdvanced(Version aBefore, const VersionOrigin& aOrigin)
 {
+  using std::chrono::milliseconds;
+  const TimePoint now = Clock::now();
+  ++m_versionCounts.m_applied[static_cast<std::size_t>(aOrigin.m_channel)];
+  const auto behind = now - m_disseminator.ReportedAt(aBefore).value_or(now);
   m_log.Info(
     "config",
     "version_in_force",
     { { "version", m_holder.GetVersion().m_number },
       { "before", aBefore.m_number },
+      { "channel", NameOf(aOrigin.m_channel) },
+      { "peer", aOrigin.m_peer },
+      { "behind_ms", std::chrono::duration_cast<milliseconds>(behind).count() },
       { "time_ms",
         static_cast<std::int64_t>(WallNow().time_since_epoch().count()) } });
   m_workspaces.OnVersion();
@@ -113,16 +132,17 @@
                              aPullsMembers,
                              aPullsMembers ? m_membership.Digests()
                                            : MemberDigests{} };
-  const std::size_t bytes =
-    m_bulk.Pull(aPeer.m_address,
-                request,
-                kPullTimeout,
-                [this, aPullsMembers](std::optional<PullAnswer> aAnswer) {
-                  if (aPullsMembers && !aAnswer) {
-                    m_memberSync.OnExchangeFailed();
-                  }
-                  OnPulled(std::move(aAnswer));
-                });
+  const std::size_t bytes = m_bulk.Pull(
+    aPeer.m_address,
+    request,
+    kPullTimeout,
+    [this, aPeer, aPullsMembers](std::optional<PullAnswer> aAnswer) {
+      if (aPullsMembers && !aAnswer) {
+        m_memberSync.OnExchangeFailed();
+      }
+      OnPulled(aPeer, std::move(aAnswer));
+    });
+  ++m_versionCounts.m_pulls;
   m_traffic.Add(PurposeOf(request), aPeer.m_crossesDomains, bytes);
 }
 
@@ -137,10 +157,15 @@
 }
 
 void
-ControlPlane::OnPulled(std::optional<PullAnswer> aAnswer)
+ControlPlane::OnPulled(const MemberPeer& aPeer,
+                       std::optional<PullAnswer> aAnswer)
 {
   m_disseminator.OnPullEnded();
+  const std::string peer =
+    fmt::format("{}:{}", aPeer.m_address.m_host, aPeer.m_address.m_bulkPort);
   if (!aAnswer) {
+    ++m_versionCounts.m_failedPulls;
+    m_log.Info("config", "pull_failed", { { "peer", peer } });
     return;
   }
   // Permits must be known before the members whose versions they cover.
@@ -164,10 +189,10 @@
       m_log.Error("config", "snapshot_damaged");
     }
     if (m_holder.GetVersion() > before) {
-      OnAdvanced(before);
+      OnAdvanced(before, { VersionChannel::PulledSnapshot, peer });
     }
   }
-  StageAll(aAnswer->m_entries);
+  StageAll(aAnswer->m_entries, { VersionChannel::PulledEntries, peer });
 }
 
 PullAnswer
@@ -188,6 +213,7 @@
       m_compressedSnapshot = Compress(active.m_content.ToJson());
       m_compressedVersion = active.m_version;
     }
+    ++m_versionCounts.m_snapshotsSent;
     answer.m_snapshot = m_compressedSnapshot;
     answer.m_snapshotHead = VersionEntry{
       active.m_version, {}, active.m_chain, active.m_content.GetDigest()
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -345,6 +345,22 @@
   return JsonResponse(200, R"({"lifted":true})");
 }
 
+void
+OperatorsApi::SetVersionMetrics()
+{
+  Metrics& metrics = m_deps.m_metrics;
+  const VersionCounts& counts = m_deps.m_control.Versions();
+  for (std::size_t i = 0; i < kVersionChannels; ++i) {
+    const auto channel = static_cast<VersionChannel>(i);
+    metrics.SetVersionEvents(fmt::format("applied by {}", NameOf(channel)),
+                             counts.m_applied[i]);
+  }
+  metrics.SetVersionEvents("entry on another version", counts.m_gaps);
+  metrics.SetVersionEvents("pull", counts.m_pulls);
+  metrics.SetVersionEvents("failed pull", counts.m_failedPulls);
+  metrics.SetVersionEvents("snapshot sent", counts.m_snapshotsSent);
+}
+
 HttpResponse
 OperatorsApi::MetricsText()
 {
@@ -373,6 +389,10 @@
   metrics.SetGauge("version",
                    "Configuration version in force here",
                    static_cast<double>(control.Holder().GetVersion().m_number));
+  metrics.SetGauge("version_known",
+                   "Highest configuration version known to exist",
+                   static_cast<double>(control.HighestKnownVersion().m_number));
+  SetVersionMetrics();
   metrics.SetGauge("members",
                    "Other daemons believed to run",
                    static_cast<double>(control.Members().Members().Present()));
--- a/src/dissemination/disseminator.cpp
+++ b/src/dissemination/disseminator.cpp
@@ -20,6 +20,13 @@
 {
 }
 
+std::optional<TimePoint>
+Disseminator::ReportedAt(Version aInForce) const
+{
+  const bool isBehind = m_highestKnownVersion > aInForce;
+  return isBehind ? std::optional{ m_behindSince } : std::nullopt;
+}
+
 std::vector<VersionEntry>
 Disseminator::EntriesThatFit(const ConfigHolder& aHolder,
                              Version aAfter,
@@ -60,10 +67,14 @@
                        const VersionDigest& aHead,
                        const MemberPeer& aPeer)
 {
+  const bool wasBehind = m_highestKnownVersion > aHolder.GetVersion();
   m_highestKnownVersion = std::max(m_highestKnownVersion, aHead.m_version);
   if (aHead.m_version <= aHolder.GetVersion()) {
     return;
   }
+  if (!wasBehind) {
+    m_behindSince = aNow;
+  }
   if (!aPeer.m_crossesDomains) {
     m_ownDomainSource = aPeer;
   }
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -59,6 +59,11 @@
       .Name("greengagehub_store_calls")
       .Help("Calls to the store since start, by kind")
       .Register(m_registry);
+  prometheus::Family<prometheus::Gauge>& m_versionEvents =
+    prometheus::BuildGauge()
+      .Name("greengagehub_version_events")
+      .Help("Events in the exchange of versions since start, by kind")
+      .Register(m_registry);
   prometheus::Family<prometheus::Histogram>& m_latency =
     prometheus::BuildHistogram()
       .Name("greengagehub_call_seconds")
@@ -127,6 +132,13 @@
     .Set(static_cast<double>(aTotal));
 }
 
+void
+Metrics::SetVersionEvents(std::string_view aEvent, std::uint64_t aTotal)
+{
+  m_impl->m_versionEvents.Add({ { "event", std::string{ aEvent } } })
+    .Set(static_cast<double>(aTotal));
+}
+
 void
 Metrics::SetGauge(std::string_view aName, std::string_view aHelp, double aValue)
 {
--- a/tests/daemon/config_feed.cpp
+++ b/tests/daemon/config_feed.cpp
@@ -127,20 +127,21 @@
   ConfigHolder m_holder{};
   Log m_log{ LogLevel::Error, {}, "test" };
   int m_heads{ 0 };
-  ConfigFeed<MemoryStore> m_feed{ m_loop,
-                                  m_store,
-                                  m_holder,
-                                  m_log,
-                                  kOriginalKey,
-                                  "op/",
-                                  { .m_watch = 1s,
-                                    .m_coalesceDelay = 1ms,
-                                    .m_maxBackoff = 1ms,
-                                    .m_copyInterval = 1ms },
-                                  1,
-                                  { .m_onAdvanced = [](Version) {},
-                                    .m_onHead =
-                                      [this](Version) { ++m_heads; } } };
+  ConfigFeed<MemoryStore> m_feed{
+    m_loop,
+    m_store,
+    m_holder,
+    m_log,
+    kOriginalKey,
+    "op/",
+    { .m_watch = 1s,
+      .m_coalesceDelay = 1ms,
+      .m_maxBackoff = 1ms,
+      .m_copyInterval = 1ms },
+    1,
+    { .m_onAdvanced = [](Version, VersionChannel) {},
+      .m_onHead = [this](Version) { ++m_heads; } }
+  };
 };
 
 }
