Move the choice of push targets into the dissemination library

A pure move: VersionPusher takes what ControlPlane::PushEntries() and PushTargets() did, so that the spread of versions runs in a test without a network. All behaviour is unchanged.

--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -7,7 +7,8 @@
 #include "greengagehub/daemon/rollout_service.hpp"
 #include "greengagehub/daemon/store_sync.hpp"
 #include "greengagehub/daemon/workspace_service.hpp"
-#include "greengagehub/dissemination/disseminator.hpp"
+#include "greengagehub/dissemination/version_origin.hpp"
+#include "greengagehub/dissemination/version_pusher.hpp"
 #include "greengagehub/membership/domain_discovery.hpp"
 #include "greengagehub/membership/member_sync.hpp"
 #include "greengagehub/membership/membership.hpp"
@@ -126,8 +127,6 @@
   void StageAll(const std::vector<VersionEntry>& aEntries,
                 const VersionOrigin& aOrigin);
   void OnAdvanced(Version aBefore, const VersionOrigin& aOrigin);
-  void PushEntries(Version aBefore);
-  [[nodiscard]] std::vector<MemberPeer> PushTargets(std::uint32_t aFanout);
   void PullWhenDue(TimePoint aNow);
   void RecordAnswerBytes(const PullRequest& aRequest, std::size_t aBytes);
   void PullFrom(const MemberPeer& aPeer, bool aPullsMembers);
@@ -178,6 +177,7 @@
   BulkChannel m_bulk;
   Membership m_membership;
   Disseminator m_disseminator;
+  VersionPusher m_pusher;
   VersionCounts m_versionCounts{};
   WatchLease m_watchLease;
   SeedPublisher m_seedPublisher;
--- a/include/greengagehub/dissemination/disseminator.hpp
+++ b/include/greengagehub/dissemination/disseminator.hpp
@@ -23,6 +23,11 @@
   std::chrono::milliseconds m_pullTimeout{ 1000 };
 };
 
+/// \returns The entries after `aAfter` that fit into `aBytes` of a datagram,
+/// oldest first; none if the first of them is not recent.
+[[nodiscard]] std::vector<VersionEntry>
+EntriesThatFit(const ConfigHolder& aHolder, Version aAfter, std::size_t aBytes);
+
 /// \brief Distributes configuration versions between daemons: pushes new ones,
 /// compares digests with each probe and pulls missing ones. Does no I/O.
 class Disseminator
@@ -64,11 +69,6 @@
   void OnPullEnded() noexcept;
 
 private:
-  [[nodiscard]] std::vector<VersionEntry> EntriesThatFit(
-    const ConfigHolder& aHolder,
-    Version aAfter,
-    std::size_t aBytes) const;
-
   DisseminationSettings m_settings;
   Random m_random;
   Version m_highestKnownVersion;
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -79,6 +79,8 @@
                  aSettings.m_membership,
                  m_random())
   , m_disseminator(aSettings.m_dissemination, m_random())
+  , m_pusher(aSettings.m_platform.m_enabled ? VersionPusher::Scope::OwnDomain
+                                            : VersionPusher::Scope::AnyDomain)
   , m_watchLease(aSettings.m_watch, m_membership.Self(), m_random())
   , m_seedPublisher(m_membership.Self(), m_random())
   , m_storeSync(
--- a/src/daemon/control_plane_versions.cpp
+++ b/src/daemon/control_plane_versions.cpp
@@ -72,37 +72,10 @@
         static_cast<std::int64_t>(WallNow().time_since_epoch().count()) } });
   m_workspaces.OnVersion();
   m_handlers.m_onVersion();
-  PushEntries(aBefore);
-}
-
-void
-ControlPlane::PushEntries(Version aBefore)
-{
-  const auto entries = m_disseminator.EntriesToPush(m_holder, aBefore);
-  const std::uint32_t fanout = m_disseminator.Settings().m_fanout;
-  for (const MemberPeer& each : PushTargets(fanout)) {
-    GossipMessage message;
-    message.m_kind = GossipMessage::Kind::Push;
-    message.m_sender = m_membership.Self();
-    message.m_entries = entries;
-    SendGossip(GossipSend{ each, std::move(message) });
-  }
-}
-
-std::vector<MemberPeer>
-ControlPlane::PushTargets(std::uint32_t aFanout)
-{
-  if (!m_settings.m_platform.m_enabled || aFanout == 0) {
-    return m_membership.Sample(aFanout);
-  }
-  // Each domain watches the store itself. Relays also push to other domains, in
-  // case the watchers of a domain have failed.
-  std::vector<MemberPeer> targets = m_membership.SampleOwnDomain(aFanout - 1);
-  if (m_membership.IsDomainRelay()) {
-    const auto remote = m_membership.SampleOtherDomains();
-    targets.insert(targets.end(), remote.begin(), remote.end());
+  for (GossipSend& each :
+       m_pusher.OnAdvanced(m_disseminator, m_holder, m_membership, aBefore)) {
+    SendGossip(std::move(each));
   }
-  return targets;
 }
 
 void
--- a/src/dissemination/disseminator.cpp
+++ b/src/dissemination/disseminator.cpp
@@ -28,9 +28,7 @@
 }
 
 std::vector<VersionEntry>
-Disseminator::EntriesThatFit(const ConfigHolder& aHolder,
-                             Version aAfter,
-                             std::size_t aBytes) const
+EntriesThatFit(const ConfigHolder& aHolder, Version aAfter, std::size_t aBytes)
 {
   bool complete = false;
   std::vector<VersionEntry> entries = aHolder.EntriesAfter(aAfter, complete);
