Failing tests: versions that do not reach running daemons

What callers see: a daemon that answers 404 for a route that was added seconds ago, while most other daemons of its failure domain do not answer.

Ruled out by the virtual time: processor time, links, store.

--- /dev/null
+++ b/tests/dissemination/spread.cpp
@@ -0,0 +1,137 @@
+#include "fleet.hpp"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace greengagehub;
+using namespace greengagehub::test;
+
+namespace {
+
+/// Longest time from the acknowledgement of a change to its being in force, as
+/// operators require it.
+constexpr std::chrono::milliseconds kMaxConfigDelay{ 2500 };
+constexpr std::size_t kFitsIntoDatagram = 100;
+/// Above a datagram; peers pull the entry.
+constexpr std::size_t kPulledAsEntry = 4000;
+/// Above the largest patch that is kept; peers pull the whole configuration.
+constexpr std::size_t kPulledAsSnapshot = kMaxPatchBytes + 1;
+constexpr std::uint64_t kSeeds = 20;
+
+/// Pauses a share of a domain's members, drawn at random.
+void
+PauseMembers(Fleet& aFleet, int aDomain, int aPercent, std::uint64_t aSeed)
+{
+  std::vector<int> members;
+  for (int i = 0; i < aFleet.Size(); ++i) {
+    if (aFleet.DomainOf(i) == aDomain) {
+      members.push_back(i);
+    }
+  }
+  Random random{ aSeed };
+  std::shuffle(members.begin(), members.end(), random);
+  members.resize(members.size() * static_cast<std::size_t>(aPercent) / 100);
+  for (const int each : members) {
+    aFleet.Pause(each);
+  }
+}
+
+/// \returns The latest daemon of all seeds.
+template<class Scenario>
+std::chrono::milliseconds
+LatestOfSeeds(const std::string& aName, const Scenario& aScenario)
+{
+  std::vector<std::chrono::milliseconds> latest;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Fleet fleet{ { .m_seed = seed } };
+    fleet.Run(3s);
+    aScenario(fleet, seed);
+    latest.push_back(fleet.Latest());
+  }
+  std::sort(latest.begin(), latest.end());
+  MESSAGE(aName,
+          ": latest daemon, median ",
+          latest[latest.size() / 2].count(),
+          " ms, longest ",
+          latest.back().count(),
+          " ms");
+  return latest.back();
+}
+
+void
+PublishStorm(Fleet& aFleet, std::size_t aBytes)
+{
+  for (int i = 0; i < 15; ++i) {
+    aFleet.Publish(aBytes);
+    aFleet.Run(200ms);
+  }
+  aFleet.Run(4s);
+}
+
+}
+
+TEST_CASE("a version reaches each running daemon while most members of its "
+          "domain are paused")
+{
+  // Guards against counting a version as delivered that was sent to members
+  // which do not answer.
+  const auto pauseAndPublish = [](std::size_t aBytes) {
+    return [aBytes](Fleet& aFleet, std::uint64_t aSeed) {
+      PauseMembers(aFleet, 0, 80, aSeed);
+      aFleet.Run(100ms);
+      aFleet.Publish(aBytes);
+      aFleet.Run(4s);
+    };
+  };
+  CHECK(LatestOfSeeds("small", pauseAndPublish(kFitsIntoDatagram)) <=
+        kMaxConfigDelay);
+  CHECK(LatestOfSeeds("entry pulled", pauseAndPublish(kPulledAsEntry)) <=
+        kMaxConfigDelay);
+  CHECK(LatestOfSeeds("snapshot pulled", pauseAndPublish(kPulledAsSnapshot)) <=
+        kMaxConfigDelay);
+}
+
+TEST_CASE("a storm of versions reaches each running daemon while most members "
+          "of its domain are paused")
+{
+  // Guards against each new version restarting the search for members that
+  // answer.
+  const auto pauseAndPublish = [](std::size_t aBytes) {
+    return [aBytes](Fleet& aFleet, std::uint64_t aSeed) {
+      PauseMembers(aFleet, 0, 80, aSeed);
+      aFleet.Run(100ms);
+      PublishStorm(aFleet, aBytes);
+    };
+  };
+  CHECK(LatestOfSeeds("storm, small", pauseAndPublish(kFitsIntoDatagram)) <=
+        kMaxConfigDelay);
+  CHECK(LatestOfSeeds("storm, entry pulled", pauseAndPublish(kPulledAsEntry)) <=
+        kMaxConfigDelay);
+}
+
+TEST_CASE("a domain whose readers are paused gets versions from other domains")
+{
+  // Guards against relays that push to one member of a domain and do not notice
+  // that it is paused.
+  const auto pauseAndPublish = [](Fleet& aFleet, std::uint64_t aSeed) {
+    for (const int each : aFleet.Readers(0)) {
+      aFleet.Pause(each);
+    }
+    PauseMembers(aFleet, 0, 60, aSeed);
+    aFleet.Run(100ms);
+    aFleet.Publish(kFitsIntoDatagram);
+    aFleet.Run(4s);
+  };
+  CHECK(LatestOfSeeds("readers paused", pauseAndPublish) <= kMaxConfigDelay);
+}
+
+TEST_CASE("versions spread in calm with a bounded number of datagrams")
+{
+  // Guards against deliveries that are bought with traffic.
+  const auto publish = [](Fleet& aFleet, std::uint64_t) {
+    aFleet.Publish(kFitsIntoDatagram);
+    aFleet.Run(2s);
+    PublishStorm(aFleet, kFitsIntoDatagram);
+  };
+  CHECK(LatestOfSeeds("calm", publish) <= kMaxConfigDelay);
+}
