Push a version until enough members have confirmed it

What callers saw: 404 for a route that had been added and acknowledged more than 2.5 s before, from one daemon, while others answered. Most members of its failure domain had stopped answering just before the change.

Cause: a push was taken for a delivery. Each daemon that got a version sent it once, to three members of its domain drawn at random; relays once to one member of each other domain. Where these did not answer, nothing was sent again: the rest was left to the probes, one random member a second. With four of five members paused, most probes meet one that does not answer either.

Change: VersionPusher asks the receiver for its version and repeats a push that is not confirmed within 200 ms, up to four times, while it tries further members, four times as many each round. One lane looks for the next member by hash that answers, so that every running member has a predecessor that looks for it; one takes members at random; relays have one for each other domain. Members that did not answer are remembered across versions, so that a storm does not start over. Two flags on the wire; daemons of the previous version ignore them and are repeated to, at most four times.

In both dialects pushes now go to the own domain and, from relays, to one member of each other domain; without a platform they went to any member before.

--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -124,6 +124,7 @@
   void OnGossip(const MemberAddress& aFrom, const GossipMessage& aMessage);
   void Execute(MembershipActions aActions);
   void SendGossip(GossipSend aSend);
+  void SendAll(std::vector<GossipSend> aSends);
   void StageAll(const std::vector<VersionEntry>& aEntries,
                 const VersionOrigin& aOrigin);
   void OnAdvanced(Version aBefore, const VersionOrigin& aOrigin);
--- a/include/greengagehub/membership/gossip_message.hpp
+++ b/include/greengagehub/membership/gossip_message.hpp
@@ -42,6 +42,10 @@
   VersionDigest m_head{};
   std::vector<MemberRecord> m_updates{};
   std::vector<VersionEntry> m_entries{};
+  /// Of a Push: the receiver is to answer with its version.
+  bool m_requestsHead{ false };
+  /// Answers a Push that requested the version.
+  bool m_reportsHead{ false };
   /// The receiver must not run a version older than this.
   Version m_minimumVersion{};
   bool m_watching{ false };
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -79,8 +79,7 @@
                  aSettings.m_membership,
                  m_random())
   , m_disseminator(aSettings.m_dissemination, m_random())
-  , m_pusher(aSettings.m_platform.m_enabled ? VersionPusher::Scope::OwnDomain
-                                            : VersionPusher::Scope::AnyDomain)
+  , m_pusher(aSettings.m_dissemination, m_random())
   , m_watchLease(aSettings.m_watch, m_membership.Self(), m_random())
   , m_seedPublisher(m_membership.Self(), m_random())
   , m_storeSync(
@@ -255,6 +254,7 @@
   m_quarantine.OnTick(now, readsStore);
   m_rollouts.OnTick(now, readsStore && m_settings.m_platform.m_enabled);
   m_workspaces.OnTick();
+  SendAll(m_pusher.OnTick(now, m_holder, m_membership));
   PullWhenDue(now);
   if (m_settings.m_platform.m_enabled) {
     UpdateStoreRoles(now);
@@ -313,6 +313,14 @@
   m_gossip.Send(aSend);
 }
 
+void
+ControlPlane::SendAll(std::vector<GossipSend> aSends)
+{
+  for (GossipSend& each : aSends) {
+    SendGossip(std::move(each));
+  }
+}
+
 void
 ControlPlane::Execute(MembershipActions aActions)
 {
@@ -324,9 +332,7 @@
         { "state", static_cast<std::int64_t>(each.m_record.m_state) } });
     m_handlers.m_onMember(each);
   }
-  for (GossipSend& each : aActions.m_sends) {
-    SendGossip(std::move(each));
-  }
+  SendAll(std::move(aActions.m_sends));
 }
 
 void
@@ -369,6 +375,7 @@
     }
   }
   Execute(std::move(actions));
+  SendAll(m_pusher.OnMessage(m_holder, m_membership, aMessage));
   const VersionEntry* own = m_holder.Entry(peerVersion);
   if (own != nullptr && own->m_chain != aMessage.m_head.m_chain) {
     m_log.Error("config",
--- a/src/daemon/control_plane_versions.cpp
+++ b/src/daemon/control_plane_versions.cpp
@@ -72,10 +72,7 @@
         static_cast<std::int64_t>(WallNow().time_since_epoch().count()) } });
   m_workspaces.OnVersion();
   m_handlers.m_onVersion();
-  for (GossipSend& each :
-       m_pusher.OnAdvanced(m_disseminator, m_holder, m_membership, aBefore)) {
-    SendGossip(std::move(each));
-  }
+  SendAll(m_pusher.OnAdvanced(now, m_holder, m_membership, aBefore));
 }
 
 void
--- a/src/dissemination/version_pusher.cpp
+++ b/src/dissemination/version_pusher.cpp
@@ -1,40 +1,314 @@
 #include "greengagehub/dissemination/version_pusher.hpp"
 
+#include <algorithm>
+#include <string_view>
+
 namespace greengagehub {
 
+namespace {
+
+/// After this time a push counts as unanswered; many times the round trip
+/// between domains, with room for a receiver that is short of processor time.
+constexpr std::chrono::milliseconds kConfirmTime{ 200 };
+/// Unanswered pushes to a member are ignored after this time.
+constexpr std::chrono::seconds kForgetUnanswered{ 5 };
+/// So many datagrams in a row are not lost to one member that runs.
+constexpr int kMaxSends = 4;
+constexpr std::size_t kWidthFactor = 4;
+constexpr std::size_t kMaxWidth = 16;
+/// Bounds the candidates, and so the datagrams, of one lane.
+constexpr std::size_t kMaxTargets = 64;
+/// Bytes of a datagram beside its entries: sender, version, digests.
+constexpr std::size_t kHeadBytes = 80;
+
+bool
+IsInDomain(const MemberRow& aRow, std::string_view aDomain)
+{
+  return IsPresent(aRow.m_record.m_state) && aRow.m_record.m_domain == aDomain;
+}
+
+}
+
+VersionPusher::Lane
+VersionPusher::SuccessorLane(const Membership& aMembership) const
+{
+  struct Successor
+  {
+    /// From this daemon's key, modulo 2^64.
+    std::uint64_t m_distance;
+    const MemberRow* m_row;
+  };
+  const MemberRecord& self = aMembership.Self();
+  const std::uint64_t ownKey = RankKey(self.m_slot);
+  std::vector<Successor> successors;
+  aMembership.Members().Rows().Each(
+    [&](MemberTable::Index, const MemberRow& aRow) {
+      if (IsInDomain(aRow, self.m_domain)) {
+        successors.push_back({ aRow.m_rankKey - ownKey, &aRow });
+      }
+    });
+  const auto end =
+    successors.begin() +
+    static_cast<std::ptrdiff_t>(std::min(successors.size(), kMaxTargets));
+  std::partial_sort(successors.begin(),
+                    end,
+                    successors.end(),
+                    [](const Successor& aLeft, const Successor& aRight) {
+                      return aLeft.m_distance < aRight.m_distance;
+                    });
+  Lane lane;
+  lane.m_coversSkipped = true;
+  for (auto each = successors.begin(); each != end; ++each) {
+    const MemberRecord& record = each->m_row->m_record;
+    lane.m_targets.push_back({ record.m_slot, aMembership.PeerOf(record) });
+    if (each->m_row->m_version >= m_version) {
+      lane.m_targets.back().m_isConfirmed = true;
+      break;
+    }
+  }
+  return lane;
+}
+
+VersionPusher::Lane
+VersionPusher::RandomLane(const Membership& aMembership)
+{
+  const MemberRecord& self = aMembership.Self();
+  std::vector<const MemberRow*> rows;
+  aMembership.Members().Rows().Each(
+    [&](MemberTable::Index, const MemberRow& aRow) {
+      if (IsInDomain(aRow, self.m_domain) && aRow.m_version < m_version) {
+        rows.push_back(&aRow);
+      }
+    });
+  std::shuffle(rows.begin(), rows.end(), m_random);
+  rows.resize(std::min(rows.size(), kMaxTargets));
+  Lane lane;
+  lane.m_wanted = m_settings.m_fanout > 2 ? m_settings.m_fanout - 2 : 0;
+  lane.m_width = lane.m_wanted;
+  for (const MemberRow* each : rows) {
+    lane.m_targets.push_back(
+      { each->m_record.m_slot, aMembership.PeerOf(each->m_record) });
+  }
+  return lane;
+}
+
+std::vector<VersionPusher::Lane>
+VersionPusher::RemoteLanes(const Membership& aMembership)
+{
+  struct Domain
+  {
+    std::vector<const MemberRow*> m_rows{};
+    bool m_hasVersion{ false };
+  };
+  const MemberRecord& self = aMembership.Self();
+  std::map<std::string_view, Domain> domains;
+  aMembership.Members().Rows().Each(
+    [&](MemberTable::Index, const MemberRow& aRow) {
+      const std::string_view name = aRow.m_record.m_domain;
+      if (name != self.m_domain && IsPresent(aRow.m_record.m_state)) {
+        Domain& domain = domains[name];
+        domain.m_rows.push_back(&aRow);
+        domain.m_hasVersion |= aRow.m_version >= m_version;
+      }
+    });
+  std::vector<Lane> lanes;
+  for (auto& [name, domain] : domains) {
+    if (domain.m_hasVersion) {
+      continue;
+    }
+    std::shuffle(domain.m_rows.begin(), domain.m_rows.end(), m_random);
+    domain.m_rows.resize(std::min(domain.m_rows.size(), kMaxTargets));
+    Lane lane;
+    for (const MemberRow* each : domain.m_rows) {
+      lane.m_targets.push_back(
+        { each->m_record.m_slot, aMembership.PeerOf(each->m_record) });
+    }
+    lanes.push_back(std::move(lane));
+  }
+  return lanes;
+}
+
+bool
+VersionPusher::IsUnresponsive(TimePoint aNow, const std::string& aSlot) const
+{
+  const auto found = m_unanswered.find(aSlot);
+  return found != m_unanswered.end() &&
+         aNow - found->second.m_first >= kConfirmTime;
+}
+
+std::vector<VersionEntry>
+VersionPusher::EntriesFor(const ConfigHolder& aHolder,
+                          const Membership& aMembership,
+                          const std::string& aSlot) const
+{
+  const std::size_t bytes = m_settings.m_maxDatagramBytes - kHeadBytes;
+  const auto index = aMembership.Members().Find(aSlot);
+  const Version known =
+    index ? aMembership.Members().At(*index).m_version : Version{};
+  const bool isOlder = known > Version{} && known < aHolder.GetVersion();
+  if (isOlder) {
+    auto entries = EntriesThatFit(aHolder, known, bytes);
+    const bool isWhole =
+      !entries.empty() && entries.back().m_version == aHolder.GetVersion();
+    if (isWhole) {
+      return entries;
+    }
+  }
+  return EntriesThatFit(aHolder, m_before, bytes);
+}
+
+GossipSend
+VersionPusher::MakePush(const ConfigHolder& aHolder,
+                        const Membership& aMembership,
+                        const Target& aTarget) const
+{
+  GossipMessage message;
+  message.m_kind = GossipMessage::Kind::Push;
+  message.m_sender = aMembership.Self();
+  message.m_members = aMembership.Digests().Summary();
+  message.m_entries = EntriesFor(aHolder, aMembership, aTarget.m_slot);
+  message.m_requestsHead = true;
+  return { aTarget.m_peer, std::move(message) };
+}
+
+void
+VersionPusher::SendTo(TimePoint aNow,
+                      const ConfigHolder& aHolder,
+                      const Membership& aMembership,
+                      Target& aTarget,
+                      std::vector<GossipSend>& aOut)
+{
+  ++aTarget.m_sendCount;
+  aTarget.m_lastSent = aNow;
+  m_unanswered.try_emplace(aTarget.m_slot, Unanswered{ aNow, aNow })
+    .first->second.m_last = aNow;
+  aOut.push_back(MakePush(aHolder, aMembership, aTarget));
+}
+
+void
+VersionPusher::Advance(TimePoint aNow,
+                       const ConfigHolder& aHolder,
+                       const Membership& aMembership,
+                       Lane& aLane,
+                       std::vector<GossipSend>& aOut)
+{
+  for (std::size_t i = 0; i < aLane.m_tried; ++i) {
+    Target& target = aLane.m_targets[i];
+    const bool isDue = !target.m_isConfirmed &&
+                       target.m_sendCount < kMaxSends &&
+                       aNow - target.m_lastSent >= kConfirmTime;
+    if (isDue && (aLane.m_coversSkipped || !aLane.IsSatisfied())) {
+      SendTo(aNow, aHolder, aMembership, target, aOut);
+    }
+  }
+  if (aLane.IsSatisfied() || aNow < aLane.m_nextRound) {
+    return;
+  }
+  std::size_t started = 0;
+  while (started < aLane.m_width && aLane.m_tried < aLane.m_targets.size()) {
+    Target& target = aLane.m_targets[aLane.m_tried++];
+    if (target.m_isConfirmed) {
+      ++aLane.m_confirmed;
+      break;
+    }
+    const bool isUnresponsive = IsUnresponsive(aNow, target.m_slot);
+    started += isUnresponsive ? 0 : 1;
+    const bool wasJustSent =
+      isUnresponsive &&
+      aNow - m_unanswered.at(target.m_slot).m_last < kConfirmTime;
+    if (!wasJustSent) {
+      SendTo(aNow, aHolder, aMembership, target, aOut);
+    }
+  }
+  aLane.m_width = std::min(kWidthFactor * aLane.m_width, kMaxWidth);
+  aLane.m_nextRound = aNow + kConfirmTime;
+}
+
 std::vector<GossipSend>
-VersionPusher::OnAdvanced(const Disseminator& aDisseminator,
+VersionPusher::OnAdvanced(TimePoint aNow,
                           const ConfigHolder& aHolder,
-                          Membership& aMembership,
-                          Version aBefore) const
+                          const Membership& aMembership,
+                          Version aBefore)
+{
+  m_version = aHolder.GetVersion();
+  m_before = aBefore;
+  m_lanes.clear();
+  std::erase_if(m_unanswered, [aNow](const auto& aEach) {
+    return aNow - aEach.second.m_first >= kForgetUnanswered;
+  });
+  if (m_settings.m_fanout == 0) {
+    return {};
+  }
+  m_lanes.push_back(SuccessorLane(aMembership));
+  m_lanes.push_back(RandomLane(aMembership));
+  if (aMembership.IsDomainRelay()) {
+    // Each domain reads the store itself, unless its readers have failed.
+    for (Lane& each : RemoteLanes(aMembership)) {
+      m_lanes.push_back(std::move(each));
+    }
+  }
+  return OnTick(aNow, aHolder, aMembership);
+}
+
+std::vector<GossipSend>
+VersionPusher::OnTick(TimePoint aNow,
+                      const ConfigHolder& aHolder,
+                      const Membership& aMembership)
 {
   std::vector<GossipSend> sends;
-  const auto entries = aDisseminator.EntriesToPush(aHolder, aBefore);
-  const std::uint32_t fanout = aDisseminator.Settings().m_fanout;
-  for (const MemberPeer& each : Targets(aMembership, fanout)) {
-    GossipMessage message;
-    message.m_kind = GossipMessage::Kind::Push;
-    message.m_sender = aMembership.Self();
-    message.m_entries = entries;
-    sends.push_back({ each, std::move(message) });
+  for (Lane& each : m_lanes) {
+    Advance(aNow, aHolder, aMembership, each, sends);
   }
   return sends;
 }
 
-std::vector<MemberPeer>
-VersionPusher::Targets(Membership& aMembership, std::uint32_t aFanout) const
+void
+VersionPusher::Confirm(const std::string& aSlot)
 {
-  if (m_scope == Scope::AnyDomain || aFanout == 0) {
-    return aMembership.Sample(aFanout);
+  for (Lane& lane : m_lanes) {
+    for (std::size_t i = 0; i < lane.m_tried; ++i) {
+      Target& target = lane.m_targets[i];
+      if (!target.m_isConfirmed && target.m_slot == aSlot) {
+        target.m_isConfirmed = true;
+        ++lane.m_confirmed;
+      }
+    }
   }
-  // Each domain watches the store itself. Relays also push to other domains, in
-  // case the watchers of a domain have failed.
-  std::vector<MemberPeer> targets = aMembership.SampleOwnDomain(aFanout - 1);
-  if (aMembership.IsDomainRelay()) {
-    const auto remote = aMembership.SampleOtherDomains();
-    targets.insert(targets.end(), remote.begin(), remote.end());
+}
+
+std::vector<GossipSend>
+VersionPusher::OnMessage(const ConfigHolder& aHolder,
+                         const Membership& aMembership,
+                         const GossipMessage& aMessage)
+{
+  std::vector<GossipSend> sends;
+  const MemberPeer sender = aMembership.PeerOf(aMessage.m_sender);
+  m_unanswered.erase(aMessage.m_sender.m_slot);
+  if (aMessage.m_requestsHead) {
+    GossipMessage answer;
+    answer.m_kind = GossipMessage::Kind::Push;
+    answer.m_sender = aMembership.Self();
+    answer.m_members = aMembership.Digests().Summary();
+    answer.m_reportsHead = true;
+    sends.push_back({ sender, std::move(answer) });
   }
-  return targets;
+  const Version theirs = aMessage.m_head.m_version;
+  if (theirs >= m_version || aMessage.m_reportsHead) {
+    Confirm(aMessage.m_sender.m_slot);
+  }
+  if (aMessage.m_reportsHead && theirs < aHolder.GetVersion()) {
+    // The push was on another version than the one in force there.
+    GossipMessage repair;
+    repair.m_kind = GossipMessage::Kind::Push;
+    repair.m_sender = aMembership.Self();
+    repair.m_members = aMembership.Digests().Summary();
+    repair.m_entries = EntriesThatFit(
+      aHolder, theirs, m_settings.m_maxDatagramBytes - kHeadBytes);
+    if (!repair.m_entries.empty()) {
+      sends.push_back({ sender, std::move(repair) });
+    }
+  }
+  return sends;
 }
 
 }
--- a/src/transport/gossip_codec.cpp
+++ b/src/transport/gossip_codec.cpp
@@ -211,6 +211,8 @@
   for (const VersionEntry& each : aMessage.m_entries) {
     ToWire(each, *out.add_entries());
   }
+  out.set_requests_head(aMessage.m_requestsHead);
+  out.set_reports_head(aMessage.m_reportsHead);
   out.set_floor(aMessage.m_minimumVersion.m_number);
   out.set_watching(aMessage.m_watching);
   out.set_members(aMessage.m_members);
@@ -281,6 +283,8 @@
   message.m_head = head.value();
   message.m_updates = std::move(updates.value());
   message.m_entries = std::move(entries.value());
+  message.m_requestsHead = in.requests_head();
+  message.m_reportsHead = in.reports_head();
   message.m_minimumVersion = Version{ in.floor() };
   message.m_watching = in.watching();
   message.m_members = in.members();
--- a/src/transport/gossip_socket.cpp
+++ b/src/transport/gossip_socket.cpp
@@ -15,8 +15,9 @@
   if (aMessage.m_kind != GossipMessage::Kind::Push) {
     return TrafficPurpose::Probe;
   }
-  return aMessage.m_entries.empty() ? TrafficPurpose::MemberUpdates
-                                    : TrafficPurpose::Versions;
+  const bool isVersion = !aMessage.m_entries.empty() ||
+                         aMessage.m_requestsHead || aMessage.m_reportsHead;
+  return isVersion ? TrafficPurpose::Versions : TrafficPurpose::MemberUpdates;
 }
 
 }
