Ask further peers while a pull has no answer

Cause: one pull at a time, from one source. While it had no answer, no other peer was asked for 1 s; its end, good or bad, also dropped the time of the next pull, which then waited for another datagram that named the version; and the end of an exchange of members counted as the end of a pull of versions.

Change: the sources that reported the newer version stay known while it is missing. 400 ms after the last pull another one is asked, up to three at a time; one that ends without the version is followed at once; the same source is asked once a second; other domains only if no source of the own domain is known.

--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -131,7 +131,9 @@
   void PullWhenDue(TimePoint aNow);
   void RecordAnswerBytes(const PullRequest& aRequest, std::size_t aBytes);
   void PullFrom(const MemberPeer& aPeer, bool aPullsMembers);
-  void OnPulled(const MemberPeer& aPeer, std::optional<PullAnswer> aAnswer);
+  void OnPulled(const MemberPeer& aPeer,
+                bool aPullsMembers,
+                std::optional<PullAnswer> aAnswer);
   [[nodiscard]] PullAnswer ServePull(const PullRequest& aRequest);
   void PublishQuarantine(const QuarantineUpdate& aUpdate,
                          QuarantineService::Scope aScope);
--- a/include/greengagehub/dissemination/disseminator.hpp
+++ b/include/greengagehub/dissemination/disseminator.hpp
@@ -20,7 +20,11 @@
   /// Additional delay before a pull from another failure domain; a peer of the
   /// own domain may get the version first.
   std::chrono::milliseconds m_otherDomainDelay{ 0 };
-  std::chrono::milliseconds m_pullTimeout{ 1000 };
+  /// A pull that has no answer after this time is repeated from another peer;
+  /// a snapshot on a slow link takes about as long.
+  std::chrono::milliseconds m_hedgeDelay{ 400 };
+  /// After this time without an answer, a pull counts as failed.
+  std::chrono::milliseconds m_pullTimeout{ 3000 };
 };
 
 /// \returns The entries after `aAfter` that fit into `aBytes` of a datagram,
@@ -66,19 +70,36 @@
   [[nodiscard]] std::optional<MemberPeer> NextPull(TimePoint aNow,
                                                    const ConfigHolder& aHolder);
   /// To be called after success and failure.
-  void OnPullEnded() noexcept;
+  void OnPullEnded(const MemberPeer& aPeer) noexcept;
 
 private:
+  struct Source
+  {
+    MemberPeer m_peer;
+    Version m_version{};
+    TimePoint m_askedAt{};
+  };
+  struct PendingPull
+  {
+    MemberPeer m_peer;
+    TimePoint m_startedAt;
+  };
+
+  void AddSource(const MemberPeer& aPeer, Version aVersion);
+  [[nodiscard]] bool IsPending(const MemberPeer& aPeer) const;
+  /// \returns The source to ask next, if any: of the own domain if one is
+  /// known, and among these the one with the highest version.
+  [[nodiscard]] Source* NextSource(TimePoint aNow);
+
   DisseminationSettings m_settings;
   Random m_random;
   Version m_highestKnownVersion;
   /// When a version above the one in force was first reported.
   TimePoint m_behindSince{};
-  std::vector<MemberPeer> m_sources;
-  /// Takes precedence over m_sources.
-  std::optional<MemberPeer> m_ownDomainSource;
+  /// Peers that have reported a version above the one in force.
+  std::vector<Source> m_sources;
+  std::vector<PendingPull> m_pendingPulls;
   std::optional<TimePoint> m_pullAt;
-  std::optional<TimePoint> m_pullDeadline;
 };
 
 }
--- a/src/daemon/control_plane_versions.cpp
+++ b/src/daemon/control_plane_versions.cpp
@@ -110,7 +110,7 @@
       if (aPullsMembers && !aAnswer) {
         m_memberSync.OnExchangeFailed();
       }
-      OnPulled(aPeer, std::move(aAnswer));
+      OnPulled(aPeer, aPullsMembers, std::move(aAnswer));
     });
   ++m_versionCounts.m_pulls;
   m_traffic.Add(PurposeOf(request), aPeer.m_crossesDomains, bytes);
@@ -128,9 +128,12 @@
 
 void
 ControlPlane::OnPulled(const MemberPeer& aPeer,
+                       bool aPullsMembers,
                        std::optional<PullAnswer> aAnswer)
 {
-  m_disseminator.OnPullEnded();
+  if (!aPullsMembers) {
+    m_disseminator.OnPullEnded(aPeer);
+  }
   const std::string peer =
     fmt::format("{}:{}", aPeer.m_address.m_host, aPeer.m_address.m_bulkPort);
   if (!aAnswer) {
--- a/src/dissemination/disseminator.cpp
+++ b/src/dissemination/disseminator.cpp
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr std::size_t kMaxSources = 8;
+/// So many sources in a row may fail to answer before a daemon waits for one.
+constexpr std::size_t kMaxPendingPulls = 3;
+/// A source is not asked again before this time.
+constexpr std::chrono::milliseconds kAskAgainDelay{ 1000 };
 /// Bytes of an entry on the wire in addition to its patch.
 constexpr std::size_t kEntryOverhead = 80;
 /// Bytes available in a probe in addition to its membership records.
@@ -73,14 +77,7 @@
   if (!wasBehind) {
     m_behindSince = aNow;
   }
-  if (!aPeer.m_crossesDomains) {
-    m_ownDomainSource = aPeer;
-  }
-  if (m_sources.size() < kMaxSources) {
-    m_sources.push_back(aPeer);
-  } else {
-    m_sources[Below(m_random, kMaxSources)] = aPeer;
-  }
+  AddSource(aPeer, aHead.m_version);
   const auto domainDelay = aPeer.m_crossesDomains
                              ? m_settings.m_otherDomainDelay
                              : std::chrono::milliseconds{ 0 };
@@ -89,40 +86,81 @@
   m_pullAt = m_pullAt ? std::min(*m_pullAt, at) : at;
 }
 
+void
+Disseminator::AddSource(const MemberPeer& aPeer, Version aVersion)
+{
+  const auto known = std::ranges::find(
+    m_sources, aPeer, [](const Source& aSource) { return aSource.m_peer; });
+  if (known != m_sources.end()) {
+    known->m_version = std::max(known->m_version, aVersion);
+  } else if (m_sources.size() < kMaxSources) {
+    m_sources.push_back({ aPeer, aVersion });
+  } else {
+    m_sources[Below(m_random, kMaxSources)] = { aPeer, aVersion };
+  }
+}
+
+bool
+Disseminator::IsPending(const MemberPeer& aPeer) const
+{
+  return std::ranges::any_of(
+    m_pendingPulls,
+    [&aPeer](const PendingPull& aPull) { return aPull.m_peer == aPeer; });
+}
+
+Disseminator::Source*
+Disseminator::NextSource(TimePoint aNow)
+{
+  const bool hasOwnDomain =
+    std::ranges::any_of(m_sources, [](const Source& aSource) {
+      return !aSource.m_peer.m_crossesDomains;
+    });
+  Source* next = nullptr;
+  for (Source& each : m_sources) {
+    const bool wasJustAsked =
+      each.m_askedAt != TimePoint{} && aNow - each.m_askedAt < kAskAgainDelay;
+    const bool isRemote = hasOwnDomain && each.m_peer.m_crossesDomains;
+    if (wasJustAsked || isRemote || IsPending(each.m_peer)) {
+      continue;
+    }
+    if (next == nullptr || each.m_version > next->m_version) {
+      next = &each;
+    }
+  }
+  return next;
+}
+
 std::optional<MemberPeer>
 Disseminator::NextPull(TimePoint aNow, const ConfigHolder& aHolder)
 {
-  if (m_pullDeadline && aNow >= *m_pullDeadline) {
-    OnPullEnded();
-  }
+  std::erase_if(m_pendingPulls, [&](const PendingPull& aPull) {
+    return aNow - aPull.m_startedAt >= m_settings.m_pullTimeout;
+  });
   if (m_highestKnownVersion <= aHolder.GetVersion()) {
     m_sources.clear();
-    m_ownDomainSource.reset();
     m_pullAt.reset();
     return std::nullopt;
   }
-  const bool due = m_pullAt && aNow >= *m_pullAt && !m_pullDeadline;
-  if (!due || m_sources.empty()) {
+  const bool isDue = m_pullAt && aNow >= *m_pullAt;
+  const bool mayHedge =
+    m_pendingPulls.empty() ||
+    (m_pendingPulls.size() < kMaxPendingPulls &&
+     aNow - m_pendingPulls.back().m_startedAt >= m_settings.m_hedgeDelay);
+  Source* source = isDue && mayHedge ? NextSource(aNow) : nullptr;
+  if (source == nullptr) {
     return std::nullopt;
   }
-  if (m_ownDomainSource) {
-    const MemberPeer source = *m_ownDomainSource;
-    m_ownDomainSource.reset();
-    m_pullDeadline = aNow + m_settings.m_pullTimeout;
-    return source;
-  }
-  const std::size_t drawn = Below(m_random, m_sources.size());
-  const MemberPeer source = m_sources[drawn];
-  m_sources.erase(m_sources.begin() + static_cast<std::ptrdiff_t>(drawn));
-  m_pullDeadline = aNow + m_settings.m_pullTimeout;
-  return source;
+  source->m_askedAt = aNow;
+  m_pendingPulls.push_back({ source->m_peer, aNow });
+  return source->m_peer;
 }
 
 void
-Disseminator::OnPullEnded() noexcept
+Disseminator::OnPullEnded(const MemberPeer& aPeer) noexcept
 {
-  m_pullDeadline.reset();
-  m_pullAt.reset();
+  std::erase_if(m_pendingPulls, [&aPeer](const PendingPull& aPull) {
+    return aPull.m_peer == aPeer;
+  });
 }
 
 }
--- a/tests/dissemination/disseminator.cpp
+++ b/tests/dissemination/disseminator.cpp
@@ -1,5 +1,6 @@
 #include "greengagehub/dissemination/disseminator.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
@@ -69,11 +70,57 @@
   disseminator.OnDigest(kStart, holder, { Version{ 1 }, {} }, kPeer);
   REQUIRE(disseminator.NextPull(kStart + 200ms, holder));
   CHECK_FALSE(disseminator.NextPull(kStart + 300ms, holder));
-  disseminator.OnPullEnded();
+  disseminator.OnPullEnded(kPeer);
   disseminator.OnDigest(kStart + 1s, holder, { Version{ 1 }, {} }, kPeer);
   CHECK(disseminator.NextPull(kStart + 2s, holder));
 }
 
+TEST_CASE("two sources in a row that do not answer delay a pull by two hedges")
+{
+  // Guards against waiting for a peer that has stopped while others that
+  // reported the version are known.
+  ConfigHolder holder;
+  const DisseminationSettings settings{};
+  Disseminator disseminator{ settings, 1 };
+  for (const std::uint16_t port : { 1, 2, 3, 4 }) {
+    disseminator.OnDigest(kStart,
+                          holder,
+                          { Version{ 1 }, {} },
+                          { { "127.0.0.1", port, port, 0 }, false });
+  }
+  std::vector<MemberPeer> asked;
+  const TimePoint end =
+    kStart + settings.m_pullDelay + 2 * settings.m_hedgeDelay;
+  for (TimePoint now = kStart; now <= end; now += 10ms) {
+    if (const auto peer = disseminator.NextPull(now, holder)) {
+      CHECK(std::ranges::find(asked, *peer) == asked.end());
+      asked.push_back(*peer);
+    }
+  }
+  CHECK(asked.size() == 3);
+  // No more than three at a time load the links.
+  CHECK_FALSE(disseminator.NextPull(end + 1s, holder));
+}
+
+TEST_CASE("a pull that ends without the version is followed by another")
+{
+  // Guards against forgetting the other sources with the one that failed.
+  ConfigHolder holder;
+  Disseminator disseminator{ {}, 1 };
+  for (const std::uint16_t port : { 1, 2 }) {
+    disseminator.OnDigest(kStart,
+                          holder,
+                          { Version{ 1 }, {} },
+                          { { "127.0.0.1", port, port, 0 }, false });
+  }
+  const auto first = disseminator.NextPull(kStart + 200ms, holder);
+  REQUIRE(first);
+  disseminator.OnPullEnded(*first);
+  const auto second = disseminator.NextPull(kStart + 210ms, holder);
+  REQUIRE(second);
+  CHECK_FALSE(*second == *first);
+}
+
 TEST_CASE("a version that arrived by push is not pulled")
 {
   ConfigHolder holder;
--- a/tests/dissemination/fleet.hpp
+++ b/tests/dissemination/fleet.hpp
@@ -283,8 +283,8 @@
     const int peer = aPeer.m_address.m_bulkPort - 1;
     const Version known = m_daemons.at(aNumber).m_holder.GetVersion();
     if (!IsRunning(peer)) {
-      At(m_now + kPullTimeout, [this, aNumber] {
-        m_daemons.at(aNumber).m_disseminator.OnPullEnded();
+      At(m_now + kPullTimeout, [this, aNumber, aPeer] {
+        m_daemons.at(aNumber).m_disseminator.OnPullEnded(aPeer);
       });
       return;
     }
@@ -294,10 +294,11 @@
     At(m_now + (isComplete ? kEntriesTime : kSnapshotTime),
        [this,
         aNumber,
+        aPeer,
         isComplete,
         entries = std::move(entries),
         active = source.Active()] {
-         m_daemons.at(aNumber).m_disseminator.OnPullEnded();
+         m_daemons.at(aNumber).m_disseminator.OnPullEnded(aPeer);
          if (isComplete) {
            StageAll(aNumber, entries);
          } else {
