Answer 503, not 404, for a route that a newer version may have

What callers saw: 404 for a route that had been added, which clients do not retry, from a daemon that already knew that a newer version exists and waited for it.

Cause: RouteRequest() decided by the version in force alone. What the daemon knows from digests of peers (Disseminator::HighestKnownVersion) was read by nobody but the exchange of versions.

Change: a request without a route is refused with config-behind (503, not run, Retry-After 0.2 to 0.4 s) while a newer version is known to exist. From the first moment on, as a 404 is not known to be true then; no request that has a route is refused, so that a store that is away turns nobody away.

A path over real processes is not covered.

--- a/include/greengagehub/calls/call.hpp
+++ b/include/greengagehub/calls/call.hpp
@@ -7,6 +7,7 @@
 #include "greengagehub/calls/worker_incarnation.hpp"
 #include "greengagehub/config/content.hpp"
 #include "greengagehub/core/clock.hpp"
+#include "greengagehub/core/version.hpp"
 #include "greengagehub/http/http_message.hpp"
 
 #include <chrono>
@@ -72,8 +73,20 @@
   RateLimited,
   /// The answer would not pass a network link in time.
   LinkBusy,
+  /// No route in force here, but a newer version that is known to exist may
+  /// have one. Never sent between daemons.
+  ConfigBehind,
 };
 
+/// \returns Why a request without a route is refused by a daemon that knows
+/// `aKnown` to exist.
+[[nodiscard]] constexpr RefusalReason
+ReasonForMissingRoute(Version aInForce, Version aKnown) noexcept
+{
+  return aKnown > aInForce ? RefusalReason::ConfigBehind
+                           : RefusalReason::NoRoute;
+}
+
 /// \returns The name used in responses and logs, such as "deadline-too-short".
 [[nodiscard]] std::string_view
 NameOf(RefusalReason aReason) noexcept;
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -47,6 +47,7 @@
     std::uint64_t m_process;
     std::function<void(Span)> m_trace;
     std::function<bool()> m_isReady;
+    std::function<Version()> m_highestKnownVersion;
     /// See RunService::Dependencies.
     std::function<void(bool aIsLeaving)> m_onWorkerLeaving;
     /// Read on the first call to a service.
@@ -162,6 +163,8 @@
     RefusalReason aReason,
     std::chrono::milliseconds aRetryAfter = StartBuffer::kMaxBufferTime,
     const WorkspaceRow* aWorkspace = nullptr);
+  void RefuseWithoutRoute(const HttpRequest& aRequest,
+                          HttpResponder& aResponder);
   /// \brief Checks key and quota, then starts, queues or refuses the call.
   /// \param aIsNew false for a request from the token queue.
   void Admit(const Route& aRoute,
--- a/src/calls/call.cpp
+++ b/src/calls/call.cpp
@@ -60,6 +60,8 @@
       return "rate-limited";
     case RefusalReason::LinkBusy:
       return "link-busy";
+    case RefusalReason::ConfigBehind:
+      return "config-behind";
   }
   return "none";
 }
--- a/src/daemon/call_gateway_callers.cpp
+++ b/src/daemon/call_gateway_callers.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::size_t kMaxRouteStatistics = 10'000;
+/// Most versions that are known to exist are in force after this time.
+constexpr std::chrono::milliseconds kConfigRetryDelay{ 200 };
 
 /// \returns The Host header without its port, in lower case.
 std::string
@@ -71,7 +73,7 @@
   const Route* route =
     m_routes.Find(HostOf(aRequest.m_headers), PathOf(aRequest.m_target));
   if (route == nullptr) {
-    Refuse(aRequest, aResponder, RefusalReason::NoRoute);
+    RefuseWithoutRoute(aRequest, aResponder);
     return;
   }
   const Limits& limits = m_deps.m_holder.Active()->m_content.GetLimits();
@@ -169,7 +171,7 @@
     const Route* route = m_routes.Find(HostOf(each.m_request.m_headers),
                                        PathOf(each.m_request.m_target));
     if (route == nullptr) {
-      Refuse(each.m_request, each.m_responder, RefusalReason::NoRoute);
+      RefuseWithoutRoute(each.m_request, each.m_responder);
       continue;
     }
     Admit(*route,
@@ -181,6 +183,20 @@
   }
 }
 
+void
+CallGateway::RefuseWithoutRoute(const HttpRequest& aRequest,
+                                HttpResponder& aResponder)
+{
+  const RefusalReason reason = ReasonForMissingRoute(
+    m_deps.m_holder.GetVersion(), m_deps.m_highestKnownVersion());
+  const bool mayExist = reason == RefusalReason::ConfigBehind;
+  Refuse(aRequest,
+         aResponder,
+         reason,
+         mayExist ? WithJitter(kConfigRetryDelay)
+                  : StartBuffer::kMaxBufferTime);
+}
+
 void
 CallGateway::Refuse(const HttpRequest& aRequest,
                     HttpResponder& aResponder,
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -104,6 +104,8 @@
               .m_process = m_process ^ m_random(),
               .m_trace = PrintSpan,
               .m_isReady = [this] { return m_control.IsReady(); },
+              .m_highestKnownVersion =
+                [this] { return m_control.HighestKnownVersion(); },
               .m_onWorkerLeaving =
                 [this](bool aIsLeaving) { OnWorkerLeaving(aIsLeaving); },
               .m_members = [this]() -> const MemberTable& {
