--- a/tests/dissemination/fleet.hpp
+++ b/tests/dissemination/fleet.hpp
@@ -126,10 +126,14 @@
     ConfigHolder m_holder{};
     std::map<Version, TimePoint> m_appliedAt{};
     TimePoint m_nextRead{};
+    TimePoint m_nextRank{};
+    bool m_isReader{ false };
   };
 
   /// From a change to the answer of a reader's watch.
   static constexpr std::chrono::milliseconds kStoreDelay{ 100 };
+  /// As in ControlPlane.
+  static constexpr std::chrono::milliseconds kRankInterval{ 500 };
   /// Between two reads of one reader.
   static constexpr std::chrono::milliseconds kCoalesceDelay{ 312 };
   static constexpr std::chrono::milliseconds kTick{ 100 };
@@ -165,7 +169,12 @@
 
   [[nodiscard]] bool IsReader(int aNumber)
   {
-    return m_daemons.at(aNumber).m_membership.RankInDomain() < 2;
+    Daemon& daemon = m_daemons.at(aNumber);
+    if (m_now >= daemon.m_nextRank) {
+      daemon.m_nextRank = m_now + kRankInterval;
+      daemon.m_isReader = daemon.m_membership.RankInDomain() < 2;
+    }
+    return daemon.m_isReader;
   }
 
   void Tick(int aNumber, Daemon& aDaemon)
--- a/tests/dissemination/spread.cpp
+++ b/tests/dissemination/spread.cpp
@@ -126,6 +126,25 @@
   CHECK(LatestOfSeeds("readers paused", pauseAndPublish) <= kMaxConfigDelay);
 }
 
+TEST_CASE("a fleet of one domain gets a version while both readers are paused")
+{
+  // Guards against waiting for probes to find that the readers have stopped.
+  std::chrono::milliseconds latest{};
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Fleet fleet{ { .m_members = 15, .m_domains = 1, .m_seed = seed } };
+    fleet.Run(3s);
+    for (const int each : fleet.Readers(0)) {
+      fleet.Pause(each);
+    }
+    fleet.Run(100ms);
+    fleet.Publish(kFitsIntoDatagram);
+    fleet.Run(6s);
+    latest = std::max(latest, fleet.Latest());
+  }
+  MESSAGE("one domain, readers paused: longest ", latest.count(), " ms");
+  CHECK(latest <= kMaxConfigDelay);
+}
+
 TEST_CASE("in calm a version costs a bounded number of datagrams")
 {
   // Guards against deliveries that are bought with traffic.
