--- a/include/greengagehub/dissemination/version_pusher.hpp
+++ b/include/greengagehub/dissemination/version_pusher.hpp
@@ -53,8 +53,8 @@
     int m_sendCount{ 0 };
     bool m_isConfirmed{ false };
   };
-  /// Candidates in the order in which they are tried.
-  struct Lane
+  /// Pushes of one version to some of the targets, which are tried in order.
+  struct Delivery
   {
     std::vector<Target> m_targets{};
     std::size_t m_tried{ 0 };
@@ -77,9 +77,10 @@
     TimePoint m_last;
   };
 
-  [[nodiscard]] Lane SuccessorLane(const Membership& aMembership) const;
-  [[nodiscard]] Lane RandomLane(const Membership& aMembership);
-  [[nodiscard]] std::vector<Lane> RemoteLanes(const Membership& aMembership);
+  [[nodiscard]] Delivery ToSuccessor(const Membership& aMembership) const;
+  [[nodiscard]] Delivery ToRandomMembers(const Membership& aMembership);
+  [[nodiscard]] std::vector<Delivery> ToOtherDomains(
+    const Membership& aMembership);
   [[nodiscard]] bool IsUnresponsive(TimePoint aNow,
                                     const std::string& aSlot) const;
   [[nodiscard]] std::vector<VersionEntry> EntriesFor(
@@ -89,12 +90,17 @@
   [[nodiscard]] GossipSend MakePush(const ConfigHolder& aHolder,
                                     const Membership& aMembership,
                                     const Target& aTarget) const;
-  /// Repeats unconfirmed pushes of a lane and starts its next round if due.
-  void Advance(TimePoint aNow,
-               const ConfigHolder& aHolder,
-               const Membership& aMembership,
-               Lane& aLane,
-               std::vector<GossipSend>& aOut);
+  void RepeatUnconfirmed(TimePoint aNow,
+                         const ConfigHolder& aHolder,
+                         const Membership& aMembership,
+                         Delivery& aDelivery,
+                         std::vector<GossipSend>& aOut);
+  /// Sends to further candidates.
+  void StartRoundIfDue(TimePoint aNow,
+                       const ConfigHolder& aHolder,
+                       const Membership& aMembership,
+                       Delivery& aDelivery,
+                       std::vector<GossipSend>& aOut);
   void SendTo(TimePoint aNow,
               const ConfigHolder& aHolder,
               const Membership& aMembership,
@@ -107,7 +113,7 @@
   /// Version that is being pushed, and the one in force here before it.
   Version m_version;
   Version m_before;
-  std::vector<Lane> m_lanes;
+  std::vector<Delivery> m_deliveries;
   /// Members that have sent nothing since a push, across versions.
   std::map<std::string, Unanswered, std::less<>> m_unanswered;
 };
--- a/src/dissemination/version_pusher.cpp
+++ b/src/dissemination/version_pusher.cpp
@@ -16,7 +16,7 @@
 constexpr int kMaxSends = 4;
 constexpr std::size_t kWidthFactor = 4;
 constexpr std::size_t kMaxWidth = 16;
-/// Bounds the candidates, and so the datagrams, of one lane.
+/// Bounds the candidates, and so the datagrams, of one delivery.
 constexpr std::size_t kMaxTargets = 64;
 /// Bytes of a datagram beside its entries: sender, version, digests.
 constexpr std::size_t kHeadBytes = 80;
@@ -27,10 +27,20 @@
   return IsPresent(aRow.m_record.m_state) && aRow.m_record.m_domain == aDomain;
 }
 
+GossipMessage
+MakeMessage(const Membership& aMembership)
+{
+  GossipMessage message;
+  message.m_kind = GossipMessage::Kind::Push;
+  message.m_sender = aMembership.Self();
+  message.m_members = aMembership.Digests().Summary();
+  return message;
 }
 
-VersionPusher::Lane
-VersionPusher::SuccessorLane(const Membership& aMembership) const
+}
+
+VersionPusher::Delivery
+VersionPusher::ToSuccessor(const Membership& aMembership) const
 {
   struct Successor
   {
@@ -56,21 +66,21 @@
                     [](const Successor& aLeft, const Successor& aRight) {
                       return aLeft.m_distance < aRight.m_distance;
                     });
-  Lane lane;
-  lane.m_coversSkipped = true;
+  Delivery delivery;
+  delivery.m_coversSkipped = true;
   for (auto each = successors.begin(); each != end; ++each) {
     const MemberRecord& record = each->m_row->m_record;
-    lane.m_targets.push_back({ record.m_slot, aMembership.PeerOf(record) });
+    delivery.m_targets.push_back({ record.m_slot, aMembership.PeerOf(record) });
     if (each->m_row->m_version >= m_version) {
-      lane.m_targets.back().m_isConfirmed = true;
+      delivery.m_targets.back().m_isConfirmed = true;
       break;
     }
   }
-  return lane;
+  return delivery;
 }
 
-VersionPusher::Lane
-VersionPusher::RandomLane(const Membership& aMembership)
+VersionPusher::Delivery
+VersionPusher::ToRandomMembers(const Membership& aMembership)
 {
   const MemberRecord& self = aMembership.Self();
   std::vector<const MemberRow*> rows;
@@ -82,18 +92,18 @@
     });
   std::shuffle(rows.begin(), rows.end(), m_random);
   rows.resize(std::min(rows.size(), kMaxTargets));
-  Lane lane;
-  lane.m_wanted = m_settings.m_fanout > 2 ? m_settings.m_fanout - 2 : 0;
-  lane.m_width = lane.m_wanted;
+  Delivery delivery;
+  delivery.m_wanted = m_settings.m_fanout > 2 ? m_settings.m_fanout - 2 : 0;
+  delivery.m_width = delivery.m_wanted;
   for (const MemberRow* each : rows) {
-    lane.m_targets.push_back(
+    delivery.m_targets.push_back(
       { each->m_record.m_slot, aMembership.PeerOf(each->m_record) });
   }
-  return lane;
+  return delivery;
 }
 
-std::vector<VersionPusher::Lane>
-VersionPusher::RemoteLanes(const Membership& aMembership)
+std::vector<VersionPusher::Delivery>
+VersionPusher::ToOtherDomains(const Membership& aMembership)
 {
   struct Domain
   {
@@ -111,21 +121,21 @@
         domain.m_hasVersion |= aRow.m_version >= m_version;
       }
     });
-  std::vector<Lane> lanes;
+  std::vector<Delivery> deliveries;
   for (auto& [name, domain] : domains) {
     if (domain.m_hasVersion) {
       continue;
     }
     std::shuffle(domain.m_rows.begin(), domain.m_rows.end(), m_random);
     domain.m_rows.resize(std::min(domain.m_rows.size(), kMaxTargets));
-    Lane lane;
+    Delivery delivery;
     for (const MemberRow* each : domain.m_rows) {
-      lane.m_targets.push_back(
+      delivery.m_targets.push_back(
         { each->m_record.m_slot, aMembership.PeerOf(each->m_record) });
     }
-    lanes.push_back(std::move(lane));
+    deliveries.push_back(std::move(delivery));
   }
-  return lanes;
+  return deliveries;
 }
 
 bool
@@ -162,10 +172,7 @@
                         const Membership& aMembership,
                         const Target& aTarget) const
 {
-  GossipMessage message;
-  message.m_kind = GossipMessage::Kind::Push;
-  message.m_sender = aMembership.Self();
-  message.m_members = aMembership.Digests().Summary();
+  GossipMessage message = MakeMessage(aMembership);
   message.m_entries = EntriesFor(aHolder, aMembership, aTarget.m_slot);
   message.m_requestsHead = true;
   return { aTarget.m_peer, std::move(message) };
@@ -186,29 +193,42 @@
 }
 
 void
-VersionPusher::Advance(TimePoint aNow,
-                       const ConfigHolder& aHolder,
-                       const Membership& aMembership,
-                       Lane& aLane,
-                       std::vector<GossipSend>& aOut)
+VersionPusher::RepeatUnconfirmed(TimePoint aNow,
+                                 const ConfigHolder& aHolder,
+                                 const Membership& aMembership,
+                                 Delivery& aDelivery,
+                                 std::vector<GossipSend>& aOut)
 {
-  for (std::size_t i = 0; i < aLane.m_tried; ++i) {
-    Target& target = aLane.m_targets[i];
+  if (aDelivery.IsSatisfied() && !aDelivery.m_coversSkipped) {
+    return;
+  }
+  for (std::size_t i = 0; i < aDelivery.m_tried; ++i) {
+    Target& target = aDelivery.m_targets[i];
     const bool isDue = !target.m_isConfirmed &&
                        target.m_sendCount < kMaxSends &&
                        aNow - target.m_lastSent >= kConfirmTime;
-    if (isDue && (aLane.m_coversSkipped || !aLane.IsSatisfied())) {
+    if (isDue) {
       SendTo(aNow, aHolder, aMembership, target, aOut);
     }
   }
-  if (aLane.IsSatisfied() || aNow < aLane.m_nextRound) {
+}
+
+void
+VersionPusher::StartRoundIfDue(TimePoint aNow,
+                               const ConfigHolder& aHolder,
+                               const Membership& aMembership,
+                               Delivery& aDelivery,
+                               std::vector<GossipSend>& aOut)
+{
+  if (aDelivery.IsSatisfied() || aNow < aDelivery.m_nextRound) {
     return;
   }
   std::size_t started = 0;
-  while (started < aLane.m_width && aLane.m_tried < aLane.m_targets.size()) {
-    Target& target = aLane.m_targets[aLane.m_tried++];
+  while (started < aDelivery.m_width &&
+         aDelivery.m_tried < aDelivery.m_targets.size()) {
+    Target& target = aDelivery.m_targets[aDelivery.m_tried++];
     if (target.m_isConfirmed) {
-      ++aLane.m_confirmed;
+      ++aDelivery.m_confirmed;
       break;
     }
     const bool isUnresponsive = IsUnresponsive(aNow, target.m_slot);
@@ -220,8 +240,8 @@
       SendTo(aNow, aHolder, aMembership, target, aOut);
     }
   }
-  aLane.m_width = std::min(kWidthFactor * aLane.m_width, kMaxWidth);
-  aLane.m_nextRound = aNow + kConfirmTime;
+  aDelivery.m_width = std::min(kWidthFactor * aDelivery.m_width, kMaxWidth);
+  aDelivery.m_nextRound = aNow + kConfirmTime;
 }
 
 std::vector<GossipSend>
@@ -232,19 +252,19 @@
 {
   m_version = aHolder.GetVersion();
   m_before = aBefore;
-  m_lanes.clear();
+  m_deliveries.clear();
   std::erase_if(m_unanswered, [aNow](const auto& aEach) {
     return aNow - aEach.second.m_first >= kForgetUnanswered;
   });
   if (m_settings.m_fanout == 0) {
     return {};
   }
-  m_lanes.push_back(SuccessorLane(aMembership));
-  m_lanes.push_back(RandomLane(aMembership));
+  m_deliveries.push_back(ToSuccessor(aMembership));
+  m_deliveries.push_back(ToRandomMembers(aMembership));
   if (aMembership.IsDomainRelay()) {
     // Each domain reads the store itself, unless its readers have failed.
-    for (Lane& each : RemoteLanes(aMembership)) {
-      m_lanes.push_back(std::move(each));
+    for (Delivery& each : ToOtherDomains(aMembership)) {
+      m_deliveries.push_back(std::move(each));
     }
   }
   return OnTick(aNow, aHolder, aMembership);
@@ -256,8 +276,9 @@
                       const Membership& aMembership)
 {
   std::vector<GossipSend> sends;
-  for (Lane& each : m_lanes) {
-    Advance(aNow, aHolder, aMembership, each, sends);
+  for (Delivery& each : m_deliveries) {
+    RepeatUnconfirmed(aNow, aHolder, aMembership, each, sends);
+    StartRoundIfDue(aNow, aHolder, aMembership, each, sends);
   }
   return sends;
 }
@@ -265,12 +286,12 @@
 void
 VersionPusher::Confirm(const std::string& aSlot)
 {
-  for (Lane& lane : m_lanes) {
-    for (std::size_t i = 0; i < lane.m_tried; ++i) {
-      Target& target = lane.m_targets[i];
+  for (Delivery& delivery : m_deliveries) {
+    for (std::size_t i = 0; i < delivery.m_tried; ++i) {
+      Target& target = delivery.m_targets[i];
       if (!target.m_isConfirmed && target.m_slot == aSlot) {
         target.m_isConfirmed = true;
-        ++lane.m_confirmed;
+        ++delivery.m_confirmed;
       }
     }
   }
@@ -285,10 +306,7 @@
   const MemberPeer sender = aMembership.PeerOf(aMessage.m_sender);
   m_unanswered.erase(aMessage.m_sender.m_slot);
   if (aMessage.m_requestsHead) {
-    GossipMessage answer;
-    answer.m_kind = GossipMessage::Kind::Push;
-    answer.m_sender = aMembership.Self();
-    answer.m_members = aMembership.Digests().Summary();
+    GossipMessage answer = MakeMessage(aMembership);
     answer.m_reportsHead = true;
     sends.push_back({ sender, std::move(answer) });
   }
@@ -298,10 +316,7 @@
   }
   if (aMessage.m_reportsHead && theirs < aHolder.GetVersion()) {
     // The push was on another version than the one in force there.
-    GossipMessage repair;
-    repair.m_kind = GossipMessage::Kind::Push;
-    repair.m_sender = aMembership.Self();
-    repair.m_members = aMembership.Digests().Summary();
+    GossipMessage repair = MakeMessage(aMembership);
     repair.m_entries = EntriesThatFit(
       aHolder, theirs, m_settings.m_maxDatagramBytes - kHeadBytes);
     if (!repair.m_entries.empty()) {
