Pull from another domain when the own one does not answer

Sources of the own domain stayed known after they had stopped, and sources elsewhere were never asked while one was known; before, the one of the own domain was forgotten once asked.

Change: sources of the own domain go first among those that can be asked now.

--- a/include/greengagehub/dissemination/disseminator.hpp
+++ b/include/greengagehub/dissemination/disseminator.hpp
@@ -87,8 +87,8 @@
 
   void AddSource(const MemberPeer& aPeer, Version aVersion);
   [[nodiscard]] bool IsPending(const MemberPeer& aPeer) const;
-  /// \returns The source to ask next, if any: of the own domain if one is
-  /// known, and among these the one with the highest version.
+  /// \returns The source to ask next, if any: preferably of the own domain,
+  /// and among these the one with the highest version.
   [[nodiscard]] Source* NextSource(TimePoint aNow);
 
   DisseminationSettings m_settings;
--- a/src/dissemination/disseminator.cpp
+++ b/src/dissemination/disseminator.cpp
@@ -111,19 +111,20 @@
 Disseminator::Source*
 Disseminator::NextSource(TimePoint aNow)
 {
-  const bool hasOwnDomain =
-    std::ranges::any_of(m_sources, [](const Source& aSource) {
-      return !aSource.m_peer.m_crossesDomains;
-    });
+  const auto isBetter = [](const Source& aLeft, const Source& aRight) {
+    const bool isRemote = aLeft.m_peer.m_crossesDomains;
+    return isRemote != aRight.m_peer.m_crossesDomains
+             ? !isRemote
+             : aLeft.m_version > aRight.m_version;
+  };
   Source* next = nullptr;
   for (Source& each : m_sources) {
     const bool wasJustAsked =
       each.m_askedAt != TimePoint{} && aNow - each.m_askedAt < kAskAgainDelay;
-    const bool isRemote = hasOwnDomain && each.m_peer.m_crossesDomains;
-    if (wasJustAsked || isRemote || IsPending(each.m_peer)) {
+    if (wasJustAsked || IsPending(each.m_peer)) {
       continue;
     }
-    if (next == nullptr || each.m_version > next->m_version) {
+    if (next == nullptr || isBetter(each, *next)) {
       next = &each;
     }
   }
--- a/tests/dissemination/disseminator.cpp
+++ b/tests/dissemination/disseminator.cpp
@@ -102,6 +102,21 @@
   CHECK_FALSE(disseminator.NextPull(end + 1s, holder));
 }
 
+TEST_CASE("another domain is asked if the own one does not answer")
+{
+  // Guards against a domain whose only source has stopped.
+  ConfigHolder holder;
+  const DisseminationSettings settings{};
+  Disseminator disseminator{ settings, 1 };
+  const MemberPeer own{ { "127.0.0.2", 1, 2, 3 }, false };
+  disseminator.OnDigest(kStart, holder, { Version{ 2 }, {} }, kPeer);
+  disseminator.OnDigest(kStart, holder, { Version{ 1 }, {} }, own);
+  CHECK(disseminator.NextPull(kStart + 200ms, holder) == own);
+  CHECK_FALSE(disseminator.NextPull(kStart + 300ms, holder));
+  CHECK(disseminator.NextPull(kStart + 200ms + settings.m_hedgeDelay, holder) ==
+        kPeer);
+}
+
 TEST_CASE("a pull that ends without the version is followed by another")
 {
   // Guards against forgetting the other sources with the one that failed.
