HTTP server: a handler that is due does not outlive the server

Cause: destroying an HttpServer cancels its timer, but a wait that has already completed is still delivered without an error. If the timeout check is due in the same pass of the loop as the handler that destroys the server, the check ran on freed memory. The worker stand-in destroys its server when it simulates a crash; on a busy machine both timers are late and due together, and the process died with SIGSEGV instead of restarting.

Ruled out: the port of the worker being taken by another process while it is down would give the same line; it needs a listener on a random port, and no run showed it.

Change: the handlers that wait in the loop share the server's state, and do nothing once the server is destroyed. The daemon destroys its servers after the loop has ended, so it was not affected.

The new test failed in 3 of 3 runs before ("loop.stopped()" is false: the check goes on forever) and passes now. Read for the same cause: SocketWatch, pulls, backend connections and links hold their state or a flag already. HttpClient's timer does not, but no program destroys a client while its loop runs.

--- a/include/greengagehub/http/http_server.hpp
+++ b/include/greengagehub/http/http_server.hpp
@@ -5,9 +5,9 @@
 #include "greengagehub/http/http_message.hpp"
 
 #include <asio/io_context.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <chrono>
 #include <functional>
-#include <memory>
 
 namespace greengagehub {
 
@@ -98,7 +98,8 @@
 
 private:
   struct Impl;
-  std::unique_ptr<Impl> m_impl;
+  /// Shared with the handlers that are waiting in the loop.
+  boost::intrusive_ptr<Impl> m_impl;
 };
 
 }
--- a/src/http/http_connection.hpp
+++ b/src/http/http_connection.hpp
@@ -27,9 +27,11 @@
 // Connections of an HTTP server.
 
 struct HttpServer::Impl
+  : public boost::intrusive_ref_counter<Impl, boost::thread_unsafe_counter>
 {
   class Connection;
   using Pointer = boost::intrusive_ptr<Connection>;
+  using ImplPointer = boost::intrusive_ptr<Impl>;
 
   explicit Impl(asio::io_context& aLoop)
     : m_loop(aLoop)
@@ -55,6 +57,9 @@
   std::uint64_t m_lastConnection{ 0 };
   std::uint16_t m_port{ 0 };
   bool m_isStopped{ false };
+  /// Set by the destructor of the server; a cancelled operation that had
+  /// completed before still calls its handler without an error.
+  bool m_isDestroyed{ false };
 };
 
 class HttpServer::Impl::Connection
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -19,15 +19,16 @@
 HttpServer::Impl::Accept()
 {
   m_acceptor.async_accept(
-    [this](const asio::error_code& aError, tcp::socket aSocket) {
-      if (aError == asio::error::operation_aborted) {
+    [self = ImplPointer{ this }](const asio::error_code& aError,
+                                 tcp::socket aSocket) {
+      if (aError == asio::error::operation_aborted || self->m_isDestroyed) {
         return;
       }
       if (!aError) {
-        AddConnection(std::move(aSocket));
+        self->AddConnection(std::move(aSocket));
       }
-      if (!m_isStopped) {
-        Accept();
+      if (!self->m_isStopped) {
+        self->Accept();
       }
     });
 }
@@ -62,24 +63,29 @@
 HttpServer::Impl::CheckTimeouts()
 {
   m_timeoutTimer.expires_after(kTimeoutCheckInterval);
-  m_timeoutTimer.async_wait([this](const asio::error_code& aError) {
-    if (aError) {
-      return;
-    }
-    const auto now = Clock::now();
-    const auto connections = m_connections;
-    for (const auto& [id, connection] : connections) {
-      connection->CheckTimeout(now);
-    }
-    CheckTimeouts();
-  });
+  m_timeoutTimer.async_wait(
+    [self = ImplPointer{ this }](const asio::error_code& aError) {
+      if (aError || self->m_isDestroyed) {
+        return;
+      }
+      const auto now = Clock::now();
+      const auto connections = self->m_connections;
+      for (const auto& [id, connection] : connections) {
+        connection->CheckTimeout(now);
+        // The handler of closed connections may destroy the server.
+        if (self->m_isDestroyed) {
+          return;
+        }
+      }
+      self->CheckTimeouts();
+    });
 }
 
 HttpServer::HttpServer(asio::io_context& aLoop,
                        HttpServerSettings aSettings,
                        Handler aHandler,
                        ClosedHandler aClosed)
-  : m_impl(std::make_unique<Impl>(aLoop))
+  : m_impl(new Impl{ aLoop })
 {
   m_impl->m_settings = std::move(aSettings);
   m_impl->m_handler = std::move(aHandler);
@@ -88,10 +94,13 @@
 
 HttpServer::~HttpServer()
 {
+  m_impl->m_isDestroyed = true;
+  m_impl->m_timeoutTimer.cancel();
   StopAccepting();
   for (const auto& [id, connection] : m_impl->m_connections) {
     connection->Detach();
   }
+  m_impl->m_connections.clear();
 }
 
 std::uint16_t
--- a/tests/http/http_server.cpp
+++ b/tests/http/http_server.cpp
@@ -2,8 +2,10 @@
 
 #include <array>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <doctest/doctest.h>
+#include <optional>
 
 using namespace greengagehub;
 using asio::ip::tcp;
@@ -189,3 +191,19 @@
     CHECK(client.m_server.Busy() == 0);
   }
 }
+
+// Guards against use of a server after its destruction.
+TEST_CASE("a timeout check that is due does not outlive the server")
+{
+  asio::io_context loop;
+  std::optional<HttpServer> server;
+  server.emplace(
+    loop, HttpServerSettings{}, [](const HttpRequest&, HttpResponder) {});
+  REQUIRE(server->Open());
+  asio::steady_timer destruction{ loop, Clock::now() };
+  destruction.async_wait([&](const asio::error_code&) { server.reset(); });
+  // By then the check is due as well, and completes after the destruction.
+  asio::steady_timer{ loop, 500ms }.wait();
+  loop.run_for(2s);
+  CHECK(loop.stopped());
+}
