Version pusher: one place draws targets, one computes the size of a push

Change: ToAnyOf draws the targets; EntriesToPush is a free function, used by both places that push and by the test, whose assertions are the same. The behaviour does not change: the same draws in the same order, the same 80 bytes.

--- a/include/greengagehub/dissemination/disseminator.hpp
+++ b/include/greengagehub/dissemination/disseminator.hpp
@@ -27,10 +27,12 @@
   std::chrono::milliseconds m_pullTimeout{ 3000 };
 };
 
-/// \returns The entries after `aAfter` that fit into `aBytes` of a datagram,
-/// oldest first; none if the first of them is not recent.
+/// \returns The entries after `aAfter` that fit into a push, oldest first; none
+/// if the first of them is not recent.
 [[nodiscard]] std::vector<VersionEntry>
-EntriesThatFit(const ConfigHolder& aHolder, Version aAfter, std::size_t aBytes);
+EntriesToPush(const ConfigHolder& aHolder,
+              Version aAfter,
+              std::size_t aMaxDatagramBytes);
 
 /// \brief Distributes configuration versions between daemons: pushes new ones,
 /// compares digests with each probe and pulls missing ones. Does no I/O.
@@ -53,10 +55,6 @@
   /// none was.
   [[nodiscard]] std::optional<TimePoint> ReportedAt(Version aInForce) const;
 
-  /// \returns Entries to push after the holder advanced from `aBefore`.
-  [[nodiscard]] std::vector<VersionEntry> EntriesToPush(
-    const ConfigHolder& aHolder,
-    Version aBefore) const;
   /// \returns Entries to add to a probe sent to a peer with an older version.
   [[nodiscard]] std::vector<VersionEntry> EntriesToRepair(
     const ConfigHolder& aHolder,
--- a/include/greengagehub/dissemination/version_pusher.hpp
+++ b/include/greengagehub/dissemination/version_pusher.hpp
@@ -78,6 +78,9 @@
   };
 
   [[nodiscard]] Delivery ToSuccessor(const Membership& aMembership) const;
+  /// \returns A delivery to one of the members, tried in random order.
+  [[nodiscard]] Delivery ToAnyOf(const Membership& aMembership,
+                                 std::vector<const MemberRow*> aRows);
   [[nodiscard]] Delivery ToRandomMembers(const Membership& aMembership);
   [[nodiscard]] std::vector<Delivery> ToOtherDomains(
     const Membership& aMembership);
--- a/src/dissemination/disseminator.cpp
+++ b/src/dissemination/disseminator.cpp
@@ -13,24 +13,12 @@
 constexpr std::chrono::milliseconds kAskAgainDelay{ 1000 };
 /// Bytes of an entry on the wire in addition to its patch.
 constexpr std::size_t kEntryOverhead = 80;
+/// Bytes of a push in addition to its entries: sender, version, digests.
+constexpr std::size_t kHeadBytes = 80;
 /// Bytes available in a probe in addition to its membership records.
 constexpr std::size_t kMaxRepairBytes = 600;
 
-}
-
-Disseminator::Disseminator(DisseminationSettings aSettings, std::uint64_t aSeed)
-  : m_settings(aSettings)
-  , m_random(aSeed)
-{
-}
-
-std::optional<TimePoint>
-Disseminator::ReportedAt(Version aInForce) const
-{
-  const bool isBehind = m_highestKnownVersion > aInForce;
-  return isBehind ? std::optional{ m_behindSince } : std::nullopt;
-}
-
+/// \returns The entries after `aAfter` that fit into `aBytes`, oldest first.
 std::vector<VersionEntry>
 EntriesThatFit(const ConfigHolder& aHolder, Version aAfter, std::size_t aBytes)
 {
@@ -49,11 +37,27 @@
   return entries;
 }
 
+}
+
 std::vector<VersionEntry>
-Disseminator::EntriesToPush(const ConfigHolder& aHolder, Version aBefore) const
+EntriesToPush(const ConfigHolder& aHolder,
+              Version aAfter,
+              std::size_t aMaxDatagramBytes)
+{
+  return EntriesThatFit(aHolder, aAfter, aMaxDatagramBytes - kHeadBytes);
+}
+
+Disseminator::Disseminator(DisseminationSettings aSettings, std::uint64_t aSeed)
+  : m_settings(aSettings)
+  , m_random(aSeed)
 {
-  return EntriesThatFit(
-    aHolder, aBefore, m_settings.m_maxDatagramBytes - kEntryOverhead);
+}
+
+std::optional<TimePoint>
+Disseminator::ReportedAt(Version aInForce) const
+{
+  const bool isBehind = m_highestKnownVersion > aInForce;
+  return isBehind ? std::optional{ m_behindSince } : std::nullopt;
 }
 
 std::vector<VersionEntry>
--- a/src/dissemination/version_pusher.cpp
+++ b/src/dissemination/version_pusher.cpp
@@ -18,8 +18,6 @@
 constexpr std::size_t kMaxWidth = 16;
 /// Bounds the candidates, and so the datagrams, of one delivery.
 constexpr std::size_t kMaxTargets = 64;
-/// Bytes of a datagram beside its entries: sender, version, digests.
-constexpr std::size_t kHeadBytes = 80;
 
 bool
 IsInDomain(const MemberRow& aRow, std::string_view aDomain)
@@ -79,6 +77,20 @@
   return delivery;
 }
 
+VersionPusher::Delivery
+VersionPusher::ToAnyOf(const Membership& aMembership,
+                       std::vector<const MemberRow*> aRows)
+{
+  std::shuffle(aRows.begin(), aRows.end(), m_random);
+  aRows.resize(std::min(aRows.size(), kMaxTargets));
+  Delivery delivery;
+  for (const MemberRow* each : aRows) {
+    delivery.m_targets.push_back(
+      { each->m_record.m_slot, aMembership.PeerOf(each->m_record) });
+  }
+  return delivery;
+}
+
 VersionPusher::Delivery
 VersionPusher::ToRandomMembers(const Membership& aMembership)
 {
@@ -90,15 +102,9 @@
         rows.push_back(&aRow);
       }
     });
-  std::shuffle(rows.begin(), rows.end(), m_random);
-  rows.resize(std::min(rows.size(), kMaxTargets));
-  Delivery delivery;
+  Delivery delivery = ToAnyOf(aMembership, std::move(rows));
   delivery.m_wanted = m_settings.m_fanout > 2 ? m_settings.m_fanout - 2 : 0;
   delivery.m_width = delivery.m_wanted;
-  for (const MemberRow* each : rows) {
-    delivery.m_targets.push_back(
-      { each->m_record.m_slot, aMembership.PeerOf(each->m_record) });
-  }
   return delivery;
 }
 
@@ -123,17 +129,9 @@
     });
   std::vector<Delivery> deliveries;
   for (auto& [name, domain] : domains) {
-    if (domain.m_hasVersion) {
-      continue;
-    }
-    std::shuffle(domain.m_rows.begin(), domain.m_rows.end(), m_random);
-    domain.m_rows.resize(std::min(domain.m_rows.size(), kMaxTargets));
-    Delivery delivery;
-    for (const MemberRow* each : domain.m_rows) {
-      delivery.m_targets.push_back(
-        { each->m_record.m_slot, aMembership.PeerOf(each->m_record) });
+    if (!domain.m_hasVersion) {
+      deliveries.push_back(ToAnyOf(aMembership, std::move(domain.m_rows)));
     }
-    deliveries.push_back(std::move(delivery));
   }
   return deliveries;
 }
@@ -151,20 +149,20 @@
                           const Membership& aMembership,
                           const std::string& aSlot) const
 {
-  const std::size_t bytes = m_settings.m_maxDatagramBytes - kHeadBytes;
+  const std::size_t maxBytes = m_settings.m_maxDatagramBytes;
   const auto index = aMembership.Members().Find(aSlot);
   const Version known =
     index ? aMembership.Members().At(*index).m_version : Version{};
   const bool isOlder = known > Version{} && known < aHolder.GetVersion();
   if (isOlder) {
-    auto entries = EntriesThatFit(aHolder, known, bytes);
+    auto entries = EntriesToPush(aHolder, known, maxBytes);
     const bool isWhole =
       !entries.empty() && entries.back().m_version == aHolder.GetVersion();
     if (isWhole) {
       return entries;
     }
   }
-  return EntriesThatFit(aHolder, m_before, bytes);
+  return EntriesToPush(aHolder, m_before, maxBytes);
 }
 
 GossipSend
@@ -317,8 +315,8 @@
   if (aMessage.m_reportsHead && theirs < aHolder.GetVersion()) {
     // The push was on another version than the one in force there.
     GossipMessage repair = MakeMessage(aMembership);
-    repair.m_entries = EntriesThatFit(
-      aHolder, theirs, m_settings.m_maxDatagramBytes - kHeadBytes);
+    repair.m_entries =
+      EntriesToPush(aHolder, theirs, m_settings.m_maxDatagramBytes);
     if (!repair.m_entries.empty()) {
       sends.push_back({ sender, std::move(repair) });
     }
--- a/tests/dissemination/disseminator.cpp
+++ b/tests/dissemination/disseminator.cpp
@@ -36,11 +36,11 @@
 {
   ConfigHolder holder;
   Advance(holder, 3);
-  const Disseminator disseminator{ {}, 1 };
-  CHECK(disseminator.EntriesToPush(holder, Version{ 1 }).size() == 2);
+  const std::size_t maxBytes = DisseminationSettings{}.m_maxDatagramBytes;
+  CHECK(EntriesToPush(holder, Version{ 1 }, maxBytes).size() == 2);
   ConfigHolder large;
   Advance(large, 3, 2000);
-  CHECK(disseminator.EntriesToPush(large, Version{ 0 }).empty());
+  CHECK(EntriesToPush(large, Version{ 0 }, maxBytes).empty());
 }
 
 TEST_CASE("a lagging peer receives the next versions in order")
