Move the exchange of quarantine updates into a class without I/O

Cause: the postmortem on late configuration lists verdicts on crashing requests as sent once, read but not run. The exchange was part of ControlPlane, where no test could run it in virtual time.

Change: QuarantineGossip decides what is sent to whom when the quarantine has changed and when a datagram shows other verdicts; ControlPlane sends it. MakePushMessage replaces four copies of the same four lines. What is sent does not change.

--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -135,12 +135,6 @@
                 bool aPullsMembers,
                 std::optional<PullAnswer> aAnswer);
   [[nodiscard]] PullAnswer ServePull(const PullRequest& aRequest);
-  void PublishQuarantine(const QuarantineUpdate& aUpdate,
-                         QuarantineService::Scope aScope);
-  void SendQuarantine(const std::vector<MemberPeer>& aTo,
-                      const QuarantineUpdate& aUpdate);
-  /// \brief Sends this daemon's verdicts to a peer whose digest differs.
-  void SyncVerdicts(TimePoint aNow, const GossipMessage& aMessage);
   [[nodiscard]] RolloutService::Dependencies RolloutDependencies();
   [[nodiscard]] WorkspaceService::Dependencies WorkspaceDependencies(
     asio::io_context& aLoop);
@@ -188,7 +182,7 @@
   ConfigFeed<platform::KvStore> m_configFeed;
   DecisionService<platform::KvStore> m_decisions;
   QuarantineService m_quarantine;
-  TimePoint m_nextVerdictSync{};
+  QuarantineGossip m_quarantineGossip;
   RolloutService m_rollouts;
   TimePoint m_nextRolloutSync{};
   WorkspaceService m_workspaces;
--- a/include/greengagehub/daemon/quarantine_service.hpp
+++ b/include/greengagehub/daemon/quarantine_service.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "greengagehub/dissemination/quarantine_gossip.hpp"
 #include "greengagehub/observe/log.hpp"
 #include "greengagehub/quarantine/quarantine.hpp"
 #include "greengagehub/quarantine/verdict_writer.hpp"
@@ -13,13 +14,8 @@
 class QuarantineService
 {
 public:
-  enum class Scope : std::uint8_t
-  {
-    /// Local changes go to all failure domains.
-    AllDomains,
-    /// Received changes are forwarded within this daemon's domain.
-    OwnDomain,
-  };
+  using Scope = QuarantineGossip::Scope;
+
   struct Dependencies
   {
     platform::KvStore& m_store;
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -134,13 +134,14 @@
                 [this](const std::vector<VersionEntry>& aEntries) {
                   StageAll(aEntries, { VersionChannel::Decision });
                 })
-  , m_quarantine({ m_store,
-                   aLog,
-                   [this](const QuarantineUpdate& aUpdate,
-                          QuarantineService::Scope aScope) {
-                     PublishQuarantine(aUpdate, aScope);
-                   },
-                   [this] { return m_membership.IsHighestRanked(); } })
+  , m_quarantine(
+      { m_store,
+        aLog,
+        [this](const QuarantineUpdate& aUpdate,
+               QuarantineService::Scope aScope) {
+          SendAll(m_quarantineGossip.OnChanged(m_membership, aUpdate, aScope));
+        },
+        [this] { return m_membership.IsHighestRanked(); } })
   , m_rollouts(RolloutDependencies())
   , m_workspaces(WorkspaceDependencies(aLoop), aProcess, m_random())
   , m_tickTimer(aLoop)
@@ -361,7 +362,8 @@
   if (aMessage.m_counts) {
     m_rollouts.OnCounts(*aMessage.m_counts);
   }
-  SyncVerdicts(now, aMessage);
+  SendAll(m_quarantineGossip.OnMessage(
+    now, m_membership, m_quarantine.Table(), aMessage));
   SyncRollouts(now, aMessage);
   MembershipActions actions = m_membership.OnMessage(now, aFrom, aMessage);
   // A lagging peer receives the versions that fit into the acknowledgement.
--- a/src/daemon/control_plane_rollouts.cpp
+++ b/src/daemon/control_plane_rollouts.cpp
@@ -1,4 +1,5 @@
 #include "greengagehub/daemon/control_plane.hpp"
+#include "greengagehub/dissemination/push_message.hpp"
 
 #include <algorithm>
 
@@ -63,10 +64,7 @@
                            const std::vector<RolloutRecord>& aRecords)
 {
   for (std::size_t i = 0; i < aRecords.size(); i += kRecordsPerDatagram) {
-    GossipMessage message;
-    message.m_kind = GossipMessage::Kind::Push;
-    message.m_sender = m_membership.Self();
-    message.m_members = m_membership.Digests().Summary();
+    GossipMessage message = MakePushMessage(m_membership);
     const std::size_t end = std::min(aRecords.size(), i + kRecordsPerDatagram);
     message.m_rollouts.assign(aRecords.begin() + static_cast<std::ptrdiff_t>(i),
                               aRecords.begin() +
@@ -112,10 +110,7 @@
   if (!leader) {
     return;
   }
-  GossipMessage message;
-  message.m_kind = GossipMessage::Kind::Push;
-  message.m_sender = m_membership.Self();
-  message.m_members = m_membership.Digests().Summary();
+  GossipMessage message = MakePushMessage(m_membership);
   message.m_counts = std::move(aCounts);
   SendGossip({ *leader, std::move(message) });
 }
--- a/src/dissemination/version_pusher.cpp
+++ b/src/dissemination/version_pusher.cpp
@@ -1,5 +1,7 @@
 #include "greengagehub/dissemination/version_pusher.hpp"
 
+#include "greengagehub/dissemination/push_message.hpp"
+
 #include <algorithm>
 #include <string_view>
 
@@ -25,16 +27,6 @@
   return IsPresent(aRow.m_record.m_state) && aRow.m_record.m_domain == aDomain;
 }
 
-GossipMessage
-MakeMessage(const Membership& aMembership)
-{
-  GossipMessage message;
-  message.m_kind = GossipMessage::Kind::Push;
-  message.m_sender = aMembership.Self();
-  message.m_members = aMembership.Digests().Summary();
-  return message;
-}
-
 }
 
 VersionPusher::Delivery
@@ -170,7 +162,7 @@
                         const Membership& aMembership,
                         const Target& aTarget) const
 {
-  GossipMessage message = MakeMessage(aMembership);
+  GossipMessage message = MakePushMessage(aMembership);
   message.m_entries = EntriesFor(aHolder, aMembership, aTarget.m_slot);
   message.m_requestsHead = true;
   return { aTarget.m_peer, std::move(message) };
@@ -304,7 +296,7 @@
   const MemberPeer sender = aMembership.PeerOf(aMessage.m_sender);
   m_unanswered.erase(aMessage.m_sender.m_slot);
   if (aMessage.m_requestsHead) {
-    GossipMessage answer = MakeMessage(aMembership);
+    GossipMessage answer = MakePushMessage(aMembership);
     answer.m_reportsHead = true;
     sends.push_back({ sender, std::move(answer) });
   }
@@ -314,7 +306,7 @@
   }
   if (aMessage.m_reportsHead && theirs < aHolder.GetVersion()) {
     // The push was on another version than the one in force there.
-    GossipMessage repair = MakeMessage(aMembership);
+    GossipMessage repair = MakePushMessage(aMembership);
     repair.m_entries =
       EntriesToPush(aHolder, theirs, m_settings.m_maxDatagramBytes);
     if (!repair.m_entries.empty()) {
