Failing tests: verdicts while most members of a domain are paused

What callers would see: a request that has crashed three workers still runs in a domain most of whose daemons are silent, seconds after the verdict.

The class is that of the late configuration: an unanswered message whose only recovery is a slow periodic one.

--- a/tests/dissemination/fleet.hpp
+++ b/tests/dissemination/fleet.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "greengagehub/dissemination/quarantine_gossip.hpp"
 #include "greengagehub/dissemination/version_pusher.hpp"
 
 #include <fmt/format.h>
@@ -21,8 +22,8 @@
   std::uint64_t m_lostPerMille{ 10 };
 };
 
-/// \brief Daemons that exchange versions in memory, in virtual time. The two
-/// members of each domain that rank first read the store.
+/// \brief Daemons that exchange versions and verdicts in memory, in virtual
+/// time. The two members of each domain that rank first read the store.
 class Fleet
 {
 public:
@@ -74,6 +75,15 @@
     m_publishedAt[m_head] = m_now;
   }
 
+  /// \brief A request is quarantined by the daemon beside the worker that it
+  /// has crashed.
+  void Quarantine(int aNumber, std::uint64_t aRequest)
+  {
+    const QuarantineUpdate update{ {}, { Verdict(aRequest) } };
+    m_quarantinedAt[aRequest] = m_now;
+    ApplyUpdate(aNumber, update, QuarantineGossip::Scope::AllDomains);
+  }
+
   void Run(Duration aSpan)
   {
     const TimePoint end = m_now + aSpan;
@@ -105,6 +115,24 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(latest);
   }
 
+  /// \returns The longest time from a verdict to its being in force, over all
+  /// running daemons and verdicts.
+  [[nodiscard]] std::chrono::milliseconds LatestVerdict() const
+  {
+    Duration latest{};
+    for (const auto& [number, daemon] : m_daemons) {
+      if (!IsRunning(number)) {
+        continue;
+      }
+      for (const auto& [request, at] : m_quarantinedAt) {
+        const auto known = daemon.m_verdictsAt.find(request);
+        const bool isMissing = known == daemon.m_verdictsAt.end();
+        latest = std::max(latest, (isMissing ? m_now : known->second) - at);
+      }
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(latest);
+  }
+
   [[nodiscard]] std::uint64_t Datagrams() const noexcept { return m_datagrams; }
   [[nodiscard]] std::uint64_t CrossDomainDatagrams() const noexcept
   {
@@ -124,7 +152,11 @@
     Disseminator m_disseminator;
     VersionPusher m_pusher;
     ConfigHolder m_holder{};
+    greengagehub::Quarantine m_quarantine{};
+    QuarantineGossip m_quarantineGossip{};
     std::map<Version, TimePoint> m_appliedAt{};
+    /// By request.
+    std::map<std::uint64_t, TimePoint> m_verdictsAt{};
     TimePoint m_nextRead{};
     TimePoint m_nextRank{};
     bool m_isReader{ false };
@@ -153,6 +185,34 @@
     return record;
   }
 
+  static QuarantineVerdict Verdict(std::uint64_t aRequest)
+  {
+    QuarantineVerdict verdict;
+    verdict.m_fingerprint = { 0, aRequest };
+    verdict.m_service = "lockers";
+    verdict.m_generation = 1;
+    verdict.m_isQuarantined = true;
+    verdict.m_crashCount = greengagehub::Quarantine::kCrashLimit;
+    return verdict;
+  }
+
+  void ApplyUpdate(int aNumber,
+                   const QuarantineUpdate& aUpdate,
+                   QuarantineGossip::Scope aScope)
+  {
+    Daemon& daemon = m_daemons.at(aNumber);
+    const QuarantineChanges changes =
+      daemon.m_quarantine.OnUpdate(m_now, aUpdate);
+    for (const QuarantineVerdict& each : changes.m_verdicts) {
+      daemon.m_verdictsAt.emplace(each.m_fingerprint.m_low, m_now);
+    }
+    if (!changes.m_update.IsEmpty()) {
+      Send(aNumber,
+           daemon.m_quarantineGossip.OnChanged(
+             daemon.m_membership, changes.m_update, aScope));
+    }
+  }
+
   void At(TimePoint aWhen, std::function<void()> aAction)
   {
     m_events.emplace(aWhen, std::move(aAction));
@@ -245,6 +305,7 @@
     const ConfigHolder& holder = m_daemons.at(aFrom).m_holder;
     for (GossipSend& each : aSends) {
       each.m_message.m_head = { holder.GetVersion(), holder.Active()->m_chain };
+      each.m_message.m_verdicts = m_daemons.at(aFrom).m_quarantine.Summary();
       ++m_datagrams;
       m_crossDomainDatagrams += each.m_to.m_crossesDomains ? 1 : 0;
       if (Below(m_random, 1000) < m_options.m_lostPerMille) {
@@ -260,11 +321,15 @@
     }
   }
 
-  /// The exchange of versions in ControlPlane::OnGossip().
+  /// As ControlPlane::OnGossip().
   void Receive(int aFrom, int aTo, const GossipMessage& aMessage)
   {
     Daemon& daemon = m_daemons.at(aTo);
     StageAll(aTo, aMessage.m_entries);
+    ApplyUpdate(aTo, aMessage.m_quarantine, QuarantineGossip::Scope::OwnDomain);
+    Send(aTo,
+         daemon.m_quarantineGossip.OnMessage(
+           m_now, daemon.m_membership, daemon.m_quarantine, aMessage));
     const auto port = static_cast<std::uint16_t>(aFrom + 1);
     MembershipActions actions = daemon.m_membership.OnMessage(
       m_now, { "127.0.0.1", port, port, 0 }, aMessage);
@@ -338,6 +403,7 @@
   Version m_head;
   std::map<Version, std::size_t> m_patchBytes;
   std::map<Version, TimePoint> m_publishedAt;
+  std::map<std::uint64_t, TimePoint> m_quarantinedAt;
   std::uint64_t m_datagrams{ 0 };
   std::uint64_t m_crossDomainDatagrams{ 0 };
 };
--- a/tests/dissemination/spread.cpp
+++ b/tests/dissemination/spread.cpp
@@ -1,4 +1,5 @@
 #include "fleet.hpp"
+#include "pause_members.hpp"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -19,24 +20,6 @@
 constexpr std::size_t kPulledAsSnapshot = kMaxPatchBytes + 1;
 constexpr std::uint64_t kSeeds = 20;
 
-/// Pauses a share of a domain's members, drawn at random.
-void
-PauseMembers(Fleet& aFleet, int aDomain, int aPercent, std::uint64_t aSeed)
-{
-  std::vector<int> members;
-  for (int i = 0; i < aFleet.Size(); ++i) {
-    if (aFleet.DomainOf(i) == aDomain) {
-      members.push_back(i);
-    }
-  }
-  Random random{ aSeed };
-  std::shuffle(members.begin(), members.end(), random);
-  members.resize(members.size() * static_cast<std::size_t>(aPercent) / 100);
-  for (const int each : members) {
-    aFleet.Pause(each);
-  }
-}
-
 /// \returns The latest daemon of all seeds.
 template<class Scenario>
 std::chrono::milliseconds
--- /dev/null
+++ b/tests/dissemination/verdict_spread.cpp
@@ -0,0 +1,85 @@
+#include "fleet.hpp"
+#include "pause_members.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace greengagehub;
+using namespace greengagehub::test;
+
+namespace {
+
+/// A run of a quarantined request counts as late after this time.
+constexpr std::chrono::milliseconds kMaxVerdictDelay{ 3000 };
+constexpr std::uint64_t kSeeds = 20;
+
+int
+FirstRunning(const Fleet& aFleet, int aDomain)
+{
+  int number = 0;
+  while (aFleet.DomainOf(number) != aDomain || !aFleet.IsRunning(number)) {
+    ++number;
+  }
+  return number;
+}
+
+/// \returns The latest daemon of all seeds, while a share of domain 0 is
+/// paused and members of a domain quarantine requests.
+std::chrono::milliseconds
+LatestOfSeeds(int aPercentPaused, int aOriginDomain, int aRequests)
+{
+  std::vector<std::chrono::milliseconds> latest;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Fleet fleet{ { .m_seed = seed } };
+    fleet.Run(3s);
+    PauseMembers(fleet, 0, aPercentPaused, seed);
+    fleet.Run(100ms);
+    for (int i = 1; i <= aRequests; ++i) {
+      fleet.Quarantine(FirstRunning(fleet, aOriginDomain),
+                       static_cast<std::uint64_t>(i));
+      fleet.Run(200ms);
+    }
+    fleet.Run(5s);
+    latest.push_back(fleet.LatestVerdict());
+  }
+  std::sort(latest.begin(), latest.end());
+  MESSAGE(aPercentPaused,
+          "% paused, origin in domain ",
+          aOriginDomain,
+          ", ",
+          aRequests,
+          " requests: latest daemon, median ",
+          latest[latest.size() / 2].count(),
+          " ms, longest ",
+          latest.back().count(),
+          " ms");
+  return latest.back();
+}
+
+}
+
+TEST_CASE("a verdict reaches each running daemon while most members of a "
+          "domain are paused")
+{
+  // Guards against counting a verdict as delivered that was sent to members
+  // which do not answer.
+  for (const int percent : { 50, 80 }) {
+    for (const int domain : { 0, 1 }) {
+      CHECK(LatestOfSeeds(percent, domain, 1) <= kMaxVerdictDelay);
+    }
+  }
+}
+
+TEST_CASE("a storm of verdicts reaches each running daemon while most members "
+          "of a domain are paused")
+{
+  // Guards against each new verdict replacing one that is not delivered yet.
+  for (const int domain : { 0, 1 }) {
+    CHECK(LatestOfSeeds(80, domain, 15) <= kMaxVerdictDelay);
+  }
+}
+
+TEST_CASE("in calm a verdict reaches each daemon")
+{
+  CHECK(LatestOfSeeds(0, 0, 1) <= kMaxVerdictDelay);
+  CHECK(LatestOfSeeds(0, 0, 15) <= kMaxVerdictDelay);
+}
