Push verdicts on crashing requests until they are confirmed

What callers saw: while most members of a domain are paused or cut off, a request that has crashed three workers still ran in that domain seconds after the verdict.

Cause, the same as of the late configuration: a verdict was sent to random members and taken for delivered; where these did not answer, the rest waited for probes, one a second.

Change: beside the datagrams as before, a verdict is delivered as versions are: to the successor in the domain, by relays and the daemon where it originates to one member of each other domain, repeated until confirmed, by a number in the datagram or an equal digest. Why it holds: each running member has a predecessor that looks for it, and members known to be silent are skipped.

Cost, bounded by a new test: two datagrams a daemon and verdict in calm. Crash reports that are no verdict yet are still sent once: other domains count on their own, and the third crash is a verdict.

--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -175,6 +175,7 @@
   Membership m_membership;
   Disseminator m_disseminator;
   VersionPusher m_pusher;
+  QuarantineGossip m_quarantineGossip;
   VersionCounts m_versionCounts{};
   WatchLease m_watchLease;
   SeedPublisher m_seedPublisher;
@@ -182,7 +183,6 @@
   ConfigFeed<platform::KvStore> m_configFeed;
   DecisionService<platform::KvStore> m_decisions;
   QuarantineService m_quarantine;
-  QuarantineGossip m_quarantineGossip;
   RolloutService m_rollouts;
   TimePoint m_nextRolloutSync{};
   WorkspaceService m_workspaces;
--- a/include/greengagehub/membership/gossip_message.hpp
+++ b/include/greengagehub/membership/gossip_message.hpp
@@ -46,6 +46,10 @@
   bool m_requestsHead{ false };
   /// Answers a Push that requested the version.
   bool m_reportsHead{ false };
+  /// Of a Push with verdicts: the receiver is to confirm this number; 0: none.
+  std::uint64_t m_pushNumber{ 0 };
+  /// Number of the receiver's Push that this message confirms; 0: none.
+  std::uint64_t m_confirmedPush{ 0 };
   /// The receiver must not run a version older than this.
   Version m_minimumVersion{};
   bool m_watching{ false };
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -80,6 +80,7 @@
                  m_random())
   , m_disseminator(aSettings.m_dissemination, m_random())
   , m_pusher(aSettings.m_dissemination, m_random())
+  , m_quarantineGossip(m_random())
   , m_watchLease(aSettings.m_watch, m_membership.Self(), m_random())
   , m_seedPublisher(m_membership.Self(), m_random())
   , m_storeSync(
@@ -139,7 +140,8 @@
         aLog,
         [this](const QuarantineUpdate& aUpdate,
                QuarantineService::Scope aScope) {
-          SendAll(m_quarantineGossip.OnChanged(m_membership, aUpdate, aScope));
+          SendAll(m_quarantineGossip.OnChanged(
+            Clock::now(), m_membership, m_quarantine.Table(), aUpdate, aScope));
         },
         [this] { return m_membership.IsHighestRanked(); } })
   , m_rollouts(RolloutDependencies())
@@ -256,6 +258,7 @@
   m_rollouts.OnTick(now, readsStore && m_settings.m_platform.m_enabled);
   m_workspaces.OnTick();
   SendAll(m_pusher.OnTick(now, m_holder, m_membership));
+  SendAll(m_quarantineGossip.OnTick(now, m_membership, m_quarantine.Table()));
   PullWhenDue(now);
   if (m_settings.m_platform.m_enabled) {
     UpdateStoreRoles(now);
--- a/src/transport/gossip_codec.cpp
+++ b/src/transport/gossip_codec.cpp
@@ -213,6 +213,8 @@
   }
   out.set_requests_head(aMessage.m_requestsHead);
   out.set_reports_head(aMessage.m_reportsHead);
+  out.set_push_number(aMessage.m_pushNumber);
+  out.set_confirmed_push(aMessage.m_confirmedPush);
   out.set_floor(aMessage.m_minimumVersion.m_number);
   out.set_watching(aMessage.m_watching);
   out.set_members(aMessage.m_members);
@@ -285,6 +287,8 @@
   message.m_entries = std::move(entries.value());
   message.m_requestsHead = in.requests_head();
   message.m_reportsHead = in.reports_head();
+  message.m_pushNumber = in.push_number();
+  message.m_confirmedPush = in.confirmed_push();
   message.m_minimumVersion = Version{ in.floor() };
   message.m_watching = in.watching();
   message.m_members = in.members();
--- a/tests/dissemination/fleet.hpp
+++ b/tests/dissemination/fleet.hpp
@@ -146,14 +146,15 @@
       : m_membership(aSelf, {}, aSeed)
       , m_disseminator({ .m_otherDomainDelay = 400ms }, aSeed + 1)
       , m_pusher({}, aSeed + 2)
+      , m_quarantineGossip(aSeed + 3)
     {
     }
     Membership m_membership;
     Disseminator m_disseminator;
     VersionPusher m_pusher;
+    QuarantineGossip m_quarantineGossip;
     ConfigHolder m_holder{};
     greengagehub::Quarantine m_quarantine{};
-    QuarantineGossip m_quarantineGossip{};
     std::map<Version, TimePoint> m_appliedAt{};
     /// By request.
     std::map<std::uint64_t, TimePoint> m_verdictsAt{};
@@ -208,8 +209,11 @@
     }
     if (!changes.m_update.IsEmpty()) {
       Send(aNumber,
-           daemon.m_quarantineGossip.OnChanged(
-             daemon.m_membership, changes.m_update, aScope));
+           daemon.m_quarantineGossip.OnChanged(m_now,
+                                               daemon.m_membership,
+                                               daemon.m_quarantine,
+                                               changes.m_update,
+                                               aScope));
     }
   }
 
@@ -243,6 +247,9 @@
     Send(
       aNumber,
       aDaemon.m_pusher.OnTick(m_now, aDaemon.m_holder, aDaemon.m_membership));
+    Send(aNumber,
+         aDaemon.m_quarantineGossip.OnTick(
+           m_now, aDaemon.m_membership, aDaemon.m_quarantine));
     if (const auto peer =
           aDaemon.m_disseminator.NextPull(m_now, aDaemon.m_holder)) {
       Pull(aNumber, *peer);
--- a/tests/dissemination/verdict_spread.cpp
+++ b/tests/dissemination/verdict_spread.cpp
@@ -83,3 +83,26 @@
   CHECK(LatestOfSeeds(0, 0, 1) <= kMaxVerdictDelay);
   CHECK(LatestOfSeeds(0, 0, 15) <= kMaxVerdictDelay);
 }
+
+TEST_CASE("in calm a verdict costs a bounded number of datagrams")
+{
+  // Guards against deliveries that are bought with traffic.
+  Fleet fleet{ { .m_lostPerMille = 0 } };
+  fleet.Run(3s);
+  const auto count = [&] {
+    const std::uint64_t all = fleet.Datagrams();
+    fleet.Run(2s);
+    return fleet.Datagrams() - all;
+  };
+  const std::uint64_t before = count();
+  fleet.Quarantine(0, 1);
+  const std::uint64_t all = count();
+  // Each daemon forwards the verdict to four members, and pushes it to one that
+  // confirms. Relays and the origin push it to each other domain.
+  constexpr std::uint64_t kPerDaemon = 6;
+  constexpr std::uint64_t kOtherDomains = 3;
+  constexpr std::uint64_t kPushers = 4 * Membership::kRelaysPerDomain + 1;
+  const auto members = static_cast<std::uint64_t>(fleet.Size());
+  CHECK(all - before <=
+        kPerDaemon * members + 2 * (kPushers + 1) * kOtherDomains);
+}
--- a/tests/transport/codec.cpp
+++ b/tests/transport/codec.cpp
@@ -25,6 +25,8 @@
   message.m_head = { Version{ 9 }, Sha256("chain") };
   message.m_minimumVersion = Version{ 8 };
   message.m_requestsHead = true;
+  message.m_pushNumber = 7;
+  message.m_confirmedPush = 8;
   message.m_reportsHead = true;
   for (int i = 0; i < 6; ++i) {
     MemberRecord record = message.m_sender;
@@ -75,6 +77,8 @@
   REQUIRE(got);
   CHECK(got.value().m_kind == sent.m_kind);
   CHECK(got.value().m_requestsHead);
+  CHECK(got.value().m_pushNumber == 7);
+  CHECK(got.value().m_confirmedPush == 8);
   CHECK(got.value().m_reportsHead);
   CHECK(got.value().m_sender.m_address == sent.m_sender.m_address);
   CHECK(got.value().m_sender.m_workerIncarnation == 4'000'000'000U);
