Spread tests: one loop over seeds, one search for the longest delay

Cause: the re-read of the whole change found the loop over 20 seeds with its report written for versions and again for verdicts, the search for the latest daemon twice in the fleet, and the same pause before each storm.

Change: LongestOfSeeds, Fleet::Longest and PauseMost. The bounds, seeds and checks are the same.

--- a/tests/dissemination/fleet.hpp
+++ b/tests/dissemination/fleet.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <limits>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace greengagehub::test {
@@ -101,36 +102,24 @@
   /// being in force, over all running daemons and changes.
   [[nodiscard]] std::chrono::milliseconds Latest() const
   {
-    Duration latest{};
-    for (const auto& [number, daemon] : m_daemons) {
-      if (!IsRunning(number)) {
-        continue;
-      }
-      for (const auto& [version, at] : m_publishedAt) {
-        const auto applied = daemon.m_appliedAt.lower_bound(version);
-        const bool isMissing = applied == daemon.m_appliedAt.end();
-        latest = std::max(latest, (isMissing ? m_now : applied->second) - at);
-      }
-    }
-    return std::chrono::duration_cast<std::chrono::milliseconds>(latest);
+    return Longest(m_publishedAt, [](const Daemon& aDaemon, Version aVersion) {
+      const auto found = aDaemon.m_appliedAt.lower_bound(aVersion);
+      return found != aDaemon.m_appliedAt.end() ? std::optional{ found->second }
+                                                : std::nullopt;
+    });
   }
 
   /// \returns The longest time from a verdict to its being in force, over all
   /// running daemons and verdicts.
   [[nodiscard]] std::chrono::milliseconds LatestVerdict() const
   {
-    Duration latest{};
-    for (const auto& [number, daemon] : m_daemons) {
-      if (!IsRunning(number)) {
-        continue;
-      }
-      for (const auto& [request, at] : m_quarantinedAt) {
-        const auto known = daemon.m_verdictsAt.find(request);
-        const bool isMissing = known == daemon.m_verdictsAt.end();
-        latest = std::max(latest, (isMissing ? m_now : known->second) - at);
-      }
-    }
-    return std::chrono::duration_cast<std::chrono::milliseconds>(latest);
+    return Longest(m_quarantinedAt,
+                   [](const Daemon& aDaemon, std::uint64_t aRequest) {
+                     const auto found = aDaemon.m_verdictsAt.find(aRequest);
+                     return found != aDaemon.m_verdictsAt.end()
+                              ? std::optional{ found->second }
+                              : std::nullopt;
+                   });
   }
 
   [[nodiscard]] std::uint64_t Datagrams() const noexcept { return m_datagrams; }
@@ -175,6 +164,24 @@
   static constexpr std::chrono::milliseconds kSnapshotTime{ 300 };
   static constexpr std::chrono::milliseconds kPullTimeout{ 3000 };
 
+  /// \param aArrival when a message was in force at a daemon, if it is.
+  template<class Key, class Arrival>
+  [[nodiscard]] std::chrono::milliseconds Longest(
+    const std::map<Key, TimePoint>& aSent,
+    const Arrival& aArrival) const
+  {
+    Duration longest{};
+    for (const auto& [number, daemon] : m_daemons) {
+      if (!IsRunning(number)) {
+        continue;
+      }
+      for (const auto& [key, at] : aSent) {
+        longest = std::max(longest, aArrival(daemon, key).value_or(m_now) - at);
+      }
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(longest);
+  }
+
   static MemberRecord Record(int aNumber, int aDomains)
   {
     MemberRecord record;
--- a/tests/dissemination/spread.cpp
+++ b/tests/dissemination/spread.cpp
@@ -1,5 +1,5 @@
 #include "fleet.hpp"
-#include "pause_members.hpp"
+#include "spread_scenarios.hpp"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -18,28 +18,21 @@
 constexpr std::size_t kPulledAsEntry = 4000;
 /// Above the largest patch that is kept; peers pull the whole configuration.
 constexpr std::size_t kPulledAsSnapshot = kMaxPatchBytes + 1;
-constexpr std::uint64_t kSeeds = 20;
 
 /// \returns The latest daemon of all seeds.
 template<class Scenario>
 std::chrono::milliseconds
 LatestOfSeeds(const std::string& aName, const Scenario& aScenario)
 {
-  std::vector<std::chrono::milliseconds> latest;
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    Fleet fleet{ { .m_seed = seed } };
-    fleet.Run(3s);
-    aScenario(fleet, seed);
-    latest.push_back(fleet.Latest());
-  }
-  std::sort(latest.begin(), latest.end());
-  MESSAGE(aName,
-          ": latest daemon, median ",
-          latest[latest.size() / 2].count(),
-          " ms, longest ",
-          latest.back().count(),
-          " ms");
-  return latest.back();
+  return LongestOfSeeds(
+    aName, aScenario, [](const Fleet& aFleet) { return aFleet.Latest(); });
+}
+
+void
+PauseMost(Fleet& aFleet, std::uint64_t aSeed)
+{
+  PauseMembers(aFleet, 0, 80, aSeed);
+  aFleet.Run(100ms);
 }
 
 void
@@ -61,8 +54,7 @@
   // which do not answer.
   const auto pauseAndPublish = [](std::size_t aBytes) {
     return [aBytes](Fleet& aFleet, std::uint64_t aSeed) {
-      PauseMembers(aFleet, 0, 80, aSeed);
-      aFleet.Run(100ms);
+      PauseMost(aFleet, aSeed);
       aFleet.Publish(aBytes);
       aFleet.Run(4s);
     };
@@ -82,8 +74,7 @@
   // answer.
   const auto pauseAndPublish = [](std::size_t aBytes) {
     return [aBytes](Fleet& aFleet, std::uint64_t aSeed) {
-      PauseMembers(aFleet, 0, 80, aSeed);
-      aFleet.Run(100ms);
+      PauseMost(aFleet, aSeed);
       PublishStorm(aFleet, aBytes);
     };
   };
--- a/tests/dissemination/verdict_spread.cpp
+++ b/tests/dissemination/verdict_spread.cpp
@@ -1,5 +1,5 @@
 #include "fleet.hpp"
-#include "pause_members.hpp"
+#include "spread_scenarios.hpp"
 
 #include <doctest/doctest.h>
 
@@ -10,7 +10,6 @@
 
 /// A run of a quarantined request counts as late after this time.
 constexpr std::chrono::milliseconds kMaxVerdictDelay{ 3000 };
-constexpr std::uint64_t kSeeds = 20;
 
 int
 FirstRunning(const Fleet& aFleet, int aDomain)
@@ -27,32 +26,23 @@
 std::chrono::milliseconds
 LatestOfSeeds(int aPercentPaused, int aOriginDomain, int aRequests)
 {
-  std::vector<std::chrono::milliseconds> latest;
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    Fleet fleet{ { .m_seed = seed } };
-    fleet.Run(3s);
-    PauseMembers(fleet, 0, aPercentPaused, seed);
-    fleet.Run(100ms);
+  const auto quarantine = [&](Fleet& aFleet, std::uint64_t aSeed) {
+    PauseMembers(aFleet, 0, aPercentPaused, aSeed);
+    aFleet.Run(100ms);
     for (int i = 1; i <= aRequests; ++i) {
-      fleet.Quarantine(FirstRunning(fleet, aOriginDomain),
-                       static_cast<std::uint64_t>(i));
-      fleet.Run(200ms);
+      aFleet.Quarantine(FirstRunning(aFleet, aOriginDomain),
+                        static_cast<std::uint64_t>(i));
+      aFleet.Run(200ms);
     }
-    fleet.Run(5s);
-    latest.push_back(fleet.LatestVerdict());
-  }
-  std::sort(latest.begin(), latest.end());
-  MESSAGE(aPercentPaused,
-          "% paused, origin in domain ",
-          aOriginDomain,
-          ", ",
-          aRequests,
-          " requests: latest daemon, median ",
-          latest[latest.size() / 2].count(),
-          " ms, longest ",
-          latest.back().count(),
-          " ms");
-  return latest.back();
+    aFleet.Run(5s);
+  };
+  return LongestOfSeeds(
+    fmt::format("{}% paused, origin in domain {}, {} requests",
+                aPercentPaused,
+                aOriginDomain,
+                aRequests),
+    quarantine,
+    [](const Fleet& aFleet) { return aFleet.LatestVerdict(); });
 }
 
 }
