Log connections that close with data in them, and those open at exit

Neither the close of a connection nor the exit of a daemon said in which state connections were, so the hypotheses on lost answers could not be told apart. connection_closed and link_closed name state, cause and the bytes that the system still held (SIOCINQ, SIOCOUTQ); connections_at_exit counts callers' connections by state, and links. greengagehub_connections_closed_total counts all closes.

--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -5,6 +5,7 @@
 #include "greengagehub/calls/link_booking.hpp"
 #include "greengagehub/calls/route_table.hpp"
 #include "greengagehub/config/config_holder.hpp"
+#include "greengagehub/daemon/connection_log.hpp"
 #include "greengagehub/daemon/quarantine_service.hpp"
 #include "greengagehub/daemon/request_log.hpp"
 #include "greengagehub/daemon/resume_filter.hpp"
@@ -40,6 +41,7 @@
     const ConfigHolder& m_holder;
     Metrics& m_metrics;
     RequestLog& m_requestLog;
+    ConnectionLog& m_connectionLog;
     TrafficMeter& m_traffic;
     QuarantineService& m_quarantine;
     RolloutService& m_rollouts;
@@ -106,6 +108,8 @@
   /// leaving or has been replaced; for workers without heartbeats.
   void SetWorkerLeaving(bool aIsLeaving);
   void StopAcceptingRequests();
+  /// \brief Logs the connections that are open at the exit of the process.
+  void LogOpenConnections() const;
   /// \returns Whether answers wait for capacity on this machine's network link.
   [[nodiscard]] bool HasUnsentAnswers() const { return m_server.HasUnsent(); }
   /// \returns Connections whose current request is not answered completely.
--- a/include/greengagehub/daemon/daemon.hpp
+++ b/include/greengagehub/daemon/daemon.hpp
@@ -49,6 +49,7 @@
   Log m_log;
   RequestLog m_requestLog;
   Metrics m_metrics;
+  ConnectionLog m_connectionLog;
   asio::io_context m_loop{ 1 };
   std::uint64_t m_process;
   Random m_random;
--- a/include/greengagehub/http/http_server.hpp
+++ b/include/greengagehub/http/http_server.hpp
@@ -1,13 +1,16 @@
 #pragma once
 
+#include "greengagehub/core/clock.hpp"
 #include "greengagehub/core/link_pacer.hpp"
 #include "greengagehub/core/outcome.hpp"
 #include "greengagehub/http/http_message.hpp"
+#include "greengagehub/net/socket_queues.hpp"
 
 #include <asio/io_context.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <chrono>
 #include <functional>
+#include <string_view>
 
 namespace greengagehub {
 
@@ -57,6 +60,57 @@
   std::chrono::milliseconds m_handlerTimeout{ std::chrono::hours{ 24 } };
 };
 
+enum class HttpConnectionState : std::uint8_t
+{
+  Idle,
+  Receiving,
+  Handling,
+  Answering,
+  /// The last answer was sent; further input is discarded.
+  Lingering,
+};
+
+/// \returns The name used in logs and metrics, such as "handling".
+[[nodiscard]] std::string_view
+NameOf(HttpConnectionState aState) noexcept;
+
+enum class HttpCloseCause : std::uint8_t
+{
+  /// The client closed or reset the connection.
+  Peer,
+  WriteFailed,
+  TimedOut,
+  /// Finish() was called.
+  Finished,
+};
+
+/// \returns The name used in logs and metrics, such as "timed-out".
+[[nodiscard]] std::string_view
+NameOf(HttpCloseCause aCause) noexcept;
+
+/// \brief A connection at the moment of its close.
+struct HttpConnectionClose
+{
+  HttpConnectionState m_state{ HttpConnectionState::Idle };
+  HttpCloseCause m_cause{ HttpCloseCause::Peer };
+  SocketQueues m_queues{};
+  /// Requests that were read completely.
+  std::uint64_t m_requests{ 0 };
+  /// Time in the state.
+  Duration m_age{ 0 };
+};
+
+/// \brief The open connections of a server, counted by state.
+struct HttpConnectionCounts
+{
+  std::size_t m_idle{ 0 };
+  std::size_t m_receiving{ 0 };
+  std::size_t m_handling{ 0 };
+  std::size_t m_answering{ 0 };
+  std::size_t m_lingering{ 0 };
+  SocketQueues m_queues{};
+};
+
 /// \brief HTTP/1.1 server on the caller's event loop.
 ///
 /// The server keeps reading while a request is handled, to detect a client that
@@ -68,6 +122,7 @@
   using Handler = std::function<void(HttpRequest, HttpResponder)>;
   /// Called when a connection closes while its request is handled.
   using ClosedHandler = std::function<void(std::uint64_t aConnection)>;
+  using CloseObserver = std::function<void(const HttpConnectionClose&)>;
 
   HttpServer(asio::io_context& aLoop,
              HttpServerSettings aSettings,
@@ -84,6 +139,8 @@
   [[nodiscard]] Outcome<std::uint16_t> Open();
   /// \brief Counts and paces answers to clients on other instances.
   void UsePacer(LinkPacer& aPacer) noexcept;
+  /// \brief Reports the close of each connection.
+  void ObserveCloses(CloseObserver aObserver);
   /// \brief Changes the limits, also for open connections.
   void SetLimits(HttpServerLimits aLimits);
   /// \brief Stops accepting connections; each open one closes after its next
@@ -95,6 +152,7 @@
   void Finish();
   /// \returns Number of connections that receive, handle or answer a request.
   [[nodiscard]] std::size_t Busy() const noexcept;
+  [[nodiscard]] HttpConnectionCounts Counts() const;
 
 private:
   struct Impl;
--- /dev/null
+++ b/include/greengagehub/net/net.hpp
@@ -0,0 +1,6 @@
+#pragma once
+
+/// \file
+/// \brief Includes the headers of the net library.
+
+#include "greengagehub/net/socket_queues.hpp"
--- a/include/greengagehub/transport/link_connection.hpp
+++ b/include/greengagehub/transport/link_connection.hpp
@@ -2,6 +2,7 @@
 
 #include "greengagehub/core/clock.hpp"
 #include "greengagehub/core/link_pacer.hpp"
+#include "greengagehub/net/socket_queues.hpp"
 #include "greengagehub/transport/link_deflate.hpp"
 #include "greengagehub/transport/link_frame.hpp"
 #include "greengagehub/transport/traffic_meter.hpp"
@@ -14,9 +15,42 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace greengagehub {
 
+enum class LinkCloseCause : std::uint8_t
+{
+  /// The peer closed the connection.
+  Peer,
+  ReadFailed,
+  WriteFailed,
+  InvalidFrame,
+  /// Close() or Abort() was called.
+  Owner,
+};
+
+/// \returns The name used in logs, such as "write-failed".
+[[nodiscard]] std::string_view
+NameOf(LinkCloseCause aCause) noexcept;
+
+/// \brief A link at the moment of its close.
+struct LinkClose
+{
+  LinkCloseCause m_cause{ LinkCloseCause::Owner };
+  SocketQueues m_queues{};
+  /// Whether frames were queued that the socket had not accepted.
+  bool m_hadUnsentFrames{ false };
+};
+
+/// \brief The open links of one direction.
+struct LinkCounts
+{
+  std::size_t m_open{ 0 };
+  std::size_t m_withUnsentFrames{ 0 };
+  SocketQueues m_queues{};
+};
+
 /// \brief A TCP connection that carries frames in both directions.
 ///
 /// Pending reads keep the object alive until Close() or Abort(). The
@@ -48,6 +82,9 @@
     return m_isOpen && !(m_writeBuffer.empty() && m_encoded.empty() &&
                          m_largeFrames.empty());
   }
+  /// \returns The state at the close; valid once the connection is closed.
+  [[nodiscard]] const LinkClose& AtClose() const noexcept { return m_close; }
+  void AddTo(LinkCounts& aCounts) noexcept;
   [[nodiscard]] std::uint64_t BytesSent() const noexcept { return m_bytesSent; }
 
   /// Hello of the peer; valid once m_helloReceived is set.
@@ -83,7 +120,7 @@
   void OnPartWritten(std::size_t aSize);
   void Encode(const LinkFrame& aFrame);
   /// \param aIsOrderly whether bytes already written are still delivered.
-  void CloseSocket(bool aIsOrderly);
+  void CloseSocket(bool aIsOrderly, LinkCloseCause aCause);
   void ReportClosed();
 
   asio::ip::tcp::socket m_socket;
@@ -119,6 +156,7 @@
   asio::steady_timer m_partTimer;
   TimePoint m_lastReceived{};
   std::uint64_t m_bytesSent{ 0 };
+  LinkClose m_close{};
   bool m_isOpen{ true };
   bool m_isCloseReported{ false };
 };
--- a/include/greengagehub/transport/link_pool.hpp
+++ b/include/greengagehub/transport/link_pool.hpp
@@ -48,6 +48,9 @@
       m_onSent;
     /// A request was never written to a connection.
     std::function<void(std::uint64_t aAttempt)> m_onSendFailed;
+    /// An open connection was closed by either side; may be empty.
+    std::function<void(const std::string& aSlot, const LinkClose&)>
+      m_onClosed{};
   };
 
   LinkPool(asio::io_context& aLoop,
@@ -61,6 +64,7 @@
 
   /// \returns Number of links, open or not.
   [[nodiscard]] std::size_t Size() const noexcept { return m_links.size(); }
+  [[nodiscard]] LinkCounts Counts() const;
 
   /// \brief Sends, or queues the frame and connects if the link is not open.
   void Send(const std::string& aSlot,
--- a/include/greengagehub/transport/link_server.hpp
+++ b/include/greengagehub/transport/link_server.hpp
@@ -22,6 +22,8 @@
     std::function<void(std::uint64_t aProcess, std::uint64_t aEpoch)>
       m_onNewEpoch;
     std::function<void(LinkConnection&, LinkFrame)> m_onFrame;
+    /// May be empty.
+    std::function<void(const LinkConnection&)> m_onClosed{};
   };
 
   /// \param aPort TCP port to listen on; 0 picks a free port.
@@ -42,6 +44,7 @@
 
   /// \returns Whether any connection has queued frames.
   [[nodiscard]] bool HasUnsent() const;
+  [[nodiscard]] LinkCounts Counts() const;
   /// \brief Sets the pacer for connections accepted from now on.
   void UsePacer(LinkPacer& aPacer) noexcept { m_pacer = &aPacer; }
   /// \brief Sends to every connection whose hello was received.
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -108,6 +108,11 @@
            .m_onFrame =
              [this](LinkConnection& aConnection, LinkFrame aFrame) {
                OnServerFrame(aConnection, std::move(aFrame));
+             },
+           .m_onClosed =
+             [this](const LinkConnection& aConnection) {
+               m_deps.m_connectionLog.OnLinkClosed(
+                 "in", aConnection.m_peer.m_slot, aConnection.AtClose());
              } };
 }
 
@@ -140,6 +145,10 @@
   handlers.m_onSendFailed = [this](std::uint64_t aAttempt) {
     Execute(m_dispatcher.OnSendFailed(Clock::now(), aAttempt));
   };
+  handlers.m_onClosed = [this](const std::string& aSlot,
+                               const LinkClose& aClose) {
+    m_deps.m_connectionLog.OnLinkClosed("out", aSlot, aClose);
+  };
   return handlers;
 }
 
@@ -161,6 +170,9 @@
   m_server.UsePacer(m_pacer);
   m_pool.UsePacer(m_pacer);
   m_http.UsePacer(m_pacer);
+  m_http.ObserveCloses([this](const HttpConnectionClose& aClose) {
+    m_deps.m_connectionLog.OnClosed(aClose);
+  });
   m_dispatcher.Routing().m_ownSlot = m_deps.m_settings.m_slot;
   m_dispatcher.SetDecisions(m_deps.m_settings.m_runs.m_decisions);
   m_dispatcher.SetQuarantine(m_deps.m_quarantine.Table());
@@ -375,4 +387,11 @@
   m_http.Finish();
 }
 
+void
+CallGateway::LogOpenConnections() const
+{
+  m_deps.m_connectionLog.OnExit(
+    m_http.Counts(), m_server.Counts(), m_pool.Counts());
+}
+
 }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -77,6 +77,7 @@
   , m_settings(std::move(aSettings))
   , m_log(MakeLog(m_settings))
   , m_requestLog(m_log)
+  , m_connectionLog(m_log, m_metrics)
   , m_process(ProcessNumber())
   , m_random(std::random_device{}())
   , m_control(
@@ -97,6 +98,7 @@
               .m_holder = m_control.Holder(),
               .m_metrics = m_metrics,
               .m_requestLog = m_requestLog,
+              .m_connectionLog = m_connectionLog,
               .m_traffic = m_traffic,
               .m_quarantine = m_control.GetQuarantine(),
               .m_rollouts = m_control.GetRollouts(),
@@ -442,6 +444,7 @@
 {
   m_exitCode = aClean ? 0 : kFailureExitCode;
   m_log.Info("daemon", "drain_ended", { { "clean", aClean } });
+  m_calls.LogOpenConnections();
   m_nextTrafficLog = TimePoint{};
   LogTrafficWhenDue(Clock::now());
   m_log.Flush();
--- a/src/http/http_connection.hpp
+++ b/src/http/http_connection.hpp
@@ -51,6 +51,7 @@
   LinkPacer* m_pacer{ nullptr };
   Handler m_handler;
   ClosedHandler m_closed;
+  CloseObserver m_closeObserver;
   asio::ip::tcp::acceptor m_acceptor;
   asio::steady_timer m_timeoutTimer;
   std::map<std::uint64_t, Pointer> m_connections;
@@ -67,6 +68,8 @@
                                         boost::thread_unsafe_counter>
 {
 public:
+  using State = HttpConnectionState;
+
   Connection(Impl& aServer, asio::ip::tcp::socket aSocket, std::uint64_t aId)
     : m_server(&aServer)
     , m_socket(std::move(aSocket))
@@ -100,8 +103,10 @@
     const auto age = aNow - m_stateSince;
     switch (m_state) {
       case State::Idle:
-        if (m_closesAfterAnswer || age > limits.m_idleTimeout) {
-          Close();
+        if (m_closesAfterAnswer) {
+          Close(HttpCloseCause::Finished);
+        } else if (age > limits.m_idleTimeout) {
+          Close(HttpCloseCause::TimedOut);
         }
         return;
       case State::Receiving:
@@ -110,22 +115,22 @@
           constexpr std::uint16_t kRequestTimeout = 408;
           Refuse(kRequestTimeout);
         } else if (age > limits.m_headTimeout + limits.m_idleTimeout) {
-          Close();
+          Close(HttpCloseCause::TimedOut);
         }
         return;
       case State::Handling:
         if (age > m_server->m_settings.m_handlerTimeout) {
-          Close();
+          Close(HttpCloseCause::TimedOut);
         }
         return;
       case State::Answering:
         if (age > kHttpWriteTimeout) {
-          Close();
+          Close(HttpCloseCause::TimedOut);
         }
         return;
       case State::Lingering:
         if (age > kHttpLingerTime) {
-          Close();
+          Close(HttpCloseCause::TimedOut);
         }
         return;
     }
@@ -137,6 +142,9 @@
            m_state == State::Answering;
   }
 
+  [[nodiscard]] State GetState() const noexcept { return m_state; }
+  [[nodiscard]] SocketQueues Queues() noexcept { return QueuesOf(m_socket); }
+
   /// Closes the connection after the current request, or at the next timeout
   /// check if it is idle and no unread request has arrived by then.
   void Finish() { m_closesAfterAnswer = true; }
@@ -154,16 +162,6 @@
   }
 
 private:
-  enum class State : std::uint8_t
-  {
-    Idle,
-    Receiving,
-    Handling,
-    Answering,
-    /// The last answer was sent; further input is discarded.
-    Lingering,
-  };
-
   void SetState(State aState)
   {
     m_state = aState;
@@ -185,7 +183,7 @@
           return;
         }
         if (aError) {
-          self->Close();
+          self->Close(HttpCloseCause::Peer);
           return;
         }
         self->OnBytes({ self->m_buffer.data(), aSize });
@@ -305,7 +303,7 @@
                        return;
                      }
                      if (aError) {
-                       self->Close();
+                       self->Close(HttpCloseCause::WriteFailed);
                        return;
                      }
                      self->OnWritten();
@@ -329,12 +327,19 @@
     }
   }
 
-  void Close()
+  void Close(HttpCloseCause aCause)
   {
     if (m_server == nullptr) {
       return;
     }
     Impl& server = *m_server;
+    if (server.m_closeObserver) {
+      server.m_closeObserver({ m_state,
+                               aCause,
+                               QueuesOf(m_socket),
+                               m_requests,
+                               Clock::now() - m_stateSince });
+    }
     const bool wasHandling = m_state == State::Handling;
     const Pointer self{ this };
     Detach();
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -15,6 +15,40 @@
 
 }
 
+std::string_view
+NameOf(HttpConnectionState aState) noexcept
+{
+  switch (aState) {
+    case HttpConnectionState::Idle:
+      return "idle";
+    case HttpConnectionState::Receiving:
+      return "receiving";
+    case HttpConnectionState::Handling:
+      return "handling";
+    case HttpConnectionState::Answering:
+      return "answering";
+    case HttpConnectionState::Lingering:
+      return "lingering";
+  }
+  return "idle";
+}
+
+std::string_view
+NameOf(HttpCloseCause aCause) noexcept
+{
+  switch (aCause) {
+    case HttpCloseCause::Peer:
+      return "peer";
+    case HttpCloseCause::WriteFailed:
+      return "write-failed";
+    case HttpCloseCause::TimedOut:
+      return "timed-out";
+    case HttpCloseCause::Finished:
+      return "finished";
+  }
+  return "peer";
+}
+
 void
 HttpServer::Impl::Accept()
 {
@@ -131,6 +165,12 @@
   m_impl->m_pacer = &aPacer;
 }
 
+void
+HttpServer::ObserveCloses(CloseObserver aObserver)
+{
+  m_impl->m_closeObserver = std::move(aObserver);
+}
+
 void
 HttpServer::SetLimits(HttpServerLimits aLimits)
 {
@@ -157,6 +197,33 @@
     std::ranges::count_if(m_impl->m_connections, isBusy));
 }
 
+HttpConnectionCounts
+HttpServer::Counts() const
+{
+  HttpConnectionCounts counts;
+  for (const auto& [id, connection] : m_impl->m_connections) {
+    switch (connection->GetState()) {
+      case HttpConnectionState::Idle:
+        ++counts.m_idle;
+        break;
+      case HttpConnectionState::Receiving:
+        ++counts.m_receiving;
+        break;
+      case HttpConnectionState::Handling:
+        ++counts.m_handling;
+        break;
+      case HttpConnectionState::Answering:
+        ++counts.m_answering;
+        break;
+      case HttpConnectionState::Lingering:
+        ++counts.m_lingering;
+        break;
+    }
+    counts.m_queues += connection->Queues();
+  }
+  return counts;
+}
+
 void
 HttpServer::StopAccepting()
 {
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -44,6 +44,11 @@
       .Help("Requests sent to the own worker, health checks included")
       .Register(m_registry)
       .Add({});
+  prometheus::Family<prometheus::Counter>& m_closedConnections =
+    prometheus::BuildCounter()
+      .Name("greengagehub_connections_closed_total")
+      .Help("Closed connections of callers, by state and cause")
+      .Register(m_registry);
   prometheus::Family<prometheus::Counter>& m_rejectedReports =
     prometheus::BuildCounter()
       .Name("greengagehub_refused_reports_total")
@@ -107,6 +112,15 @@
   m_impl->m_workerRequests.Increment();
 }
 
+void
+Metrics::CountClosedConnection(std::string_view aState, std::string_view aCause)
+{
+  m_impl->m_closedConnections
+    .Add({ { "state", std::string{ aState } },
+           { "cause", std::string{ aCause } } })
+    .Increment();
+}
+
 void
 Metrics::CountRejectedReport(std::string_view aReason)
 {
--- a/src/transport/link_connection.cpp
+++ b/src/transport/link_connection.cpp
@@ -33,6 +33,24 @@
 
 }
 
+std::string_view
+NameOf(LinkCloseCause aCause) noexcept
+{
+  switch (aCause) {
+    case LinkCloseCause::Peer:
+      return "peer";
+    case LinkCloseCause::ReadFailed:
+      return "read-failed";
+    case LinkCloseCause::WriteFailed:
+      return "write-failed";
+    case LinkCloseCause::InvalidFrame:
+      return "invalid-frame";
+    case LinkCloseCause::Owner:
+      return "owner";
+  }
+  return "owner";
+}
+
 LinkConnection::LinkConnection(asio::ip::tcp::socket aSocket,
                                TrafficMeter& aMeter,
                                LinkPacer* aPacer)
@@ -78,7 +96,10 @@
     [self = Pointer{ this }](const asio::error_code& aError,
                              std::size_t aSize) {
       if (aError) {
-        self->Close();
+        self->CloseSocket(true,
+                          aError == asio::error::eof
+                            ? LinkCloseCause::Peer
+                            : LinkCloseCause::ReadFailed);
         return;
       }
       self->m_unparsedBytes += aSize;
@@ -95,7 +116,7 @@
   while (m_isOpen && received.size() - at >= kFrameLengthBytes) {
     const std::size_t length = FrameLength(received.data() + at);
     if (length > kMaxFrameBytes) {
-      Close();
+      CloseSocket(true, LinkCloseCause::InvalidFrame);
       return;
     }
     if (received.size() - at - kFrameLengthBytes < length) {
@@ -108,7 +129,7 @@
                              m_inflater.get());
     if (!frame) {
       // The start of the next frame is unknown after an invalid frame.
-      Close();
+      CloseSocket(true, LinkCloseCause::InvalidFrame);
       return;
     }
     at += kFrameLengthBytes + length;
@@ -216,7 +237,7 @@
                       self->m_bytesSent += aWritten;
                       if (aError) {
                         self->m_writeBuffer.clear();
-                        self->Close();
+                        self->CloseSocket(true, LinkCloseCause::WriteFailed);
                         return;
                       }
                       self->OnPartWritten(aWritten);
@@ -251,26 +272,38 @@
   }
 }
 
+void
+LinkConnection::AddTo(LinkCounts& aCounts) noexcept
+{
+  if (!m_isOpen) {
+    return;
+  }
+  ++aCounts.m_open;
+  aCounts.m_withUnsentFrames += HasUnsent() ? 1 : 0;
+  aCounts.m_queues += QueuesOf(m_socket);
+}
+
 void
 LinkConnection::Abort()
 {
   asio::error_code ignored;
   m_socket.set_option(asio::socket_base::linger{ true, 0 }, ignored);
-  CloseSocket(false);
+  CloseSocket(false, LinkCloseCause::Owner);
 }
 
 void
 LinkConnection::Close()
 {
-  CloseSocket(true);
+  CloseSocket(true, LinkCloseCause::Owner);
 }
 
 void
-LinkConnection::CloseSocket(bool aIsOrderly)
+LinkConnection::CloseSocket(bool aIsOrderly, LinkCloseCause aCause)
 {
   if (!m_isOpen) {
     return;
   }
+  m_close = { aCause, QueuesOf(m_socket), HasUnsent() };
   m_isOpen = false;
   m_turnTimer.cancel();
   m_partTimer.cancel();
--- a/src/transport/link_pool.cpp
+++ b/src/transport/link_pool.cpp
@@ -41,6 +41,18 @@
 
 LinkPool::~LinkPool() = default;
 
+LinkCounts
+LinkPool::Counts() const
+{
+  LinkCounts counts;
+  for (const auto& [slot, link] : m_links) {
+    if (link->m_connection) {
+      link->m_connection->AddTo(counts);
+    }
+  }
+  return counts;
+}
+
 void
 LinkPool::Write(Link& aLink, const LinkFrame& aFrame)
 {
@@ -226,6 +238,9 @@
   if (aLink->m_connection.get() != &aConnection) {
     return;
   }
+  if (m_handlers.m_onClosed) {
+    m_handlers.m_onClosed(aLink->m_slot, aConnection.AtClose());
+  }
   aLink->m_connection.reset();
   const bool wasReady = aLink->m_isReady;
   aLink->m_isReady = false;
--- a/src/transport/link_server.cpp
+++ b/src/transport/link_server.cpp
@@ -53,6 +53,9 @@
             OnFrame(aConnection, std::move(aFrame));
           },
           [this](LinkConnection& aConnection) {
+            if (m_handlers.m_onClosed) {
+              m_handlers.m_onClosed(aConnection);
+            }
             const auto current =
               m_currentByProcess.find(aConnection.m_peer.m_process);
             if (current != m_currentByProcess.end() &&
@@ -117,6 +120,16 @@
                      [](const auto& aEach) { return aEach->HasUnsent(); });
 }
 
+LinkCounts
+LinkServer::Counts() const
+{
+  LinkCounts counts;
+  for (const auto& each : m_connections) {
+    each->AddTo(counts);
+  }
+  return counts;
+}
+
 void
 LinkServer::Broadcast(const LinkFrame& aFrame)
 {
