Failing tests: requests and answers cut by the stop of a daemon

What callers see: a connection that is reset under a request, or an answer of a worker that does not arrive, while a daemon stops.

--- /dev/null
+++ b/tests/end_to_end/stops.cpp
@@ -0,0 +1,203 @@
+#include "platform_fleet.hpp"
+
+#include "greengagehub/transport/link_connection.hpp"
+#include "testkit/kept_connections.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+using namespace greengagehub;
+using namespace greengagehub::testkit;
+using namespace std::chrono_literals;
+using asio::ip::tcp;
+
+namespace {
+
+/// A request that has crossed the close of its connection was sent this long
+/// before it at most.
+constexpr auto kCrossingTime = 200ms;
+
+std::uint16_t
+PortOf(const std::string& aUrl)
+{
+  return static_cast<std::uint16_t>(
+    std::stoi(aUrl.substr(aUrl.rfind(':') + 1)));
+}
+
+/// \returns The port that the daemon has logged.
+std::uint16_t
+LinkPortOf(const Process& aDaemon)
+{
+  constexpr std::string_view kField = "\"link_port\":";
+  const std::string log = aDaemon.Log();
+  const std::size_t at = log.find(kField);
+  REQUIRE(at != std::string::npos);
+  return static_cast<std::uint16_t>(std::stoi(log.substr(at + kField.size())));
+}
+
+KeptConnectionsPlan
+LoadOn(const Fleet& aFleet, const std::string& aSlot)
+{
+  return { .m_port = PortOf(aFleet.CallsUrl(aSlot)),
+           .m_target = "/status/1",
+           .m_headers = { { "Host", "a.example" },
+                          { "X-Greengagehub-Deadline-Ms", "1500" } },
+           .m_prefix = aSlot + "-" };
+}
+
+/// Number of runs of each request, over all workers.
+std::map<std::string, std::uint32_t>
+AllWorkerRuns(const Fleet& aFleet)
+{
+  std::map<std::string, std::uint32_t> runs;
+  for (const std::string& each : aFleet.Slots()) {
+    const Json counts = aFleet.WorkerCounts(each);
+    for (const auto& [id, count] : counts["runs"].items()) {
+      runs[id] += count.get<std::uint32_t>();
+    }
+  }
+  return runs;
+}
+
+/// \returns The requests without a whole answer that had run, or that had been
+/// sent before their connection's close could cross them.
+std::vector<std::string>
+LostRequests(const Fleet& aFleet, const std::vector<KeptRequest>& aRequests)
+{
+  const auto runs = AllWorkerRuns(aFleet);
+  std::vector<std::string> lost;
+  for (const KeptRequest& each : aRequests) {
+    const bool hasRun = runs.contains(each.m_id);
+    if (!each.IsAnswered() && (hasRun || each.Time() > kCrossingTime)) {
+      lost.push_back(fmt::format(
+        "{}: {} after {} ms, {} bytes, {}",
+        each.m_id,
+        each.m_wasReset ? "reset" : "closed",
+        std::chrono::duration_cast<std::chrono::milliseconds>(each.Time())
+          .count(),
+        each.m_receivedBytes,
+        hasRun ? "had run" : "had not run"));
+    }
+  }
+  return lost;
+}
+
+void
+CheckNoneLost(const Fleet& aFleet, const std::vector<KeptRequest>& aRequests)
+{
+  const auto lost = LostRequests(aFleet, aRequests);
+  for (const std::string& each : lost) {
+    MESSAGE(each);
+  }
+  CHECK(lost.empty());
+  CHECK(aRequests.size() > 100);
+}
+
+}
+
+TEST_CASE("stops in series lose no request of a kept connection")
+{
+  // Guards against connections that are reset under requests, or under answers
+  // on their way, by daemons that stop while others stop and reload.
+  Fleet fleet;
+  StartLockers(fleet, 4, 20);
+  std::vector<std::unique_ptr<KeptConnections>> loads;
+  for (const std::string& each : fleet.Slots()) {
+    loads.push_back(std::make_unique<KeptConnections>(LoadOn(fleet, each)));
+  }
+  for (const std::string& each : fleet.Slots()) {
+    const std::size_t before = loads.front()->Answered();
+    REQUIRE(
+      WaitUntil([&] { return loads.front()->Answered() > before + 100; }));
+    fleet.Daemon(each).Signal(SIGTERM);
+    for (const std::string& other : fleet.Slots()) {
+      fleet.Daemon(other).Signal(SIGHUP);
+    }
+  }
+  for (const std::string& each : fleet.Slots()) {
+    CHECK(fleet.Daemon(each).Wait() == 0);
+    fleet.Restart(each);
+  }
+  std::vector<KeptRequest> requests;
+  for (const auto& each : loads) {
+    const auto ended = each->Stop();
+    requests.insert(requests.end(), ended.begin(), ended.end());
+  }
+  CheckNoneLost(fleet, requests);
+}
+
+TEST_CASE("requests that wait when a drain ends are answered")
+{
+  // Guards against connections that are accepted in the last pass of the loop
+  // and then end with the process.
+  Fleet fleet;
+  StartLockers(fleet, 2);
+  const std::uint16_t port = PortOf(fleet.CallsUrl("lockers-1"));
+  Process& daemon = fleet.Daemon("lockers-1");
+  daemon.Signal(SIGTERM);
+  const TimePoint stoppedAt = Clock::now();
+  // Requests are accepted for 2.9 s.
+  while (Clock::now() - stoppedAt < 2600ms) {
+    static_cast<void>(SendRequest(fleet, "lockers-1", "GET", "/status/1", "x"));
+  }
+  daemon.Signal(SIGSTOP);
+  asio::io_context loop;
+  std::vector<tcp::socket> clients;
+  constexpr int kClients = 40;
+  for (int i = 0; i < kClients; ++i) {
+    clients.emplace_back(loop);
+    clients.back().connect({ asio::ip::address_v4::loopback(), port });
+    asio::write(
+      clients.back(),
+      asio::buffer(fmt::format("GET /status/1 HTTP/1.1\r\nHost: a.example\r\n"
+                               "X-Greengagehub-Request-Id: w{}\r\n"
+                               "X-Greengagehub-Deadline-Ms: 1500\r\n\r\n",
+                               i)));
+  }
+  REQUIRE(WaitUntil([&] { return Clock::now() - stoppedAt > 3100ms; }));
+  daemon.Signal(SIGCONT);
+  int answered = 0;
+  for (tcp::socket& each : clients) {
+    std::string received;
+    std::array<char, 4096> buffer{};
+    asio::error_code error;
+    while (!error) {
+      received.append(buffer.data(),
+                      each.read_some(asio::buffer(buffer), error));
+    }
+    answered += received.starts_with("HTTP/1.1 ") ? 1 : 0;
+  }
+  CHECK(answered == kClients);
+  CHECK(daemon.Wait() == 0);
+}
+
+TEST_CASE("a daemon that exits does not reset links under frames")
+{
+  // Guards against answers that another daemon loses because frames of its own
+  // were still unread when the process ended.
+  Fleet fleet;
+  StartLockers(fleet, 1);
+  const std::uint16_t port = LinkPortOf(fleet.Daemon("lockers-1"));
+  asio::io_context loop;
+  tcp::socket socket{ loop };
+  socket.connect({ asio::ip::address_v4::loopback(), port });
+  TrafficMeter meter;
+  const LinkConnection::Pointer link{ new LinkConnection{ std::move(socket),
+                                                          meter } };
+  bool isClosed = false;
+  link->Start([](LinkConnection&, const LinkFrame&) {},
+              [&](LinkConnection&) { isClosed = true; });
+  link->Send(LinkHello{ "caller-1", 1, 1, "solna" });
+  fleet.Daemon("lockers-1").Signal(SIGTERM);
+  std::uint64_t number = 0;
+  while (!isClosed) {
+    link->Send(LinkPing{ ++number });
+    loop.run_one_for(100us);
+  }
+  CHECK(link->AtClose().m_cause == LinkCloseCause::Peer);
+  CHECK(fleet.Daemon("lockers-1").Wait() == 0);
+}
--- a/tests/http/http_server.cpp
+++ b/tests/http/http_server.cpp
@@ -192,6 +192,37 @@
   }
 }
 
+// Guards against a drain that closes a connection as idle although a request
+// has arrived.
+TEST_CASE("a finishing server reads what has arrived before it closes")
+{
+  TestConnection client;
+  asio::steady_timer arrival{ client.m_loop, Clock::now() };
+  arrival.async_wait([&](const asio::error_code&) { client.Send(kGet); });
+  client.m_server.Finish();
+  // By then the check of idle connections is due, and follows the arrival in
+  // the same pass of the loop.
+  asio::steady_timer{ client.m_loop, 500ms }.wait();
+  REQUIRE(client.RunUntil(
+    [&] { return client.m_requests.size() == 1 || client.m_closed; }));
+  REQUIRE(client.m_requests.size() == 1);
+  client.m_responders[0].Answer({ 200, {}, "whole" });
+  CHECK(client.RunUntil([&] { return client.m_closed; }));
+  CHECK(client.m_received.ends_with("whole"));
+}
+
+// Guards against a drain that ends while requests wait in connections that were
+// just accepted.
+TEST_CASE("a finishing server counts connections that it has not read yet")
+{
+  TestConnection client;
+  tcp::socket waiting{ client.m_loop };
+  waiting.connect({ asio::ip::address_v4::loopback(), client.m_server.Port() });
+  asio::write(waiting, asio::buffer(kGet));
+  client.m_server.Finish();
+  CHECK(client.m_server.Busy() == 1);
+}
+
 // Guards against use of a server after its destruction.
 TEST_CASE("a timeout check that is due does not outlive the server")
 {
--- a/tests/transport/link_connection.cpp
+++ b/tests/transport/link_connection.cpp
@@ -147,3 +147,17 @@
   CHECK(pair.m_pacer.ReservedBytes() >= 300'000);
   CHECK(pair.m_pacer.ReservedBytes() <= 300'000 + LinkPacer::kPartBytes);
 }
+
+// Guards against answers that arrived before a reset and are thrown away
+// because a write fails first.
+TEST_CASE("frames that arrived are delivered although a write fails")
+{
+  ConnectionPair pair;
+  // The answer and the reset are in the receiver's socket before it reads.
+  pair.m_sender->Send(MakeAnswer(1, 1'000));
+  pair.m_sender->Abort();
+  pair.m_receiver->Send(LinkPing{ 1 });
+  pair.m_loop.run();
+  REQUIRE(pair.m_received.size() == 1);
+  CHECK(pair.m_received.front().m_call == 1);
+}
