Finish HTTP connections only after reading what has arrived

What callers saw: a request on a kept connection, or on one just opened, whose connection was reset while the daemon stopped.

Cause: the timeout check closed a connection that looked idle in user space, with the request in the system's buffer or in a read that had completed; and connections accepted by Finish() did not count as busy, so that the drain could end over them.

Change: an idle connection ends by shutting down its output, in a handler posted behind completed reads, and only when nothing is unread; the client closes last. This holds for idle timeouts too. While the server finishes, every connection whose output has not ended counts as busy, and the check runs each 50 ms.

The second test checked for exactly one busy connection; idle ones count now until they have ended, so it checks instead that the server is busy until the request reaches the handler and is answered, which is stricter.

Why it holds: after the shutdown no answer is owed to bytes that were not in the socket before it; those have crossed the close.

--- a/include/greengagehub/http/http_server.hpp
+++ b/include/greengagehub/http/http_server.hpp
@@ -146,11 +146,12 @@
   /// \brief Stops accepting connections; each open one closes after its next
   /// answer.
   void StopAccepting();
-  /// \brief Stops accepting connections and closes the open ones: idle ones at
-  /// the next timeout check, busy ones after the answer to their current
-  /// request.
+  /// \brief Stops accepting connections and closes the open ones: idle ones
+  /// once everything that has arrived is read, busy ones after the answer to
+  /// their current request. The client closes last.
   void Finish();
-  /// \returns Number of connections that receive, handle or answer a request.
+  /// \returns Number of connections that receive, handle or answer a request;
+  /// after Finish(), of those whose output has not ended.
   [[nodiscard]] std::size_t Busy() const noexcept;
   [[nodiscard]] HttpConnectionCounts Counts() const;
 
--- a/src/http/http_connection.hpp
+++ b/src/http/http_connection.hpp
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <boost/intrusive_ptr.hpp>
@@ -19,8 +20,9 @@
 inline constexpr std::size_t kHttpReadBytes = 8UL * 1024;
 /// Limit of pipelined bytes buffered per connection.
 inline constexpr std::size_t kMaxHttpReadAhead = 64UL * 1024;
-/// Time to read and discard input after the last answer: closing with unread
-/// bytes would reset the connection, and the client could lose the answer.
+/// Time for the client to close after the end of the output; further input is
+/// discarded. Closing with unread bytes would reset the connection, and the
+/// client could lose the answer.
 inline constexpr auto kHttpLingerTime = std::chrono::milliseconds{ 1000 };
 inline constexpr auto kHttpWriteTimeout = std::chrono::seconds{ 60 };
 
@@ -58,6 +60,7 @@
   std::uint64_t m_lastConnection{ 0 };
   std::uint16_t m_port{ 0 };
   bool m_isStopped{ false };
+  bool m_isFinishing{ false };
   /// Set by the destructor of the server; a cancelled operation that had
   /// completed before still calls its handler without an error.
   bool m_isDestroyed{ false };
@@ -103,10 +106,11 @@
     const auto age = aNow - m_stateSince;
     switch (m_state) {
       case State::Idle:
-        if (m_closesAfterAnswer) {
-          Close(HttpCloseCause::Finished);
-        } else if (age > limits.m_idleTimeout) {
-          Close(HttpCloseCause::TimedOut);
+        if (m_closesAfterAnswer || age > limits.m_idleTimeout) {
+          m_closesAfterAnswer = true;
+          // Posted behind reads that have completed.
+          asio::post(m_socket.get_executor(),
+                     [self = Pointer{ this }] { self->EndIfIdle(); });
         }
         return;
       case State::Receiving:
@@ -130,7 +134,7 @@
         return;
       case State::Lingering:
         if (age > kHttpLingerTime) {
-          Close(HttpCloseCause::TimedOut);
+          Close(HttpCloseCause::Finished);
         }
         return;
     }
@@ -138,15 +142,16 @@
 
   [[nodiscard]] bool IsBusy() const noexcept
   {
-    return m_state == State::Receiving || m_state == State::Handling ||
-           m_state == State::Answering;
+    // What has arrived on an idle connection is not known until it is ended.
+    return m_state == State::Idle ? m_server->m_isFinishing
+                                  : m_state != State::Lingering;
   }
 
   [[nodiscard]] State GetState() const noexcept { return m_state; }
   [[nodiscard]] SocketQueues Queues() noexcept { return QueuesOf(m_socket); }
 
-  /// Closes the connection after the current request, or at the next timeout
-  /// check if it is idle and no unread request has arrived by then.
+  /// Closes the connection after the current request, or at a timeout check
+  /// when it is idle and nothing that has arrived is unread.
   void Finish() { m_closesAfterAnswer = true; }
 
   void Answer(std::uint64_t aRequest,
@@ -310,14 +315,28 @@
                    });
   }
 
+  void EndIfIdle()
+  {
+    if (m_server == nullptr || m_state != State::Idle ||
+        QueuesOf(m_socket).m_unreadBytes > 0) {
+      return;
+    }
+    EndOutput();
+  }
+
+  void EndOutput()
+  {
+    asio::error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    SetState(State::Lingering);
+    m_unparsed.clear();
+    Read();
+  }
+
   void OnWritten()
   {
     if (m_closesAfterAnswer) {
-      asio::error_code ignored;
-      m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-      SetState(State::Lingering);
-      m_unparsed.clear();
-      Read();
+      EndOutput();
       return;
     }
     SetState(State::Idle);
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr auto kTimeoutCheckInterval = std::chrono::milliseconds{ 250 };
+/// While the server finishes, so that idle connections end soon.
+constexpr auto kFinishCheckInterval = std::chrono::milliseconds{ 50 };
 
 }
 
@@ -96,7 +98,8 @@
 void
 HttpServer::Impl::CheckTimeouts()
 {
-  m_timeoutTimer.expires_after(kTimeoutCheckInterval);
+  m_timeoutTimer.expires_after(m_isFinishing ? kFinishCheckInterval
+                                             : kTimeoutCheckInterval);
   m_timeoutTimer.async_wait(
     [self = ImplPointer{ this }](const asio::error_code& aError) {
       if (aError || self->m_isDestroyed) {
@@ -187,6 +190,8 @@
   for (const auto& [id, connection] : connections) {
     connection->Finish();
   }
+  m_impl->m_isFinishing = true;
+  m_impl->CheckTimeouts();
 }
 
 std::size_t
--- a/tests/http/http_server.cpp
+++ b/tests/http/http_server.cpp
@@ -220,7 +220,12 @@
   waiting.connect({ asio::ip::address_v4::loopback(), client.m_server.Port() });
   asio::write(waiting, asio::buffer(kGet));
   client.m_server.Finish();
-  CHECK(client.m_server.Busy() == 1);
+  REQUIRE(client.RunUntil([&] {
+    CHECK(client.m_server.Busy() > 0);
+    return client.m_requests.size() == 1;
+  }));
+  client.m_responders[0].Answer({ 200, {}, "whole" });
+  CHECK(client.RunUntil([&] { return client.m_server.Busy() == 0; }));
 }
 
 // Guards against use of a server after its destruction.
