Deliver the frames of a link that arrived before its write failed

What callers saw: an answer of a worker that is lost where the other daemon exits: the caller's daemon, writing on the link at that moment, gets an error and closes the socket with the answer unread; a safe call is then repeated or answered with 502 although its worker has answered.

Cause: LinkConnection closed on a failed write, without reading what had arrived.

Change: a failed write drops what is queued; the pending read delivers what arrived and closes.

Ruled out: that the reset itself takes the received bytes; they are still readable after it.

--- a/include/greengagehub/transport/link_connection.hpp
+++ b/include/greengagehub/transport/link_connection.hpp
@@ -93,7 +93,7 @@
   TimePoint m_openedAt{};
 
   void Start(FrameHandler aOnFrame, ClosedHandler aOnClosed);
-  /// \brief Queues a frame; does nothing after a close.
+  /// \brief Queues a frame; does nothing after a close or a failed write.
   void Send(LinkFrame aFrame);
   /// \brief Marks the peer as being in another failure domain: later frames
   /// are counted as cross-domain traffic and their heads are compressed.
@@ -118,6 +118,7 @@
   /// \brief Writes the next part of m_writeBuffer; all of it without a pacer.
   void WritePart();
   void OnPartWritten(std::size_t aSize);
+  void OnWriteFailed();
   void Encode(const LinkFrame& aFrame);
   /// \param aIsOrderly whether bytes already written are still delivered.
   void CloseSocket(bool aIsOrderly, LinkCloseCause aCause);
@@ -157,6 +158,7 @@
   TimePoint m_lastReceived{};
   std::uint64_t m_bytesSent{ 0 };
   LinkClose m_close{};
+  bool m_hasWriteFailed{ false };
   bool m_isOpen{ true };
   bool m_isCloseReported{ false };
 };
--- a/src/transport/link_connection.cpp
+++ b/src/transport/link_connection.cpp
@@ -160,7 +160,7 @@
 void
 LinkConnection::Send(LinkFrame aFrame)
 {
-  if (!m_isOpen) {
+  if (!m_isOpen || m_hasWriteFailed) {
     return;
   }
   const std::size_t bodySize = BodySizeOf(aFrame);
@@ -203,7 +203,7 @@
   m_turnTimer.async_wait(
     [self = Pointer{ this }](const asio::error_code& aError) {
       self->m_isLargeScheduled = false;
-      if (aError || !self->m_isOpen) {
+      if (aError || !self->m_isOpen || self->m_hasWriteFailed) {
         return;
       }
       self->EncodeLargeFrame();
@@ -236,14 +236,24 @@
                                              std::size_t aWritten) {
                       self->m_bytesSent += aWritten;
                       if (aError) {
-                        self->m_writeBuffer.clear();
-                        self->CloseSocket(true, LinkCloseCause::WriteFailed);
+                        self->OnWriteFailed();
                         return;
                       }
                       self->OnPartWritten(aWritten);
                     });
 }
 
+void
+LinkConnection::OnWriteFailed()
+{
+  // The pending read closes the connection after the frames that arrived.
+  m_hasWriteFailed = true;
+  m_turn = {};
+  m_writeBuffer.clear();
+  m_encoded.clear();
+  m_largeFrames.clear();
+}
+
 void
 LinkConnection::OnPartWritten(std::size_t aSize)
 {
@@ -303,7 +313,9 @@
   if (!m_isOpen) {
     return;
   }
-  m_close = { aCause, QueuesOf(m_socket), HasUnsent() };
+  m_close = { m_hasWriteFailed ? LinkCloseCause::WriteFailed : aCause,
+              QueuesOf(m_socket),
+              HasUnsent() };
   m_isOpen = false;
   m_turnTimer.cancel();
   m_partTimer.cancel();
