Refuse a link that is meant for another instance without touching others

What callers saw: a safe call whose link is lost while its worker runs it, repeated elsewhere or answered with 502, for up to 10 s after the address of a lost instance went to a new one. Beside a SIGTERM this is a request broken off while its worker is at work.

Cause: a link server knows a caller by its process only. A caller that still looks for the lost instance opens a link to its address every 0.2 s for 10 s; each has a newer epoch, so the successor closed the link that the same caller uses for calls to itself, and dropped requests of the older epoch.

Change: the caller's hello names the slot that it means (new field, empty from older versions); another instance answers with its own hello and keeps what it has. The caller stops looking once it has heard from another instance.

Ruled out: that the closes are of silent or idle links (cause owner, at the server, each right after a hello). What remains: callers of an older version still close links of their own.

--- a/include/greengagehub/transport/link_frame.hpp
+++ b/include/greengagehub/transport/link_frame.hpp
@@ -19,6 +19,9 @@
   std::uint64_t m_epoch{ 0 };
   /// Failure domain; heads are compressed between daemons of different domains.
   std::string m_domain{};
+  /// Slot that the caller means to reach: another instance may have its address
+  /// by now. Empty in answers and from daemons of older versions.
+  std::string m_callee{};
 };
 
 /// \brief Cancels an attempt that has not started. A started attempt continues
--- a/src/transport/link_codec.cpp
+++ b/src/transport/link_codec.cpp
@@ -135,6 +135,7 @@
     out.set_incarnation(aHello.m_process);
     out.set_epoch(aHello.m_epoch);
     out.set_domain(aHello.m_domain);
+    out.set_callee(aHello.m_callee);
   }
   void operator()(const CallRequest& aRequest) const
   {
@@ -386,7 +387,8 @@
       return LinkFrame{ LinkHello{ frame.hello().slot(),
                                    frame.hello().incarnation(),
                                    frame.hello().epoch(),
-                                   frame.hello().domain() } };
+                                   frame.hello().domain(),
+                                   frame.hello().callee() } };
     case wire::Frame::kRequest:
       return RequestFrom(frame.request(), body);
     case wire::Frame::kAnswer:
--- a/src/transport/link_pool.cpp
+++ b/src/transport/link_pool.cpp
@@ -176,6 +176,7 @@
     });
   LinkHello hello = m_self;
   hello.m_epoch = aEpoch;
+  hello.m_callee = aLink->m_slot;
   aLink->m_connection->Send(hello);
 }
 
@@ -197,6 +198,7 @@
     LinkConnection::Pointer otherInstance = std::move(aLink->m_connection);
     aLink->m_connection = nullptr;
     otherInstance->Close();
+    aLink->m_reconnectUntil.reset();
     OnConnectFailed(aLink, true);
     return;
   }
--- a/src/transport/link_server.cpp
+++ b/src/transport/link_server.cpp
@@ -72,6 +72,13 @@
 void
 LinkServer::OnHello(LinkConnection& aConnection, const LinkHello& aHello)
 {
+  LinkHello answer = m_self;
+  answer.m_epoch = aHello.m_epoch;
+  if (!aHello.m_callee.empty() && aHello.m_callee != m_self.m_slot) {
+    // The caller closes the connection when it learns who has the address.
+    aConnection.Send(answer);
+    return;
+  }
   const auto older = m_currentByProcess.find(aHello.m_process);
   if (older != m_currentByProcess.end()) {
     if (older->second->m_peer.m_epoch >= aHello.m_epoch) {
@@ -86,8 +93,6 @@
   m_currentByProcess[aHello.m_process] =
     LinkConnection::Pointer{ &aConnection };
   m_handlers.m_onNewEpoch(aHello.m_process, aHello.m_epoch);
-  LinkHello answer = m_self;
-  answer.m_epoch = aHello.m_epoch;
   aConnection.Send(answer);
   if (aHello.m_domain != m_self.m_domain) {
     aConnection.SetCrossesDomains();
--- a/tests/transport/link_pool.cpp
+++ b/tests/transport/link_pool.cpp
@@ -70,6 +70,55 @@
   CHECK(received == 0);
 }
 
+TEST_CASE("a link to a lost instance does not close the one to its successor")
+{
+  // Guards against calls that are broken off while their workers run them,
+  // because the caller still looks for the instance that had the address.
+  asio::io_context loop;
+  TrafficMeter traffic;
+  int epochs = 0;
+  LinkServer successor{
+    loop,
+    "127.0.0.1",
+    0,
+    LinkHello{ "new-instance", 2, 0 },
+    traffic,
+    { .m_onNewEpoch = [&](std::uint64_t, std::uint64_t) { ++epochs; },
+      .m_onFrame = [](LinkConnection&, const LinkFrame&) {} }
+  };
+  std::vector<std::string> connected;
+  std::vector<std::string> lostLinks;
+  std::vector<std::string> lostProcesses;
+  LinkPool::Handlers handlers = NoOpHandlers();
+  handlers.m_onConnected = [&](const std::string& aSlot, std::uint64_t) {
+    connected.push_back(aSlot);
+  };
+  handlers.m_onConnectionLost = [&](const std::string& aSlot) {
+    lostLinks.push_back(aSlot);
+  };
+  handlers.m_onProcessLost = [&](const std::string& aSlot) {
+    lostProcesses.push_back(aSlot);
+  };
+  LinkPool pool{
+    loop, LinkHello{ "caller", 1, 0 }, {}, traffic, std::move(handlers)
+  };
+  const MemberAddress address{ "127.0.0.1", 0, 0, successor.Port() };
+  const auto runUntil = [&](const auto& aCondition) {
+    while (!aCondition() && loop.run_one_for(std::chrono::seconds{ 10 }) > 0) {
+    }
+    return aCondition();
+  };
+  pool.Send("new-instance", address, CallRequest{ .m_call = 1 });
+  REQUIRE(runUntil([&] { return connected.size() == 1; }));
+  pool.Send("old-instance", address, CallRequest{ .m_call = 2 });
+  REQUIRE(runUntil([&] { return !lostProcesses.empty(); }));
+  while (loop.poll() > 0) {
+  }
+  CHECK(lostProcesses == std::vector<std::string>{ "old-instance" });
+  CHECK(lostLinks.empty());
+  CHECK(epochs == 1);
+}
+
 TEST_CASE("bytes queued on a silent link are discarded when it is closed")
 {
   // Guards against requests that are delivered after a network outage, when
