Stop in stages that end on what was observed after they began

What callers saw: requests reset without an answer when a daemon stops, and answers of workers that do not reach the other daemon.

Cause: the drain looked whether it was idle, then accepted what waited in the listen queue, and ended by the value from before; and the exit closed all sockets at once, which resets those with unread bytes. Links between daemons carry frames all the time.

Change: DrainSequence decides the stages without I/O (serving, leaving, closing, flushing, ended), one stage a call.

It takes the place of drain_phase: the same bounds on starting runs and accepting requests, now on the sequence.

Conclusion: both faults are mended by one rule. How long a stop takes was not measured for this commit.

--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -108,10 +108,15 @@
   /// leaving or has been replaced; for workers without heartbeats.
   void SetWorkerLeaving(bool aIsLeaving);
   void StopAcceptingRequests();
+  /// \brief Ends the output of all links; the other daemons close them.
+  void FinishLinks();
   /// \brief Logs the connections that are open at the exit of the process.
   void LogOpenConnections() const;
-  /// \returns Whether answers wait for capacity on this machine's network link.
-  [[nodiscard]] bool HasUnsentAnswers() const { return m_server.HasUnsent(); }
+  /// \returns Whether answers have not left for other daemons, or have not been
+  /// received by callers.
+  [[nodiscard]] bool HasUnsentAnswers() const;
+  /// \returns Whether a caller or another daemon is connected.
+  [[nodiscard]] bool HasOpenConnections() const;
   /// \returns Connections whose current request is not answered completely.
   [[nodiscard]] std::size_t UnansweredRequests() const noexcept
   {
--- a/include/greengagehub/daemon/daemon.hpp
+++ b/include/greengagehub/daemon/daemon.hpp
@@ -2,6 +2,7 @@
 
 #include "greengagehub/daemon/call_gateway.hpp"
 #include "greengagehub/daemon/control_plane.hpp"
+#include "greengagehub/daemon/drain_sequence.hpp"
 #include "greengagehub/daemon/operators_api.hpp"
 #include "greengagehub/daemon/platform_endpoints.hpp"
 #include "greengagehub/daemon/request_log.hpp"
@@ -31,11 +32,13 @@
   /// \brief Applies the settings that may change at run time.
   void Reload();
   void StartDrain();
-  void ContinueDrain(TimePoint aNow);
+  /// \brief Advances the drain, and again after a short time.
+  void ContinueDrain();
+  void BeginDrainStage(DrainStage aStage);
+  [[nodiscard]] DrainObservation ObserveDrain() const;
   void EndDrain(bool aClean);
   void DrainWorker();
   void ProbeWorkerWhenDue(TimePoint aNow);
-  [[nodiscard]] bool IsBusy() const;
   void LogListening();
   [[nodiscard]] Outcome<std::uint16_t> Open();
   void OnWorker(const WorkerPresence& aPresence);
@@ -70,10 +73,8 @@
   bool m_isWorkerDraining{ false };
   int m_workerProbes{ 0 };
   TimePoint m_nextProbe{};
-  bool m_hasStoppedAccepting{ false };
-  TimePoint m_drainStart{};
-  TimePoint m_drainDeadline{};
-  TimePoint m_idleSince{};
+  std::optional<DrainSequence> m_drain;
+  asio::steady_timer m_drainTimer;
   int m_exitCode{ 0 };
 };
 
--- a/include/greengagehub/http/http_server.hpp
+++ b/include/greengagehub/http/http_server.hpp
@@ -154,6 +154,8 @@
   /// after Finish(), of those whose output has not ended.
   [[nodiscard]] std::size_t Busy() const noexcept;
   [[nodiscard]] HttpConnectionCounts Counts() const;
+  /// \returns Number of connections that the client has not closed.
+  [[nodiscard]] std::size_t Connections() const noexcept;
 
 private:
   struct Impl;
--- a/include/greengagehub/transport/link_connection.hpp
+++ b/include/greengagehub/transport/link_connection.hpp
@@ -98,6 +98,10 @@
   /// \brief Marks the peer as being in another failure domain: later frames
   /// are counted as cross-domain traffic and their heads are compressed.
   void SetCrossesDomains();
+  /// \brief Ends the output after the queued frames. Frames are received until
+  /// the peer closes; a close now would reset the connection under frames that
+  /// arrive, and the peer could lose the last ones sent.
+  void Finish();
   /// \brief Closes; the system still delivers bytes already written.
   void Close();
   /// \brief Resets the connection and discards undelivered bytes, so that no
@@ -119,6 +123,7 @@
   void WritePart();
   void OnPartWritten(std::size_t aSize);
   void OnWriteFailed();
+  void EndOutput();
   void Encode(const LinkFrame& aFrame);
   /// \param aIsOrderly whether bytes already written are still delivered.
   void CloseSocket(bool aIsOrderly, LinkCloseCause aCause);
@@ -159,6 +164,8 @@
   std::uint64_t m_bytesSent{ 0 };
   LinkClose m_close{};
   bool m_hasWriteFailed{ false };
+  /// Finish() was called; the output ends once nothing is queued.
+  bool m_isFinishing{ false };
   bool m_isOpen{ true };
   bool m_isCloseReported{ false };
 };
--- a/include/greengagehub/transport/link_pool.hpp
+++ b/include/greengagehub/transport/link_pool.hpp
@@ -75,6 +75,9 @@
   void SendIfOpen(const std::string& aSlot, const LinkFrame& aFrame);
   /// \brief Sets the pacer for connections opened from now on.
   void UsePacer(LinkPacer& aPacer) noexcept { m_pacer = &aPacer; }
+  /// \brief Ends the output of all links after their queued frames; the peers
+  /// close them. Nothing is sent or opened afterwards.
+  void Finish();
   /// \brief Sends heartbeats, reconnects, and closes silent and idle links.
   /// Must be called periodically.
   void OnTick(TimePoint aNow);
@@ -105,6 +108,7 @@
   std::map<std::string, LinkPtr, std::less<>> m_links;
   std::uint64_t m_lastEpoch{ 0 };
   std::uint64_t m_lastPingNumber{ 0 };
+  bool m_isFinished{ false };
 };
 
 }
--- a/include/greengagehub/transport/link_server.hpp
+++ b/include/greengagehub/transport/link_server.hpp
@@ -50,6 +50,9 @@
   /// \brief Sends to every connection whose hello was received.
   void Broadcast(const LinkFrame& aFrame);
   void StopAccepting();
+  /// \brief Stops accepting and ends the output of all connections after their
+  /// queued frames; the peers close them.
+  void Finish();
   /// \brief Closes all connections; frames not yet read are dropped.
   void CloseAll();
 
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -387,6 +387,26 @@
   m_http.Finish();
 }
 
+void
+CallGateway::FinishLinks()
+{
+  m_server.Finish();
+  m_pool.Finish();
+}
+
+bool
+CallGateway::HasUnsentAnswers() const
+{
+  return m_server.HasUnsent() || m_http.Counts().m_queues.m_unsentBytes > 0;
+}
+
+bool
+CallGateway::HasOpenConnections() const
+{
+  return m_http.Connections() > 0 || m_server.Counts().m_open > 0 ||
+         m_pool.Counts().m_open > 0;
+}
+
 void
 CallGateway::LogOpenConnections() const
 {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,6 +1,5 @@
 #include "greengagehub/daemon/daemon.hpp"
 
-#include "greengagehub/daemon/drain_phase.hpp"
 #include "greengagehub/daemon/wall_clock.hpp"
 #include "platform/dialect.hpp"
 
@@ -18,8 +17,7 @@
 constexpr auto kLongPauseThreshold = std::chrono::milliseconds{ 1000 };
 constexpr int kFailureExitCode = 1;
 constexpr auto kTrafficLogInterval = std::chrono::seconds{ 10 };
-/// Part of the grace time that remains when an unfinished drain is aborted.
-constexpr auto kKillMargin = std::chrono::milliseconds{ 400 };
+constexpr auto kDrainInterval = std::chrono::milliseconds{ 20 };
 /// Limits of probes for the worker's id before its first heartbeat.
 constexpr int kMaxProbes = 3;
 constexpr auto kProbeInterval = std::chrono::milliseconds{ 500 };
@@ -126,6 +124,7 @@
   , m_tickTimer(m_loop)
   , m_spin(SpinSettings{ m_settings.m_calls.m_spin,
                          m_settings.m_calls.m_spinPercent })
+  , m_drainTimer(m_loop)
 {
 }
 
@@ -310,9 +309,6 @@
     m_wasReady = !m_wasReady;
     m_log.Info("daemon", m_wasReady ? "ready" : "not_ready");
   }
-  if (m_isDraining) {
-    ContinueDrain(now);
-  }
   m_tickTimer.expires_after(kTickInterval);
   m_tickTimer.async_wait([this](const asio::error_code& aError) {
     if (!aError) {
@@ -390,52 +386,61 @@
   m_isDraining = true;
   m_log.Info("daemon", "drain_started");
   m_control.GetWorkspaces().Resign();
-  m_drainStart = Clock::now();
-  m_drainDeadline = m_drainStart + m_settings.m_calls.m_drain;
-  if (m_settings.m_platform.m_enabled) {
-    m_drainDeadline =
-      m_drainStart + m_settings.m_platform.m_terminationGrace - kKillMargin;
-  }
-  if (!m_settings.m_platform.m_enabled) {
-    DrainWorker();
-  }
+  const CallSettings& calls = m_settings.m_calls;
+  m_drain.emplace(
+    Clock::now(),
+    m_settings.m_platform.m_enabled
+      ? PlatformDrainTimes(m_settings.m_platform.m_terminationGrace)
+      : OwnDrainTimes(calls.m_linger, calls.m_drain));
+  ContinueDrain();
 }
 
-bool
-Daemon::IsBusy() const
+DrainObservation
+Daemon::ObserveDrain() const
 {
-  return m_calls.Runs().Load() > 0 || m_calls.InFlight() > 0 ||
-         m_calls.UnansweredRequests() > 0 || m_calls.HasUnsentAnswers();
+  return { .m_hasWork = m_calls.Runs().Load() > 0 || m_calls.InFlight() > 0 ||
+                        m_calls.UnansweredRequests() > 0,
+           .m_hasUnsentAnswers = m_calls.HasUnsentAnswers(),
+           .m_hasOpenConnections = m_calls.HasOpenConnections() };
 }
 
 void
-Daemon::ContinueDrain(TimePoint aNow)
+Daemon::ContinueDrain()
 {
-  if (IsBusy()) {
-    m_idleSince = TimePoint{};
-  } else if (m_idleSince == TimePoint{}) {
-    m_idleSince = aNow;
+  const auto begun = m_drain->Advance(Clock::now(), ObserveDrain());
+  if (begun) {
+    BeginDrainStage(*begun);
   }
-  const bool isIdle = m_idleSince != TimePoint{};
-  const bool hasLingered =
-    isIdle && aNow - m_idleSince >= m_settings.m_calls.m_linger;
-  if (m_settings.m_platform.m_enabled) {
-    const DrainPhase phase = DrainPhaseAt(aNow - m_drainStart);
-    if (!phase.m_startsRuns) {
-      DrainWorker();
-    }
-    if (!m_hasStoppedAccepting && !phase.m_acceptsRequests) {
-      m_hasStoppedAccepting = true;
-      m_calls.StopAcceptingRequests();
-    }
-    if (m_hasStoppedAccepting && (isIdle || aNow >= m_drainDeadline)) {
-      EndDrain(isIdle);
-    }
+  if (m_drain->Stage() == DrainStage::Ended) {
     return;
   }
-  if (hasLingered || aNow >= m_drainDeadline) {
-    m_calls.StopAcceptingRequests();
-    EndDrain(hasLingered);
+  m_drainTimer.expires_after(kDrainInterval);
+  m_drainTimer.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      ContinueDrain();
+    }
+  });
+}
+
+void
+Daemon::BeginDrainStage(DrainStage aStage)
+{
+  m_log.Info("daemon", "drain_stage", { { "stage", NameOf(aStage) } });
+  switch (aStage) {
+    case DrainStage::Serving:
+      return;
+    case DrainStage::Leaving:
+      DrainWorker();
+      return;
+    case DrainStage::Closing:
+      m_calls.StopAcceptingRequests();
+      return;
+    case DrainStage::Flushing:
+      m_calls.FinishLinks();
+      return;
+    case DrainStage::Ended:
+      EndDrain(m_drain->IsClean());
+      return;
   }
 }
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -202,6 +202,12 @@
     std::ranges::count_if(m_impl->m_connections, isBusy));
 }
 
+std::size_t
+HttpServer::Connections() const noexcept
+{
+  return m_impl->m_connections.size();
+}
+
 HttpConnectionCounts
 HttpServer::Counts() const
 {
--- a/src/transport/link_connection.cpp
+++ b/src/transport/link_connection.cpp
@@ -160,7 +160,7 @@
 void
 LinkConnection::Send(LinkFrame aFrame)
 {
-  if (!m_isOpen || m_hasWriteFailed) {
+  if (!m_isOpen || m_hasWriteFailed || m_isFinishing) {
     return;
   }
   const std::size_t bodySize = BodySizeOf(aFrame);
@@ -179,6 +179,9 @@
 LinkConnection::Write()
 {
   if (m_encoded.empty()) {
+    if (m_isFinishing && m_largeFrames.empty()) {
+      EndOutput();
+    }
     ScheduleLargeFrame();
     return;
   }
@@ -293,6 +296,25 @@
   aCounts.m_queues += QueuesOf(m_socket);
 }
 
+void
+LinkConnection::Finish()
+{
+  if (!m_isOpen || m_isFinishing) {
+    return;
+  }
+  m_isFinishing = true;
+  if (!HasUnsent()) {
+    EndOutput();
+  }
+}
+
+void
+LinkConnection::EndOutput()
+{
+  asio::error_code ignored;
+  m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
 void
 LinkConnection::Abort()
 {
--- a/src/transport/link_pool.cpp
+++ b/src/transport/link_pool.cpp
@@ -83,6 +83,11 @@
     link->m_address = aAddress;
   }
   link->m_lastUsedAt = Clock::now();
+  if (m_isFinished) {
+    link->m_pendingFrames.push_back(std::move(aFrame));
+    FailPendingFrames(link);
+    return;
+  }
   if (link->m_isReady) {
     Write(*link, aFrame);
     return;
@@ -255,9 +260,25 @@
   }
 }
 
+void
+LinkPool::Finish()
+{
+  m_isFinished = true;
+  for (const auto& [slot, link] : m_links) {
+    link->m_connectingSocket.reset();
+    if (link->m_connection) {
+      link->m_connection->Finish();
+    }
+    FailPendingFrames(link);
+  }
+}
+
 void
 LinkPool::OnTick(TimePoint aNow)
 {
+  if (m_isFinished) {
+    return;
+  }
   const auto links = m_links;
   for (const auto& [slot, link] : links) {
     if (link->m_connectingSocket &&
--- a/src/transport/link_server.cpp
+++ b/src/transport/link_server.cpp
@@ -152,6 +152,15 @@
   m_acceptor.close(ignored);
 }
 
+void
+LinkServer::Finish()
+{
+  StopAccepting();
+  for (const auto& each : m_connections) {
+    each->Finish();
+  }
+}
+
 void
 LinkServer::CloseAll()
 {
--- a/tests/transport/link_connection.cpp
+++ b/tests/transport/link_connection.cpp
@@ -161,3 +161,21 @@
   REQUIRE(pair.m_received.size() == 1);
   CHECK(pair.m_received.front().m_call == 1);
 }
+
+TEST_CASE("a finished link delivers what is queued and receives until the end")
+{
+  // Guards against a reset under frames that arrive while a daemon stops.
+  ConnectionPair pair;
+  pair.m_sender->Send(MakeAnswer(1, 300'000));
+  pair.m_sender->Send(MakeAnswer(2, 100));
+  pair.m_sender->Finish();
+  pair.m_sender->Send(MakeAnswer(3, 100));
+  while (pair.m_receiver->IsOpen()) {
+    pair.m_receiver->Send(LinkPing{ 1 });
+    pair.m_loop.run_one();
+  }
+  CHECK(pair.m_received.size() == 2);
+  CHECK(pair.m_receiver->AtClose().m_cause == LinkCloseCause::Peer);
+  pair.m_loop.run();
+  CHECK_FALSE(pair.m_sender->IsOpen());
+}
