Answer operators' requests that are open when a daemon stops

What operators saw: a patch that is decided while the daemon stops, whose connection ends without the decision.

Cause: the stop looked at callers' connections only; the operators' API, the readiness and the heartbeat endpoints were closed by the exit.

Change: the operators' API finishes with the callers' connections and counts as work from then on; readiness and heartbeats finish in the flush.

--- a/include/greengagehub/daemon/operators_api.hpp
+++ b/include/greengagehub/daemon/operators_api.hpp
@@ -45,6 +45,17 @@
 
   [[nodiscard]] std::uint16_t Port() const noexcept { return m_http.Port(); }
   [[nodiscard]] Outcome<std::uint16_t> Open() { return m_http.Open(); }
+  /// \brief Accepts no further requests and answers those that have arrived.
+  void Finish() { m_http.Finish(); }
+  /// \returns Connections that are not answered completely, after Finish().
+  [[nodiscard]] std::size_t Unanswered() const noexcept
+  {
+    return m_http.Busy();
+  }
+  [[nodiscard]] bool HasOpenConnections() const noexcept
+  {
+    return m_http.Connections() > 0;
+  }
 
 private:
   void OnHttp(const HttpRequest& aRequest, HttpResponder aResponder);
--- a/include/greengagehub/daemon/platform_endpoints.hpp
+++ b/include/greengagehub/daemon/platform_endpoints.hpp
@@ -44,6 +44,13 @@
   }
 
   [[nodiscard]] Outcome<std::uint16_t> Open();
+  /// \brief Accepts no further probes and reports, and answers those that have
+  /// arrived.
+  void Finish();
+  [[nodiscard]] bool HasOpenConnections() const noexcept
+  {
+    return m_readiness.Connections() + m_heartbeats.Connections() > 0;
+  }
   /// \brief Handles the instance id that a probe of the local worker returned.
   void OnProbed(std::string aId);
   /// \brief Handles a response in which the local worker states that it is
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -398,10 +398,14 @@
 DrainObservation
 Daemon::ObserveDrain() const
 {
-  return { .m_hasWork = m_calls.Runs().Load() > 0 || m_calls.InFlight() > 0 ||
-                        m_calls.UnansweredRequests() > 0,
+  const bool hasCalls = m_calls.Runs().Load() > 0 || m_calls.InFlight() > 0 ||
+                        m_calls.UnansweredRequests() > 0;
+  const bool isClosing = m_drain->Stage() >= DrainStage::Closing;
+  return { .m_hasWork = hasCalls || (isClosing && m_operators.Unanswered() > 0),
            .m_hasUnsentAnswers = m_calls.HasUnsentAnswers(),
-           .m_hasOpenConnections = m_calls.HasOpenConnections() };
+           .m_hasOpenConnections =
+             m_calls.HasOpenConnections() || m_operators.HasOpenConnections() ||
+             (m_platform && m_platform->HasOpenConnections()) };
 }
 
 void
@@ -434,9 +438,13 @@
       return;
     case DrainStage::Closing:
       m_calls.StopAcceptingRequests();
+      m_operators.Finish();
       return;
     case DrainStage::Flushing:
       m_calls.FinishLinks();
+      if (m_platform) {
+        m_platform->Finish();
+      }
       return;
     case DrainStage::Ended:
       EndDrain(m_drain->IsClean());
--- a/src/daemon/platform_endpoints.cpp
+++ b/src/daemon/platform_endpoints.cpp
@@ -71,6 +71,13 @@
   return m_heartbeats.Open();
 }
 
+void
+PlatformEndpoints::Finish()
+{
+  m_readiness.Finish();
+  m_heartbeats.Finish();
+}
+
 void
 PlatformEndpoints::OnReadiness(const HttpRequest& aRequest,
                                HttpResponder aResponder)
--- a/tests/end_to_end/stops.cpp
+++ b/tests/end_to_end/stops.cpp
@@ -3,6 +3,7 @@
 #include "greengagehub/transport/link_connection.hpp"
 #include "testkit/kept_connections.hpp"
 
+#include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
@@ -39,6 +40,19 @@
   return static_cast<std::uint16_t>(std::stoi(log.substr(at + kField.size())));
 }
 
+std::string
+ReadToEnd(tcp::socket& aSocket)
+{
+  std::string received;
+  std::array<char, 4096> buffer{};
+  asio::error_code error;
+  while (!error) {
+    received.append(buffer.data(),
+                    aSocket.read_some(asio::buffer(buffer), error));
+  }
+  return received;
+}
+
 KeptConnectionsPlan
 LoadOn(const Fleet& aFleet, const std::string& aSlot)
 {
@@ -162,14 +176,7 @@
   daemon.Signal(SIGCONT);
   int answered = 0;
   for (tcp::socket& each : clients) {
-    std::string received;
-    std::array<char, 4096> buffer{};
-    asio::error_code error;
-    while (!error) {
-      received.append(buffer.data(),
-                      each.read_some(asio::buffer(buffer), error));
-    }
-    answered += received.starts_with("HTTP/1.1 ") ? 1 : 0;
+    answered += ReadToEnd(each).starts_with("HTTP/1.1 ") ? 1 : 0;
   }
   CHECK(answered == kClients);
   CHECK(daemon.Wait() == 0);
@@ -201,3 +208,29 @@
   CHECK(link->AtClose().m_cause == LinkCloseCause::Peer);
   CHECK(fleet.Daemon("lockers-1").Wait() == 0);
 }
+
+TEST_CASE("an operator's patch gets its answer although the daemon stops")
+{
+  // Guards against decisions that are recorded while their answer is cut.
+  Fleet fleet;
+  fleet.Add(
+    { .m_slot = "d00", .m_service = "locker-app", .m_withBackend = false });
+  REQUIRE(fleet.WaitForMembers());
+  // Longer in all than the daemon lingers without calls.
+  fleet.SetStoreFaults({ { "delay_ms", 900 } });
+  asio::io_context loop;
+  tcp::socket operators{ loop };
+  operators.connect(
+    { asio::ip::address_v4::loopback(), PortOf(fleet.OperatorsUrl("d00")) });
+  const std::string patch = R"({"services":{"s0":{}}})";
+  asio::write(operators,
+              asio::buffer(fmt::format(
+                "POST /v1/patches?id=p0&base=0 HTTP/1.1\r\nHost: d00\r\n"
+                "Authorization: Bearer {}\r\nContent-Length: {}\r\n\r\n{}",
+                Fleet::kToken,
+                patch.size(),
+                patch)));
+  fleet.Daemon("d00").Signal(SIGTERM);
+  CHECK(ReadToEnd(operators).starts_with("HTTP/1.1 200 "));
+  CHECK(fleet.Daemon("d00").Wait() == 0);
+}
