Do not wait at a stop for daemons that are silent

Cause: a link from a process that has ended without closing it stays open at the server, which hears of the end only when the system gives up sending. The flush of a stop waited 0.5 s for such peers.

Change: only links on which something was received within three heartbeats are waited for.

--- a/include/greengagehub/transport/link_server.hpp
+++ b/include/greengagehub/transport/link_server.hpp
@@ -45,6 +45,9 @@
   /// \returns Whether any connection has queued frames.
   [[nodiscard]] bool HasUnsent() const;
   [[nodiscard]] LinkCounts Counts() const;
+  /// \returns Whether a peer is connected that has sent something lately; peers
+  /// send heartbeats.
+  [[nodiscard]] bool HasLivePeers(TimePoint aNow) const;
   /// \brief Sets the pacer for connections accepted from now on.
   void UsePacer(LinkPacer& aPacer) noexcept { m_pacer = &aPacer; }
   /// \brief Sends to every connection whose hello was received.
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -403,7 +403,7 @@
 bool
 CallGateway::HasOpenConnections() const
 {
-  return m_http.Connections() > 0 || m_server.Counts().m_open > 0 ||
+  return m_http.Connections() > 0 || m_server.HasLivePeers(Clock::now()) ||
          m_pool.Counts().m_open > 0;
 }
 
--- a/src/transport/link_server.cpp
+++ b/src/transport/link_server.cpp
@@ -8,6 +8,13 @@
 
 using asio::ip::tcp;
 
+namespace {
+
+/// Three heartbeats of a peer.
+constexpr auto kSilenceTimeout = std::chrono::milliseconds{ 1500 };
+
+}
+
 LinkServer::LinkServer(asio::io_context& aLoop,
                        const std::string& aHost,
                        std::uint16_t aPort,
@@ -125,6 +132,15 @@
                      [](const auto& aEach) { return aEach->HasUnsent(); });
 }
 
+bool
+LinkServer::HasLivePeers(TimePoint aNow) const
+{
+  return std::any_of(
+    m_connections.begin(), m_connections.end(), [&](const auto& aEach) {
+      return aEach->IsOpen() && aNow - aEach->LastReceived() < kSilenceTimeout;
+    });
+}
+
 LinkCounts
 LinkServer::Counts() const
 {
