Ask clients to close with every answer from the start of a stop

What callers saw: kept connections whose last request crosses the close, as answers said "Connection: close" only from 1.5 s after SIGTERM on, and those given without a call (no route, not ready, quota) never.

Change: the server of callers closes each connection after its next answer from SIGTERM on, whatever gives the answer. Connections are still accepted, as local clients have no other daemon until two readiness probes have failed.

--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -107,6 +107,9 @@
   /// \brief Stops or resumes the local worker, which has stated that it is
   /// leaving or has been replaced; for workers without heartbeats.
   void SetWorkerLeaving(bool aIsLeaving);
+  /// \brief Closes each caller's connection after its next answer; others are
+  /// still accepted.
+  void CloseAfterAnswers();
   void StopAcceptingRequests();
   /// \brief Ends the output of all links; the other daemons close them.
   void FinishLinks();
--- a/include/greengagehub/http/http_server.hpp
+++ b/include/greengagehub/http/http_server.hpp
@@ -143,6 +143,9 @@
   void ObserveCloses(CloseObserver aObserver);
   /// \brief Changes the limits, also for open connections.
   void SetLimits(HttpServerLimits aLimits);
+  /// \brief Closes each connection after its next answer; others are still
+  /// accepted.
+  void CloseAfterAnswers() noexcept;
   /// \brief Stops accepting connections; each open one closes after its next
   /// answer.
   void StopAccepting();
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -381,6 +381,12 @@
   }
 }
 
+void
+CallGateway::CloseAfterAnswers()
+{
+  m_http.CloseAfterAnswers();
+}
+
 void
 CallGateway::StopAcceptingRequests()
 {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -386,6 +386,7 @@
   m_isDraining = true;
   m_log.Info("daemon", "drain_started");
   m_control.GetWorkspaces().Resign();
+  m_calls.CloseAfterAnswers();
   const CallSettings& calls = m_settings.m_calls;
   m_drain.emplace(
     Clock::now(),
--- a/src/http/http_connection.hpp
+++ b/src/http/http_connection.hpp
@@ -60,6 +60,7 @@
   std::uint64_t m_lastConnection{ 0 };
   std::uint16_t m_port{ 0 };
   bool m_isStopped{ false };
+  bool m_closesAfterAnswers{ false };
   bool m_isFinishing{ false };
   /// Set by the destructor of the server; a cancelled operation that had
   /// completed before still calls its handler without an error.
@@ -162,7 +163,8 @@
         aRequest != m_requests) {
       return;
     }
-    m_closesAfterAnswer = m_closesAfterAnswer || aClose;
+    m_closesAfterAnswer =
+      m_closesAfterAnswer || aClose || m_server->m_closesAfterAnswers;
     Write(ResponseText(aResponse, m_isHeadRequest, m_closesAfterAnswer));
   }
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -180,6 +180,12 @@
   m_impl->m_settings.m_limits = aLimits;
 }
 
+void
+HttpServer::CloseAfterAnswers() noexcept
+{
+  m_impl->m_closesAfterAnswers = true;
+}
+
 void
 HttpServer::Finish()
 {
--- a/tests/end_to_end/stops.cpp
+++ b/tests/end_to_end/stops.cpp
@@ -144,6 +144,37 @@
   CheckNoneLost(fleet, requests);
 }
 
+TEST_CASE("a stopping daemon tells its clients to close with every answer")
+{
+  // Guards against clients that keep connections until their close crosses a
+  // request.
+  Fleet fleet;
+  StartLockers(fleet, 2);
+  const std::uint16_t port = PortOf(fleet.CallsUrl("lockers-1"));
+  asio::io_context loop;
+  std::vector<std::string> answers;
+  for (const char* target : { "/status/1", "/other/1" }) {
+    tcp::socket client{ loop };
+    client.connect({ asio::ip::address_v4::loopback(), port });
+    if (answers.empty()) {
+      fleet.Daemon("lockers-1").Signal(SIGTERM);
+      REQUIRE(WaitUntil([&] { return !fleet.IsReady("lockers-1"); }));
+    }
+    asio::write(
+      client,
+      asio::buffer(fmt::format("GET {} HTTP/1.1\r\nHost: a.example\r\n"
+                               "X-Greengagehub-Request-Id: c\r\n\r\n",
+                               target)));
+    std::array<char, 4096> buffer{};
+    const std::size_t size = client.read_some(asio::buffer(buffer));
+    answers.emplace_back(buffer.data(), size);
+  }
+  CHECK(answers[0].starts_with("HTTP/1.1 200 "));
+  CHECK(answers[0].find("Connection: close") != std::string::npos);
+  CHECK(answers[1].starts_with("HTTP/1.1 404 "));
+  CHECK(answers[1].find("Connection: close") != std::string::npos);
+}
+
 TEST_CASE("requests that wait when a drain ends are answered")
 {
   // Guards against connections that are accepted in the last pass of the loop
