Answer what is left at the end of a stop instead of cutting it

What callers saw: a connection that ends without an answer when a call, at a worker, in a queue elsewhere or between two attempts, outlasts the grace time less 0.4 s.

Cause: at its limit the drain ended the process over all calls in flight.

Change: 0.2 s before the limit the stop goes on to the flush: calls in flight are answered 504 (unknown outcome, no promise) and cancelled at their workers, then answers are delivered as always. The exit code stays 1. On a grace time of 6 s that is at 5.4 s, in its last sixth.

--- a/include/greengagehub/calls/dispatcher.hpp
+++ b/include/greengagehub/calls/dispatcher.hpp
@@ -183,7 +183,15 @@
                                : std::optional{ m_deadlines.begin()->m_at };
   }
   /// \brief Finishes calls whose deadline has passed.
-  [[nodiscard]] DispatchActions OnTick(TimePoint aNow);
+  [[nodiscard]] DispatchActions OnTick(TimePoint aNow)
+  {
+    return Expire(aNow, aNow);
+  }
+  /// \brief Ends all calls as if their deadlines had passed.
+  [[nodiscard]] DispatchActions EndAll(TimePoint aNow)
+  {
+    return Expire(aNow, TimePoint::max());
+  }
   /// \brief Records the daemon process that an attempt was sent to.
   void RecordProcess(std::uint64_t aAttempt, std::uint64_t aProcess);
 
@@ -218,6 +226,8 @@
                     Call& aCall,
                     CallAnswer aPrevious);
   void Finish(DispatchActions& aOut, Call& aCall, CallAnswer aAnswer);
+  /// \brief Finishes the calls with a deadline up to a time.
+  [[nodiscard]] DispatchActions Expire(TimePoint aNow, TimePoint aUntil);
   void OnWorkerAnswer(TimePoint aNow,
                       DispatchActions& aOut,
                       Call& aCall,
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -111,6 +111,8 @@
   /// still accepted.
   void CloseAfterAnswers();
   void StopAcceptingRequests();
+  /// \brief Answers the calls in flight without a result.
+  void EndCalls();
   /// \brief Ends the output of all links; the other daemons close them.
   void FinishLinks();
   /// \brief Logs the connections that are open at the exit of the process.
--- a/include/greengagehub/daemon/drain_sequence.hpp
+++ b/include/greengagehub/daemon/drain_sequence.hpp
@@ -35,6 +35,8 @@
   /// m_quiet.
   Duration m_accepts{ 0 };
   Duration m_quiet{ 0 };
+  /// Work that is left is answered by the daemon itself; the flush begins.
+  Duration m_endsCalls{ 0 };
   /// Wait for peers to close, from the start of the flush.
   Duration m_flush{ 0 };
   /// Everything ends here.
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -461,10 +461,10 @@
 
 template<RoutingPolicy Policy>
 DispatchActions
-BasicDispatcher<Policy>::OnTick(TimePoint aNow)
+BasicDispatcher<Policy>::Expire(TimePoint aNow, TimePoint aUntil)
 {
   DispatchActions out;
-  while (!m_deadlines.empty() && m_deadlines.begin()->m_at <= aNow) {
+  while (!m_deadlines.empty() && m_deadlines.begin()->m_at <= aUntil) {
     const std::uint64_t id = m_deadlines.begin()->m_call;
     Call& call = m_calls.at(id);
     if (!call.m_inDoubt) {
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -393,6 +393,12 @@
   m_http.Finish();
 }
 
+void
+CallGateway::EndCalls()
+{
+  Execute(m_dispatcher.EndAll(Clock::now()));
+}
+
 void
 CallGateway::FinishLinks()
 {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -442,6 +442,7 @@
       m_operators.Finish();
       return;
     case DrainStage::Flushing:
+      m_calls.EndCalls();
       m_calls.FinishLinks();
       if (m_platform) {
         m_platform->Finish();
--- a/src/daemon/drain_sequence.cpp
+++ b/src/daemon/drain_sequence.cpp
@@ -13,6 +13,8 @@
 constexpr auto kAcceptTime = std::chrono::milliseconds{ 2900 };
 /// Part of the grace time that remains when an unfinished drain is aborted.
 constexpr auto kKillMargin = std::chrono::milliseconds{ 400 };
+/// Part of the limit in which the daemon's own answers reach callers.
+constexpr auto kLastAnswersTime = std::chrono::milliseconds{ 200 };
 /// Many round trips; peers that do not close by then are not waited for.
 constexpr auto kFlushTime = std::chrono::milliseconds{ 500 };
 
@@ -42,6 +44,7 @@
   return { .m_startsRuns = kRunStartTime,
            .m_accepts = kAcceptTime,
            .m_quiet = Duration::zero(),
+           .m_endsCalls = aGrace - kKillMargin - kLastAnswersTime,
            .m_flush = kFlushTime,
            .m_limit = aGrace - kKillMargin };
 }
@@ -52,6 +55,7 @@
   return { .m_startsRuns = Duration::zero(),
            .m_accepts = Duration::zero(),
            .m_quiet = aLinger,
+           .m_endsCalls = aLimit - kLastAnswersTime,
            .m_flush = kFlushTime,
            .m_limit = aLimit };
 }
@@ -65,7 +69,8 @@
   }
   if (aNow - m_startedAt >= m_times.m_limit) {
     m_stage = DrainStage::Ended;
-    m_isClean = !aObservation.m_hasWork && !aObservation.m_hasUnsentAnswers;
+    m_isClean =
+      m_isClean && !aObservation.m_hasWork && !aObservation.m_hasUnsentAnswers;
     return m_stage;
   }
   if (!IsOver(aNow, aObservation)) {
@@ -73,6 +78,9 @@
   }
   m_stage = static_cast<DrainStage>(static_cast<std::uint8_t>(m_stage) + 1);
   m_stageSince = aNow;
+  if (m_stage == DrainStage::Flushing) {
+    m_isClean = !aObservation.m_hasWork;
+  }
   return m_stage;
 }
 
@@ -86,10 +94,11 @@
     case DrainStage::Serving:
       return elapsed >= m_times.m_startsRuns;
     case DrainStage::Leaving:
-      return elapsed >= m_times.m_accepts &&
-             (isQuiet || m_times.m_quiet == Duration::zero());
+      return elapsed >= m_times.m_endsCalls ||
+             (elapsed >= m_times.m_accepts &&
+              (isQuiet || m_times.m_quiet == Duration::zero()));
     case DrainStage::Closing:
-      return !aObservation.m_hasWork;
+      return elapsed >= m_times.m_endsCalls || !aObservation.m_hasWork;
     case DrainStage::Flushing:
       return !aObservation.m_hasOpenConnections ||
              (aNow - m_stageSince >= m_times.m_flush &&
--- a/tests/calls/dispatcher.cpp
+++ b/tests/calls/dispatcher.cpp
@@ -139,6 +139,18 @@
   CHECK(call.m_dispatcher.InFlight() == 0);
 }
 
+TEST_CASE("calls that are ended early get an answer and are canceled")
+{
+  // Guards against connections that are cut with the process at the last moment
+  // of a drain.
+  SingleCall call{ true };
+  call.Apply(call.m_dispatcher.EndAll(kStart + 100ms));
+  CHECK(call.m_cancels == 1);
+  REQUIRE(call.m_final);
+  CHECK(call.m_final->m_outcome == CallOutcome::Unknown);
+  CHECK(call.m_dispatcher.InFlight() == 0);
+}
+
 TEST_CASE("retries are limited to a share of calls")
 {
   // Guards against retries that multiply the load while every worker refuses.
--- a/tests/end_to_end/stops.cpp
+++ b/tests/end_to_end/stops.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
+#include <thread>
 
 using namespace greengagehub;
 using namespace greengagehub::testkit;
@@ -213,6 +214,33 @@
   CHECK(daemon.Wait() == 0);
 }
 
+TEST_CASE("a call that outlasts the grace time of a stop gets an answer")
+{
+  // Guards against connections that are cut with the process while their calls
+  // still wait for a worker.
+  Fleet fleet;
+  for (const char* slot : { "lockers-1", "lockers-2" }) {
+    fleet.Add({ .m_slot = slot,
+                .m_service = "lockers",
+                .m_serviceMs = 15'000,
+                .m_onPlatform = true });
+  }
+  Json rule = Rule("status", "safe", "/status/");
+  rule["action"]["timeout_ms"] = 20'000;
+  fleet.PutPlatformConfig(Document("0000000c", Json::array({ rule })));
+  WaitForLockers(fleet);
+  std::thread caller{ [&] {
+    const CallResult result =
+      SendRequest(fleet, "lockers-1", "GET", "/status/1", "long", "20000");
+    CHECK(result.m_result.m_kind == HttpClientResult::Kind::Answered);
+    CHECK(result.Status() == 504);
+  } };
+  CHECK(WaitUntil([&] { return Runs(fleet, "long") == 1; }));
+  fleet.Daemon("lockers-1").Signal(SIGTERM);
+  caller.join();
+  CHECK(fleet.Daemon("lockers-1").Wait() == 1);
+}
+
 TEST_CASE("a daemon that exits does not reset links under frames")
 {
   // Guards against answers that another daemon loses because frames of its own
