--- a/tests/end_to_end/stops.cpp
+++ b/tests/end_to_end/stops.cpp
@@ -19,9 +19,7 @@
 
 namespace {
 
-/// A request that has crossed the close of its connection was sent this long
-/// before it at most.
-constexpr auto kCrossingTime = 200ms;
+constexpr auto kDeadline = 1500ms;
 
 std::uint16_t
 PortOf(const std::string& aUrl)
@@ -78,33 +76,10 @@
   return runs;
 }
 
-/// \returns The requests without a whole answer that had run, or that had been
-/// sent before their connection's close could cross them.
-std::vector<std::string>
-LostRequests(const Fleet& aFleet, const std::vector<KeptRequest>& aRequests)
-{
-  const auto runs = AllWorkerRuns(aFleet);
-  std::vector<std::string> lost;
-  for (const KeptRequest& each : aRequests) {
-    const bool hasRun = runs.contains(each.m_id);
-    if (!each.IsAnswered() && (hasRun || each.Time() > kCrossingTime)) {
-      lost.push_back(fmt::format(
-        "{}: {} after {} ms, {} bytes, {}",
-        each.m_id,
-        each.m_wasReset ? "reset" : "closed",
-        std::chrono::duration_cast<std::chrono::milliseconds>(each.Time())
-          .count(),
-        each.m_receivedBytes,
-        hasRun ? "had run" : "had not run"));
-    }
-  }
-  return lost;
-}
-
 void
 CheckNoneLost(const Fleet& aFleet, const std::vector<KeptRequest>& aRequests)
 {
-  const auto lost = LostRequests(aFleet, aRequests);
+  const auto lost = DescribeLost(aRequests, AllWorkerRuns(aFleet), kDeadline);
   for (const std::string& each : lost) {
     MESSAGE(each);
   }
--- a/tools/testkit/kept_connections.cpp
+++ b/tools/testkit/kept_connections.cpp
@@ -9,6 +9,7 @@
 #include <asio/write.hpp>
 #include <atomic>
 #include <charconv>
+#include <fmt/format.h>
 #include <thread>
 
 namespace greengagehub::testkit {
@@ -21,6 +22,9 @@
 /// Requests that are open at Stop() are given up after this time.
 constexpr auto kStopTimeout = std::chrono::seconds{ 10 };
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
+/// A request that has crossed the close of its connection was sent this long
+/// before it at most.
+constexpr auto kCrossingTime = std::chrono::milliseconds{ 200 };
 
 /// \returns The value of a header in the text of a head; empty without it.
 std::string
@@ -46,6 +50,36 @@
 
 }
 
+std::vector<std::string>
+DescribeLost(const std::vector<KeptRequest>& aRequests,
+             const std::map<std::string, std::uint32_t>& aRuns,
+             Duration aDeadline)
+{
+  constexpr std::uint16_t kServiceUnavailable = 503;
+  std::vector<std::string> lost;
+  for (const KeptRequest& each : aRequests) {
+    const bool hasRun = aRuns.contains(each.m_id);
+    const bool isCut =
+      !each.IsAnswered() && (hasRun || each.Time() > kCrossingTime);
+    const bool isReplaced = each.m_status >= kFirstServerError &&
+                            each.m_status != kServiceUnavailable &&
+                            !each.m_isSigned && hasRun &&
+                            each.Time() < aDeadline * 7 / 10;
+    if (isCut || isReplaced) {
+      lost.push_back(fmt::format(
+        "{}: {} after {} ms, status {}, {} bytes, {}",
+        each.m_id,
+        each.m_wasReset ? "reset" : "ended",
+        std::chrono::duration_cast<std::chrono::milliseconds>(each.Time())
+          .count(),
+        each.m_status,
+        each.m_receivedBytes,
+        hasRun ? "had run" : "had not run"));
+    }
+  }
+  return lost;
+}
+
 struct KeptConnections::Impl
 {
   struct Client
@@ -161,7 +195,8 @@
     constexpr std::size_t kStatusAt = 9;
     aClient.m_request.m_status =
       NumberIn<std::uint16_t>(head.substr(std::min(kStatusAt, head.size())));
-    aClient.m_request.m_outcome = HeaderIn(head, "Greengagehub-Outcome");
+    aClient.m_request.m_isSigned =
+      !HeaderIn(head, "X-Greengagehub-Response-Seal").empty();
     const bool closes = HeaderIn(head, "Connection") == "close";
     Record(aClient);
     if (closes) {
--- a/tools/testkit/kept_connections.hpp
+++ b/tools/testkit/kept_connections.hpp
@@ -4,6 +4,7 @@
 #include "greengagehub/http/http_message.hpp"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -35,14 +36,24 @@
   std::size_t m_receivedBytes{ 0 };
   /// 0 without a whole answer.
   std::uint16_t m_status{ 0 };
-  /// "not-run" or "unknown"; empty for a worker's answer.
-  std::string m_outcome{};
+  /// Whether the answer bears a worker's signature.
+  bool m_isSigned{ false };
   bool m_wasReset{ false };
 
   [[nodiscard]] bool IsAnswered() const noexcept { return m_status != 0; }
   [[nodiscard]] Duration Time() const noexcept { return m_endedAt - m_sentAt; }
 };
 
+/// \brief Requests that a daemon has lost, described one a line: without a
+/// whole answer although they had run, or although they were sent before the
+/// close of the connection could cross them; or answered in the place of a
+/// worker that was running them, long before their deadline. \param aRuns
+/// Number of runs of each request. \param aDeadline Of each request.
+[[nodiscard]] std::vector<std::string>
+DescribeLost(const std::vector<KeptRequest>& aRequests,
+             const std::map<std::string, std::uint32_t>& aRuns,
+             Duration aDeadline);
+
 /// Runs on a thread of its own.
 class KeptConnections
 {
