Soak of planned work: print how daemons stopped when a seed fails

A failing seed named the request and how its connection ended, but the logs of the stopped daemons went with the run. Their lines on stages, connections and pauses are kept and printed with the violations.

--- a/tools/soak_stops.cpp
+++ b/tools/soak_stops.cpp
@@ -4,6 +4,7 @@
 #include "testkit/kept_connections.hpp"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <boost/program_options.hpp>
 #include <csignal>
@@ -11,6 +12,7 @@
 #include <iostream>
 #include <mutex>
 #include <set>
+#include <sstream>
 #include <thread>
 
 /// \file
@@ -61,7 +63,7 @@
     PutConfig();
   }
 
-  /// \returns Violations, one a line.
+  /// \returns Violations, one a line, then the logs of all stops.
   std::vector<std::string> Run()
   {
     const auto isReady = [this](const std::string& aSlot) {
@@ -81,6 +83,10 @@
     ExecutePlan();
     m_stops.clear();
     Check();
+    if (!m_violations.empty()) {
+      m_violations.insert(
+        m_violations.end(), m_stopLogs.begin(), m_stopLogs.end());
+    }
     return std::move(m_violations);
   }
 
@@ -178,6 +184,7 @@
       code = daemon.Wait();
     }
     const std::lock_guard lock{ m_mutex };
+    KeepLog(daemon);
     if (code != 0) {
       m_violations.push_back(
         fmt::format("{} ended with {}", aSlot, code.value_or(-1)));
@@ -189,6 +196,23 @@
     m_stopping.erase(aSlot);
   }
 
+  /// Keeps the lines that tell how a daemon has stopped.
+  void KeepLog(const Process& aDaemon)
+  {
+    std::istringstream lines{ aDaemon.Log() };
+    for (std::string line; std::getline(lines, line);) {
+      const auto isIn = [&](const char* aEvent) {
+        return line.find(aEvent) != std::string::npos;
+      };
+      constexpr std::array kEvents{ "\"listening\"", "\"ready\"",
+                                    "\"not_ready\"", "\"was_paused\"",
+                                    "\"drain_",      "\"connection" };
+      if (std::ranges::any_of(kEvents, isIn)) {
+        m_stopLogs.push_back(line);
+      }
+    }
+  }
+
   void Check()
   {
     std::map<std::string, std::uint32_t> runs;
@@ -220,6 +244,7 @@
   std::mutex m_mutex;
   std::set<std::string> m_stopping;
   std::vector<std::string> m_violations;
+  std::vector<std::string> m_stopLogs;
   std::uint64_t m_version{ 0 };
   std::size_t m_requests{ 0 };
   std::size_t m_stopCount{ 0 };
