--- a/tests/transport/link_pool.cpp
+++ b/tests/transport/link_pool.cpp
@@ -26,6 +26,14 @@
   return handlers;
 }
 
+CallRequest
+MakeRequest(std::uint64_t aCall)
+{
+  CallRequest request;
+  request.m_call = aCall;
+  return request;
+}
+
 }
 
 TEST_CASE("a request is not sent to another instance at the same address")
@@ -108,9 +116,9 @@
     }
     return aCondition();
   };
-  pool.Send("new-instance", address, CallRequest{ .m_call = 1 });
+  pool.Send("new-instance", address, MakeRequest(1));
   REQUIRE(runUntil([&] { return connected.size() == 1; }));
-  pool.Send("old-instance", address, CallRequest{ .m_call = 2 });
+  pool.Send("old-instance", address, MakeRequest(2));
   REQUIRE(runUntil([&] { return !lostProcesses.empty(); }));
   while (loop.poll() > 0) {
   }
