Known red: a late loop breaks off runs; found by the soak of planned work

What callers see: 502 for a safe request while its worker runs it, or although it has answered.

Cause: after more than 1 s between two ticks a daemon closes its links, so that requests as old as the gap do not run; the answers of runs go with them.

--- a/tests/end_to_end/stops.cpp
+++ b/tests/end_to_end/stops.cpp
@@ -216,6 +216,40 @@
   CHECK(fleet.Daemon("lockers-1").Wait() == 1);
 }
 
+TEST_CASE("a run survives a late loop of its worker's daemon")
+{
+  // Guards against answers of our own in the place of a worker that is at work,
+  // because its daemon got no processor time for a second.
+  Fleet fleet;
+  for (const char* slot : { "lockers-1", "lockers-2" }) {
+    fleet.Add({ .m_slot = slot,
+                .m_service = "lockers",
+                .m_serviceMs = 1'500,
+                .m_onPlatform = true });
+  }
+  Json rule = Rule("status", "safe", "/status/");
+  rule["action"]["timeout_ms"] = 6'000;
+  fleet.PutPlatformConfig(Document("0000000c", Json::array({ rule })));
+  WaitForLockers(fleet);
+  fleet.ControlWorker("lockers-1", { { "draining", true } });
+  REQUIRE(WaitUntil([&] {
+    return fleet.WorkerCounts("lockers-1").value("drain_acknowledged", false);
+  }));
+  std::thread caller{ [&] {
+    const CallResult result =
+      SendRequest(fleet, "lockers-1", "GET", "/status/1", "late", "6000");
+    CHECK(result.m_result.m_kind == HttpClientResult::Kind::Answered);
+    CHECK(result.Status() == 200);
+  } };
+  CHECK(WaitUntil([&] { return Runs(fleet, "late") == 1; }));
+  const TimePoint pausedAt = Clock::now();
+  fleet.Daemon("lockers-2").Signal(SIGSTOP);
+  CHECK(WaitUntil([&] { return Clock::now() - pausedAt > 1200ms; }));
+  fleet.Daemon("lockers-2").Signal(SIGCONT);
+  caller.join();
+  CHECK(Runs(fleet, "late") == 1);
+}
+
 TEST_CASE("a daemon that exits does not reset links under frames")
 {
   // Guards against answers that another daemon loses because frames of its own
