Keep links over a late loop and refuse only what is unread

What callers saw: 502 for a safe request while its worker runs it or although it has answered, where the worker's daemon got no processor time for a second; beside a SIGTERM of the daemon that took it, a lost request.

Cause: after more than 1 s between two ticks a daemon closed all links to it, so that requests as old as the gap do not run. The answers of runs went with them.

Change: the daemon keeps its links, sends a ping on each, and refuses as not run every request that it reads before the pong: the order of a connection makes these all that were sent before the peer knew. Requests that the resume filter holds are refused too. Answers go out as always. A peer that leaves the ping unanswered for 0.5 s, such as an older daemon, is closed as before, as are links without a hello.

New: "requests from before a pause are refused and answers still go out", "a peer that does not confirm the end of a pause is closed".

Why "not run" stays true: a refused request is never handed to the run table, and an attempt is sent once on one connection.

--- a/include/greengagehub/daemon/resume_filter.hpp
+++ b/include/greengagehub/daemon/resume_filter.hpp
@@ -64,8 +64,11 @@
   /// \brief Drops requests from connections of a process that are older than
   /// `aBelowEpoch`.
   void CloseEpochs(std::uint64_t aProcess, std::uint64_t aBelowEpoch);
-  /// \brief Drops all requests from other daemons.
-  void DropLinks() { m_delayed.m_links.clear(); }
+  /// \returns The requests from other daemons, which are delayed no longer.
+  [[nodiscard]] std::vector<LinkRequest> TakeLinks()
+  {
+    return std::exchange(m_delayed.m_links, {});
+  }
   [[nodiscard]] DelayedRequests TakeAll()
   {
     return std::exchange(m_delayed, {});
--- a/tests/transport/link_pool.cpp
+++ b/tests/transport/link_pool.cpp
@@ -127,6 +127,106 @@
   CHECK(epochs == 1);
 }
 
+TEST_CASE("requests from before a pause are refused and answers still go out")
+{
+  // Guards against runs that are broken off, or requests that run long after
+  // their callers gave up, when a process gets no processor time for a while.
+  asio::io_context loop;
+  TrafficMeter traffic;
+  std::vector<std::uint64_t> requests;
+  LinkConnection* link = nullptr;
+  LinkServer server{
+    loop,
+    "127.0.0.1",
+    0,
+    LinkHello{ "worker", 2, 0 },
+    traffic,
+    { .m_onNewEpoch = [](std::uint64_t, std::uint64_t) {},
+      .m_onFrame =
+        [&](LinkConnection& aConnection, const LinkFrame& aFrame) {
+          link = &aConnection;
+          requests.push_back(std::get<CallRequest>(aFrame).m_call);
+        } }
+  };
+  std::vector<std::pair<std::uint64_t, CallOutcome>> answers;
+  int lostLinks = 0;
+  LinkPool::Handlers handlers = NoOpHandlers();
+  handlers.m_onFrame = [&](const std::string&, const LinkFrame& aFrame) {
+    const auto& answer = std::get<CallAnswer>(aFrame);
+    answers.emplace_back(answer.m_call, answer.m_outcome);
+  };
+  handlers.m_onConnectionLost = [&](const std::string&) { ++lostLinks; };
+  LinkPool pool{
+    loop, LinkHello{ "caller", 1, 0 }, {}, traffic, std::move(handlers)
+  };
+  const MemberAddress address{ "127.0.0.1", 0, 0, server.Port() };
+  const auto runUntil = [&](const auto& aCondition) {
+    while (!aCondition() && loop.run_one_for(std::chrono::seconds{ 10 }) > 0) {
+    }
+    return aCondition();
+  };
+  pool.Send("worker", address, MakeRequest(1));
+  REQUIRE(runUntil([&] { return requests.size() == 1; }));
+  // The second request is in the server's socket when the pause is noticed.
+  pool.Send("worker", address, MakeRequest(2));
+  server.RefuseUnread(Clock::now());
+  CallAnswer answer;
+  answer.m_call = 1;
+  answer.m_outcome = CallOutcome::Answered;
+  link->Send(answer);
+  REQUIRE(runUntil([&] { return answers.size() == 2; }));
+  CHECK(answers[0] == std::pair{ std::uint64_t{ 1 }, CallOutcome::Answered });
+  CHECK(answers[1] == std::pair{ std::uint64_t{ 2 }, CallOutcome::NotRun });
+  REQUIRE(runUntil([&] { return link->m_awaitedPong == 0; }));
+  pool.Send("worker", address, MakeRequest(3));
+  REQUIRE(runUntil([&] { return requests.size() == 2; }));
+  CHECK(requests == std::vector<std::uint64_t>{ 1, 3 });
+  server.OnTick(Clock::now() + std::chrono::seconds{ 1 });
+  loop.poll();
+  CHECK(lostLinks == 0);
+}
+
+TEST_CASE("a peer that does not confirm the end of a pause is closed")
+{
+  // Guards against requests of older daemons that are refused forever.
+  asio::io_context loop;
+  TrafficMeter traffic;
+  LinkServer server{ loop,
+                     "127.0.0.1",
+                     0,
+                     LinkHello{ "worker", 2, 0 },
+                     traffic,
+                     { .m_onNewEpoch = [](std::uint64_t, std::uint64_t) {},
+                       .m_onFrame = [](LinkConnection&,
+                                       const LinkFrame&) {} } };
+  asio::ip::tcp::socket socket{ loop };
+  socket.connect({ asio::ip::address_v4::loopback(), server.Port() });
+  const LinkConnection::Pointer peer{ new LinkConnection{ std::move(socket),
+                                                          traffic } };
+  bool hasPing = false;
+  peer->Start(
+    [&](LinkConnection&, const LinkFrame& aFrame) {
+      hasPing = hasPing || std::holds_alternative<LinkPing>(aFrame);
+    },
+    [](LinkConnection&) {});
+  peer->Send(LinkHello{ "caller", 1, 1 });
+  while (server.Find(1) == nullptr) {
+    loop.run_one();
+  }
+  const TimePoint now = Clock::now();
+  server.RefuseUnread(now);
+  server.OnTick(now + std::chrono::milliseconds{ 100 });
+  while (!hasPing) {
+    loop.run_one();
+  }
+  CHECK(peer->IsOpen());
+  server.OnTick(now + std::chrono::milliseconds{ 600 });
+  while (peer->IsOpen()) {
+    loop.run_one();
+  }
+  CHECK(server.Find(1) == nullptr);
+}
+
 TEST_CASE("bytes queued on a silent link are discarded when it is closed")
 {
   // Guards against requests that are delivered after a network outage, when
