--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -100,8 +100,7 @@
   /// if the configuration names one.
   void ProbeWorker(std::function<void(std::string)> aDone);
   void OnVersion();
-  /// \brief Refuses the unread requests of other daemons, which are as old as
-  /// the pause.
+  /// \brief Drops all links, whose unread data is as old as the pause.
   void OnProcessResumed();
   void OnTick(TimePoint aNow);
   void StartDraining();
--- a/include/greengagehub/daemon/resume_filter.hpp
+++ b/include/greengagehub/daemon/resume_filter.hpp
@@ -64,11 +64,8 @@
   /// \brief Drops requests from connections of a process that are older than
   /// `aBelowEpoch`.
   void CloseEpochs(std::uint64_t aProcess, std::uint64_t aBelowEpoch);
-  /// \returns The requests from other daemons, which are delayed no longer.
-  [[nodiscard]] std::vector<LinkRequest> TakeLinks()
-  {
-    return std::exchange(m_delayed.m_links, {});
-  }
+  /// \brief Drops all requests from other daemons.
+  void DropLinks() { m_delayed.m_links.clear(); }
   [[nodiscard]] DelayedRequests TakeAll()
   {
     return std::exchange(m_delayed, {});
--- a/include/greengagehub/transport/link_connection.hpp
+++ b/include/greengagehub/transport/link_connection.hpp
@@ -90,9 +90,6 @@
   /// Hello of the peer; valid once m_helloReceived is set.
   LinkHello m_peer{};
   bool m_helloReceived{ false };
-  /// Number of the ping whose pong ends the refusal of requests; 0: none.
-  std::uint64_t m_awaitedPong{ 0 };
-  TimePoint m_pongAwaitedSince{};
   TimePoint m_openedAt{};
 
   void Start(FrameHandler aOnFrame, ClosedHandler aOnClosed);
--- a/include/greengagehub/transport/link_server.hpp
+++ b/include/greengagehub/transport/link_server.hpp
@@ -56,15 +56,8 @@
   /// \brief Stops accepting and ends the output of all connections after their
   /// queued frames; the peers close them.
   void Finish();
-  /// \brief Refuses, as not run, the requests that peers have sent so far and
-  /// that are not read. Answers go out as usual.
-  ///
-  /// A ping follows what the peers have been sent; what is read before its pong
-  /// may have been sent before this.
-  void RefuseUnread(TimePoint aNow);
-  /// \brief Closes connections to peers that leave such a ping unanswered. Must
-  /// be called periodically.
-  void OnTick(TimePoint aNow);
+  /// \brief Closes all connections; frames not yet read are dropped.
+  void CloseAll();
 
 private:
   void Accept();
@@ -78,7 +71,6 @@
   Handlers m_handlers;
   std::set<LinkConnection::Pointer> m_connections;
   std::map<std::uint64_t, LinkConnection::Pointer> m_currentByProcess;
-  std::uint64_t m_lastPingNumber{ 0 };
 };
 
 }
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -339,7 +339,6 @@
   m_resumeFilter.OnTick(aNow, BootTime());
   ReleaseStartBuffer(aNow);
   m_pool.OnTick(aNow);
-  m_server.OnTick(aNow);
   m_runService.OnTick(aNow);
   m_dispatcher.SetRetryLimits(RetryLimitsNow());
 }
--- a/src/daemon/call_gateway_links.cpp
+++ b/src/daemon/call_gateway_links.cpp
@@ -227,12 +227,8 @@
 void
 CallGateway::OnProcessResumed()
 {
-  for (const ResumeFilter::LinkRequest& each : m_resumeFilter.TakeLinks()) {
-    Deliver(each.m_key,
-            greengagehub::Refuse(
-              each.m_key.m_call, CallOutcome::NotRun, RefusalReason::LinkLost));
-  }
-  m_server.RefuseUnread(Clock::now());
+  m_resumeFilter.DropLinks();
+  m_server.CloseAll();
 }
 
 void
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -13,8 +13,7 @@
 namespace {
 
 constexpr auto kTickInterval = std::chrono::milliseconds{ 100 };
-/// After a longer gap between ticks, the process refuses unread requests of
-/// other daemons and drops permits.
+/// After a longer gap between ticks, the process drops links and permits.
 constexpr auto kLongPauseThreshold = std::chrono::milliseconds{ 1000 };
 constexpr int kFailureExitCode = 1;
 constexpr auto kTrafficLogInterval = std::chrono::seconds{ 10 };
--- a/src/transport/link_pool.cpp
+++ b/src/transport/link_pool.cpp
@@ -236,10 +236,6 @@
   if (std::holds_alternative<LinkPong>(aFrame)) {
     return;
   }
-  if (const auto* ping = std::get_if<LinkPing>(&aFrame)) {
-    aConnection.Send(LinkPong{ ping->m_number });
-    return;
-  }
   m_handlers.m_onFrame(aLink->m_slot, std::move(aFrame));
 }
 
--- a/src/transport/link_server.cpp
+++ b/src/transport/link_server.cpp
@@ -12,8 +12,6 @@
 
 /// Three heartbeats of a peer.
 constexpr auto kSilenceTimeout = std::chrono::milliseconds{ 1500 };
-/// Daemons of older versions do not answer pings of a server.
-constexpr auto kPongTimeout = std::chrono::milliseconds{ 500 };
 
 }
 
@@ -123,18 +121,6 @@
     aConnection.Send(LinkPong{ ping->m_number });
     return;
   }
-  if (const auto* pong = std::get_if<LinkPong>(&aFrame)) {
-    if (pong->m_number == aConnection.m_awaitedPong) {
-      aConnection.m_awaitedPong = 0;
-    }
-    return;
-  }
-  const auto* request = std::get_if<CallRequest>(&aFrame);
-  if (request != nullptr && aConnection.m_awaitedPong != 0) {
-    aConnection.Send(
-      Refuse(request->m_call, CallOutcome::NotRun, RefusalReason::LinkLost));
-    return;
-  }
   m_handlers.m_onFrame(aConnection, std::move(aFrame));
 }
 
@@ -192,27 +178,10 @@
 }
 
 void
-LinkServer::RefuseUnread(TimePoint aNow)
+LinkServer::CloseAll()
 {
   for (const auto& each : m_connections) {
-    if (!each->m_helloReceived) {
-      each->Close();
-      continue;
-    }
-    each->m_awaitedPong = ++m_lastPingNumber;
-    each->m_pongAwaitedSince = aNow;
-    each->Send(LinkPing{ each->m_awaitedPong });
-  }
-}
-
-void
-LinkServer::OnTick(TimePoint aNow)
-{
-  for (const auto& each : m_connections) {
-    if (each->m_awaitedPong != 0 &&
-        aNow - each->m_pongAwaitedSince > kPongTimeout) {
-      each->Close();
-    }
+    each->Close();
   }
 }
 
