Test kit: one place counts runs over workers, one starts slow workers

Cause: reading the change again, the sum of runs over platform workers stood in soak.cpp and twice in the new tests, the port of a URL twice, and two cases of stops set up the same fleet.

Change: testkit/fleet_queries.hpp holds WorkerRuns and PortOf; stops.cpp has StartSlowLockers. WorkerRuns takes the slots: the soak of roll-outs counts its failing version apart.

--- a/tests/end_to_end/stops.cpp
+++ b/tests/end_to_end/stops.cpp
@@ -1,6 +1,7 @@
 #include "platform_fleet.hpp"
 
 #include "greengagehub/transport/link_connection.hpp"
+#include "testkit/fleet_queries.hpp"
 #include "testkit/kept_connections.hpp"
 
 #include <array>
@@ -21,13 +22,6 @@
 
 constexpr auto kDeadline = 1500ms;
 
-std::uint16_t
-PortOf(const std::string& aUrl)
-{
-  return static_cast<std::uint16_t>(
-    std::stoi(aUrl.substr(aUrl.rfind(':') + 1)));
-}
-
 /// \returns The port that the daemon has logged.
 std::uint16_t
 LinkPortOf(const Process& aDaemon)
@@ -62,24 +56,29 @@
            .m_prefix = aSlot + "-" };
 }
 
-/// Number of runs of each request, over all workers.
-std::map<std::string, std::uint32_t>
-AllWorkerRuns(const Fleet& aFleet)
+/// Starts two workers with a route that waits for them.
+void
+StartSlowLockers(Fleet& aFleet,
+                 std::uint32_t aServiceMs,
+                 std::uint32_t aTimeoutMs)
 {
-  std::map<std::string, std::uint32_t> runs;
-  for (const std::string& each : aFleet.Slots()) {
-    const Json counts = aFleet.WorkerCounts(each);
-    for (const auto& [id, count] : counts["runs"].items()) {
-      runs[id] += count.get<std::uint32_t>();
-    }
+  for (const char* slot : { "lockers-1", "lockers-2" }) {
+    aFleet.Add({ .m_slot = slot,
+                 .m_service = "lockers",
+                 .m_serviceMs = aServiceMs,
+                 .m_onPlatform = true });
   }
-  return runs;
+  Json rule = Rule("status", "safe", "/status/");
+  rule["action"]["timeout_ms"] = aTimeoutMs;
+  aFleet.PutPlatformConfig(Document("0000000c", Json::array({ rule })));
+  WaitForLockers(aFleet);
 }
 
 void
 CheckNoneLost(const Fleet& aFleet, const std::vector<KeptRequest>& aRequests)
 {
-  const auto lost = DescribeLost(aRequests, AllWorkerRuns(aFleet), kDeadline);
+  const auto lost =
+    DescribeLost(aRequests, WorkerRuns(aFleet, aFleet.Slots()), kDeadline);
   for (const std::string& each : lost) {
     MESSAGE(each);
   }
@@ -196,16 +195,7 @@
   // Guards against connections that are cut with the process while their calls
   // still wait for a worker.
   Fleet fleet;
-  for (const char* slot : { "lockers-1", "lockers-2" }) {
-    fleet.Add({ .m_slot = slot,
-                .m_service = "lockers",
-                .m_serviceMs = 15'000,
-                .m_onPlatform = true });
-  }
-  Json rule = Rule("status", "safe", "/status/");
-  rule["action"]["timeout_ms"] = 20'000;
-  fleet.PutPlatformConfig(Document("0000000c", Json::array({ rule })));
-  WaitForLockers(fleet);
+  StartSlowLockers(fleet, 15'000, 20'000);
   std::thread caller{ [&] {
     const CallResult result =
       SendRequest(fleet, "lockers-1", "GET", "/status/1", "long", "20000");
@@ -223,16 +213,7 @@
   // Guards against answers of our own in the place of a worker that is at work,
   // because its daemon got no processor time for a second.
   Fleet fleet;
-  for (const char* slot : { "lockers-1", "lockers-2" }) {
-    fleet.Add({ .m_slot = slot,
-                .m_service = "lockers",
-                .m_serviceMs = 1'500,
-                .m_onPlatform = true });
-  }
-  Json rule = Rule("status", "safe", "/status/");
-  rule["action"]["timeout_ms"] = 6'000;
-  fleet.PutPlatformConfig(Document("0000000c", Json::array({ rule })));
-  WaitForLockers(fleet);
+  StartSlowLockers(fleet, 1'500, 6'000);
   fleet.ControlWorker("lockers-1", { { "draining", true } });
   REQUIRE(WaitUntil([&] {
     return fleet.WorkerCounts("lockers-1").value("drain_acknowledged", false);
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -5,7 +5,7 @@
 #include "soak_plan.hpp"
 #include "soak_rollout.hpp"
 #include "soak_signals.hpp"
-#include "testkit/fleet.hpp"
+#include "testkit/fleet_queries.hpp"
 #include "testkit/load.hpp"
 
 #include <csignal>
@@ -387,13 +387,7 @@
              const std::vector<CallRecord>& aLookups,
              Result& aOut)
   {
-    RunCounts runs;
-    for (const std::string& slot : m_slots) {
-      const Json counts = m_fleet.WorkerCounts(slot);
-      for (const auto& each : counts["runs"].items()) {
-        runs[each.key()] += each.value().get<std::uint32_t>();
-      }
-    }
+    RunCounts runs = WorkerRuns(m_fleet, m_slots);
     const std::uint64_t goodRuns = TotalRuns(runs);
     if (m_failingVersion) {
       m_failingVersion->AddRunsTo(runs);
--- a/tools/soak_stops.cpp
+++ b/tools/soak_stops.cpp
@@ -1,6 +1,6 @@
 #include "greengagehub/core/random.hpp"
 #include "soak_config.hpp"
-#include "testkit/fleet.hpp"
+#include "testkit/fleet_queries.hpp"
 #include "testkit/kept_connections.hpp"
 
 #include <algorithm>
@@ -25,7 +25,6 @@
 
 using namespace greengagehub;          // NOLINT: a tool, one file
 using namespace greengagehub::testkit; // NOLINT
-using Json = nlohmann::json;
 using std::chrono::milliseconds;
 
 struct Options
@@ -106,10 +105,8 @@
     for (const std::string& each : m_slots) {
       for (const char* method : { "GET", "POST" }) {
         const bool isRead = std::string_view{ method } == "GET";
-        const std::string url = m_fleet.CallsUrl(each);
         m_loads.push_back(std::make_unique<KeptConnections>(KeptConnectionsPlan{
-          .m_port = static_cast<std::uint16_t>(
-            std::stoi(url.substr(url.rfind(':') + 1))),
+          .m_port = PortOf(m_fleet.CallsUrl(each)),
           .m_clients = m_options.m_clients,
           .m_method = method,
           .m_target = isRead ? "/read/1" : "/release/1",
@@ -196,7 +193,7 @@
     m_stopping.erase(aSlot);
   }
 
-  /// Keeps the lines that tell how a daemon has stopped.
+  /// Collects log lines on stages, connections and pauses.
   void KeepLog(const Process& aDaemon)
   {
     std::istringstream lines{ aDaemon.Log() };
@@ -215,13 +212,7 @@
 
   void Check()
   {
-    std::map<std::string, std::uint32_t> runs;
-    for (const std::string& slot : m_slots) {
-      const Json counts = m_fleet.WorkerCounts(slot);
-      for (const auto& each : counts["runs"].items()) {
-        runs[each.key()] += each.value().get<std::uint32_t>();
-      }
-    }
+    const RunCounts runs = WorkerRuns(m_fleet, m_slots);
     for (const auto& load : m_loads) {
       const auto requests = load->Stop();
       m_requests += requests.size();
