--- a/review/lib.sh
+++ b/review/lib.sh
@@ -46,11 +46,11 @@
 begin() {
   : > "$RECORD"
   local each
-  for each in "$DAEMON" "$STANDINS/platform_store" "$STANDINS/platform_worker" "$STANDINS/worker_with_extra_answers"; do
+  for each in "$DAEMON" "$STANDINS/platform_store" "$STANDINS/platform_worker" "$STANDINS/faulty_worker"; do
     [ -x "$each" ] || give_up "missing ${each#"$ROOT"/}; run the build of the deploy file, then review/build.sh"
   done
   NET=127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))
-  BASE=$((RANDOM % 200 * 100 + 20000))
+  BASE=$((RANDOM % 120 * 100 + 20000))
   STORE_ADDRESS=$NET.250:$((BASE + 2))
   OUTBOUND=$((BASE + 1))
   READY=$((BASE + 4))
@@ -130,13 +130,11 @@
   now_ms
 }
 
-# Fills in deploy/settings.toml for a machine, as the platform does. The section
-# for tenants is kept where WITH_TENANTS is set, with the bounds of
-# demands/vayu-samabay-grown.toml.
+# Fills in deploy/settings.toml for a machine, as the platform does. The sites of
+# the cases have none of the optional sections.
 write_settings() {
-  local name=$1 service=$2 zone=$3 ip=$4 kept='^$'
-  [ -z "${WITH_TENANTS:-}" ] || kept='{{[#/]bounds.revoke_ms}}'
-  sed "\|$kept|d" "$ROOT/deploy/settings.toml" | sed -e '/{{#/,/{{\//d' \
+  local name=$1 service=$2 zone=$3 ip=$4
+  sed -e '/{{#/,/{{\//d' \
     -e "s/{{node_id}}/$name/" -e "s/{{service}}/$service/" \
     -e "s/{{region}}/stockholm/" -e "s/{{zone}}/$zone/" \
     -e "s/{{limits.link_mbps}}/1000.0/" -e "s/{{ip}}/$ip/" \
@@ -151,9 +149,7 @@
     -e "s/{{bounds.grace_s}}/6/" -e "s/{{bounds.config_apply_ms}}/2000/" \
     -e "s/{{bounds.retry_budget_ratio}}/0.2/" \
     -e "s/{{bounds.budget_window_s}}/10/" -e "s/{{bounds.budget_slack}}/58/" \
-    -e "s/{{bounds.revoke_ms}}/5000/" -e "s/{{bounds.quota_window_s}}/5/" \
-    -e "s/{{bounds.quota_overage}}/0.1/" -e "s/{{bounds.quota_slack}}/20/" \
-    > "$WORK/$name.toml"
+    "$ROOT/deploy/settings.toml" > "$WORK/$name.toml"
   ! grep -q '{{' "$WORK/$name.toml" || give_up "the settings template has fields that lib.sh does not know"
 }
 
--- a/review/standins/worker_with_extra_answers.cpp
+++ b/review/standins/faulty_worker.cpp
@@ -17,17 +17,19 @@
 #include <utility>
 
 /// \file
-/// \brief Stand-in for a worker that follows PROTOCOL.md and, from
-/// PUT /fault/on to PUT /fault/off, sends an additional response after some of
-/// its answers, late: at the point where the next response on the connection is
-/// expected.
+/// \brief Stand-in for a worker that follows PROTOCOL.md, with two faults.
+///
+/// From PUT /fault/on to PUT /fault/off it sends an additional response after
+/// some of its answers, late: at the point where the next response on the
+/// connection is expected. It is the response that the pages show for a worker
+/// that sheds; it belongs to no request and has no id. A request whose target
+/// is CRASH_TARGET ends the process soon after it has begun to run.
 ///
 /// Every request that it begins to run is written to standard output with the
-/// time in Unix milliseconds. The additional response is the one that the pages
-/// show for a worker that sheds; it belongs to no request and bears no id.
+/// time in Unix milliseconds.
 ///
 /// Arguments: HOST PORT SERVICE ZONE SLOTS SERVICE_MS HEARTBEATS_PORT ID
-/// ANSWERS_PER_EXTRA
+/// ANSWERS_PER_EXTRA [CRASH_TARGET]
 
 namespace {
 
@@ -38,6 +40,7 @@
                                        "X-Greengagehub-Not-Executed: 1\r\n"
                                        "Content-Length: 0\r\n\r\n";
 constexpr Milliseconds kHeartbeatPeriod{ 1500 };
+constexpr Milliseconds kTimeToCrash{ 20 };
 constexpr int kQueueFactor = 4;
 
 struct Options
@@ -51,6 +54,8 @@
   std::uint16_t m_heartbeatsPort{ 0 };
   std::string m_id;
   int m_answersPerExtra{ 0 };
+  /// Target of the requests that crash the worker; empty: none.
+  std::string m_crashTarget;
 };
 
 struct Request
@@ -257,6 +262,10 @@
     }
     std::printf("%lld ran %s\n", static_cast<long long>(NowMs()), id.c_str());
     std::fflush(stdout);
+    if (aRequest.m_target == m_options.m_crashTarget) {
+      std::this_thread::sleep_for(kTimeToCrash);
+      std::_Exit(1);
+    }
     if (std::exchange(aHasExtra, false)) {
       std::printf("%lld sent an additional response while %s runs\n",
                   static_cast<long long>(NowMs()),
@@ -367,8 +376,8 @@
 int
 main(int aCount, char** aArguments)
 {
-  if (aCount != 10) {
-    std::fprintf(stderr, "expected 9 arguments, see the source\n");
+  if (aCount != 10 && aCount != 11) {
+    std::fprintf(stderr, "expected 9 or 10 arguments, see the source\n");
     return 2;
   }
   Options options;
@@ -382,6 +391,7 @@
     static_cast<std::uint16_t>(std::atoi(aArguments[7]));
   options.m_id = aArguments[8];
   options.m_answersPerExtra = std::atoi(aArguments[9]);
+  options.m_crashTarget = aCount == 11 ? aArguments[10] : "";
   Worker worker{ std::move(options) };
   return worker.Run();
 }
