--- a/review/build.sh
+++ b/review/build.sh
@@ -7,5 +7,5 @@
   -DGREENGAGEHUB_BUILD_TESTS=ON -DGREENGAGEHUB_BUILD_BENCHMARKS=OFF
 cmake --build target/review --target platform_store platform_worker -j4
 g++ -std=c++20 -O2 -Wall -Wextra -pthread \
-  review/standins/faulty_worker.cpp \
+  review/faulty_worker.cpp \
   -o target/review/standins/faulty_worker
