--- a/src/config/content_patcher.cpp
+++ b/src/config/content_patcher.cpp
@@ -127,7 +127,7 @@
   }
   AddReason(ReasonCode::BadName,
             aPlace,
-            "expected 1 to 100 characters of a-z, 0-9, \"-\", \".\"");
+            "expected 1 to 120 characters of a-z, 0-9, \"-\", \".\"");
   return false;
 }
 
--- a/src/config/entity_parser.cpp
+++ b/src/config/entity_parser.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr std::size_t kMaxNameBytes = 100;
+constexpr std::size_t kMaxNameBytes = 120;
+constexpr std::size_t kMaxHostBytes = 100;
 constexpr std::size_t kMaxPathBytes = 500;
 constexpr std::uint32_t kMaxSlots = 100'000;
 constexpr std::uint32_t kMaxDeadlineMs = 600'000;
@@ -270,7 +271,7 @@
 {
   Route route;
   EntityReader reader{ aObject, aPlace, aReasons };
-  reader.Text("host", route.m_host, kMaxNameBytes);
+  reader.Text("host", route.m_host, kMaxHostBytes);
   reader.Text("path", route.m_path, kMaxPathBytes);
   reader.Text("service", route.m_service, kMaxNameBytes);
   ParseClass(reader, route);
--- a/src/config/entity_parser.hpp
+++ b/src/config/entity_parser.hpp
@@ -62,7 +62,7 @@
             const std::string& aPlace,
             std::vector<Reason>& aReasons);
 
-/// \returns Whether the name has 1 to 100 characters of a-z, 0-9, '-', '.' and
+/// \returns Whether the name has 1 to 120 characters of a-z, 0-9, '-', '.' and
 /// starts with a letter or digit. It needs no escape in JSON, URLs or metrics.
 [[nodiscard]] bool
 IsValidName(std::string_view aName) noexcept;
--- a/tests/platform/config_document.cpp
+++ b/tests/platform/config_document.cpp
@@ -32,6 +32,22 @@
 
 }
 
+namespace {
+
+const Route&
+RouteOf(const Content& aContent, std::string_view aHost, std::string_view aPath)
+{
+  for (const auto& [name, route] : aContent.Routes()) {
+    if (route->m_value.m_host == aHost && route->m_value.m_path == aPath) {
+      return route->m_value;
+    }
+  }
+  FAIL("no such route: " << aHost << aPath);
+  return aContent.Routes().begin()->second->m_value;
+}
+
+}
+
 TEST_CASE("a document is translated into a content")
 {
   platform::ConfigReader reader;
@@ -43,7 +59,7 @@
   CHECK(content.GetLimits().m_maxHeadBytes == 16384);
   CHECK(content.GetLimits().m_idleTimeout == std::chrono::seconds{ 15 });
   CHECK(content.Services().at("lockers")->m_value.m_connections == 110);
-  const Route& release = content.Routes().at("r-release")->m_value;
+  const Route& release = RouteOf(content, "lockers.example", "/release/");
   CHECK(release.m_host == "lockers.example");
   CHECK(release.m_path == "/release/");
   CHECK(release.m_service == "lockers");
@@ -52,7 +68,7 @@
   CHECK(release.m_targetLatency == std::chrono::milliseconds{ 500 });
   CHECK(release.m_attempts == 2);
   CHECK(release.m_priority == 1);
-  const Route& status = content.Routes().at("r-status")->m_value;
+  const Route& status = RouteOf(content, "lockers.example", "/status/");
   CHECK(status.m_service.empty());
   REQUIRE(status.m_split.size() == 2);
   CHECK(status.m_split[1].m_weight == 90);
@@ -101,7 +117,7 @@
   CHECK(wards.m_perSecond == 2.5);
   CHECK(wards.m_burst == 4.0);
   CHECK(content.ToJson().find("plain-key") == std::string::npos);
-  const Route& open = content.Routes().at("r-open")->m_value;
+  const Route& open = RouteOf(content, "a.example", "/open/");
   CHECK(open.m_public);
   CHECK(open.m_idempotency == Route::Idempotency::Yes);
 }
@@ -214,3 +230,22 @@
     }
   }
 }
+
+TEST_CASE("rules of two hosts may have one name")
+{
+  // Guards against routes of one host that replace those of another one.
+  platform::ConfigReader reader;
+  const auto document = reader.Read(R"({
+    "version":"01","clusters":[{"name":"s"}],
+    "listeners":[
+      {"host":"a.example","rules":[{"name":"r","match":{"prefix":"/a/"},
+                                    "action":{"service":"s"}}]},
+      {"host":"b.example","rules":[{"name":"r","match":{"prefix":"/b/"},
+                                    "action":{"service":"s"}}]}]})");
+  REQUIRE(document);
+  Content content;
+  REQUIRE(content.Assign(document.value().m_content).empty());
+  CHECK(content.Routes().size() == 2);
+  CHECK(RouteOf(content, "a.example", "/a/").m_service == "s");
+  CHECK(RouteOf(content, "b.example", "/b/").m_service == "s");
+}
