An empty list of workspaces accepts no key

Cause: a content without a workspace meant that no route needs a key, and an empty list and an absent one led to the same content. The safe reading is that no key is accepted.

The proof that a version is current is renewed then too, else callers would get 503 for 401. Documents without tenants, or with some, have the content as before.

--- a/include/greengagehub/config/content.hpp
+++ b/include/greengagehub/config/content.hpp
@@ -95,6 +95,9 @@
 {
   /// Retry budget as a percentage of calls.
   std::uint32_t m_retryPercent{ 10 };
+  /// Whether routes that are not public need an API key even if no workspace
+  /// has one; then no key is accepted.
+  bool m_requiresKey{ false };
   /// Maximum number of hops of a call.
   std::uint32_t m_maxDepth{ 24 };
   /// In these limits, 0 stands for the value in the daemon's settings.
--- a/include/greengagehub/daemon/workspace_service.hpp
+++ b/include/greengagehub/daemon/workspace_service.hpp
@@ -74,7 +74,7 @@
   /// \returns Whether requests of the route need an API key.
   [[nodiscard]] bool NeedsKey(const Route& aRoute) const noexcept
   {
-    return !m_table.IsEmpty() && !aRoute.m_public;
+    return m_table.RequiresKey() && !aRoute.m_public;
   }
   /// \param aKey API key from the request; empty: none.
   /// \param aIsNew false for a request that has waited for tokens.
--- a/include/greengagehub/workspaces/workspace_table.hpp
+++ b/include/greengagehub/workspaces/workspace_table.hpp
@@ -36,6 +36,11 @@
   std::vector<WorkspaceId> Update(const Content& aContent);
 
   [[nodiscard]] bool IsEmpty() const noexcept { return m_rows.empty(); }
+  /// \returns Whether routes that are not public need an API key.
+  [[nodiscard]] bool RequiresKey() const noexcept
+  {
+    return m_requiresKey || !IsEmpty();
+  }
   [[nodiscard]] std::size_t KeyCount() const noexcept { return m_keys.size(); }
   /// \returns nullptr for an unknown key; valid until the next update.
   [[nodiscard]] const WorkspaceRow* FindByKey(std::string_view aKey) const;
@@ -69,6 +74,7 @@
   EntityMap<Workspace> m_entities;
   std::unordered_map<WorkspaceId, WorkspaceRow> m_rows;
   std::unordered_map<Digest, WorkspaceId, DigestHash> m_keys;
+  bool m_requiresKey{ false };
   /// Number of ranks per workspace priority, one for each route priority.
   std::uint32_t m_routeRankCount{ 1 };
   /// Mean rate of the workspaces that have one.
--- a/src/config/entity_parser.cpp
+++ b/src/config/entity_parser.cpp
@@ -339,6 +339,8 @@
   Limits limits;
   EntityReader reader{ aObject, aPlace, aReasons };
   reader.Number("retry_percent", limits.m_retryPercent, 0, 100);
+  bool hasRequiresKey = false;
+  reader.Flag("requires_key", limits.m_requiresKey, hasRequiresKey);
   reader.Number("max_depth", limits.m_maxDepth, 1, kMaxHops);
   reader.Number("max_head_bytes", limits.m_maxHeadBytes, 0, kMaxBytes);
   reader.Number("max_body_bytes", limits.m_maxBodyBytes, 0, kMaxBytes);
--- a/src/daemon/workspace_service.cpp
+++ b/src/daemon/workspace_service.cpp
@@ -121,7 +121,7 @@
 WorkspaceService::OnTick()
 {
   const TimePoint now = BootNow();
-  if (m_table.IsEmpty()) {
+  if (!m_table.RequiresKey()) {
     m_quota.OnIdle(now);
     return;
   }
--- a/src/workspaces/workspace_table.cpp
+++ b/src/workspaces/workspace_table.cpp
@@ -36,6 +36,7 @@
 std::vector<WorkspaceId>
 WorkspaceTable::Update(const Content& aContent)
 {
+  m_requiresKey = aContent.GetLimits().m_requiresKey;
   m_routeRankCount = 1;
   for (const auto& [name, route] : aContent.Routes()) {
     m_routeRankCount =
--- a/tests/config/trace_replay.cpp
+++ b/tests/config/trace_replay.cpp
@@ -95,6 +95,8 @@
         return FormatActive("forked");
       case StageResult::Corrupt:
         return FormatActive("corrupt");
+      case StageResult::Replaced:
+        return FormatActive("replaced");
     }
     return "?";
   }
--- a/tests/end_to_end/workspaces.cpp
+++ b/tests/end_to_end/workspaces.cpp
@@ -355,3 +355,27 @@
     }
   }
 }
+
+TEST_CASE("no key is accepted after the last tenant has left")
+{
+  // Guards against a version whose empty list of tenants opens all routes.
+  Fleet fleet;
+  StartWithTenants(
+    fleet, 1, Json::array({ Tenant("first", Json::array({ "k1" })) }));
+  REQUIRE(WaitUntil([&] {
+    return SendWithKey(fleet, "lockers-1", "/status/1", "a", "k1") == 200;
+  }));
+  fleet.PutPlatformConfig(DocumentWith("0000000f", Json::array()));
+  REQUIRE(fleet.WaitForVersion(15));
+  CHECK(SendWithKey(fleet, "lockers-1", "/status/1", "b", "k1") == 401);
+  CHECK(SendWithKey(fleet, "lockers-1", "/status/1", "c", "other") == 401);
+  CHECK(SendWithKey(fleet, "lockers-1", "/open/1", "d", "") == 200);
+  // For longer than revoke_within_ms, as the proof of the version must be
+  // renewed.
+  const auto until = Clock::now() + std::chrono::seconds{ 2 };
+  REQUIRE(WaitUntil([&] {
+    CHECK(SendWithKey(fleet, "lockers-1", "/status/1", "e", "k1") == 401);
+    return Clock::now() > until;
+  }));
+  CHECK(Runs(fleet, "b") + Runs(fleet, "c") == 0);
+}
--- a/tests/platform/config_document.cpp
+++ b/tests/platform/config_document.cpp
@@ -249,3 +249,24 @@
   CHECK(RouteOf(content, "a.example", "/a/").m_service == "s");
   CHECK(RouteOf(content, "b.example", "/b/").m_service == "s");
 }
+
+TEST_CASE("an empty list of tenants accepts no key")
+{
+  // Guards against a version that takes away the last tenant and thereby lets
+  // requests with any key in.
+  platform::ConfigReader reader;
+  Content content;
+  const auto read = [&](const char* aTenants) {
+    const auto document = reader.Read(fmt::format(
+      R"({{"version":"01",{}"listeners":[],"clusters":[]}})", aTenants));
+    REQUIRE(document);
+    REQUIRE(content.Assign(document.value().m_content).empty());
+    return content.GetLimits().m_requiresKey;
+  };
+  CHECK_FALSE(read(""));
+  CHECK(read(R"("tenants":[],)"));
+  CHECK_FALSE(read(""));
+  CHECK(read(R"("limits":{"max_body_bytes":9},"tenants":[],)"));
+  CHECK(content.GetLimits().m_maxBodyBytes == 9);
+  CHECK_FALSE(read(R"("tenants":[{"name":"a","api_keys":["k"]}],)"));
+}
