Bound the header lines that the HTTP client reads

What callers saw: nothing yet; a store whose answer has lines of a head without end is read at full speed until the timeout (1.5 s, 5 s for a watch), on the loop that carries the calls.

Cause: libcurl bounds one line, and here not all lines of a response with its trailers and interim responses together.

Change: a transfer ends as lost after 64 KiB of such lines.

Now all six end under 12 MiB, most of which are buffers of the connection.

Open: an extension of a chunk without end is skipped by libcurl unseen, and ends at the timeout only; read, not run.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -17,6 +17,8 @@
 
 /// Limit of easy handles kept for reuse; creating one is expensive.
 constexpr std::size_t kMaxSpareHandles = 64;
+/// Limit of all header lines of a response, with those of interim responses.
+constexpr std::size_t kMaxHeaderBytes = 64UL * 1024;
 
 struct Transfer
 {
@@ -26,6 +28,7 @@
   HttpClient::Done m_done;
   HttpClient::Ticket m_ticket{ 0 };
   HttpResponse m_response;
+  std::size_t m_headerBytes{ 0 };
   int m_sendCount{ 0 };
 };
 
@@ -47,6 +50,10 @@
 {
   auto* transfer = static_cast<Transfer*>(aSelf);
   std::string_view line{ aData, aSize * aCount };
+  transfer->m_headerBytes += line.size();
+  if (transfer->m_headerBytes > kMaxHeaderBytes) {
+    return 0;
+  }
   if (line.starts_with("HTTP/")) {
     transfer->m_response.m_headers.clear();
     return line.size();
--- a/tests/http/http_client.cpp
+++ b/tests/http/http_client.cpp
@@ -121,3 +121,84 @@
   HttpClient client{ loop };
   CHECK(Post(loop, client, port).m_kind == HttpClientResult::Kind::NotSent);
 }
+
+namespace {
+
+/// Answers the first request with bytes that end when the client closes.
+class EndlessServer
+{
+public:
+  EndlessServer(asio::io_context& aLoop, std::string aPrefix, std::string aUnit)
+    : m_acceptor(aLoop, tcp::endpoint{ asio::ip::address_v4::loopback(), 0 })
+    , m_socket(aLoop)
+    , m_output(std::move(aPrefix))
+    , m_unit(std::move(aUnit))
+  {
+    m_acceptor.async_accept(m_socket, [this](const asio::error_code& aError) {
+      if (!aError) {
+        Write();
+      }
+    });
+  }
+
+  [[nodiscard]] std::uint16_t Port() const
+  {
+    return m_acceptor.local_endpoint().port();
+  }
+  [[nodiscard]] std::size_t Written() const { return m_written; }
+
+private:
+  void Write()
+  {
+    while (m_output.size() < 64UL * 1024) {
+      m_output += m_unit;
+    }
+    asio::async_write(
+      m_socket,
+      asio::buffer(m_output),
+      [this](const asio::error_code& aError, std::size_t aSize) {
+        m_written += aSize;
+        m_output.clear();
+        if (!aError) {
+          Write();
+        }
+      });
+  }
+
+  tcp::acceptor m_acceptor;
+  tcp::socket m_socket;
+  std::string m_output;
+  std::string m_unit;
+  std::size_t m_written{ 0 };
+};
+
+}
+
+TEST_CASE("a head without end is not read until the timeout")
+{
+  // Guards against a store or peer whose answer takes the loop and the memory
+  // of a daemon.
+  struct Answer
+  {
+    std::string m_prefix;
+    std::string m_unit;
+  };
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const Answer& each : { Answer{ "", "HTTP/1.1 100 Continue\r\n\r\n" },
+                              Answer{ ok, "X-A: b\r\n" },
+                              Answer{ ok + "X-A: ", "b" },
+                              Answer{ chunked + "0\r\n", "X-A: b\r\n" },
+                              Answer{ "", "x" },
+                              Answer{ "", "\r\n" } }) {
+    CAPTURE(each.m_unit);
+    asio::io_context loop;
+    EndlessServer server{ loop, each.m_prefix, each.m_unit };
+    HttpClient client{ loop };
+    CHECK(Post(loop, client, server.Port()).m_kind ==
+          HttpClientResult::Kind::Lost);
+    // The limit of a head and what the buffers of a connection hold.
+    constexpr std::size_t kMaxBytes = 12UL * 1024 * 1024;
+    CHECK(server.Written() <= kMaxBytes);
+  }
+}
