Bound what is discarded while a request waits for its answer

Cause: the parser started anew after each such message, so that none of its limits held for all of them together. Found by the new test: the same for a chunked body whose chunks of one byte have extensions of 1 kB; the parser's limit of a header starts anew with each chunk.

Change: interim responses are discarded up to 64 KiB, late responses up to 16 and to the bytes of one answer, and chunk framing up to 8 bytes for a byte of the body. Then the connection is closed and the request is lost: it goes to another worker if it may run again, and is never "not run". The body of a health check may have 64 KiB.

A new stand-in, endless_worker, as a worker of real processes.

--- a/include/greengagehub/http/backend_client.hpp
+++ b/include/greengagehub/http/backend_client.hpp
@@ -27,6 +27,8 @@
   /// A request without a response by this time fails, and its connection is
   /// closed.
   TimePoint m_deadline{};
+  /// Limit of the response's body, in bytes; 0: that of the client's settings.
+  std::size_t m_maxBodyBytes{ 0 };
   /// Connections that were idle for longer are not reused, as the backend
   /// server may have closed them.
   std::chrono::milliseconds m_maxIdleTime{ std::chrono::seconds{ 5 } };
@@ -68,7 +70,9 @@
 /// \brief HTTP/1.1 client for one backend server, with persistent connections.
 ///
 /// Each request is sent at most once. Bytes that follow a response close the
-/// connection. Late responses to other requests are discarded.
+/// connection. Interim responses and late responses to other requests are
+/// discarded, up to a limit at which the request is lost: a faulty backend
+/// server may send them without end.
 class BackendClient
 {
 public:
--- a/src/daemon/run_service_worker.cpp
+++ b/src/daemon/run_service_worker.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::uint32_t kMaxQueuedPerSlot = 4;
+constexpr std::size_t kMaxProbeBodyBytes = 64UL * 1024;
 constexpr auto kProbeTimeout = std::chrono::milliseconds{ 1000 };
 /// Time for answers of the previous incarnation that are still in transit on
 /// this machine.
@@ -102,6 +103,7 @@
   request.m_target = aPath;
   request.m_headers = { { "Host", m_deps.m_settings.m_worker.m_host } };
   request.m_deadline = Clock::now() + kProbeTimeout;
+  request.m_maxBodyBytes = kMaxProbeBodyBytes;
   const TimePoint sentAt = Clock::now();
   m_runs.Limiter().RecordSend(sentAt);
   m_deps.m_metrics.CountWorkerRequest();
--- a/src/http/backend_client.cpp
+++ b/src/http/backend_client.cpp
@@ -26,6 +26,9 @@
 /// a connection that it is about to close.
 constexpr auto kIdleMargin = std::chrono::milliseconds{ 500 };
 constexpr std::uint16_t kFirstFinalStatus = 200;
+/// Limits of what is discarded while one request waits for its response.
+constexpr std::size_t kMaxInterimBytes = 64UL * 1024;
+constexpr std::size_t kMaxLateResponses = 16;
 
 /// \returns Idle timeout from a "Keep-Alive: timeout=N" header, if present.
 std::optional<std::chrono::milliseconds>
@@ -108,8 +111,10 @@
     m_request = std::move(aRequest);
     m_done = std::move(aDone);
     m_parser.Reset(m_request.m_method == "HEAD");
-    m_parser.SetLimits(
-      { .m_bodyBytes = m_client->m_settings.m_maxAnswerBytes });
+    m_parser.SetLimits({ .m_bodyBytes = MaxBodyBytes() });
+    m_interimBytes = 0;
+    m_lateBytes = 0;
+    m_lateResponses = 0;
     m_isSendStarted = false;
     m_isSendComplete = false;
     m_hasReceivedBytes = false;
@@ -265,10 +270,33 @@
         OnResponse(!aBytes.empty());
         return;
       }
+      if (!MayDiscard()) {
+        CompleteRequest({ BackendResult::Kind::Lost }, true);
+        return;
+      }
       m_parser.Reset(m_request.m_method == "HEAD");
     }
   }
 
+  [[nodiscard]] std::size_t MaxBodyBytes() const noexcept
+  {
+    return m_request.m_maxBodyBytes > 0 ? m_request.m_maxBodyBytes
+                                        : m_client->m_settings.m_maxAnswerBytes;
+  }
+
+  /// \returns Whether the parsed message, which is not the expected response,
+  /// is within the limits of what is discarded.
+  bool MayDiscard()
+  {
+    if (m_parser.ResponseStatus() < kFirstFinalStatus) {
+      m_interimBytes += m_parser.MessageBytes();
+      return m_interimBytes <= kMaxInterimBytes;
+    }
+    m_lateBytes += m_parser.MessageBytes();
+    return ++m_lateResponses <= kMaxLateResponses &&
+           m_lateBytes <= MaxBodyBytes();
+  }
+
   /// \returns False for an interim response and for a late response to an
   /// earlier request.
   bool IsExpectedResponse()
@@ -355,6 +383,9 @@
   TimePoint m_openedAt{};
   TimePoint m_idleSince{};
   std::optional<std::chrono::milliseconds> m_idleLimit;
+  std::size_t m_interimBytes{ 0 };
+  std::size_t m_lateBytes{ 0 };
+  std::size_t m_lateResponses{ 0 };
   bool m_isOpen{ false };
   bool m_wasUsedBefore{ false };
   bool m_isSendStarted{ false };
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -116,6 +116,7 @@
   m_headers.clear();
   m_body.clear();
   m_headBytes = 0;
+  m_messageBytes = 0;
   m_isHeadResponse = aIsHeadRequest;
   m_hasBegun = false;
   m_hasHead = false;
@@ -132,6 +133,7 @@
   const bool hadHead = m_hasHead;
   aConsumed = http_parser_execute(
     &m_parser, &Callbacks::ParserSettings(), aBytes.data(), aBytes.size());
+  m_messageBytes += aConsumed;
   if (m_isBodyTooLarge) {
     return Status::BodyTooLarge;
   }
@@ -148,6 +150,9 @@
   if (error == HPE_HEADER_OVERFLOW) {
     return Status::HeadTooLarge;
   }
+  if (m_hasHead && HasTooMuchFraming()) {
+    return Status::Malformed;
+  }
   return error == HPE_OK ? Status::NeedsMore : Status::Malformed;
 }
 
--- a/src/http/message_parser.hpp
+++ b/src/http/message_parser.hpp
@@ -35,6 +35,9 @@
     std::size_t m_headBytes{ 64UL * 1024 };
     std::size_t m_bodyBytes{ 64UL * 1024 * 1024 };
   };
+  /// Bytes of chunk framing allowed for each byte of a body, in addition to
+  /// Limits::m_headBytes; chunks of one byte need five.
+  static constexpr std::size_t kMaxFramingPerByte = 8;
 
   explicit MessageParser(Side aSide) noexcept;
   MessageParser(const MessageParser&) = delete;
@@ -51,6 +54,11 @@
   /// length.
   [[nodiscard]] Status Finish();
 
+  /// \returns Bytes of the message consumed so far, with head and framing.
+  [[nodiscard]] std::size_t MessageBytes() const noexcept
+  {
+    return m_messageBytes;
+  }
   /// \returns Whether any byte of the message was received.
   [[nodiscard]] bool HasBegun() const noexcept { return m_hasBegun; }
   [[nodiscard]] bool HasHead() const noexcept { return m_hasHead; }
@@ -74,7 +82,15 @@
   /// backend server might use different ones.
   [[nodiscard]] bool HasDuplicateHost() const;
 
+  /// \returns Whether chunk extensions or trailers outweigh the body.
+  [[nodiscard]] bool HasTooMuchFraming() const noexcept
+  {
+    return m_messageBytes >
+           m_limits.m_headBytes + m_body.size() * (1 + kMaxFramingPerByte);
+  }
+
   http_parser m_parser{};
+  std::size_t m_messageBytes{ 0 };
   Side m_side;
   Limits m_limits{};
   std::string m_target;
--- a/tools/testkit/fleet.cpp
+++ b/tools/testkit/fleet.cpp
@@ -86,9 +86,11 @@
   Node& node = m_nodes[aSpec.m_slot];
   node.m_spec = aSpec;
   if (aSpec.m_withBackend) {
-    std::vector<std::string> arguments{ aSpec.m_onPlatform
-                                          ? PLATFORM_WORKER_PROGRAM
-                                          : BACKEND_PROGRAM,
+    const char* program =
+      aSpec.m_onPlatform ? PLATFORM_WORKER_PROGRAM : BACKEND_PROGRAM;
+    std::vector<std::string> arguments{ aSpec.m_isEndless
+                                          ? ENDLESS_WORKER_PROGRAM
+                                          : program,
                                         "--slots",
                                         std::to_string(aSpec.m_slots),
                                         "--service-ms",
--- a/tools/testkit/fleet.hpp
+++ b/tools/testkit/fleet.hpp
@@ -32,6 +32,9 @@
   /// Whether the backend server uses the platform's protocol and heartbeats,
   /// and the daemon reads its configuration from the platform's store.
   bool m_onPlatform{ false };
+  /// Whether the backend server is one that can answer without end, which uses
+  /// the platform's protocol too.
+  bool m_isEndless{ false };
 };
 
 struct CallResult
