Count the crash of a restarted worker that answered nothing in between

Cause: a crash of a worker got a number of its own only after an answer of the worker. Without one, each later crash had the id of the first and was dropped as known.

Change: a connection that was established after the crash before belongs to a new process. Runs of it that are lost are a new crash; connections of the former process whose loss is seen late still belong to the former crash, and reports by several daemons of one crash count once as before. A new incarnation needs no rule of its own: its runs are on new connections.

--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -197,7 +197,8 @@
                      TimePoint aPreviousLastReport);
   void OnNewIncarnation();
   /// \brief Checks whether the worker exited when it closed a connection.
-  void CheckWorkerAfterLoss(CallKey aKey);
+  /// \param aConnectedAt when the lost connection was established.
+  void CheckWorkerAfterLoss(CallKey aKey, TimePoint aConnectedAt);
   void OnListenCheck(bool aIsPortClosed);
   void FinishLostRun(CallKey aKey, bool aWorkerCrashed);
   /// \brief Removes a run, logs and counts its result, and delivers the answer.
--- a/include/greengagehub/http/backend_client.hpp
+++ b/include/greengagehub/http/backend_client.hpp
@@ -56,6 +56,8 @@
   bool m_refused{ false };
   /// The backend server closed or reset the connection after the send began.
   bool m_closed{ false };
+  /// When the connection of a lost request was established.
+  TimePoint m_connectedAt{};
 };
 
 struct BackendClientSettings
--- a/include/greengagehub/quarantine/crash_detector.hpp
+++ b/include/greengagehub/quarantine/crash_detector.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "greengagehub/core/clock.hpp"
 #include "greengagehub/quarantine/quarantine_update.hpp"
 
 #include <cstdint>
@@ -24,18 +25,24 @@
 class CrashDetector
 {
 public:
+  /// \param aConnectedAt when the lost connection was established. A server
+  /// that has accepted one since its crash is a new process.
   /// \returns Whether to probe the address now; false while a probe is pending.
-  [[nodiscard]] bool OnConnectionLost(const Witness& aRun);
+  [[nodiscard]] bool OnConnectionLost(const Witness& aRun,
+                                      TimePoint aConnectedAt);
   /// \returns The crash with all runs lost since the previous probe, if the
   /// connection was refused. Further runs lost in the same crash are returned
   /// with the same number.
-  [[nodiscard]] std::optional<WorkerCrash> OnProbed(bool aIsRefused);
+  [[nodiscard]] std::optional<WorkerCrash> OnProbed(TimePoint aNow,
+                                                    bool aIsRefused);
   /// The next refused probe counts as a new crash.
   void OnAlive() noexcept { m_hasCrashed = false; }
 
 private:
   std::vector<Witness> m_lostRuns;
   std::uint64_t m_number{ 0 };
+  /// When a probe was refused first after the last crash.
+  TimePoint m_crashedAt{};
   bool m_isProbing{ false };
   bool m_hasCrashed{ false };
 };
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -246,7 +246,7 @@
     if (aResult.m_closed) {
       // The answer follows the check, so that a crash is published before the
       // caller's daemon retries at another worker.
-      CheckWorkerAfterLoss(aKey);
+      CheckWorkerAfterLoss(aKey, aResult.m_connectedAt);
     } else {
       FinishRun(aKey, AnswerFrom(aKey, std::move(aResult)));
     }
--- a/src/daemon/run_service_worker.cpp
+++ b/src/daemon/run_service_worker.cpp
@@ -34,14 +34,14 @@
 }
 
 void
-RunService::CheckWorkerAfterLoss(CallKey aKey)
+RunService::CheckWorkerAfterLoss(CallKey aKey, TimePoint aConnectedAt)
 {
   const ActiveRun& run = m_activeRuns.at(aKey);
   m_lostRuns.push_back(aKey);
   const Witness lost{ run.m_fingerprint,
                       Clock::now() - run.m_startedAt,
                       std::nullopt };
-  if (!m_crashDetector.OnConnectionLost(lost)) {
+  if (!m_crashDetector.OnConnectionLost(lost, aConnectedAt)) {
     return;
   }
   CheckListening(m_deps.m_loop,
@@ -55,7 +55,7 @@
 void
 RunService::OnListenCheck(bool aIsPortClosed)
 {
-  auto end = m_crashDetector.OnProbed(aIsPortClosed);
+  auto end = m_crashDetector.OnProbed(Clock::now(), aIsPortClosed);
   if (end) {
     m_deps.m_requestLog.OnWorkerExit(
       m_incarnation.m_id, m_runs.IsDraining(), *end);
--- a/src/http/backend_client.cpp
+++ b/src/http/backend_client.cpp
@@ -343,6 +343,7 @@
                                           : BackendResult::Kind::NotSent };
     result.m_wasStale = m_wasUsedBefore && !m_hasReceivedBytes;
     result.m_closed = m_isSendStarted;
+    result.m_connectedAt = m_openedAt;
     CompleteRequest(std::move(result), true);
   }
 
--- a/src/quarantine/crash_detector.cpp
+++ b/src/quarantine/crash_detector.cpp
@@ -5,14 +5,17 @@
 namespace greengagehub {
 
 bool
-CrashDetector::OnConnectionLost(const Witness& aRun)
+CrashDetector::OnConnectionLost(const Witness& aRun, TimePoint aConnectedAt)
 {
+  if (aConnectedAt > m_crashedAt) {
+    m_hasCrashed = false;
+  }
   m_lostRuns.push_back(aRun);
   return !std::exchange(m_isProbing, true);
 }
 
 std::optional<WorkerCrash>
-CrashDetector::OnProbed(bool aIsRefused)
+CrashDetector::OnProbed(TimePoint aNow, bool aIsRefused)
 {
   m_isProbing = false;
   std::vector<Witness> lost = std::exchange(m_lostRuns, {});
@@ -22,6 +25,7 @@
   }
   if (!std::exchange(m_hasCrashed, true)) {
     ++m_number;
+    m_crashedAt = aNow;
   }
   return WorkerCrash{ m_number, std::move(lost) };
 }
