Suspect a request whose copies crash several workers at one moment

Cause: crashes of overlapping runs within 15 ms count once, as a failed rack is one cause. So the request was no suspect after the first round, and its copies ran side by side in the second one too.

Change: several crashes at one moment still count once, towards the quarantine and for retries. But without a recent success of the request they make it a suspect, which runs at one worker at a time. A success on any daemon ends this on all of them. A request with a success in the minute before, as a lookup that runs everywhere, is not affected.

Ruled out: a quarantine after two moments of crashes; it would quarantine what met two failures of a rack.

--- a/include/greengagehub/quarantine/quarantine.hpp
+++ b/include/greengagehub/quarantine/quarantine.hpp
@@ -71,11 +71,10 @@
     Fingerprint aFingerprint) const;
   /// \returns The number of crashes that count against the request.
   [[nodiscard]] std::uint32_t CrashCount(Fingerprint aFingerprint) const;
-  /// \returns Whether the request must run without other suspects.
-  [[nodiscard]] bool IsSuspect(Fingerprint aFingerprint) const
-  {
-    return CrashCount(aFingerprint) >= kSuspectCrashes;
-  }
+  /// \returns Whether the request must run without other suspects. Without a
+  /// recent success, crashes at the same moment suffice, though they count
+  /// once: its copies may have caused them.
+  [[nodiscard]] bool IsSuspect(Fingerprint aFingerprint) const;
 
   /// \param aReport crash of the local backend server; m_lastSuccess of its
   /// runs is filled in here.
@@ -140,6 +139,8 @@
   struct CrashTally
   {
     std::uint32_t m_count{ 0 };
+    /// With those that do not count, as they have the cause of another one.
+    std::uint32_t m_all{ 0 };
     TimePoint m_firstAt{};
   };
   struct Record
@@ -153,6 +154,15 @@
     const InterruptedRequest& aRequest,
     Fingerprint aFingerprint,
     std::optional<TimePoint> aLastSuccess) const;
+  [[nodiscard]] bool IsSuspect(const CrashTally& aTally,
+                               std::optional<TimePoint> aLastSuccess) const;
+  /// \returns Whether a suspect request has fewer crashes with a later success.
+  [[nodiscard]] bool ClearsCrashes(const InterruptedRequest& aRequest,
+                                   Fingerprint aFingerprint,
+                                   std::optional<TimePoint> aSuccess) const;
+  [[nodiscard]] static bool HadRecentSuccess(
+    const CrashTally& aTally,
+    std::optional<TimePoint> aLastSuccess);
   /// \returns The later of the last success known to all daemons and the last
   /// one on the local backend server.
   [[nodiscard]] std::optional<TimePoint> LastSuccess(
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -123,6 +123,7 @@
   CrashTally tally;
   TimePoint lastCounted{};
   for (const LostRun& each : runs) {
+    ++tally.m_all;
     const bool isSeparate = tally.m_count == 0 ||
                             each.m_ended - lastCounted > kSameCauseWindow ||
                             each.m_begun + kAgeTolerance >= lastCounted;
@@ -249,10 +250,9 @@
   PublishSuccess(aNow, request, aFingerprint, aOut);
   const auto lastSuccess = LastSuccess(request, aFingerprint);
   const CrashTally tally = CountCrashes(request, aFingerprint, lastSuccess);
-  const bool hadRecentSuccess =
-    lastSuccess && tally.m_firstAt - *lastSuccess <= kRecentSuccess;
-  if (tally.m_count <
-      (hadRecentSuccess ? kCrashLimitAfterSuccess : kCrashLimit)) {
+  if (tally.m_count < (HadRecentSuccess(tally, lastSuccess)
+                         ? kCrashLimitAfterSuccess
+                         : kCrashLimit)) {
     return;
   }
   const auto record = m_records.find(aFingerprint);
@@ -315,12 +315,7 @@
   }
   // Most requests that were interrupted once succeed soon after; publishing
   // those successes would dominate the traffic.
-  const auto counted =
-    CountCrashes(aRequest, aFingerprint, aRequest.m_lastSuccess).m_count;
-  const bool lowersCount =
-    counted >= kSuspectCrashes &&
-    CountCrashes(aRequest, aFingerprint, localSuccess).m_count < counted;
-  if (!lowersCount) {
+  if (!ClearsCrashes(aRequest, aFingerprint, localSuccess)) {
     return;
   }
   aRequest.m_lastSuccess = localSuccess;
@@ -342,11 +337,11 @@
   }
   std::optional<TimePoint>& lastSuccess = request->second.m_lastSuccess;
   const TimePoint at = aNow - aVerdict.m_age;
-  const auto counted =
-    CountCrashes(request->second, aVerdict.m_fingerprint, lastSuccess).m_count;
-  const bool isNew =
-    !(lastSuccess >= at) &&
-    CountCrashes(request->second, aVerdict.m_fingerprint, at).m_count < counted;
+  const CrashTally before =
+    CountCrashes(request->second, aVerdict.m_fingerprint, lastSuccess);
+  const CrashTally after =
+    CountCrashes(request->second, aVerdict.m_fingerprint, at);
+  const bool isNew = !(lastSuccess >= at) && after.m_all < before.m_all;
   if (isNew) {
     lastSuccess = at;
     aOut.m_update.m_verdicts.push_back(aVerdict);
--- a/tests/quarantine/quarantine.cpp
+++ b/tests/quarantine/quarantine.cpp
@@ -85,6 +85,39 @@
   CHECK_FALSE(quarantine.IsQuarantined(kStart + 1s, kOther));
 }
 
+TEST_CASE("copies that crash several workers at once make a suspect")
+{
+  // Guards against a request that is sent in copies: all workers crash at the
+  // same moment, again and again, before it is quarantined.
+  const auto crashAtOnce = [](Quarantine& aQuarantine) {
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+      static_cast<void>(aQuarantine.OnUpdate(
+        kStart + 1s, { { MakeReport(i, { kCrashing }) }, {} }));
+    }
+  };
+  Quarantine quarantine;
+  SUBCASE("without a recent success")
+  {
+    crashAtOnce(quarantine);
+    CHECK(quarantine.CrashCount(kCrashing) == 1);
+    CHECK(quarantine.IsSuspect(kCrashing));
+    // A success tells all daemons that it is none.
+    const auto success = quarantine.OnSuccess(kStart + 2s, kCrashing);
+    CHECK(success.m_update.m_verdicts.size() == 1);
+    CHECK_FALSE(quarantine.IsSuspect(kCrashing));
+    Quarantine other;
+    crashAtOnce(other);
+    static_cast<void>(other.OnUpdate(kStart + 2s, success.m_update));
+    CHECK_FALSE(other.IsSuspect(kCrashing));
+  }
+  SUBCASE("after a recent success")
+  {
+    static_cast<void>(quarantine.OnSuccess(kStart, kCrashing));
+    crashAtOnce(quarantine);
+    CHECK_FALSE(quarantine.IsSuspect(kCrashing));
+  }
+}
+
 TEST_CASE("each crash of a retried request counts")
 {
   // Each retry starts after the crash before it.
