Fingerprint a request by its host as the router reads it

Cause: routing takes the host without its port and in lower case, the fingerprint of the quarantine took the header as it came.

Change: one function serves both.

--- a/include/greengagehub/daemon/call_headers.hpp
+++ b/include/greengagehub/daemon/call_headers.hpp
@@ -23,6 +23,10 @@
 inline constexpr std::string_view kRetryAfterHeader =
   "Greengagehub-Retry-After-Ms";
 
+/// \returns The Host header without its port, in lower case.
+[[nodiscard]] std::string
+HostOf(const std::vector<HttpHeader>& aHeaders);
+
 /// \returns The fingerprint under which quarantine counts the call.
 [[nodiscard]] Fingerprint
 CallFingerprint(const CallDialect& aDialect, const CallRequest& aCall);
--- a/src/daemon/call_gateway_callers.cpp
+++ b/src/daemon/call_gateway_callers.cpp
@@ -15,19 +15,6 @@
 /// Most versions that are known to exist are in force after this time.
 constexpr std::chrono::milliseconds kConfigRetryDelay{ 200 };
 
-/// \returns The Host header without its port, in lower case.
-std::string
-HostOf(const std::vector<HttpHeader>& aHeaders)
-{
-  const std::string_view value = HeaderValue(aHeaders, "host");
-  std::string host{ value.substr(0, value.rfind(':')) };
-  std::transform(host.begin(), host.end(), host.begin(), [](char aChar) {
-    const bool isUpper = aChar >= 'A' && aChar <= 'Z';
-    return isUpper ? static_cast<char>(aChar - 'A' + 'a') : aChar;
-  });
-  return host;
-}
-
 bool
 IsIdempotent(const Route& aRoute, std::string_view aMethod)
 {
--- a/src/daemon/call_headers.cpp
+++ b/src/daemon/call_headers.cpp
@@ -105,12 +105,25 @@
 
 }
 
+std::string
+HostOf(const std::vector<HttpHeader>& aHeaders)
+{
+  const std::string_view value = HeaderValue(aHeaders, "host");
+  std::string host{ value.substr(0, value.rfind(':')) };
+  std::transform(host.begin(), host.end(), host.begin(), [](char aChar) {
+    const bool isUpper = aChar >= 'A' && aChar <= 'Z';
+    return isUpper ? static_cast<char>(aChar - 'A' + 'a') : aChar;
+  });
+  return host;
+}
+
 Fingerprint
 CallFingerprint(const CallDialect& aDialect, const CallRequest& aCall)
 {
+  const std::string host = HostOf(aCall.m_headers);
   return FingerprintOf(
     { .m_caller = HeaderValue(aCall.m_headers, aDialect.m_callerService),
-      .m_host = HeaderValue(aCall.m_headers, "host"),
+      .m_host = host,
       .m_method = aCall.m_method,
       .m_target = aCall.m_target,
       .m_body = aCall.m_body });
