review: a crashing worker stops listening first, in case 7

What was wrong: the stand-in's worker went on listening for some milliseconds after a crash, which a process that ends does not.

Change: the worker stops listening before its connections end.

The other scripts use the harness as before.

--- a/review/harness_2.hpp
+++ b/review/harness_2.hpp
@@ -516,7 +516,7 @@
   {
     Start(1);
   }
-  ~Worker() { Stop(false); }
+  ~Worker() { Stop(); }
   Worker(const Worker&) = delete;
   Worker& operator=(const Worker&) = delete;
 
@@ -557,22 +557,22 @@
     m_isUp = true;
     m_acceptor = std::thread{ [this] { Accept(); } };
   }
-  /// Ends the worker's process: its connections are reset.
-  void Stop(bool aIsCrash)
+  /// Ends the worker's process from one of its handlers: nobody listens at its
+  /// address any more, and its connections end.
+  void Crash()
   {
     m_isUp = false;
-    if (m_listener) {
-      shutdown(m_listener->Descriptor(), SHUT_RDWR);
+    shutdown(m_listener->Descriptor(), SHUT_RDWR);
+    const std::lock_guard lock{ m_mutex };
+    for (const int each : m_connections) {
+      shutdown(each, SHUT_RDWR);
     }
-    {
-      const std::lock_guard lock{ m_mutex };
-      for (const int each : m_connections) {
-        if (aIsCrash) {
-          const linger now{ 1, 0 };
-          setsockopt(each, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
-        }
-        shutdown(each, SHUT_RDWR);
-      }
+  }
+  /// Ends the worker's process, or what is left of it after a crash.
+  void Stop()
+  {
+    if (m_listener) {
+      Crash();
     }
     if (m_acceptor.joinable()) {
       m_acceptor.join();
@@ -702,6 +702,7 @@
     }
     m_record.Line(m_name + " (" + own + ") runs " + id + " " + target);
     if (crash && crash(aRequest)) {
+      Crash();
       return false;
     }
     SleepMs(m_workMs);
@@ -831,11 +832,12 @@
   }
   Machine& At(std::size_t aIndex) { return *m_machines.at(aIndex); }
 
-  void PutConfig()
+  void PutConfig() { PutConfig(m_shape.m_config); }
+  void PutConfig(const std::string& aConfig)
   {
     const std::string body =
       R"({"expected":[],"puts":[{"key":"op/config","value":")" +
-      Base64(m_shape.m_config) + R"(","lease_id":0}],"deletes":[]})";
+      Base64(aConfig) + R"(","lease_id":0}],"deletes":[]})";
     const int status =
       Ask(StoreHost(),
           StoreHost(),
@@ -1079,28 +1081,40 @@
   std::vector<std::thread> m_threads;
 };
 
-/// The configuration of all scripts: one service, a route of each kind.
+/// One rule of the configuration, for the service of all scripts.
 inline std::string
-PlainConfig(const std::string& aVersion)
+Rule(const std::string& aName,
+     const std::string& aKind,
+     const std::string& aPrefix)
+{
+  return R"({"name":")" + aName + R"(","kind":")" + aKind +
+         R"(","target_latency_ms":400,"priority":1,"match":{"prefix":")" +
+         aPrefix +
+         R"("},"action":{"service":"lockers","timeout_ms":2000,"attempts":3}})";
+}
+
+/// A configuration in the form of the wire page.
+inline std::string
+Config(const std::string& aVersion, const std::string& aRules)
 {
-  const auto rule = [](const char* aName,
-                       const char* aKind,
-                       const char* aPrefix) {
-    return std::string{ R"({"name":")" } + aName + R"(","kind":")" + aKind +
-           R"(","target_latency_ms":400,"priority":1,"match":{"prefix":")" +
-           aPrefix +
-           R"("},"action":{"service":"lockers","timeout_ms":2000,"attempts":3}})";
-  };
   return R"({"version":")" + aVersion +
          R"(","limits":{"max_header_bytes":16384,"max_body_bytes":1000000,)"
          R"("header_timeout_ms":5000,"idle_timeout_ms":20000},)"
          R"("listeners":[{"host":"a.example","rules":[)" +
-         rule("status", "safe", "/status/") + "," +
-         rule("release", "unsafe", "/release/") +
+         aRules +
          R"(]}],"clusters":[{"name":"lockers","health_check_path":"/healthz",)"
          R"("max_connections":110}]})";
 }
 
+/// The configuration of the scripts: one service, a route of each kind.
+inline std::string
+PlainConfig(const std::string& aVersion)
+{
+  return Config(aVersion,
+                Rule("status", "safe", "/status/") + "," +
+                  Rule("release", "unsafe", "/release/"));
+}
+
 inline bool
 HasTrouble()
 {
