review: daemons out of descriptors end and lose requests; case 4

What callers see: under load with few workers, daemons on machines without disruption end with "Too many open files", and the requests under way get no answer.

Cause, as read and not traced: callers' connections use up the descriptors; the constructor of a ZeroMQ socket for a pull then throws, and nothing catches it.

The other cases move up by one, and the case about names goes. Nothing is fixed.

--- a/review/harness_2.hpp
+++ b/review/harness_2.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-// Shared parts of the scripts 4 to 8: a small fleet on loopback addresses, one
+// Shared parts of the scripts 5 to 8: a small fleet on loopback addresses, one
 // address a machine, with stand-ins for workers, clients and the operator. The
 // store is the project's own stand-in. Plain sockets and threads, no library.
 
