--- a/review/harness_2.hpp
+++ b/review/harness_2.hpp
@@ -14,6 +14,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <exception>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
@@ -337,6 +338,38 @@
 
 // Processes.
 
+/// Ids of the processes that run, to end them however the script ends.
+class Children
+{
+public:
+  static void Add(pid_t aPid) { Change(0, aPid); }
+  static void Remove(pid_t aPid) { Change(aPid, 0); }
+  static void KillAll()
+  {
+    for (std::atomic<pid_t>& each : Slots()) {
+      if (const pid_t pid = each.load(); pid > 0) {
+        kill(pid, SIGKILL);
+      }
+    }
+  }
+
+private:
+  static std::array<std::atomic<pid_t>, 64>& Slots()
+  {
+    static std::array<std::atomic<pid_t>, 64> slots{};
+    return slots;
+  }
+  static void Change(pid_t aFrom, pid_t aTo)
+  {
+    for (std::atomic<pid_t>& each : Slots()) {
+      pid_t expected = aFrom;
+      if (each.compare_exchange_strong(expected, aTo)) {
+        return;
+      }
+    }
+  }
+};
+
 class Process
 {
 public:
@@ -360,6 +393,7 @@
     if (error != 0) {
       throw std::runtime_error{ "cannot start " + aArguments.front() };
     }
+    Children::Add(m_pid);
   }
   ~Process() { Kill(); }
   Process(const Process&) = delete;
@@ -375,6 +409,7 @@
   {
     if (m_pid > 0) {
       kill(m_pid, SIGKILL);
+      Children::Remove(m_pid);
       waitpid(std::exchange(m_pid, -1), nullptr, 0);
     }
   }
@@ -382,6 +417,7 @@
   bool IsRunning()
   {
     if (m_pid > 0 && waitpid(m_pid, nullptr, WNOHANG) == m_pid) {
+      Children::Remove(m_pid);
       m_pid = -1;
     }
     return m_pid > 0;
@@ -1129,6 +1165,15 @@
         const std::function<bool(Record&)>& aCase)
 {
   std::signal(SIGPIPE, SIG_IGN);
+  const auto end = [] {
+    Children::KillAll();
+    _exit(2);
+  };
+  std::set_terminate(end);
+  std::signal(SIGTERM, [](int) {
+    Children::KillAll();
+    _exit(2);
+  });
   Record record{ aCount > 1 ? aArguments[1] : "record.txt" };
   try {
     const bool isBroken = aCase(record);
