--- a/include/greengagehub/calls/call.hpp
+++ b/include/greengagehub/calls/call.hpp
@@ -128,7 +128,11 @@
   std::string m_method;
   std::string m_target;
   std::vector<HttpHeader> m_headers;
-  std::string m_body;
+  Body m_body;
+  /// Size of a body that follows on the link in parts.
+  std::uint64_t m_bodyBytesToFollow{ 0 };
+  /// The receiver had no room for the body, so the request cannot run.
+  bool m_isBodyDropped{ false };
   /// Relative, as the clocks of two machines may differ.
   std::chrono::microseconds m_timeLeft{ 0 };
   CallClass m_class{ CallClass::Critical };
@@ -165,6 +169,8 @@
   CallOutcome m_outcome{ CallOutcome::Unknown };
   RefusalReason m_reason{ RefusalReason::None };
   HttpResponse m_response{};
+  /// Size of a body that follows on the link in parts.
+  std::uint64_t m_bodyBytesToFollow{ 0 };
   /// Suggested delay before a retry, from the queue length; 0: no hint.
   std::chrono::milliseconds m_retryAfter{ 0 };
   /// Calls queued and running at the worker.
--- a/include/greengagehub/core/core.hpp
+++ b/include/greengagehub/core/core.hpp
@@ -3,6 +3,8 @@
 /// \file
 /// \brief Includes the public headers of the core library.
 
+#include "greengagehub/core/body.hpp"
+#include "greengagehub/core/byte_budget.hpp"
 #include "greengagehub/core/clock.hpp"
 #include "greengagehub/core/compression.hpp"
 #include "greengagehub/core/digest.hpp"
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -84,6 +84,8 @@
   }
   [[nodiscard]] std::size_t Links() const noexcept { return m_pool.Size(); }
   [[nodiscard]] const LinkPacer& Pacer() const noexcept { return m_pacer; }
+  /// \returns What holds the bodies of all requests and answers.
+  [[nodiscard]] const ByteBudget& Bodies() const noexcept { return *m_bodies; }
   /// \returns Bookings of answers that leave this instance.
   [[nodiscard]] const LinkBooking& LinkOut() const noexcept
   {
@@ -253,6 +255,7 @@
   Random m_random;
   Dispatcher m_dispatcher;
   LinkPacer m_pacer;
+  ByteBudget::Pointer m_bodies;
   LinkBooking m_linkOut;
   LinkBooking m_linkIn;
   AnswerSizes m_answerSizes;
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -59,6 +59,8 @@
     const LinkPacer* m_pacer{ nullptr };
     /// Bookings of the link out.
     LinkBooking* m_linkOut{ nullptr };
+    /// Holds the bodies of answers.
+    ByteBudget::Pointer m_bodies{};
     /// Process number of this daemon, whose own calls' answers leave by its
     /// HTTP server.
     std::uint64_t m_process{ 0 };
@@ -74,6 +76,11 @@
   /// sent again, Finished if its answer is lost.
   [[nodiscard]] CancelResult OnCancel(CallKey aKey, bool aAbandon);
   void OnEpoch(std::uint64_t aProcess, std::uint64_t aEpoch);
+  /// \brief Sets the limit of answers whose length is announced.
+  void SetMaxAnnouncedBytes(std::size_t aBytes) noexcept
+  {
+    m_client.SetMaxAnnouncedBytes(aBytes);
+  }
   void StartDraining();
   /// \brief Accepts runs again after StartDraining().
   void StopDraining() { m_runs.Reopen(); }
@@ -205,6 +212,8 @@
   void FinishRun(CallKey aKey, CallAnswer aAnswer);
   /// \brief Keeps the answer of a call that must not run again.
   void KeepAnswer(CallKey aKey, const CallAnswer& aAnswer);
+  /// \brief Drops kept answers that are too old or too many.
+  void DropKeptAnswers(TimePoint aNow);
   [[nodiscard]] std::string_view RequestIdOf(const CallRequest& aRequest) const;
   /// \returns Nothing for a call without workspace.
   [[nodiscard]] std::optional<RequestLog::ShareUse> UseFor(
--- a/include/greengagehub/http/backend_client.hpp
+++ b/include/greengagehub/http/backend_client.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "greengagehub/core/byte_budget.hpp"
 #include "greengagehub/core/clock.hpp"
 #include "greengagehub/http/http_message.hpp"
 
@@ -18,7 +19,7 @@
   /// Path and query.
   std::string m_target{ "/" };
   std::vector<HttpHeader> m_headers{};
-  std::string m_body{};
+  Body m_body{};
   /// Response header that echoes the request, and its expected value. A
   /// response with another value is discarded. Not checked if the name is
   /// empty.
@@ -67,6 +68,8 @@
   std::size_t m_maxAnswerBytes{ 64UL * 1024 * 1024 };
   /// Maximum number of idle connections.
   std::size_t m_maxIdleConnections{ 100 };
+  /// Holds the bodies of responses; nullptr: they have no common bound.
+  ByteBudget::Pointer m_budget{};
 };
 
 /// \brief HTTP/1.1 client for one backend server, with persistent connections.
@@ -74,7 +77,8 @@
 /// Each request is sent at most once. Bytes that follow a response close the
 /// connection. Interim responses and late responses to other requests are
 /// discarded, up to a limit at which the request is lost: a faulty backend
-/// server may send them without end.
+/// server may send them without end. A response whose body does not fit the
+/// budget is read no further until it does.
 class BackendClient
 {
 public:
@@ -89,6 +93,9 @@
   /// \returns Number of connections, idle and in use.
   [[nodiscard]] std::size_t Connections() const noexcept;
   [[nodiscard]] std::uint64_t ConnectionAttempts() const noexcept;
+  /// \brief Sets a limit of later responses whose length is announced, where it
+  /// exceeds that of the settings.
+  void SetMaxAnnouncedBytes(std::size_t aBytes) noexcept;
 
   /// \brief Sends a request; `aDone` is called once, from the loop.
   Ticket Send(BackendRequest aRequest, Done aDone);
--- a/include/greengagehub/http/http_message.hpp
+++ b/include/greengagehub/http/http_message.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "greengagehub/core/body.hpp"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -37,7 +39,7 @@
   /// Path and query, as on the request line.
   std::string m_target;
   std::vector<HttpHeader> m_headers;
-  std::string m_body;
+  Body m_body;
   /// Connection id, as passed to the server's ClosedHandler.
   std::uint64_t m_connection{ 0 };
   /// Whether the client is on this instance, so that the answer does not cross
@@ -50,7 +52,7 @@
 {
   std::uint16_t m_status{ 200 };
   std::vector<HttpHeader> m_headers{};
-  std::string m_body{};
+  Body m_body{};
 };
 
 /// \returns Path of a request target, without the query.
--- a/include/greengagehub/http/http_server.hpp
+++ b/include/greengagehub/http/http_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "greengagehub/core/byte_budget.hpp"
 #include "greengagehub/core/clock.hpp"
 #include "greengagehub/core/link_pacer.hpp"
 #include "greengagehub/core/outcome.hpp"
@@ -41,7 +42,8 @@
 {
   /// Larger heads are answered with status 431.
   std::size_t m_maxHeadBytes{ 64UL * 1024 };
-  /// Larger bodies are answered with status 413.
+  /// Larger bodies are answered with status 413, as are bodies that the budget
+  /// cannot hold at all.
   std::size_t m_maxBodyBytes{ 1024UL * 1024 };
   /// Maximum time to receive a head; exceeding it is answered with status 408.
   std::chrono::milliseconds m_headTimeout{ std::chrono::seconds{ 10 } };
@@ -139,6 +141,9 @@
   [[nodiscard]] Outcome<std::uint16_t> Open();
   /// \brief Counts and paces answers to clients on other instances.
   void UsePacer(LinkPacer& aPacer) noexcept;
+  /// \brief Sets what holds the bodies of requests, and long heads. A body that
+  /// does not fit waits unread for a short time, then gets status 503.
+  void UseBudget(ByteBudget::Pointer aBudget) noexcept;
   /// \brief Reports the close of each connection.
   void ObserveCloses(CloseObserver aObserver);
   /// \brief Changes the limits, also for open connections.
--- a/include/greengagehub/settings/settings.hpp
+++ b/include/greengagehub/settings/settings.hpp
@@ -120,6 +120,8 @@
   std::string m_domain{};
   /// Bandwidth of this instance's network link, in Mbit/s; 0: unknown.
   std::uint32_t m_linkMbps{ 0 };
+  /// Memory that this process may use, in MB.
+  std::uint32_t m_memoryMb{ 256 };
   ListenSettings m_listen{};
   /// Required for requests that change state; empty: they are rejected. Never
   /// logged.
--- a/include/greengagehub/transport/codec.hpp
+++ b/include/greengagehub/transport/codec.hpp
@@ -36,6 +36,13 @@
 AppendFrame(std::string& aOut,
             const LinkFrame& aFrame,
             LinkDeflater* aDeflater = nullptr);
+/// \brief Appends a frame up to its body.
+/// \param aBodyBytes size of the body, which the caller sends.
+void
+AppendFrameHead(std::string& aOut,
+                const LinkFrame& aFrame,
+                std::size_t aBodyBytes,
+                LinkDeflater* aDeflater = nullptr);
 /// \param aBytes one frame without the leading frame length.
 /// \param aInflater decompresses heads; nullptr rejects compressed heads.
 /// \returns The frame, or ErrorCode::Corrupt.
@@ -43,7 +50,8 @@
 DecodeFrame(std::string_view aBytes, LinkInflater* aInflater = nullptr);
 
 inline constexpr std::size_t kFrameLengthBytes = 4;
-/// Maximum frame length; a longer frame closes the connection.
+/// Maximum frame length; a longer frame closes the connection. Larger bodies
+/// are sent in parts.
 inline constexpr std::size_t kMaxFrameBytes = 32UL * 1024 * 1024;
 /// \param aHeader at least kFrameLengthBytes bytes.
 /// \returns Length of the frame that follows, in bytes.
--- a/include/greengagehub/transport/link_connection.hpp
+++ b/include/greengagehub/transport/link_connection.hpp
@@ -3,6 +3,7 @@
 #include "greengagehub/core/clock.hpp"
 #include "greengagehub/core/link_pacer.hpp"
 #include "greengagehub/net/socket_queues.hpp"
+#include "greengagehub/transport/body_assembler.hpp"
 #include "greengagehub/transport/link_deflate.hpp"
 #include "greengagehub/transport/link_frame.hpp"
 #include "greengagehub/transport/traffic_meter.hpp"
@@ -14,6 +15,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -80,7 +82,7 @@
   [[nodiscard]] bool HasUnsent() const noexcept
   {
     return m_isOpen && !(m_writeBuffer.empty() && m_encoded.empty() &&
-                         m_largeFrames.empty());
+                         m_largeFrames.empty() && !m_currentLarge);
   }
   /// \returns The state at the close; valid once the connection is closed.
   [[nodiscard]] const LinkClose& AtClose() const noexcept { return m_close; }
@@ -93,8 +95,20 @@
   TimePoint m_openedAt{};
 
   void Start(FrameHandler aOnFrame, ClosedHandler aOnClosed);
-  /// \brief Queues a frame; does nothing after a close or a failed write.
+  /// \returns Whether the peer takes a frame of this size; it closes the link
+  /// on one that it does not take.
+  [[nodiscard]] bool CanSend(const LinkFrame& aFrame) const noexcept;
+  /// \brief Queues a frame, which CanSend() must allow; does nothing after a
+  /// close or a failed write.
   void Send(LinkFrame aFrame);
+  /// \brief Sets that the peer accepts bodies in parts, between which small
+  /// frames are sent.
+  void SetTakesParts(bool aTakesParts) noexcept { m_takesParts = aTakesParts; }
+  /// \brief Sets what holds the bodies that arrive in parts.
+  void UseBudget(ByteBudget::Pointer aBudget) noexcept
+  {
+    m_assembler.UseBudget(std::move(aBudget));
+  }
   /// \brief Marks the peer as being in another failure domain: later frames
   /// are counted as cross-domain traffic and their heads are compressed.
   void SetCrossesDomains();
@@ -116,13 +130,24 @@
   void OnRead();
   void ResizeReadBuffer();
   void Write();
-  /// \brief Encodes the next large frame when the pacer allows it.
+  /// \brief Begins the next large frame when the pacer allows it.
   void ScheduleLargeFrame();
-  void EncodeLargeFrame();
   /// \brief Writes the next part of m_writeBuffer; all of it without a pacer.
   void WritePart();
   void OnPartWritten(std::size_t aSize);
+  /// \brief Writes the next part of m_currentLarge.
+  void WriteBodyPart();
+  void OnBodyPartWritten(std::size_t aBodyBytes);
+  /// \brief Encodes what precedes the next `aBodyBytes` of m_currentLarge.
+  void EncodePartHead(std::size_t aBodyBytes);
+  /// \returns Whether another frame cannot be sent before the end of the
+  /// current one.
+  [[nodiscard]] bool IsInsideFrame() const noexcept
+  {
+    return m_currentLarge && !m_takesParts && m_currentLarge->m_sent > 0;
+  }
   void OnWriteFailed();
+  void DropLargeFrames();
   void EndOutput();
   void Encode(const LinkFrame& aFrame);
   /// \param aIsOrderly whether bytes already written are still delivered.
@@ -140,17 +165,26 @@
   std::unique_ptr<LinkDeflater> m_deflater;
   std::unique_ptr<LinkInflater> m_inflater;
   std::string m_encoded;
-  /// Bytes of m_encoded for which link time is reserved.
-  std::size_t m_reservedBytes{ 0 };
+  BodyAssembler m_assembler;
   struct LargeFrame
   {
+    /// Without the body.
     LinkFrame m_frame;
+    Body m_body;
     LinkTurn m_turn;
+    /// Bytes of the body that were sent.
+    std::size_t m_sent{ 0 };
   };
-  /// Large frames not yet encoded; small frames overtake them.
+  /// Large frames not begun yet; small frames overtake them.
   std::deque<LargeFrame> m_largeFrames;
-  /// Turn of the large frame that is encoded.
-  LinkTurn m_turn;
+  std::optional<LargeFrame> m_currentLarge;
+  /// What precedes the next part of the body in m_currentLarge.
+  std::string m_partHead;
+  bool m_takesParts{ false };
+  /// An operation writes to the socket.
+  bool m_isWriting{ false };
+  /// The next part of m_currentLarge need not wait any longer.
+  bool m_isPartDue{ false };
   std::string m_writeBuffer;
   /// Bytes of m_writeBuffer already written.
   std::size_t m_written{ 0 };
@@ -160,6 +194,8 @@
   asio::steady_timer m_turnTimer;
   /// Pause between two parts of m_writeBuffer.
   asio::steady_timer m_partTimer;
+  /// Pause between two parts of m_currentLarge.
+  asio::steady_timer m_bodyTimer;
   TimePoint m_lastReceived{};
   std::uint64_t m_bytesSent{ 0 };
   LinkClose m_close{};
--- a/include/greengagehub/transport/link_frame.hpp
+++ b/include/greengagehub/transport/link_frame.hpp
@@ -22,6 +22,8 @@
   /// Slot that the caller means to reach: another instance may have its address
   /// by now. Empty in answers and from daemons of older versions.
   std::string m_callee{};
+  /// Whether the sender accepts bodies in parts; older versions do not.
+  bool m_takesParts{ true };
 };
 
 /// \brief Cancels an attempt that has not started. A started attempt continues
@@ -58,6 +60,13 @@
 struct LinkDraining
 {};
 
+/// \brief The next bytes of the body that the last call or answer with
+/// m_bodyBytesToFollow announced.
+struct LinkBodyPart
+{
+  Body m_bytes{};
+};
+
 using LinkFrame = std::variant<LinkHello,
                                CallRequest,
                                CallAnswer,
@@ -65,6 +74,7 @@
                                LinkCancelResult,
                                LinkPing,
                                LinkPong,
-                               LinkDraining>;
+                               LinkDraining,
+                               LinkBodyPart>;
 
 }
--- a/include/greengagehub/transport/link_pool.hpp
+++ b/include/greengagehub/transport/link_pool.hpp
@@ -75,6 +75,12 @@
   void SendIfOpen(const std::string& aSlot, const LinkFrame& aFrame);
   /// \brief Sets the pacer for connections opened from now on.
   void UsePacer(LinkPacer& aPacer) noexcept { m_pacer = &aPacer; }
+  /// \brief Sets what holds the bodies that arrive on connections opened from
+  /// now on.
+  void UseBudget(ByteBudget::Pointer aBudget) noexcept
+  {
+    m_budget = std::move(aBudget);
+  }
   /// \brief Ends the output of all links after their queued frames; the peers
   /// close them. Nothing is sent or opened afterwards.
   void Finish();
@@ -104,6 +110,7 @@
   LinkPoolSettings m_settings;
   TrafficMeter& m_meter;
   LinkPacer* m_pacer{ nullptr };
+  ByteBudget::Pointer m_budget;
   Handlers m_handlers;
   std::map<std::string, LinkPtr, std::less<>> m_links;
   std::uint64_t m_lastEpoch{ 0 };
--- a/include/greengagehub/transport/link_server.hpp
+++ b/include/greengagehub/transport/link_server.hpp
@@ -50,6 +50,12 @@
   [[nodiscard]] bool HasLivePeers(TimePoint aNow) const;
   /// \brief Sets the pacer for connections accepted from now on.
   void UsePacer(LinkPacer& aPacer) noexcept { m_pacer = &aPacer; }
+  /// \brief Sets what holds the bodies that arrive on connections opened from
+  /// now on.
+  void UseBudget(ByteBudget::Pointer aBudget) noexcept
+  {
+    m_budget = std::move(aBudget);
+  }
   /// \brief Sends to every connection whose hello was received.
   void Broadcast(const LinkFrame& aFrame);
   void StopAccepting();
@@ -68,6 +74,7 @@
   LinkHello m_self;
   TrafficMeter& m_meter;
   LinkPacer* m_pacer{ nullptr };
+  ByteBudget::Pointer m_budget;
   Handlers m_handlers;
   std::set<LinkConnection::Pointer> m_connections;
   std::map<std::uint64_t, LinkConnection::Pointer> m_currentByProcess;
--- a/src/cli/common.cpp
+++ b/src/cli/common.cpp
@@ -55,7 +55,7 @@
     return std::nullopt;
   }
   const HttpResponse& response = result.m_response;
-  Json body = Json::parse(response.m_body, nullptr, false);
+  Json body = Json::parse(response.m_body.View(), nullptr, false);
   // An error has a body as well, without the fields of an answer.
   if (response.m_status != kOk || !body.is_object()) {
     fmt::print(stderr,
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -21,6 +21,16 @@
   return { aSettings.m_slot, aProcess, 0, aSettings.m_domain };
 }
 
+/// \returns Bytes of memory for bodies; the rest is for tables, connections and
+/// links.
+std::size_t
+BodyBytesOf(const Settings& aSettings)
+{
+  constexpr std::size_t kBytesPerMb = 1024UL * 1024;
+  constexpr std::size_t kPercent = 60;
+  return aSettings.m_memoryMb * kBytesPerMb / 100 * kPercent;
+}
+
 HttpServerSettings
 CallsEndpoint(const Settings& aSettings)
 {
@@ -38,6 +48,7 @@
   , m_random(aSeed)
   , m_dispatcher(m_random())
   , m_pacer(m_deps.m_settings.m_linkMbps)
+  , m_bodies(new ByteBudget{ BodyBytesOf(m_deps.m_settings) })
   , m_linkOut(m_deps.m_settings.m_calls.m_booksLinks ? m_pacer.Rate() : 0.0)
   , m_linkIn(m_deps.m_settings.m_calls.m_booksLinks ? m_pacer.Rate() : 0.0)
   , m_runService({ .m_loop = m_deps.m_loop,
@@ -69,6 +80,7 @@
                    .m_onLeaving = m_deps.m_onWorkerLeaving,
                    .m_pacer = &m_pacer,
                    .m_linkOut = &m_linkOut,
+                   .m_bodies = m_bodies,
                    .m_process = m_deps.m_process })
   , m_server(m_deps.m_loop,
              m_deps.m_settings.m_listen.m_host,
@@ -170,6 +182,9 @@
   m_server.UsePacer(m_pacer);
   m_pool.UsePacer(m_pacer);
   m_http.UsePacer(m_pacer);
+  m_server.UseBudget(m_bodies);
+  m_pool.UseBudget(m_bodies);
+  m_http.UseBudget(m_bodies);
   m_http.ObserveCloses([this](const HttpConnectionClose& aClose) {
     m_deps.m_connectionLog.OnClosed(aClose);
   });
--- a/src/daemon/call_gateway_links.cpp
+++ b/src/daemon/call_gateway_links.cpp
@@ -109,6 +109,11 @@
     return;
   }
   if (LinkConnection* connection = m_server.Find(aKey.m_process)) {
+    if (!connection->CanSend(aAnswer)) {
+      aAnswer = greengagehub::Refuse(
+        aAnswer.m_call, CallOutcome::Unknown, RefusalReason::AnswerLost);
+      aAnswer.m_reachedWorker = true;
+    }
     connection->Send(std::move(aAnswer));
   }
 }
@@ -198,8 +203,10 @@
   const Content& content = m_deps.m_holder.Active()->m_content;
   m_routes = RouteTable{ content };
   m_dispatcher.SetRetryLimits(RetryLimitsNow());
-  m_http.SetLimits(
-    MergedLimits(m_deps.m_settings.m_calls, content.GetLimits()));
+  const HttpServerLimits limits =
+    MergedLimits(m_deps.m_settings.m_calls, content.GetLimits());
+  m_http.SetLimits(limits);
+  m_runService.SetMaxAnnouncedBytes(limits.m_maxBodyBytes);
   // Posted, because the caller marks the version as current only after this.
   asio::post(m_deps.m_loop, [this] { ReleaseStartBuffer(Clock::now()); });
 }
--- a/src/daemon/operators_api_limits.cpp
+++ b/src/daemon/operators_api_limits.cpp
@@ -80,6 +80,22 @@
   metrics.SetGauge("link_backlog_seconds",
                    "Until the bytes handed to the link have left",
                    backlog.count());
+  const ByteBudget& bodies = calls.Bodies();
+  metrics.SetGauge("bodies_bytes",
+                   "Memory reserved for bodies of requests and answers",
+                   static_cast<double>(bodies.Used()));
+  metrics.SetGauge("bodies_peak_bytes",
+                   "Most memory ever reserved for bodies",
+                   static_cast<double>(bodies.Peak()));
+  metrics.SetGauge("bodies_limit_bytes",
+                   "Memory that bodies may use together",
+                   static_cast<double>(bodies.Limit()));
+  metrics.SetGauge("bodies_waiting_bytes",
+                   "Bodies that are not read until they fit",
+                   static_cast<double>(bodies.WaitingBytes()));
+  metrics.SetGauge("bodies_without_room",
+                   "Bodies that did not fit at once since start",
+                   static_cast<double>(bodies.Failures()));
 }
 
 HttpResponse
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -9,12 +9,9 @@
 
 namespace {
 
-/// How long answers of non-idempotent calls are kept.
-constexpr auto kAnswerRetention = std::chrono::seconds{ 5 };
 /// Retry time of a suspect request while another one runs; long enough for that
 /// run to crash the worker or succeed.
 constexpr auto kSuspectRetryAfter = std::chrono::milliseconds{ 100 };
-constexpr std::size_t kMaxKeptBytes = 2UL * 1024 * 1024;
 /// Longest idle time of a connection before it is reused. A non-idempotent call
 /// needs a fresh one: if the worker has closed it, the reset does not show
 /// whether the call ran.
@@ -24,14 +21,18 @@
 /// much later.
 constexpr auto kDeadlineGrace = std::chrono::milliseconds{ 20 };
 
+/// Retry time of a request whose body found no room here.
+constexpr auto kRoomRetryAfter = std::chrono::milliseconds{ 500 };
+
 BackendClientSettings
-ClientSettings(const Settings& aSettings)
+ClientSettings(const Settings& aSettings, const ByteBudget::Pointer& aBodies)
 {
   BackendClientSettings settings;
   settings.m_address = { asio::ip::make_address(aSettings.m_worker.m_host),
                          aSettings.m_worker.m_port };
   settings.m_maxAnswerBytes = aSettings.m_calls.m_maxBodyBytes;
   settings.m_maxIdleConnections = aSettings.m_workerConnections;
+  settings.m_budget = aBodies;
   return settings;
 }
 
@@ -53,7 +54,7 @@
   : m_deps(std::move(aDependencies))
   , m_random(m_deps.m_seed)
   , m_runs(m_deps.m_settings.m_runs)
-  , m_client(m_deps.m_loop, ClientSettings(m_deps.m_settings))
+  , m_client(m_deps.m_loop, ClientSettings(m_deps.m_settings, m_deps.m_bodies))
   , m_hasWorker(!m_deps.m_settings.m_platform.m_enabled)
   , m_timer(m_deps.m_loop)
 {
@@ -76,6 +77,11 @@
     return;
   }
   ApplyKnownStatement(aRequest.m_knownStatement);
+  if (aRequest.m_isBodyDropped) {
+    RefuseRun(
+      now, aKey, aRequest, {}, { RefusalReason::Overloaded, kRoomRetryAfter });
+    return;
+  }
   if (!m_hasWorker) {
     Deliver(aKey,
             aRequest,
@@ -292,20 +298,6 @@
   }
 }
 
-void
-RunService::KeepAnswer(CallKey aKey, const CallAnswer& aAnswer)
-{
-  const TimePoint now = Clock::now();
-  m_keptAnswers.push_back({ aKey, aAnswer, now });
-  m_keptBytes += aAnswer.m_response.m_body.size();
-  while (!m_keptAnswers.empty() &&
-         (now - m_keptAnswers.front().m_finishedAt > kAnswerRetention ||
-          m_keptBytes > kMaxKeptBytes)) {
-    m_keptBytes -= m_keptAnswers.front().m_answer.m_response.m_body.size();
-    m_keptAnswers.pop_front();
-  }
-}
-
 void
 RunService::Deliver(CallKey aKey,
                     const CallRequest& aRequest,
@@ -461,6 +453,7 @@
   if (m_runs.Queued() > 0) {
     Execute(m_runs.OnTick(aNow));
   }
+  DropKeptAnswers(aNow);
   CheckWorkerReturn(aNow);
 }
 
--- a/src/daemon/run_service_answers.cpp
+++ b/src/daemon/run_service_answers.cpp
@@ -1,9 +1,18 @@
 #include "greengagehub/daemon/run_service.hpp"
 
-// Outcome of a run from the backend server's response.
+// Outcome of a run from the backend server's response, and answers that are
+// kept.
 
 namespace greengagehub {
 
+namespace {
+
+/// How long answers of non-idempotent calls are kept.
+constexpr auto kAnswerRetention = std::chrono::seconds{ 5 };
+constexpr std::size_t kMaxKeptBytes = 2UL * 1024 * 1024;
+
+}
+
 bool
 RunService::IsUnsigned(const HttpResponse& aResponse) const
 {
@@ -60,4 +69,24 @@
   return answer;
 }
 
+void
+RunService::KeepAnswer(CallKey aKey, const CallAnswer& aAnswer)
+{
+  const TimePoint now = Clock::now();
+  m_keptAnswers.push_back({ aKey, aAnswer, now });
+  m_keptBytes += aAnswer.m_response.m_body.size();
+  DropKeptAnswers(now);
+}
+
+void
+RunService::DropKeptAnswers(TimePoint aNow)
+{
+  while (!m_keptAnswers.empty() &&
+         (aNow - m_keptAnswers.front().m_finishedAt > kAnswerRetention ||
+          m_keptBytes > kMaxKeptBytes)) {
+    m_keptBytes -= m_keptAnswers.front().m_answer.m_response.m_body.size();
+    m_keptAnswers.pop_front();
+  }
+}
+
 }
--- a/src/greengagehub.cpp
+++ b/src/greengagehub.cpp
@@ -98,7 +98,7 @@
     return ReportUnreachable(aOptions, aResult);
   }
   const auto& response = aResult.m_response;
-  const Json body = Json::parse(response.m_body, nullptr, false);
+  const Json body = Json::parse(response.m_body.View(), nullptr, false);
   if (aOptions.m_json) {
     fmt::print("{}\n", response.m_body);
   } else if (body.contains("accepted")) {
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -28,6 +28,7 @@
   HttpClient::Done m_done;
   HttpClient::Ticket m_ticket{ 0 };
   HttpResponse m_response;
+  BodyBuffer m_body;
   std::size_t m_headerBytes{ 0 };
   int m_sendCount{ 0 };
 };
@@ -37,11 +38,11 @@
 {
   auto* transfer = static_cast<Transfer*>(aSelf);
   const std::size_t bytes = aSize * aCount;
-  std::string& body = transfer->m_response.m_body;
-  if (body.size() + bytes > transfer->m_request.m_maxAnswerBytes) {
+  BodyBuffer& body = transfer->m_body;
+  if (body.Size() + bytes > transfer->m_request.m_maxAnswerBytes) {
     return 0;
   }
-  body.append(aData, bytes);
+  body.Append({ aData, bytes });
   return bytes;
 }
 
@@ -160,6 +161,8 @@
   if (aCode == CURLE_OK) {
     long status = 0;
     curl_easy_getinfo(aTransfer.m_easy, CURLINFO_RESPONSE_CODE, &status);
+    aTransfer.m_response.m_body =
+      Body{ std::exchange(aTransfer.m_body, BodyBuffer{}) };
     aTransfer.m_response.m_status = static_cast<std::uint16_t>(status);
     return { HttpClientResult::Kind::Answered,
              std::move(aTransfer.m_response),
--- a/src/http/http_connection.hpp
+++ b/src/http/http_connection.hpp
@@ -1,19 +1,13 @@
 #pragma once
 
-#include "greengagehub/http/http_server.hpp"
-
+#include "http_server_impl.hpp"
 #include "message_parser.hpp"
 #include "message_text.hpp"
 #include "paced_writer.hpp"
 
 #include <array>
-#include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
-#include <boost/intrusive_ptr.hpp>
-#include <boost/smart_ptr/intrusive_ref_counter.hpp>
-#include <map>
 
 namespace greengagehub {
 
@@ -24,49 +18,20 @@
 /// discarded. Closing with unread bytes would reset the connection, and the
 /// client could lose the answer.
 inline constexpr auto kHttpLingerTime = std::chrono::milliseconds{ 1000 };
+/// Longest time for which a client may go on sending a refused body.
+inline constexpr auto kHttpDiscardTime = std::chrono::milliseconds{ 10'000 };
+/// Longest wait of a body for room. Clients give up requests that are not read
+/// after a second.
+inline constexpr auto kHttpRoomWait = std::chrono::milliseconds{ 500 };
+/// Retry time of a request whose body found no room.
+inline constexpr std::string_view kRoomRetryAfterSeconds = "0.5";
+/// While others wait for room, a body that makes no progress for this long is
+/// given up.
+inline constexpr auto kHttpStallTime = std::chrono::milliseconds{ 1000 };
+/// Heads and read-ahead up to this size are not counted.
+inline constexpr std::size_t kUncountedHeadBytes = 2UL * 1024;
 inline constexpr auto kHttpWriteTimeout = std::chrono::seconds{ 60 };
 
-// Connections of an HTTP server.
-
-struct HttpServer::Impl
-  : public boost::intrusive_ref_counter<Impl, boost::thread_unsafe_counter>
-{
-  class Connection;
-  using Pointer = boost::intrusive_ptr<Connection>;
-  using ImplPointer = boost::intrusive_ptr<Impl>;
-
-  explicit Impl(asio::io_context& aLoop)
-    : m_loop(aLoop)
-    , m_acceptor(aLoop)
-    , m_timeoutTimer(aLoop)
-  {
-  }
-
-  void Accept();
-  /// Accepts the connections in the listen queue without waiting for more.
-  void AcceptPending();
-  void AddConnection(asio::ip::tcp::socket aSocket);
-  void CheckTimeouts();
-
-  asio::io_context& m_loop;
-  HttpServerSettings m_settings;
-  LinkPacer* m_pacer{ nullptr };
-  Handler m_handler;
-  ClosedHandler m_closed;
-  CloseObserver m_closeObserver;
-  asio::ip::tcp::acceptor m_acceptor;
-  asio::steady_timer m_timeoutTimer;
-  std::map<std::uint64_t, Pointer> m_connections;
-  std::uint64_t m_lastConnection{ 0 };
-  std::uint16_t m_port{ 0 };
-  bool m_isStopped{ false };
-  bool m_closesAfterAnswers{ false };
-  bool m_isFinishing{ false };
-  /// Set by the destructor of the server; a cancelled operation that had
-  /// completed before still calls its handler without an error.
-  bool m_isDestroyed{ false };
-};
-
 class HttpServer::Impl::Connection
   : public boost::intrusive_ref_counter<Connection,
                                         boost::thread_unsafe_counter>
@@ -97,6 +62,8 @@
   {
     m_server = nullptr;
     asio::error_code ignored;
+    m_waiter.Cancel();
+    DropInput();
     m_writer.Cancel();
     m_socket.close(ignored);
   }
@@ -115,9 +82,18 @@
         }
         return;
       case State::Receiving:
+        if (m_parser.MissingRoom() > 0) {
+          if (m_waiter.IsWaiting() && aNow - m_waitsSince > kHttpRoomWait) {
+            RefuseForRoom();
+          }
+          return;
+        }
+        if (IsStalled(aNow)) {
+          Refuse(kRequestTimeout);
+          return;
+        }
         // A body has the idle timeout in addition to the head timeout.
         if (!m_parser.HasHead() && age > limits.m_headTimeout) {
-          constexpr std::uint16_t kRequestTimeout = 408;
           Refuse(kRequestTimeout);
         } else if (age > limits.m_headTimeout + limits.m_idleTimeout) {
           Close(HttpCloseCause::TimedOut);
@@ -134,7 +110,7 @@
         }
         return;
       case State::Lingering:
-        if (age > kHttpLingerTime) {
+        if (age > (IsDiscarding(aNow) ? kHttpDiscardTime : kHttpLingerTime)) {
           Close(HttpCloseCause::Finished);
         }
         return;
@@ -165,10 +141,33 @@
     }
     m_closesAfterAnswer =
       m_closesAfterAnswer || aClose || m_server->m_closesAfterAnswers;
-    Write(ResponseText(aResponse, m_isHeadRequest, m_closesAfterAnswer));
+    Write(ResponseHead(aResponse, m_closesAfterAnswer),
+          m_isHeadRequest ? Body{} : aResponse.m_body);
   }
 
 private:
+  static constexpr std::uint16_t kRequestTimeout = 408;
+
+  void DropInput()
+  {
+    m_parser.Reset();
+    m_unparsed = {};
+    m_headReservation = {};
+  }
+
+  /// \returns Whether the client goes on sending a refused request.
+  [[nodiscard]] bool IsDiscarding(TimePoint aNow) const noexcept
+  {
+    return m_isRefused && aNow - m_lastReadAt <= kHttpLingerTime;
+  }
+
+  /// \returns Whether a body that others wait for makes no progress.
+  [[nodiscard]] bool IsStalled(TimePoint aNow) const noexcept
+  {
+    const ByteBudget::Pointer& budget = m_server->m_budget;
+    return budget && budget->HasWaiters() && m_parser.HasHead() &&
+           aNow - m_lastReadAt > kHttpStallTime;
+  }
   void SetState(State aState)
   {
     m_state = aState;
@@ -177,7 +176,8 @@
 
   void Read()
   {
-    if (m_isReading || m_unparsed.size() >= kMaxHttpReadAhead) {
+    if (m_isReading || m_parser.MissingRoom() > 0 ||
+        m_unparsed.size() >= kMaxHttpReadAhead) {
       return;
     }
     m_isReading = true;
@@ -199,7 +199,8 @@
 
   void OnBytes(std::string_view aBytes)
   {
-    if (m_state != State::Lingering) {
+    m_lastReadAt = Clock::now();
+    if (m_state != State::Lingering && !m_isRefused) {
       m_unparsed.append(aBytes);
       Parse();
     }
@@ -216,6 +217,7 @@
         const HttpServerLimits& limits = m_server->m_settings.m_limits;
         m_parser.Reset();
         m_parser.SetLimits({ limits.m_maxHeadBytes, limits.m_maxBodyBytes });
+        m_parser.UseBudget(m_server->m_budget);
         m_hasSentContinue = false;
         SetState(State::Receiving);
       }
@@ -236,8 +238,12 @@
     constexpr std::uint16_t kHeadTooLarge = 431;
     switch (aStatus) {
       case MessageParser::Status::NeedsMore:
+        CountHead();
         SendContinueIfExpected();
         return false;
+      case MessageParser::Status::NeedsRoom:
+        WaitForRoom();
+        return false;
       case MessageParser::Status::Complete:
         DispatchRequest();
         return true;
@@ -254,6 +260,68 @@
     return false;
   }
 
+  /// Counts a long head that is not complete, which a client could leave so on
+  /// all its connections.
+  void CountHead()
+  {
+    const std::size_t bytes = m_parser.MessageBytes();
+    const bool isCounted = m_server->m_budget && !m_parser.HasHead() &&
+                           bytes > kUncountedHeadBytes &&
+                           bytes > m_headReservation.Bytes();
+    if (!isCounted) {
+      return;
+    }
+    const std::size_t more = bytes - m_headReservation.Bytes();
+    ByteReservation reserved =
+      m_server->m_budget->Reserve(more, ByteUse::SmallRequest);
+    if (reserved.Bytes() == more) {
+      m_headReservation.Add(std::move(reserved));
+    } else {
+      RefuseForRoom();
+    }
+  }
+
+  void WaitForRoom()
+  {
+    ByteBudget& budget = *m_server->m_budget;
+    const std::size_t missing = m_parser.MissingRoom();
+    const ByteUse use = m_parser.UseOf(missing);
+    if (m_parser.BodyBytes() + missing > budget.LimitFor(use)) {
+      constexpr std::uint16_t kBodyTooLarge = 413;
+      Refuse(kBodyTooLarge);
+      return;
+    }
+    if (budget.WaitingBytes() > budget.Limit()) {
+      RefuseForRoom();
+      return;
+    }
+    m_waitsSince = Clock::now();
+    budget.Wait(m_waiter,
+                missing,
+                use,
+                [self = Pointer{ this }](ByteReservation aReservation) {
+                  asio::post(
+                    self->m_socket.get_executor(),
+                    [self, reserved = std::move(aReservation)]() mutable {
+                      self->OnRoom(std::move(reserved));
+                    });
+                });
+  }
+
+  void OnRoom(ByteReservation aReservation)
+  {
+    if (m_server == nullptr || m_state != State::Receiving ||
+        m_parser.MissingRoom() == 0) {
+      return;
+    }
+    m_parser.Provide(std::move(aReservation));
+    SendContinueIfExpected();
+    Parse();
+    if (m_server != nullptr) {
+      Read();
+    }
+  }
+
   void SendContinueIfExpected()
   {
     const bool isExpected =
@@ -278,7 +346,8 @@
     request.m_method = m_parser.Method();
     request.m_target = std::move(m_parser.Target());
     request.m_headers = std::move(m_parser.Headers());
-    request.m_body = std::move(m_parser.Body());
+    request.m_body = m_parser.TakeBody();
+    m_headReservation = {};
     request.m_connection = m_id;
     request.m_isFirstOnConnection = m_requests == 1;
     request.m_isFromThisInstance = m_isFromThisInstance;
@@ -292,19 +361,36 @@
       } });
   }
 
-  void Refuse(std::uint16_t aStatus)
+  void Refuse(std::uint16_t aStatus) { Refuse(HttpResponse{ aStatus }); }
+
+  /// Refuses a request that has not been received completely.
+  void Refuse(const HttpResponse& aResponse)
   {
     m_closesAfterAnswer = true;
-    m_unparsed.clear();
-    Write(ResponseText({ aStatus }, false, true));
+    m_isRefused = true;
+    m_waiter.Cancel();
+    DropInput();
+    Write(ResponseHead(aResponse, true), {});
+    // The rest of the request is read, as the client may not look for an answer
+    // before it has sent all.
+    Read();
+  }
+
+  void RefuseForRoom()
+  {
+    constexpr std::uint16_t kUnavailable = 503;
+    Refuse(HttpResponse{
+      kUnavailable,
+      { HttpHeader{ "Retry-After", std::string{ kRoomRetryAfterSeconds } } } });
   }
 
-  void Write(std::string aText)
+  void Write(std::string aHead, Body aBody)
   {
     SetState(State::Answering);
     LinkPacer* pacer = m_isFromThisInstance ? nullptr : m_server->m_pacer;
     m_writer.Write(pacer,
-                   std::move(aText),
+                   std::move(aHead),
+                   std::move(aBody),
                    [self = Pointer{ this }](const asio::error_code& aError) {
                      if (self->m_server == nullptr) {
                        return;
@@ -375,7 +461,11 @@
   PacedWriter m_writer;
   std::uint64_t m_id;
   TimePoint m_stateSince;
+  TimePoint m_lastReadAt{};
+  TimePoint m_waitsSince{};
   MessageParser m_parser{ MessageParser::Side::Requests };
+  ByteWaiter m_waiter;
+  ByteReservation m_headReservation;
   std::array<char, kHttpReadBytes> m_buffer{};
   std::string m_unparsed;
   std::uint64_t m_requests{ 0 };
@@ -384,6 +474,8 @@
   bool m_isFromThisInstance{ false };
   bool m_isHeadRequest{ false };
   bool m_closesAfterAnswer{ false };
+  /// The request was refused before it was complete.
+  bool m_isRefused{ false };
   bool m_hasSentContinue{ false };
 };
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -168,6 +168,12 @@
   m_impl->m_pacer = &aPacer;
 }
 
+void
+HttpServer::UseBudget(ByteBudget::Pointer aBudget) noexcept
+{
+  m_impl->m_budget = std::move(aBudget);
+}
+
 void
 HttpServer::ObserveCloses(CloseObserver aObserver)
 {
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -4,6 +4,14 @@
 
 namespace greengagehub {
 
+namespace {
+
+/// Growth of a body of unknown length.
+constexpr std::size_t kMinGrowthBytes = 16UL * 1024;
+constexpr std::size_t kMaxGrowthBytes = 1024UL * 1024;
+
+}
+
 /// Callbacks of http_parser, whose `data` is the MessageParser.
 struct MessageParser::Callbacks
 {
@@ -48,22 +56,30 @@
     }
     const bool hasLength =
       aParser->content_length != static_cast<std::uint64_t>(-1);
-    if (hasLength && aParser->content_length > self.m_limits.m_bodyBytes) {
+    self.m_isLengthAnnounced = hasLength;
+    if (hasLength && aParser->content_length > self.MaxBodyBytes(true)) {
       self.m_isBodyTooLarge = true;
       return -1;
     }
-    constexpr int kNoBody = 1;
-    return self.m_isHeadResponse ? kNoBody : 0;
+    if (self.m_isHeadResponse) {
+      constexpr int kNoBody = 1;
+      return kNoBody;
+    }
+    if (hasLength) {
+      self.ReserveBody(aParser->content_length);
+    }
+    return 0;
   }
 
   static int OnBody(http_parser* aParser, const char* aData, size_t aSize)
   {
     MessageParser& self = Self(aParser);
-    if (self.m_body.size() + aSize > self.m_limits.m_bodyBytes) {
+    const std::size_t limit = self.MaxBodyBytes(self.m_isLengthAnnounced);
+    if (self.m_body.Size() + aSize > limit) {
       self.m_isBodyTooLarge = true;
       return -1;
     }
-    self.m_body.append(aData, aSize);
+    self.AppendToBody({ aData, aSize });
     return 0;
   }
 
@@ -100,6 +116,67 @@
   return std::count_if(m_headers.begin(), m_headers.end(), isHost) > 1;
 }
 
+ByteUse
+MessageParser::UseOf(std::size_t aBytes) const noexcept
+{
+  if (m_side == Side::Responses) {
+    return ByteUse::Answer;
+  }
+  return m_body.Size() + aBytes <= ByteBudget::kMaxSmallBytes
+           ? ByteUse::SmallRequest
+           : ByteUse::LargeRequest;
+}
+
+void
+MessageParser::ReserveBody(std::uint64_t aLength)
+{
+  if (!m_budget) {
+    return;
+  }
+  ByteReservation reserved = m_budget->Reserve(aLength, UseOf(aLength));
+  if (reserved.Bytes() == aLength) {
+    m_body.AddRoom(aLength, std::move(reserved));
+  } else {
+    AwaitRoom(aLength);
+  }
+}
+
+void
+MessageParser::AppendToBody(std::string_view aBytes)
+{
+  if (aBytes.size() > m_body.Room()) {
+    const std::size_t missing = aBytes.size() - m_body.Room();
+    const std::size_t step =
+      std::clamp(m_body.Size() / 2, kMinGrowthBytes, kMaxGrowthBytes);
+    const std::size_t wanted = std::max(missing, step);
+    if (!m_budget) {
+      m_body.AddRoom(wanted, {});
+    } else if (auto reserved = m_budget->Reserve(wanted, UseOf(wanted));
+               reserved.Bytes() == wanted) {
+      m_body.AddRoom(wanted, std::move(reserved));
+    } else {
+      // These bytes have been received already.
+      m_body.AddRoom(missing, m_budget->Charge(missing));
+      AwaitRoom(wanted);
+    }
+  }
+  m_body.Append(aBytes);
+}
+
+void
+MessageParser::AwaitRoom(std::size_t aBytes) noexcept
+{
+  m_missingRoom = aBytes;
+  http_parser_pause(&m_parser, 1);
+}
+
+void
+MessageParser::Provide(ByteReservation aReservation)
+{
+  m_body.AddRoom(std::exchange(m_missingRoom, 0), std::move(aReservation));
+  http_parser_pause(&m_parser, 0);
+}
+
 MessageParser::MessageParser(Side aSide) noexcept
   : m_side(aSide)
 {
@@ -114,10 +191,12 @@
   m_parser.data = this;
   m_target.clear();
   m_headers.clear();
-  m_body.clear();
+  m_body.Clear();
+  m_missingRoom = 0;
   m_headBytes = 0;
   m_messageBytes = 0;
   m_isHeadResponse = aIsHeadRequest;
+  m_isLengthAnnounced = false;
   m_hasBegun = false;
   m_hasHead = false;
   m_isComplete = false;
@@ -143,6 +222,9 @@
       return Status::HeadTooLarge;
     }
   }
+  if (m_missingRoom > 0) {
+    return Status::NeedsRoom;
+  }
   if (m_isComplete) {
     return Status::Complete;
   }
--- a/src/http/message_parser.hpp
+++ b/src/http/message_parser.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "greengagehub/core/body.hpp"
 #include "greengagehub/http/http_message.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <http_parser.h>
@@ -25,6 +27,8 @@
   enum class Status : std::uint8_t
   {
     NeedsMore,
+    /// The body does not fit the budget; Provide() continues.
+    NeedsRoom,
     Complete,
     HeadTooLarge,
     BodyTooLarge,
@@ -34,6 +38,9 @@
   {
     std::size_t m_headBytes{ 64UL * 1024 };
     std::size_t m_bodyBytes{ 64UL * 1024 * 1024 };
+    /// Where larger than m_bodyBytes, the limit of bodies whose length is
+    /// announced.
+    std::size_t m_announcedBodyBytes{ 0 };
   };
   /// Bytes of chunk framing allowed for each byte of a body, in addition to
   /// Limits::m_headBytes; chunks of one byte need five.
@@ -47,6 +54,11 @@
   /// no body regardless of its headers.
   void Reset(bool aIsHeadRequest = false) noexcept;
   void SetLimits(Limits aLimits) noexcept { m_limits = aLimits; }
+  /// \param aBudget holds the bodies; nullptr: they have no common bound.
+  void UseBudget(ByteBudget::Pointer aBudget) noexcept
+  {
+    m_budget = std::move(aBudget);
+  }
 
   /// \param aConsumed set to the number of bytes that belong to the message.
   [[nodiscard]] Status Feed(std::string_view aBytes, std::size_t& aConsumed);
@@ -54,6 +66,17 @@
   /// length.
   [[nodiscard]] Status Finish();
 
+  /// \returns Bytes to reserve after Status::NeedsRoom.
+  [[nodiscard]] std::size_t MissingRoom() const noexcept
+  {
+    return m_missingRoom;
+  }
+  /// \returns What the missing bytes are reserved for.
+  [[nodiscard]] ByteUse UseOf(std::size_t aBytes) const noexcept;
+  /// \brief Adds the missing room, so that Feed() can continue.
+  void Provide(ByteReservation aReservation);
+  /// \returns Bytes of the body received so far.
+  [[nodiscard]] std::size_t BodyBytes() const noexcept { return m_body.Size(); }
   /// \returns Bytes of the message consumed so far, with head and framing.
   [[nodiscard]] std::size_t MessageBytes() const noexcept
   {
@@ -73,7 +96,10 @@
   {
     return m_headers;
   }
-  [[nodiscard]] std::string& Body() noexcept { return m_body; }
+  [[nodiscard]] Body TakeBody()
+  {
+    return Body{ std::exchange(m_body, BodyBuffer{}) };
+  }
 
 private:
   struct Callbacks;
@@ -81,12 +107,22 @@
   /// A request with several Host headers is rejected, since routing and the
   /// backend server might use different ones.
   [[nodiscard]] bool HasDuplicateHost() const;
+  /// \brief Reserves room for a body of known length.
+  void ReserveBody(std::uint64_t aLength);
+  [[nodiscard]] std::size_t MaxBodyBytes(bool aIsAnnounced) const noexcept
+  {
+    return aIsAnnounced
+             ? std::max(m_limits.m_bodyBytes, m_limits.m_announcedBodyBytes)
+             : m_limits.m_bodyBytes;
+  }
+  void AppendToBody(std::string_view aBytes);
+  void AwaitRoom(std::size_t aBytes) noexcept;
 
   /// \returns Whether chunk extensions or trailers outweigh the body.
   [[nodiscard]] bool HasTooMuchFraming() const noexcept
   {
     return m_messageBytes >
-           m_limits.m_headBytes + m_body.size() * (1 + kMaxFramingPerByte);
+           m_limits.m_headBytes + m_body.Size() * (1 + kMaxFramingPerByte);
   }
 
   http_parser m_parser{};
@@ -95,9 +131,12 @@
   Limits m_limits{};
   std::string m_target;
   std::vector<HttpHeader> m_headers;
-  std::string m_body;
+  BodyBuffer m_body;
+  ByteBudget::Pointer m_budget;
+  std::size_t m_missingRoom{ 0 };
   std::size_t m_headBytes{ 0 };
   bool m_isHeadResponse{ false };
+  bool m_isLengthAnnounced{ false };
   bool m_hasBegun{ false };
   bool m_hasHead{ false };
   bool m_isComplete{ false };
--- a/src/http/message_text.cpp
+++ b/src/http/message_text.cpp
@@ -14,7 +14,7 @@
 }
 
 /// \returns Whether the header describes the connection or the body length,
-/// which ResponseText() sets itself.
+/// which ResponseHead() sets itself.
 bool
 IsFramingHeader(std::string_view aName)
 {
@@ -27,7 +27,7 @@
 }
 
 std::string
-ResponseText(const HttpResponse& aResponse, bool aIsHeadRequest, bool aClose)
+ResponseHead(const HttpResponse& aResponse, bool aClose)
 {
   std::string out = fmt::format(
     "HTTP/1.1 {} {}\r\n", aResponse.m_status, ReasonPhrase(aResponse.m_status));
@@ -38,14 +38,11 @@
   }
   out += fmt::format("Content-Length: {}\r\n", aResponse.m_body.size());
   out += aClose ? "Connection: close\r\n\r\n" : "\r\n";
-  if (!aIsHeadRequest) {
-    out += aResponse.m_body;
-  }
   return out;
 }
 
 std::string
-RequestText(const BackendRequest& aRequest)
+RequestHead(const BackendRequest& aRequest)
 {
   std::string out =
     fmt::format("{} {} HTTP/1.1\r\n", aRequest.m_method, aRequest.m_target);
@@ -59,7 +56,6 @@
     out += fmt::format("Content-Length: {}\r\n", aRequest.m_body.size());
   }
   out += "\r\n";
-  out += aRequest.m_body;
   return out;
 }
 
--- a/src/http/message_text.hpp
+++ b/src/http/message_text.hpp
@@ -7,14 +7,13 @@
 
 namespace greengagehub {
 
-/// \returns The serialized response, with its own Content-Length and without
-/// headers that concern the backend server's connection.
-/// \param aIsHeadRequest omits the body, as in the answer to a HEAD request.
+/// \returns The serialized head of a response, with its own Content-Length and
+/// without headers that concern the backend server's connection.
 /// \param aClose adds "Connection: close".
 [[nodiscard]] std::string
-ResponseText(const HttpResponse& aResponse, bool aIsHeadRequest, bool aClose);
+ResponseHead(const HttpResponse& aResponse, bool aClose);
 
 [[nodiscard]] std::string
-RequestText(const BackendRequest& aRequest);
+RequestHead(const BackendRequest& aRequest);
 
 }
--- a/src/http/paced_writer.cpp
+++ b/src/http/paced_writer.cpp
@@ -7,30 +7,44 @@
 namespace greengagehub {
 
 void
-PacedWriter::Write(LinkPacer* aPacer, std::string aText, Handler aDone)
+PacedWriter::Write(LinkPacer* aPacer,
+                   std::string aHead,
+                   Body aBody,
+                   Handler aDone)
 {
   m_pacer = aPacer;
-  m_text = std::move(aText);
+  m_head = std::move(aHead);
+  m_body = std::move(aBody);
   m_written = 0;
   const TimePoint now = Clock::now();
-  const bool isLarge = m_text.size() > LinkPacer::kPartBytes;
+  const bool isLarge = Size() > LinkPacer::kPartBytes;
   if (m_pacer != nullptr && m_pacer->IsEnabled() && isLarge) {
-    m_turn = LinkTurn{ m_pacer, m_text.size() };
+    m_turn = LinkTurn{ m_pacer, Size() };
     WaitAndWritePart(m_turn.Reserve(now), std::move(aDone));
     return;
   }
   if (m_pacer != nullptr) {
-    static_cast<void>(m_pacer->Reserve(now, m_text.size()));
+    static_cast<void>(m_pacer->Reserve(now, Size()));
   }
   WriteAll(std::move(aDone));
 }
 
+std::array<asio::const_buffer, 2>
+PacedWriter::Next(std::size_t aSize) const noexcept
+{
+  const std::size_t fromHead = std::min(m_written, m_head.size());
+  const auto head = asio::buffer(asio::buffer(m_head) + fromHead, aSize);
+  const auto body = asio::buffer(m_body.data(), m_body.size());
+  return { head,
+           asio::buffer(body + (m_written - fromHead), aSize - head.size()) };
+}
+
 void
 PacedWriter::WriteAll(Handler aDone)
 {
   asio::async_write(
     m_socket,
-    asio::buffer(m_text),
+    Next(Size()),
     [this, done = std::move(aDone)](const asio::error_code& aError,
                                     std::size_t) { Finish(aError, done); });
 }
@@ -52,11 +66,9 @@
 void
 PacedWriter::WritePart(Handler aDone)
 {
-  const std::size_t size =
-    std::min(m_text.size() - m_written, LinkPacer::kPartBytes);
   asio::async_write(
     m_socket,
-    asio::buffer(m_text.data() + m_written, size),
+    Next(LinkPacer::kPartBytes),
     [this, done = std::move(aDone)](const asio::error_code& aError,
                                     std::size_t aSize) mutable {
       if (aError) {
@@ -72,7 +84,7 @@
 {
   m_written += aSize;
   m_turn.OnSent(aSize);
-  if (m_written == m_text.size()) {
+  if (m_written == Size()) {
     Finish({}, aDone);
     return;
   }
@@ -84,8 +96,8 @@
 PacedWriter::Finish(const asio::error_code& aError, const Handler& aDone)
 {
   m_turn = {};
-  m_text.clear();
-  m_text.shrink_to_fit();
+  m_head = {};
+  m_body = {};
   aDone(aError);
 }
 
--- a/src/http/paced_writer.hpp
+++ b/src/http/paced_writer.hpp
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "greengagehub/core/body.hpp"
 #include "greengagehub/core/link_pacer.hpp"
 
+#include <array>
+#include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <functional>
@@ -23,7 +26,7 @@
   }
 
   /// \param aPacer nullptr: the message does not cross the link.
-  void Write(LinkPacer* aPacer, std::string aText, Handler aDone);
+  void Write(LinkPacer* aPacer, std::string aHead, Body aBody, Handler aDone);
   /// \brief Ends a wait, with an error, and returns its time on the link.
   void Cancel()
   {
@@ -32,6 +35,13 @@
   }
 
 private:
+  [[nodiscard]] std::size_t Size() const noexcept
+  {
+    return m_head.size() + m_body.size();
+  }
+  /// \returns The next bytes of head and body, `aSize` at most.
+  [[nodiscard]] std::array<asio::const_buffer, 2> Next(
+    std::size_t aSize) const noexcept;
   void WriteAll(Handler aDone);
   void WaitAndWritePart(Duration aDelay, Handler aDone);
   void WritePart(Handler aDone);
@@ -43,7 +53,8 @@
   asio::steady_timer m_timer;
   LinkPacer* m_pacer{ nullptr };
   LinkTurn m_turn;
-  std::string m_text;
+  std::string m_head;
+  Body m_body;
   std::size_t m_written{ 0 };
 };
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -15,6 +15,10 @@
 constexpr std::int64_t kHourMs = 3'600'000;
 constexpr std::int64_t kMaxSlots = 100'000;
 constexpr double kMaxMbps = 1'000'000.0;
+/// Tables, links and connections of a daemon without bodies need about half of
+/// the least value.
+constexpr std::int64_t kMinMemoryMb = 64;
+constexpr std::int64_t kMaxMemoryMb = 1024L * 1024;
 constexpr std::int64_t kMaxBodyBytes = 16L * 1024 * 1024;
 const std::vector<std::string> kLogLevels{ "debug",
                                            "info",
@@ -113,6 +117,8 @@
     double rate = 0.0;
     reader.Number("link_mbps", rate, 0.0, kMaxMbps);
     m_settings.m_linkMbps = static_cast<std::uint32_t>(rate);
+    reader.Count(
+      "memory_mb", m_settings.m_memoryMb, kMinMemoryMb, kMaxMemoryMb);
     reader.ReportUnknownKeys();
   }
 
--- /dev/null
+++ b/src/transport/body_assembler.cpp
@@ -0,0 +1,110 @@
+#include "greengagehub/transport/body_assembler.hpp"
+
+namespace greengagehub {
+
+namespace {
+
+ByteUse
+UseOf(const LinkFrame& aFrame, std::uint64_t aBytes) noexcept
+{
+  if (std::holds_alternative<CallAnswer>(aFrame)) {
+    return ByteUse::Answer;
+  }
+  return aBytes <= ByteBudget::kMaxSmallBytes ? ByteUse::SmallRequest
+                                              : ByteUse::LargeRequest;
+}
+
+LinkFrame
+WithBody(LinkFrame aFrame, Body aBody)
+{
+  if (auto* request = std::get_if<CallRequest>(&aFrame)) {
+    request->m_body = std::move(aBody);
+    request->m_bodyBytesToFollow = 0;
+  } else if (auto* answer = std::get_if<CallAnswer>(&aFrame)) {
+    answer->m_response.m_body = std::move(aBody);
+    answer->m_bodyBytesToFollow = 0;
+  }
+  return aFrame;
+}
+
+LinkFrame
+WithoutBody(LinkFrame aFrame)
+{
+  if (auto* request = std::get_if<CallRequest>(&aFrame)) {
+    request->m_isBodyDropped = true;
+    request->m_bodyBytesToFollow = 0;
+  } else if (auto* answer = std::get_if<CallAnswer>(&aFrame)) {
+    answer->m_outcome = CallOutcome::Unknown;
+    answer->m_reason = RefusalReason::AnswerLost;
+    answer->m_response = {};
+    answer->m_bodyBytesToFollow = 0;
+  }
+  return aFrame;
+}
+
+}
+
+std::uint64_t
+BodyBytesToFollow(const LinkFrame& aFrame) noexcept
+{
+  if (const auto* request = std::get_if<CallRequest>(&aFrame)) {
+    return request->m_bodyBytesToFollow;
+  }
+  const auto* answer = std::get_if<CallAnswer>(&aFrame);
+  return answer != nullptr ? answer->m_bodyBytesToFollow : 0;
+}
+
+Outcome<std::optional<LinkFrame>>
+BodyAssembler::Take(LinkFrame aFrame)
+{
+  if (const auto* part = std::get_if<LinkBodyPart>(&aFrame)) {
+    return Append(*part);
+  }
+  if (BodyBytesToFollow(aFrame) == 0) {
+    return std::optional<LinkFrame>{ std::move(aFrame) };
+  }
+  if (m_bytesLeft > 0) {
+    return Error{ ErrorCode::Corrupt, "frame: a body begins inside another" };
+  }
+  return Begin(std::move(aFrame));
+}
+
+std::optional<LinkFrame>
+BodyAssembler::Begin(LinkFrame aFrame)
+{
+  m_bytesLeft = BodyBytesToFollow(aFrame);
+  if (m_budget) {
+    ByteReservation reserved =
+      m_budget->Reserve(m_bytesLeft, UseOf(aFrame, m_bytesLeft));
+    if (reserved.Bytes() != m_bytesLeft) {
+      m_frame.reset();
+      return WithoutBody(std::move(aFrame));
+    }
+    m_body.AddRoom(m_bytesLeft, std::move(reserved));
+  }
+  m_frame = std::move(aFrame);
+  return std::nullopt;
+}
+
+Outcome<std::optional<LinkFrame>>
+BodyAssembler::Append(const LinkBodyPart& aPart)
+{
+  const std::size_t bytes = aPart.m_bytes.size();
+  if (bytes == 0 || bytes > m_bytesLeft) {
+    return Error{ ErrorCode::Corrupt, "frame: unexpected part of a body" };
+  }
+  m_bytesLeft -= bytes;
+  if (!m_frame) {
+    return std::optional<LinkFrame>{};
+  }
+  m_body.Append(aPart.m_bytes);
+  if (m_bytesLeft > 0) {
+    return std::optional<LinkFrame>{};
+  }
+  LinkFrame complete =
+    WithBody(std::move(*m_frame), Body{ std::exchange(m_body, BodyBuffer{}) });
+  m_frame.reset();
+  return std::optional<LinkFrame>{ std::move(complete) };
+}
+
+}
--- a/src/transport/link_codec.cpp
+++ b/src/transport/link_codec.cpp
@@ -42,6 +42,9 @@
   if (const auto* answer = std::get_if<CallAnswer>(&aFrame)) {
     return answer->m_response.m_body;
   }
+  if (const auto* part = std::get_if<LinkBodyPart>(&aFrame)) {
+    return part->m_bytes;
+  }
   return {};
 }
 
@@ -136,6 +139,7 @@
     out.set_epoch(aHello.m_epoch);
     out.set_domain(aHello.m_domain);
     out.set_callee(aHello.m_callee);
+    out.set_takes_parts(aHello.m_takesParts);
   }
   void operator()(const CallRequest& aRequest) const
   {
@@ -168,6 +172,7 @@
       static_cast<std::uint64_t>(aRequest.m_answerSize.m_mean));
     out.set_answer_spread_bytes(
       static_cast<std::uint64_t>(aRequest.m_answerSize.m_deviation));
+    out.set_body_bytes(aRequest.m_bodyBytesToFollow);
   }
   void operator()(const CallAnswer& aAnswer) const
   {
@@ -197,6 +202,7 @@
     out.set_wait_us(static_cast<std::uint64_t>(aAnswer.m_wait.count()));
     out.set_service_us(
       static_cast<std::uint64_t>(aAnswer.m_serviceTime.count()));
+    out.set_body_bytes(aAnswer.m_bodyBytesToFollow);
     if (aAnswer.m_timeAtWorker) {
       out.set_time_at_worker_us(
         static_cast<std::uint64_t>(aAnswer.m_timeAtWorker->count()));
@@ -225,6 +231,10 @@
   {
     m_out.set_leaving(true);
   }
+  void operator()(const LinkBodyPart& /*aPart*/) const
+  {
+    m_out.set_body_part(true);
+  }
 };
 
 /// Bounds what another daemon may make this one expect.
@@ -251,6 +261,7 @@
   request.m_target = aWire.target();
   request.m_headers = HeadersFromWire(aWire);
   request.m_body = aBody;
+  request.m_bodyBytesToFollow = aWire.body_bytes();
   request.m_timeLeft = std::chrono::microseconds{ aWire.deadline_us() };
   request.m_class = static_cast<CallClass>(aWire.call_class());
   request.m_idempotent = aWire.idempotent();
@@ -302,6 +313,7 @@
   answer.m_response.m_status = static_cast<std::uint16_t>(aWire.status());
   answer.m_response.m_headers = HeadersFromWire(aWire);
   answer.m_response.m_body = aBody;
+  answer.m_bodyBytesToFollow = aWire.body_bytes();
   answer.m_retryAfter = std::chrono::milliseconds{ aWire.retry_after_ms() };
   answer.m_load = aWire.load();
   answer.m_reachedWorker = aWire.reached_worker();
@@ -322,6 +334,17 @@
 
 void
 AppendFrame(std::string& aOut, const LinkFrame& aFrame, LinkDeflater* aDeflater)
+{
+  const std::string_view body = BodyOf(aFrame);
+  AppendFrameHead(aOut, aFrame, body.size(), aDeflater);
+  aOut += body;
+}
+
+void
+AppendFrameHead(std::string& aOut,
+                const LinkFrame& aFrame,
+                std::size_t aBodyBytes,
+                LinkDeflater* aDeflater)
 {
   wire::Frame frame;
   std::visit(ToWire{ frame }, aFrame);
@@ -332,14 +355,11 @@
     head = aDeflater->Deflate(head);
     flags = kDeflatedFlag;
   }
-  const std::string_view body = BodyOf(aFrame);
   const auto headSize = static_cast<std::uint32_t>(head.size());
   AppendBigEndian(
-    aOut,
-    static_cast<std::uint32_t>(kHeadLengthBytes + headSize + body.size()));
+    aOut, static_cast<std::uint32_t>(kHeadLengthBytes + headSize + aBodyBytes));
   AppendBigEndian(aOut, headSize | flags);
   aOut += head;
-  aOut += body;
 }
 
 std::size_t
@@ -388,7 +408,8 @@
                                    frame.hello().incarnation(),
                                    frame.hello().epoch(),
                                    frame.hello().domain(),
-                                   frame.hello().callee() } };
+                                   frame.hello().callee(),
+                                   frame.hello().takes_parts() } };
     case wire::Frame::kRequest:
       return RequestFrom(frame.request(), body);
     case wire::Frame::kAnswer:
@@ -406,6 +427,8 @@
       return LinkFrame{ LinkPong{ frame.pong() } };
     case wire::Frame::kLeaving:
       return LinkFrame{ LinkDraining{} };
+    case wire::Frame::kBodyPart:
+      return LinkFrame{ LinkBodyPart{ body } };
     case wire::Frame::KIND_NOT_SET:
       break;
   }
--- a/src/transport/link_connection.cpp
+++ b/src/transport/link_connection.cpp
@@ -3,6 +3,7 @@
 #include "greengagehub/transport/codec.hpp"
 
 #include <algorithm>
+#include <array>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <cstring>
@@ -11,6 +12,9 @@
 
 namespace {
 
+/// Leaves room for the head of the frame.
+constexpr std::size_t kMaxWholeBodyBytes = kMaxFrameBytes - 1024UL * 1024;
+
 TrafficPurpose
 PurposeOf(const LinkFrame& aFrame)
 {
@@ -31,6 +35,27 @@
   return request != nullptr ? request->m_body.size() : 0;
 }
 
+/// \brief Takes the body out of a large frame.
+Body
+TakeBody(LinkFrame& aFrame)
+{
+  if (auto* answer = std::get_if<CallAnswer>(&aFrame)) {
+    return std::exchange(answer->m_response.m_body, {});
+  }
+  auto* request = std::get_if<CallRequest>(&aFrame);
+  return request != nullptr ? std::exchange(request->m_body, {}) : Body{};
+}
+
+void
+AnnounceBody(LinkFrame& aFrame, std::size_t aBytes)
+{
+  if (auto* answer = std::get_if<CallAnswer>(&aFrame)) {
+    answer->m_bodyBytesToFollow = aBytes;
+  } else if (auto* request = std::get_if<CallRequest>(&aFrame)) {
+    request->m_bodyBytesToFollow = aBytes;
+  }
+}
+
 }
 
 std::string_view
@@ -59,6 +84,7 @@
   , m_pacer(aPacer)
   , m_turnTimer(m_socket.get_executor())
   , m_partTimer(m_socket.get_executor())
+  , m_bodyTimer(m_socket.get_executor())
 {
 }
 
@@ -133,7 +159,14 @@
       return;
     }
     at += kFrameLengthBytes + length;
-    m_onFrame(*this, std::move(frame.value()));
+    auto complete = m_assembler.Take(std::move(frame.value()));
+    if (!complete) {
+      CloseSocket(true, LinkCloseCause::InvalidFrame);
+      return;
+    }
+    if (complete.value()) {
+      m_onFrame(*this, std::move(*complete.value()));
+    }
   }
   m_unparsedBytes -= at;
   std::memmove(m_readBuffer.data(), m_readBuffer.data() + at, m_unparsedBytes);
@@ -157,6 +190,12 @@
   m_meter.Add(PurposeOf(aFrame), m_crossesDomains, m_encoded.size() - before);
 }
 
+bool
+LinkConnection::CanSend(const LinkFrame& aFrame) const noexcept
+{
+  return m_takesParts || BodySizeOf(aFrame) <= kMaxWholeBodyBytes;
+}
+
 void
 LinkConnection::Send(LinkFrame aFrame)
 {
@@ -164,13 +203,14 @@
     return;
   }
   const std::size_t bodySize = BodySizeOf(aFrame);
-  if (m_pacer != nullptr && bodySize > LinkPacer::kPartBytes) {
+  if (bodySize > LinkPacer::kPartBytes) {
+    Body body = TakeBody(aFrame);
     m_largeFrames.push_back(
-      { std::move(aFrame), LinkTurn{ m_pacer, bodySize } });
+      { std::move(aFrame), std::move(body), LinkTurn{ m_pacer, bodySize } });
   } else {
     Encode(aFrame);
   }
-  if (m_writeBuffer.empty()) {
+  if (!m_isWriting) {
     Write();
   }
 }
@@ -178,21 +218,26 @@
 void
 LinkConnection::Write()
 {
-  if (m_encoded.empty()) {
-    if (m_isFinishing && m_largeFrames.empty()) {
-      EndOutput();
+  if (!m_encoded.empty() && !IsInsideFrame()) {
+    if (m_pacer != nullptr) {
+      static_cast<void>(m_pacer->Reserve(Clock::now(), m_encoded.size()));
     }
-    ScheduleLargeFrame();
+    m_writeBuffer.swap(m_encoded);
+    m_written = 0;
+    m_isWriting = true;
+    WritePart();
     return;
   }
-  if (m_pacer != nullptr) {
-    static_cast<void>(
-      m_pacer->Reserve(Clock::now(), m_encoded.size() - m_reservedBytes));
+  if (m_currentLarge) {
+    if (m_isPartDue) {
+      WriteBodyPart();
+    }
+    return;
+  }
+  if (m_isFinishing && m_largeFrames.empty()) {
+    EndOutput();
   }
-  m_reservedBytes = 0;
-  m_writeBuffer.swap(m_encoded);
-  m_written = 0;
-  WritePart();
+  ScheduleLargeFrame();
 }
 
 void
@@ -209,24 +254,15 @@
       if (aError || !self->m_isOpen || self->m_hasWriteFailed) {
         return;
       }
-      self->EncodeLargeFrame();
-      if (self->m_writeBuffer.empty()) {
+      self->m_currentLarge = std::move(self->m_largeFrames.front());
+      self->m_largeFrames.pop_front();
+      self->m_isPartDue = true;
+      if (!self->m_isWriting) {
         self->Write();
       }
     });
 }
 
-void
-LinkConnection::EncodeLargeFrame()
-{
-  // Append it after frames that were encoded during the wait.
-  LargeFrame large = std::move(m_largeFrames.front());
-  m_largeFrames.pop_front();
-  m_reservedBytes += BodySizeOf(large.m_frame);
-  Encode(large.m_frame);
-  m_turn = std::move(large.m_turn);
-}
-
 void
 LinkConnection::WritePart()
 {
@@ -246,14 +282,104 @@
                     });
 }
 
+void
+LinkConnection::EncodePartHead(std::size_t aBodyBytes)
+{
+  LargeFrame& large = *m_currentLarge;
+  m_partHead.clear();
+  if (large.m_sent == 0) {
+    const std::size_t bodySize = large.m_body.size();
+    if (m_takesParts) {
+      AnnounceBody(large.m_frame, bodySize);
+    }
+    AppendFrameHead(
+      m_partHead, large.m_frame, m_takesParts ? 0 : bodySize, m_deflater.get());
+  }
+  if (m_takesParts) {
+    AppendFrameHead(m_partHead, LinkBodyPart{}, aBodyBytes);
+  }
+}
+
+void
+LinkConnection::WriteBodyPart()
+{
+  const LargeFrame& large = *m_currentLarge;
+  const std::size_t size =
+    std::min(large.m_body.size() - large.m_sent, LinkPacer::kPartBytes);
+  EncodePartHead(size);
+  m_meter.Add(
+    PurposeOf(large.m_frame), m_crossesDomains, m_partHead.size() + size);
+  m_isPartDue = false;
+  m_isWriting = true;
+  const std::array<asio::const_buffer, 2> buffers{
+    asio::buffer(m_partHead),
+    asio::buffer(large.m_body.data() + large.m_sent, size)
+  };
+  asio::async_write(m_socket,
+                    buffers,
+                    [self = Pointer{ this }, body = large.m_body, size](
+                      const asio::error_code& aError, std::size_t aWritten) {
+                      self->m_bytesSent += aWritten;
+                      if (aError) {
+                        self->OnWriteFailed();
+                        return;
+                      }
+                      self->OnBodyPartWritten(size);
+                    });
+}
+
+void
+LinkConnection::OnBodyPartWritten(std::size_t aBodyBytes)
+{
+  m_isWriting = false;
+  if (!m_isOpen) {
+    return;
+  }
+  LargeFrame& large = *m_currentLarge;
+  large.m_sent += aBodyBytes;
+  large.m_turn.OnSent(aBodyBytes);
+  if (large.m_sent == large.m_body.size()) {
+    m_currentLarge.reset();
+    Write();
+    return;
+  }
+  if (m_pacer == nullptr || !m_pacer->IsEnabled()) {
+    m_isPartDue = true;
+    Write();
+    return;
+  }
+  // The link time of the entire frame is reserved; spread its parts over it.
+  m_bodyTimer.expires_after(m_pacer->TransmissionTime(aBodyBytes));
+  m_bodyTimer.async_wait(
+    [self = Pointer{ this }](const asio::error_code& aError) {
+      if (aError || !self->m_currentLarge) {
+        return;
+      }
+      self->m_isPartDue = true;
+      if (!self->m_isWriting) {
+        self->Write();
+      }
+    });
+  Write();
+}
+
 void
 LinkConnection::OnWriteFailed()
 {
   // The pending read closes the connection after the frames that arrived.
   m_hasWriteFailed = true;
-  m_turn = {};
+  m_isWriting = false;
   m_writeBuffer.clear();
   m_encoded.clear();
+  DropLargeFrames();
+}
+
+void
+LinkConnection::DropLargeFrames()
+{
+  m_turnTimer.cancel();
+  m_bodyTimer.cancel();
+  m_currentLarge.reset();
   m_largeFrames.clear();
 }
 
@@ -261,12 +387,11 @@
 LinkConnection::OnPartWritten(std::size_t aSize)
 {
   m_written += aSize;
-  m_turn.OnSent(aSize);
   if (m_written < m_writeBuffer.size()) {
     if (!m_isOpen) {
       return;
     }
-    // The link time of the entire frame is reserved; spread its parts over it.
+    // The link time of the entire buffer is reserved; spread its parts over it.
     m_partTimer.expires_after(m_pacer->TransmissionTime(aSize));
     m_partTimer.async_wait(
       [self = Pointer{ this }](const asio::error_code& aError) {
@@ -276,6 +401,7 @@
       });
     return;
   }
+  m_isWriting = false;
   m_writeBuffer.clear();
   if (m_writeBuffer.capacity() > LinkPacer::kPartBytes) {
     m_writeBuffer.shrink_to_fit();
@@ -339,10 +465,8 @@
               QueuesOf(m_socket),
               HasUnsent() };
   m_isOpen = false;
-  m_turnTimer.cancel();
   m_partTimer.cancel();
-  m_turn = {};
-  m_largeFrames.clear();
+  DropLargeFrames();
   asio::error_code ignored;
   if (aIsOrderly) {
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
--- a/src/transport/link_pool.cpp
+++ b/src/transport/link_pool.cpp
@@ -57,6 +57,10 @@
 LinkPool::Write(Link& aLink, const LinkFrame& aFrame)
 {
   if (const auto* request = std::get_if<CallRequest>(&aFrame)) {
+    if (!aLink.m_connection->CanSend(aFrame)) {
+      m_handlers.m_onSendFailed(request->m_call);
+      return;
+    }
     m_handlers.m_onSent(request->m_call, aLink.m_process);
   }
   aLink.m_connection->Send(aFrame);
@@ -167,6 +171,7 @@
 {
   aLink->m_connection =
     new LinkConnection(std::move(aSocket), m_meter, m_pacer);
+  aLink->m_connection->UseBudget(m_budget);
   const std::weak_ptr<Link> weak = aLink;
   aLink->m_connection->Start(
     [this, weak](LinkConnection& aConnection, LinkFrame aFrame) {
@@ -207,6 +212,7 @@
     OnConnectFailed(aLink, true);
     return;
   }
+  aLink->m_connection->SetTakesParts(aHello.m_takesParts);
   if (aHello.m_domain != m_self.m_domain) {
     aLink->m_connection->SetCrossesDomains();
   }
--- a/src/transport/link_server.cpp
+++ b/src/transport/link_server.cpp
@@ -54,6 +54,7 @@
       if (!aError) {
         LinkConnection::Pointer connection{ new LinkConnection(
           std::move(aSocket), m_meter, m_pacer) };
+        connection->UseBudget(m_budget);
         m_connections.insert(connection);
         connection->Start(
           [this](LinkConnection& aConnection, LinkFrame aFrame) {
@@ -96,6 +97,7 @@
     older->second->Close();
   }
   aConnection.m_peer = aHello;
+  aConnection.SetTakesParts(aHello.m_takesParts);
   aConnection.m_helloReceived = true;
   m_currentByProcess[aHello.m_process] =
     LinkConnection::Pointer{ &aConnection };
--- a/standins/backend_server.cpp
+++ b/standins/backend_server.cpp
@@ -147,7 +147,7 @@
     Json body{ { "id", aId },
                { "method", aRun.m_request.m_method },
                { "target", aRun.m_request.m_target },
-               { "body", aRun.m_request.m_body } };
+               { "body", aRun.m_request.m_body.View() } };
     if (m_answerBytes > 0) {
       body["padding"] = std::string(m_answerBytes, 'x');
     }
@@ -164,7 +164,7 @@
   /// connection.
   static void DropRun(Run aRun) { static_cast<void>(aRun); }
 
-  void SetFaults(const std::string& aBody)
+  void SetFaults(std::string_view aBody)
   {
     const Json faults = Json::parse(aBody, nullptr, false);
     if (!faults.is_object()) {
--- a/standins/endless_worker.cpp
+++ b/standins/endless_worker.cpp
@@ -138,7 +138,7 @@
 
   void Answer(const std::string& aTarget,
               const std::string& aId,
-              const std::string& aBody)
+              std::string_view aBody)
   {
     if (aTarget.starts_with("/control")) {
       Control(Json::parse(aBody, nullptr, false));
--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -266,7 +266,7 @@
     }
   }
 
-  HttpResponse Transact(const std::string& aBody)
+  HttpResponse Transact(std::string_view aBody)
   {
     constexpr std::size_t kMaxValueBytes = 1024UL * 1024;
     const Json body = Json::parse(aBody, nullptr, false);
@@ -336,7 +336,7 @@
     }
   }
 
-  HttpResponse GrantLease(const std::string& aBody)
+  HttpResponse GrantLease(std::string_view aBody)
   {
     const Json body = Json::parse(aBody, nullptr, false);
     const std::chrono::milliseconds timeToLive{ body.is_object()
@@ -400,7 +400,7 @@
     });
   }
 
-  void SetFaults(const std::string& aBody)
+  void SetFaults(std::string_view aBody)
   {
     const Json wanted = Json::parse(aBody, nullptr, false);
     if (!wanted.is_object()) {
--- a/standins/platform_worker.cpp
+++ b/standins/platform_worker.cpp
@@ -367,7 +367,7 @@
     m_draining = false;
   }
 
-  void Control(const std::string& aBody)
+  void Control(std::string_view aBody)
   {
     const Json wanted = Json::parse(aBody, nullptr, false);
     if (!wanted.is_object()) {
@@ -474,6 +474,7 @@
 {
   namespace po = boost::program_options;
   Options given;
+  given.m_http.m_limits.m_maxBodyBytes = 128UL * 1024 * 1024;
   po::options_description options{ "platform_worker" };
   options.add_options()(
     "host", po::value(&given.m_http.m_address)->default_value("127.0.0.1"), "")(
--- a/tests/calls/link_replay.hpp
+++ b/tests/calls/link_replay.hpp
@@ -411,7 +411,7 @@
     answer.m_outcome = CallOutcome::Answered;
     answer.m_response.m_status = 200;
     const std::size_t bytes = DrawBytes();
-    answer.m_response.m_body.resize(bytes);
+    answer.m_response.m_body = std::string(bytes, '\0');
     worker.m_sizes.Record(kKind, bytes);
     Answer(run, aKey, std::move(answer));
     Apply(next);
--- a/tests/end_to_end/endless_answers.cpp
+++ b/tests/end_to_end/endless_answers.cpp
@@ -28,22 +28,6 @@
   "unframed",     "after-answer"
 };
 
-/// \returns A field of /proc/PID/status, in KiB.
-std::uint64_t
-MemoryField(const Process& aProcess, const std::string& aField)
-{
-  std::ifstream file{ "/proc/" + std::to_string(aProcess.Pid()) + "/status" };
-  std::string word;
-  while (file >> word) {
-    if (word == aField + ":") {
-      std::uint64_t kib = 0;
-      file >> kib;
-      return kib;
-    }
-  }
-  return 0;
-}
-
 /// \returns Processor time in clock ticks.
 std::uint64_t
 ProcessorTicks(const Process& aProcess)
--- a/tests/end_to_end/platform_fleet.hpp
+++ b/tests/end_to_end/platform_fleet.hpp
@@ -3,6 +3,7 @@
 #include "testkit/fleet.hpp"
 
 #include <doctest/doctest.h>
+#include <fstream>
 
 namespace greengagehub::testkit {
 
@@ -23,10 +24,12 @@
 }
 
 inline Json
-Document(const char* aVersion, const Json& aRules)
+Document(const char* aVersion,
+         const Json& aRules,
+         std::uint64_t aMaxBodyBytes = 1000)
 {
   return { { "version", aVersion },
-           { "limits", { { "max_body_bytes", 1000 } } },
+           { "limits", { { "max_body_bytes", aMaxBodyBytes } } },
            { "listeners",
              { { { "host", "a.example" }, { "rules", aRules } } } },
            { "clusters",
@@ -84,6 +87,22 @@
                        { "X-Greengagehub-Deadline-Ms", aDeadline } });
 }
 
+/// \returns A field of /proc/PID/status, in KiB.
+inline std::uint64_t
+MemoryField(const Process& aProcess, const std::string& aField)
+{
+  std::ifstream file{ "/proc/" + std::to_string(aProcess.Pid()) + "/status" };
+  std::string word;
+  while (file >> word) {
+    if (word == aField + ":") {
+      std::uint64_t kib = 0;
+      file >> kib;
+      return kib;
+    }
+  }
+  return 0;
+}
+
 inline std::uint64_t
 Runs(const Fleet& aFleet, const std::string& aId)
 {
--- a/tests/end_to_end/workspaces.cpp
+++ b/tests/end_to_end/workspaces.cpp
@@ -304,7 +304,7 @@
   REQUIRE(WaitUntil([&] {
     const CallResult result = CallWithKey(
       aFleet, aSlot, "/status/1", aId + std::to_string(sent++), "k1");
-    const std::string& body = result.m_result.m_response.m_body;
+    const std::string_view body = result.m_result.m_response.m_body;
     const bool isRejected = body.find("over-quota") != std::string::npos ||
                             body.find("no-coordinator") != std::string::npos;
     rejected += isRejected ? 1 : 0;
--- a/tests/transport/link_connection.cpp
+++ b/tests/transport/link_connection.cpp
@@ -15,13 +15,13 @@
 {
   CallAnswer answer{ .m_call = aCall, .m_outcome = CallOutcome::Answered };
   answer.m_response.m_status = 200;
-  answer.m_response.m_body.assign(aBytes, 'x');
+  answer.m_response.m_body = std::string(aBytes, 'x');
   return answer;
 }
 
 struct ConnectionPair
 {
-  ConnectionPair()
+  explicit ConnectionPair(bool aTakesParts = true)
   {
     tcp::acceptor acceptor{
       m_loop, tcp::endpoint{ asio::ip::address_v4::loopback(), 0 }
@@ -30,6 +30,8 @@
     near.connect(acceptor.local_endpoint());
     m_sender = new LinkConnection{ std::move(near), m_meter, &m_pacer };
     m_receiver = new LinkConnection{ acceptor.accept(), m_meter };
+    m_sender->SetTakesParts(aTakesParts);
+    m_receiver->UseBudget(m_budget);
     const auto closed = [](LinkConnection&) {};
     m_sender->Start([](LinkConnection&, const LinkFrame&) {}, closed);
     m_receiver->Start(
@@ -49,6 +51,7 @@
   asio::io_context m_loop;
   TrafficMeter m_meter;
   LinkPacer m_pacer{ 100 };
+  ByteBudget::Pointer m_budget{ new ByteBudget{ 1'000'000 } };
   LinkConnection::Pointer m_sender;
   LinkConnection::Pointer m_receiver;
   std::vector<CallAnswer> m_received;
@@ -69,6 +72,48 @@
   }
 }
 
+TEST_CASE("a small answer overtakes the rest of a large one")
+{
+  // Guards against a body that holds up the other calls of its link.
+  ConnectionPair pair;
+  pair.m_sender->Send(MakeAnswer(1, 1'000'000));
+  while (pair.m_sender->BytesSent() < 100'000) {
+    pair.m_loop.run_one();
+  }
+  pair.m_sender->Send(MakeAnswer(2, 100));
+  pair.RunUntilReceived(2);
+  CHECK(pair.m_received.front().m_call == 2);
+  CHECK(pair.m_received.back().m_response.m_body ==
+        Body{ std::string(1'000'000, 'x') });
+  pair.m_received.clear();
+  CHECK(pair.m_budget->Used() == 0);
+}
+
+TEST_CASE("a body without room at the receiver does not end the link")
+{
+  // Guards against one body that ends all calls of its link.
+  ConnectionPair pair;
+  pair.m_sender->Send(MakeAnswer(1, 1'000'001));
+  pair.m_sender->Send(MakeAnswer(2, 300'000));
+  pair.RunUntilReceived(2);
+  CHECK(pair.m_received.front().m_call == 1);
+  CHECK(pair.m_received.front().m_outcome == CallOutcome::Unknown);
+  CHECK(pair.m_received.front().m_reason == RefusalReason::AnswerLost);
+  CHECK(pair.m_received.back().m_response.m_body.size() == 300'000);
+}
+
+TEST_CASE("a peer of an older version receives large bodies whole")
+{
+  ConnectionPair pair{ false };
+  pair.m_sender->Send(MakeAnswer(1, 300'000));
+  pair.m_sender->Send(MakeAnswer(2, 100));
+  pair.RunUntilReceived(2);
+  CHECK(pair.m_received.front().m_response.m_body.size() ==
+        (pair.m_received.front().m_call == 1 ? 300'000 : 100));
+  CHECK(pair.m_sender->CanSend(MakeAnswer(3, 30UL * 1024 * 1024)));
+  CHECK_FALSE(pair.m_sender->CanSend(MakeAnswer(3, 40UL * 1024 * 1024)));
+}
+
 TEST_CASE("HasUnsent is true until the last answer is written")
 {
   ConnectionPair pair;
--- a/tools/experiment.cpp
+++ b/tools/experiment.cpp
@@ -155,9 +155,9 @@
 UsageOf(Fleet& aFleet, const std::string& aSlot)
 {
   Usage usage;
-  std::istringstream metrics{
-    aFleet.CallOperatorsApi(aSlot, "GET", "/metrics").m_result.m_response.m_body
-  };
+  std::istringstream metrics{ std::string{
+    aFleet.CallOperatorsApi(aSlot, "GET", "/metrics")
+      .m_result.m_response.m_body.View() } };
   for (std::string line; std::getline(metrics, line);) {
     if (line.starts_with("greengagehub_control_bytes{")) {
       const std::size_t separator = line.rfind(' ');
--- a/tools/testkit/fleet.cpp
+++ b/tools/testkit/fleet.cpp
@@ -241,7 +241,7 @@
   HttpClientRequest request;
   request.m_url = BackendUrl(aSlot) + "/counts";
   return Json::parse(
-    SendAndWait(std::move(request)).m_response.m_body, nullptr, false);
+    SendAndWait(std::move(request)).m_response.m_body.View(), nullptr, false);
 }
 
 std::vector<WorkerHistory>
@@ -250,7 +250,7 @@
   HttpClientRequest request;
   request.m_url = BackendUrl(aSlot) + "/history";
   return ParseHistories(Json::parse(
-    SendAndWait(std::move(request)).m_response.m_body, nullptr, false));
+    SendAndWait(std::move(request)).m_response.m_body.View(), nullptr, false));
 }
 
 void
@@ -282,7 +282,8 @@
   HttpClientRequest request;
   request.m_url = m_storeUrl + "/kv-key?key=" + aKey;
   const HttpClientResult result = SendAndWait(std::move(request));
-  const Json item = Json::parse(result.m_response.m_body, nullptr, false);
+  const Json item =
+    Json::parse(result.m_response.m_body.View(), nullptr, false);
   const bool hasValue = item.is_object() && item.contains("value");
   const auto value = hasValue
                        ? platform::FromBase64(item["value"].get<std::string>())
--- a/tools/testkit/fleet.hpp
+++ b/tools/testkit/fleet.hpp
@@ -47,7 +47,8 @@
   }
   [[nodiscard]] nlohmann::json Json() const
   {
-    return nlohmann::json::parse(m_result.m_response.m_body, nullptr, false);
+    return nlohmann::json::parse(
+      m_result.m_response.m_body.View(), nullptr, false);
   }
 };
 
--- a/tools/testkit/load.cpp
+++ b/tools/testkit/load.cpp
@@ -135,8 +135,8 @@
 CheckAnswer(const CallRecord& aRecord, std::uint32_t aRuns, CallReport& aOut)
 {
   ++aOut.m_answered;
-  const auto body =
-    nlohmann::json::parse(aRecord.m_result.m_response.m_body, nullptr, false);
+  const auto body = nlohmann::json::parse(
+    aRecord.m_result.m_response.m_body.View(), nullptr, false);
   const bool isOwnAnswer =
     body.is_object() && body.value("id", std::string{}) == aRecord.m_id;
   aOut.m_wrongAnswers += isOwnAnswer ? 0 : 1;
