Release the handler of a wait for room when the wait ends

Cause: a cancelled wait kept its handler, which owns the connection that owns the wait, so a connection whose request was refused or that ended while it waited was never freed. Bytes read ahead on a kept connection are bounded by 16 instead of 64 KiB, as they are not counted in the budget.

The test "a wait that has ended keeps nothing of its handler" was written with the fix; it was not run without it.

--- a/include/greengagehub/core/byte_budget.hpp
+++ b/include/greengagehub/core/byte_budget.hpp
@@ -64,7 +64,12 @@
   using Granted = std::function<void(ByteReservation)>;
 
   [[nodiscard]] bool IsWaiting() const noexcept { return is_linked(); }
-  void Cancel() noexcept { unlink(); }
+  /// \brief Ends the wait and releases its handler.
+  void Cancel()
+  {
+    unlink();
+    const Granted released = std::exchange(m_onGranted, nullptr);
+  }
 
 private:
   friend class ByteBudget;
--- a/src/core/byte_budget.cpp
+++ b/src/core/byte_budget.cpp
@@ -111,8 +111,8 @@
       isLargeBlocked = isLargeBlocked || isLarge;
       continue;
     }
-    waiter.Cancel();
     const ByteWaiter::Granted onGranted = std::move(waiter.m_onGranted);
+    waiter.Cancel();
     onGranted(Charge(waiter.m_bytes));
   }
 }
--- a/src/http/http_connection.hpp
+++ b/src/http/http_connection.hpp
@@ -13,7 +13,7 @@
 
 inline constexpr std::size_t kHttpReadBytes = 8UL * 1024;
 /// Limit of pipelined bytes buffered per connection.
-inline constexpr std::size_t kMaxHttpReadAhead = 64UL * 1024;
+inline constexpr std::size_t kMaxHttpReadAhead = 16UL * 1024;
 /// Time for the client to close after the end of the output; further input is
 /// discarded. Closing with unread bytes would reset the connection, and the
 /// client could lose the answer.
@@ -28,7 +28,7 @@
 /// While others wait for room, a body that makes no progress for this long is
 /// given up.
 inline constexpr auto kHttpStallTime = std::chrono::milliseconds{ 1000 };
-/// Heads and read-ahead up to this size are not counted.
+/// Heads up to this size are not counted.
 inline constexpr std::size_t kUncountedHeadBytes = 2UL * 1024;
 inline constexpr auto kHttpWriteTimeout = std::chrono::seconds{ 60 };
 
--- a/tests/core/byte_budget.cpp
+++ b/tests/core/byte_budget.cpp
@@ -3,6 +3,7 @@
 #include "greengagehub/core/body.hpp"
 
 #include <doctest/doctest.h>
+#include <memory>
 #include <vector>
 
 using namespace greengagehub;
@@ -81,6 +82,25 @@
   CHECK(grants.m_granted.size() == 1);
 }
 
+TEST_CASE("a wait that has ended keeps nothing of its handler")
+{
+  // Guards against connections that own a wait and never end.
+  const ByteBudget::Pointer budget{ new ByteBudget{ kLimit } };
+  auto held = budget->Reserve(600'000, ByteUse::LargeRequest);
+  const auto owner = std::make_shared<int>();
+  ByteWaiter cancelled;
+  ByteWaiter granted;
+  for (ByteWaiter* each : { &cancelled, &granted }) {
+    budget->Wait(
+      *each, 1000, ByteUse::LargeRequest, [owner](const ByteReservation&) {});
+  }
+  CHECK(owner.use_count() == 3);
+  cancelled.Cancel();
+  CHECK(owner.use_count() == 2);
+  held = {};
+  CHECK(owner.use_count() == 1);
+}
+
 TEST_CASE("copies of a body share its bytes and return them together")
 {
   // Guards against a copy of the body in each stage of a call.
@@ -90,7 +110,7 @@
   buffer.Append(std::string(100'000, 'x'));
   Body body{ std::move(buffer) };
   Body copy = body;
-  CHECK(copy.data() == body.data());
+  CHECK(copy.Data() == body.Data());
   CHECK(budget->Used() == 100'000);
   body = {};
   CHECK(copy == Body{ std::string(100'000, 'x') });
