--- a/include/greengagehub/core/body.hpp
+++ b/include/greengagehub/core/body.hpp
@@ -73,9 +73,9 @@
     return m_shared ? m_shared->m_buffer.View() : std::string_view{};
   }
   operator std::string_view() const noexcept { return View(); }
-  [[nodiscard]] const char* data() const noexcept { return View().data(); }
-  [[nodiscard]] std::size_t size() const noexcept { return View().size(); }
-  [[nodiscard]] bool empty() const noexcept { return View().empty(); }
+  [[nodiscard]] const char* Data() const noexcept { return View().data(); }
+  [[nodiscard]] std::size_t Size() const noexcept { return View().size(); }
+  [[nodiscard]] bool IsEmpty() const noexcept { return View().empty(); }
 
   [[nodiscard]] friend bool operator==(const Body& aLeft,
                                        const Body& aRight) noexcept
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -324,7 +324,7 @@
   }
   m_workers.RecordStatement(aNow, call->m_slot, aAnswer, m_random);
   // A paced answer takes time on links, which says nothing about other calls.
-  if (aAnswer.m_response.m_body.size() <= LinkPacer::kPartBytes) {
+  if (aAnswer.m_response.m_body.Size() <= LinkPacer::kPartBytes) {
     m_workers.RecordTransit(
       aNow, call->m_slot, aNow - call->m_sentAt, aAnswer.m_timeAtWorker);
   }
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -277,14 +277,14 @@
   CallAnswer answer = std::move(aFinish.m_answer);
   if (answer.m_outcome == CallOutcome::Answered) {
     m_answerSizes.Record(call.m_request.m_kind,
-                         answer.m_response.m_body.size());
+                         answer.m_response.m_body.Size());
     RouteStatistics& statistics = StatisticsOf(call.m_routeKey);
     statistics.m_meanAnswerTime +=
       (Clock::now() - call.m_receivedAt - statistics.m_meanAnswerTime) /
       kAnswerTimeDivisor;
     statistics.m_meanAnswerBytes +=
       kAnswerSizeWeight *
-      (static_cast<double>(answer.m_response.m_body.size()) -
+      (static_cast<double>(answer.m_response.m_body.Size()) -
        statistics.m_meanAnswerBytes);
   }
   if (answer.m_outcome == CallOutcome::NotRun) {
@@ -314,7 +314,7 @@
                                    .m_attempts = call.m_attempts,
                                    .m_duration = now - call.m_receivedAt,
                                    .m_version = call.m_config->m_version });
-  const std::size_t bytes = answer.m_response.m_body.size();
+  const std::size_t bytes = answer.m_response.m_body.Size();
   call.m_responder.Answer(ResponseFor(m_deps.m_dialect, std::move(answer)),
                           m_draining);
   m_linkOut.HandOver(
--- a/src/daemon/call_gateway_callers.cpp
+++ b/src/daemon/call_gateway_callers.cpp
@@ -264,7 +264,7 @@
   plan.m_kind = { aRoute.m_targetLatency, statistics.m_routeHash };
   plan.m_crossingCost =
     CrossingCost(decisions,
-                 static_cast<double>(aRequest.m_body.size()),
+                 static_cast<double>(aRequest.m_body.Size()),
                  statistics.m_meanAnswerBytes);
   plan.m_priority =
     workspace != nullptr
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -284,12 +284,12 @@
   }
   if (aAnswer.m_outcome == CallOutcome::Answered) {
     m_answerSizes.Record(run.m_request.m_kind,
-                         aAnswer.m_response.m_body.size());
+                         aAnswer.m_response.m_body.Size());
   }
   if (!run.m_request.m_idempotent) {
     KeepAnswer(aKey, aAnswer);
   }
-  const std::size_t bytes = aAnswer.m_response.m_body.size();
+  const std::size_t bytes = aAnswer.m_response.m_body.Size();
   Deliver(aKey, run.m_request, std::move(aAnswer));
   if (UsesLink(aKey)) {
     const TimePoint now = Clock::now();
--- a/src/daemon/run_service_answers.cpp
+++ b/src/daemon/run_service_answers.cpp
@@ -74,7 +74,7 @@
 {
   const TimePoint now = Clock::now();
   m_keptAnswers.push_back({ aKey, aAnswer, now });
-  m_keptBytes += aAnswer.m_response.m_body.size();
+  m_keptBytes += aAnswer.m_response.m_body.Size();
   DropKeptAnswers(now);
 }
 
@@ -84,7 +84,7 @@
   while (!m_keptAnswers.empty() &&
          (aNow - m_keptAnswers.front().m_finishedAt > kAnswerRetention ||
           m_keptBytes > kMaxKeptBytes)) {
-    m_keptBytes -= m_keptAnswers.front().m_answer.m_response.m_body.size();
+    m_keptBytes -= m_keptAnswers.front().m_answer.m_response.m_body.Size();
     m_keptAnswers.pop_front();
   }
 }
--- a/src/daemon/start_buffer.cpp
+++ b/src/daemon/start_buffer.cpp
@@ -10,7 +10,7 @@
                  HttpRequest& aRequest,
                  HttpResponder& aResponder)
 {
-  const std::size_t bytes = m_bytes + aRequest.m_body.size();
+  const std::size_t bytes = m_bytes + aRequest.m_body.Size();
   const bool isAccepted = aNow - m_startedAt < kMaxStartTime &&
                           aNow - aReceivedAt < kMaxBufferTime &&
                           m_entries.size() < kMaxRequests && bytes <= kMaxBytes;
@@ -28,7 +28,7 @@
 {
   m_entries.remove_if([&](const Entry& aEntry) {
     const bool isDropped = aEntry.m_request.m_connection == aConnection;
-    m_bytes -= isDropped ? aEntry.m_request.m_body.size() : 0;
+    m_bytes -= isDropped ? aEntry.m_request.m_body.Size() : 0;
     return isDropped;
   });
 }
@@ -49,7 +49,7 @@
   std::vector<Entry> expired;
   while (!m_entries.empty() &&
          aNow - m_entries.front().m_receivedAt >= kMaxBufferTime) {
-    m_bytes -= m_entries.front().m_request.m_body.size();
+    m_bytes -= m_entries.front().m_request.m_body.Size();
     expired.push_back(std::move(m_entries.front()));
     m_entries.pop_front();
   }
--- a/src/http/backend_connection.hpp
+++ b/src/http/backend_connection.hpp
@@ -214,7 +214,7 @@
     m_requestHead = RequestHead(m_request);
     const std::array<asio::const_buffer, 2> buffers{
       asio::buffer(m_requestHead),
-      asio::buffer(m_request.m_body.data(), m_request.m_body.size())
+      asio::buffer(m_request.m_body.Data(), m_request.m_body.Size())
     };
     asio::async_write(
       m_socket,
--- a/src/http/http_message.cpp
+++ b/src/http/http_message.cpp
@@ -63,7 +63,7 @@
 {
   return { aStatus,
            { HttpHeader{ "Content-Type", "application/json" } },
-           std::move(aJson) };
+           aJson };
 }
 
 }
--- a/src/http/message_text.cpp
+++ b/src/http/message_text.cpp
@@ -36,7 +36,7 @@
       out += fmt::format("{}: {}\r\n", each.m_name, each.m_value);
     }
   }
-  out += fmt::format("Content-Length: {}\r\n", aResponse.m_body.size());
+  out += fmt::format("Content-Length: {}\r\n", aResponse.m_body.Size());
   out += aClose ? "Connection: close\r\n\r\n" : "\r\n";
   return out;
 }
@@ -50,10 +50,10 @@
     out += fmt::format("{}: {}\r\n", each.m_name, each.m_value);
   }
   const bool hasBody =
-    !aRequest.m_body.empty() || aRequest.m_method == "POST" ||
+    !aRequest.m_body.IsEmpty() || aRequest.m_method == "POST" ||
     aRequest.m_method == "PUT" || aRequest.m_method == "PATCH";
   if (hasBody) {
-    out += fmt::format("Content-Length: {}\r\n", aRequest.m_body.size());
+    out += fmt::format("Content-Length: {}\r\n", aRequest.m_body.Size());
   }
   out += "\r\n";
   return out;
--- a/src/http/paced_writer.cpp
+++ b/src/http/paced_writer.cpp
@@ -34,7 +34,7 @@
 {
   const std::size_t fromHead = std::min(m_written, m_head.size());
   const auto head = asio::buffer(asio::buffer(m_head) + fromHead, aSize);
-  const auto body = asio::buffer(m_body.data(), m_body.size());
+  const auto body = asio::buffer(m_body.Data(), m_body.Size());
   return { head,
            asio::buffer(body + (m_written - fromHead), aSize - head.size()) };
 }
--- a/src/http/paced_writer.hpp
+++ b/src/http/paced_writer.hpp
@@ -37,7 +37,7 @@
 private:
   [[nodiscard]] std::size_t Size() const noexcept
   {
-    return m_head.size() + m_body.size();
+    return m_head.size() + m_body.Size();
   }
   /// \returns The next bytes of head and body, `aSize` at most.
   [[nodiscard]] std::array<asio::const_buffer, 2> Next(
--- a/src/transport/body_assembler.cpp
+++ b/src/transport/body_assembler.cpp
@@ -89,7 +89,7 @@
 Outcome<std::optional<LinkFrame>>
 BodyAssembler::Append(const LinkBodyPart& aPart)
 {
-  const std::size_t bytes = aPart.m_bytes.size();
+  const std::size_t bytes = aPart.m_bytes.Size();
   if (bytes == 0 || bytes > m_bytesLeft) {
     return Error{ ErrorCode::Corrupt, "frame: unexpected part of a body" };
   }
--- a/src/transport/link_connection.cpp
+++ b/src/transport/link_connection.cpp
@@ -29,10 +29,10 @@
 BodySizeOf(const LinkFrame& aFrame)
 {
   if (const auto* answer = std::get_if<CallAnswer>(&aFrame)) {
-    return answer->m_response.m_body.size();
+    return answer->m_response.m_body.Size();
   }
   const auto* request = std::get_if<CallRequest>(&aFrame);
-  return request != nullptr ? request->m_body.size() : 0;
+  return request != nullptr ? request->m_body.Size() : 0;
 }
 
 /// \brief Takes the body out of a large frame.
@@ -288,7 +288,7 @@
   LargeFrame& large = *m_currentLarge;
   m_partHead.clear();
   if (large.m_sent == 0) {
-    const std::size_t bodySize = large.m_body.size();
+    const std::size_t bodySize = large.m_body.Size();
     if (m_takesParts) {
       AnnounceBody(large.m_frame, bodySize);
     }
@@ -305,7 +305,7 @@
 {
   const LargeFrame& large = *m_currentLarge;
   const std::size_t size =
-    std::min(large.m_body.size() - large.m_sent, LinkPacer::kPartBytes);
+    std::min(large.m_body.Size() - large.m_sent, LinkPacer::kPartBytes);
   EncodePartHead(size);
   m_meter.Add(
     PurposeOf(large.m_frame), m_crossesDomains, m_partHead.size() + size);
@@ -313,7 +313,7 @@
   m_isWriting = true;
   const std::array<asio::const_buffer, 2> buffers{
     asio::buffer(m_partHead),
-    asio::buffer(large.m_body.data() + large.m_sent, size)
+    asio::buffer(large.m_body.Data() + large.m_sent, size)
   };
   asio::async_write(m_socket,
                     buffers,
@@ -338,7 +338,7 @@
   LargeFrame& large = *m_currentLarge;
   large.m_sent += aBodyBytes;
   large.m_turn.OnSent(aBodyBytes);
-  if (large.m_sent == large.m_body.size()) {
+  if (large.m_sent == large.m_body.Size()) {
     m_currentLarge.reset();
     Write();
     return;
--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -157,7 +157,7 @@
       m_unanswered.push_back(std::move(aResponder));
       return;
     }
-    m_counts.m_bytesOut += aResponse.m_body.size();
+    m_counts.m_bytesOut += aResponse.m_body.Size();
     aResponse.m_headers.push_back(
       { std::string{ platform::kStoreEra }, std::to_string(m_era) });
     aResponder.Answer(std::move(aResponse));
--- a/tests/calls/link_replay.hpp
+++ b/tests/calls/link_replay.hpp
@@ -436,7 +436,7 @@
                               .m_readyIn = ReadyIn(worker),
                               .m_target = kTarget }));
     const std::size_t caller = aKey.m_process - 1;
-    const std::size_t bytes = aAnswer.m_response.m_body.size();
+    const std::size_t bytes = aAnswer.m_response.m_body.Size();
     auto receive = [this, caller, answer = std::move(aAnswer)]() mutable {
       Execute(caller,
               m_callers[caller]->m_dispatcher.OnAnswer(m_events.Now(), answer));
@@ -466,7 +466,7 @@
     }
     Caller& caller = *m_callers[call.m_caller];
     SimulatedLink& instance = *m_instances[caller.m_instance];
-    const std::size_t bytes = aFinish.m_answer.m_response.m_body.size();
+    const std::size_t bytes = aFinish.m_answer.m_response.m_body.Size();
     caller.m_sizes.Record(kKind, bytes);
     caller.m_answerTime +=
       (m_events.Now() - call.m_arrival - caller.m_answerTime) / 20;
--- a/tests/end_to_end/downloads.cpp
+++ b/tests/end_to_end/downloads.cpp
@@ -90,7 +90,7 @@
     if (each.IsAnswered()) {
       ++answered;
       truncated +=
-        each.m_result.m_response.m_body.size() < kAnswerBytes ? 1 : 0;
+        each.m_result.m_response.m_body.Size() < kAnswerBytes ? 1 : 0;
     }
     refused += each.m_reason == "link-busy" ? 1 : 0;
   }
--- a/tests/http/body_budget.cpp
+++ b/tests/http/body_budget.cpp
@@ -131,7 +131,7 @@
   REQUIRE(server.RunUntil([&] { return server.m_budget->HasWaiters(); }));
   small.SendRequest(1000);
   REQUIRE(server.RunUntil([&] { return server.m_requests.size() == 2; }));
-  CHECK(server.m_requests.back().m_body.size() == 1000);
+  CHECK(server.m_requests.back().m_body.Size() == 1000);
   server.AnswerAll();
   REQUIRE(server.RunUntil([&] { return server.m_requests.size() == 1; }));
   CHECK(server.m_requests.back().m_body == Body{ std::string(400'000, 'x') });
@@ -187,7 +187,7 @@
   REQUIRE(server.RunUntil([&] { return server.m_budget->Used() >= 300'000; }));
   client.Send("0\r\n\r\n");
   REQUIRE(server.RunUntil([&] { return server.m_requests.size() == 1; }));
-  CHECK(server.m_requests.back().m_body.size() == 300'000);
+  CHECK(server.m_requests.back().m_body.Size() == 300'000);
   server.AnswerAll();
   CHECK(server.RunUntil([&] { return server.m_budget->Used() == 0; }));
 }
@@ -259,7 +259,7 @@
   }
   REQUIRE(server.RunUntil(
     [&] { return results.size() == 1 && budget->HasWaiters(); }));
-  CHECK(results.front().m_response.m_body.size() == 500'000);
+  CHECK(results.front().m_response.m_body.Size() == 500'000);
   results.clear();
   REQUIRE(server.RunUntil([&] { return results.size() == 1; }));
   CHECK(results.front().m_kind == BackendResult::Kind::Answered);
--- a/tests/transport/codec.cpp
+++ b/tests/transport/codec.cpp
@@ -217,7 +217,7 @@
     DecodeFrame(std::string_view{ bytes }.substr(kFrameLengthBytes));
   REQUIRE(frame);
   const auto& request = std::get<CallRequest>(frame.value());
-  CHECK(request.m_body.size() == 8);
+  CHECK(request.m_body.Size() == 8);
   CHECK(request.m_class == CallClass::Export);
   CHECK(request.m_timeLeft.count() == 1500);
   CHECK(request.m_headers.at(0).m_value == "abc");
--- a/tests/transport/link_connection.cpp
+++ b/tests/transport/link_connection.cpp
@@ -68,7 +68,7 @@
   pair.RunUntilReceived(3);
   CHECK(pair.m_received.back().m_call == 2);
   for (const CallAnswer& each : pair.m_received) {
-    CHECK(each.m_response.m_body.size() == (each.m_call == 3 ? 100 : 300'000));
+    CHECK(each.m_response.m_body.Size() == (each.m_call == 3 ? 100 : 300'000));
   }
 }
 
@@ -99,7 +99,7 @@
   CHECK(pair.m_received.front().m_call == 1);
   CHECK(pair.m_received.front().m_outcome == CallOutcome::Unknown);
   CHECK(pair.m_received.front().m_reason == RefusalReason::AnswerLost);
-  CHECK(pair.m_received.back().m_response.m_body.size() == 300'000);
+  CHECK(pair.m_received.back().m_response.m_body.Size() == 300'000);
 }
 
 TEST_CASE("a peer of an older version receives large bodies whole")
@@ -108,7 +108,7 @@
   pair.m_sender->Send(MakeAnswer(1, 300'000));
   pair.m_sender->Send(MakeAnswer(2, 100));
   pair.RunUntilReceived(2);
-  CHECK(pair.m_received.front().m_response.m_body.size() ==
+  CHECK(pair.m_received.front().m_response.m_body.Size() ==
         (pair.m_received.front().m_call == 1 ? 300'000 : 100));
   CHECK(pair.m_sender->CanSend(MakeAnswer(3, 30UL * 1024 * 1024)));
   CHECK_FALSE(pair.m_sender->CanSend(MakeAnswer(3, 40UL * 1024 * 1024)));
--- a/tests/transport/link_deflate.cpp
+++ b/tests/transport/link_deflate.cpp
@@ -69,8 +69,8 @@
     AppendFrame(plainFrame, request);
     std::string frame;
     AppendFrame(frame, request, &deflater);
-    plainBytes += plainFrame.size() - request.m_body.size();
-    deflatedBytes += frame.size() - request.m_body.size();
+    plainBytes += plainFrame.size() - request.m_body.Size();
+    deflatedBytes += frame.size() - request.m_body.Size();
     const auto back = DecodeFrame(
       std::string_view{ frame }.substr(kFrameLengthBytes), &inflater);
     REQUIRE(back);
