--- a/tests/daemon/start_buffer.cpp
+++ b/tests/daemon/start_buffer.cpp
@@ -17,7 +17,7 @@
 {
   HttpRequest request;
   request.m_connection = aConnection;
-  request.m_body = std::move(aBody);
+  request.m_body = aBody;
   HttpResponder responder{ [](const HttpResponse&, bool) {} };
   return aBuffer.Add(aNow, aNow, request, responder);
 }
--- a/tests/end_to_end/large_bodies.cpp
+++ b/tests/end_to_end/large_bodies.cpp
@@ -97,6 +97,7 @@
             std::size_t aBytes)
   {
     std::vector<std::thread> clients;
+    clients.reserve(static_cast<std::size_t>(aCount));
     for (int i = 0; i < aCount; ++i) {
       clients.emplace_back([&, i] {
         const int status =
@@ -190,6 +191,7 @@
   StartWithOtherInstance(fleet);
   {
     std::vector<std::unique_ptr<StalledRequest>> stalled;
+    stalled.reserve(kStalled);
     for (int i = 0; i < kStalled; ++i) {
       stalled.push_back(std::make_unique<StalledRequest>(fleet, "lockers-1"));
     }
