--- a/tests/platform/heartbeat.cpp
+++ b/tests/platform/heartbeat.cpp
@@ -19,7 +19,7 @@
   HttpRequest request;
   request.m_method = aMethod;
   request.m_target = aTarget;
-  request.m_body = std::move(aBody);
+  request.m_body = aBody;
   return request;
 }
 
