Waits for room, size classes and their retry time in one place each

HttpServer and BackendClient each posted the handler of a wait by hand; WaitForRoom() in room_wait.hpp keeps the rule that it must only post. Status 413 is named once. Behaviour is the same.

--- a/include/greengagehub/core/byte_budget.hpp
+++ b/include/greengagehub/core/byte_budget.hpp
@@ -3,6 +3,7 @@
 #include <boost/intrusive/list.hpp>
 #include <boost/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -90,6 +91,16 @@
 
   /// Bodies of requests up to this size are small.
   static constexpr std::size_t kMaxSmallBytes = 64UL * 1024;
+  /// Retry time of a request whose body found no room.
+  static constexpr std::chrono::milliseconds kRetryAfter{ 500 };
+
+  /// \returns The use of a request with a body of this size.
+  [[nodiscard]] static constexpr ByteUse UseOfRequest(
+    std::size_t aBytes) noexcept
+  {
+    return aBytes <= kMaxSmallBytes ? ByteUse::SmallRequest
+                                    : ByteUse::LargeRequest;
+  }
 
   explicit ByteBudget(std::size_t aLimit) noexcept
     : m_limit(aLimit)
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -21,9 +21,6 @@
 /// much later.
 constexpr auto kDeadlineGrace = std::chrono::milliseconds{ 20 };
 
-/// Retry time of a request whose body found no room here.
-constexpr auto kRoomRetryAfter = std::chrono::milliseconds{ 500 };
-
 BackendClientSettings
 ClientSettings(const Settings& aSettings, const ByteBudget::Pointer& aBodies)
 {
@@ -78,8 +75,11 @@
   }
   ApplyKnownStatement(aRequest.m_knownStatement);
   if (aRequest.m_isBodyDropped) {
-    RefuseRun(
-      now, aKey, aRequest, {}, { RefusalReason::Overloaded, kRoomRetryAfter });
+    RefuseRun(now,
+              aKey,
+              aRequest,
+              {},
+              { RefusalReason::Overloaded, ByteBudget::kRetryAfter });
     return;
   }
   if (!m_hasWorker) {
--- a/src/http/backend_connection.hpp
+++ b/src/http/backend_connection.hpp
@@ -5,10 +5,10 @@
 #include "discard_limit.hpp"
 #include "message_parser.hpp"
 #include "message_text.hpp"
+#include "room_wait.hpp"
 
 #include <algorithm>
 #include <array>
-#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <boost/intrusive_ptr.hpp>
@@ -265,20 +265,16 @@
       CompleteRequest({ BackendResult::Kind::Lost }, true);
       return;
     }
-    budget.Wait(m_waiter,
-                missing,
-                ByteUse::Answer,
-                [self = Pointer{ this }, aUnread, ticket = m_ticket](
-                  ByteReservation aReservation) {
-                  asio::post(self->m_socket.get_executor(),
-                             [self,
-                              aUnread,
-                              ticket,
-                              reserved = std::move(aReservation)]() mutable {
-                               self->OnRoom(
-                                 ticket, aUnread, std::move(reserved));
-                             });
-                });
+    greengagehub::WaitForRoom(
+      budget,
+      m_waiter,
+      missing,
+      ByteUse::Answer,
+      m_socket.get_executor(),
+      [self = Pointer{ this }, aUnread, ticket = m_ticket](
+        ByteReservation aReservation) {
+        self->OnRoom(ticket, aUnread, std::move(aReservation));
+      });
   }
 
   void OnRoom(Ticket aTicket,
--- a/src/http/http_connection.hpp
+++ b/src/http/http_connection.hpp
@@ -4,10 +4,12 @@
 #include "message_parser.hpp"
 #include "message_text.hpp"
 #include "paced_writer.hpp"
+#include "room_wait.hpp"
 
 #include <array>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
+#include <fmt/format.h>
 
 namespace greengagehub {
 
@@ -23,8 +25,6 @@
 /// Longest wait of a body for room. Clients give up requests that are not read
 /// after a second.
 inline constexpr auto kHttpRoomWait = std::chrono::milliseconds{ 500 };
-/// Retry time of a request whose body found no room.
-inline constexpr std::string_view kRoomRetryAfterSeconds = "0.5";
 /// While others wait for room, a body that makes no progress for this long is
 /// given up.
 inline constexpr auto kHttpStallTime = std::chrono::milliseconds{ 1000 };
@@ -147,6 +147,7 @@
 
 private:
   static constexpr std::uint16_t kRequestTimeout = 408;
+  static constexpr std::uint16_t kBodyTooLarge = 413;
 
   void DropInput()
   {
@@ -234,7 +235,6 @@
   bool OnParsed(MessageParser::Status aStatus)
   {
     constexpr std::uint16_t kBadRequest = 400;
-    constexpr std::uint16_t kBodyTooLarge = 413;
     constexpr std::uint16_t kHeadTooLarge = 431;
     switch (aStatus) {
       case MessageParser::Status::NeedsMore:
@@ -287,7 +287,6 @@
     const std::size_t missing = m_parser.MissingRoom();
     const ByteUse use = m_parser.UseOf(missing);
     if (m_parser.BodyBytes() + missing > budget.LimitFor(use)) {
-      constexpr std::uint16_t kBodyTooLarge = 413;
       Refuse(kBodyTooLarge);
       return;
     }
@@ -296,16 +295,15 @@
       return;
     }
     m_waitsSince = Clock::now();
-    budget.Wait(m_waiter,
-                missing,
-                use,
-                [self = Pointer{ this }](ByteReservation aReservation) {
-                  asio::post(
-                    self->m_socket.get_executor(),
-                    [self, reserved = std::move(aReservation)]() mutable {
-                      self->OnRoom(std::move(reserved));
-                    });
-                });
+    greengagehub::WaitForRoom(
+      budget,
+      m_waiter,
+      missing,
+      use,
+      m_socket.get_executor(),
+      [self = Pointer{ this }](ByteReservation aReservation) {
+        self->OnRoom(std::move(aReservation));
+      });
   }
 
   void OnRoom(ByteReservation aReservation)
@@ -379,9 +377,10 @@
   void RefuseForRoom()
   {
     constexpr std::uint16_t kUnavailable = 503;
+    const std::chrono::duration<double> seconds = ByteBudget::kRetryAfter;
     Refuse(HttpResponse{
       kUnavailable,
-      { HttpHeader{ "Retry-After", std::string{ kRoomRetryAfterSeconds } } } });
+      { HttpHeader{ "Retry-After", fmt::format("{}", seconds.count()) } } });
   }
 
   void Write(std::string aHead, Body aBody)
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -122,9 +122,7 @@
   if (m_side == Side::Responses) {
     return ByteUse::Answer;
   }
-  return m_body.Size() + aBytes <= ByteBudget::kMaxSmallBytes
-           ? ByteUse::SmallRequest
-           : ByteUse::LargeRequest;
+  return ByteBudget::UseOfRequest(m_body.Size() + aBytes);
 }
 
 void
