Transport: one place that finds the body of a frame

Five functions in three files asked each frame whether it is a call or an answer, to read its body, take it, put it back, announce its size or read the announcement. Behaviour is the same.

UseOf() in the assembler calls ByteBudget::UseOfRequest().

--- a/include/greengagehub/transport/body_assembler.hpp
+++ b/include/greengagehub/transport/body_assembler.hpp
@@ -9,10 +9,6 @@
 
 namespace greengagehub {
 
-/// \returns Size of the body that follows in parts; 0: none follows.
-[[nodiscard]] std::uint64_t
-BodyBytesToFollow(const LinkFrame& aFrame) noexcept;
-
 /// \brief Joins the parts of bodies that arrive on one link.
 class BodyAssembler
 {
--- a/src/transport/body_assembler.cpp
+++ b/src/transport/body_assembler.cpp
@@ -1,5 +1,7 @@
 #include "greengagehub/transport/body_assembler.hpp"
 
+#include "greengagehub/transport/frame_body.hpp"
+
 namespace greengagehub {
 
 namespace {
@@ -7,24 +9,9 @@
 ByteUse
 UseOf(const LinkFrame& aFrame, std::uint64_t aBytes) noexcept
 {
-  if (std::holds_alternative<CallAnswer>(aFrame)) {
-    return ByteUse::Answer;
-  }
-  return aBytes <= ByteBudget::kMaxSmallBytes ? ByteUse::SmallRequest
-                                              : ByteUse::LargeRequest;
-}
-
-LinkFrame
-WithBody(LinkFrame aFrame, Body aBody)
-{
-  if (auto* request = std::get_if<CallRequest>(&aFrame)) {
-    request->m_body = std::move(aBody);
-    request->m_bodyBytesToFollow = 0;
-  } else if (auto* answer = std::get_if<CallAnswer>(&aFrame)) {
-    answer->m_response.m_body = std::move(aBody);
-    answer->m_bodyBytesToFollow = 0;
-  }
-  return aFrame;
+  return std::holds_alternative<CallAnswer>(aFrame)
+           ? ByteUse::Answer
+           : ByteBudget::UseOfRequest(aBytes);
 }
 
 LinkFrame
@@ -32,35 +19,24 @@
 {
   if (auto* request = std::get_if<CallRequest>(&aFrame)) {
     request->m_isBodyDropped = true;
-    request->m_bodyBytesToFollow = 0;
   } else if (auto* answer = std::get_if<CallAnswer>(&aFrame)) {
     answer->m_outcome = CallOutcome::Unknown;
     answer->m_reason = RefusalReason::AnswerLost;
     answer->m_response = {};
-    answer->m_bodyBytesToFollow = 0;
   }
   return aFrame;
 }
 
 }
 
-std::uint64_t
-BodyBytesToFollow(const LinkFrame& aFrame) noexcept
-{
-  if (const auto* request = std::get_if<CallRequest>(&aFrame)) {
-    return request->m_bodyBytesToFollow;
-  }
-  const auto* answer = std::get_if<CallAnswer>(&aFrame);
-  return answer != nullptr ? answer->m_bodyBytesToFollow : 0;
-}
-
 Outcome<std::optional<LinkFrame>>
 BodyAssembler::Take(LinkFrame aFrame)
 {
   if (const auto* part = std::get_if<LinkBodyPart>(&aFrame)) {
     return Append(*part);
   }
-  if (BodyBytesToFollow(aFrame) == 0) {
+  const auto* toFollow = BodyBytesToFollow(aFrame);
+  if (toFollow == nullptr || *toFollow == 0) {
     return std::optional<LinkFrame>{ std::move(aFrame) };
   }
   if (m_bytesLeft > 0) {
@@ -72,7 +48,7 @@
 std::optional<LinkFrame>
 BodyAssembler::Begin(LinkFrame aFrame)
 {
-  m_bytesLeft = BodyBytesToFollow(aFrame);
+  m_bytesLeft = std::exchange(*BodyBytesToFollow(aFrame), 0);
   if (m_budget) {
     ByteReservation reserved =
       m_budget->Reserve(m_bytesLeft, UseOf(aFrame, m_bytesLeft));
@@ -101,10 +77,8 @@
   if (m_bytesLeft > 0) {
     return std::optional<LinkFrame>{};
   }
-  LinkFrame complete =
-    WithBody(std::move(*m_frame), Body{ std::exchange(m_body, BodyBuffer{}) });
-  m_frame.reset();
-  return std::optional<LinkFrame>{ std::move(complete) };
+  *BodyOf(*m_frame) = Body{ std::exchange(m_body, BodyBuffer{}) };
+  return std::exchange(m_frame, std::nullopt);
 }
 
 }
--- a/src/transport/link_codec.cpp
+++ b/src/transport/link_codec.cpp
@@ -1,5 +1,7 @@
 #include "greengagehub/transport/codec.hpp"
 
+#include "greengagehub/transport/frame_body.hpp"
+
 #include "link.pb.h"
 
 #include <algorithm>
@@ -32,22 +34,6 @@
   }
 }
 
-/// \returns Raw bytes that follow the head.
-std::string_view
-BodyOf(const LinkFrame& aFrame)
-{
-  if (const auto* request = std::get_if<CallRequest>(&aFrame)) {
-    return request->m_body;
-  }
-  if (const auto* answer = std::get_if<CallAnswer>(&aFrame)) {
-    return answer->m_response.m_body;
-  }
-  if (const auto* part = std::get_if<LinkBodyPart>(&aFrame)) {
-    return part->m_bytes;
-  }
-  return {};
-}
-
 /// \returns A reason that older daemons can decode. They close the link on an
 /// unknown value, so newer reasons are sent in separate fields.
 RefusalReason
@@ -335,9 +321,10 @@
 void
 AppendFrame(std::string& aOut, const LinkFrame& aFrame, LinkDeflater* aDeflater)
 {
-  const std::string_view body = BodyOf(aFrame);
-  AppendFrameHead(aOut, aFrame, body.size(), aDeflater);
-  aOut += body;
+  const Body* body = BodyOf(aFrame);
+  const auto bytes = body != nullptr ? body->View() : std::string_view{};
+  AppendFrameHead(aOut, aFrame, bytes.size(), aDeflater);
+  aOut += bytes;
 }
 
 void
--- a/src/transport/link_connection.cpp
+++ b/src/transport/link_connection.cpp
@@ -1,6 +1,7 @@
 #include "greengagehub/transport/link_connection.hpp"
 
 #include "greengagehub/transport/codec.hpp"
+#include "greengagehub/transport/frame_body.hpp"
 
 #include <algorithm>
 #include <array>
@@ -28,32 +29,8 @@
 std::size_t
 BodySizeOf(const LinkFrame& aFrame)
 {
-  if (const auto* answer = std::get_if<CallAnswer>(&aFrame)) {
-    return answer->m_response.m_body.Size();
-  }
-  const auto* request = std::get_if<CallRequest>(&aFrame);
-  return request != nullptr ? request->m_body.Size() : 0;
-}
-
-/// \brief Takes the body out of a large frame.
-Body
-TakeBody(LinkFrame& aFrame)
-{
-  if (auto* answer = std::get_if<CallAnswer>(&aFrame)) {
-    return std::exchange(answer->m_response.m_body, {});
-  }
-  auto* request = std::get_if<CallRequest>(&aFrame);
-  return request != nullptr ? std::exchange(request->m_body, {}) : Body{};
-}
-
-void
-AnnounceBody(LinkFrame& aFrame, std::size_t aBytes)
-{
-  if (auto* answer = std::get_if<CallAnswer>(&aFrame)) {
-    answer->m_bodyBytesToFollow = aBytes;
-  } else if (auto* request = std::get_if<CallRequest>(&aFrame)) {
-    request->m_bodyBytesToFollow = aBytes;
-  }
+  const Body* body = BodyOf(aFrame);
+  return body != nullptr ? body->Size() : 0;
 }
 
 }
@@ -204,7 +181,7 @@
   }
   const std::size_t bodySize = BodySizeOf(aFrame);
   if (bodySize > LinkPacer::kPartBytes) {
-    Body body = TakeBody(aFrame);
+    Body body = std::exchange(*BodyOf(aFrame), {});
     m_largeFrames.push_back(
       { std::move(aFrame), std::move(body), LinkTurn{ m_pacer, bodySize } });
   } else {
@@ -290,7 +267,7 @@
   if (large.m_sent == 0) {
     const std::size_t bodySize = large.m_body.Size();
     if (m_takesParts) {
-      AnnounceBody(large.m_frame, bodySize);
+      *BodyBytesToFollow(large.m_frame) = bodySize;
     }
     AppendFrameHead(
       m_partHead, large.m_frame, m_takesParts ? 0 : bodySize, m_deflater.get());
