Tests: one server and client for the HTTP tests

body_budget.cpp had copied the server, the client and RunUntil() of http_server.cpp; both use test_server.hpp. All assertions stay.

--- a/tests/http/body_budget.cpp
+++ b/tests/http/body_budget.cpp
@@ -1,7 +1,8 @@
 #include "greengagehub/http/backend_client.hpp"
-#include "greengagehub/http/http_server.hpp"
 
-#include <array>
+#include "test_server.hpp"
+
+#include <algorithm>
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
 #include <deque>
@@ -10,7 +11,6 @@
 #include <optional>
 
 using namespace greengagehub;
-using asio::ip::tcp;
 using namespace std::chrono_literals;
 
 namespace {
@@ -18,15 +18,10 @@
 /// Large requests may use 600,000 bytes of it.
 constexpr std::size_t kLimit = 800'000;
 
-class Client
+class Client : public TestClient
 {
 public:
-  Client(asio::io_context& aLoop, std::uint16_t aPort)
-    : m_socket(aLoop)
-  {
-    m_socket.connect({ asio::ip::address_v4::loopback(), aPort });
-    Receive();
-  }
+  using TestClient::TestClient;
 
   void Send(std::string aText)
   {
@@ -48,55 +43,17 @@
     Send(std::string(aLength, 'x'));
   }
 
-  tcp::socket m_socket;
-  std::string m_received;
-  bool m_closed{ false };
-
 private:
-  void Receive()
-  {
-    m_socket.async_read_some(
-      asio::buffer(m_buffer),
-      [this](const asio::error_code& aError, std::size_t aSize) {
-        if (aError) {
-          m_closed = true;
-          return;
-        }
-        m_received.append(m_buffer.data(), aSize);
-        Receive();
-      });
-  }
-
-  std::array<char, 4096> m_buffer{};
   /// Kept until the end of the writes.
   std::deque<std::string> m_sent;
 };
 
-/// A server with a budget, which collects requests for the test to answer.
-struct BudgetServer
+class BudgetServer : public TestServer
 {
+public:
   BudgetServer()
-    : m_server(
-        m_loop,
-        { .m_limits = { .m_maxBodyBytes = 700'000 } },
-        [this](HttpRequest aRequest, HttpResponder aResponder) {
-          m_requests.push_back(std::move(aRequest));
-          m_responders.push_back(std::move(aResponder));
-        },
-        [](std::uint64_t) {})
+    : BudgetServer(ByteBudget::Pointer{ new ByteBudget{ kLimit } })
   {
-    m_server.UseBudget(m_budget);
-    m_port = m_server.Open().value();
-  }
-
-  template<class Condition>
-  [[nodiscard]] bool RunUntil(Condition aCondition)
-  {
-    const auto deadline = std::chrono::steady_clock::now() + 10s;
-    while (!aCondition() && std::chrono::steady_clock::now() < deadline) {
-      m_loop.run_one_for(50ms);
-    }
-    return aCondition();
   }
 
   void AnswerAll()
@@ -108,12 +65,14 @@
     m_requests.clear();
   }
 
-  asio::io_context m_loop;
-  ByteBudget::Pointer m_budget{ new ByteBudget{ kLimit } };
-  HttpServer m_server;
-  std::uint16_t m_port{ 0 };
-  std::vector<HttpRequest> m_requests;
-  std::vector<HttpResponder> m_responders;
+  ByteBudget::Pointer m_budget;
+
+private:
+  explicit BudgetServer(const ByteBudget::Pointer& aBudget)
+    : TestServer({ .m_maxBodyBytes = 700'000 }, aBudget)
+    , m_budget(aBudget)
+  {
+  }
 };
 
 }
--- a/tests/http/http_server.cpp
+++ b/tests/http/http_server.cpp
@@ -1,4 +1,4 @@
-#include "greengagehub/http/http_server.hpp"
+#include "test_server.hpp"
 
 #include <array>
 #include <asio/ip/tcp.hpp>
@@ -13,68 +13,22 @@
 
 namespace {
 
-/// A server that collects requests for the test to answer, and one client.
+/// A server and one client.
 class TestConnection
+  : public TestServer
+  , public TestClient
 {
 public:
   explicit TestConnection(HttpServerLimits aLimits = {})
-    : m_server(
-        m_loop,
-        { .m_limits = aLimits },
-        [this](HttpRequest aRequest, HttpResponder aResponder) {
-          m_requests.push_back(std::move(aRequest));
-          m_responders.push_back(std::move(aResponder));
-        },
-        [this](std::uint64_t aConnection) {
-          m_closedConnections.push_back(aConnection);
-        })
-    , m_socket(m_loop)
+    : TestServer(aLimits)
+    , TestClient(m_loop, m_port)
   {
-    const std::uint16_t port = m_server.Open().value();
-    m_socket.connect({ asio::ip::address_v4::loopback(), port });
-    Receive();
   }
 
   void Send(std::string_view aText)
   {
     asio::write(m_socket, asio::buffer(aText));
   }
-
-  template<class Condition>
-  [[nodiscard]] bool RunUntil(Condition aCondition)
-  {
-    const auto deadline = std::chrono::steady_clock::now() + 10s;
-    while (!aCondition() && std::chrono::steady_clock::now() < deadline) {
-      m_loop.run_one_for(50ms);
-    }
-    return aCondition();
-  }
-
-  asio::io_context m_loop;
-  HttpServer m_server;
-  tcp::socket m_socket;
-  std::vector<HttpRequest> m_requests;
-  std::vector<HttpResponder> m_responders;
-  std::vector<std::uint64_t> m_closedConnections;
-  std::string m_received;
-  bool m_closed{ false };
-
-private:
-  void Receive()
-  {
-    m_socket.async_read_some(
-      asio::buffer(m_buffer),
-      [this](const asio::error_code& aError, std::size_t aSize) {
-        if (aError) {
-          m_closed = true;
-          return;
-        }
-        m_received.append(m_buffer.data(), aSize);
-        Receive();
-      });
-  }
-
-  std::array<char, 4096> m_buffer{};
 };
 
 constexpr std::string_view kGet = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
--- a/tools/testkit/fleet.cpp
+++ b/tools/testkit/fleet.cpp
@@ -240,8 +240,7 @@
 {
   HttpClientRequest request;
   request.m_url = BackendUrl(aSlot) + "/counts";
-  return Json::parse(
-    SendAndWait(std::move(request)).m_response.m_body.View(), nullptr, false);
+  return CallResult{ SendAndWait(std::move(request)) }.Json();
 }
 
 std::vector<WorkerHistory>
@@ -249,8 +248,7 @@
 {
   HttpClientRequest request;
   request.m_url = BackendUrl(aSlot) + "/history";
-  return ParseHistories(Json::parse(
-    SendAndWait(std::move(request)).m_response.m_body.View(), nullptr, false));
+  return ParseHistories(CallResult{ SendAndWait(std::move(request)) }.Json());
 }
 
 void
@@ -281,9 +279,7 @@
 {
   HttpClientRequest request;
   request.m_url = m_storeUrl + "/kv-key?key=" + aKey;
-  const HttpClientResult result = SendAndWait(std::move(request));
-  const Json item =
-    Json::parse(result.m_response.m_body.View(), nullptr, false);
+  const Json item = CallResult{ SendAndWait(std::move(request)) }.Json();
   const bool hasValue = item.is_object() && item.contains("value");
   const auto value = hasValue
                        ? platform::FromBase64(item["value"].get<std::string>())
