Keep room for small requests and answers beside large answers

What callers saw: answers could fill the whole budget for bodies. A few large answers whose callers read slowly, held for up to 60 s, left no room for any other answer: requests that had run waited for their deadline and got 504, and small requests were refused.

Cause: the budget knew one kind of answer, which might fill all of it; the rule that small bodies have room beside large ones held for requests only.

Change: large answers may use 30 of 32 parts, small requests 31, small answers all; large requests 24 as before. Large bodies of a use keep their order. Most of the room beyond the large requests is left to large answers, as requests that have run hold their bodies until they are answered.

--- a/include/greengagehub/core/byte_budget.hpp
+++ b/include/greengagehub/core/byte_budget.hpp
@@ -14,15 +14,23 @@
 class ByteBudget;
 
 /// \brief What bytes are reserved for. Each use may fill a larger share of the
-/// budget than the one before it, so that small requests pass large ones and
-/// the answers of requests that have run find room.
+/// budget than the one before it, so that small bodies have room beside large
+/// ones and the answers of requests that have run find room.
 enum class ByteUse : std::uint8_t
 {
   LargeRequest,
+  LargeAnswer,
   SmallRequest,
-  Answer,
+  SmallAnswer,
 };
 
+/// \returns Whether bodies of this use wait in their order for room.
+[[nodiscard]] constexpr bool
+IsLarge(ByteUse aUse) noexcept
+{
+  return aUse == ByteUse::LargeRequest || aUse == ByteUse::LargeAnswer;
+}
+
 /// \brief Reserved bytes of a budget, returned at destruction.
 class ByteReservation
 {
@@ -89,7 +97,7 @@
 public:
   using Pointer = boost::intrusive_ptr<ByteBudget>;
 
-  /// Bodies of requests up to this size are small.
+  /// Bodies up to this size are small.
   static constexpr std::size_t kMaxSmallBytes = 64UL * 1024;
   /// Retry time of a request whose body found no room.
   static constexpr std::chrono::milliseconds kRetryAfter{ 500 };
@@ -101,6 +109,13 @@
     return aBytes <= kMaxSmallBytes ? ByteUse::SmallRequest
                                     : ByteUse::LargeRequest;
   }
+  /// \returns The use of an answer with a body of this size.
+  [[nodiscard]] static constexpr ByteUse UseOfAnswer(
+    std::size_t aBytes) noexcept
+  {
+    return aBytes <= kMaxSmallBytes ? ByteUse::SmallAnswer
+                                    : ByteUse::LargeAnswer;
+  }
 
   explicit ByteBudget(std::size_t aLimit) noexcept
     : m_limit(aLimit)
@@ -119,12 +134,13 @@
   /// \returns Number of reservations that were not possible at once.
   [[nodiscard]] std::uint64_t Failures() const noexcept { return m_failures; }
 
-  /// \returns An empty reservation if the bytes do not fit now. Large requests
-  /// do not pass others that wait.
+  /// \returns An empty reservation if the bytes do not fit now. Large bodies do
+  /// not pass others of their use, or of a later one, that wait.
   [[nodiscard]] ByteReservation Reserve(std::size_t aBytes, ByteUse aUse);
   /// \brief Counts bytes that are held already, whether they fit or not.
   [[nodiscard]] ByteReservation Charge(std::size_t aBytes) noexcept;
-  /// \brief Reserves the bytes as soon as they fit, in the order of the calls.
+  /// \brief Reserves the bytes as soon as they fit; large bodies of a use in
+  /// the order of the calls.
   void Wait(ByteWaiter& aWaiter,
             std::size_t aBytes,
             ByteUse aUse,
@@ -137,6 +153,8 @@
                            boost::intrusive::constant_time_size<false>>;
 
   [[nodiscard]] bool Fits(std::size_t aBytes, ByteUse aUse) const noexcept;
+  /// \returns Whether bytes for `aUse` would pass others that wait.
+  [[nodiscard]] bool MustWait(ByteUse aUse) const noexcept;
   void Release(std::size_t aBytes);
   void GrantWaiters();
 
--- a/src/core/byte_budget.cpp
+++ b/src/core/byte_budget.cpp
@@ -1,6 +1,7 @@
 #include "greengagehub/core/byte_budget.hpp"
 
 #include <algorithm>
+#include <optional>
 
 namespace greengagehub {
 
@@ -32,10 +33,12 @@
 {
   switch (aUse) {
     case ByteUse::LargeRequest:
-      return m_limit / 4 * 3;
+      return m_limit / 32 * 24;
+    case ByteUse::LargeAnswer:
+      return m_limit / 32 * 30;
     case ByteUse::SmallRequest:
-      return m_limit / 8 * 7;
-    case ByteUse::Answer:
+      return m_limit / 32 * 31;
+    case ByteUse::SmallAnswer:
       return m_limit;
   }
   return m_limit;
@@ -58,11 +61,19 @@
   return aBytes <= limit && m_used <= limit - aBytes;
 }
 
+bool
+ByteBudget::MustWait(ByteUse aUse) const noexcept
+{
+  return IsLarge(aUse) &&
+         std::ranges::any_of(m_waiters, [aUse](const ByteWaiter& aEach) {
+           return aEach.m_use >= aUse;
+         });
+}
+
 ByteReservation
 ByteBudget::Reserve(std::size_t aBytes, ByteUse aUse)
 {
-  const bool mustWait = aUse == ByteUse::LargeRequest && HasWaiters();
-  if (mustWait || !Fits(aBytes, aUse)) {
+  if (MustWait(aUse) || !Fits(aBytes, aUse)) {
     ++m_failures;
     return {};
   }
@@ -100,15 +111,15 @@
 void
 ByteBudget::GrantWaiters()
 {
-  bool isLargeBlocked = false;
+  std::optional<ByteUse> blocked;
   for (auto each = m_waiters.begin(); each != m_waiters.end();) {
     ByteWaiter& waiter = *each++;
-    const bool isLarge = waiter.m_use == ByteUse::LargeRequest;
-    if (isLarge && isLargeBlocked) {
+    // What a large body may not fill, an earlier use may not fill either.
+    if (IsLarge(waiter.m_use) && blocked && waiter.m_use <= *blocked) {
       continue;
     }
     if (!Fits(waiter.m_bytes, waiter.m_use)) {
-      isLargeBlocked = isLargeBlocked || isLarge;
+      blocked = std::max(waiter.m_use, blocked.value_or(waiter.m_use));
       continue;
     }
     const ByteWaiter::Granted onGranted = std::move(waiter.m_onGranted);
--- a/src/http/backend_connection.hpp
+++ b/src/http/backend_connection.hpp
@@ -261,7 +261,8 @@
   {
     ByteBudget& budget = *m_client->m_settings.m_budget;
     const std::size_t missing = m_parser.MissingRoom();
-    if (m_parser.BodyBytes() + missing > budget.LimitFor(ByteUse::Answer)) {
+    const ByteUse use = m_parser.UseOf(missing);
+    if (m_parser.BodyBytes() + missing > budget.LimitFor(use)) {
       CompleteRequest({ BackendResult::Kind::Lost }, true);
       return;
     }
@@ -269,7 +270,7 @@
       budget,
       m_waiter,
       missing,
-      ByteUse::Answer,
+      use,
       m_socket.get_executor(),
       [self = Pointer{ this }, aUnread, ticket = m_ticket](
         ByteReservation aReservation) {
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -119,10 +119,9 @@
 ByteUse
 MessageParser::UseOf(std::size_t aBytes) const noexcept
 {
-  if (m_side == Side::Responses) {
-    return ByteUse::Answer;
-  }
-  return ByteBudget::UseOfRequest(m_body.Size() + aBytes);
+  const std::size_t bytes = m_body.Size() + aBytes;
+  return m_side == Side::Responses ? ByteBudget::UseOfAnswer(bytes)
+                                   : ByteBudget::UseOfRequest(bytes);
 }
 
 void
--- a/src/transport/body_assembler.cpp
+++ b/src/transport/body_assembler.cpp
@@ -10,7 +10,7 @@
 UseOf(const LinkFrame& aFrame, std::uint64_t aBytes) noexcept
 {
   return std::holds_alternative<CallAnswer>(aFrame)
-           ? ByteUse::Answer
+           ? ByteBudget::UseOfAnswer(aBytes)
            : ByteBudget::UseOfRequest(aBytes);
 }
 
