End a pull without a descriptor as one without an answer

Cause: each pull makes a ZeroMQ socket. Without a descriptor its constructor throws, which nothing caught before main(). cppzmq also throws when a signal interrupts a receive or a send.

Ruled out: catching all exceptions around the loop. It would hide broken invariants, and the call that failed would have no outcome.

Change: a pull whose socket cannot be made ends at its timeout, so that the next one is not sent at once; the failures are counted. Receives and sends go through functions that return whether they succeeded and repeat after an interruption.

--- a/include/greengagehub/transport/gossip_socket.hpp
+++ b/include/greengagehub/transport/gossip_socket.hpp
@@ -18,6 +18,8 @@
   std::uint64_t m_bytesReceived{ 0 };
   /// Messages dropped because they could not be decoded or answered.
   std::uint64_t m_malformed{ 0 };
+  /// Messages that could not be sent for lack of a descriptor.
+  std::uint64_t m_failed{ 0 };
 };
 
 /// \brief Exchanges datagrams between daemons over UDP.
--- a/src/transport/bulk_channel.cpp
+++ b/src/transport/bulk_channel.cpp
@@ -38,6 +38,30 @@
   aSocket.set(zmq::sockopt::rcvhwm, kMaxQueuedMessages);
 }
 
+/// \returns Whether a message was there. The library reports other errors, such
+/// as an interruption by a signal, by an exception.
+bool
+Receive(zmq::socket_t& aSocket, zmq::message_t& aMessage) noexcept
+{
+  int received = -1;
+  do {
+    received = zmq_msg_recv(aMessage.handle(), aSocket.handle(), ZMQ_DONTWAIT);
+  } while (received < 0 && zmq_errno() == EINTR);
+  return received >= 0;
+}
+
+/// \returns Whether the message was queued.
+bool
+Send(zmq::socket_t& aSocket, std::string_view aBytes, int aFlags = 0) noexcept
+{
+  int sent = -1;
+  do {
+    sent = zmq_send(
+      aSocket.handle(), aBytes.data(), aBytes.size(), ZMQ_DONTWAIT | aFlags);
+  } while (sent < 0 && zmq_errno() == EINTR);
+  return sent >= 0;
+}
+
 std::string_view
 TextOf(const zmq::message_t& aMessage)
 {
@@ -111,12 +135,12 @@
 
   struct Pending
   {
-    Pending(asio::io_context& aLoop, zmq::context_t& aContext)
-      : m_socket(aContext, zmq::socket_type::dealer)
-      , m_timer(aLoop)
+    explicit Pending(asio::io_context& aLoop)
+      : m_timer(aLoop)
     {
     }
-    zmq::socket_t m_socket;
+    /// Empty if there was no descriptor for it.
+    std::optional<zmq::socket_t> m_socket{};
     asio::steady_timer m_timer;
     std::optional<SocketWatch> m_watch{};
     PullCallback m_callback{};
@@ -129,24 +153,24 @@
                    std::chrono::milliseconds aTimeout,
                    PullCallback aCallback)
   {
-    m_pending.emplace_back(m_loop, m_context);
+    m_pending.emplace_back(m_loop);
     const Position pull = std::prev(m_pending.end());
     pull->m_callback = std::move(aCallback);
-    SetSocketOptions(pull->m_socket);
-    pull->m_socket.connect(
-      fmt::format("tcp://{}:{}", aPeer.m_host, aPeer.m_bulkPort));
-    pull->m_watch.emplace(
-      m_loop, pull->m_socket, [this, pull] { DrainPull(pull); });
     pull->m_timer.expires_after(aTimeout);
     pull->m_timer.async_wait([this, pull](const asio::error_code& aError) {
       if (!aError) {
         Complete(pull, std::nullopt);
       }
     });
+    if (!Connect(pull, aPeer)) {
+      // Ends at its timeout, like that of a peer that does not answer.
+      ++m_counts.m_failed;
+      return 0;
+    }
     const std::string bytes = EncodePullRequest(aRequest);
     ++m_counts.m_sent;
     m_counts.m_bytesSent += bytes.size();
-    pull->m_socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+    static_cast<void>(Send(*pull->m_socket, bytes));
     // The send may have consumed the readiness event of a message that has
     // arrived.
     asio::post(m_loop, [this, pull, alive = m_alive] {
@@ -168,15 +192,34 @@
   }
 
 private:
+  /// \returns False if the process has no descriptor left.
+  [[nodiscard]] bool Connect(Position aPull, const MemberAddress& aPeer)
+  {
+    try {
+      zmq::socket_t& socket =
+        aPull->m_socket.emplace(m_context, zmq::socket_type::dealer);
+      SetSocketOptions(socket);
+      socket.connect(
+        fmt::format("tcp://{}:{}", aPeer.m_host, aPeer.m_bulkPort));
+      aPull->m_watch.emplace(
+        m_loop, socket, [this, aPull] { DrainPull(aPull); });
+      return true;
+    } catch (const std::exception&) {
+      // The library has no other way to report it.
+      aPull->m_socket.reset();
+      return false;
+    }
+  }
+
   void DrainRouter()
   {
     for (;;) {
       zmq::message_t peer;
       zmq::message_t body;
-      if (!m_router.recv(peer, zmq::recv_flags::dontwait)) {
+      if (!Receive(m_router, peer)) {
         return;
       }
-      if (!peer.more() || !m_router.recv(body, zmq::recv_flags::dontwait)) {
+      if (!peer.more() || !Receive(m_router, body)) {
         ++m_counts.m_malformed;
         continue;
       }
@@ -184,7 +227,7 @@
     }
   }
 
-  void Answer(zmq::message_t& aPeer, const zmq::message_t& aBody)
+  void Answer(const zmq::message_t& aPeer, const zmq::message_t& aBody)
   {
     ++m_counts.m_received;
     m_counts.m_bytesReceived += aBody.size();
@@ -198,11 +241,9 @@
       Compress(EncodePullAnswer(m_onRequest(request.value())));
     ++m_counts.m_sent;
     m_counts.m_bytesSent += bytes.size();
-    try {
-      m_router.send(aPeer, zmq::send_flags::sndmore);
-      m_router.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+    if (Send(m_router, TextOf(aPeer), ZMQ_SNDMORE) && Send(m_router, bytes)) {
       m_onAnswerSent(request.value(), bytes.size());
-    } catch (const zmq::error_t&) {
+    } else {
       // The requester has disconnected and will pull from another peer.
       ++m_counts.m_malformed;
     }
@@ -211,8 +252,7 @@
   void DrainPull(Position aPull)
   {
     zmq::message_t body;
-    if (aPull->m_isDone ||
-        !aPull->m_socket.recv(body, zmq::recv_flags::dontwait)) {
+    if (aPull->m_isDone || !Receive(*aPull->m_socket, body)) {
       return;
     }
     ++m_counts.m_received;
