Bound callers' connections by the descriptors that the rest leaves

What callers saw: connections kept idle after a refusal used up the descriptors of a daemon.

Cause: nothing bounded the connections of callers, and a failed accept was repeated at once.

Change: daemon.max_descriptors, filled in from the platform's max_fds (else the system's limit), is divided: files, control endpoints, the worker, links as they are, a headroom; callers have the rest. Near it, the connection that has been idle for longest closes in favour of a new one; at it, others wait in the listen queue. Endpoints for control have 64 connections each. After a failed accept, servers and links wait 50 ms. Failures are counted, served as gauges and logged (descriptor_missing). A span that cannot be written to standard error is dropped instead of ending the process.

--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -6,6 +6,7 @@
 #include "greengagehub/calls/route_table.hpp"
 #include "greengagehub/config/config_holder.hpp"
 #include "greengagehub/daemon/connection_log.hpp"
+#include "greengagehub/daemon/descriptor_budget.hpp"
 #include "greengagehub/daemon/quarantine_service.hpp"
 #include "greengagehub/daemon/request_log.hpp"
 #include "greengagehub/daemon/resume_filter.hpp"
@@ -83,6 +84,13 @@
     return m_dispatcher;
   }
   [[nodiscard]] std::size_t Links() const noexcept { return m_pool.Size(); }
+  /// \returns Connections that callers may have open now.
+  [[nodiscard]] std::size_t MaxCallerConnections() const noexcept
+  {
+    return m_descriptors.MaxCallers(m_pool.Size() + m_server.Connections());
+  }
+  [[nodiscard]] const HttpServer& Callers() const noexcept { return m_http; }
+  [[nodiscard]] const LinkServer& LinksIn() const noexcept { return m_server; }
   [[nodiscard]] const LinkPacer& Pacer() const noexcept { return m_pacer; }
   /// \returns What holds the bodies of all requests and answers.
   [[nodiscard]] const ByteBudget& Bodies() const noexcept { return *m_bodies; }
@@ -256,6 +264,7 @@
   Dispatcher m_dispatcher;
   LinkPacer m_pacer;
   ByteBudget::Pointer m_bodies;
+  DescriptorBudget m_descriptors;
   LinkBooking m_linkOut;
   LinkBooking m_linkIn;
   AnswerSizes m_answerSizes;
--- a/include/greengagehub/daemon/connection_log.hpp
+++ b/include/greengagehub/daemon/connection_log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "greengagehub/daemon/descriptor_budget.hpp"
 #include "greengagehub/http/http_server.hpp"
 #include "greengagehub/observe/log.hpp"
 #include "greengagehub/observe/log_rate_limiter.hpp"
@@ -17,8 +18,9 @@
 /// |                     | unsent bytes, or by this side under a request     |
 /// | link_closed         | a link closed with unread or unsent data          |
 /// | connections_at_exit | once for callers, links in and links out          |
+/// | descriptor_missing  | something was not opened for lack of a descriptor |
 ///
-/// The rate of the first two is limited.
+/// The rate of all but the third is limited.
 class ConnectionLog
 {
 public:
@@ -33,6 +35,8 @@
   void OnLinkClosed(std::string_view aDirection,
                     std::string_view aSlot,
                     const LinkClose& aClose);
+  /// \brief Logs failures since the last call.
+  void OnFailures(const DescriptorFailures& aFailures);
   void OnExit(const HttpConnectionCounts& aCallers,
               const LinkCounts& aLinksIn,
               const LinkCounts& aLinksOut) const;
@@ -43,6 +47,7 @@
 
   const Log& m_log;
   Metrics& m_metrics;
+  DescriptorFailures m_failures;
   LogRateLimiter m_budget{ kLinesPerSecond, kBurst };
 };
 
--- a/include/greengagehub/daemon/daemon.hpp
+++ b/include/greengagehub/daemon/daemon.hpp
@@ -25,6 +25,7 @@
 
 private:
   void Tick();
+  [[nodiscard]] DescriptorFailures Failures() const;
   void LogTrafficWhenDue(TimePoint aNow);
   void RunLoop();
   void Spin();
--- a/include/greengagehub/daemon/operators_api.hpp
+++ b/include/greengagehub/daemon/operators_api.hpp
@@ -76,6 +76,7 @@
   [[nodiscard]] std::chrono::duration<double> LongestTransit(
     TimePoint aNow) const;
   void SetLinkGauges() const;
+  void SetConnectionGauges() const;
   [[nodiscard]] HttpResponse Quotas() const;
   void SetQuotaMetrics(Metrics& aMetrics) const;
   [[nodiscard]] HttpResponse QuarantinedRequests() const;
--- a/include/greengagehub/http/http_server.hpp
+++ b/include/greengagehub/http/http_server.hpp
@@ -10,7 +10,10 @@
 #include <asio/io_context.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <limits>
 #include <string_view>
 
 namespace greengagehub {
@@ -60,6 +63,9 @@
   /// Connections whose request is not answered are closed after this time; must
   /// exceed the request timeouts of the handler.
   std::chrono::milliseconds m_handlerTimeout{ std::chrono::hours{ 24 } };
+  /// Near this number, the connections that have been idle for longest are
+  /// closed; at it, others wait to be accepted.
+  std::size_t m_maxConnections{ std::numeric_limits<std::size_t>::max() };
 };
 
 enum class HttpConnectionState : std::uint8_t
@@ -84,6 +90,8 @@
   TimedOut,
   /// Finish() was called.
   Finished,
+  /// It was idle and made room for a new connection.
+  Displaced,
 };
 
 /// \returns The name used in logs and metrics, such as "timed-out".
@@ -113,6 +121,15 @@
   SocketQueues m_queues{};
 };
 
+/// \brief Since the start of a server.
+struct HttpAcceptCounts
+{
+  /// Connections that could not be accepted, as when descriptors run out.
+  std::uint64_t m_failures{ 0 };
+  /// Idle connections closed in favour of new ones.
+  std::uint64_t m_displaced{ 0 };
+};
+
 /// \brief HTTP/1.1 server on the caller's event loop.
 ///
 /// The server keeps reading while a request is handled, to detect a client that
@@ -148,6 +165,9 @@
   void ObserveCloses(CloseObserver aObserver);
   /// \brief Changes the limits, also for open connections.
   void SetLimits(HttpServerLimits aLimits);
+  /// \brief Changes HttpServerSettings::m_maxConnections.
+  void SetMaxConnections(std::size_t aCount);
+  [[nodiscard]] const HttpAcceptCounts& AcceptCounts() const noexcept;
   /// \brief Closes each connection after its next answer; others are still
   /// accepted.
   void CloseAfterAnswers() noexcept;
--- a/include/greengagehub/net/net.hpp
+++ b/include/greengagehub/net/net.hpp
@@ -3,4 +3,5 @@
 /// \file
 /// \brief Includes the headers of the net library.
 
+#include "greengagehub/net/descriptors.hpp"
 #include "greengagehub/net/socket_queues.hpp"
--- a/include/greengagehub/settings/settings.hpp
+++ b/include/greengagehub/settings/settings.hpp
@@ -122,6 +122,8 @@
   std::uint32_t m_linkMbps{ 0 };
   /// Memory that this process may use, in MB.
   std::uint32_t m_memoryMb{ 256 };
+  /// Descriptors that this process may open; 0: as the system limits it.
+  std::uint32_t m_maxDescriptors{ 0 };
   ListenSettings m_listen{};
   /// Required for requests that change state; empty: they are rejected. Never
   /// logged.
--- a/include/greengagehub/transport/link_server.hpp
+++ b/include/greengagehub/transport/link_server.hpp
@@ -3,6 +3,7 @@
 #include "greengagehub/transport/link_connection.hpp"
 
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 #include <map>
 #include <set>
 
@@ -39,6 +40,11 @@
   {
     return m_connections.size();
   }
+  /// \returns Number of connections that could not be accepted since start.
+  [[nodiscard]] std::uint64_t AcceptFailures() const noexcept
+  {
+    return m_acceptFailures;
+  }
   /// \returns Current connection of a caller process, or nullptr.
   [[nodiscard]] LinkConnection* Find(std::uint64_t aProcess) const;
 
@@ -67,10 +73,15 @@
 
 private:
   void Accept();
+  /// A failure, such as a lack of descriptors, would repeat at once.
+  void RetryAcceptLater();
+  void AddConnection(asio::ip::tcp::socket aSocket);
   void OnFrame(LinkConnection& aConnection, LinkFrame aFrame);
   void OnHello(LinkConnection& aConnection, const LinkHello& aHello);
 
   asio::ip::tcp::acceptor m_acceptor;
+  asio::steady_timer m_acceptTimer;
+  std::uint64_t m_acceptFailures{ 0 };
   LinkHello m_self;
   TrafficMeter& m_meter;
   LinkPacer* m_pacer{ nullptr };
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "greengagehub/daemon/call_headers.hpp"
 #include "greengagehub/daemon/wall_clock.hpp"
+#include "greengagehub/net/descriptors.hpp"
 
 #include <algorithm>
 #include <asio/post.hpp>
@@ -31,6 +32,14 @@
   return aSettings.m_memoryMb * kBytesPerMb / 100 * kPercent;
 }
 
+DescriptorBudget
+DescriptorsOf(const Settings& aSettings)
+{
+  const std::size_t limit = aSettings.m_maxDescriptors;
+  return { limit > 0 ? limit : ProcessDescriptorLimit(),
+           aSettings.m_workerConnections };
+}
+
 HttpServerSettings
 CallsEndpoint(const Settings& aSettings)
 {
@@ -49,6 +58,7 @@
   , m_dispatcher(m_random())
   , m_pacer(m_deps.m_settings.m_linkMbps)
   , m_bodies(new ByteBudget{ BodyBytesOf(m_deps.m_settings) })
+  , m_descriptors(DescriptorsOf(m_deps.m_settings))
   , m_linkOut(m_deps.m_settings.m_calls.m_booksLinks ? m_pacer.Rate() : 0.0)
   , m_linkIn(m_deps.m_settings.m_calls.m_booksLinks ? m_pacer.Rate() : 0.0)
   , m_runService({ .m_loop = m_deps.m_loop,
@@ -354,6 +364,7 @@
   m_resumeFilter.OnTick(aNow, BootTime());
   ReleaseStartBuffer(aNow);
   m_pool.OnTick(aNow);
+  m_http.SetMaxConnections(MaxCallerConnections());
   m_runService.OnTick(aNow);
   m_dispatcher.SetRetryLimits(RetryLimitsNow());
 }
--- a/src/daemon/connection_log.cpp
+++ b/src/daemon/connection_log.cpp
@@ -66,6 +66,20 @@
       { "unsent_frames", aClose.m_hadUnsentFrames } });
 }
 
+void
+ConnectionLog::OnFailures(const DescriptorFailures& aFailures)
+{
+  if (aFailures == m_failures || !m_budget.TryAcquire(Clock::now())) {
+    return;
+  }
+  m_failures = aFailures;
+  m_log.Warning(kComponent,
+                "descriptor_missing",
+                { { "callers", aFailures.m_callers },
+                  { "links", aFailures.m_links },
+                  { "pulls", aFailures.m_pulls } });
+}
+
 void
 ConnectionLog::OnExit(const HttpConnectionCounts& aCallers,
                       const LinkCounts& aLinksIn,
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -64,8 +64,10 @@
 void
 PrintSpan(const Span& aSpan)
 {
-  // Standard output is reserved for the log.
-  fmt::print(stderr, "{}\n", SpanToOtlp(aSpan));
+  // Standard output is reserved for the log. A span that cannot be written is
+  // dropped.
+  const std::string line = SpanToOtlp(aSpan) + '\n';
+  static_cast<void>(std::fwrite(line.data(), 1, line.size(), stderr));
 }
 
 }
@@ -303,6 +305,7 @@
   ProbeWorkerWhenDue(now);
   m_calls.OnTick(now);
   m_requestLog.OnTick();
+  m_connectionLog.OnFailures(Failures());
   LogTrafficWhenDue(now);
   m_log.Flush();
   if (m_control.IsReady() != m_wasReady) {
@@ -317,6 +320,14 @@
   });
 }
 
+DescriptorFailures
+Daemon::Failures() const
+{
+  return { m_calls.Callers().AcceptCounts().m_failures,
+           m_calls.LinksIn().AcceptFailures(),
+           m_control.Bulk().Counts().m_failed };
+}
+
 void
 Daemon::AwaitReload()
 {
--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -1,5 +1,7 @@
 #include "greengagehub/daemon/operators_api.hpp"
 
+#include "greengagehub/daemon/descriptor_budget.hpp"
+
 #include "greengagehub/daemon/wall_clock.hpp"
 #include "operators_answers.hpp"
 
@@ -57,7 +59,8 @@
 {
   return { .m_address = aSettings.m_listen.m_host,
            .m_port = aSettings.m_listen.m_operatorsPort,
-           .m_limits = { .m_maxBodyBytes = kMaxBodyBytes } };
+           .m_limits = { .m_maxBodyBytes = kMaxBodyBytes },
+           .m_maxConnections = DescriptorBudget::kMaxControlConnections };
 }
 
 /// Contains names and numbers, never an API key.
--- a/src/daemon/operators_api_limits.cpp
+++ b/src/daemon/operators_api_limits.cpp
@@ -96,6 +96,35 @@
   metrics.SetGauge("bodies_without_room",
                    "Bodies that did not fit at once since start",
                    static_cast<double>(bodies.Failures()));
+  SetConnectionGauges();
+}
+
+void
+OperatorsApi::SetConnectionGauges() const
+{
+  const CallGateway& calls = m_deps.m_calls;
+  const HttpAcceptCounts& callers = calls.Callers().AcceptCounts();
+  Metrics& metrics = m_deps.m_metrics;
+  metrics.SetGauge("callers_connections",
+                   "Connections of callers",
+                   static_cast<double>(calls.Callers().Connections()));
+  metrics.SetGauge("callers_connections_limit",
+                   "Connections that callers may have open",
+                   static_cast<double>(calls.MaxCallerConnections()));
+  metrics.SetGauge("callers_displaced",
+                   "Idle connections closed in favour of new ones since start",
+                   static_cast<double>(callers.m_displaced));
+  metrics.SetGauge("callers_not_accepted",
+                   "Connections of callers that could not be accepted at once "
+                   "since start",
+                   static_cast<double>(callers.m_failures));
+  metrics.SetGauge("links_not_accepted",
+                   "Links that could not be accepted at once since start",
+                   static_cast<double>(calls.LinksIn().AcceptFailures()));
+  metrics.SetGauge(
+    "pulls_not_sent",
+    "Pulls that found no descriptor since start",
+    static_cast<double>(m_deps.m_control.Bulk().Counts().m_failed));
 }
 
 HttpResponse
--- a/src/daemon/platform_endpoints.cpp
+++ b/src/daemon/platform_endpoints.cpp
@@ -1,5 +1,7 @@
 #include "greengagehub/daemon/platform_endpoints.hpp"
 
+#include "greengagehub/daemon/descriptor_budget.hpp"
+
 #include "platform/heartbeat.hpp"
 #include "platform/names.hpp"
 
@@ -23,6 +25,7 @@
   HttpServerSettings settings;
   settings.m_address = aAddress.m_host;
   settings.m_port = aAddress.m_port;
+  settings.m_maxConnections = DescriptorBudget::kMaxControlConnections;
   return settings;
 }
 
--- a/src/http/http_connection.hpp
+++ b/src/http/http_connection.hpp
@@ -17,6 +17,7 @@
 class HttpServer::Impl::Connection
   : public boost::intrusive_ref_counter<Connection,
                                         boost::thread_unsafe_counter>
+  , public IdleHook
 {
 public:
   using State = HttpConnectionState;
@@ -36,6 +37,7 @@
     m_socket.set_option(asio::ip::tcp::no_delay{ true }, ignored);
     m_isFromThisInstance = m_socket.remote_endpoint(ignored).address() ==
                            m_socket.local_endpoint(ignored).address();
+    SetState(State::Idle);
     Read();
   }
 
@@ -43,6 +45,7 @@
   void Detach()
   {
     m_server = nullptr;
+    IdleHook::unlink();
     asio::error_code ignored;
     m_waiter.Cancel();
     DropInput();
@@ -150,6 +153,7 @@
     const Pointer self{ this };
     Detach();
     server.m_connections.erase(m_id);
+    server.Accept();
     if (wasHandling && server.m_closed) {
       server.m_closed(m_id);
     }
@@ -201,6 +205,10 @@
   {
     m_state = aState;
     m_stateSince = Clock::now();
+    IdleHook::unlink();
+    if (aState == State::Idle) {
+      m_server->m_idleConnections.push_back(*this);
+    }
   }
 
   void Read()
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -14,6 +14,10 @@
 constexpr auto kTimeoutCheckInterval = std::chrono::milliseconds{ 250 };
 /// While the server finishes, so that idle connections end soon.
 constexpr auto kFinishCheckInterval = std::chrono::milliseconds{ 50 };
+constexpr auto kAcceptRetryInterval = std::chrono::milliseconds{ 50 };
+/// Share of the connections that is kept free, so that a new one is not closed
+/// before its first request arrives.
+constexpr std::size_t kFreeConnectionsDivisor = 8;
 
 }
 
@@ -47,6 +51,8 @@
       return "timed-out";
     case HttpCloseCause::Finished:
       return "finished";
+    case HttpCloseCause::Displaced:
+      return "displaced";
   }
   return "peer";
 }
@@ -54,21 +60,56 @@
 void
 HttpServer::Impl::Accept()
 {
+  if (m_isAccepting || m_isStopped ||
+      m_connections.size() >= m_settings.m_maxConnections) {
+    return;
+  }
+  m_isAccepting = true;
   m_acceptor.async_accept(
     [self = ImplPointer{ this }](const asio::error_code& aError,
                                  tcp::socket aSocket) {
+      self->m_isAccepting = false;
       if (aError == asio::error::operation_aborted || self->m_isDestroyed) {
         return;
       }
-      if (!aError) {
-        self->AddConnection(std::move(aSocket));
+      if (aError) {
+        self->RetryAcceptLater();
+        return;
       }
-      if (!self->m_isStopped) {
+      self->AddConnection(std::move(aSocket));
+      self->Accept();
+    });
+}
+
+void
+HttpServer::Impl::RetryAcceptLater()
+{
+  ++m_acceptCounts.m_failures;
+  m_isAccepting = true;
+  CloseOldestIdle();
+  m_acceptTimer.expires_after(kAcceptRetryInterval);
+  m_acceptTimer.async_wait(
+    [self = ImplPointer{ this }](const asio::error_code& aError) {
+      self->m_isAccepting = false;
+      if (!aError && !self->m_isDestroyed) {
         self->Accept();
       }
     });
 }
 
+void
+HttpServer::Impl::CloseOldestIdle()
+{
+  for (IdleHook& each : m_idleConnections) {
+    auto& connection = static_cast<Connection&>(each);
+    if (connection.IsIdle()) {
+      ++m_acceptCounts.m_displaced;
+      connection.Close(HttpCloseCause::Displaced);
+      return;
+    }
+  }
+}
+
 void
 HttpServer::Impl::AcceptPending()
 {
@@ -92,6 +133,10 @@
   const std::uint64_t id = ++m_lastConnection;
   const Pointer connection{ new Connection(*this, std::move(aSocket), id) };
   m_connections.emplace(id, connection);
+  const std::size_t most = m_settings.m_maxConnections;
+  if (m_connections.size() > most - most / kFreeConnectionsDivisor) {
+    CloseOldestIdle();
+  }
   connection->Start();
 }
 
@@ -133,6 +178,7 @@
 {
   m_impl->m_isDestroyed = true;
   m_impl->m_timeoutTimer.cancel();
+  m_impl->m_acceptTimer.cancel();
   StopAccepting();
   for (const auto& [id, connection] : m_impl->m_connections) {
     connection->Detach();
@@ -186,6 +232,19 @@
   m_impl->m_settings.m_limits = aLimits;
 }
 
+void
+HttpServer::SetMaxConnections(std::size_t aCount)
+{
+  m_impl->m_settings.m_maxConnections = aCount;
+  m_impl->Accept();
+}
+
+const HttpAcceptCounts&
+HttpServer::AcceptCounts() const noexcept
+{
+  return m_impl->m_acceptCounts;
+}
+
 void
 HttpServer::CloseAfterAnswers() noexcept
 {
--- a/src/http/http_server_impl.hpp
+++ b/src/http/http_server_impl.hpp
@@ -4,6 +4,7 @@
 
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <boost/intrusive/list.hpp>
 #include <boost/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <map>
@@ -33,16 +34,28 @@
 {
   class Connection;
   using Pointer = boost::intrusive_ptr<Connection>;
+  /// Base of connections, which are linked while they are idle.
+  using IdleHook = boost::intrusive::list_base_hook<
+    boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+  using IdleList =
+    boost::intrusive::list<IdleHook,
+                           boost::intrusive::constant_time_size<false>>;
   using ImplPointer = boost::intrusive_ptr<Impl>;
 
   explicit Impl(asio::io_context& aLoop)
     : m_loop(aLoop)
     , m_acceptor(aLoop)
+    , m_acceptTimer(aLoop)
     , m_timeoutTimer(aLoop)
   {
   }
 
+  /// Accepts the next connection unless there are too many.
   void Accept();
+  /// A failure, such as a lack of descriptors, would repeat at once.
+  void RetryAcceptLater();
+  /// Closes the connection that has been idle for longest, if any.
+  void CloseOldestIdle();
   /// Accepts the connections in the listen queue without waiting for more.
   void AcceptPending();
   void AddConnection(asio::ip::tcp::socket aSocket);
@@ -67,10 +80,15 @@
   ClosedHandler m_closed;
   CloseObserver m_closeObserver;
   asio::ip::tcp::acceptor m_acceptor;
+  asio::steady_timer m_acceptTimer;
   asio::steady_timer m_timeoutTimer;
   std::map<std::uint64_t, Pointer> m_connections;
+  /// In the order in which they became idle.
+  IdleList m_idleConnections;
+  HttpAcceptCounts m_acceptCounts;
   std::uint64_t m_lastConnection{ 0 };
   std::uint16_t m_port{ 0 };
+  bool m_isAccepting{ false };
   bool m_isStopped{ false };
   bool m_closesAfterAnswers{ false };
   bool m_isFinishing{ false };
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -19,6 +19,7 @@
 /// the least value.
 constexpr std::int64_t kMinMemoryMb = 64;
 constexpr std::int64_t kMaxMemoryMb = 1024L * 1024;
+constexpr std::int64_t kMaxDescriptors = 1024L * 1024;
 constexpr std::int64_t kMaxBodyBytes = 16L * 1024 * 1024;
 const std::vector<std::string> kLogLevels{ "debug",
                                            "info",
@@ -119,6 +120,8 @@
     m_settings.m_linkMbps = static_cast<std::uint32_t>(rate);
     reader.Count(
       "memory_mb", m_settings.m_memoryMb, kMinMemoryMb, kMaxMemoryMb);
+    reader.Count(
+      "max_descriptors", m_settings.m_maxDescriptors, 0, kMaxDescriptors);
     reader.ReportUnknownKeys();
   }
 
--- a/src/transport/link_server.cpp
+++ b/src/transport/link_server.cpp
@@ -12,6 +12,7 @@
 
 /// Three heartbeats of a peer.
 constexpr auto kSilenceTimeout = std::chrono::milliseconds{ 1500 };
+constexpr auto kAcceptRetryInterval = std::chrono::milliseconds{ 50 };
 
 }
 
@@ -22,6 +23,7 @@
                        TrafficMeter& aMeter,
                        Handlers aHandlers)
   : m_acceptor(aLoop, tcp::endpoint{ asio::ip::make_address(aHost), aPort })
+  , m_acceptTimer(aLoop)
   , m_self(std::move(aSelf))
   , m_meter(aMeter)
   , m_handlers(std::move(aHandlers))
@@ -51,29 +53,49 @@
       if (aError == asio::error::operation_aborted) {
         return;
       }
-      if (!aError) {
-        LinkConnection::Pointer connection{ new LinkConnection(
-          std::move(aSocket), m_meter, m_pacer) };
-        connection->UseBudget(m_budget);
-        m_connections.insert(connection);
-        connection->Start(
-          [this](LinkConnection& aConnection, LinkFrame aFrame) {
-            OnFrame(aConnection, std::move(aFrame));
-          },
-          [this](LinkConnection& aConnection) {
-            if (m_handlers.m_onClosed) {
-              m_handlers.m_onClosed(aConnection);
-            }
-            const auto current =
-              m_currentByProcess.find(aConnection.m_peer.m_process);
-            if (current != m_currentByProcess.end() &&
-                current->second.get() == &aConnection) {
-              m_currentByProcess.erase(current);
-            }
-            m_connections.erase(LinkConnection::Pointer{ &aConnection });
-          });
+      if (aError) {
+        RetryAcceptLater();
+        return;
       }
+      AddConnection(std::move(aSocket));
+      Accept();
+    });
+}
+
+void
+LinkServer::RetryAcceptLater()
+{
+  ++m_acceptFailures;
+  m_acceptTimer.expires_after(kAcceptRetryInterval);
+  m_acceptTimer.async_wait([this](const asio::error_code& aError) {
+    if (!aError && m_acceptor.is_open()) {
       Accept();
+    }
+  });
+}
+
+void
+LinkServer::AddConnection(tcp::socket aSocket)
+{
+  const LinkConnection::Pointer connection{ new LinkConnection(
+    std::move(aSocket), m_meter, m_pacer) };
+  connection->UseBudget(m_budget);
+  m_connections.insert(connection);
+  connection->Start(
+    [this](LinkConnection& aConnection, LinkFrame aFrame) {
+      OnFrame(aConnection, std::move(aFrame));
+    },
+    [this](LinkConnection& aConnection) {
+      if (m_handlers.m_onClosed) {
+        m_handlers.m_onClosed(aConnection);
+      }
+      const auto current =
+        m_currentByProcess.find(aConnection.m_peer.m_process);
+      if (current != m_currentByProcess.end() &&
+          current->second.get() == &aConnection) {
+        m_currentByProcess.erase(current);
+      }
+      m_connections.erase(LinkConnection::Pointer{ &aConnection });
     });
 }
 
--- a/tools/testkit/fleet.cpp
+++ b/tools/testkit/fleet.cpp
@@ -121,8 +121,8 @@
     fmt::format("{}.{}.log", aNode.m_spec.m_slot, ++m_logFileCount));
   aNode.m_outputFile = log + ".out";
   aNode.m_daemon = std::make_unique<Process>(
-    std::vector<std::string>{
-      DAEMON_PROGRAM, "--settings", aNode.m_settingsFile },
+    WithDescriptorLimit({ DAEMON_PROGRAM, "--settings", aNode.m_settingsFile },
+                        aNode.m_spec.m_maxDescriptors),
     log);
   const Json line = ListeningLine(*aNode.m_daemon);
   aNode.m_callsPort = line["calls_port"].get<std::uint16_t>();
--- a/tools/testkit/fleet.hpp
+++ b/tools/testkit/fleet.hpp
@@ -35,6 +35,8 @@
   /// Whether the backend server is one that can answer without end, which uses
   /// the platform's protocol too.
   bool m_isEndless{ false };
+  /// Descriptors that the daemon may open; 0: as many as the test.
+  std::uint32_t m_maxDescriptors{ 0 };
 };
 
 struct CallResult
--- a/tools/testkit/process.cpp
+++ b/tools/testkit/process.cpp
@@ -1,9 +1,11 @@
 #include "testkit/process.hpp"
 
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
+#include <fmt/format.h>
 #include <fstream>
 #include <spawn.h>
 #include <sstream>
@@ -50,6 +52,18 @@
   return (std::filesystem::path{ m_path } / aName).string();
 }
 
+std::vector<std::string>
+WithDescriptorLimit(std::vector<std::string> aArguments, std::uint32_t aLimit)
+{
+  if (aLimit > 0) {
+    const std::array<std::string, 3> shell{
+      "/bin/sh", "-c", fmt::format("ulimit -n {}; exec \"$0\" \"$@\"", aLimit)
+    };
+    aArguments.insert(aArguments.begin(), shell.begin(), shell.end());
+  }
+  return aArguments;
+}
+
 Process::Process(std::vector<std::string> aArguments, std::string aLogFile)
   : m_logFile(std::move(aLogFile))
 {
--- a/tools/testkit/process.hpp
+++ b/tools/testkit/process.hpp
@@ -30,6 +30,12 @@
   std::string m_path;
 };
 
+/// \returns A command that limits its own descriptors before it becomes the
+/// program.
+/// \param aLimit 0: the command is the program.
+[[nodiscard]] std::vector<std::string>
+WithDescriptorLimit(std::vector<std::string> aArguments, std::uint32_t aLimit);
+
 /// \brief A child process, killed by the destructor if it still runs.
 ///
 /// Standard error is appended to the log file, standard output to a file of the
