Displace an idle connection only behind reads that have completed

Cause: the oldest idle connection was closed at once. A request that had been read in the same pass of the loop, and whose handler had not run yet, ended without an answer.

Change: the close is posted, as the one of an idle timeout is, and checks again. Includes of two files in one block.

--- a/src/daemon/operators_api.cpp
+++ b/src/daemon/operators_api.cpp
@@ -1,7 +1,6 @@
 #include "greengagehub/daemon/operators_api.hpp"
 
 #include "greengagehub/daemon/descriptor_budget.hpp"
-
 #include "greengagehub/daemon/wall_clock.hpp"
 #include "operators_answers.hpp"
 
--- a/src/daemon/platform_endpoints.cpp
+++ b/src/daemon/platform_endpoints.cpp
@@ -1,7 +1,6 @@
 #include "greengagehub/daemon/platform_endpoints.hpp"
 
 #include "greengagehub/daemon/descriptor_budget.hpp"
-
 #include "platform/heartbeat.hpp"
 #include "platform/names.hpp"
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -4,6 +4,7 @@
 #include "listen.hpp"
 
 #include <algorithm>
+#include <asio/post.hpp>
 
 namespace greengagehub {
 
@@ -103,8 +104,14 @@
   for (IdleHook& each : m_idleConnections) {
     auto& connection = static_cast<Connection&>(each);
     if (connection.IsIdle()) {
-      ++m_acceptCounts.m_displaced;
-      connection.Close(HttpCloseCause::Displaced);
+      // Posted behind reads that have completed.
+      asio::post(m_loop,
+                 [self = ImplPointer{ this }, oldest = Pointer{ &connection }] {
+                   if (oldest->IsIdle()) {
+                     ++self->m_acceptCounts.m_displaced;
+                     oldest->Close(HttpCloseCause::Displaced);
+                   }
+                 });
       return;
     }
   }
