Known red: connections that become idle at the limit keep others out

What callers see: once a server has as many connections as it may, and these become idle, a new client waits until one closes, at worst for the idle timeout.

Cause: an idle connection is displaced only when another is accepted, and at the limit none is.

Product code is unchanged.

--- a/tests/http/connection_limits.cpp
+++ b/tests/http/connection_limits.cpp
@@ -86,3 +86,21 @@
   }
   CHECK(server.RunUntil([&] { return server.m_requests.size() == 1; }));
 }
+
+TEST_CASE("a server whose connections have all become idle accepts others")
+{
+  // Guards against new clients that wait for the idle timeouts of others.
+  TestServer server;
+  server.m_server.SetMaxConnections(2);
+  Client first{ server.m_loop, server.m_port };
+  Client second{ server.m_loop, server.m_port };
+  first.SendRequest();
+  second.SendRequest();
+  REQUIRE(server.RunUntil([&] { return server.m_requests.size() == 2; }));
+  for (HttpResponder& each : server.m_responders) {
+    each.Answer({});
+  }
+  Client third{ server.m_loop, server.m_port };
+  third.SendRequest();
+  CHECK(server.RunUntil([&] { return server.m_requests.size() == 3; }));
+}
