Name version, service and source in the lines of runs and workers

A request that an old service has run may come from a daemon that is behind, or from one that is not, at a worker that is not what its daemon takes it for.

No decision changes.

--- a/include/greengagehub/calls/call.hpp
+++ b/include/greengagehub/calls/call.hpp
@@ -160,6 +160,8 @@
   std::chrono::microseconds m_answerTransfer{ 0 };
   /// As learnt by the caller's daemon.
   AnswerSize m_answerSize{};
+  /// Version of the configuration that selected the service; 0: not known.
+  Version m_routedBy{};
 };
 
 /// \brief Final result of an attempt.
--- a/include/greengagehub/daemon/request_log.hpp
+++ b/include/greengagehub/daemon/request_log.hpp
@@ -17,6 +17,8 @@
 /// |                  |                     | sample of the other requests   |
 /// | request_placed   | caller's daemon     | each retry                     |
 /// | run_refused      | worker's daemon     | run not started                |
+/// | run_answered     | worker's daemon     | a sample, and calls that were  |
+/// |                  |                     | routed by an older version     |
 /// | run_lost         | worker's daemon     | run started, answer lost       |
 /// | request_held     | either              | fingerprint is quarantined     |
 /// | run_cancelled    | worker's daemon     | answer no longer needed        |
@@ -79,6 +81,12 @@
   struct WorkerState
   {
     std::string_view m_instance{};
+    /// Time since the attempt arrived at this daemon.
+    Duration m_waited{};
+    /// Version by which the caller's daemon selected the service.
+    Version m_routedBy{};
+    /// Version in force at this daemon.
+    Version m_version{};
     std::uint32_t m_running{ 0 };
     std::uint32_t m_queued{ 0 };
     std::uint32_t m_slots{ 0 };
@@ -96,6 +104,18 @@
                     RefusalReason aReason,
                     std::chrono::microseconds aTimeLeft,
                     const WorkerState& aState);
+  struct AnsweredRun
+  {
+    std::string_view m_id{};
+    std::string_view m_service{};
+    std::string_view m_instance{};
+    /// As in WorkerState.
+    Version m_routedBy{};
+    Version m_version{};
+    /// Time from the arrival of the attempt to its answer.
+    Duration m_timeAtWorker{};
+  };
+  void OnRunAnswered(TimePoint aNow, const AnsweredRun& aRun);
   void OnRunLost(TimePoint aNow,
                  std::string_view aId,
                  Fingerprint aFingerprint,
@@ -130,6 +150,7 @@
   LogRateLimiter m_budget{ kLinesPerSecond, kBurst };
   LogRateLimiter m_signalBudget{ kSignalLinesPerSecond, kSignalBurst };
   std::uint64_t m_routineRequests{ 0 };
+  std::uint64_t m_routineRuns{ 0 };
 };
 
 }
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -51,6 +51,8 @@
     /// Whether the retry budget allows another retried run, with the calls that
     /// it makes.
     std::function<bool(TimePoint)> m_mayRunRetry;
+    /// Version of the configuration in force.
+    std::function<Version()> m_version;
     /// Called when the worker states that it is leaving, before the response is
     /// delivered, and where no heartbeats are sent, when another one has taken
     /// its place.
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -87,6 +87,7 @@
                        return !m_dispatcher.AreRetriesUsedUp(
                          aNow, m_deps.m_settings.m_service);
                      },
+                   .m_version = [this] { return m_deps.m_holder.GetVersion(); },
                    .m_onLeaving = m_deps.m_onWorkerLeaving,
                    .m_pacer = &m_pacer,
                    .m_linkOut = &m_linkOut,
@@ -244,6 +245,7 @@
   request.m_isRetry = aAttempt.m_isRetry;
   request.m_refuseIfBusy = aAttempt.m_refuseIfBusy;
   request.m_knownStatement = aAttempt.m_knownStatement;
+  request.m_routedBy = pending.m_config->m_version;
   if (aAttempt.m_slot == m_deps.m_settings.m_slot) {
     m_dispatcher.RecordProcess(aAttempt.m_attempt, m_deps.m_process);
     m_runService.OnRequest(
--- a/src/daemon/platform_endpoints.cpp
+++ b/src/daemon/platform_endpoints.cpp
@@ -156,6 +156,8 @@
     "worker_changed",
     { { "change", NameOf(aChange) },
       { "instance", worker.m_incarnation.m_id },
+      { "service", worker.m_service },
+      { "source", worker.m_sequence > 0 ? "heartbeat" : "health-check" },
       { "version", worker.m_version },
       { "born_ms",
         worker.m_incarnation.m_startedAt
--- a/src/daemon/request_log.cpp
+++ b/src/daemon/request_log.cpp
@@ -95,6 +95,9 @@
                { { "request", aId },
                  { "reason", NameOf(aReason) },
                  { "left_us", aTimeLeft.count() },
+                 { "waited_us", Micros(aState.m_waited) },
+                 { "routed_by", aState.m_routedBy.m_number },
+                 { "version", aState.m_version.m_number },
                  { "instance", aState.m_instance },
                  { "running", std::uint64_t{ aState.m_running } },
                  { "queued", std::uint64_t{ aState.m_queued } },
@@ -113,6 +116,9 @@
              { { "request", aId },
                { "reason", NameOf(aReason) },
                { "left_us", aTimeLeft.count() },
+               { "waited_us", Micros(aState.m_waited) },
+               { "routed_by", aState.m_routedBy.m_number },
+               { "version", aState.m_version.m_number },
                { "instance", aState.m_instance },
                { "running", std::uint64_t{ aState.m_running } },
                { "queued", std::uint64_t{ aState.m_queued } },
@@ -124,6 +130,26 @@
                { "per_second", aState.m_rateLimit.value_or(0.0) } });
 }
 
+void
+RequestLog::OnRunAnswered(TimePoint aNow, const AnsweredRun& aRun)
+{
+  const bool isRoutine = aRun.m_routedBy >= aRun.m_version;
+  if (isRoutine && ++m_routineRuns % kSampleInterval != 0) {
+    return;
+  }
+  if (!m_budget.TryAcquire(aNow)) {
+    return;
+  }
+  m_log.Info(kComponent,
+             "run_answered",
+             { { "request", aRun.m_id },
+               { "service", aRun.m_service },
+               { "instance", aRun.m_instance },
+               { "routed_by", aRun.m_routedBy.m_number },
+               { "version", aRun.m_version.m_number },
+               { "at_worker_us", Micros(aRun.m_timeAtWorker) } });
+}
+
 void
 RequestLog::OnRunLost(TimePoint aNow,
                       std::string_view aId,
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -269,15 +269,26 @@
   m_deps.m_metrics.CountRun(NameOf(aAnswer.m_outcome));
   RecordSpan(run, aAnswer);
   CountResult(run, aAnswer);
+  const TimePoint now = Clock::now();
   if (aAnswer.m_outcome != CallOutcome::Answered) {
-    const TimePoint now = Clock::now();
     m_deps.m_requestLog.OnRunLost(now,
                                   RequestIdOf(run.m_request),
                                   run.m_fingerprint,
                                   aAnswer.m_reason,
                                   now - run.m_startedAt,
                                   WorkerStateFor(run.m_request));
-  } else if (aAnswer.m_response.m_status < kFirstServerError) {
+  } else {
+    m_deps.m_requestLog.OnRunAnswered(now,
+                                      { RequestIdOf(run.m_request),
+                                        run.m_request.m_service,
+                                        m_incarnation.m_id,
+                                        run.m_request.m_routedBy,
+                                        m_deps.m_version(),
+                                        now - run.m_request.m_receivedAt });
+  }
+  const bool isSuccess = aAnswer.m_outcome == CallOutcome::Answered &&
+                         aAnswer.m_response.m_status < kFirstServerError;
+  if (isSuccess) {
     // Server errors do not count: the run may have stopped before the point of
     // a crash.
     m_deps.m_onSuccess(run.m_fingerprint);
@@ -292,7 +303,6 @@
   const std::size_t bytes = aAnswer.m_response.m_body.Size();
   Deliver(aKey, run.m_request, std::move(aAnswer));
   if (UsesLink(aKey)) {
-    const TimePoint now = Clock::now();
     m_deps.m_linkOut->HandOver(
       now, LinkBacklog(now), std::move(run.m_linkOut), bytes);
   }
@@ -412,17 +422,21 @@
 RequestLog::WorkerState
 RunService::WorkerStateFor(const CallRequest& aRequest) const
 {
+  const TimePoint now = Clock::now();
   return { .m_instance = m_incarnation.m_id,
+           .m_waited = now - aRequest.m_receivedAt,
+           .m_routedBy = aRequest.m_routedBy,
+           .m_version = m_deps.m_version(),
            .m_running = m_runs.Running(),
            .m_queued = m_runs.Queued(),
            .m_slots = m_hasWorker ? m_runs.Slots() : 0,
            .m_wait = std::chrono::duration_cast<std::chrono::microseconds>(
              m_runs.ExpectedWaitOfKind(
-               Clock::now(), aRequest.m_priority, aRequest.m_kind)),
+               now, aRequest.m_priority, aRequest.m_kind)),
            .m_linkBytes =
              m_deps.m_linkOut != nullptr ? m_deps.m_linkOut->BookedBytes() : 0,
            .m_linkWait = std::chrono::duration_cast<std::chrono::microseconds>(
-             LinkWaitOf(Clock::now(), aRequest)),
+             LinkWaitOf(now, aRequest)),
            .m_rateLimit = m_runs.Limiter().Limit(),
            .m_use = UseFor(aRequest) };
 }
--- a/src/transport/link_codec.cpp
+++ b/src/transport/link_codec.cpp
@@ -159,6 +159,7 @@
     out.set_answer_spread_bytes(
       static_cast<std::uint64_t>(aRequest.m_answerSize.m_deviation));
     out.set_body_bytes(aRequest.m_bodyBytesToFollow);
+    out.set_version(aRequest.m_routedBy.m_number);
   }
   void operator()(const CallAnswer& aAnswer) const
   {
@@ -266,6 +267,7 @@
     static_cast<double>(std::min(aWire.answer_bytes(), kMaxAnswerBytes)),
     static_cast<double>(std::min(aWire.answer_spread_bytes(), kMaxAnswerBytes))
   };
+  request.m_routedBy = Version{ aWire.version() };
   return LinkFrame{ std::move(request) };
 }
 
--- a/tests/daemon/link_bookings.cpp
+++ b/tests/daemon/link_bookings.cpp
@@ -44,6 +44,7 @@
                   .m_onCrash = [](CrashReport) {},
                   .m_onSuccess = [](Fingerprint) {},
                   .m_mayRunRetry = [](TimePoint) { return true; },
+                  .m_version = [] { return Version{}; },
                   .m_pacer = &m_pacer,
                   .m_linkOut = &m_linkOut,
                   .m_process = kOwnProcess })
--- a/tests/daemon/run_service.cpp
+++ b/tests/daemon/run_service.cpp
@@ -48,7 +48,8 @@
                       m_crashReports.push_back(std::move(aReport));
                     },
                   .m_onSuccess = [](Fingerprint) {},
-                  .m_mayRunRetry = [](TimePoint) { return true; } })
+                  .m_mayRunRetry = [](TimePoint) { return true; },
+                  .m_version = [] { return Version{}; } })
   {
   }
 
--- a/tests/transport/codec.cpp
+++ b/tests/transport/codec.cpp
@@ -351,6 +351,13 @@
         "35dc57b2873bf50f5ecb9cb24a6cee0fed4760e574ed51aa6da5df344617ca97");
 }
 
+TEST_CASE("the version that a call was routed by survives encoding")
+{
+  CallRequest request;
+  request.m_routedBy = Version{ 41 };
+  CHECK(std::get<CallRequest>(RoundTrip(request)).m_routedBy == Version{ 41 });
+}
+
 TEST_CASE("the time at the worker is optional, and bounded")
 {
   CallAnswer answer;
