--- a/standins/platform_worker.cpp
+++ b/standins/platform_worker.cpp
@@ -45,6 +45,8 @@
   std::string m_service;
   std::string m_domain;
   std::string m_version{ "v1" };
+  /// Begins the instance ID; empty: named after the port.
+  std::string m_name;
   std::uint32_t m_slots{ 20 };
   std::uint32_t m_queue{ 40 };
   std::uint32_t m_serviceMs{ 2 };
@@ -110,7 +112,9 @@
 
   [[nodiscard]] std::string Id() const
   {
-    return fmt::format("i-{}-{}", m_options.m_http.m_port, m_incarnation);
+    return m_options.m_name.empty()
+             ? fmt::format("i-{}-{}", m_options.m_http.m_port, m_incarnation)
+             : fmt::format("{}-{}", m_options.m_name, m_incarnation);
   }
 
   void OnHttp(HttpRequest aRequest, HttpResponder aResponder)
@@ -482,6 +486,7 @@
     "service", po::value(&given.m_service)->required(), "")(
     "domain", po::value(&given.m_domain)->default_value("solna"), "")(
     "version", po::value(&given.m_version)->default_value("v1"), "")(
+    "name", po::value(&given.m_name), "")(
     "slots", po::value(&given.m_slots)->default_value(20), "")(
     "queue", po::value(&given.m_queue)->default_value(40), "")(
     "service-ms", po::value(&given.m_serviceMs)->default_value(2), "")(
--- a/tools/testkit/fleet.cpp
+++ b/tools/testkit/fleet.cpp
@@ -148,10 +148,8 @@
     WriteFile(aNode.m_spec.m_slot + ".toml", SettingsFor(aNode));
   }
   if (aNode.m_spec.m_onPlatform && aNode.m_spec.m_withBackend) {
-    ControlWorker(
-      aNode.m_spec.m_slot,
-      { { "heartbeats",
-          fmt::format("http://127.0.0.1:{}", aNode.m_heartbeatsPort) } });
+    const std::string& slot = aNode.m_spec.m_slot;
+    ControlWorker(slot, { { "heartbeats", HeartbeatsUrl(slot) } });
   }
 }
 
@@ -163,6 +161,25 @@
   StartDaemon(node);
 }
 
+void
+Fleet::ReplaceBackend(const std::string& aSlot,
+                      const std::string& aService,
+                      const std::string& aName)
+{
+  Node& node = m_nodes.at(aSlot);
+  node.m_backend->Kill();
+  std::vector<std::string> arguments{ PLATFORM_WORKER_PROGRAM,
+                                      "--service",
+                                      aService,
+                                      "--name",
+                                      aName,
+                                      "--port",
+                                      std::to_string(node.m_backendPort) };
+  node.m_backend = std::make_unique<Process>(
+    std::move(arguments), m_directory.File(aSlot + "." + aName + ".log"));
+  static_cast<void>(ListeningLine(*node.m_backend));
+}
+
 const Fleet::Node&
 Fleet::NodeAt(const std::string& aSlot) const
 {
@@ -217,6 +234,12 @@
                      platform::kReadyPath);
 }
 
+std::string
+Fleet::HeartbeatsUrl(const std::string& aSlot) const
+{
+  return fmt::format("http://127.0.0.1:{}", NodeAt(aSlot).m_heartbeatsPort);
+}
+
 bool
 Fleet::IsReady(const std::string& aSlot) const
 {
--- a/tools/testkit/fleet.hpp
+++ b/tools/testkit/fleet.hpp
@@ -74,6 +74,11 @@
   void Add(const WorkerSpec& aSpec);
   /// \brief Kills a daemon if it runs, and starts it again at the same address.
   void Restart(const std::string& aSlot);
+  /// \brief Kills a platform worker and starts one of another service at its
+  /// address, with an id that begins with `aName`.
+  void ReplaceBackend(const std::string& aSlot,
+                      const std::string& aService,
+                      const std::string& aName);
 
   [[nodiscard]] Process& Daemon(const std::string& aSlot);
   [[nodiscard]] Process& Backend(const std::string& aSlot);
@@ -86,6 +91,7 @@
   /// \brief Sets the port at which daemons that start later reach the store.
   void UseStoreAt(std::uint16_t aPort) { m_storePortOfDaemons = aPort; }
   [[nodiscard]] std::string ReadinessUrl(const std::string& aSlot) const;
+  [[nodiscard]] std::string HeartbeatsUrl(const std::string& aSlot) const;
   /// \brief Sends PUT /control to a platform worker, such as to set a fault.
   void ControlWorker(const std::string& aSlot,
                      const nlohmann::json& aControl) const;
