Take who a worker is from the worker, not from its address

Cause: a daemon that starts sends a health check to its worker's address and took whoever answered for a worker of the service in its own settings, id included, so that the expected instance matched and the worker had no reason to reject. A heartbeat that named another service changed nothing. Where the address of a lost worker is used again by another service and the daemon beside it starts anew, calls of the first service are run by the second.

Change: a health check names only the id, so its response counts if peers know that id as the worker of an earlier process of this daemon (PreviousWorker, in answers to probes; members carry a short hash of the id). Otherwise the first heartbeat is waited for. A 421 to a request for the known instance ends the belief in it at once, and so does a health check that returns another id, which a heartbeat of another service at the own address causes, once in 5 s at most; such a heartbeat alone does not, as anyone can send one. A later heartbeat of the worker, or of its successor, is believed again. Signals in health checks of others are ignored.

Tests: the existing tests of accepted health checks now state the previous worker first, and check its slots and version as well; the stand-in's health check returns its id, as the platform's workers do.

--- a/include/greengagehub/calls/worker_incarnation.hpp
+++ b/include/greengagehub/calls/worker_incarnation.hpp
@@ -34,4 +34,11 @@
 [[nodiscard]] IncarnationTag
 TagOf(const WorkerIncarnation& aIncarnation);
 
+/// \returns The tag of all incarnations with this ID.
+[[nodiscard]] inline IncarnationTag
+IdTagOf(const std::string& aId)
+{
+  return TagOf({ aId, std::nullopt });
+}
+
 }
--- a/include/greengagehub/calls/worker_presence.hpp
+++ b/include/greengagehub/calls/worker_presence.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace greengagehub {
 
@@ -26,6 +27,18 @@
   std::uint64_t m_sequence{ 0 };
 };
 
+/// \brief A backend server that an earlier process of this daemon reported, as
+/// its peers know it.
+struct PreviousWorker
+{
+  IncarnationTag m_idTag{ 0 };
+  /// 0: not known.
+  IncarnationTag m_incarnation{ 0 };
+  std::string m_version{};
+  std::uint32_t m_slots{ 0 };
+  bool m_isLeaving{ false };
+};
+
 /// \brief Tracks the current incarnation of the local backend server from its
 /// heartbeats.
 ///
@@ -34,6 +47,10 @@
 /// accepted at its first report. Where start times do not decide (the clock was
 /// set back, or a replaced incarnation reports again), it is accepted at its
 /// second report if the current one has missed a heartbeat by then.
+///
+/// The service of a backend server is known from itself only: another one may
+/// listen at its address. A health check names the ID, so its response counts
+/// if the ID is that of a previous worker.
 class WorkerPresence
 {
 public:
@@ -52,6 +69,8 @@
     Updated,
     /// Gets no new requests.
     Leaving,
+    /// Another process answers at its address.
+    Replaced,
   };
 
   /// \returns The last accepted report, if any.
@@ -61,11 +80,15 @@
   }
   [[nodiscard]] bool TakesCalls() const noexcept
   {
-    return m_current && !m_current->m_isDraining;
+    return m_current && !m_current->m_isDraining && !m_isReplaced;
   }
+  /// \returns Whether the ID in the response to a health check can be accepted.
+  [[nodiscard]] bool AwaitsHealthCheck() const noexcept;
   /// \returns Tag of the current incarnation; 0 before its first heartbeat, as
   /// a health check has no start time.
   [[nodiscard]] IncarnationTag CurrentTag() const;
+  /// \returns IdTagOf() the current incarnation; 0 if there is none.
+  [[nodiscard]] IncarnationTag CurrentIdTag() const;
   /// \returns When the previous incarnation last reported.
   [[nodiscard]] TimePoint PreviousLastReportAt() const noexcept
   {
@@ -75,8 +98,15 @@
   [[nodiscard]] bool IsSilent(TimePoint aNow) const noexcept;
 
   [[nodiscard]] Change OnReport(TimePoint aNow, const WorkerReport& aReport);
-  /// \brief Accepts an ID from a health check until the first heartbeat.
-  [[nodiscard]] Change OnProbed(TimePoint aNow, WorkerReport aReport);
+  void OnPrevious(PreviousWorker aWorker);
+  /// \brief Handles the ID in the response to a health check. Until the first
+  /// heartbeat, the worker is accepted if it is a previous one.
+  [[nodiscard]] Change OnProbed(TimePoint aNow,
+                                const std::string& aId,
+                                std::string aService);
+  /// \brief Handles a response in which the process at the worker's address
+  /// states that it is another one. A later report revokes it.
+  [[nodiscard]] Change OnReplaced();
   /// \brief Handles a response in which the current incarnation states that it
   /// is leaving.
   [[nodiscard]] Change OnLeaving();
@@ -117,6 +147,9 @@
   std::deque<PastIncarnation> m_pastIncarnations;
   /// Last report of an incarnation that is not accepted yet.
   std::optional<WorkerReport> m_candidate;
+  /// As different peers know them.
+  std::vector<PreviousWorker> m_previousWorkers;
+  bool m_isReplaced{ false };
   /// Whether reports have a start time. Those without one are then ignored, as
   /// they come from another sender.
   bool m_reportsStartTime{ false };
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -53,6 +53,7 @@
     std::function<Version()> m_highestKnownVersion;
     /// See RunService::Dependencies.
     std::function<void(bool aIsLeaving)> m_onWorkerLeaving;
+    std::function<void()> m_onWorkerReplaced;
     /// Read on the first call to a service.
     std::function<const MemberTable&()> m_members;
   };
@@ -108,7 +109,7 @@
   void OnWorker(const WorkerPresence& aPresence);
   /// \brief Requests the local worker's instance id through its health check,
   /// if the configuration names one.
-  void ProbeWorker(std::function<void(std::string)> aDone);
+  void ProbeWorker(RunService::ProbeHandler aDone);
   void OnVersion();
   /// \brief Drops all links, whose unread data is as old as the pause.
   void OnProcessResumed();
--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -40,6 +40,8 @@
     /// if no worker is known.
     std::function<WorkerCounts()> m_workerCounts;
     std::function<void()> m_resetWorkerCounts;
+    /// A peer knows the worker of an earlier process of this daemon.
+    std::function<void(const WorkerDescription&)> m_onPreviousWorker;
   };
 
   ControlPlane(asio::io_context& aLoop,
@@ -94,9 +96,6 @@
   /// \returns The lowest version in force on this daemon and on present
   /// members, as they last reported it.
   [[nodiscard]] Version LowestInForce() const;
-  /// \returns The lowest number of slots reported by a present worker of this
-  /// daemon's service, if any.
-  [[nodiscard]] std::optional<std::uint32_t> MinSlotsOfOwnService() const;
   /// \brief Probes members whose last reported version is below `aVersion`.
   void ProbeBelowVersion(Version aVersion);
 
--- a/include/greengagehub/daemon/daemon.hpp
+++ b/include/greengagehub/daemon/daemon.hpp
@@ -43,6 +43,7 @@
   void LogListening();
   [[nodiscard]] Outcome<std::uint16_t> Open();
   void OnWorker(const WorkerPresence& aPresence);
+  void OnPreviousWorker(const WorkerDescription& aWorker);
   /// \param aIsLeaving false: another worker without heartbeats has taken its
   /// place.
   void OnWorkerLeaving(bool aIsLeaving);
@@ -72,7 +73,6 @@
   bool m_isDraining{ false };
   bool m_wasReady{ false };
   bool m_isWorkerDraining{ false };
-  int m_workerProbes{ 0 };
   TimePoint m_nextProbe{};
   std::optional<DrainSequence> m_drain;
   asio::steady_timer m_drainTimer;
--- a/include/greengagehub/daemon/platform_endpoints.hpp
+++ b/include/greengagehub/daemon/platform_endpoints.hpp
@@ -23,8 +23,6 @@
     const Log& m_log;
     Metrics& m_metrics;
     std::function<bool()> m_isReady;
-    /// Fewest slots of any other known worker of the service; empty: none.
-    std::function<std::optional<std::uint32_t>()> m_minPeerSlots;
     std::function<void(const WorkerPresence&)> m_onWorker;
   };
 
@@ -51,8 +49,16 @@
   {
     return m_readiness.Connections() + m_heartbeats.Connections() > 0;
   }
-  /// \brief Handles the instance id that a probe of the local worker returned.
-  void OnProbed(std::string aId);
+  /// \returns Whether a health check of the local worker is to be sent now: it
+  /// is not known yet, or a report contradicts what is known.
+  [[nodiscard]] bool TakeHealthCheck(TimePoint aNow);
+  /// \brief Handles the instance id that a health check returned.
+  /// \returns Whether it is the id of the known worker.
+  bool OnProbed(const std::string& aId);
+  /// \brief Handles what a peer knows of the worker of an earlier process.
+  void OnPreviousWorker(PreviousWorker aWorker);
+  /// \brief Handles a response of another process at the worker's address.
+  void OnWorkerReplaced();
   /// \brief Handles a response in which the local worker states that it is
   /// leaving.
   void OnWorkerLeaving();
@@ -67,6 +73,10 @@
   Dependencies m_deps;
   WorkerPresence m_worker;
   LogRateLimiter m_rejectionLogBudget;
+  /// Health checks sent before the worker was known.
+  int m_firstChecks{ 0 };
+  bool m_isContradicted{ false };
+  TimePoint m_nextContradiction{};
   HttpServer m_readiness;
   HttpServer m_heartbeats;
 };
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -29,6 +29,8 @@
 public:
   using AnswerHandler = std::function<void(CallKey, CallAnswer)>;
   using SpanHandler = std::function<void(Span)>;
+  /// \returns Whether the id is that of the worker that runs are sent to.
+  using ProbeHandler = std::function<bool(const std::string& aId)>;
 
   /// References must outlive the service.
   struct Dependencies
@@ -57,6 +59,8 @@
     /// delivered, and where no heartbeats are sent, when another one has taken
     /// its place.
     std::function<void(bool aIsLeaving)> m_onLeaving{};
+    /// Called when another process answers at the worker's address.
+    std::function<void()> m_onReplaced{};
     /// nullptr: the network link of this instance is not paced or booked.
     const LinkPacer* m_pacer{ nullptr };
     /// Bookings of the link out.
@@ -113,7 +117,7 @@
   void ResetCounts() { m_runCounter.Clear(); }
   /// \brief Requests the worker's instance id through its health check.
   /// \param aDone called with the id if the check succeeds and returns one.
-  void Probe(const std::string& aPath, std::function<void(std::string)> aDone);
+  void Probe(const std::string& aPath, ProbeHandler aDone);
 
 private:
   /// A queued or running attempt.
@@ -181,6 +185,9 @@
   /// \brief Applies what the backend server states about itself in the
   /// response to a run.
   void ApplySignals(const ActiveRun& aRun, const HttpResponse& aResponse);
+  /// \brief Reports that another process rejected a request that was meant for
+  /// the current incarnation.
+  void CheckReplaced(const ActiveRun& aRun, const HttpResponse& aResponse);
   /// \param aSentAt when the request of the response was sent.
   void ApplySignals(TimePoint aSentAt, const WorkerSignals& aSignals);
   /// \brief Adopts the limit that the caller's daemon knows, if this one has
--- a/include/greengagehub/membership/gossip_message.hpp
+++ b/include/greengagehub/membership/gossip_message.hpp
@@ -52,6 +52,8 @@
   std::uint64_t m_confirmedPush{ 0 };
   /// The receiver must not run a version older than this.
   Version m_minimumVersion{};
+  /// Worker of an earlier process of the receiver; without an ID tag: none.
+  WorkerDescription m_previousWorker{};
   bool m_watching{ false };
   /// MemberDigests::Summary() of the sender's view, itself included.
   std::uint64_t m_members{ 0 };
--- a/include/greengagehub/membership/member.hpp
+++ b/include/greengagehub/membership/member.hpp
@@ -53,6 +53,10 @@
   /// Version of the backend server's software; empty if unknown.
   std::string m_version{};
   bool m_isLeaving{ false };
+  /// Same as MemberRecord::m_workerIdTag.
+  std::uint32_t m_idTag{ 0 };
+
+  [[nodiscard]] bool operator==(const WorkerDescription&) const = default;
 };
 
 /// \brief What a daemon publishes about itself; peers forward it.
@@ -72,6 +76,8 @@
   std::uint32_t m_slots{ 0 };
   /// 0 if unknown. Statistics of one incarnation don't apply to another.
   std::uint32_t m_workerIncarnation{ 0 };
+  /// Short hash of the worker's instance ID; 0 if unknown.
+  std::uint32_t m_workerIdTag{ 0 };
   /// Version of the backend server's software, empty if unknown.
   std::string m_workerVersion{};
   /// Whether that incarnation of the backend server is leaving. It stays so
@@ -81,6 +87,16 @@
   std::uint32_t m_linkMbps{ 0 };
 };
 
+[[nodiscard]] inline WorkerDescription
+WorkerOf(const MemberRecord& aRecord)
+{
+  return { aRecord.m_slots,
+           aRecord.m_workerIncarnation,
+           aRecord.m_workerVersion,
+           aRecord.m_isWorkerLeaving,
+           aRecord.m_workerIdTag };
+}
+
 /// A suspect still takes calls: their outcome is better evidence than a lost
 /// probe.
 [[nodiscard]] constexpr bool
--- a/include/greengagehub/membership/member_table.hpp
+++ b/include/greengagehub/membership/member_table.hpp
@@ -21,6 +21,9 @@
   Version m_minimumVersion{};
   /// Highest version observed at its current process.
   Version m_version{};
+  /// Worker of the latest process before the current one that knew its worker;
+  /// without an ID tag: none.
+  WorkerDescription m_previousWorker{};
   /// A suspect is declared dead at this time.
   TimePoint m_suspectUntil{};
   TimePoint m_lostSince{};
--- a/include/greengagehub/membership/membership.hpp
+++ b/include/greengagehub/membership/membership.hpp
@@ -98,6 +98,10 @@
   [[nodiscard]] std::optional<MemberPeer> HighestRanked() const;
   [[nodiscard]] MemberPeer PeerOf(const MemberRecord& aRecord) const;
   [[nodiscard]] Version MinimumVersionOf(std::string_view aSlot) const;
+  /// \returns Worker of the process before that of `aRecord` at its slot;
+  /// without an ID tag: not known.
+  [[nodiscard]] WorkerDescription PreviousWorkerOf(
+    const MemberRecord& aRecord) const;
   /// \returns Digests of all present members, including this one.
   [[nodiscard]] MemberDigests Digests() const;
   /// \returns Records of differing buckets, from a random bucket on; about
--- a/src/calls/worker_presence.cpp
+++ b/src/calls/worker_presence.cpp
@@ -1,6 +1,7 @@
 #include "greengagehub/calls/worker_presence.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace greengagehub {
 
@@ -14,6 +15,8 @@
 /// Past incarnations kept. Reports are late by seconds, in which there are few
 /// restarts.
 constexpr std::size_t kMaxPastIncarnations = 16;
+/// Restarts of a daemon whose workers its peers may know.
+constexpr std::size_t kMaxPreviousWorkers = 8;
 /// How long a past incarnation without a start time is matched by its ID; a
 /// backend server may restart under the same ID.
 constexpr auto kIdMatchLife = std::chrono::seconds{ 30 };
@@ -34,6 +37,21 @@
   return isConfirmed ? TagOf(m_current->m_incarnation) : 0;
 }
 
+IncarnationTag
+WorkerPresence::CurrentIdTag() const
+{
+  return m_current ? IdTagOf(m_current->m_incarnation.m_id) : 0;
+}
+
+bool
+WorkerPresence::AwaitsHealthCheck() const noexcept
+{
+  return !m_current &&
+         std::ranges::any_of(m_previousWorkers, [](const auto& aEach) {
+           return !aEach.m_isLeaving;
+         });
+}
+
 const WorkerPresence::PastIncarnation*
 WorkerPresence::FindPast(TimePoint aNow,
                          const WorkerIncarnation& aIncarnation) const
@@ -55,7 +73,7 @@
   if (FindPast(aNow, aReport.m_incarnation) != nullptr) {
     return false;
   }
-  if (!m_current || IsSilent(aNow)) {
+  if (!m_current || m_isReplaced || IsSilent(aNow)) {
     return true;
   }
   const WorkerIncarnation& known = m_current->m_incarnation;
@@ -93,6 +111,7 @@
   if (aReport.m_sequence <= m_current->m_sequence) {
     return Change::None;
   }
+  const bool wasReplaced = std::exchange(m_isReplaced, false);
   const bool wasLeaving = m_current->m_isDraining;
   const bool wasConfirmed = m_current->m_sequence > 0;
   const bool isUnchanged = wasConfirmed &&
@@ -106,7 +125,7 @@
   if (m_current->m_isDraining) {
     return wasLeaving ? Change::None : Change::Leaving;
   }
-  return isUnchanged ? Change::None : Change::Updated;
+  return isUnchanged && !wasReplaced ? Change::None : Change::Updated;
 }
 
 WorkerPresence::Change
@@ -120,6 +139,7 @@
     return aEach.m_incarnation == aReport.m_incarnation;
   });
   m_candidate.reset();
+  m_isReplaced = false;
   m_lastReportAt = aNow;
   m_current = aReport;
   return aReport.m_isDraining ? Change::Leaving : Change::Arrived;
@@ -149,15 +169,58 @@
   return isAccepted ? Replace(aNow, aReport) : Change::None;
 }
 
+void
+WorkerPresence::OnPrevious(PreviousWorker aWorker)
+{
+  const auto known =
+    std::ranges::find_if(m_previousWorkers, [&](const auto& aEach) {
+      return aEach.m_idTag == aWorker.m_idTag &&
+             aEach.m_incarnation == aWorker.m_incarnation;
+    });
+  if (known != m_previousWorkers.end()) {
+    known->m_isLeaving = known->m_isLeaving || aWorker.m_isLeaving;
+  } else if (m_previousWorkers.size() < kMaxPreviousWorkers) {
+    m_previousWorkers.push_back(std::move(aWorker));
+  }
+}
+
+WorkerPresence::Change
+WorkerPresence::OnProbed(TimePoint aNow,
+                         const std::string& aId,
+                         std::string aService)
+{
+  if (m_current) {
+    return aId == m_current->m_incarnation.m_id ? Change::None : OnReplaced();
+  }
+  const auto hasId = [tag = IdTagOf(aId)](const PreviousWorker& aEach) {
+    return aEach.m_idTag == tag;
+  };
+  const auto previous = std::ranges::find_if(m_previousWorkers, hasId);
+  const bool hasLeft =
+    std::ranges::any_of(m_previousWorkers, [&](const PreviousWorker& aEach) {
+      return hasId(aEach) && aEach.m_isLeaving;
+    });
+  const WorkerIncarnation incarnation{ aId, std::nullopt };
+  if (previous == m_previousWorkers.end() || hasLeft ||
+      FindPast(aNow, incarnation) != nullptr) {
+    return Change::None;
+  }
+  // The sequence number is lower than in any heartbeat.
+  return Replace(aNow,
+                 { .m_incarnation = incarnation,
+                   .m_service = std::move(aService),
+                   .m_version = previous->m_version,
+                   .m_slots = previous->m_slots });
+}
+
 WorkerPresence::Change
-WorkerPresence::OnProbed(TimePoint aNow, WorkerReport aReport)
+WorkerPresence::OnReplaced()
 {
-  if (m_current || FindPast(aNow, aReport.m_incarnation) != nullptr) {
+  if (!TakesCalls()) {
     return Change::None;
   }
-  // Lower than in any heartbeat.
-  aReport.m_sequence = 0;
-  return Replace(aNow, aReport);
+  m_isReplaced = true;
+  return Change::Replaced;
 }
 
 WorkerPresence::Change
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -89,6 +89,7 @@
                      },
                    .m_version = [this] { return m_deps.m_holder.GetVersion(); },
                    .m_onLeaving = m_deps.m_onWorkerLeaving,
+                   .m_onReplaced = m_deps.m_onWorkerReplaced,
                    .m_pacer = &m_pacer,
                    .m_linkOut = &m_linkOut,
                    .m_bodies = m_bodies,
--- a/src/daemon/call_gateway_links.cpp
+++ b/src/daemon/call_gateway_links.cpp
@@ -154,7 +154,7 @@
 }
 
 void
-CallGateway::ProbeWorker(std::function<void(std::string)> aDone)
+CallGateway::ProbeWorker(RunService::ProbeHandler aDone)
 {
   const auto& services = m_deps.m_holder.Active()->m_content.Services();
   const auto own = services.find(m_deps.m_settings.m_service);
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -182,22 +182,6 @@
   return lowest;
 }
 
-std::optional<std::uint32_t>
-ControlPlane::MinSlotsOfOwnService() const
-{
-  std::optional<std::uint32_t> lowest;
-  m_membership.Members().Rows().Each(
-    [&](MemberTable::Index, const MemberRow& aRow) {
-      const MemberRecord& record = aRow.m_record;
-      const bool isKnown = IsPresent(record.m_state) && record.m_slots > 0 &&
-                           record.m_service == m_settings.m_service;
-      if (isKnown) {
-        lowest = std::min(lowest.value_or(record.m_slots), record.m_slots);
-      }
-    });
-  return lowest;
-}
-
 void
 ControlPlane::ProbeBelowVersion(Version aVersion)
 {
@@ -353,6 +337,9 @@
   m_readinessGate.RecordPeer(aMessage.m_sender.m_slot,
                              aMessage.m_head.m_version,
                              aMessage.m_minimumVersion);
+  if (aMessage.m_previousWorker.m_idTag != 0) {
+    m_handlers.m_onPreviousWorker(aMessage.m_previousWorker);
+  }
   const bool isAnswer = aMessage.m_kind == GossipMessage::Kind::Ack;
   StageAll(aMessage.m_entries,
            { isAnswer ? VersionChannel::Repair : VersionChannel::Push,
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -18,8 +18,6 @@
 constexpr int kFailureExitCode = 1;
 constexpr auto kTrafficLogInterval = std::chrono::seconds{ 10 };
 constexpr auto kDrainInterval = std::chrono::milliseconds{ 20 };
-/// Limits of probes for the worker's id before its first heartbeat.
-constexpr int kMaxProbes = 3;
 constexpr auto kProbeInterval = std::chrono::milliseconds{ 500 };
 
 LogLevel
@@ -91,7 +89,11 @@
           [this](const MemberEvent& aEvent) { m_calls.OnMember(aEvent); },
         .m_onVersion = [this] { m_calls.OnVersion(); },
         .m_workerCounts = [this] { return m_calls.Counts(); },
-        .m_resetWorkerCounts = [this] { m_calls.ResetCounts(); } })
+        .m_resetWorkerCounts = [this] { m_calls.ResetCounts(); },
+        .m_onPreviousWorker =
+          [this](const WorkerDescription& aWorker) {
+            OnPreviousWorker(aWorker);
+          } })
   , m_calls({ .m_loop = m_loop,
               .m_settings = m_settings,
               .m_dialect = Dialect(),
@@ -110,6 +112,12 @@
                 [this] { return m_control.HighestKnownVersion(); },
               .m_onWorkerLeaving =
                 [this](bool aIsLeaving) { OnWorkerLeaving(aIsLeaving); },
+              .m_onWorkerReplaced =
+                [this] {
+                  if (m_platform) {
+                    m_platform->OnWorkerReplaced();
+                  }
+                },
               .m_members = [this]() -> const MemberTable& {
                 return m_control.Members().Members();
               } },
@@ -168,7 +176,6 @@
       .m_log = m_log,
       .m_metrics = m_metrics,
       .m_isReady = [this] { return m_control.IsReady() && !m_isDraining; },
-      .m_minPeerSlots = [this] { return m_control.MinSlotsOfOwnService(); },
       .m_onWorker =
         [this](const WorkerPresence& aPresence) { OnWorker(aPresence); } });
     opened = m_platform->Open();
@@ -193,7 +200,20 @@
                      { worker.m_slots,
                        aPresence.CurrentTag(),
                        worker.m_version,
-                       !aPresence.TakesCalls() });
+                       worker.m_isDraining,
+                       aPresence.CurrentIdTag() });
+}
+
+void
+Daemon::OnPreviousWorker(const WorkerDescription& aWorker)
+{
+  if (m_platform) {
+    m_platform->OnPreviousWorker({ aWorker.m_idTag,
+                                   aWorker.m_incarnation,
+                                   aWorker.m_version,
+                                   aWorker.m_slots,
+                                   aWorker.m_isLeaving });
+  }
 }
 
 void
@@ -364,17 +384,14 @@
 void
 Daemon::ProbeWorkerWhenDue(TimePoint aNow)
 {
-  const bool isDue = m_platform && m_workerProbes < kMaxProbes &&
-                     !m_isDraining &&
-                     m_control.Holder().GetVersion() > Version{} &&
-                     !m_platform->Worker().Current() && aNow >= m_nextProbe;
-  if (!isDue) {
+  const bool mayCheck = m_platform && !m_isDraining && aNow >= m_nextProbe &&
+                        m_control.Holder().GetVersion() > Version{};
+  if (!mayCheck || !m_platform->TakeHealthCheck(aNow)) {
     return;
   }
-  ++m_workerProbes;
   m_nextProbe = aNow + kProbeInterval;
   m_calls.ProbeWorker(
-    [this](std::string aId) { m_platform->OnProbed(std::move(aId)); });
+    [this](const std::string& aId) { return m_platform->OnProbed(aId); });
 }
 
 void
--- a/src/daemon/platform_endpoints.cpp
+++ b/src/daemon/platform_endpoints.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-/// Assumed slots of a worker that has answered a probe but not reported, if no
-/// other worker of its service is known.
-constexpr std::uint32_t kDefaultSlots = 4;
+constexpr int kMaxFirstChecks = 3;
+/// Another writer may report for the address at any rate.
+constexpr auto kContradictionInterval = std::chrono::seconds{ 5 };
 /// Limits of the log lines on rejected reports, which any client can send at
 /// any rate.
 constexpr double kRejectionLogsPerSecond = 1.0;
@@ -40,6 +40,8 @@
       return "updated";
     case WorkerPresence::Change::Leaving:
       return "leaving";
+    case WorkerPresence::Change::Replaced:
+      return "replaced";
   }
   return "none";
 }
@@ -128,14 +130,35 @@
   }
 }
 
+bool
+PlatformEndpoints::TakeHealthCheck(TimePoint aNow)
+{
+  if (m_isContradicted) {
+    m_isContradicted = false;
+    m_nextContradiction = aNow + kContradictionInterval;
+    return m_worker.TakesCalls();
+  }
+  return m_worker.AwaitsHealthCheck() && m_firstChecks++ < kMaxFirstChecks;
+}
+
+bool
+PlatformEndpoints::OnProbed(const std::string& aId)
+{
+  PublishChange(
+    m_worker.OnProbed(Clock::now(), aId, m_deps.m_settings.m_service));
+  return m_worker.TakesCalls() && m_worker.Current()->m_incarnation.m_id == aId;
+}
+
+void
+PlatformEndpoints::OnPreviousWorker(PreviousWorker aWorker)
+{
+  m_worker.OnPrevious(std::move(aWorker));
+}
+
 void
-PlatformEndpoints::OnProbed(std::string aId)
+PlatformEndpoints::OnWorkerReplaced()
 {
-  WorkerReport report;
-  report.m_incarnation.m_id = std::move(aId);
-  report.m_service = m_deps.m_settings.m_service;
-  report.m_slots = m_deps.m_minPeerSlots().value_or(kDefaultSlots);
-  PublishChange(m_worker.OnProbed(Clock::now(), std::move(report)));
+  PublishChange(m_worker.OnReplaced());
 }
 
 void
@@ -172,18 +195,22 @@
 PlatformEndpoints::ApplyReport(const WorkerReport& aReport)
 {
   const HostPort& own = m_deps.m_settings.m_worker;
-  const bool isOwn =
-    aReport.m_service == m_deps.m_settings.m_service &&
+  const bool isAtOwnAddress =
     aReport.m_address == own.m_host + ":" + std::to_string(own.m_port);
-  if (!isOwn) {
-    RejectReport("heartbeat_of_another",
-                 fmt::format("instance {} of service {} at {}",
-                             aReport.m_incarnation.m_id,
-                             aReport.m_service,
-                             aReport.m_address));
-    return WorkerPresence::Change::None;
+  if (isAtOwnAddress && aReport.m_service == m_deps.m_settings.m_service) {
+    return m_worker.OnReport(Clock::now(), aReport);
+  }
+  // Only a health check tells whether the report is true.
+  const TimePoint now = Clock::now();
+  if (isAtOwnAddress && m_worker.TakesCalls() && now >= m_nextContradiction) {
+    m_isContradicted = true;
   }
-  return m_worker.OnReport(Clock::now(), aReport);
+  RejectReport("heartbeat_of_another",
+               fmt::format("instance {} of service {} at {}",
+                           aReport.m_incarnation.m_id,
+                           aReport.m_service,
+                           aReport.m_address));
+  return WorkerPresence::Change::None;
 }
 
 }
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -242,6 +242,7 @@
   if (run != m_activeRuns.end() &&
       aResult.m_kind == BackendResult::Kind::Answered) {
     // First, as the next run may not be allowed any more.
+    CheckReplaced(run->second, aResult.m_response);
     ApplySignals(run->second, aResult.m_response);
   }
   const RunActions next = m_runs.Finish(Clock::now(), aKey);
--- a/src/daemon/run_service_signals.cpp
+++ b/src/daemon/run_service_signals.cpp
@@ -5,6 +5,17 @@
 
 namespace greengagehub {
 
+void
+RunService::CheckReplaced(const ActiveRun& aRun, const HttpResponse& aResponse)
+{
+  const bool isReplaced = aRun.m_workerStart == m_workerStarts &&
+                          aResponse.m_status == kMisdirectedRequestStatus &&
+                          !m_incarnation.m_id.empty();
+  if (isReplaced && m_deps.m_onReplaced) {
+    m_deps.m_onReplaced();
+  }
+}
+
 void
 RunService::ApplySignals(const ActiveRun& aRun, const HttpResponse& aResponse)
 {
--- a/src/daemon/run_service_worker.cpp
+++ b/src/daemon/run_service_worker.cpp
@@ -96,8 +96,7 @@
 }
 
 void
-RunService::Probe(const std::string& aPath,
-                  std::function<void(std::string)> aDone)
+RunService::Probe(const std::string& aPath, ProbeHandler aDone)
 {
   BackendRequest request;
   request.m_target = aPath;
@@ -115,8 +114,7 @@
                              IsSuccess(response.m_status);
       const std::string_view id =
         HeaderValue(response.m_headers, m_deps.m_dialect.m_instance);
-      if (isHealthy && !id.empty()) {
-        done(std::string{ id });
+      if (isHealthy && !id.empty() && done(std::string{ id })) {
         ApplySignals(sentAt,
                      ParseWorkerSignals(m_deps.m_dialect, response.m_headers));
       }
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -65,6 +65,12 @@
   if (ProcessOf(row.m_record.m_incarnation) !=
       ProcessOf(aRecord.m_incarnation)) {
     row.m_version = Version{};
+    if (row.m_record.m_workerIdTag != 0) {
+      row.m_previousWorker = WorkerOf(row.m_record);
+    }
+  }
+  if (row.m_record.m_service != aRecord.m_service) {
+    row.m_previousWorker = {};
   }
   row.m_record = std::move(aRecord);
 }
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -256,6 +256,9 @@
   GossipMessage ack = MakeMessage(Kind::Ack, ScopeOf(aMessage.m_sender));
   ack.m_sequence = aMessage.m_sequence;
   ack.m_minimumVersion = MinimumVersionOf(aMessage.m_sender.m_slot);
+  if (aMessage.m_sender.m_workerIdTag == 0) {
+    ack.m_previousWorker = PreviousWorkerOf(aMessage.m_sender);
+  }
   // A sender that is recorded as lost receives that record, so that it refutes
   // it.
   const auto known = m_members.Find(aMessage.m_sender.m_slot);
--- a/src/membership/membership_time.cpp
+++ b/src/membership/membership_time.cpp
@@ -259,6 +259,7 @@
   m_self.m_workerIncarnation = aWorker.m_incarnation;
   m_self.m_workerVersion = std::move(aWorker.m_version);
   m_self.m_isWorkerLeaving = aWorker.m_isLeaving;
+  m_self.m_workerIdTag = aWorker.m_idTag;
   return Announce(aState);
 }
 
--- a/src/membership/membership_views.cpp
+++ b/src/membership/membership_views.cpp
@@ -189,6 +189,19 @@
   return index ? m_members.At(*index).m_minimumVersion : Version{};
 }
 
+WorkerDescription
+Membership::PreviousWorkerOf(const MemberRecord& aRecord) const
+{
+  const auto index = m_members.Find(aRecord.m_slot);
+  if (!index) {
+    return {};
+  }
+  const MemberRow& row = m_members.At(*index);
+  const bool isSameProcess =
+    ProcessOf(row.m_record.m_incarnation) == ProcessOf(aRecord.m_incarnation);
+  return isSameProcess ? row.m_previousWorker : WorkerOf(row.m_record);
+}
+
 MemberDigests
 Membership::Digests() const
 {
--- a/src/transport/gossip_codec.cpp
+++ b/src/transport/gossip_codec.cpp
@@ -34,6 +34,25 @@
   aOut.set_worker_start(aRecord.m_workerIncarnation);
   aOut.set_worker_version(aRecord.m_workerVersion);
   aOut.set_worker_leaving(aRecord.m_isWorkerLeaving);
+  aOut.set_worker_id(aRecord.m_workerIdTag);
+}
+
+void
+ToWire(const WorkerDescription& aWorker, wire::PreviousWorker& aOut)
+{
+  aOut.set_id(aWorker.m_idTag);
+  aOut.set_start(aWorker.m_incarnation);
+  aOut.set_version(aWorker.m_version);
+  aOut.set_slots(aWorker.m_slots);
+  aOut.set_leaving(aWorker.m_isLeaving);
+}
+
+WorkerDescription
+FromWire(const wire::PreviousWorker& aWire)
+{
+  return {
+    aWire.slots(), aWire.start(), aWire.version(), aWire.leaving(), aWire.id()
+  };
 }
 
 Outcome<MemberRecord>
@@ -63,6 +82,7 @@
   record.m_workerIncarnation = aWire.worker_start();
   record.m_workerVersion = aWire.worker_version();
   record.m_isWorkerLeaving = aWire.worker_leaving();
+  record.m_workerIdTag = aWire.worker_id();
   return record;
 }
 
@@ -216,6 +236,9 @@
   out.set_push_number(aMessage.m_pushNumber);
   out.set_confirmed_push(aMessage.m_confirmedPush);
   out.set_floor(aMessage.m_minimumVersion.m_number);
+  if (aMessage.m_previousWorker.m_idTag != 0) {
+    ToWire(aMessage.m_previousWorker, *out.mutable_previous_worker());
+  }
   out.set_watching(aMessage.m_watching);
   out.set_members(aMessage.m_members);
   for (const CrashReport& each : aMessage.m_quarantine.m_crashes) {
@@ -290,6 +313,7 @@
   message.m_pushNumber = in.push_number();
   message.m_confirmedPush = in.confirmed_push();
   message.m_minimumVersion = Version{ in.floor() };
+  message.m_previousWorker = FromWire(in.previous_worker());
   message.m_watching = in.watching();
   message.m_members = in.members();
   message.m_quarantine = { std::move(ends.value()),
--- a/standins/platform_worker.cpp
+++ b/standins/platform_worker.cpp
@@ -39,6 +39,8 @@
 using namespace greengagehub; // NOLINT: a stand-in, one file
 using Json = nlohmann::json;
 
+constexpr std::string_view kHealthPath = "/healthz";
+
 struct Options
 {
   HttpServerSettings m_http;
@@ -186,7 +188,7 @@
     std::uint64_t timeLeft = 0;
     const std::string text = Header(aRun.m_request, platform::kDeadline);
     std::from_chars(text.data(), text.data() + text.size(), timeLeft);
-    const bool inTime = timeLeft >= m_options.m_serviceMs;
+    const bool inTime = text.empty() || timeLeft >= m_options.m_serviceMs;
     const std::uint64_t duration = inTime ? m_options.m_serviceMs : timeLeft;
     auto timer = std::make_shared<asio::steady_timer>(m_loop);
     timer->expires_after(std::chrono::milliseconds{ duration });
@@ -219,6 +221,11 @@
       { std::string{ platform::kRequestId },
         m_foreignAnswers > 0 ? "another-request" : id });
     m_foreignAnswers -= m_foreignAnswers > 0 ? 1 : 0;
+    if (PathOf(run.m_request.m_target) == kHealthPath) {
+      response.m_status = m_draining ? 503 : response.m_status;
+      response.m_headers.push_back(
+        { std::string{ platform::kInstanceId }, Id() });
+    }
     if (!m_omitsSignature) {
       response.m_headers.push_back(
         { std::string{ platform::kSeal }, "seal-" + id });
--- a/tests/calls/worker_presence.cpp
+++ b/tests/calls/worker_presence.cpp
@@ -20,6 +20,16 @@
            .m_sequence = aSequence };
 }
 
+/// What a peer knows of a worker that was reported without a start time.
+PreviousWorker
+Previous(const char* aId)
+{
+  return { .m_idTag = IdTagOf(aId),
+           .m_incarnation = TagOf({ aId, std::nullopt }),
+           .m_version = "v7",
+           .m_slots = 18 };
+}
+
 }
 
 TEST_CASE("an incarnation that leaves never takes calls again")
@@ -68,13 +78,81 @@
 {
   // Guards against a restarted daemon that sends no calls until a heartbeat.
   WorkerPresence worker{ 1500ms };
-  CHECK(worker.OnProbed(kStart, Report("a", 7)) == Change::Arrived);
+  worker.OnPrevious(Previous("a"));
+  CHECK(worker.AwaitsHealthCheck());
+  CHECK(worker.OnProbed(kStart, "a", "locker-app") == Change::Arrived);
   CHECK(worker.TakesCalls());
+  CHECK(worker.Current()->m_slots == 18);
+  CHECK(worker.Current()->m_version == "v7");
   CHECK(worker.OnReport(kStart, Report("a", 1, true)) == Change::Leaving);
-  CHECK(worker.OnProbed(kStart, Report("b", 0)) == Change::None);
+  CHECK(worker.OnProbed(kStart, "b", "locker-app") == Change::None);
   CHECK(worker.Current()->m_incarnation.m_id == "a");
 }
 
+TEST_CASE("a health check response of another worker is not used")
+{
+  // Guards against calls to a worker of another service at the address that the
+  // local worker had.
+  WorkerPresence worker{ 1500ms };
+  SUBCASE("no worker is known there")
+  {
+    CHECK_FALSE(worker.AwaitsHealthCheck());
+  }
+  SUBCASE("another one is")
+  {
+    worker.OnPrevious(Previous("b"));
+  }
+  SUBCASE("the known one has left")
+  {
+    PreviousWorker left = Previous("a");
+    left.m_isLeaving = true;
+    worker.OnPrevious(Previous("a"));
+    worker.OnPrevious(left);
+    CHECK_FALSE(worker.AwaitsHealthCheck());
+  }
+  CHECK(worker.OnProbed(kStart, "a", "locker-app") == Change::None);
+  CHECK_FALSE(worker.Current());
+  CHECK(worker.OnReport(kStart, Report("c", 9)) == Change::Arrived);
+}
+
+TEST_CASE("a worker takes no calls once another one answers at its address")
+{
+  // Guards against calls that another worker rejects, until the reports end.
+  WorkerPresence worker{ 1500ms };
+  CHECK(worker.OnReport(kStart, Report("a", 5)) == Change::Arrived);
+  CHECK(worker.OnProbed(kStart, "a", "locker-app") == Change::None);
+  CHECK(worker.TakesCalls());
+  SUBCASE("as a rejected call shows")
+  {
+    CHECK(worker.OnReplaced() == Change::Replaced);
+  }
+  SUBCASE("as a health check shows")
+  {
+    CHECK(worker.OnProbed(kStart, "b", "locker-app") == Change::Replaced);
+  }
+  CHECK_FALSE(worker.TakesCalls());
+  CHECK(worker.OnReplaced() == Change::None);
+  CHECK(worker.OnReport(kStart + 1s, Report("a", 4)) == Change::None);
+  CHECK_FALSE(worker.TakesCalls());
+}
+
+TEST_CASE("a replaced worker's address takes calls after the next report")
+{
+  // Guards against a worker that stays unused because of one wrong response.
+  WorkerPresence worker{ 1500ms };
+  CHECK(worker.OnReport(kStart, Report("a", 5)) == Change::Arrived);
+  CHECK(worker.OnReplaced() == Change::Replaced);
+  SUBCASE("which is its own")
+  {
+    CHECK(worker.OnReport(kStart + 1s, Report("a", 6)) == Change::Updated);
+  }
+  SUBCASE("which is its successor's")
+  {
+    CHECK(worker.OnReport(kStart + 1s, Report("c", 9)) == Change::Arrived);
+  }
+  CHECK(worker.TakesCalls());
+}
+
 TEST_CASE("another incarnation is accepted while the current one is silent")
 {
   WorkerPresence worker{ 1500ms };
--- a/tests/calls/worker_restart.cpp
+++ b/tests/calls/worker_restart.cpp
@@ -143,9 +143,9 @@
 TEST_CASE("a probed worker takes the start time of its first report")
 {
   WorkerPresence worker{ kPeriod };
-  WorkerReport probed = Report(kWorkerStart, 0);
-  probed.m_incarnation.m_startedAt.reset();
-  CHECK(worker.OnProbed(kStart, probed) == Change::Arrived);
+  const std::string id = Report(kWorkerStart, 0).m_incarnation.m_id;
+  worker.OnPrevious({ .m_idTag = IdTagOf(id) });
+  CHECK(worker.OnProbed(kStart, id, "locker-app") == Change::Arrived);
   CHECK(worker.OnReport(kStart + 1s, Report(kWorkerStart, 7)) ==
         Change::Updated);
   CHECK(IsServing(worker, kWorkerStart));
--- a/tests/membership/group.hpp
+++ b/tests/membership/group.hpp
@@ -114,6 +114,7 @@
     }
   }
 
+  [[nodiscard]] TimePoint Now() const noexcept { return m_now; }
   [[nodiscard]] MemberState StateOf(std::uint16_t aSeenBy,
                                     std::uint16_t aNumber)
   {
--- a/tests/membership/membership.cpp
+++ b/tests/membership/membership.cpp
@@ -123,6 +123,46 @@
   CHECK(group.At(1).MinimumVersionOf("m3") == Version{ 7 });
 }
 
+TEST_CASE("a restarted member learns its previous worker from its peers")
+{
+  // Guards against a daemon that forgets what its worker has stated.
+  Group group{ 4 };
+  const WorkerDescription worker{ 18, 7, "v2", true, 9 };
+  group.Send(3, group.At(3).Announce(MemberState::Alive, worker));
+  group.Run(3s);
+  const MembershipActions contact = [&] {
+    group.Kill(3);
+    group.Start(3, 2);
+    return group.At(3).Contact({ group.At(1).Self().m_address });
+  }();
+  const MemberRecord self = group.At(3).Self();
+  CHECK(group.At(1).PreviousWorkerOf(self) == worker);
+  const auto answerTo = [&](const GossipMessage& aPing) {
+    return group.At(1)
+      .OnMessage(group.Now(), self.m_address, aPing)
+      .m_sends.front()
+      .m_message.m_previousWorker;
+  };
+  CHECK(answerTo(contact.m_sends.front().m_message) == worker);
+  group.Send(3, contact);
+  group.Run(3s);
+  CHECK(answerTo(contact.m_sends.front().m_message) == worker);
+  // Known again, it needs no more telling.
+  const MembershipActions announced =
+    group.At(3).Announce(MemberState::Alive, { 18, 8, "v3", false, 10 });
+  GossipMessage ping = announced.m_sends.front().m_message;
+  ping.m_kind = GossipMessage::Kind::Ping;
+  CHECK(answerTo(ping).m_idTag == 0);
+  SUBCASE("of another service")
+  {
+    MemberRecord moved = self;
+    moved.m_incarnation = 3U << 16U;
+    moved.m_service = "ledger";
+    ping.m_sender = moved;
+    CHECK(answerTo(ping).m_idTag == 0);
+  }
+}
+
 TEST_CASE("digests select the records that two views do not share")
 {
   Group group{ 5 };
--- a/tests/transport/codec.cpp
+++ b/tests/transport/codec.cpp
@@ -20,6 +20,8 @@
   message.m_sender.m_slot = "a";
   message.m_sender.m_workerIncarnation = 4'000'000'000U;
   message.m_sender.m_isWorkerLeaving = true;
+  message.m_sender.m_workerIdTag = 3'000'000'000U;
+  message.m_previousWorker = { 18, 7, "v2", true, 9 };
   message.m_sender.m_address = { "127.0.0.1", 1, 2, 3 };
   message.m_sequence = 77;
   message.m_head = { Version{ 9 }, Sha256("chain") };
@@ -83,6 +85,8 @@
   CHECK(got.value().m_sender.m_address == sent.m_sender.m_address);
   CHECK(got.value().m_sender.m_workerIncarnation == 4'000'000'000U);
   CHECK(got.value().m_sender.m_isWorkerLeaving);
+  CHECK(got.value().m_sender.m_workerIdTag == 3'000'000'000U);
+  CHECK(got.value().m_previousWorker == sent.m_previousWorker);
   CHECK(got.value().m_updates.size() == 6);
   CHECK(got.value().m_updates[3].m_state == MemberState::Suspect);
   CHECK(got.value().m_entries == sent.m_entries);
