Learn from peers that the worker of an earlier process was leaving

What callers saw: a worker deregisters, which its daemon acknowledges; the daemon is killed and starts again, and a heartbeat that the worker had sent before arrives seconds late. From then on requests go to the leaving worker, until it exits (DRAIN).

Cause: peers keep that an incarnation is leaving, and the daemon that starts anew doesn't ask them: the first heartbeat is accepted whatever it is.

Its reports are ignored, and if one was accepted before the peers' answer, the worker is marked as leaving then.

--- a/include/greengagehub/calls/worker_presence.hpp
+++ b/include/greengagehub/calls/worker_presence.hpp
@@ -98,7 +98,7 @@
   [[nodiscard]] bool IsSilent(TimePoint aNow) const noexcept;
 
   [[nodiscard]] Change OnReport(TimePoint aNow, const WorkerReport& aReport);
-  void OnPrevious(PreviousWorker aWorker);
+  [[nodiscard]] Change OnPrevious(PreviousWorker aWorker);
   /// \brief Handles the ID in the response to a health check. Until the first
   /// heartbeat, the worker is accepted if it is a previous one.
   [[nodiscard]] Change OnProbed(TimePoint aNow,
@@ -128,6 +128,7 @@
   [[nodiscard]] const PastIncarnation* FindPast(
     TimePoint aNow,
     const WorkerIncarnation& aIncarnation) const;
+  [[nodiscard]] bool HasLeftBefore(const WorkerIncarnation& aIncarnation) const;
   /// \returns Whether the incarnation is accepted at its first report.
   [[nodiscard]] bool IsSuccessor(TimePoint aNow,
                                  const WorkerReport& aReport) const;
--- a/src/calls/worker_presence.cpp
+++ b/src/calls/worker_presence.cpp
@@ -52,6 +52,14 @@
          });
 }
 
+bool
+WorkerPresence::HasLeftBefore(const WorkerIncarnation& aIncarnation) const
+{
+  return std::ranges::any_of(m_previousWorkers, [&](const auto& aEach) {
+    return aEach.m_isLeaving && aEach.m_incarnation == TagOf(aIncarnation);
+  });
+}
+
 const WorkerPresence::PastIncarnation*
 WorkerPresence::FindPast(TimePoint aNow,
                          const WorkerIncarnation& aIncarnation) const
@@ -161,6 +169,9 @@
     return Change::None;
   }
   m_reportsStartTime = aReport.m_incarnation.m_startedAt.has_value();
+  if (HasLeftBefore(aReport.m_incarnation)) {
+    return Change::None;
+  }
   if (m_current && MayBeSame(m_current->m_incarnation, aReport.m_incarnation)) {
     return UpdateCurrent(aNow, aReport);
   }
@@ -169,7 +180,7 @@
   return isAccepted ? Replace(aNow, aReport) : Change::None;
 }
 
-void
+WorkerPresence::Change
 WorkerPresence::OnPrevious(PreviousWorker aWorker)
 {
   const auto known =
@@ -182,6 +193,8 @@
   } else if (m_previousWorkers.size() < kMaxPreviousWorkers) {
     m_previousWorkers.push_back(std::move(aWorker));
   }
+  const bool hasLeft = m_current && HasLeftBefore(m_current->m_incarnation);
+  return hasLeft ? OnLeaving() : Change::None;
 }
 
 WorkerPresence::Change
--- a/src/daemon/platform_endpoints.cpp
+++ b/src/daemon/platform_endpoints.cpp
@@ -152,7 +152,7 @@
 void
 PlatformEndpoints::OnPreviousWorker(PreviousWorker aWorker)
 {
-  m_worker.OnPrevious(std::move(aWorker));
+  PublishChange(m_worker.OnPrevious(std::move(aWorker)));
 }
 
 void
--- a/tests/calls/stated_signals.cpp
+++ b/tests/calls/stated_signals.cpp
@@ -238,7 +238,8 @@
 {
   // A health check has no start time, by which incarnations differ.
   WorkerPresence worker{ 1500ms };
-  worker.OnPrevious({ .m_idTag = IdTagOf("i-1") });
+  REQUIRE(worker.OnPrevious({ .m_idTag = IdTagOf("i-1") }) ==
+          WorkerPresence::Change::None);
   REQUIRE(worker.OnProbed(kStart, "i-1", "locker-app") ==
           WorkerPresence::Change::Arrived);
   CHECK(worker.CurrentTag() == 0);
--- a/tests/calls/worker_presence.cpp
+++ b/tests/calls/worker_presence.cpp
@@ -78,7 +78,7 @@
 {
   // Guards against a restarted daemon that sends no calls until a heartbeat.
   WorkerPresence worker{ 1500ms };
-  worker.OnPrevious(Previous("a"));
+  CHECK(worker.OnPrevious(Previous("a")) == Change::None);
   CHECK(worker.AwaitsHealthCheck());
   CHECK(worker.OnProbed(kStart, "a", "locker-app") == Change::Arrived);
   CHECK(worker.TakesCalls());
@@ -100,14 +100,14 @@
   }
   SUBCASE("another one is")
   {
-    worker.OnPrevious(Previous("b"));
+    CHECK(worker.OnPrevious(Previous("b")) == Change::None);
   }
   SUBCASE("the known one has left")
   {
     PreviousWorker left = Previous("a");
     left.m_isLeaving = true;
-    worker.OnPrevious(Previous("a"));
-    worker.OnPrevious(left);
+    CHECK(worker.OnPrevious(Previous("a")) == Change::None);
+    CHECK(worker.OnPrevious(left) == Change::None);
     CHECK_FALSE(worker.AwaitsHealthCheck());
   }
   CHECK(worker.OnProbed(kStart, "a", "locker-app") == Change::None);
@@ -153,6 +153,27 @@
   CHECK(worker.TakesCalls());
 }
 
+TEST_CASE("a worker that left before the daemon's restart takes no calls")
+{
+  // Guards against a delayed heartbeat that a daemon without a memory takes for
+  // one of a running worker.
+  WorkerPresence worker{ 1500ms };
+  PreviousWorker left = Previous("a");
+  left.m_isLeaving = true;
+  SUBCASE("the heartbeat comes after the peers' knowledge")
+  {
+    CHECK(worker.OnPrevious(left) == Change::None);
+    CHECK(worker.OnReport(kStart, Report("a", 7)) == Change::None);
+  }
+  SUBCASE("the heartbeat comes before it")
+  {
+    CHECK(worker.OnReport(kStart, Report("a", 7)) == Change::Arrived);
+    CHECK(worker.OnPrevious(left) == Change::Leaving);
+  }
+  CHECK_FALSE(worker.TakesCalls());
+  CHECK(worker.OnReport(kStart + 9s, Report("b", 1)) == Change::Arrived);
+}
+
 TEST_CASE("another incarnation is accepted while the current one is silent")
 {
   WorkerPresence worker{ 1500ms };
--- a/tests/calls/worker_restart.cpp
+++ b/tests/calls/worker_restart.cpp
@@ -144,7 +144,7 @@
 {
   WorkerPresence worker{ kPeriod };
   const std::string id = Report(kWorkerStart, 0).m_incarnation.m_id;
-  worker.OnPrevious({ .m_idTag = IdTagOf(id) });
+  CHECK(worker.OnPrevious({ .m_idTag = IdTagOf(id) }) == Change::None);
   CHECK(worker.OnProbed(kStart, id, "locker-app") == Change::Arrived);
   CHECK(worker.OnReport(kStart + 1s, Report(kWorkerStart, 7)) ==
         Change::Updated);
