Believe the worker's own reports over earlier ones without a start time

What callers saw: one heartbeat of another writer, with the worker's id and a high sequence number and without a start time, is the first after a start. The worker's own heartbeats are answered and ignored, its drain too: requests go on reaching it until it exits (DRAIN).

Cause: the first report is accepted without a start time, which later ones are compared with by their sequence numbers alone.

Change: a report with a start time supersedes an accepted one without, whatever the sequence numbers, with the same id or another. A leave that only the former stated is dropped with it; one that the worker stated in a response, or by a deregistration, stays.

--- a/include/greengagehub/calls/worker_presence.hpp
+++ b/include/greengagehub/calls/worker_presence.hpp
@@ -129,6 +129,9 @@
     TimePoint aNow,
     const WorkerIncarnation& aIncarnation) const;
   [[nodiscard]] bool HasLeftBefore(const WorkerIncarnation& aIncarnation) const;
+  /// \returns Whether the report has a start time and the accepted one has
+  /// none, which is then another writer's.
+  [[nodiscard]] bool SupersedesCurrent(const WorkerReport& aReport) const;
   /// \returns Whether the incarnation is accepted at its first report.
   [[nodiscard]] bool IsSuccessor(TimePoint aNow,
                                  const WorkerReport& aReport) const;
@@ -151,6 +154,8 @@
   /// As different peers know them.
   std::vector<PreviousWorker> m_previousWorkers;
   bool m_isReplaced{ false };
+  /// The current incarnation has deregistered or stated that it is leaving.
+  bool m_hasLeft{ false };
   /// Whether reports have a start time. Those without one are then ignored, as
   /// they come from another sender.
   bool m_reportsStartTime{ false };
--- a/src/calls/worker_presence.cpp
+++ b/src/calls/worker_presence.cpp
@@ -75,6 +75,14 @@
   return found == m_pastIncarnations.end() ? nullptr : &*found;
 }
 
+bool
+WorkerPresence::SupersedesCurrent(const WorkerReport& aReport) const
+{
+  return m_current && m_current->m_sequence > 0 &&
+         !m_current->m_incarnation.m_startedAt &&
+         aReport.m_incarnation.m_startedAt;
+}
+
 bool
 WorkerPresence::IsSuccessor(TimePoint aNow, const WorkerReport& aReport) const
 {
@@ -88,6 +96,9 @@
   if (known.m_startedAt && aReport.m_incarnation.m_startedAt) {
     return *aReport.m_incarnation.m_startedAt > *known.m_startedAt;
   }
+  if (SupersedesCurrent(aReport)) {
+    return true;
+  }
   // Without start times: a delayed report of an earlier incarnation has a
   // higher sequence number than one of a new process.
   return aReport.m_sequence <= m_current->m_sequence;
@@ -116,11 +127,12 @@
 WorkerPresence::Change
 WorkerPresence::UpdateCurrent(TimePoint aNow, const WorkerReport& aReport)
 {
-  if (aReport.m_sequence <= m_current->m_sequence) {
+  const bool supersedes = SupersedesCurrent(aReport);
+  if (aReport.m_sequence <= m_current->m_sequence && !supersedes) {
     return Change::None;
   }
   const bool wasReplaced = std::exchange(m_isReplaced, false);
-  const bool wasLeaving = m_current->m_isDraining;
+  const bool wasLeaving = m_hasLeft || (m_current->m_isDraining && !supersedes);
   const bool wasConfirmed = m_current->m_sequence > 0;
   const bool isUnchanged = wasConfirmed &&
                            m_current->m_slots == aReport.m_slots &&
@@ -148,6 +160,7 @@
   });
   m_candidate.reset();
   m_isReplaced = false;
+  m_hasLeft = false;
   m_lastReportAt = aNow;
   m_current = aReport;
   return aReport.m_isDraining ? Change::Leaving : Change::Arrived;
@@ -239,10 +252,13 @@
 WorkerPresence::Change
 WorkerPresence::OnLeaving()
 {
-  if (!m_current || m_current->m_isDraining) {
+  if (!m_current) {
+    return Change::None;
+  }
+  m_hasLeft = true;
+  if (std::exchange(m_current->m_isDraining, true)) {
     return Change::None;
   }
-  m_current->m_isDraining = true;
   return Change::Leaving;
 }
 
--- a/tests/calls/worker_restart.cpp
+++ b/tests/calls/worker_restart.cpp
@@ -163,6 +163,37 @@
   CHECK(IsServing(worker, kWorkerStart));
 }
 
+TEST_CASE("a first report of another writer does not hide the worker's own")
+{
+  // Guards against a drain that is acknowledged and ignored, as a report
+  // without a start time and with a high sequence number came first.
+  WorkerPresence worker{ kPeriod };
+  WorkerReport foreign = Report(kWorkerStart, 1'000'000);
+  foreign.m_incarnation.m_startedAt.reset();
+  SUBCASE("with the worker's id") {}
+  SUBCASE("with another id")
+  {
+    foreign.m_incarnation.m_id = "foreign";
+  }
+  SUBCASE("with another id and a low sequence number")
+  {
+    foreign.m_incarnation.m_id = "foreign";
+    foreign.m_sequence = 1;
+  }
+  SUBCASE("that says it is leaving")
+  {
+    foreign.m_isDraining = true;
+  }
+  CHECK(worker.OnReport(kStart, foreign) != Change::None);
+  CHECK(worker.OnReport(kStart + 100ms, Report(kWorkerStart, 2)) !=
+        Change::None);
+  CHECK(IsServing(worker, kWorkerStart));
+  CHECK(worker.OnReport(kStart + 200ms, foreign) == Change::None);
+  CHECK(worker.OnReport(kStart + kPeriod, Report(kWorkerStart, 3, true)) ==
+        Change::Leaving);
+  CHECK_FALSE(worker.TakesCalls());
+}
+
 TEST_CASE(
   "a deregistration of an unknown incarnation blocks its id for a limited time")
 {
