Take no unnamed refusal on a used connection for that of a request

Workers send an additional response late, when the next request on the connection runs: a 503 marked as not executed, without the id of a request, as refusals of sound workers have none either.

Cause: a response without an id was taken for that of the request in progress. On a connection that has carried a request before, it may belong to that one.

Change: such a response leaves the outcome of a request that may not run again unknown, and the connection is closed; requests that may run again are retried as before. For 5 s after a response without an id, requests that may run once get new connections, on which the first response is the request's own, so that a worker that really refuses costs one of them its retry in 5 s.

Ruled out: waiting for the real response (a refused request would be held until its deadline); new connections for all of these requests (a connection each).

Test: run_service, with requests of both kinds.

--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -202,7 +202,9 @@
   /// \returns Whether it is a success without the signature header, which the
   /// backend server did not send.
   [[nodiscard]] bool IsUnsigned(const HttpResponse& aResponse) const;
-  [[nodiscard]] CallAnswer AnswerFrom(CallKey aKey, BackendResult aResult);
+  [[nodiscard]] CallAnswer AnswerFrom(CallKey aKey,
+                                      BackendResult aResult,
+                                      bool aIsIdempotent);
   [[nodiscard]] CallAnswer AnswerFrom(CallKey aKey, HttpResponse aResponse);
   void Execute(const RunActions& aActions);
   /// \brief Adds the state of the worker to an answer and sends it.
--- a/include/greengagehub/http/backend_client.hpp
+++ b/include/greengagehub/http/backend_client.hpp
@@ -33,6 +33,8 @@
   /// Connections that were idle for longer are not reused, as the backend
   /// server may have closed them.
   std::chrono::milliseconds m_maxIdleTime{ std::chrono::seconds{ 5 } };
+  /// Whether the request may be executed again if its response is ambiguous.
+  bool m_isRepeatable{ true };
 };
 
 struct BackendResult
@@ -53,6 +55,9 @@
   /// A reused connection was lost before any byte of a response; most likely
   /// the backend server had closed it while it was idle.
   bool m_wasStale{ false };
+  /// The response names no request and came on a connection that had been used
+  /// before: it may be an additional response to an earlier request.
+  bool m_isAmbiguous{ false };
   /// The connection attempt was refused.
   bool m_refused{ false };
   /// The backend server closed or reset the connection after the send began.
@@ -79,6 +84,10 @@
 /// discarded, up to a limit at which the request is lost: a faulty backend
 /// server may send them without end. A response whose body does not fit the
 /// budget is read no further until it does.
+///
+/// For some time after a response that names no request, requests that are not
+/// repeatable get new connections: the first response on one cannot belong to
+/// an earlier request.
 class BackendClient
 {
 public:
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -179,6 +179,7 @@
     HeaderValue(call.m_headers, m_deps.m_dialect.m_requestId);
   request.m_deadline = run.m_deadline + kDeadlineGrace;
   request.m_maxIdleTime = call.m_idempotent ? kMaxIdle : kMaxIdleNonIdempotent;
+  request.m_isRepeatable = call.m_idempotent;
   m_deps.m_metrics.CountWorkerRequest();
   run.m_ticket =
     m_client.Send(std::move(request), [this, aKey](BackendResult aResult) {
@@ -255,7 +256,8 @@
       // caller's daemon retries at another worker.
       CheckWorkerAfterLoss(aKey, aResult.m_connectedAt);
     } else {
-      FinishRun(aKey, AnswerFrom(aKey, std::move(aResult)));
+      const bool isIdempotent = run->second.m_request.m_idempotent;
+      FinishRun(aKey, AnswerFrom(aKey, std::move(aResult), isIdempotent));
     }
   }
   Execute(next);
--- a/src/daemon/run_service_answers.cpp
+++ b/src/daemon/run_service_answers.cpp
@@ -46,12 +46,18 @@
 }
 
 CallAnswer
-RunService::AnswerFrom(CallKey aKey, BackendResult aResult)
+RunService::AnswerFrom(CallKey aKey, BackendResult aResult, bool aIsIdempotent)
 {
   CallAnswer answer;
   switch (aResult.m_kind) {
     case BackendResult::Kind::Answered:
       answer = AnswerFrom(aKey, std::move(aResult.m_response));
+      if (aResult.m_isAmbiguous && !aIsIdempotent &&
+          answer.m_outcome == CallOutcome::NotRun) {
+        // The request itself may be running.
+        answer =
+          Refuse(aKey.m_call, CallOutcome::Unknown, RefusalReason::AnswerLost);
+      }
       break;
     case BackendResult::Kind::NotSent:
       return Refuse(
--- a/src/http/backend_client.cpp
+++ b/src/http/backend_client.cpp
@@ -35,7 +35,8 @@
   }
   const Ticket ticket = ++m_lastTicket;
   Pointer connection;
-  if (!m_idleConnections.empty() &&
+  const bool mayReuse = aRequest.m_isRepeatable || now >= m_newConnectionsUntil;
+  if (mayReuse && !m_idleConnections.empty() &&
       m_idleConnections.back()->IdleFor(now) <= aRequest.m_maxIdleTime) {
     connection = m_idleConnections.back();
     m_idleConnections.pop_back();
--- a/src/http/backend_connection.hpp
+++ b/src/http/backend_connection.hpp
@@ -25,6 +25,9 @@
 /// Subtracted from the idle timeout that a backend server announces, to not use
 /// a connection that it is about to close.
 inline constexpr auto kIdleMargin = std::chrono::milliseconds{ 500 };
+/// How long requests that are not repeatable get new connections after a
+/// response that names no request.
+inline constexpr auto kNewConnectionsTime = std::chrono::seconds{ 5 };
 
 /// \returns Idle timeout from a "Keep-Alive: timeout=N" header, if present.
 inline std::optional<std::chrono::milliseconds>
@@ -76,6 +79,7 @@
   std::size_t m_maxAnnounced{ 0 };
   Ticket m_lastTicket{ 0 };
   std::uint64_t m_connectionAttempts{ 0 };
+  TimePoint m_newConnectionsUntil{};
 };
 
 class BackendClient::Impl::Connection
@@ -355,10 +359,17 @@
     if (const auto idle = AnnouncedIdleTimeout(result.m_response.m_headers)) {
       m_idleLimit = *idle;
     }
+    const bool namesNoRequest =
+      !m_request.m_echoHeader.empty() &&
+      HeaderValue(result.m_response.m_headers, m_request.m_echoHeader).empty();
+    if (namesNoRequest) {
+      m_client->m_newConnectionsUntil = Clock::now() + kNewConnectionsTime;
+    }
+    result.m_isAmbiguous = namesNoRequest && m_wasUsedBefore;
     // If the request was not completely written, the rest of its body would be
     // parsed as the next request.
-    const bool closes =
-      !m_parser.KeepsAlive() || aHasExtraBytes || !m_isSendComplete;
+    const bool closes = !m_parser.KeepsAlive() || aHasExtraBytes ||
+                        !m_isSendComplete || result.m_isAmbiguous;
     CompleteRequest(std::move(result), closes);
   }
 
--- a/tests/daemon/run_service.cpp
+++ b/tests/daemon/run_service.cpp
@@ -208,6 +208,38 @@
   }
 }
 
+TEST_CASE("a refusal that names no request proves nothing on a used connection")
+{
+  // Guards against a second run of a request because an additional response to
+  // an earlier one is taken for its refusal.
+  const HttpResponse named{ 200, { { "Seal", "s" }, { "Id", "r1" } } };
+  const HttpResponse unnamed{ 503, { { "Not-Executed", "1" } } };
+  HttpResponse workerResponse = named;
+  RunServiceFixture fixture{ [&](const HttpRequest&, HttpResponder aResponder) {
+    aResponder.Answer(workerResponse);
+  } };
+  CallRequest request = RunServiceFixture::ReleaseRequest();
+  SUBCASE("of a request that may run once")
+  {
+    request.m_idempotent = false;
+    CHECK(fixture.Call(request).m_outcome == CallOutcome::Answered);
+    workerResponse = unnamed;
+    const CallAnswer answer = fixture.Call(request);
+    CHECK(answer.m_outcome == CallOutcome::Unknown);
+    CHECK(answer.m_reason == RefusalReason::AnswerLost);
+    // The next ones are sent on connections without earlier requests.
+    CHECK(fixture.Call(request).m_outcome == CallOutcome::NotRun);
+    CHECK(fixture.Call(request).m_outcome == CallOutcome::NotRun);
+  }
+  SUBCASE("of a request that may run again")
+  {
+    request.m_idempotent = true;
+    CHECK(fixture.Call(request).m_outcome == CallOutcome::Answered);
+    workerResponse = unnamed;
+    CHECK(fixture.Call(request).m_outcome == CallOutcome::NotRun);
+  }
+}
+
 TEST_CASE("a crash of the worker is reported with all its runs")
 {
   // Guards against a crash report that lacks one of several concurrent runs.
