Refuse calls that a daemon routes by a version long outdated

Change: an answer names the version in force at the worker's daemon where it is newer than the one that the call was routed by; the caller's daemon takes it for a digest and pulls. A call that was routed by a version which has been succeeded for more than half of the time in which versions have to be in force (1 s of 2 s on the platform), to a service that the newer version's route does not select, is refused as not run (config-behind) and not retried elsewhere. So a daemon that sends calls is behind for one call, and a call of one that cannot pull is not run by a former service.

Weighed: refusing at once would reject calls that were routed rightly, a moment before a change; in storms daemons are some 0.3 s apart. Calls that wait in a worker's queue are checked on arrival only, as they were sent in time. Older daemons send no version and are not refused; to them the refusal is 'no worker'.

--- a/include/greengagehub/calls/call.hpp
+++ b/include/greengagehub/calls/call.hpp
@@ -73,8 +73,7 @@
   RateLimited,
   /// The answer would not pass a network link in time.
   LinkBusy,
-  /// No route in force here, but a newer version that is known to exist may
-  /// have one. Never sent between daemons.
+  /// A newer version that is known to exist has, or may have, another route.
   ConfigBehind,
 };
 
@@ -194,6 +193,9 @@
   /// Time from the end of a run until another such answer would have left the
   /// link of the worker's instance; 0 for small answers.
   std::chrono::microseconds m_linkWait{ 0 };
+  /// Version in force at the worker's daemon if it is newer than the one that
+  /// the call was routed by; 0: it is not, or not known.
+  Version m_newerVersion{};
 };
 
 [[nodiscard]] CallAnswer
--- a/include/greengagehub/config/config.hpp
+++ b/include/greengagehub/config/config.hpp
@@ -13,3 +13,4 @@
 #include "greengagehub/config/reason.hpp"
 #include "greengagehub/config/snapshot_reader.hpp"
 #include "greengagehub/config/store_layout.hpp"
+#include "greengagehub/config/version_times.hpp"
--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -5,6 +5,7 @@
 #include "greengagehub/calls/link_booking.hpp"
 #include "greengagehub/calls/route_table.hpp"
 #include "greengagehub/config/config_holder.hpp"
+#include "greengagehub/config/version_times.hpp"
 #include "greengagehub/daemon/connection_log.hpp"
 #include "greengagehub/daemon/descriptor_budget.hpp"
 #include "greengagehub/daemon/quarantine_service.hpp"
@@ -51,6 +52,8 @@
     std::function<void(Span)> m_trace;
     std::function<bool()> m_isReady;
     std::function<Version()> m_highestKnownVersion;
+    /// A call shows that a newer version is in force at another daemon.
+    std::function<void(const std::string& aSlot, Version)> m_onNewerVersion;
     /// See RunService::Dependencies.
     std::function<void(bool aIsLeaving)> m_onWorkerLeaving;
     std::function<void()> m_onWorkerReplaced;
@@ -242,7 +245,11 @@
   void Execute(const SendCancel& aCancel);
   void Execute(FinishCall& aFinish);
   void OnServerFrame(LinkConnection& aConnection, LinkFrame aFrame);
-  void OnPoolFrame(LinkFrame aFrame);
+  void OnPoolFrame(const std::string& aSlot, LinkFrame aFrame);
+  /// \returns Whether a call of another daemon is routed by a version that
+  /// should not be in force any more, to a service that the newer version does
+  /// not select.
+  [[nodiscard]] bool IsMisrouted(const CallRequest& aRequest) const;
   void Deliver(CallKey aKey, CallAnswer aAnswer);
   void OnCallerConnectionClosed(std::uint64_t aConnection);
   /// \brief On a service's first call, adds its workers to the routing table.
@@ -274,6 +281,7 @@
   LinkPool m_pool;
   HttpServer m_http;
   RouteTable m_routes;
+  VersionTimes m_versionTimes;
   /// Services called through this daemon. The routing table holds only their
   /// workers: rows for 38,000 would take 24 MB.
   std::set<std::string, std::less<>> m_trackedServices;
--- a/include/greengagehub/daemon/control_plane.hpp
+++ b/include/greengagehub/daemon/control_plane.hpp
@@ -104,6 +104,8 @@
   void Announce(MemberState aState);
   void Announce(MemberState aState, WorkerDescription aWorker);
   void OnProcessResumed();
+  /// \brief Records that a newer version is in force at a member.
+  void OnNewerVersion(const std::string& aSlot, Version aVersion);
 
 private:
   void Tick();
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -55,6 +55,9 @@
     std::function<bool(TimePoint)> m_mayRunRetry;
     /// Version of the configuration in force.
     std::function<Version()> m_version;
+    /// Whether the caller's daemon has selected the service by a version that
+    /// should not be in force anywhere, and the newer one selects another.
+    std::function<bool(const CallRequest&)> m_isMisrouted{};
     /// Called when the worker states that it is leaving, before the response is
     /// delivered, and where no heartbeats are sent, when another one has taken
     /// its place.
--- a/src/calls/dispatch_rules.hpp
+++ b/src/calls/dispatch_rules.hpp
@@ -111,6 +111,7 @@
     case RefusalReason::RateLimited:
     case RefusalReason::RetryBudgetExhausted:
     case RefusalReason::LinkBusy:
+    case RefusalReason::ConfigBehind:
       return WorkerTable::Verdict::None;
     default:
       return WorkerTable::Verdict::Good;
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -243,6 +243,7 @@
     return true;
   }
   if (aAnswer.m_reason == RefusalReason::Quarantined ||
+      aAnswer.m_reason == RefusalReason::ConfigBehind ||
       aAnswer.m_reason == RefusalReason::RetryBudgetExhausted) {
     return false;
   }
--- /dev/null
+++ b/src/config/version_times.cpp
@@ -0,0 +1,27 @@
+#include "greengagehub/config/version_times.hpp"
+
+#include <algorithm>
+
+namespace greengagehub {
+
+void
+VersionTimes::Record(TimePoint aNow, Version aVersion)
+{
+  if (!m_entries.empty() && aVersion <= m_entries.back().m_version) {
+    return;
+  }
+  m_entries.push_back({ aVersion, aNow });
+  if (m_entries.size() > kMaxEntries) {
+    m_entries.pop_front();
+  }
+}
+
+std::optional<TimePoint>
+VersionTimes::FirstAfter(Version aVersion) const
+{
+  const auto first = std::ranges::find_if(
+    m_entries, [&](const Entry& aEach) { return aEach.m_version > aVersion; });
+  return first == m_entries.end() ? std::nullopt : std::optional{ first->m_at };
+}
+
+}
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -61,39 +61,42 @@
   , m_descriptors(DescriptorsOf(m_deps.m_settings))
   , m_linkOut(m_deps.m_settings.m_calls.m_booksLinks ? m_pacer.Rate() : 0.0)
   , m_linkIn(m_deps.m_settings.m_calls.m_booksLinks ? m_pacer.Rate() : 0.0)
-  , m_runService({ .m_loop = m_deps.m_loop,
-                   .m_settings = m_deps.m_settings,
-                   .m_dialect = m_deps.m_dialect,
-                   .m_metrics = m_deps.m_metrics,
-                   .m_requestLog = m_deps.m_requestLog,
-                   .m_quarantine = m_deps.m_quarantine.Table(),
-                   .m_rollouts = m_deps.m_rollouts.Table(),
-                   .m_seed = m_random(),
-                   .m_deliver =
-                     [this](CallKey aKey, CallAnswer aAnswer) {
-                       Deliver(aKey, std::move(aAnswer));
-                     },
-                   .m_trace = m_deps.m_trace,
-                   .m_onCrash =
-                     [this](CrashReport aReport) {
-                       m_deps.m_quarantine.OnLocalCrash(std::move(aReport));
-                     },
-                   .m_onSuccess =
-                     [this](Fingerprint aFingerprint) {
-                       m_deps.m_quarantine.OnSuccess(aFingerprint);
-                     },
-                   .m_mayRunRetry =
-                     [this](TimePoint aNow) {
-                       return !m_dispatcher.AreRetriesUsedUp(
-                         aNow, m_deps.m_settings.m_service);
-                     },
-                   .m_version = [this] { return m_deps.m_holder.GetVersion(); },
-                   .m_onLeaving = m_deps.m_onWorkerLeaving,
-                   .m_onReplaced = m_deps.m_onWorkerReplaced,
-                   .m_pacer = &m_pacer,
-                   .m_linkOut = &m_linkOut,
-                   .m_bodies = m_bodies,
-                   .m_process = m_deps.m_process })
+  , m_runService(
+      { .m_loop = m_deps.m_loop,
+        .m_settings = m_deps.m_settings,
+        .m_dialect = m_deps.m_dialect,
+        .m_metrics = m_deps.m_metrics,
+        .m_requestLog = m_deps.m_requestLog,
+        .m_quarantine = m_deps.m_quarantine.Table(),
+        .m_rollouts = m_deps.m_rollouts.Table(),
+        .m_seed = m_random(),
+        .m_deliver =
+          [this](CallKey aKey, CallAnswer aAnswer) {
+            Deliver(aKey, std::move(aAnswer));
+          },
+        .m_trace = m_deps.m_trace,
+        .m_onCrash =
+          [this](CrashReport aReport) {
+            m_deps.m_quarantine.OnLocalCrash(std::move(aReport));
+          },
+        .m_onSuccess =
+          [this](Fingerprint aFingerprint) {
+            m_deps.m_quarantine.OnSuccess(aFingerprint);
+          },
+        .m_mayRunRetry =
+          [this](TimePoint aNow) {
+            return !m_dispatcher.AreRetriesUsedUp(aNow,
+                                                  m_deps.m_settings.m_service);
+          },
+        .m_version = [this] { return m_deps.m_holder.GetVersion(); },
+        .m_isMisrouted =
+          [this](const CallRequest& aRequest) { return IsMisrouted(aRequest); },
+        .m_onLeaving = m_deps.m_onWorkerLeaving,
+        .m_onReplaced = m_deps.m_onWorkerReplaced,
+        .m_pacer = &m_pacer,
+        .m_linkOut = &m_linkOut,
+        .m_bodies = m_bodies,
+        .m_process = m_deps.m_process })
   , m_server(m_deps.m_loop,
              m_deps.m_settings.m_listen.m_host,
              m_deps.m_settings.m_listen.m_linkPort,
@@ -149,7 +152,7 @@
       m_dispatcher.Workers().MarkUnavailable(aSlot);
       return;
     }
-    OnPoolFrame(std::move(aFrame));
+    OnPoolFrame(aSlot, std::move(aFrame));
   };
   handlers.m_onConnected = [this](const std::string& aSlot,
                                   std::uint64_t aProcess) {
--- a/src/daemon/call_gateway_links.cpp
+++ b/src/daemon/call_gateway_links.cpp
@@ -1,5 +1,6 @@
 #include "greengagehub/daemon/call_gateway.hpp"
 
+#include "greengagehub/daemon/call_headers.hpp"
 #include "greengagehub/daemon/wall_clock.hpp"
 
 #include <algorithm>
@@ -15,6 +16,22 @@
 /// estimated share of retried runs.
 constexpr double kRetryBudgetShare = 0.85;
 
+/// A call routed by an older version is checked after this part of the time in
+/// which a version has to be in force. Before, the caller's daemon may rightly
+/// have the older one.
+constexpr int kMisroutedDivisor = 2;
+
+bool
+LeadsTo(const Route& aRoute, const std::string& aService)
+{
+  if (aRoute.m_split.empty()) {
+    return aRoute.m_service == aService;
+  }
+  return std::ranges::any_of(aRoute.m_split, [&](const WeightedService& aEach) {
+    return aEach.m_service == aService;
+  });
+}
+
 /// \returns The limits of the configuration; where it sets none, those of the
 /// settings or the defaults.
 HttpServerLimits
@@ -86,9 +103,12 @@
 }
 
 void
-CallGateway::OnPoolFrame(LinkFrame aFrame)
+CallGateway::OnPoolFrame(const std::string& aSlot, LinkFrame aFrame)
 {
   if (auto* answer = std::get_if<CallAnswer>(&aFrame)) {
+    if (answer->m_newerVersion > m_deps.m_holder.GetVersion()) {
+      m_deps.m_onNewerVersion(aSlot, answer->m_newerVersion);
+    }
     Execute(m_dispatcher.OnAnswer(Clock::now(), std::move(*answer)));
     return;
   }
@@ -201,6 +221,7 @@
 CallGateway::OnVersion()
 {
   const Content& content = m_deps.m_holder.Active()->m_content;
+  m_versionTimes.Record(Clock::now(), m_deps.m_holder.GetVersion());
   m_routes = RouteTable{ content };
   m_dispatcher.SetRetryLimits(RetryLimitsNow());
   const HttpServerLimits limits =
@@ -211,6 +232,22 @@
   asio::post(m_deps.m_loop, [this] { ReleaseStartBuffer(Clock::now()); });
 }
 
+bool
+CallGateway::IsMisrouted(const CallRequest& aRequest) const
+{
+  const auto newerSince = m_versionTimes.FirstAfter(aRequest.m_routedBy);
+  const Duration limit =
+    m_deps.m_settings.m_platform.m_maxConfigDelay / kMisroutedDivisor;
+  const bool isLate = aRequest.m_routedBy > Version{} && newerSince &&
+                      Clock::now() - *newerSince > limit;
+  if (!isLate) {
+    return false;
+  }
+  const Route* route =
+    m_routes.Find(HostOf(aRequest.m_headers), PathOf(aRequest.m_target));
+  return route == nullptr || !LeadsTo(*route, aRequest.m_service);
+}
+
 RetryLimits
 CallGateway::RetryLimitsNow() const
 {
--- a/src/daemon/control_plane_versions.cpp
+++ b/src/daemon/control_plane_versions.cpp
@@ -92,6 +92,19 @@
   m_handlers.m_onVersion();
 }
 
+void
+ControlPlane::OnNewerVersion(const std::string& aSlot, Version aVersion)
+{
+  const auto member = m_membership.Members().Find(aSlot);
+  if (!member) {
+    return;
+  }
+  m_membership.RecordVersion(aSlot, aVersion);
+  const MemberRecord& record = m_membership.Members().At(*member).m_record;
+  m_disseminator.OnDigest(
+    Clock::now(), m_holder, { aVersion, {} }, m_membership.PeerOf(record));
+}
+
 bool
 ControlPlane::IsOnAnotherHistory(const VersionDigest& aHead) const
 {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -110,6 +110,10 @@
               .m_isReady = [this] { return m_control.IsReady(); },
               .m_highestKnownVersion =
                 [this] { return m_control.HighestKnownVersion(); },
+              .m_onNewerVersion =
+                [this](const std::string& aSlot, Version aVersion) {
+                  m_control.OnNewerVersion(aSlot, aVersion);
+                },
               .m_onWorkerLeaving =
                 [this](bool aIsLeaving) { OnWorkerLeaving(aIsLeaving); },
               .m_onWorkerReplaced =
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -12,6 +12,8 @@
 /// Retry time of a suspect request while another one runs; long enough for that
 /// run to crash the worker or succeed.
 constexpr auto kSuspectRetryAfter = std::chrono::milliseconds{ 100 };
+/// The caller's daemon learns of the newer version from the answer.
+constexpr auto kCallerBehindRetryAfter = std::chrono::milliseconds{ 200 };
 /// Longest idle time of a connection before it is reused. A non-idempotent call
 /// needs a fresh one: if the worker has closed it, the reset does not show
 /// whether the call ran.
@@ -73,6 +75,14 @@
       Refuse(aKey.m_call, CallOutcome::NotRun, RefusalReason::WorkerReplaced));
     return;
   }
+  if (m_deps.m_isMisrouted && m_deps.m_isMisrouted(aRequest)) {
+    RefuseRun(now,
+              aKey,
+              aRequest,
+              {},
+              { RefusalReason::ConfigBehind, kCallerBehindRetryAfter });
+    return;
+  }
   ApplyKnownStatement(aRequest.m_knownStatement);
   if (aRequest.m_isBodyDropped) {
     RefuseRun(now,
@@ -330,6 +340,9 @@
     m_runs.ExpectedWaitOfKind(now, aRequest.m_priority, kind));
   aAnswer.m_linkWait = duration_cast<microseconds>(LinkWaitOf(now, aRequest));
   aAnswer.m_statement = Statement();
+  if (const Version active = m_deps.m_version(); aRequest.m_routedBy < active) {
+    aAnswer.m_newerVersion = active;
+  }
   m_deps.m_deliver(aKey, std::move(aAnswer));
 }
 
--- a/src/transport/link_codec.cpp
+++ b/src/transport/link_codec.cpp
@@ -49,7 +49,8 @@
     case RefusalReason::LinkBusy:
       return RefusalReason::Overloaded;
     case RefusalReason::NotInService:
-      // A worker out of service is equivalent to no worker.
+    case RefusalReason::ConfigBehind:
+      // A worker that may not run the call is equivalent to no worker.
       return RefusalReason::NoWorker;
     default:
       return aReason;
@@ -172,6 +173,8 @@
     out.set_no_repeats(aAnswer.m_reason == RefusalReason::RetryBudgetExhausted);
     out.set_rate_limited(aAnswer.m_reason == RefusalReason::RateLimited);
     out.set_link_busy(aAnswer.m_reason == RefusalReason::LinkBusy);
+    out.set_caller_behind(aAnswer.m_reason == RefusalReason::ConfigBehind);
+    out.set_version(aAnswer.m_newerVersion.m_number);
     out.set_link_wait_us(
       static_cast<std::uint64_t>(aAnswer.m_linkWait.count()));
     LimitToWire(aAnswer.m_statement, out);
@@ -292,6 +295,8 @@
     answer.m_reason = RefusalReason::RateLimited;
   } else if (aWire.link_busy()) {
     answer.m_reason = RefusalReason::LinkBusy;
+  } else if (aWire.caller_behind()) {
+    answer.m_reason = RefusalReason::ConfigBehind;
   } else if (aWire.ends() > 0) {
     answer.m_reason = RefusalReason::WorkerCrashed;
   }
@@ -315,6 +320,7 @@
       std::chrono::microseconds{ aWire.time_at_worker_us() };
   }
   answer.m_linkWait = LinkTimeFrom(aWire.link_wait_us());
+  answer.m_newerVersion = Version{ aWire.version() };
   return LinkFrame{ std::move(answer) };
 }
 
--- a/tests/calls/dispatcher.cpp
+++ b/tests/calls/dispatcher.cpp
@@ -115,6 +115,19 @@
   CHECK(call.m_sends == 2);
 }
 
+TEST_CASE("a call is not retried where its caller's daemon is behind")
+{
+  // Guards against attempts at further daemons, which all have the newer
+  // version.
+  SingleCall call{ true };
+  CallAnswer answer =
+    Refuse(call.m_attempt, CallOutcome::NotRun, RefusalReason::ConfigBehind);
+  call.Apply(call.m_dispatcher.OnAnswer(kStart, answer));
+  CHECK(call.m_sends == 1);
+  REQUIRE(call.m_final);
+  CHECK(call.m_final->m_outcome == CallOutcome::NotRun);
+}
+
 TEST_CASE("the answer of an abandoned attempt is ignored")
 {
   SingleCall call{ true };
--- a/tests/transport/codec.cpp
+++ b/tests/transport/codec.cpp
@@ -360,6 +360,12 @@
   CallRequest request;
   request.m_routedBy = Version{ 41 };
   CHECK(std::get<CallRequest>(RoundTrip(request)).m_routedBy == Version{ 41 });
+  CallAnswer answer;
+  answer.m_reason = RefusalReason::ConfigBehind;
+  answer.m_newerVersion = Version{ 42 };
+  const auto got = std::get<CallAnswer>(RoundTrip(answer));
+  CHECK(got.m_reason == RefusalReason::ConfigBehind);
+  CHECK(got.m_newerVersion == Version{ 42 });
 }
 
 TEST_CASE("the time at the worker is optional, and bounded")
