Keep a repeatable call whose link is lost, where there is no other worker

What callers saw: 502 for a request that its worker runs and answers with 200, as the daemon beside it got no processor time for a second.

Cause: an attempt that may run again is given up when its link is lost, to try another worker. Without one the call fails, although the worker is at work.

Change: without another worker such a call is kept like one that may run once: its state is asked for on the next link. If the daemon has exited, the call ends then; if it cannot be reached, at its deadline.

Ruled out: a longer time until a link counts as lost, which delays each retry.

--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -384,7 +384,9 @@
   }
   for (const std::uint64_t id : affected) {
     Call& call = m_calls.at(id);
-    if (!call.m_plan.m_idempotent) {
+    // Without another worker a repeatable attempt is not given up either: its
+    // worker may be running it.
+    if (!call.m_plan.m_idempotent || !SelectWorker(aNow, call)) {
       call.m_inDoubt = true; // the state is queried on the next connection
       continue;
     }
--- a/tests/calls/dispatcher.cpp
+++ b/tests/calls/dispatcher.cpp
@@ -115,6 +115,37 @@
   CHECK(call.m_sends == 2);
 }
 
+TEST_CASE("an idempotent call without another worker outlives its connection")
+{
+  // Guards against a failure of a call that its worker runs, because the
+  // worker's daemon was late.
+  SingleCall call{ true };
+  call.m_dispatcher.Workers().MarkUnavailable(call.m_slot == "a" ? "b" : "a");
+  call.Apply(call.m_dispatcher.OnLinkLost(kStart, call.m_slot));
+  CHECK(call.m_sends == 1);
+  CHECK_FALSE(call.m_final);
+  SUBCASE("its worker answers")
+  {
+    call.Apply(
+      call.m_dispatcher.OnLinkUp(kStart, call.m_slot, SingleCall::kProcess));
+    CHECK(call.m_cancels == 1);
+    call.Apply(call.m_dispatcher.OnCancelResult(
+      kStart, call.m_attempt, AttemptState::Started));
+    CallAnswer answer;
+    answer.m_call = call.m_attempt;
+    answer.m_outcome = CallOutcome::Answered;
+    call.Apply(call.m_dispatcher.OnAnswer(kStart, answer));
+    REQUIRE(call.m_final);
+    CHECK(call.m_final->m_outcome == CallOutcome::Answered);
+  }
+  SUBCASE("the worker's daemon has exited")
+  {
+    call.Apply(call.m_dispatcher.OnLinkUp(kStart, call.m_slot, 0));
+    REQUIRE(call.m_final);
+    CHECK(call.m_final->m_outcome == CallOutcome::Unknown);
+  }
+}
+
 TEST_CASE("a call is not retried where its caller's daemon is behind")
 {
   // Guards against attempts at further daemons, which all have the newer
