Test requests that come late in a stop and wait in another queue

Six unsafe requests come 2.6 s after SIGTERM, when their own worker takes no more, and wait for the one slot of the other. Each gets an answer before the process ends: 200 where it ran, 503 where it did not and does not later; the daemon exits with 0.

--- a/tests/end_to_end/stops.cpp
+++ b/tests/end_to_end/stops.cpp
@@ -208,6 +208,56 @@
   CHECK(fleet.Daemon("lockers-1").Wait() == 1);
 }
 
+TEST_CASE("requests that come late in a stop and wait elsewhere are answered")
+{
+  // Guards against requests that are taken near the end of the grace time,
+  // begin to run late in another worker's queue, and are cut.
+  Fleet fleet;
+  for (const char* slot : { "lockers-1", "lockers-2" }) {
+    fleet.Add({ .m_slot = slot,
+                .m_service = "lockers",
+                .m_slots = 1,
+                .m_serviceMs = 700,
+                .m_onPlatform = true });
+  }
+  Json rule = Rule("release", "unsafe", "/release/");
+  rule["action"]["timeout_ms"] = 5000;
+  fleet.PutPlatformConfig(Document("0000000c", Json::array({ rule })));
+  WaitForLockers(fleet);
+  Process& daemon = fleet.Daemon("lockers-1");
+  daemon.Signal(SIGTERM);
+  const TimePoint stoppedAt = Clock::now();
+  REQUIRE(WaitUntil([&] { return Clock::now() - stoppedAt > 2600ms; }));
+  constexpr int kClients = 6;
+  std::vector<CallResult> results(kClients);
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kClients; ++i) {
+    callers.emplace_back([&, i] {
+      results[static_cast<std::size_t>(i)] =
+        SendRequest(fleet,
+                    "lockers-1",
+                    "POST",
+                    "/release/1",
+                    fmt::format("late-{}", i),
+                    "5000");
+    });
+  }
+  for (std::thread& each : callers) {
+    each.join();
+  }
+  int served = 0;
+  for (int i = 0; i < kClients; ++i) {
+    const CallResult& result = results[static_cast<std::size_t>(i)];
+    const std::uint64_t runs = Runs(fleet, fmt::format("late-{}", i));
+    CHECK(result.m_result.m_kind == HttpClientResult::Kind::Answered);
+    CHECK((result.Status() == 200 || result.Status() == 503));
+    CHECK(runs == (result.Status() == 200 ? 1 : 0));
+    served += result.Status() == 200 ? 1 : 0;
+  }
+  CHECK(served > 0);
+  CHECK(daemon.Wait() == 0);
+}
+
 TEST_CASE("a run survives a late loop of its worker's daemon")
 {
   // Guards against answers of our own in the place of a worker that is at work,
