Reject JSON that is nested too deep before it is copied or written

Seen here in two places (SIGSEGV, config_test and platform_test on the code before): an operator's patch of 200 kB that is nested 100,000 deep ends the daemon that it is handed to, and a configuration document with such a value ends every daemon that reads it. Heartbeats, seeds, verdicts, roll-outs, the decision log and manifests were read without harm.

Cause: the JSON library parses without recursion, and copies and writes with it.

Change: one ParseJson() for all values of others, which rejects what is nested deeper than 64; a patch is refused as such, a document is unreadable as a whole and the version in force stays.

Ruled out: numbers and ports out of range, checked by FieldReader; responses of the store, of which only strings and numbers are taken.

Tests: each kind of value with each field replaced by ten odd ones, in the programs of config, membership, quarantine, platform and rollout.

--- a/include/greengagehub/core/core.hpp
+++ b/include/greengagehub/core/core.hpp
@@ -12,6 +12,7 @@
 #include "greengagehub/core/field_reader.hpp"
 #include "greengagehub/core/link_pacer.hpp"
 #include "greengagehub/core/outcome.hpp"
+#include "greengagehub/core/parse_json.hpp"
 #include "greengagehub/core/random.hpp"
 #include "greengagehub/core/store_message.hpp"
 #include "greengagehub/core/table.hpp"
--- a/src/config/content.cpp
+++ b/src/config/content.cpp
@@ -1,5 +1,7 @@
 #include "greengagehub/config/content.hpp"
 
+#include "greengagehub/core/parse_json.hpp"
+
 #include "content_patcher.hpp"
 
 #include <array>
@@ -67,9 +69,11 @@
 std::vector<Reason>
 Content::Apply(std::string_view aPatch)
 {
-  const Json patch = Json::parse(aPatch, nullptr, false);
+  const Json patch = ParseJson(aPatch);
   if (patch.is_discarded()) {
-    return { Reason{ ReasonCode::NotJson, "", "the patch is not JSON" } };
+    return { Reason{ ReasonCode::NotJson,
+                     "",
+                     "the patch is not JSON, or is nested too deep" } };
   }
   ContentPatcher patcher{ *this };
   return patcher.Run(patch);
@@ -85,9 +89,10 @@
 Outcome<std::string>
 CanonicalPatch(std::string_view aText)
 {
-  const Json patch = Json::parse(aText, nullptr, false);
+  const Json patch = ParseJson(aText);
   if (patch.is_discarded()) {
-    return Error{ ErrorCode::Invalid, "the patch is not JSON" };
+    return Error{ ErrorCode::Invalid,
+                  "the patch is not JSON, or is nested too deep" };
   }
   std::string text = patch.dump(-1, ' ', false, Json::error_handler_t::replace);
   if (text.size() > kMaxPatchBytes) {
--- a/src/config/decision_json.cpp
+++ b/src/config/decision_json.cpp
@@ -1,5 +1,6 @@
 #include "greengagehub/config/decision.hpp"
 #include "greengagehub/core/field_reader.hpp"
+#include "greengagehub/core/parse_json.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -206,7 +207,7 @@
 Outcome<DecisionLog>
 ParseLog(std::string_view aText)
 {
-  const Json json = Json::parse(aText, nullptr, false);
+  const Json json = ParseJson(aText);
   if (!json.is_object()) {
     return Error{ ErrorCode::Corrupt, "decision log: expected a JSON object" };
   }
@@ -216,7 +217,7 @@
 Outcome<std::vector<Decision>>
 ParseDecisions(std::string_view aText)
 {
-  const Json json = Json::parse(aText, nullptr, false);
+  const Json json = ParseJson(aText);
   if (!json.is_array()) {
     return Error{ ErrorCode::Corrupt, "decisions: expected a JSON array" };
   }
--- a/src/config/store_layout.cpp
+++ b/src/config/store_layout.cpp
@@ -1,6 +1,7 @@
 #include "greengagehub/config/store_layout.hpp"
 
 #include "greengagehub/core/field_reader.hpp"
+#include "greengagehub/core/parse_json.hpp"
 
 #include <charconv>
 #include <fmt/format.h>
@@ -52,7 +53,7 @@
 Outcome<SnapshotManifest>
 ParseManifest(std::string_view aText)
 {
-  const auto json = nlohmann::json::parse(aText, nullptr, false);
+  const auto json = ParseJson(aText);
   FieldReader fields{ json };
   const auto chain = ParseDigest(fields.Text("chain"));
   const auto content = ParseDigest(fields.Text("content"));
--- a/src/membership/watch_lease.cpp
+++ b/src/membership/watch_lease.cpp
@@ -2,6 +2,7 @@
 
 #include "greengagehub/config/store_layout.hpp"
 #include "greengagehub/core/field_reader.hpp"
+#include "greengagehub/core/parse_json.hpp"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -170,7 +171,7 @@
 std::optional<MemberAddress>
 ParseSeed(std::string_view aText)
 {
-  const auto json = nlohmann::json::parse(aText, nullptr, false);
+  const auto json = ParseJson(aText);
   FieldReader fields{ json };
   const auto port = [&fields](const char* aName) {
     return static_cast<std::uint16_t>(fields.Unsigned(aName, UINT16_MAX));
--- a/src/quarantine/verdict_writer.cpp
+++ b/src/quarantine/verdict_writer.cpp
@@ -1,6 +1,7 @@
 #include "greengagehub/quarantine/verdict_writer.hpp"
 
 #include "greengagehub/core/field_reader.hpp"
+#include "greengagehub/core/parse_json.hpp"
 #include "greengagehub/quarantine/quarantine.hpp"
 
 #include <algorithm>
@@ -44,7 +45,7 @@
   if (!fingerprint) {
     return fingerprint.error();
   }
-  const Json json = Json::parse(aValue, nullptr, false);
+  const Json json = ParseJson(aValue);
   FieldReader fields{ json };
   QuarantineVerdict verdict;
   verdict.m_fingerprint = fingerprint.value();
--- a/tests/config/malformed_values.cpp
+++ b/tests/config/malformed_values.cpp
@@ -2,6 +2,7 @@
 #include "greengagehub/config/decision.hpp"
 #include "greengagehub/config/store_layout.hpp"
 #include "support/damage.hpp"
+#include "support/odd_entries.hpp"
 
 #include <doctest/doctest.h>
 #include <functional>
@@ -185,3 +186,25 @@
     static_cast<void>(FindInIndex(test::Damaged(index, random), "p"));
   }
 }
+
+TEST_CASE("an operator's odd patch ends no daemon")
+{
+  // Guards against values that are nested too deep for a recursive function.
+  const std::string deep = test::DeeplyNested();
+  const std::vector<std::string> patches{
+    deep,
+    R"({"services":)" + deep + "}",
+    R"({"services":{"a":{"health_path":)" + deep + "}}}",
+    R"({"routes":{"r":{"host":"h","path":"/","service":)" + deep + "}}}",
+    R"({"limits":{"max_body_bytes":)" + deep + "}}",
+    R"({"services":{"a":{"x":1e999}}})"
+  };
+  for (const std::string& each : patches) {
+    CHECK_FALSE(CanonicalPatch(each));
+    Content content;
+    CHECK_FALSE(content.Apply(each).empty());
+    static_cast<void>(ParseLog(each));
+    static_cast<void>(ParseDecisions(each));
+    static_cast<void>(ParseManifest(each));
+  }
+}
--- a/tests/membership/seed_publisher.cpp
+++ b/tests/membership/seed_publisher.cpp
@@ -2,6 +2,7 @@
 #include "greengagehub/membership/watch_lease.hpp"
 
 #include "support/damage.hpp"
+#include "support/odd_entries.hpp"
 
 #include <doctest/doctest.h>
 #include <map>
@@ -201,3 +202,15 @@
     }
   }
 }
+
+TEST_CASE("odd seeds of another writer end no daemon")
+{
+  // Guards against values that are nested too deep or out of range, which end
+  // the processes that read the list.
+  const std::string seed = SeedToJson({ "10.0.0.1", 7660, 7661, 7662 });
+  for (const std::string& each : test::OddVariantsOf(seed)) {
+    const auto address = ParseSeed(each);
+    CHECK((!address ||
+           (address->m_host == "10.0.0.1" && address->m_gossipPort == 7660)));
+  }
+}
--- a/tests/platform/config_document.cpp
+++ b/tests/platform/config_document.cpp
@@ -3,6 +3,7 @@
 #include "greengagehub/config/config_holder.hpp"
 #include "greengagehub/config/content_diff.hpp"
 
+#include "support/odd_entries.hpp"
 #include "support/random_config.hpp"
 
 #include <doctest/doctest.h>
@@ -270,3 +271,34 @@
   CHECK(content.GetLimits().m_maxBodyBytes == 9);
   CHECK_FALSE(read(R"("tenants":[{"name":"a","api_keys":["k"]}],)"));
 }
+
+TEST_CASE("an odd configuration ends no daemon")
+{
+  // Guards against values that are nested too deep or out of range.
+  const std::string rule =
+    R"({"name":"r","kind":"safe","target_latency_ms":500,"priority":1,
+        "match":{"prefix":"/a/"},"action":{"service":"s","timeout_ms":9}})";
+  const auto document = [](const std::string& aRule) {
+    return R"({"version":"0000000c","limits":{},"listeners":[{"host":"h",)"
+           R"("rules":[)" +
+           aRule + R"(]}],"clusters":[{"name":"s"}]})";
+  };
+  REQUIRE(platform::ConfigReader{}.Read(document(rule)));
+  for (std::string each : test::OddVariantsOf(rule)) {
+    platform::ConfigReader reader;
+    const auto read = reader.Read(document(each));
+    if (read) {
+      Content content;
+      static_cast<void>(content.Assign(read.value().m_content));
+    }
+  }
+  std::string nested = rule;
+  const std::string_view prefix = R"("/a/")";
+  nested.replace(nested.find(prefix), prefix.size(), test::DeeplyNested());
+  platform::ConfigReader reader;
+  const auto read = reader.Read(document(nested));
+  if (read) {
+    Content content;
+    CHECK_FALSE(content.Assign(read.value().m_content).empty());
+  }
+}
--- a/tests/platform/heartbeat.cpp
+++ b/tests/platform/heartbeat.cpp
@@ -1,5 +1,6 @@
 #include "platform/heartbeat.hpp"
 #include "support/damage.hpp"
+#include "support/odd_entries.hpp"
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -145,3 +146,18 @@
     }
   }
 }
+
+TEST_CASE("odd heartbeats of another writer end no daemon")
+{
+  // Guards against values that are nested too deep or out of range, which end
+  // the process that reads them.
+  for (const std::string& each : test::OddVariantsOf(kBody)) {
+    const auto put =
+      platform::ParseWorkerRequest(Request("PUT", "/instances/i-7f", each));
+    if (put) {
+      CHECK(std::get<WorkerReport>(put.value()).m_slots > 0);
+    }
+    static_cast<void>(
+      platform::ParseWorkerRequest(Request("DELETE", "/instances/i-7f", each)));
+  }
+}
--- a/tests/quarantine/verdict_writer.cpp
+++ b/tests/quarantine/verdict_writer.cpp
@@ -1,4 +1,5 @@
 #include "greengagehub/quarantine/verdict_writer.hpp"
+#include "support/odd_entries.hpp"
 
 #include <doctest/doctest.h>
 
@@ -143,3 +144,15 @@
     CHECK(writer.CountQueued() == 1);
   }
 }
+
+TEST_CASE("odd verdicts of another writer end no daemon")
+{
+  const std::string key =
+    std::string{ kVerdictPrefix } + ToHex(MakeVerdict().m_fingerprint);
+  const std::string value = VerdictToJson(MakeVerdict(4));
+  REQUIRE(ParseVerdict(key, value));
+  for (const std::string& each : test::OddVariantsOf(value)) {
+    const auto verdict = ParseVerdict(key, each);
+    CHECK((!verdict || verdict.value().m_generation > 0));
+  }
+}
--- a/tests/rollout/status_writer.cpp
+++ b/tests/rollout/status_writer.cpp
@@ -1,5 +1,6 @@
 #include "platform/rollout_document.hpp"
 #include "support/damage.hpp"
+#include "support/odd_entries.hpp"
 
 #include <doctest/doctest.h>
 #include <functional>
@@ -197,3 +198,15 @@
       Codec::Parse(Codec::KeyOf("lockers"), test::Damaged(status, random)));
   }
 }
+
+TEST_CASE("odd orders of another writer end no daemon")
+{
+  const std::string order =
+    R"({"service":"lockers","target_version":"v2","duration_s":12.5})";
+  const std::string key = Codec::KeyOf("lockers");
+  for (const std::string& each : test::OddVariantsOf(order)) {
+    const auto read = platform::ParseRolloutOrder("op/rollout/lockers", each);
+    CHECK((!read || !read.value().m_target.empty()));
+    static_cast<void>(Codec::Parse(key, each));
+  }
+}
