--- a/tests/end_to_end/caller_behind.cpp
+++ b/tests/end_to_end/caller_behind.cpp
@@ -14,7 +14,7 @@
 constexpr std::uint64_t kMovedVersion = 13;
 /// Daemons contact each other often while they join.
 constexpr auto kJoiningTime = 3500ms;
-/// No daemon tells another one of a version.
+/// No version is announced between daemons.
 constexpr const char* kNoPushes = "[membership]\nperiod_ms = 60000\n"
                                   "[dissemination]\nfanout = 0\n";
 
