Test health checks without end with one that a report causes

end_to_end failed in a whole run of the tests: 'a health check without end does not keep a daemon from starting' expects that a daemon sends a health check at its first start. Since a health check counts only for a worker that peers know, none is sent there, so that the test checked nothing (0 answers in all 14 forms).

The precondition was wrong, not the bound: a report of another service at the worker's address now causes the check, and the same bounds of bytes and memory hold as before. Added: the daemon is restarted beside such a worker, is ready and serves.

--- a/tests/end_to_end/endless_answers.cpp
+++ b/tests/end_to_end/endless_answers.cpp
@@ -63,6 +63,27 @@
   WaitForLockers(aFleet);
 }
 
+/// Has the daemon send a health check to its worker.
+void
+ReportAnotherService(const Fleet& aFleet, const std::string& aSlot)
+{
+  constexpr std::string_view kScheme = "http://";
+  HttpClientRequest request;
+  request.m_method = "PUT";
+  request.m_url = aFleet.HeartbeatsUrl(aSlot) + "/instances/i-other";
+  request.m_body = Json{
+    { "service", "ledger" },
+    { "address", aFleet.BackendUrl(aSlot).substr(kScheme.size()) },
+    { "zone", "solna" },
+    { "version", "v1" },
+    { "slots", 1 },
+    { "state", "ready" },
+    { "cold_left_ms", 0 },
+    { "seq", 1 }
+  }.dump();
+  CHECK(SendAndWait(std::move(request)).m_response.m_status == 200);
+}
+
 struct Load
 {
   std::atomic<int> m_served{ 0 };
@@ -176,12 +197,20 @@
     CAPTURE(form);
     Fleet fleet;
     StartWithEndless(fleet, form);
+    ReportAnotherService(fleet, "lockers-3");
+    const auto countAnswers = [&] {
+      return fleet.WorkerCounts("lockers-3")["answers"].get<std::uint64_t>();
+    };
+    CHECK(WaitUntil([&] { return countAnswers() > 0; }));
+    const auto answers = countAnswers();
     const Json counts = fleet.WorkerCounts("lockers-3");
-    const auto answers = counts["answers"].get<std::uint64_t>();
-    CHECK(answers > 0);
     CHECK(counts["bytes"].get<std::uint64_t>() <= answers * kMaxBytesPerAnswer);
     CHECK(MemoryField(fleet.Daemon("lockers-3"), "VmHWM") <= kMaxPeakKib);
     CHECK(SendRequest(fleet, "lockers-3", "GET", "/status/1", "a").Status() ==
           200);
+    fleet.Restart("lockers-3");
+    CHECK(WaitUntil([&] { return fleet.IsReady("lockers-3"); }));
+    CHECK(SendRequest(fleet, "lockers-3", "GET", "/status/1", "b").Status() ==
+          200);
   }
 }
