Find a version's successor by bisection; comments in the field's terms

The time of the first version after a given one was searched from the oldest of 64 entries, for each call of another daemon, and to the end where nothing has changed; the entries are ordered. Three comments say verify, treat and announcement. No behaviour changes: config and daemon tests pass, and end_to_end reused_address and caller_behind; formatted, the changed logic linted.

--- a/src/config/version_times.cpp
+++ b/src/config/version_times.cpp
@@ -19,8 +19,8 @@
 std::optional<TimePoint>
 VersionTimes::FirstAfter(Version aVersion) const
 {
-  const auto first = std::ranges::find_if(
-    m_entries, [&](const Entry& aEach) { return aEach.m_version > aVersion; });
+  const auto first =
+    std::ranges::upper_bound(m_entries, aVersion, {}, &Entry::m_version);
   return first == m_entries.end() ? std::nullopt : std::optional{ first->m_at };
 }
 
--- a/src/daemon/daemon_worker.cpp
+++ b/src/daemon/daemon_worker.cpp
@@ -1,6 +1,6 @@
 #include "greengagehub/daemon/daemon.hpp"
 
-// What the daemon knows of its worker, and tells its peers.
+// State of the local worker, and its announcement to peers.
 
 namespace greengagehub {
 
--- a/src/daemon/platform_endpoints.cpp
+++ b/src/daemon/platform_endpoints.cpp
@@ -200,7 +200,7 @@
   if (isAtOwnAddress && aReport.m_service == m_deps.m_settings.m_service) {
     return m_worker.OnReport(Clock::now(), aReport);
   }
-  // Only a health check tells whether the report is true.
+  // Only a health check can verify the report.
   const TimePoint now = Clock::now();
   if (isAtOwnAddress && m_worker.TakesCalls() && now >= m_nextContradiction) {
     m_isContradicted = true;
--- a/tests/daemon/run_service.cpp
+++ b/tests/daemon/run_service.cpp
@@ -211,7 +211,7 @@
 TEST_CASE("a refusal that names no request proves nothing on a used connection")
 {
   // Guards against a second run of a request because an additional response to
-  // an earlier one is taken for its refusal.
+  // an earlier one is treated as its refusal.
   const HttpResponse named{ 200, { { "Seal", "s" }, { "Id", "r1" } } };
   const HttpResponse unnamed{ 503, { { "Not-Executed", "1" } } };
   HttpResponse workerResponse = named;
