Notice a watch that the store no longer serves while TCP acknowledges

Cause: a watch is evidence only when it ends. Each change ends the watches of all readers in all domains at once, so that they begin and end together; when their connections go silent in one moment, nobody asks the store for 5 s and a time-out of 1.5 s, and the read after it may take another silent connection from the pool.

Ruled out: keep-alive and the user timeout of TCP, which see nothing here; that other domains help, as their readers wait for the same change.

Change: WatchSchedule (no I/O) has the readers' watches end one after another, 0.4 of the bound apart, by their position among the readers, which all compute from the members. A watch whose answer is overdue by 0.25 s is checked by the revision of the key on a new connection, and the first answer counts; the next watch takes a new connection too. Readers on slow links are not checked, as their answers may be long; there the time-out remains.

Why it works: whenever the watches went silent, one of them ends within 1.25 gaps, the check does not depend on any connection that was open, and its reader pushes the version as any other. Calls: one more after a change for each of the first watch_ms / gap readers, whatever the fleet.

--- a/include/greengagehub/core/store_message.hpp
+++ b/include/greengagehub/core/store_message.hpp
@@ -58,6 +58,9 @@
   std::vector<ExpectedKey> m_alsoExpected{};
   /// Get and List: allows a stale read, exempt from the store's rate limits.
   bool m_allowStale{ false };
+  /// Not on a connection that has served other requests: it may have gone
+  /// silent.
+  bool m_onNewConnection{ false };
 };
 
 struct StoreItem
--- a/include/greengagehub/daemon/config_feed.hpp
+++ b/include/greengagehub/daemon/config_feed.hpp
@@ -6,6 +6,7 @@
 #include "greengagehub/core/store.hpp"
 #include "greengagehub/daemon/wall_clock.hpp"
 #include "greengagehub/dissemination/version_origin.hpp"
+#include "greengagehub/membership/watch_schedule.hpp"
 #include "greengagehub/observe/log.hpp"
 #include "greengagehub/workspaces/quota_message.hpp"
 #include "platform/config_document.hpp"
@@ -21,9 +22,10 @@
 /// holds the operators' whole configuration document.
 ///
 /// Reads the key, waits for its next change, and brings each newer version into
-/// force. On a slow link it reads the compressed copy instead and checks with
-/// the store that the copy is current. One daemon of the fleet maintains the
-/// copy.
+/// force. A watch that the store has not answered in time is checked on another
+/// connection. On a slow link it reads the compressed copy instead and checks
+/// with the store that the copy is current. One daemon of the fleet maintains
+/// the copy.
 template<Store StoreType>
 class ConfigFeed
 {
@@ -48,12 +50,13 @@
     std::function<void(const std::vector<StoreItem>&)> m_onPrefixChanged{};
     /// Changes of those keys may have been missed.
     std::function<void()> m_onChangesMissed{};
+    /// The position among the daemons that watch; by default there is one.
+    std::function<ReaderPosition()> m_position{};
   };
 
   struct Times
   {
-    /// Longest wait of one watch.
-    std::chrono::milliseconds m_watch;
+    WatchSchedule::Times m_watch;
     /// Pause between a change and the next watch, so that one call to the store
     /// covers a burst of changes.
     std::chrono::milliseconds m_coalesceDelay;
@@ -79,9 +82,11 @@
     , m_key(std::move(aKey))
     , m_watchPrefix(std::move(aWatchPrefix))
     , m_times(aTimes)
+    , m_schedule(aTimes.m_watch)
     , m_random(aSeed)
     , m_handlers(std::move(aHandlers))
     , m_timer(aLoop)
+    , m_overdueTimer(aLoop)
     , m_copyTimer(aLoop)
     , m_verifyTimer(aLoop)
     , m_backoff(aTimes.m_firstBackoff)
@@ -125,14 +130,15 @@
     return m_isLastReadValid ? std::optional{ m_lastRead } : std::nullopt;
   }
 
-  /// \brief Sets whether to read the compressed copy first.
-  void SetSlowLink(bool aSlow) noexcept { m_prefersCopy = aSlow; }
+  /// \brief Sets whether the link is so slow that the compressed copy is read
+  /// first, and that a watch may be late because its answer is long.
+  void SetSlowLink(bool aSlow) noexcept { m_hasSlowLink = aSlow; }
 
   /// \brief Reads now and drops the replies to requests in progress.
   void Read()
   {
     StartRound();
-    if (m_prefersCopy) {
+    if (m_hasSlowLink) {
       ReadCopy();
     } else {
       ReadOriginal();
@@ -159,6 +165,8 @@
 
 private:
   static constexpr auto kVerifyDelay = std::chrono::milliseconds{ 200 };
+  /// Time from the end of a watch until its answer is considered overdue.
+  static constexpr auto kOverdueTime = std::chrono::milliseconds{ 250 };
 
   using Status = StoreReply::Status;
   using SteadyClock = asio::steady_timer::clock_type;
@@ -169,6 +177,7 @@
     m_isIdle = false;
     ++m_round;
     m_timer.cancel();
+    m_overdueTimer.cancel();
   }
 
   template<class Next>
@@ -187,7 +196,9 @@
   {
     m_requestedAt = BootNow();
     m_sentAt = m_requestedAt;
-    Execute(MakeGet(m_key),
+    StoreRequest request = MakeGet(m_key);
+    request.m_onNewConnection = m_isStoreSilent;
+    Execute(std::move(request),
             [this](StoreReply aReply) { OnRead(std::move(aReply)); });
   }
 
@@ -317,12 +328,71 @@
       return;
     }
     m_sentAt = BootNow();
-    Execute(MakePrefixWatch(m_key, m_watchPrefix, m_revision, m_times.m_watch),
+    const std::chrono::milliseconds wait = m_schedule.NextWait(
+      WallNow(),
+      m_handlers.m_position ? m_handlers.m_position() : ReaderPosition{});
+    StoreRequest request =
+      MakePrefixWatch(m_key, m_watchPrefix, m_revision, wait);
+    request.m_onNewConnection = m_isStoreSilent;
+    ++m_watchStep;
+    Execute(std::move(request),
             [this](StoreReply aReply) { OnWatch(std::move(aReply)); });
+    if (!m_hasSlowLink) {
+      ScheduleOverdueCheck(wait + kOverdueTime);
+    }
+  }
+
+  void ScheduleOverdueCheck(std::chrono::milliseconds aPause)
+  {
+    m_overdueTimer.expires_after(aPause);
+    m_overdueTimer.async_wait([this, round = m_round, step = m_watchStep](
+                                const asio::error_code& aError) {
+      if (!aError && round == m_round && step == m_watchStep) {
+        CheckOverdue();
+      }
+    });
+  }
+
+  /// The connection of the watch may have gone silent, so the key is checked on
+  /// a new one. The first answer of the two counts.
+  void CheckOverdue()
+  {
+    LogFailure("watch_overdue");
+    m_isStoreSilent = true;
+    StoreRequest request = MakeCheck(m_key, m_lastRead.m_revision);
+    request.m_onNewConnection = true;
+    Execute(std::move(request), [this, step = m_watchStep](StoreReply aReply) {
+      if (step == m_watchStep) {
+        OnOverdueCheck(std::move(aReply));
+      }
+    });
+  }
+
+  void OnOverdueCheck(StoreReply aReply)
+  {
+    const bool isUnchanged = aReply.m_status == Status::Ok;
+    const bool isChanged =
+      aReply.m_status == Status::Conflict && !aReply.m_value.empty();
+    if (!isUnchanged && !isChanged) {
+      return; // The watch fails too, or is answered.
+    }
+    StartRound();
+    if (IsDifferentEra(aReply.m_era, m_era)) {
+      OnChangesMissed();
+      return;
+    }
+    if (isChanged) {
+      ApplyReply(aReply, VersionChannel::StoreCheck);
+    }
+    // Reports changes of other keys since m_revision.
+    Watch();
   }
 
   void OnWatch(StoreReply aReply)
   {
+    ++m_watchStep;
+    m_overdueTimer.cancel();
+    m_isStoreSilent = aReply.m_status == Status::Unknown;
     UpdateReachable(aReply.m_status);
     if (IsDifferentEra(aReply.m_era, m_era)) {
       // A restored store reuses revisions, so missed changes cannot be derived
@@ -453,9 +523,11 @@
   /// Prefix of other keys that the same watch covers.
   std::string m_watchPrefix;
   Times m_times;
+  WatchSchedule m_schedule;
   Random m_random;
   Handlers m_handlers;
   asio::steady_timer m_timer;
+  asio::steady_timer m_overdueTimer;
   asio::steady_timer m_copyTimer;
   asio::steady_timer m_verifyTimer;
   std::chrono::milliseconds m_backoff;
@@ -473,8 +545,12 @@
   bool m_isLastReadValid{ true };
   platform::ConfigReader m_reader;
   bool m_isReachable{ true };
+  /// Changes when a watch begins or is answered.
+  std::uint64_t m_watchStep{ 0 };
+  /// The last watch was not answered.
+  bool m_isStoreSilent{ false };
   bool m_isWatching{ false };
-  bool m_prefersCopy{ false };
+  bool m_hasSlowLink{ false };
   bool m_maintainsCopy{ false };
   bool m_isCopyScheduled{ false };
   SteadyClock::time_point m_nextCopy{};
--- a/include/greengagehub/http/http_client.hpp
+++ b/include/greengagehub/http/http_client.hpp
@@ -19,6 +19,8 @@
   std::string m_body{};
   std::chrono::milliseconds m_timeout{ std::chrono::seconds{ 5 } };
   std::size_t m_maxAnswerBytes{ 16UL * 1024 * 1024 };
+  /// Whether to open a connection even if an idle one could be reused.
+  bool m_onNewConnection{ false };
 };
 
 struct HttpClientResult
--- a/include/greengagehub/membership/membership.hpp
+++ b/include/greengagehub/membership/membership.hpp
@@ -3,6 +3,7 @@
 #include "greengagehub/core/random.hpp"
 #include "greengagehub/membership/gossip_message.hpp"
 #include "greengagehub/membership/member_table.hpp"
+#include "greengagehub/membership/watch_schedule.hpp"
 
 #include <array>
 #include <chrono>
@@ -88,6 +89,10 @@
   /// \returns The rank, from 0, among the live members of the own failure
   /// domain, by link rate and then by hash of the slot.
   [[nodiscard]] std::size_t RankInDomain() const;
+  /// \returns The position of this daemon among the first kRelaysPerDomain of
+  /// each domain, which all live members compute alike; the last position of
+  /// its domain for a daemon that is not among them.
+  [[nodiscard]] ReaderPosition PositionAmongReaders() const;
   /// \returns Whether this daemon ranks first among the live members of all
   /// domains.
   [[nodiscard]] bool IsHighestRanked() const;
--- a/include/greengagehub/membership/membership_all.hpp
+++ b/include/greengagehub/membership/membership_all.hpp
@@ -11,3 +11,4 @@
 #include "greengagehub/membership/membership.hpp"
 #include "greengagehub/membership/seed_publisher.hpp"
 #include "greengagehub/membership/watch_lease.hpp"
+#include "greengagehub/membership/watch_schedule.hpp"
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -13,7 +13,10 @@
 /// Changes are coalesced for m_maxConfigDelay divided by this.
 constexpr int kCoalesceDivisor = 8;
 /// Two, so that one may fail.
-constexpr std::size_t kWatchersPerDomain = 2;
+constexpr std::size_t kWatchersPerDomain = Membership::kRelaysPerDomain;
+/// Gap between the ends of two readers' watches, in fifths of the time in which
+/// a change must be in force. The rest is for the check and the dissemination.
+constexpr int kWatchGapFifths = 2;
 /// Time without a datagram after which a daemon treats itself as isolated; a
 /// multiple of the probe interval.
 constexpr auto kIsolatedAfter = std::chrono::milliseconds{ 2500 };
@@ -108,7 +111,9 @@
       aLog,
       std::string{ platform::kConfigKey },
       std::string{ platform::kOperatorsPrefix },
-      { .m_watch = aSettings.m_store.m_watch,
+      { .m_watch = { .m_longest = aSettings.m_store.m_watch,
+                     .m_gap = aSettings.m_platform.m_maxConfigDelay *
+                              kWatchGapFifths / 5 },
         .m_coalesceDelay =
           aSettings.m_platform.m_maxConfigDelay / kCoalesceDivisor,
         .m_maxBackoff = kMaxFeedBackoff },
@@ -128,7 +133,8 @@
           [this](const std::vector<StoreItem>& aItems) {
             m_rollouts.OnStoreItems(aItems);
           },
-        .m_onChangesMissed = [this] { m_rollouts.OnStoreChangesMissed(); } })
+        .m_onChangesMissed = [this] { m_rollouts.OnStoreChangesMissed(); },
+        .m_position = [this] { return m_membership.PositionAmongReaders(); } })
   , m_decisions(m_store,
                 m_holder,
                 aLog,
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -152,6 +152,8 @@
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aTransfer);
   curl_easy_setopt(
     easy, CURLOPT_TIMEOUT_MS, static_cast<long>(request.m_timeout.count()));
+  curl_easy_setopt(
+    easy, CURLOPT_FRESH_CONNECT, request.m_onNewConnection ? 1L : 0L);
   SetBody(easy, request);
 }
 
--- a/src/membership/membership_views.cpp
+++ b/src/membership/membership_views.cpp
@@ -129,6 +129,26 @@
   return rank;
 }
 
+ReaderPosition
+Membership::PositionAmongReaders() const
+{
+  std::map<std::string_view, std::size_t> liveMembers{ { m_self.m_domain, 1 } };
+  m_members.Rows().Each([&](MemberTable::Index, const MemberRow& aRow) {
+    if (aRow.m_record.m_state == MemberState::Alive) {
+      ++liveMembers[aRow.m_record.m_domain];
+    }
+  });
+  const std::size_t rank = std::min(RankInDomain(), kRelaysPerDomain - 1);
+  // By rank, then by domain, so that neighbors are in different domains.
+  ReaderPosition position{ .m_index = 0, .m_count = 0 };
+  for (const auto& [domain, live] : liveMembers) {
+    position.m_count += std::min(live, kRelaysPerDomain);
+    position.m_index += std::min(live, rank);
+    position.m_index += domain < m_self.m_domain && live > rank ? 1 : 0;
+  }
+  return position;
+}
+
 bool
 Membership::IsHighestRanked() const
 {
--- a/tests/daemon/config_feed.cpp
+++ b/tests/daemon/config_feed.cpp
@@ -43,6 +43,7 @@
   /// revision of version 5 to version 6.
   bool m_restoresBeforeCheck{ false };
   StoreDone m_watch{};
+  int m_watchStarts{ 0 };
 
   /// Restores the state as of a revision and starts a new era.
   void Restore(Revision aRevision)
@@ -93,6 +94,7 @@
         ++m_puts;
         break;
       default:
+        ++m_watchStarts;
         m_watch = aDone;
         return;
     }
@@ -122,6 +124,18 @@
                 FormatConfigCopy(original, Document(5)));
   }
 
+  /// \returns Whether the condition was met within some seconds.
+  template<class Condition>
+  bool RunUntil(Condition aCondition)
+  {
+    const auto end = std::chrono::steady_clock::now() + 10s;
+    while (!aCondition() && std::chrono::steady_clock::now() < end) {
+      m_loop.restart();
+      m_loop.run_for(10ms);
+    }
+    return aCondition();
+  }
+
   MemoryStore m_store{};
   asio::io_context m_loop{};
   ConfigHolder m_holder{};
@@ -135,7 +149,7 @@
     m_log,
     kOriginalKey,
     "op/",
-    { .m_watch = 1s,
+    { .m_watch = { .m_longest = 1s, .m_gap = 1s },
       .m_coalesceDelay = 1ms,
       .m_maxBackoff = 1ms,
       .m_copyInterval = 1ms },
@@ -338,3 +352,32 @@
   static_cast<void>(fixture.m_feed.OnStoreReply({ .m_value = Document(7) }));
   CHECK(fixture.m_holder.GetVersion() == Version{ 7 });
 }
+
+TEST_CASE("a change is found while the watch has gone silent")
+{
+  // Guards against a configuration that waits for the time-out of a watch that
+  // the store does not answer any more.
+  FeedFixture fixture;
+  fixture.m_feed.SetWatching(true);
+  fixture.m_feed.Read();
+  REQUIRE(fixture.m_holder.GetVersion() == Version{ 5 });
+  const StoreDone silent = std::exchange(fixture.m_store.m_watch, {});
+  SUBCASE("the key has changed")
+  {
+    fixture.m_store.Set(kOriginalKey, Document(6));
+    REQUIRE(fixture.RunUntil([&] { return bool{ fixture.m_store.m_watch }; }));
+    CHECK(fixture.m_holder.GetVersion() == Version{ 6 });
+  }
+  SUBCASE("the key has not changed")
+  {
+    REQUIRE(fixture.RunUntil([&] { return bool{ fixture.m_store.m_watch }; }));
+    CHECK(fixture.m_holder.GetVersion() == Version{ 5 });
+  }
+  CHECK(fixture.m_store.m_checks == 1);
+  // The late answer of the silent watch is not taken for one of the next.
+  const auto watchStarts = fixture.m_store.m_watchStarts;
+  silent({ .m_status = StoreReply::Status::Unknown });
+  fixture.m_loop.restart();
+  fixture.m_loop.run_for(20ms);
+  CHECK(fixture.m_store.m_watchStarts == watchStarts);
+}
--- a/tests/membership/domains.cpp
+++ b/tests/membership/domains.cpp
@@ -102,3 +102,32 @@
     CHECK(group.At(i).Members().Present() + 1 == kCount);
   }
 }
+
+TEST_CASE("the readers of all domains have positions of their own")
+{
+  // Guards against readers whose watches end together.
+  constexpr std::uint16_t kCount = 21;
+  Group group{ kCount, kDomains };
+  std::set<std::size_t> positions;
+  for (std::uint16_t i = 1; i <= kCount; ++i) {
+    const ReaderPosition position = group.At(i).PositionAmongReaders();
+    CHECK(position.m_count == kDomains * Membership::kRelaysPerDomain);
+    if (group.At(i).IsDomainRelay()) {
+      CHECK(position.m_index < position.m_count);
+      CHECK(positions.insert(position.m_index).second);
+    }
+  }
+  CHECK(positions.size() == kDomains * Membership::kRelaysPerDomain);
+}
+
+TEST_CASE("a domain of one member counts as one reader")
+{
+  Group group{ 4, 3 };
+  std::set<std::size_t> positions;
+  for (std::uint16_t i = 1; i <= 4; ++i) {
+    const ReaderPosition position = group.At(i).PositionAmongReaders();
+    CHECK(position.m_count == 4);
+    positions.insert(position.m_index);
+  }
+  CHECK(positions == std::set<std::size_t>{ 0, 1, 2, 3 });
+}
--- a/tools/testkit/fleet.cpp
+++ b/tools/testkit/fleet.cpp
@@ -38,8 +38,15 @@
   return listeningLine;
 }
 
-const std::string kPlatformSettings = "watch_ms = 5000\ntimeout_ms = 1500\n"
-                                      "[platform]\nheartbeat_ms = 200\n";
+/// \param aWatchMs longest wait of a watch on the store.
+std::string
+PlatformSettings(std::uint32_t aWatchMs)
+{
+  return fmt::format("watch_ms = {}\ntimeout_ms = 1500\n"
+                     "[platform]\nheartbeat_ms = 200\n",
+                     aWatchMs);
+}
+
 const std::string kEphemeralListenSection =
   "[listen]\nreadiness = \"127.0.0.1:0\"\nheartbeats = \"127.0.0.1:0\"\n";
 
@@ -77,7 +84,8 @@
     aNode.m_listenSection.empty() && spec.m_onPlatform ? kEphemeralListenSection
                                                        : aNode.m_listenSection,
     fmt::format("http://127.0.0.1:{}", m_storePortOfDaemons),
-    spec.m_onPlatform ? kPlatformSettings + spec.m_settings : spec.m_settings);
+    spec.m_onPlatform ? PlatformSettings(spec.m_watchMs) + spec.m_settings
+                      : spec.m_settings);
 }
 
 void
--- a/tools/testkit/fleet.hpp
+++ b/tools/testkit/fleet.hpp
@@ -25,6 +25,8 @@
   std::uint32_t m_serviceMs{ 2 };
   /// Rate of the instance's network link; 0: not known to the daemon.
   std::uint32_t m_linkMbps{ 0 };
+  /// On the platform: longest wait of a watch on the store, in milliseconds.
+  std::uint32_t m_watchMs{ 5000 };
   /// Additional sections of the daemon's settings file, as TOML.
   std::string m_settings{};
   std::vector<std::string> m_backendArguments{};
--- a/tools/testkit/tcp_proxy.cpp
+++ b/tools/testkit/tcp_proxy.cpp
@@ -37,6 +37,7 @@
 
   tcp::socket m_client;
   tcp::socket m_server;
+  bool m_isSilent{ false };
 };
 
 }
@@ -107,7 +108,7 @@
         }
         const ProxyFault fault = m_fault;
         const bool isDropped =
-          fault == ProxyFault::Drop ||
+          aConnection->m_isSilent || fault == ProxyFault::Drop ||
           (fault == ProxyFault::DropAnswers && aFromServer);
         if (isDropped) {
           Forward(aConnection, aFrom, aTo, aFromServer);
@@ -137,6 +138,13 @@
     }
   }
 
+  void SilenceOpenConnections()
+  {
+    for (const auto& each : m_connections) {
+      each->m_isSilent = true;
+    }
+  }
+
   std::uint16_t m_target;
   asio::io_context m_loop{ 1 };
   tcp::acceptor m_acceptor;
@@ -165,4 +173,11 @@
              [impl = m_impl.get(), aFault] { impl->SetFault(aFault); });
 }
 
+void
+TcpProxy::SilenceOpenConnections()
+{
+  asio::post(m_impl->m_loop,
+             [impl = m_impl.get()] { impl->SilenceOpenConnections(); });
+}
+
 }
--- a/tools/testkit/tcp_proxy.hpp
+++ b/tools/testkit/tcp_proxy.hpp
@@ -32,6 +32,9 @@
   [[nodiscard]] std::uint16_t Port() const noexcept;
   /// \brief Sets the fault of open and new connections, from any thread.
   void SetFault(ProxyFault aFault);
+  /// \brief Drops all further data of the connections that are open now, which
+  /// stay open. New connections work.
+  void SilenceOpenConnections();
 
 private:
   struct Impl;
