Displace an idle connection when another one waits at the limit

Cause: only an accepted connection displaced an idle one, and at the limit none is accepted.

Change: at the limit the server waits until a connection is in the listen queue, closes the one that has been idle for longest, and accepts. The rule for what is idle is as before: no request under way and nothing unread.

Ruled out: closing a share of the idle ones at each timeout check, which takes connections from clients although nobody waits.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -61,8 +61,11 @@
 void
 HttpServer::Impl::Accept()
 {
-  if (m_isAccepting || m_isStopped ||
-      m_connections.size() >= m_settings.m_maxConnections) {
+  if (m_isAccepting || m_isStopped) {
+    return;
+  }
+  if (IsAtLimit()) {
+    MakeRoomForNext();
     return;
   }
   m_isAccepting = true;
@@ -98,6 +101,34 @@
     });
 }
 
+void
+HttpServer::Impl::MakeRoomForNext()
+{
+  if (m_isMakingRoom) {
+    return;
+  }
+  m_isMakingRoom = true;
+  m_acceptor.async_wait(
+    tcp::acceptor::wait_read,
+    [self = ImplPointer{ this }](const asio::error_code& aError) {
+      if (aError || self->m_isDestroyed) {
+        self->m_isMakingRoom = false;
+        return;
+      }
+      if (self->IsAtLimit()) {
+        self->CloseOldestIdle();
+      }
+      // If none is idle, one may become so.
+      self->m_roomTimer.expires_after(kAcceptRetryInterval);
+      self->m_roomTimer.async_wait([self](const asio::error_code&) {
+        self->m_isMakingRoom = false;
+        if (!self->m_isDestroyed) {
+          self->Accept();
+        }
+      });
+    });
+}
+
 void
 HttpServer::Impl::CloseOldestIdle()
 {
@@ -186,6 +217,7 @@
   m_impl->m_isDestroyed = true;
   m_impl->m_timeoutTimer.cancel();
   m_impl->m_acceptTimer.cancel();
+  m_impl->m_roomTimer.cancel();
   StopAccepting();
   for (const auto& [id, connection] : m_impl->m_connections) {
     connection->Detach();
--- a/src/http/http_server_impl.hpp
+++ b/src/http/http_server_impl.hpp
@@ -46,12 +46,19 @@
     : m_loop(aLoop)
     , m_acceptor(aLoop)
     , m_acceptTimer(aLoop)
+    , m_roomTimer(aLoop)
     , m_timeoutTimer(aLoop)
   {
   }
 
-  /// Accepts the next connection unless there are too many.
+  /// Accepts the next connection; at the limit, once there is room.
   void Accept();
+  [[nodiscard]] bool IsAtLimit() const noexcept
+  {
+    return m_connections.size() >= m_settings.m_maxConnections;
+  }
+  /// Closes an idle connection when another one waits in the listen queue.
+  void MakeRoomForNext();
   /// A failure, such as a lack of descriptors, would repeat at once.
   void RetryAcceptLater();
   /// Closes the connection that has been idle for longest, if any.
@@ -81,6 +88,7 @@
   CloseObserver m_closeObserver;
   asio::ip::tcp::acceptor m_acceptor;
   asio::steady_timer m_acceptTimer;
+  asio::steady_timer m_roomTimer;
   asio::steady_timer m_timeoutTimer;
   std::map<std::uint64_t, Pointer> m_connections;
   /// In the order in which they became idle.
@@ -89,6 +97,7 @@
   std::uint64_t m_lastConnection{ 0 };
   std::uint16_t m_port{ 0 };
   bool m_isAccepting{ false };
+  bool m_isMakingRoom{ false };
   bool m_isStopped{ false };
   bool m_closesAfterAnswers{ false };
   bool m_isFinishing{ false };
--- a/tests/http/connection_limits.cpp
+++ b/tests/http/connection_limits.cpp
@@ -104,3 +104,16 @@
   third.SendRequest();
   CHECK(server.RunUntil([&] { return server.m_requests.size() == 3; }));
 }
+
+TEST_CASE("idle connections at the limit stay open while no other one waits")
+{
+  // Guards against clients that lose their connections without need.
+  TestServer server;
+  server.m_server.SetMaxConnections(2);
+  Client first{ server.m_loop, server.m_port };
+  Client second{ server.m_loop, server.m_port };
+  REQUIRE(server.RunUntil([&] { return server.m_server.Connections() == 2; }));
+  server.m_loop.run_for(300ms);
+  CHECK(server.m_server.Connections() == 2);
+  CHECK(server.m_server.AcceptCounts().m_displaced == 0);
+}
