--- a/tests/platform/kv_store.cpp
+++ b/tests/platform/kv_store.cpp
@@ -84,3 +84,57 @@
           412, R"({"items":[{"key":"config","revision":5,"value":"!"}]})")
           .m_status == StoreReply::Status::Unknown);
 }
+
+TEST_CASE("after a lost answer no request waits on another idle connection")
+{
+  // Guards against a daemon whose idle connections to the store have all gone
+  // silent, and that finds this out one time-out after the other.
+  asio::io_context loop;
+  std::vector<HttpResponder> held;
+  std::vector<std::uint64_t> connections;
+  bool isSilent = false;
+  HttpServer server{ loop,
+                     {},
+                     [&](const HttpRequest& aRequest, HttpResponder aTo) {
+                       connections.push_back(aRequest.m_connection);
+                       held.push_back(std::move(aTo));
+                       if (!isSilent && held.size() >= 2) {
+                         for (HttpResponder& each : held) {
+                           each.Answer(
+                             JsonResponse(200, R"({"revision":1,"value":""})"));
+                         }
+                       }
+                     } };
+  const auto port = server.Open();
+  REQUIRE(port);
+  platform::KvStore store{ loop,
+                           fmt::format("http://127.0.0.1:{}", port.value()),
+                           200ms };
+  std::vector<StoreReply::Status> replies;
+  const auto get = [&] {
+    store.Execute(MakeGet("config"), [&](const StoreReply& aReply) {
+      replies.push_back(aReply.m_status);
+      loop.stop();
+    });
+  };
+  const auto runUntilReplies = [&](std::size_t aCount) {
+    while (replies.size() < aCount) {
+      loop.restart();
+      loop.run_one_for(1s);
+    }
+  };
+  get();
+  get();
+  runUntilReplies(2);
+  isSilent = true;
+  held.clear();
+  get();
+  runUntilReplies(3);
+  REQUIRE(replies.back() == StoreReply::Status::Unknown);
+  get();
+  runUntilReplies(4);
+  REQUIRE(connections.size() == 4);
+  CHECK((connections[2] == connections[0] || connections[2] == connections[1]));
+  CHECK(connections[3] != connections[0]);
+  CHECK(connections[3] != connections[1]);
+}
