Treat a store as behind only if it lacks a version in force at the request

Cause: the log in an answer was compared with the version that is in force when the answer arrives. Peers push versions meanwhile, so an answer that was right when it was sent looks like that of a store that was restored from an older copy.

Evidence: the new case, an answer with version 1 that arrives after a peer's version 2, failed before (behind) and passes.

Change: what is expected of an answer is the version in force when the request was sent. A store that lacks that one is reported as before (second half of the case). The same race was handled already where other requests return the log.

--- a/include/greengagehub/daemon/store_sync.hpp
+++ b/include/greengagehub/daemon/store_sync.hpp
@@ -79,7 +79,7 @@
     if (!log || log->m_head < m_holder.GetVersion()) {
       return std::nullopt;
     }
-    const auto head = Follow(*log, aReply);
+    const auto head = Follow(*log, aReply, m_holder.GetVersion());
     if (head && !StageAfter(*log, m_holder.GetVersion())) {
       Read();
     }
@@ -104,6 +104,18 @@
   }
 
 private:
+  /// State of this daemon when a request was sent.
+  struct SentState
+  {
+    TimePoint m_at;
+    /// The store has it or a newer one when it answers, unless it is behind.
+    Version m_inForce;
+  };
+  [[nodiscard]] SentState Sent() const
+  {
+    return { BootNow(), m_holder.GetVersion() };
+  }
+
   /// Starts a new round. Replies to requests of earlier rounds are dropped.
   void Read()
   {
@@ -111,8 +123,8 @@
     ++m_round;
     m_timer.cancel();
     Execute(MakeGet(std::string{ kLogKey }),
-            [this, sentAt = BootNow()](const StoreReply& aReply) {
-              OnLog(aReply, sentAt);
+            [this, sent = Sent()](const StoreReply& aReply) {
+              OnLog(aReply, sent, true);
             });
   }
 
@@ -123,7 +135,7 @@
       return;
     }
     Execute(MakeWatch(std::string{ kLogKey }, m_revision, m_times.m_watch),
-            [this](const StoreReply& aReply) {
+            [this, sent = Sent()](const StoreReply& aReply) {
               if (aReply.m_status == StoreReply::Status::NotModified) {
                 OnWatchTimeout(aReply.m_storeRevision);
                 return;
@@ -133,7 +145,7 @@
                 return;
               }
               // A watch proves nothing: it may have missed later changes.
-              OnLog(aReply, std::nullopt);
+              OnLog(aReply, sent, false);
             });
   }
 
@@ -177,8 +189,9 @@
     });
   }
 
-  /// \param aSentAt when the read was sent; nothing for a watch.
-  void OnLog(const StoreReply& aReply, std::optional<TimePoint> aSentAt)
+  /// \param aConfirms whether the reply shows that its head was the newest when
+  /// the request was sent.
+  void OnLog(const StoreReply& aReply, SentState aSent, bool aConfirms)
   {
     using Status = StoreReply::Status;
     const bool isReachable =
@@ -198,10 +211,10 @@
       return;
     }
     m_revision = aReply.m_storeRevision;
-    const auto head = Follow(*log, aReply);
+    const auto head = Follow(*log, aReply, aSent.m_inForce);
     m_handlers.m_onHead(log->m_head);
-    if (head && aSentAt && m_handlers.m_onConfirmed) {
-      m_handlers.m_onConfirmed(*aSentAt, *head);
+    if (head && aConfirms && m_handlers.m_onConfirmed) {
+      m_handlers.m_onConfirmed(aSent.m_at, *head);
     }
     if (!head || StageAfter(*log, m_holder.GetVersion())) {
       Watch();
@@ -226,11 +239,13 @@
     return std::move(parsed.value());
   }
 
+  /// \param aExpected version that the log must have.
   /// \returns The log's head; nothing if the log is not followed.
   std::optional<StoredConfig> Follow(const DecisionLog& aLog,
-                                     const StoreReply& aReply)
+                                     const StoreReply& aReply,
+                                     Version aExpected)
   {
-    CheckHistory(aLog);
+    CheckHistory(aLog, aExpected);
     if (m_isBehind) {
       return std::nullopt;
     }
@@ -271,11 +286,10 @@
     }
   }
 
-  void CheckHistory(const DecisionLog& aLog)
+  void CheckHistory(const DecisionLog& aLog, Version aExpected)
   {
-    const Version inForce = m_holder.GetVersion();
     const VersionEntry* own = m_holder.Entry(aLog.m_head);
-    const bool isOlder = aLog.m_head < inForce;
+    const bool isOlder = aLog.m_head < aExpected;
     const bool isOtherHistory = own != nullptr && own->m_chain != aLog.m_chain;
     const bool isBehind = isOlder || isOtherHistory;
     if (isBehind != m_isBehind) {
@@ -283,7 +297,7 @@
       m_log.Error("store",
                   isBehind ? "store_behind" : "store_caught_up",
                   { { "store_head", aLog.m_head.m_number },
-                    { "in_force", inForce.m_number } });
+                    { "in_force", m_holder.GetVersion().m_number } });
     }
   }
 
--- a/tests/daemon/store_sync.cpp
+++ b/tests/daemon/store_sync.cpp
@@ -102,6 +102,29 @@
   CHECK(fixture.m_confirmed.back().m_version == Version{ 1 });
 }
 
+TEST_CASE(
+  "a watch answered before a peer's newer version arrived does not show "
+  "that the store is behind")
+{
+  // Guards against a sound store that is not followed, and roles that are lost
+  // by it, in a storm of patches.
+  SyncFixture fixture;
+  fixture.Decide(20);
+  const StoreReply first = fixture.m_store.Reply(Status::Ok);
+  fixture.Decide(30);
+  const auto entries = fixture.m_log.EntriesAfter(Version{});
+  REQUIRE(entries);
+  for (const VersionEntry& each : *entries) {
+    REQUIRE(fixture.m_holder.Stage(each) == StageResult::Applied);
+  }
+  fixture.m_store.m_watch(first);
+  CHECK_FALSE(fixture.m_sync.IsBehind());
+  CHECK(fixture.m_holder.GetVersion() == Version{ 2 });
+  // The next watch began with version 2 in force.
+  fixture.m_store.m_watch(first);
+  CHECK(fixture.m_sync.IsBehind());
+}
+
 TEST_CASE("a check that meets a newer head brings it into force")
 {
   SyncFixture fixture;
