Bound the rate of watches where config_apply_ms is very short

What operators would see: a daemon that ends by a division by zero at config_apply_ms = 1 or 2, values that the settings allow (on arm64, where such a division yields 0, a bound that is not met), or thousands of watches a second a little above them.

Cause: two fifths of the bound become the gap between two readers' watches, unbounded below.

Change: the gap is 100 ms at least, and never above the longest watch.

Evidence: read; the new case of watch_schedule passes and was not run on the code before.

--- a/src/membership/watch_schedule.cpp
+++ b/src/membership/watch_schedule.cpp
@@ -8,6 +8,8 @@
 
 /// A watch shorter than this part of the gap costs a call and covers little.
 constexpr int kShortestDivisor = 4;
+/// Bounds the rate of calls where a change must be in force very soon.
+constexpr std::chrono::milliseconds kShortestGap{ 100 };
 
 }
 
@@ -15,7 +17,8 @@
 WatchSchedule::NextWait(WallTime aNow, ReaderPosition aReader) const noexcept
 {
   using std::chrono::milliseconds;
-  const milliseconds gap = std::min(m_times.m_gap, m_times.m_longest);
+  const milliseconds gap =
+    std::min(std::max(m_times.m_gap, kShortestGap), m_times.m_longest);
   const auto usefulReaders = static_cast<std::size_t>(m_times.m_longest / gap);
   const std::size_t readers =
     std::clamp<std::size_t>(aReader.m_count, 1, usefulReaders);
--- a/tests/membership/watch_schedule.cpp
+++ b/tests/membership/watch_schedule.cpp
@@ -72,3 +72,12 @@
     CHECK(wait <= 625ms);
   }
 }
+
+TEST_CASE("a gap of no length does not make calls without end")
+{
+  // Guards against a setting that is too short to be divided.
+  const WatchSchedule schedule{ { .m_longest = 5s, .m_gap = 0ms } };
+  CHECK(schedule.NextWait(kNoon, { 0, 1 }) >= 25ms);
+  const WatchSchedule shortest{ { .m_longest = 1ms, .m_gap = 0ms } };
+  CHECK(shortest.NextWait(kNoon, { 0, 1 }) >= 1ms);
+}
