Move the copy of the configuration and the feed's handlers to headers of their own

ConfigCopyWriter writes the compressed copy, as before; handlers and times do not depend on the store's type. No behaviour changes: the daemon tests pass, the copy's ones among them.

--- a/include/greengagehub/daemon/config_feed.hpp
+++ b/include/greengagehub/daemon/config_feed.hpp
@@ -4,6 +4,8 @@
 #include "greengagehub/config/config_copy.hpp"
 #include "greengagehub/core/random.hpp"
 #include "greengagehub/core/store.hpp"
+#include "greengagehub/daemon/config_copy_writer.hpp"
+#include "greengagehub/daemon/config_feed_handlers.hpp"
 #include "greengagehub/daemon/wall_clock.hpp"
 #include "greengagehub/dissemination/version_origin.hpp"
 #include "greengagehub/membership/watch_schedule.hpp"
@@ -30,42 +32,8 @@
 class ConfigFeed
 {
 public:
-  /// Smallest document that is copied; below it, reading the original is as
-  /// fast as reading the copy and checking it.
-  static constexpr std::size_t kMinCopiedBytes = 16UL * 1024;
-
-  struct Handlers
-  {
-    /// A newer version is in force.
-    std::function<void(Version aBefore, VersionChannel)> m_onAdvanced;
-    /// The version in force had another content than the store's document.
-    std::function<void()> m_onReplaced;
-    /// The newest version was read, or a copy of it was confirmed.
-    std::function<void(Version aHead)> m_onHead;
-    /// A linearizable read sent at `aRequestedAt` returned this configuration;
-    /// no newer one was acknowledged before that time.
-    std::function<void(TimePoint aRequestedAt, const StoredConfig&)>
-      m_onConfirmed{};
-    /// Other keys with the watched prefix have changed.
-    std::function<void(const std::vector<StoreItem>&)> m_onPrefixChanged{};
-    /// Changes of those keys may have been missed.
-    std::function<void()> m_onChangesMissed{};
-    /// The position among the daemons that watch; by default there is one.
-    std::function<ReaderPosition()> m_position{};
-  };
-
-  struct Times
-  {
-    WatchSchedule::Times m_watch;
-    /// Pause between a change and the next watch, so that one call to the store
-    /// covers a burst of changes.
-    std::chrono::milliseconds m_coalesceDelay;
-    std::chrono::milliseconds m_firstBackoff{ 50 };
-    std::chrono::milliseconds m_maxBackoff;
-    /// Shortest time between two writes of the copy; the first one is not
-    /// delayed.
-    std::chrono::milliseconds m_copyInterval{ 500 };
-  };
+  using Handlers = ConfigFeedHandlers;
+  using Times = ConfigFeedTimes;
 
   ConfigFeed(asio::io_context& aLoop,
              StoreType& aStore,
@@ -87,8 +55,8 @@
     , m_handlers(std::move(aHandlers))
     , m_timer(aLoop)
     , m_overdueTimer(aLoop)
-    , m_copyTimer(aLoop)
     , m_verifyTimer(aLoop)
+    , m_copyWriter(aLoop, aStore, aTimes.m_copyInterval)
     , m_backoff(aTimes.m_firstBackoff)
   {
   }
@@ -108,13 +76,11 @@
 
   void SetMaintainsCopy(bool aMaintains)
   {
-    const bool isStart = aMaintains && !m_maintainsCopy;
-    m_maintainsCopy = aMaintains;
-    if (isStart && m_document.empty()) {
+    const bool isStart = aMaintains && !m_copyWriter.IsMaintaining();
+    m_copyWriter.SetMaintaining(aMaintains);
+    if (isStart && !m_copyWriter.HasDocument()) {
       StartRound();
       ReadOriginal();
-    } else if (isStart) {
-      ScheduleCopy();
     }
   }
 
@@ -169,7 +135,6 @@
   static constexpr auto kOverdueTime = std::chrono::milliseconds{ 250 };
 
   using Status = StoreReply::Status;
-  using SteadyClock = asio::steady_timer::clock_type;
 
   /// Starts a new round. Replies to requests of earlier rounds are dropped.
   void StartRound()
@@ -254,45 +219,6 @@
             });
   }
 
-  void ScheduleCopy()
-  {
-    if (!m_maintainsCopy || m_isCopyScheduled ||
-        m_document.size() < kMinCopiedBytes) {
-      return;
-    }
-    m_isCopyScheduled = true;
-    const auto now = SteadyClock::now();
-    m_nextCopy = std::max(m_nextCopy, now);
-    m_copyTimer.expires_at(m_nextCopy);
-    m_nextCopy += m_times.m_copyInterval;
-    m_copyTimer.async_wait([this](const asio::error_code& aError) {
-      m_isCopyScheduled = false;
-      if (!aError && m_maintainsCopy) {
-        WriteCopy(true);
-      }
-    });
-  }
-
-  /// \param aRetryOnConflict whether to write once more with the revision that
-  /// a conflict reports.
-  void WriteCopy(bool aRetryOnConflict)
-  {
-    m_store.Execute(MakePut(std::string{ kConfigCopyKey },
-                            FormatConfigCopy(m_documentRevision, m_document),
-                            m_copyRevision),
-                    [this, aRetryOnConflict](const StoreReply& aReply) {
-                      const bool conflict = aReply.m_status == Status::Conflict;
-                      if (!conflict && aReply.m_status != Status::Ok) {
-                        ScheduleCopy();
-                        return;
-                      }
-                      m_copyRevision = aReply.m_revision;
-                      if (conflict && aRetryOnConflict) {
-                        WriteCopy(false);
-                      }
-                    });
-  }
-
   void OnRead(StoreReply aReply)
   {
     UpdateReachable(aReply.m_status);
@@ -445,9 +371,7 @@
     const bool applied =
       ApplyDocument(aReply.m_value, aReply.m_revision, aReply.m_era, aChannel);
     if (applied && m_isWatching) {
-      m_document = std::move(aReply.m_value);
-      m_documentRevision = aReply.m_revision;
-      ScheduleCopy();
+      m_copyWriter.OnDocument(std::move(aReply.m_value), aReply.m_revision);
     }
   }
 
@@ -528,8 +452,8 @@
   Handlers m_handlers;
   asio::steady_timer m_timer;
   asio::steady_timer m_overdueTimer;
-  asio::steady_timer m_copyTimer;
   asio::steady_timer m_verifyTimer;
+  ConfigCopyWriter<StoreType> m_copyWriter;
   std::chrono::milliseconds m_backoff;
   std::uint64_t m_round{ 0 };
   Revision m_revision{ 0 };
@@ -551,13 +475,6 @@
   bool m_isStoreSilent{ false };
   bool m_isWatching{ false };
   bool m_hasSlowLink{ false };
-  bool m_maintainsCopy{ false };
-  bool m_isCopyScheduled{ false };
-  SteadyClock::time_point m_nextCopy{};
-  /// Text of the newest configuration that was read while watching.
-  std::string m_document;
-  Revision m_documentRevision{ 0 };
-  Revision m_copyRevision{ 0 };
   /// No request is in progress and this daemon does not wait for changes.
   bool m_isIdle{ false };
 };
