--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -91,10 +91,16 @@
   ++m_acceptCounts.m_failures;
   m_isAccepting = true;
   CloseOldestIdle();
-  m_acceptTimer.expires_after(kAcceptRetryInterval);
-  m_acceptTimer.async_wait(
-    [self = ImplPointer{ this }](const asio::error_code& aError) {
-      self->m_isAccepting = false;
+  AcceptAfterPause(m_acceptTimer, m_isAccepting);
+}
+
+void
+HttpServer::Impl::AcceptAfterPause(asio::steady_timer& aTimer, bool& aIsPaused)
+{
+  aTimer.expires_after(kAcceptRetryInterval);
+  aTimer.async_wait(
+    [self = ImplPointer{ this }, &aIsPaused](const asio::error_code& aError) {
+      aIsPaused = false;
       if (!aError && !self->m_isDestroyed) {
         self->Accept();
       }
@@ -119,13 +125,7 @@
         self->CloseOldestIdle();
       }
       // If none is idle, one may become so.
-      self->m_roomTimer.expires_after(kAcceptRetryInterval);
-      self->m_roomTimer.async_wait([self](const asio::error_code&) {
-        self->m_isMakingRoom = false;
-        if (!self->m_isDestroyed) {
-          self->Accept();
-        }
-      });
+      self->AcceptAfterPause(self->m_roomTimer, self->m_isMakingRoom);
     });
 }
 
--- a/src/http/http_server_impl.hpp
+++ b/src/http/http_server_impl.hpp
@@ -61,6 +61,8 @@
   void MakeRoomForNext();
   /// A failure, such as a lack of descriptors, would repeat at once.
   void RetryAcceptLater();
+  /// \param aIsPaused member of this server; cleared after the pause.
+  void AcceptAfterPause(asio::steady_timer& aTimer, bool& aIsPaused);
   /// Closes the connection that has been idle for longest, if any.
   void CloseOldestIdle();
   /// Accepts the connections in the listen queue without waiting for more.
