ConfigFeed: guard an overdue watch by the round that it has already

A counter of watch steps and a second timer did what rounds and their timer do: an answered watch now begins a new round, which drops its check. Reading the reply to a check stood twice; WatchSchedule is an aggregate, held once; the number of readers of a domain is Membership's constant.

--- a/include/greengagehub/daemon/config_feed.hpp
+++ b/include/greengagehub/daemon/config_feed.hpp
@@ -50,11 +50,9 @@
     , m_key(std::move(aKey))
     , m_watchPrefix(std::move(aWatchPrefix))
     , m_times(aTimes)
-    , m_schedule(aTimes.m_watch)
     , m_random(aSeed)
     , m_handlers(std::move(aHandlers))
     , m_timer(aLoop)
-    , m_overdueTimer(aLoop)
     , m_verifyTimer(aLoop)
     , m_copyWriter(aLoop, aStore, aTimes.m_copyInterval)
     , m_backoff(aTimes.m_firstBackoff)
@@ -142,7 +140,6 @@
     m_isIdle = false;
     ++m_round;
     m_timer.cancel();
-    m_overdueTimer.cancel();
   }
 
   template<class Next>
@@ -204,21 +201,32 @@
     Execute(MakeCheck(m_key, aOriginal),
             [this, aStoreRevision = aCopy.m_storeRevision, era = aCopy.m_era](
               StoreReply aReply) {
-              const bool changed =
-                aReply.m_status == Status::Conflict && !aReply.m_value.empty();
-              const bool isUsable = aReply.m_status == Status::Ok || changed;
-              if (!isUsable || IsDifferentEra(aReply.m_era, era)) {
+              if (!IsCheckAnswered(aReply) ||
+                  IsDifferentEra(aReply.m_era, era)) {
                 ReadOriginal();
                 return;
               }
-              if (changed) {
-                ApplyReply(aReply, VersionChannel::StoreCheck);
-              }
+              ApplyIfChanged(aReply);
               // The next watch covers changes made after the copy was read.
               OnNewestKnown(aStoreRevision, era);
             });
   }
 
+  /// \returns Whether a check shows that the key is unchanged, or its value.
+  [[nodiscard]] static bool IsCheckAnswered(const StoreReply& aReply) noexcept
+  {
+    return aReply.m_status == Status::Ok ||
+           (aReply.m_status == Status::Conflict && !aReply.m_value.empty());
+  }
+
+  /// \param aReply to a check, answered.
+  void ApplyIfChanged(StoreReply& aReply)
+  {
+    if (aReply.m_status == Status::Conflict) {
+      ApplyReply(aReply, VersionChannel::StoreCheck);
+    }
+  }
+
   void OnRead(StoreReply aReply)
   {
     UpdateReachable(aReply.m_status);
@@ -226,7 +234,7 @@
       ApplyReply(aReply, VersionChannel::StoreRead);
     } else if (aReply.m_status != Status::NotFound) {
       LogFailure("read_failed");
-      ScheduleInRound(m_backoff, [this] { Read(); });
+      ScheduleInRound(Jittered(m_random, m_backoff), [this] { Read(); });
       m_backoff = std::min(2 * m_backoff, m_times.m_maxBackoff);
       return;
     }
@@ -254,31 +262,19 @@
       return;
     }
     m_sentAt = BootNow();
-    const std::chrono::milliseconds wait = m_schedule.NextWait(
+    const std::chrono::milliseconds wait = m_times.m_watch.NextWait(
       WallNow(),
       m_handlers.m_position ? m_handlers.m_position() : ReaderPosition{});
     StoreRequest request =
       MakePrefixWatch(m_key, m_watchPrefix, m_revision, wait);
     request.m_onNewConnection = m_isStoreSilent;
-    ++m_watchStep;
     Execute(std::move(request),
             [this](StoreReply aReply) { OnWatch(std::move(aReply)); });
     if (!m_hasSlowLink) {
-      ScheduleOverdueCheck(wait + kOverdueTime);
+      ScheduleInRound(wait + kOverdueTime, [this] { CheckOverdue(); });
     }
   }
 
-  void ScheduleOverdueCheck(std::chrono::milliseconds aPause)
-  {
-    m_overdueTimer.expires_after(aPause);
-    m_overdueTimer.async_wait([this, round = m_round, step = m_watchStep](
-                                const asio::error_code& aError) {
-      if (!aError && round == m_round && step == m_watchStep) {
-        CheckOverdue();
-      }
-    });
-  }
-
   /// The connection of the watch may have gone silent, so the key is checked on
   /// a new one. The first answer of the two counts.
   void CheckOverdue()
@@ -287,19 +283,13 @@
     m_isStoreSilent = true;
     StoreRequest request = MakeCheck(m_key, m_lastRead.m_revision);
     request.m_onNewConnection = true;
-    Execute(std::move(request), [this, step = m_watchStep](StoreReply aReply) {
-      if (step == m_watchStep) {
-        OnOverdueCheck(std::move(aReply));
-      }
-    });
+    Execute(std::move(request),
+            [this](StoreReply aReply) { OnOverdueCheck(std::move(aReply)); });
   }
 
   void OnOverdueCheck(StoreReply aReply)
   {
-    const bool isUnchanged = aReply.m_status == Status::Ok;
-    const bool isChanged =
-      aReply.m_status == Status::Conflict && !aReply.m_value.empty();
-    if (!isUnchanged && !isChanged) {
+    if (!IsCheckAnswered(aReply)) {
       return; // The watch fails too, or is answered.
     }
     StartRound();
@@ -307,17 +297,15 @@
       OnChangesMissed();
       return;
     }
-    if (isChanged) {
-      ApplyReply(aReply, VersionChannel::StoreCheck);
-    }
+    ApplyIfChanged(aReply);
     // Reports changes of other keys since m_revision.
     Watch();
   }
 
   void OnWatch(StoreReply aReply)
   {
-    ++m_watchStep;
-    m_overdueTimer.cancel();
+    // A check of this watch no longer counts.
+    StartRound();
     m_isStoreSilent = aReply.m_status == Status::Unknown;
     UpdateReachable(aReply.m_status);
     if (IsDifferentEra(aReply.m_era, m_era)) {
@@ -348,7 +336,8 @@
         return;
     }
     m_revision = aReply.m_storeRevision;
-    ScheduleInRound(m_times.m_coalesceDelay, [this] { Watch(); });
+    ScheduleInRound(Jittered(m_random, m_times.m_coalesceDelay),
+                    [this] { Watch(); });
   }
 
   /// An unknown era, zero, is treated as equal to any other.
@@ -431,7 +420,7 @@
   template<class Next>
   void ScheduleInRound(std::chrono::milliseconds aPause, Next aNext)
   {
-    m_timer.expires_after(Jittered(m_random, aPause));
+    m_timer.expires_after(aPause);
     m_timer.async_wait([this, round = m_round, next = std::move(aNext)](
                          const asio::error_code& aError) {
       if (!aError && round == m_round) {
@@ -447,11 +436,9 @@
   /// Prefix of other keys that the same watch covers.
   std::string m_watchPrefix;
   Times m_times;
-  WatchSchedule m_schedule;
   Random m_random;
   Handlers m_handlers;
   asio::steady_timer m_timer;
-  asio::steady_timer m_overdueTimer;
   asio::steady_timer m_verifyTimer;
   ConfigCopyWriter<StoreType> m_copyWriter;
   std::chrono::milliseconds m_backoff;
@@ -469,8 +456,6 @@
   bool m_isLastReadValid{ true };
   platform::ConfigReader m_reader;
   bool m_isReachable{ true };
-  /// Changes when a watch begins or is answered.
-  std::uint64_t m_watchStep{ 0 };
   /// The last watch was not answered.
   bool m_isStoreSilent{ false };
   bool m_isWatching{ false };
--- a/include/greengagehub/daemon/config_feed_handlers.hpp
+++ b/include/greengagehub/daemon/config_feed_handlers.hpp
@@ -34,7 +34,7 @@
 
 struct ConfigFeedTimes
 {
-  WatchSchedule::Times m_watch;
+  WatchSchedule m_watch;
   /// Pause between a change and the next watch, so that one call to the store
   /// covers a burst of changes.
   std::chrono::milliseconds m_coalesceDelay;
--- a/include/greengagehub/membership/watch_schedule.hpp
+++ b/include/greengagehub/membership/watch_schedule.hpp
@@ -19,29 +19,17 @@
 /// its end only. As each change ends the watches of all readers at once, they
 /// would end together the next time too. The wall clock is their common
 /// reference; clocks that differ make the gaps uneven.
-class WatchSchedule
+struct WatchSchedule
 {
-public:
-  struct Times
-  {
-    /// Longest wait of one watch, unless the gap requires a little more.
-    std::chrono::milliseconds m_longest;
-    /// Time between the ends of two readers' watches.
-    std::chrono::milliseconds m_gap;
-  };
-
-  explicit WatchSchedule(Times aTimes) noexcept
-    : m_times(aTimes)
-  {
-  }
+  /// Longest wait of one watch, unless the gap requires a little more.
+  std::chrono::milliseconds m_longest;
+  /// Time between the ends of two readers' watches.
+  std::chrono::milliseconds m_gap;
 
   /// \returns How long a watch that begins now may wait.
   [[nodiscard]] std::chrono::milliseconds NextWait(
     WallTime aNow,
     ReaderPosition aReader) const noexcept;
-
-private:
-  Times m_times;
 };
 
 }
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -12,8 +12,6 @@
 constexpr auto kTickInterval = std::chrono::milliseconds{ 100 };
 /// Changes are coalesced for m_maxConfigDelay divided by this.
 constexpr int kCoalesceDivisor = 8;
-/// Two, so that one may fail.
-constexpr std::size_t kWatchersPerDomain = Membership::kRelaysPerDomain;
 /// Gap between the ends of two readers' watches, in fifths of the time in which
 /// a change must be in force. The rest is for the check and the dissemination.
 constexpr int kWatchGapFifths = 2;
@@ -411,7 +409,7 @@
     rank = m_membership.RankInDomain();
   }
   if (m_memberSync.HasJoined() || aNow - m_startedAt >= kStandaloneAfter) {
-    m_configFeed.SetWatching(rank.value_or(0) < kWatchersPerDomain);
+    m_configFeed.SetWatching(rank.value_or(0) < Membership::kRelaysPerDomain);
     // IsHighestRanked() scans all members, so the rank is checked first.
     m_configFeed.SetMaintainsCopy(rank.value_or(0) == 0 &&
                                   m_membership.IsHighestRanked());
--- a/src/membership/watch_schedule.cpp
+++ b/src/membership/watch_schedule.cpp
@@ -17,13 +17,12 @@
 WatchSchedule::NextWait(WallTime aNow, ReaderPosition aReader) const noexcept
 {
   using std::chrono::milliseconds;
-  const milliseconds gap =
-    std::min(std::max(m_times.m_gap, kShortestGap), m_times.m_longest);
-  const auto usefulReaders = static_cast<std::size_t>(m_times.m_longest / gap);
+  const milliseconds gap = std::min(std::max(m_gap, kShortestGap), m_longest);
+  const auto usefulReaders = static_cast<std::size_t>(m_longest / gap);
   const std::size_t readers =
     std::clamp<std::size_t>(aReader.m_count, 1, usefulReaders);
   if (aReader.m_index >= readers) {
-    return m_times.m_longest;
+    return m_longest;
   }
   const milliseconds period = gap * readers;
   const milliseconds end = gap * aReader.m_index;
--- a/tests/daemon/config_feed.cpp
+++ b/tests/daemon/config_feed.cpp
@@ -374,7 +374,7 @@
     CHECK(fixture.m_holder.GetVersion() == Version{ 5 });
   }
   CHECK(fixture.m_store.m_checks == 1);
-  // The late answer of the silent watch is not taken for one of the next.
+  // A late reply to the silent watch is ignored.
   const auto watchStarts = fixture.m_store.m_watchStarts;
   silent({ .m_status = StoreReply::Status::Unknown });
   fixture.m_loop.restart();
--- a/tests/membership/watch_schedule.cpp
+++ b/tests/membership/watch_schedule.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr WatchSchedule::Times kTimes{ .m_longest = 5s, .m_gap = 800ms };
+constexpr WatchSchedule kSchedule{ .m_longest = 5s, .m_gap = 800ms };
 constexpr WallTime kNoon{ std::chrono::hours{ 12 } };
 
 /// \returns When the watches of all readers end in 20 s after a change at
@@ -17,12 +17,11 @@
 std::vector<WallTime>
 EndsAfter(WallTime aChange, std::size_t aReaders)
 {
-  const WatchSchedule schedule{ kTimes };
   std::vector<WallTime> ends{ aChange };
   for (std::size_t i = 0; i < aReaders; ++i) {
     WallTime now = aChange;
     while (now < aChange + 20s) {
-      now += schedule.NextWait(now, { i, aReaders });
+      now += kSchedule.NextWait(now, { i, aReaders });
       ends.push_back(now);
     }
   }
@@ -65,7 +64,7 @@
 
 TEST_CASE("a gap above the longest wait is limited to it")
 {
-  const WatchSchedule schedule{ { .m_longest = 500ms, .m_gap = 800ms } };
+  const WatchSchedule schedule{ .m_longest = 500ms, .m_gap = 800ms };
   for (auto offset = 0ms; offset < 1s; offset += 70ms) {
     const auto wait = schedule.NextWait(kNoon + offset, {});
     CHECK(wait >= 125ms);
@@ -76,8 +75,8 @@
 TEST_CASE("a gap of no length does not make calls without end")
 {
   // Guards against a setting that is too short to be divided.
-  const WatchSchedule schedule{ { .m_longest = 5s, .m_gap = 0ms } };
+  const WatchSchedule schedule{ .m_longest = 5s, .m_gap = 0ms };
   CHECK(schedule.NextWait(kNoon, { 0, 1 }) >= 25ms);
-  const WatchSchedule shortest{ { .m_longest = 1ms, .m_gap = 0ms } };
+  const WatchSchedule shortest{ .m_longest = 1ms, .m_gap = 0ms };
   CHECK(shortest.NextWait(kNoon, { 0, 1 }) >= 1ms);
 }
