Stand-ins: faulty_worker, an endless_worker that can also break its answers

The stand-in that answers without end is needed for answers that end too early: a form may now be sent before the body of the request is read, and may end with a reset at once, a reset later, a FIN, or a FIN and a reset.

--- a/standins/endless_worker.cpp
+++ b/standins/faulty_worker.cpp
@@ -17,11 +17,11 @@
 
 /// \file
 /// \brief Stand-in for a backend server on the platform that answers requests
-/// or health checks with bytes that never end, until the caller closes.
+/// or health checks with broken answers, or with bytes that never end.
 ///
 /// Control: PUT /control with any of {"heartbeats": "http://IP:PORT",
 /// "requests": FORM, "health": FORM, "slowly": BOOL}; FORM is a name from
-/// kForms, or "" for whole answers. Counters: GET /counts, with the bytes
+/// MakeForms(), or "" for whole answers. Counters: GET /counts, with the bytes
 /// written in endless answers.
 
 namespace {
@@ -30,12 +30,28 @@
 using asio::ip::tcp;
 using Json = nlohmann::json;
 
-/// A prefix, in which {id} stands for the request's id, and what follows it
-/// without end.
+enum class Ending : std::uint8_t
+{
+  /// The connection stays open.
+  None,
+  Reset,
+  /// A reset some time after the answer.
+  LateReset,
+  /// A FIN, and a reset some time after it.
+  EndThenReset,
+  /// A FIN; the rest of the request is read.
+  End,
+};
+
 struct Form
 {
-  std::string m_prefix;
-  std::string m_unit;
+  /// {id} stands for the request's id.
+  std::string m_prefix{};
+  /// Follows the prefix without end; empty: nothing.
+  std::string m_unit{};
+  Ending m_ending{ Ending::None };
+  /// Whether the answer is sent before the body of the request is read.
+  bool m_isEarly{ false };
 };
 
 constexpr const char* kHead = "HTTP/1.1 200 OK\r\n"
@@ -43,7 +59,7 @@
                               "X-Greengagehub-Response-Seal: seal\r\n";
 
 std::map<std::string, Form>
-MakeForms()
+EndlessForms()
 {
   const std::string head{ kHead };
   const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
@@ -69,6 +85,35 @@
   };
 }
 
+/// Answers that are sent while the request is being received.
+std::map<std::string, Form>
+EarlyForms()
+{
+  const std::string head{ kHead };
+  const std::string unframed = head + "\r\nanswer";
+  const std::string framed = head + "Content-Length: 6\r\n\r\nanswer";
+  const std::string cut = head + "Content-Length: 60\r\n\r\nanswer";
+  const std::string cutChunks =
+    head + "Transfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n";
+  return {
+    { "unframed-reset", { unframed, "", Ending::Reset, true } },
+    { "unframed-late-reset", { unframed, "", Ending::LateReset, true } },
+    { "unframed-end-reset", { unframed, "", Ending::EndThenReset, true } },
+    { "length-reset", { cut, "", Ending::Reset, true } },
+    { "chunks-reset", { cutChunks, "", Ending::Reset, true } },
+    { "unframed-early", { unframed, "", Ending::End, true } },
+    { "length-early", { framed, "", Ending::None, true } },
+  };
+}
+
+std::map<std::string, Form>
+MakeForms()
+{
+  std::map<std::string, Form> forms = EndlessForms();
+  forms.merge(EarlyForms());
+  return forms;
+}
+
 const std::map<std::string, Form> kForms = MakeForms();
 
 struct State
@@ -77,7 +122,7 @@
   std::string m_healthForm{};
   bool m_isSlow{ false };
   std::string m_heartbeatUrl{};
-  std::uint64_t m_endlessAnswers{ 0 };
+  std::uint64_t m_faultyAnswers{ 0 };
   std::uint64_t m_endlessBytes{ 0 };
   std::uint64_t m_served{ 0 };
   std::uint64_t m_acknowledged{ 0 };
@@ -101,13 +146,26 @@
       [self = shared_from_this()](const asio::error_code& aError,
                                   std::size_t aSize) {
         if (!aError) {
-          self->m_received.append(self->m_buffer.data(), aSize);
+          const std::size_t rest = std::min(aSize, self->m_unreadBody);
+          self->m_unreadBody -= rest;
+          self->m_received.append(self->m_buffer.data() + rest, aSize - rest);
           self->OnBytes();
         }
       });
   }
 
 private:
+  [[nodiscard]] const Form* FormFor(const std::string& aTarget) const
+  {
+    if (aTarget.starts_with("/control") || aTarget.starts_with("/counts")) {
+      return nullptr;
+    }
+    const bool isHealth = aTarget.starts_with("/healthz");
+    const auto form =
+      kForms.find(isHealth ? m_state.m_healthForm : m_state.m_requestForm);
+    return form == kForms.end() ? nullptr : &form->second;
+  }
+
   [[nodiscard]] std::string Header(std::string_view aName) const
   {
     const std::string start = fmt::format("\r\n{}: ", aName);
@@ -121,19 +179,33 @@
   void OnBytes()
   {
     const std::size_t end = m_received.find("\r\n\r\n");
+    if (end == std::string::npos) {
+      Read();
+      return;
+    }
     std::size_t length = 0;
     const std::string text = Header("Content-Length");
     std::from_chars(text.data(), text.data() + text.size(), length);
-    if (end == std::string::npos || m_received.size() < end + 4 + length) {
+    const std::size_t size = end + 4 + length;
+    const std::string line = m_received.substr(0, m_received.find("\r\n"));
+    const std::size_t at = line.find(' ') + 1;
+    const std::string target = line.substr(at, line.rfind(' ') - at);
+    const Form* form = FormFor(target);
+    const bool isEarly = form != nullptr && form->m_isEarly;
+    if (m_received.size() < size && !isEarly) {
       Read();
       return;
     }
-    const std::string target =
-      m_received.substr(0, m_received.find("\r\n")).substr(4);
     const std::string body = m_received.substr(end + 4, length);
     const std::string id = Header(platform::kRequestId);
-    m_received.erase(0, end + 4 + length);
-    Answer(target, id, body);
+    m_unreadBody = size - std::min(size, m_received.size());
+    m_received.erase(0, size);
+    if (form != nullptr) {
+      ++m_state.m_faultyAnswers;
+      Write(WithId(form->m_prefix, id), form->m_unit, form->m_ending);
+    } else {
+      Answer(target, id, body);
+    }
   }
 
   void Answer(const std::string& aTarget,
@@ -142,37 +214,27 @@
   {
     if (aTarget.starts_with("/control")) {
       Control(Json::parse(aBody, nullptr, false));
-      Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", {});
+      Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
       return;
     }
     if (aTarget.starts_with("/counts")) {
       const std::string counts = Json{
-        { "answers", m_state.m_endlessAnswers },
+        { "answers", m_state.m_faultyAnswers },
         { "bytes", m_state.m_endlessBytes },
         { "served", m_state.m_served },
         { "acknowledged", m_state.m_acknowledged }
       }.dump();
       Write(fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}",
                         counts.size(),
-                        counts),
-            {});
+                        counts));
       return;
     }
-    const bool isHealth = aTarget.starts_with("/healthz");
-    const auto form =
-      kForms.find(isHealth ? m_state.m_healthForm : m_state.m_requestForm);
-    if (form != kForms.end()) {
-      ++m_state.m_endlessAnswers;
-      Write(WithId(form->second.m_prefix, aId), form->second.m_unit);
-      return;
-    }
-    m_state.m_served += isHealth ? 0 : 1;
+    m_state.m_served += aTarget.starts_with("/healthz") ? 0 : 1;
     Write(WithId(fmt::format("{}{}: {}\r\nContent-Length: 2\r\n\r\nok",
                              kHead,
                              platform::kInstanceId,
                              m_state.m_id),
-                 aId),
-          {});
+                 aId));
   }
 
   static std::string WithId(std::string aText, const std::string& aId)
@@ -191,8 +253,11 @@
   }
 
   /// \param aUnit repeated without end after the text; empty: the answer ends.
-  void Write(std::string aText, const std::string& aUnit)
+  void Write(std::string aText,
+             const std::string& aUnit = {},
+             Ending aEnding = Ending::None)
   {
+    m_ending = aEnding;
     constexpr std::size_t kBlockBytes = 64UL * 1024;
     m_output = std::move(aText);
     m_block.clear();
@@ -223,7 +288,7 @@
       return;
     }
     if (m_block.empty()) {
-      Read();
+      End();
       return;
     }
     m_output = m_block;
@@ -237,6 +302,32 @@
     });
   }
 
+  void End()
+  {
+    asio::error_code ignored;
+    if (m_ending == Ending::End || m_ending == Ending::EndThenReset) {
+      m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+    if (m_ending == Ending::Reset) {
+      Reset();
+    } else if (m_ending == Ending::LateReset ||
+               m_ending == Ending::EndThenReset) {
+      m_timer.expires_after(std::chrono::milliseconds{ 30 });
+      m_timer.async_wait([self = shared_from_this()](const asio::error_code&) {
+        self->Reset();
+      });
+    } else {
+      Read();
+    }
+  }
+
+  void Reset()
+  {
+    asio::error_code ignored;
+    m_socket.set_option(asio::socket_base::linger{ true, 0 }, ignored);
+    m_socket.close(ignored);
+  }
+
   tcp::socket m_socket;
   asio::steady_timer m_timer;
   State& m_state;
@@ -245,15 +336,18 @@
   std::string m_output;
   /// Repeated after m_output; empty: the answer ends.
   std::string m_block;
+  Ending m_ending{ Ending::None };
+  /// Bytes of an answered request that are to be read and dropped.
+  std::size_t m_unreadBody{ 0 };
 };
 
-class EndlessWorker
+class FaultyWorker
 {
 public:
-  EndlessWorker(asio::io_context& aLoop,
-                std::string aService,
-                std::string aDomain,
-                const std::string& aHealthForm)
+  FaultyWorker(asio::io_context& aLoop,
+               std::string aService,
+               std::string aDomain,
+               const std::string& aHealthForm)
     : m_acceptor(aLoop)
     , m_client(aLoop, 1)
     , m_timer(aLoop)
@@ -339,7 +433,7 @@
   std::string domain;
   std::string healthForm;
   std::uint32_t ignored = 0;
-  po::options_description options{ "endless_worker" };
+  po::options_description options{ "faulty_worker" };
   options.add_options()("service", po::value(&service)->required(), "")(
     "domain", po::value(&domain)->default_value("solna"), "")(
     "health-form", po::value(&healthForm), "")(
@@ -348,6 +442,6 @@
   po::store(po::parse_command_line(aCount, aArguments, options), values);
   po::notify(values);
   asio::io_context loop;
-  EndlessWorker worker{ loop, service, domain, healthForm };
+  FaultyWorker worker{ loop, service, domain, healthForm };
   return standin::Serve(worker, loop);
 }
--- a/tests/end_to_end/endless_answers.cpp
+++ b/tests/end_to_end/endless_answers.cpp
@@ -59,7 +59,7 @@
                .m_service = "lockers",
                .m_backendArguments = { "--health-form", aHealthForm },
                .m_onPlatform = true,
-               .m_isEndless = true });
+               .m_isFaulty = true });
   WaitForLockers(aFleet);
 }
 
--- a/tools/testkit/fleet.cpp
+++ b/tools/testkit/fleet.cpp
@@ -95,7 +95,7 @@
   node.m_spec = aSpec;
   if (aSpec.m_withBackend) {
     const char* worker =
-      aSpec.m_isEndless ? ENDLESS_WORKER_PROGRAM : PLATFORM_WORKER_PROGRAM;
+      aSpec.m_isFaulty ? FAULTY_WORKER_PROGRAM : PLATFORM_WORKER_PROGRAM;
     std::vector<std::string> arguments{ aSpec.m_onPlatform ? worker
                                                            : BACKEND_PROGRAM,
                                         "--slots",
--- a/tools/testkit/fleet.hpp
+++ b/tools/testkit/fleet.hpp
@@ -34,9 +34,9 @@
   /// Whether the backend server uses the platform's protocol and heartbeats,
   /// and the daemon reads its configuration from the platform's store.
   bool m_onPlatform{ false };
-  /// Whether the backend server is one that can answer without end, which uses
+  /// Whether the backend server is one that can send broken answers, which uses
   /// the platform's protocol too.
-  bool m_isEndless{ false };
+  bool m_isFaulty{ false };
   /// Descriptors that the daemon may open; 0: as many as the test.
   std::uint32_t m_maxDescriptors{ 0 };
 };
