Backend client: a reset while the request is written does not end an answer

What callers saw: a worker answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: the kernel keeps one error for a socket and gives it to whoever asks first. Where the pending write meets the reset first, it takes ECONNRESET, and the reads after it return the data and then an orderly end. The end of the stream completes a response that has no length. The handler of the write ignored its error, on the assumption that the pending read reports it.

Evidence: with plain sockets, a reset on a connection with data to send: send returns ECONNRESET, recv 4 bytes, recv 0. The unit test "an answer without a length that is reset is lost" was Answered with an upload of 32 MiB and Lost without one.

Ruled out: answers with a length or in chunks (lost before and now); the client of the store (libcurl fails the transfer if its upload fails; test kept, nothing changed); links between daemons (frames have lengths); requests of clients (always framed).

Change: a response that ends with its connection counts only if all of the request was written. After a failed write it is lost; while the write is pending it waits for the write, at most until the deadline. Both orders of the two handlers, and reading that waits for room, lead there.

Why it works: an error of the connection that a read does not report was taken by the write, so the write has failed. A worker that answers early and reads on is served as before (test kept), and so is an early answer with a length.

Failed before: "an answer without a length that is reset is lost", "... is not complete before its request", "a reset is not the end of an answer that waits for room" and the end-to-end "an answer that is reset during an upload reaches no client"; the others of the two files passed before and are kept.

--- a/include/greengagehub/http/backend_client.hpp
+++ b/include/greengagehub/http/backend_client.hpp
@@ -80,7 +80,9 @@
 /// \brief HTTP/1.1 client for one backend server, with persistent connections.
 ///
 /// Each request is sent at most once. Bytes that follow a response close the
-/// connection. Interim responses and late responses to other requests are
+/// connection. A response that ends with its connection counts only if all of
+/// the request was written: otherwise the connection may have been reset.
+/// Interim responses and late responses to other requests are
 /// discarded, up to a limit at which the request is lost: a faulty backend
 /// server may send them without end. A response whose body does not fit the
 /// budget is read no further until it does.
--- a/src/http/backend_connection.hpp
+++ b/src/http/backend_connection.hpp
@@ -118,6 +118,8 @@
     m_discardLimit = {};
     m_isSendStarted = false;
     m_isSendComplete = false;
+    m_hasSendFailed = false;
+    m_awaitsSend = false;
     m_hasReceivedBytes = false;
     m_isDeadlineShortened = false;
     if (m_isOpen) {
@@ -228,13 +230,22 @@
         if (self->m_client == nullptr || self->m_ticket != ticket) {
           return;
         }
-        self->m_isSendComplete = !aError;
-        self->m_request.m_body = {};
-        // An error is reported by the pending read, since an early response may
-        // have arrived before the reset.
+        self->OnSent(!aError);
       });
   }
 
+  void OnSent(bool aIsComplete)
+  {
+    m_isSendComplete = aIsComplete;
+    m_hasSendFailed = !aIsComplete;
+    m_request.m_body = {};
+    // Otherwise the reads go on after a failure, since an early response may
+    // have arrived before a reset.
+    if (m_awaitsSend) {
+      OnUnframedEnd();
+    }
+  }
+
   void Read()
   {
     m_socket.async_read_some(
@@ -383,9 +394,29 @@
     if (aIsOrderly && m_hasReceivedBytes && m_parser.HasBegun() &&
         m_parser.Finish() == MessageParser::Status::Complete &&
         IsExpectedResponse()) {
-      OnResponse(true);
+      OnUnframedEnd();
       return;
     }
+    CompleteLost();
+  }
+
+  /// Called at the end of a stream that may have ended a response without a
+  /// length. The stream of a reset connection ends like a closed one where a
+  /// write has taken the socket's error, so the response counts only if all of
+  /// the request was written.
+  void OnUnframedEnd()
+  {
+    if (m_isSendComplete) {
+      OnResponse(true);
+    } else if (m_hasSendFailed) {
+      CompleteLost();
+    } else {
+      m_awaitsSend = true;
+    }
+  }
+
+  void CompleteLost()
+  {
     BackendResult result{ m_isSendStarted ? BackendResult::Kind::Lost
                                           : BackendResult::Kind::NotSent };
     result.m_wasStale = m_wasUsedBefore && !m_hasReceivedBytes;
@@ -438,6 +469,9 @@
   bool m_wasUsedBefore{ false };
   bool m_isSendStarted{ false };
   bool m_isSendComplete{ false };
+  bool m_hasSendFailed{ false };
+  /// The stream has ended; the response counts once the request is written.
+  bool m_awaitsSend{ false };
   bool m_hasReceivedBytes{ false };
   /// Deadline was brought forward by ShortenDeadlines().
   bool m_isDeadlineShortened{ false };
--- /dev/null
+++ b/tests/end_to_end/broken_answers.cpp
@@ -0,0 +1,121 @@
+#include "platform_fleet.hpp"
+
+#include <string>
+#include <vector>
+
+using namespace greengagehub;
+using namespace greengagehub::testkit;
+
+namespace {
+
+constexpr int kRequests = 8;
+constexpr std::uint64_t kMaxBodyBytes = 64UL * 1024 * 1024;
+/// More than the buffers of a loopback connection hold.
+constexpr std::size_t kUploadBytes = 6UL * 1024 * 1024;
+constexpr const char* kDeadlineMs = "4000";
+
+/// A worker that can send broken answers, and an instance from which its calls
+/// cross a link.
+void
+StartWithFaulty(Fleet& aFleet)
+{
+  aFleet.Add({ .m_slot = "desk-1", .m_service = "desk", .m_onPlatform = true });
+  // First, as a health check needs the path from the configuration.
+  Json document = Document("0000000c", kRules, kMaxBodyBytes);
+  for (Json& each : document["listeners"][0]["rules"]) {
+    each["action"]["timeout_ms"] = std::stoi(kDeadlineMs);
+  }
+  aFleet.PutPlatformConfig(document);
+  WaitForLockers(aFleet);
+  aFleet.Add({ .m_slot = "lockers-1",
+               .m_service = "lockers",
+               .m_onPlatform = true,
+               .m_isFaulty = true });
+  WaitForLockers(aFleet);
+}
+
+std::vector<CallResult>
+SendRequests(const Fleet& aFleet,
+             const std::string& aForm,
+             const std::string& aSlot,
+             std::size_t aBodyBytes)
+{
+  aFleet.ControlWorker("lockers-1", { { "requests", aForm } });
+  std::vector<CallResult> results;
+  for (int i = 0; i < kRequests; ++i) {
+    results.push_back(
+      aFleet.Call(aSlot,
+                  "POST",
+                  "/release/1",
+                  { { "Host", "a.example" },
+                    { "X-Greengagehub-Request-Id",
+                      aForm + "-" + aSlot + "-" + std::to_string(i) },
+                    { "X-Greengagehub-Deadline-Ms", kDeadlineMs } },
+                  std::string(aBodyBytes, 'x')));
+  }
+  return results;
+}
+
+/// Checks that no client takes a broken answer for an answer, and that none is
+/// told that a request has not run which the worker received.
+void
+CheckAllLost(const Fleet& aFleet,
+             const std::string& aForm,
+             std::size_t aBodyBytes)
+{
+  CAPTURE(aForm);
+  for (const std::string slot : { "lockers-1", "desk-1" }) {
+    CAPTURE(slot);
+    const auto countAnswers = [&] {
+      return aFleet.WorkerCounts("lockers-1")["answers"].get<int>();
+    };
+    const int before = countAnswers();
+    int lost = 0;
+    int refused = 0;
+    for (const CallResult& each :
+         SendRequests(aFleet, aForm, slot, aBodyBytes)) {
+      CAPTURE(each.m_result.m_response.m_body.View());
+      lost += each.Status() == 502 ? 1 : 0;
+      refused += each.Status() == 503 ? 1 : 0;
+    }
+    const int answers = countAnswers() - before;
+    CHECK(answers > 0);
+    CHECK(lost == answers);
+    CHECK(lost + refused == kRequests);
+  }
+}
+
+}
+
+TEST_CASE("an answer that is reset during an upload reaches no client")
+{
+  // Guards against a client that takes the received part for the whole answer.
+  Fleet fleet;
+  StartWithFaulty(fleet);
+  for (const char* form : { "unframed-reset",
+                            "unframed-late-reset",
+                            "unframed-end-reset",
+                            "length-reset",
+                            "chunks-reset" }) {
+    CheckAllLost(fleet, form, kUploadBytes);
+  }
+}
+
+TEST_CASE("an early answer of a worker that reads on is served whole")
+{
+  // Guards against a whole answer that is dropped because it came before the
+  // end of the upload.
+  Fleet fleet;
+  StartWithFaulty(fleet);
+  for (const std::string form : { "unframed-early", "length-early" }) {
+    for (const char* slot : { "lockers-1", "desk-1" }) {
+      CAPTURE(form);
+      CAPTURE(slot);
+      for (const CallResult& each :
+           SendRequests(fleet, form, slot, kUploadBytes)) {
+        CHECK(each.Status() == 200);
+        CHECK(each.m_result.m_response.m_body.View() == "answer");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/tests/http/broken_answers.cpp
@@ -0,0 +1,153 @@
+#include "greengagehub/http/backend_client.hpp"
+#include "greengagehub/http/http_client.hpp"
+
+#include "scripted_server.hpp"
+
+#include <doctest/doctest.h>
+#include <optional>
+
+using namespace greengagehub;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Ending = ScriptedServer::Ending;
+using Kind = BackendResult::Kind;
+
+/// More than the buffers of a loopback connection hold.
+constexpr std::size_t kUploadBytes = 32UL * 1024 * 1024;
+
+BackendRequest
+Upload(std::size_t aBodyBytes = kUploadBytes)
+{
+  BackendRequest request;
+  request.m_method = "POST";
+  request.m_body = Body{ std::string(aBodyBytes, 'x') };
+  request.m_deadline = Clock::now() + 1s;
+  return request;
+}
+
+BackendResult
+SendTo(const std::string& aAnswer, Ending aEnding, std::size_t aBodyBytes = 0)
+{
+  asio::io_context loop;
+  ScriptedServer server{ loop, aAnswer, aEnding };
+  BackendClient client{ loop, { .m_address = server.Address() } };
+  std::optional<BackendResult> result;
+  client.Send(Upload(aBodyBytes),
+              [&](BackendResult aResult) { result = std::move(aResult); });
+  while (!result) {
+    loop.run_one();
+  }
+  return std::move(*result);
+}
+
+/// \returns What the client of the store and of daemons' APIs makes of an
+/// answer.
+HttpClientResult
+Fetch(const std::string& aAnswer, Ending aEnding, std::size_t aBodyBytes = 0)
+{
+  asio::io_context loop;
+  ScriptedServer server{ loop, aAnswer, aEnding };
+  HttpClient client{ loop };
+  HttpClientRequest request;
+  request.m_method = "POST";
+  request.m_url =
+    "http://127.0.0.1:" + std::to_string(server.Address().port()) + "/";
+  request.m_body = std::string(aBodyBytes, 'x');
+  request.m_timeout = 1s;
+  std::optional<HttpClientResult> result;
+  client.Send(std::move(request),
+              [&](HttpClientResult aResult) { result = std::move(aResult); });
+  while (!result) {
+    loop.run_one();
+  }
+  return std::move(*result);
+}
+
+}
+
+TEST_CASE("an answer without a length that is reset is lost")
+{
+  // Guards against a truncated answer that is passed on as a complete one.
+  const std::string answer = "HTTP/1.1 200 OK\r\n\r\npart of the body";
+  CHECK(SendTo(answer, Ending::Reset).m_kind == Kind::Lost);
+  CHECK(SendTo(answer, Ending::Reset, kUploadBytes).m_kind == Kind::Lost);
+  CHECK(SendTo(answer, Ending::OrderlyThenReset, kUploadBytes).m_kind ==
+        Kind::Lost);
+}
+
+TEST_CASE("an answer without a length that ends in order is complete")
+{
+  // Guards against an early answer that is dropped although the server reads
+  // the rest of the request.
+  for (const std::size_t bytes : { std::size_t{ 0 }, kUploadBytes }) {
+    CAPTURE(bytes);
+    const BackendResult result = SendTo(
+      "HTTP/1.1 413 Too Large\r\n\r\nat most 1 MiB", Ending::Orderly, bytes);
+    CHECK(result.m_kind == Kind::Answered);
+    CHECK(result.m_response.m_status == 413);
+    CHECK(result.m_response.m_body.View() == "at most 1 MiB");
+  }
+}
+
+TEST_CASE("an answer without a length is not complete before its request")
+{
+  // Guards against an answer that counts before it is known whether the server
+  // resets the connection.
+  CHECK(SendTo("HTTP/1.1 200 OK\r\n\r\npart of the body",
+               Ending::OrderlyUnread,
+               kUploadBytes)
+          .m_kind == Kind::TimedOut);
+}
+
+TEST_CASE("an early answer with a length is complete at its last byte")
+{
+  // Guards against an early answer that is dropped with the rest of an upload.
+  const std::string answer =
+    "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nok";
+  for (const Ending ending :
+       { Ending::None, Ending::Reset, Ending::OrderlyThenReset }) {
+    CAPTURE(static_cast<int>(ending));
+    const BackendResult result = SendTo(answer, ending, kUploadBytes);
+    CHECK(result.m_kind == Kind::Answered);
+    CHECK(result.m_response.m_body.View() == "ok");
+  }
+}
+
+TEST_CASE("a reset is not the end of an answer that waits for room")
+{
+  // Guards against a reset that is forgotten while the budget holds up reading.
+  asio::io_context loop;
+  ScriptedServer server{ loop,
+                         "HTTP/1.1 200 OK\r\n\r\n" + std::string(200'000, 'x'),
+                         Ending::Reset };
+  const ByteBudget::Pointer budget{ new ByteBudget{ 400'000 } };
+  ByteReservation held = budget->Reserve(250'000, ByteUse::LargeAnswer);
+  REQUIRE(held.Bytes() == 250'000);
+  BackendClient client{ loop,
+                        { .m_address = server.Address(), .m_budget = budget } };
+  std::optional<BackendResult> result;
+  client.Send(Upload(), [&](BackendResult aResult) { result = aResult; });
+  while (!budget->HasWaiters() && !result) {
+    loop.run_one();
+  }
+  REQUIRE_FALSE(result);
+  held = {};
+  while (!result) {
+    loop.run_one();
+  }
+  CHECK(result->m_kind == Kind::Lost);
+}
+
+TEST_CASE("the client of the store loses an answer that is reset")
+{
+  // Guards against libcurl taking a reset for the end of an answer.
+  const std::string answer = "HTTP/1.1 200 OK\r\n\r\npart";
+  using Kind = HttpClientResult::Kind;
+  CHECK(Fetch(answer, Ending::Reset).m_kind == Kind::Lost);
+  CHECK(Fetch(answer, Ending::Reset, kUploadBytes).m_kind == Kind::Lost);
+  CHECK(Fetch(answer, Ending::OrderlyThenReset, kUploadBytes).m_kind ==
+        Kind::Lost);
+  CHECK(Fetch(answer, Ending::Orderly).m_kind == Kind::Answered);
+}
