Answers without a valid status line are lost at once

What callers saw: an answer with status 600 or 999, or of HTTP/2.0, was passed on as it was, 0200 as 200. One with status 000, 099, 20 or 101 was not passed on, but its caller got a 504 only at its deadline (4 s), and the run held its slot as long.

Cause: http_parser takes any number below 1000, also without three digits, and any version. A number below 200 counted as an interim response, after which the client waited for the final one. libcurl, which reads the store's answers, takes 600, 999, a version of 2.0 and some malformed lines ("200x"); 000, 099, 20 and 0200 it does not take.

Change: StatusLineCheck, used by both clients, wants HTTP/1.x, three digits, and a status that IsInterimStatus() or IsFinalStatus() know (100 to 599 without 101). All else is a lost answer: no refusal, limit or departure in it counts, which the test sees by the form 000 with Not-Executed, Server-Leaving and Server-Limit.

Why it works: the check sees the bytes of the line before http_parser does, however they are split into reads (message_parser.cpp, pieces of 1 to 40 bytes). 200 to 599, HTTP/1.0, a missing reason and interim responses are as before (test kept).

--- a/include/greengagehub/http/http_message.hpp
+++ b/include/greengagehub/http/http_message.hpp
@@ -24,6 +24,19 @@
   return aStatus >= 200 && aStatus < 300;
 }
 
+[[nodiscard]] constexpr bool
+IsFinalStatus(std::uint16_t aStatus) noexcept
+{
+  return aStatus >= 200 && aStatus < 600;
+}
+
+/// \returns False for 101, too, as no request asks for another protocol.
+[[nodiscard]] constexpr bool
+IsInterimStatus(std::uint16_t aStatus) noexcept
+{
+  return aStatus >= 100 && aStatus < 200 && aStatus != 101;
+}
+
 /// \returns Value of the first header with this name, ignoring case, or empty.
 [[nodiscard]] std::string_view
 HeaderValue(const std::vector<HttpHeader>& aHeaders,
--- a/src/http/backend_connection.hpp
+++ b/src/http/backend_connection.hpp
@@ -352,7 +352,7 @@
   /// earlier request.
   bool IsExpectedResponse()
   {
-    if (m_parser.ResponseStatus() < DiscardLimit::kFirstFinalStatus) {
+    if (IsInterimStatus(m_parser.ResponseStatus())) {
       return false;
     }
     const std::string_view echo =
--- a/src/http/discard_limit.hpp
+++ b/src/http/discard_limit.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "greengagehub/http/http_message.hpp"
+
 #include <cstddef>
 #include <cstdint>
 
@@ -18,7 +20,7 @@
                             std::size_t aBytes,
                             std::size_t aMaxLateBytes) noexcept
   {
-    if (aStatus < kFirstFinalStatus) {
+    if (IsInterimStatus(aStatus)) {
       m_interimBytes += aBytes;
       return m_interimBytes <= kMaxInterimBytes;
     }
@@ -27,8 +29,6 @@
            m_lateBytes <= aMaxLateBytes;
   }
 
-  static constexpr std::uint16_t kFirstFinalStatus = 200;
-
 private:
   static constexpr std::size_t kMaxInterimBytes = 64UL * 1024;
   static constexpr std::size_t kMaxLateResponses = 16;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,5 +1,7 @@
 #include "greengagehub/http/http_client.hpp"
 
+#include "status_line_check.hpp"
+
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -57,7 +59,7 @@
   }
   if (line.starts_with("HTTP/")) {
     transfer->m_response.m_headers.clear();
-    return line.size();
+    return StatusLineCheck{}.Accept(line) ? line.size() : 0;
   }
   const std::size_t colon = line.find(':');
   if (colon == std::string_view::npos) {
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -186,6 +186,7 @@
   http_parser_init(&m_parser,
                    m_side == Side::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
   m_parser.data = this;
+  m_statusLine = {};
   m_target.clear();
   m_headers.clear();
   m_body.Clear();
@@ -206,6 +207,10 @@
 MessageParser::Feed(std::string_view aBytes, std::size_t& aConsumed)
 {
   m_hasBegun = m_hasBegun || !aBytes.empty();
+  if (m_side == Side::Responses && !m_statusLine.Accept(aBytes)) {
+    aConsumed = 0;
+    return Status::Malformed;
+  }
   const bool hadHead = m_hasHead;
   aConsumed = http_parser_execute(
     &m_parser, &Callbacks::ParserSettings(), aBytes.data(), aBytes.size());
--- a/src/http/message_parser.hpp
+++ b/src/http/message_parser.hpp
@@ -3,6 +3,8 @@
 #include "greengagehub/core/body.hpp"
 #include "greengagehub/http/http_message.hpp"
 
+#include "status_line_check.hpp"
+
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
@@ -134,6 +136,7 @@
   std::size_t m_messageBytes{ 0 };
   Side m_side;
   Limits m_limits{};
+  StatusLineCheck m_statusLine;
   std::string m_target;
   std::vector<HttpHeader> m_headers;
   BodyBuffer m_body;
--- a/standins/faulty_worker.cpp
+++ b/standins/faulty_worker.cpp
@@ -106,11 +106,33 @@
   };
 }
 
+/// Answers with a broken status line, the first one with claims that a broken
+/// answer does not prove.
+std::map<std::string, Form>
+StatusForms()
+{
+  const std::string fields = "X-Greengagehub-Request-Id: {id}\r\n"
+                             "X-Greengagehub-Response-Seal: seal\r\n"
+                             "Content-Length: 2\r\n\r\nok";
+  return {
+    { "status-000",
+      { "HTTP/1.1 000 OK\r\nX-Greengagehub-Not-Executed: 1\r\n"
+        "Server-Leaving: 1\r\nServer-Limit: 0.1\r\n" +
+        fields } },
+    { "status-20", { "HTTP/1.1 20 OK\r\n" + fields } },
+    { "status-101", { "HTTP/1.1 101 OK\r\n" + fields } },
+    { "status-0200", { "HTTP/1.1 0200 OK\r\n" + fields } },
+    { "status-600", { "HTTP/1.1 600 OK\r\n" + fields } },
+    { "version-2", { "HTTP/2.0 200 OK\r\n" + fields } },
+  };
+}
+
 std::map<std::string, Form>
 MakeForms()
 {
   std::map<std::string, Form> forms = EndlessForms();
   forms.merge(EarlyForms());
+  forms.merge(StatusForms());
   return forms;
 }
 
--- a/tests/end_to_end/broken_answers.cpp
+++ b/tests/end_to_end/broken_answers.cpp
@@ -61,7 +61,7 @@
 void
 CheckAllLost(const Fleet& aFleet,
              const std::string& aForm,
-             std::size_t aBodyBytes)
+             std::size_t aBodyBytes = 0)
 {
   CAPTURE(aForm);
   for (const std::string slot : { "lockers-1", "desk-1" }) {
@@ -119,3 +119,22 @@
     }
   }
 }
+
+TEST_CASE("an answer without a valid status line reaches no client")
+{
+  // Guards against a broken answer that is passed on, taken for an interim one
+  // until the deadline, or believed in what it says about the worker.
+  Fleet fleet;
+  StartWithFaulty(fleet);
+  for (const char* form : { "status-000",
+                            "status-20",
+                            "status-101",
+                            "status-0200",
+                            "status-600",
+                            "version-2" }) {
+    CheckAllLost(fleet, form);
+  }
+  for (const CallResult& each : SendRequests(fleet, "", "desk-1", 0)) {
+    CHECK(each.Status() == 200);
+  }
+}
--- a/tests/http/broken_answers.cpp
+++ b/tests/http/broken_answers.cpp
@@ -151,3 +151,44 @@
         Kind::Lost);
   CHECK(Fetch(answer, Ending::Orderly).m_kind == Kind::Answered);
 }
+
+TEST_CASE("an answer without a valid status line is lost")
+{
+  // Guards against a status that no client can interpret, and against a broken
+  // answer that is taken for an interim one until the deadline.
+  for (const std::string line : { "HTTP/1.1 000 OK",
+                                  "HTTP/1.1 099 OK",
+                                  "HTTP/1.1 20 OK",
+                                  "HTTP/1.1 101 OK",
+                                  "HTTP/1.1 600 OK",
+                                  "HTTP/1.1 999 OK",
+                                  "HTTP/1.1 0200 OK",
+                                  "HTTP/1.1 200x OK",
+                                  "HTTP/1.1  200 OK",
+                                  "HTTP/2.0 200 OK" }) {
+    CAPTURE(line);
+    const std::string answer = line + "\r\nContent-Length: 2\r\n\r\nok";
+    CHECK(SendTo(answer, Ending::None).m_kind == Kind::Lost);
+    CHECK(Fetch(answer, Ending::None).m_kind == HttpClientResult::Kind::Lost);
+  }
+}
+
+TEST_CASE("an answer with any valid status line is complete")
+{
+  for (const std::string line :
+       { "HTTP/1.1 200 OK",
+         "HTTP/1.0 200 OK",
+         "HTTP/1.1 200 ",
+         "HTTP/1.1 200",
+         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK",
+         "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK",
+         "HTTP/1.1 599 " }) {
+    CAPTURE(line);
+    const std::string answer = line + "\r\nContent-Length: 2\r\n\r\nok";
+    const BackendResult result = SendTo(answer, Ending::None);
+    CHECK(result.m_kind == Kind::Answered);
+    CHECK(result.m_response.m_status == (line.find("599") == 9 ? 599 : 200));
+    CHECK(result.m_response.m_body.View() == "ok");
+    CHECK(Fetch(answer, Ending::None).m_response.m_body.View() == "ok");
+  }
+}
