Messages with a field name that is no token are malformed

What callers saw: an answer in whose head a field name held a blank was passed on with that line, "Content-Length : 2" before five bytes as two bytes, and "Transfer-Encoding : chunked" with the body cut as chunks. A trailer "X Foo: a" was put among the fields of the head. Requests with such a name, also "Host : other", reached the worker as they were.

Cause: the distribution builds http_parser without its strict mode, in which a blank is a token character; there is no strict build of it. libcurl checks no names.

Evidence: "an answer with a field name that is no token is lost" has 220 heads. Four kinds of requests, all dispatched, are answered with 400.

Change: each byte of a name is checked against the token grammar where names are collected, so before a head is complete, in both directions and in trailers. The client of the store does the same with libcurl's lines, and takes no answer whose head did not end, as libcurl ends one at a line that begins with NUL.

Why it works: a name that http_parser reports ends at its colon, so a blank in front of the colon is part of it; the error ends the parser before it uses the field for the body. A folded line is part of the value before it, as before (test kept).

Ruled out: names in use (tokens by RFC 9110) are not affected; values are checked by http_parser already.

Failed before: the cases named "no token", the pieces and the end-to-end case.

--- a/include/greengagehub/http/http_message.hpp
+++ b/include/greengagehub/http/http_message.hpp
@@ -2,6 +2,7 @@
 
 #include "greengagehub/core/body.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -37,6 +38,22 @@
   return aStatus >= 100 && aStatus < 200 && aStatus != 101;
 }
 
+/// \returns Whether the character may occur in a field name (RFC 9110, 5.6.2).
+[[nodiscard]] constexpr bool
+IsTokenChar(char aChar) noexcept
+{
+  constexpr std::string_view kSymbols = "!#$%&'*+-.^_`|~";
+  return (aChar >= 'a' && aChar <= 'z') || (aChar >= 'A' && aChar <= 'Z') ||
+         (aChar >= '0' && aChar <= '9') ||
+         kSymbols.find(aChar) != std::string_view::npos;
+}
+
+[[nodiscard]] constexpr bool
+HasOnlyTokenChars(std::string_view aText) noexcept
+{
+  return std::all_of(aText.begin(), aText.end(), IsTokenChar);
+}
+
 /// \returns Value of the first header with this name, ignoring case, or empty.
 [[nodiscard]] std::string_view
 HeaderValue(const std::vector<HttpHeader>& aHeaders,
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -32,6 +32,8 @@
   HttpResponse m_response;
   BodyBuffer m_body;
   std::size_t m_headerBytes{ 0 };
+  /// The empty line that ends the head was received.
+  bool m_hasHead{ false };
   int m_sendCount{ 0 };
 };
 
@@ -48,6 +50,29 @@
   return bytes;
 }
 
+/// \returns False if the line is no field of a head.
+bool
+AddField(std::string_view aLine, std::vector<HttpHeader>& aFields)
+{
+  constexpr std::string_view kBlanks = " \t\r\n";
+  const bool isFolded = aLine.starts_with(' ') || aLine.starts_with('\t');
+  if (isFolded && !aFields.empty()) {
+    // The rest of a value, of which no caller makes use.
+    return true;
+  }
+  const std::size_t colon = aLine.find(':');
+  if (colon == 0 || colon == std::string_view::npos ||
+      !HasOnlyTokenChars(aLine.substr(0, colon))) {
+    return false;
+  }
+  std::string_view value = aLine.substr(colon + 1);
+  value.remove_prefix(std::min(value.find_first_not_of(kBlanks), value.size()));
+  value = value.substr(0, value.find_last_not_of(kBlanks) + 1);
+  aFields.push_back(
+    HttpHeader{ std::string{ aLine.substr(0, colon) }, std::string{ value } });
+  return true;
+}
+
 std::size_t
 OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf)
 {
@@ -59,18 +84,14 @@
   }
   if (line.starts_with("HTTP/")) {
     transfer->m_response.m_headers.clear();
+    transfer->m_hasHead = false;
     return StatusLineCheck{}.Accept(line) ? line.size() : 0;
   }
-  const std::size_t colon = line.find(':');
-  if (colon == std::string_view::npos) {
+  if (line == "\r\n" || line == "\n") {
+    transfer->m_hasHead = true;
     return line.size();
   }
-  std::string_view value = line.substr(colon + 1);
-  value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
-  value = value.substr(0, value.find_last_not_of(" \t\r\n") + 1);
-  transfer->m_response.m_headers.push_back(
-    HttpHeader{ std::string{ line.substr(0, colon) }, std::string{ value } });
-  return line.size();
+  return AddField(line, transfer->m_response.m_headers) ? line.size() : 0;
 }
 
 /// Called by libcurl before it sends a request. Aborts a second attempt, which
@@ -162,7 +183,8 @@
 HttpClientResult
 ResultOf(Transfer& aTransfer, CURLcode aCode)
 {
-  if (aCode == CURLE_OK) {
+  // libcurl takes a line that begins with NUL for the end of the head.
+  if (aCode == CURLE_OK && aTransfer.m_hasHead) {
     long status = 0;
     curl_easy_getinfo(aTransfer.m_easy, CURLINFO_RESPONSE_CODE, &status);
     aTransfer.m_response.m_body =
@@ -174,7 +196,10 @@
   }
   const auto kind = aTransfer.m_sendCount == 0 ? HttpClientResult::Kind::NotSent
                                                : HttpClientResult::Kind::Lost;
-  return { kind, {}, curl_easy_strerror(aCode) };
+  return { kind,
+           {},
+           aCode == CURLE_OK ? "response without a whole head"
+                             : curl_easy_strerror(aCode) };
 }
 
 }
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -28,6 +28,10 @@
 
   static int OnName(http_parser* aParser, const char* aData, size_t aSize)
   {
+    // http_parser is built without its strict mode and accepts blanks.
+    if (!HasOnlyTokenChars({ aData, aSize })) {
+      return -1;
+    }
     MessageParser& self = Self(aParser);
     if (self.m_isInValue || self.m_headers.empty()) {
       self.m_headers.emplace_back();
--- a/tests/end_to_end/broken_answers.cpp
+++ b/tests/end_to_end/broken_answers.cpp
@@ -138,3 +138,18 @@
     CHECK(each.Status() == 200);
   }
 }
+
+TEST_CASE("an answer with a field name that is no token reaches no client")
+{
+  // Guards against a line that clients read differently, up to another body.
+  Fleet fleet;
+  StartWithFaulty(fleet);
+  for (const char* form : { "name-with-blank",
+                            "name-before-blank",
+                            "name-behind-blank",
+                            "length-before-blank",
+                            "coding-before-blank",
+                            "trailer-with-blank" }) {
+    CheckAllLost(fleet, form);
+  }
+}
--- a/tests/http/broken_answers.cpp
+++ b/tests/http/broken_answers.cpp
@@ -8,6 +8,7 @@
 
 using namespace greengagehub;
 using namespace std::chrono_literals;
+using namespace std::string_view_literals;
 
 namespace {
 
@@ -192,3 +193,50 @@
     CHECK(Fetch(answer, Ending::None).m_response.m_body.View() == "ok");
   }
 }
+
+TEST_CASE("an answer with a field name that is no token is lost")
+{
+  // Guards against a line that is passed on, or that decides what the body is,
+  // although a client may read it differently.
+  const auto unwanted = "\0\x01\b\t\v\f\x1f \x7f\x80\xff\"(),/;<=>?@[\\]{}"sv;
+  for (const std::string name :
+       { "X-Note", "Content-Length", "Transfer-Encoding", "Connection" }) {
+    for (const char each : unwanted) {
+      for (const std::size_t at : { std::size_t{ 0 }, name.size() - 2 }) {
+        std::string damaged = name;
+        damaged.insert(at, 1, each);
+        CAPTURE(damaged);
+        const std::string answer = "HTTP/1.1 200 OK\r\n" + damaged +
+                                   ": 2\r\nContent-Length: 2\r\n\r\nok";
+        CHECK(SendTo(answer, Ending::Orderly).m_kind == Kind::Lost);
+        CHECK(Fetch(answer, Ending::Orderly).m_kind ==
+              HttpClientResult::Kind::Lost);
+      }
+    }
+    const std::string answer = "HTTP/1.1 200 OK\r\n" + name + " : 2\r\n\r\nok";
+    CHECK(SendTo(answer, Ending::Orderly).m_kind == Kind::Lost);
+    CHECK(Fetch(answer, Ending::Orderly).m_kind ==
+          HttpClientResult::Kind::Lost);
+  }
+}
+
+TEST_CASE("an answer with a trailer whose name is no token is lost")
+{
+  // Guards against a trailer that is passed on although it is broken.
+  const std::string answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+                             "\r\n\r\n2\r\nok\r\n0\r\nX Note: a\r\n\r\n";
+  CHECK(SendTo(answer, Ending::None).m_kind == Kind::Lost);
+  CHECK(Fetch(answer, Ending::None).m_kind == HttpClientResult::Kind::Lost);
+}
+
+TEST_CASE("a folded line is part of the field before it")
+{
+  // Guards against a field name check that takes the rest of a value for a
+  // name.
+  const std::string answer = "HTTP/1.1 200 OK\r\nX-Note: a\r\n b: c\r\n"
+                             "Content-Length: 2\r\n\r\nok";
+  const BackendResult result = SendTo(answer, Ending::None);
+  REQUIRE(result.m_kind == Kind::Answered);
+  CHECK(HeaderValue(result.m_response.m_headers, "x-note") == "a b: c");
+  CHECK(Fetch(answer, Ending::None).m_kind == HttpClientResult::Kind::Answered);
+}
--- a/tests/http/http_server.cpp
+++ b/tests/http/http_server.cpp
@@ -94,6 +94,20 @@
   }
 }
 
+TEST_CASE("a request with a field name that is no token is rejected")
+{
+  // Guards against a field that a backend server reads differently than the
+  // daemon, such as a second host or length.
+  for (const std::string name : { "X Foo", "X-Foo ", "Host ", " X-Foo" }) {
+    CAPTURE(name);
+    TestConnection client;
+    client.Send("GET /a HTTP/1.1\r\n" + name + ": b\r\nHost: h\r\n\r\n");
+    CHECK(client.RunUntil([&] { return client.m_closed; }));
+    CHECK(client.m_received.starts_with("HTTP/1.1 400 "));
+    CHECK(client.m_requests.empty());
+  }
+}
+
 TEST_CASE("changed limits apply to open connections")
 {
   TestConnection client;
--- a/tests/http/message_parser.cpp
+++ b/tests/http/message_parser.cpp
@@ -33,8 +33,10 @@
     CAPTURE(bytes);
     CHECK(ParseInPieces("HTTP/1.1 200 OK\r\nX-A: b\r\n" + end, bytes) ==
           Status::Complete);
-    for (const std::string start :
-         { "HTTP/1.1 000 OK\r\n", "HTTP/1.1 0200 OK\r\n" }) {
+    for (const std::string start : { "HTTP/1.1 000 OK\r\n",
+                                     "HTTP/1.1 0200 OK\r\n",
+                                     "HTTP/1.1 200 OK\r\nX A: b\r\n",
+                                     "HTTP/1.1 200 OK\r\nX-A : b\r\n" }) {
       CAPTURE(start);
       CHECK(ParseInPieces(start + end, bytes) == Status::Malformed);
     }
