Answers with a broken line end are lost

What callers saw: an answer in whose head a field name began with a CR or LF came with a body that was not the worker's: the rest of the head. A chunk that does not end with CR LF lost two bytes of what followed it.

Cause: without its strict mode http_parser takes any byte for the LF behind a CR and any two for the line end behind a chunk; so "\r" and one more byte end the head. A bare LF ends it too, as it does for libcurl, which also stops at a CR.

Change: LineEndCheck sees the bytes of a response that are not of its body: a LF follows each CR, a CR LF each chunk, and an empty line that ends with LF alone ends the head only if the line before it ended so. Requests are read as before.

Why it works: the parser reports where each part of a body lies, so all other bytes it consumed are checked once, in order, before the message counts as complete, also where reads split them or the body waits for room (pieces of 1 to 80 bytes).

Ruled out: servers whose lines end with LF alone are served as before (test kept).

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,5 +1,6 @@
 #include "greengagehub/http/http_client.hpp"
 
+#include "line_end_check.hpp"
 #include "status_line_check.hpp"
 
 #include <asio/posix/stream_descriptor.hpp>
@@ -32,6 +33,7 @@
   HttpResponse m_response;
   BodyBuffer m_body;
   std::size_t m_headerBytes{ 0 };
+  LineEndCheck m_lineEnds;
   /// The empty line that ends the head was received.
   bool m_hasHead{ false };
   int m_sendCount{ 0 };
@@ -73,6 +75,17 @@
   return true;
 }
 
+/// \returns False if the line is neither a field nor the end of the head.
+bool
+OnFieldLine(Transfer& aTransfer, std::string_view aLine)
+{
+  if (aLine == "\r\n" || aLine == "\n") {
+    aTransfer.m_hasHead = true;
+    return true;
+  }
+  return AddField(aLine, aTransfer.m_response.m_headers);
+}
+
 std::size_t
 OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aSelf)
 {
@@ -82,16 +95,16 @@
   if (transfer->m_headerBytes > kMaxHeaderBytes) {
     return 0;
   }
-  if (line.starts_with("HTTP/")) {
+  const bool isStatusLine = line.starts_with("HTTP/");
+  if (isStatusLine) {
     transfer->m_response.m_headers.clear();
     transfer->m_hasHead = false;
-    return StatusLineCheck{}.Accept(line) ? line.size() : 0;
-  }
-  if (line == "\r\n" || line == "\n") {
-    transfer->m_hasHead = true;
-    return line.size();
+    transfer->m_lineEnds = {};
   }
-  return AddField(line, transfer->m_response.m_headers) ? line.size() : 0;
+  const bool isValid = transfer->m_lineEnds.Accept(line) &&
+                       (isStatusLine ? StatusLineCheck{}.Accept(line)
+                                     : OnFieldLine(*transfer, line));
+  return isValid ? line.size() : 0;
 }
 
 /// Called by libcurl before it sends a request. Aborts a second attempt, which
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -78,6 +78,9 @@
   static int OnBody(http_parser* aParser, const char* aData, size_t aSize)
   {
     MessageParser& self = Self(aParser);
+    self.CheckLineEnds(aData);
+    self.m_unchecked = aData + aSize;
+    self.m_lineEnds.OnBody((aParser->flags & F_CHUNKED) != 0);
     const std::size_t limit = self.MaxBodyBytes(self.m_isLengthAnnounced);
     if (self.m_body.Size() + aSize > limit) {
       self.m_isBodyTooLarge = true;
@@ -142,6 +145,19 @@
   }
 }
 
+void
+MessageParser::CheckLineEnds(const char* aEnd) noexcept
+{
+  // The parser counts the last byte of a body as consumed only when it resumes.
+  if (m_side != Side::Responses || aEnd <= m_unchecked) {
+    return;
+  }
+  const auto size = static_cast<std::size_t>(aEnd - m_unchecked);
+  if (!m_lineEnds.Accept({ m_unchecked, size })) {
+    m_hasBadLineEnd = true;
+  }
+}
+
 void
 MessageParser::AppendToBody(std::string_view aBytes)
 {
@@ -191,6 +207,7 @@
                    m_side == Side::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
   m_parser.data = this;
   m_statusLine = {};
+  m_lineEnds = {};
   m_target.clear();
   m_headers.clear();
   m_body.Clear();
@@ -204,6 +221,7 @@
   m_isComplete = false;
   m_keepsAlive = false;
   m_isBodyTooLarge = false;
+  m_hasBadLineEnd = false;
   m_isInValue = false;
 }
 
@@ -216,9 +234,14 @@
     return Status::Malformed;
   }
   const bool hadHead = m_hasHead;
+  m_unchecked = aBytes.data();
   aConsumed = http_parser_execute(
     &m_parser, &Callbacks::ParserSettings(), aBytes.data(), aBytes.size());
   m_messageBytes += aConsumed;
+  CheckLineEnds(aBytes.data() + aConsumed);
+  if (m_hasBadLineEnd) {
+    return Status::Malformed;
+  }
   if (m_isBodyTooLarge) {
     return Status::BodyTooLarge;
   }
--- a/src/http/message_parser.hpp
+++ b/src/http/message_parser.hpp
@@ -3,6 +3,7 @@
 #include "greengagehub/core/body.hpp"
 #include "greengagehub/http/http_message.hpp"
 
+#include "line_end_check.hpp"
 #include "status_line_check.hpp"
 
 #include <algorithm>
@@ -122,6 +123,9 @@
              ? std::max(m_limits.m_bodyBytes, m_limits.m_announcedBodyBytes)
              : m_limits.m_bodyBytes;
   }
+  /// \brief Checks what was parsed since the last bytes of the body.
+  /// \param aEnd behind it, within the bytes of the current Feed().
+  void CheckLineEnds(const char* aEnd) noexcept;
   void AppendToBody(std::string_view aBytes);
   void AwaitRoom(std::size_t aBytes) noexcept;
 
@@ -137,6 +141,9 @@
   Side m_side;
   Limits m_limits{};
   StatusLineCheck m_statusLine;
+  LineEndCheck m_lineEnds;
+  /// Within the bytes of the current Feed().
+  const char* m_unchecked{ nullptr };
   std::string m_target;
   std::vector<HttpHeader> m_headers;
   BodyBuffer m_body;
@@ -150,6 +157,7 @@
   bool m_isComplete{ false };
   bool m_keepsAlive{ false };
   bool m_isBodyTooLarge{ false };
+  bool m_hasBadLineEnd{ false };
   /// The last callback was for a header value, so the next name starts a new
   /// header.
   bool m_isInValue{ false };
--- a/standins/faulty_answers.hpp
+++ b/standins/faulty_answers.hpp
@@ -103,7 +103,7 @@
   };
 }
 
-/// Answers with a field name that is not a token.
+/// Answers with a field name that is not a token, or with a broken line end.
 inline std::map<std::string, Form>
 NameForms()
 {
@@ -117,6 +117,10 @@
     { "length-before-blank", { head + "Content-Length : 2\r\n\r\nwhole" } },
     { "coding-before-blank",
       { head + "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n" } },
+    { "name-behind-cr", { head + "\rX-Foo: a\r\n" + whole } },
+    { "name-behind-lf", { head + "\nX-Foo: a\r\n" + whole } },
+    { "chunk-without-end",
+      { head + "Transfer-Encoding: chunked\r\n\r\n2\r\nokXY0\r\n\r\n" } },
     { "trailer-with-blank",
       { head + "Transfer-Encoding: chunked\r\n\r\n"
                "2\r\nok\r\n0\r\nX Foo: a\r\n\r\n" } },
--- a/tests/end_to_end/broken_answers.cpp
+++ b/tests/end_to_end/broken_answers.cpp
@@ -153,3 +153,14 @@
     CheckAllLost(fleet, form);
   }
 }
+
+TEST_CASE("an answer with a broken line end reaches no client")
+{
+  // Guards against a head or chunk that ends where the worker did not end it.
+  Fleet fleet;
+  StartWithFaulty(fleet);
+  for (const char* form :
+       { "name-behind-cr", "name-behind-lf", "chunk-without-end" }) {
+    CheckAllLost(fleet, form);
+  }
+}
--- a/tests/http/broken_answers.cpp
+++ b/tests/http/broken_answers.cpp
@@ -240,3 +240,47 @@
   CHECK(HeaderValue(result.m_response.m_headers, "x-note") == "a b: c");
   CHECK(Fetch(answer, Ending::None).m_kind == HttpClientResult::Kind::Answered);
 }
+
+TEST_CASE("an answer with a broken line end is lost")
+{
+  // Guards against a head or chunk that ends where the server did not end it,
+  // which makes another body of the answer.
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string rest = "X-Note: a\r\nContent-Length: 2\r\n\r\nok";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& answer : { head + "\r" + rest,
+                                     head + "\n" + rest,
+                                     head + "X-First: a\r\n\r" + rest,
+                                     head + "X-First: a\r\n\n" + rest,
+                                     "HTTP/1.1 200\rX\r\n" + rest,
+                                     "HTTP/1.1 200 O\rX\r\n" + rest }) {
+    CAPTURE(answer);
+    CHECK(SendTo(answer, Ending::Orderly).m_kind == Kind::Lost);
+    CHECK(Fetch(answer, Ending::Orderly).m_kind ==
+          HttpClientResult::Kind::Lost);
+  }
+  for (const std::string& answer : { chunked + "2\r\nokXY0\r\n\r\n",
+                                     chunked + "2\r\nok\rX0\r\n\r\n",
+                                     chunked + "2\rXok\r\n0\r\n\r\n",
+                                     chunked + "2\r\nok\r\n0\rX\r\n",
+                                     chunked + "2\r\nok\r\n0\r\n\rX" }) {
+    CAPTURE(answer);
+    CHECK(SendTo(answer, Ending::Orderly).m_kind == Kind::Lost);
+  }
+}
+
+TEST_CASE("an answer whose lines end with LF alone is complete")
+{
+  // Guards against a check that ends the service of such servers.
+  for (const std::string answer :
+       { "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
+         "HTTP/1.1 200 OK\r\nX-Note: a\nContent-Length: 2\r\n\r\nok",
+         "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n"
+         "2\r\nok\r\n0\r\n\r\n" }) {
+    CAPTURE(answer);
+    const BackendResult result = SendTo(answer, Ending::None);
+    CHECK(result.m_kind == Kind::Answered);
+    CHECK(result.m_response.m_body.View() == "ok");
+    CHECK(Fetch(answer, Ending::None).m_response.m_body.View() == "ok");
+  }
+}
--- a/tests/http/message_parser.cpp
+++ b/tests/http/message_parser.cpp
@@ -8,17 +8,22 @@
 
 using Status = MessageParser::Status;
 
-/// \returns What the parser makes of a response that arrives in pieces.
+/// \returns What the parser makes of a response that arrives in pieces and
+/// whose body has to wait for room.
 Status
 ParseInPieces(std::string_view aText, std::size_t aBytes)
 {
   MessageParser parser{ MessageParser::Side::Responses };
+  parser.UseBudget(ByteBudget::Pointer{ new ByteBudget{ 1 } });
   auto status = Status::NeedsMore;
   while (!aText.empty() && status == Status::NeedsMore) {
-    const std::string_view piece = aText.substr(0, aBytes);
     std::size_t consumed = 0;
-    status = parser.Feed(piece, consumed);
-    aText.remove_prefix(piece.size());
+    status = parser.Feed(aText.substr(0, aBytes), consumed);
+    aText.remove_prefix(consumed);
+    if (status == Status::NeedsRoom) {
+      parser.Provide({});
+      status = Status::NeedsMore;
+    }
   }
   return status;
 }
@@ -36,9 +41,26 @@
     for (const std::string start : { "HTTP/1.1 000 OK\r\n",
                                      "HTTP/1.1 0200 OK\r\n",
                                      "HTTP/1.1 200 OK\r\nX A: b\r\n",
-                                     "HTTP/1.1 200 OK\r\nX-A : b\r\n" }) {
+                                     "HTTP/1.1 200 OK\r\nX-A : b\r\n",
+                                     "HTTP/1.1 200 OK\r\n\rX-A: b\r\n",
+                                     "HTTP/1.1 200 OK\r\n\nX-A: b\r\n" }) {
       CAPTURE(start);
       CHECK(ParseInPieces(start + end, bytes) == Status::Malformed);
     }
   }
 }
+
+TEST_CASE("a chunked body is complete however it is split into reads")
+{
+  // Guards against a check of line ends that takes parts of a body for them.
+  const std::string head =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string body =
+    "2\r\n\n\r\r\n4;a=b\r\n\r\n\r\n\r\n0\r\nX-A: b\r\n\r\n";
+  for (std::size_t bytes = 1; bytes <= 80; ++bytes) {
+    CAPTURE(bytes);
+    CHECK(ParseInPieces(head + body, bytes) == Status::Complete);
+    CHECK(ParseInPieces(head + "2\r\nokXY0\r\n\r\n", bytes) ==
+          Status::Malformed);
+  }
+}
