Trailers are no fields of a message's head

What callers saw: trailers of a worker's chunked answer came as fields of its head; trailers of a request reached the worker so, and the daemon read them as fields.

Cause: the parser reports names and values of trailers as it does those of the head, and libcurl passes both to one callback; both were put into one list. RFC 9110, 6.5.1 forbids that where the field is not known to allow it.

Change: what comes after the head is checked and dropped. Bodies are as before.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -83,7 +83,9 @@
     aTransfer.m_hasHead = true;
     return true;
   }
-  return AddField(aLine, aTransfer.m_response.m_headers);
+  std::vector<HttpHeader> trailers;
+  return AddField(
+    aLine, aTransfer.m_hasHead ? trailers : aTransfer.m_response.m_headers);
 }
 
 std::size_t
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -33,6 +33,10 @@
       return -1;
     }
     MessageParser& self = Self(aParser);
+    if (self.m_hasHead) {
+      // A trailer; it is not forwarded.
+      return 0;
+    }
     if (self.m_isInValue || self.m_headers.empty()) {
       self.m_headers.emplace_back();
       self.m_isInValue = false;
@@ -44,8 +48,10 @@
   static int OnValue(http_parser* aParser, const char* aData, size_t aSize)
   {
     MessageParser& self = Self(aParser);
-    self.m_isInValue = true;
-    self.m_headers.back().m_value.append(aData, aSize);
+    if (!self.m_hasHead) {
+      self.m_isInValue = true;
+      self.m_headers.back().m_value.append(aData, aSize);
+    }
     return 0;
   }
 
@@ -53,7 +59,6 @@
   {
     MessageParser& self = Self(aParser);
     self.m_hasHead = true;
-    self.m_isInValue = true;
     self.m_keepsAlive = http_should_keep_alive(aParser) != 0;
     if (self.m_side == Side::Requests && self.HasDuplicateHost()) {
       return -1;
--- a/tests/http/broken_answers.cpp
+++ b/tests/http/broken_answers.cpp
@@ -229,6 +229,23 @@
   CHECK(Fetch(answer, Ending::None).m_kind == HttpClientResult::Kind::Lost);
 }
 
+TEST_CASE("a trailer is no field of the head")
+{
+  // Guards against a trailer that replaces what the head says.
+  const std::string answer =
+    "HTTP/1.1 200 OK\r\nX-Note: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "2\r\nok\r\n0\r\nX-Seal: b\r\nX-Other: c\r\n\r\n";
+  const BackendResult result = SendTo(answer, Ending::None);
+  REQUIRE(result.m_kind == Kind::Answered);
+  CHECK(result.m_response.m_body.View() == "ok");
+  CHECK(HeaderValue(result.m_response.m_headers, "x-note") == "a");
+  CHECK(HeaderValue(result.m_response.m_headers, "x-seal").empty());
+  const HttpClientResult fetched = Fetch(answer, Ending::None);
+  REQUIRE(fetched.m_kind == HttpClientResult::Kind::Answered);
+  CHECK(HeaderValue(fetched.m_response.m_headers, "x-note") == "a");
+  CHECK(HeaderValue(fetched.m_response.m_headers, "x-seal").empty());
+}
+
 TEST_CASE("a folded line is part of the field before it")
 {
   // Guards against a field name check that takes the rest of a value for a
--- a/tests/http/http_server.cpp
+++ b/tests/http/http_server.cpp
@@ -108,6 +108,19 @@
   }
 }
 
+TEST_CASE("a trailer of a request is no field of its head")
+{
+  // Guards against a trailer that replaces what the head says, such as a key.
+  TestConnection client;
+  client.Send(
+    "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "2\r\nok\r\n0\r\nX-Key: b\r\nX-Other: c\r\n\r\n");
+  REQUIRE(client.RunUntil([&] { return client.m_requests.size() == 1; }));
+  CHECK(HeaderValue(client.m_requests[0].m_headers, "host") == "h");
+  CHECK(HeaderValue(client.m_requests[0].m_headers, "x-key").empty());
+  CHECK(client.m_requests[0].m_body.View() == "ok");
+}
+
 TEST_CASE("changed limits apply to open connections")
 {
   TestConnection client;
