Links: a broken response from another daemon is a lost answer

What callers saw: during a rolling upgrade, a daemon that checks the answers of its own worker passes on what a daemon of an earlier version took from a broken one.

Cause: the status and fields of a call's answer were taken as they were decoded; any status up to 65535, any bytes in names and values.

Evidence: "a broken response from another daemon is a lost answer" failed for 7 of 7 responses (status 0, 101, 600; a blank or nothing for a name; CR LF or NUL in a value).

Change: the codec turns an answer whose response has no final status, or a field that is none, into a lost answer (Unknown, AnswerLost). The link, on which other calls wait, stays open. What the daemon itself says of its worker's load is kept.

Ruled out: cut answers (frames have lengths, a link that ends takes its unfinished frames with it); pulls (messages of ZeroMQ are whole, "invalid and corrupted messages are errors and do not crash" covers their bytes, digests their content).

--- a/include/greengagehub/http/http_message.hpp
+++ b/include/greengagehub/http/http_message.hpp
@@ -54,6 +54,18 @@
   return std::all_of(aText.begin(), aText.end(), IsTokenChar);
 }
 
+/// \returns Whether the text has no control characters but tabs.
+[[nodiscard]] constexpr bool
+IsFieldValue(std::string_view aText) noexcept
+{
+  constexpr unsigned char kFirstVisible = 0x20;
+  constexpr unsigned char kDelete = 0x7f;
+  return std::all_of(aText.begin(), aText.end(), [](char aChar) {
+    const auto byte = static_cast<unsigned char>(aChar);
+    return aChar == '\t' || (byte >= kFirstVisible && byte != kDelete);
+  });
+}
+
 /// \returns Value of the first header with this name, ignoring case, or empty.
 [[nodiscard]] std::string_view
 HeaderValue(const std::vector<HttpHeader>& aHeaders,
--- a/src/transport/link_codec.cpp
+++ b/src/transport/link_codec.cpp
@@ -274,6 +274,18 @@
   return LinkFrame{ std::move(request) };
 }
 
+bool
+IsValidResponse(const HttpResponse& aResponse)
+{
+  return IsFinalStatus(aResponse.m_status) &&
+         std::ranges::all_of(aResponse.m_headers,
+                             [](const HttpHeader& aHeader) {
+                               return !aHeader.m_name.empty() &&
+                                      HasOnlyTokenChars(aHeader.m_name) &&
+                                      IsFieldValue(aHeader.m_value);
+                             });
+}
+
 Outcome<LinkFrame>
 AnswerFrom(const wire::CallAnswer& aWire, std::string_view aBody)
 {
@@ -307,6 +319,12 @@
   answer.m_response.m_headers = HeadersFromWire(aWire);
   answer.m_response.m_body = aBody;
   answer.m_bodyBytesToFollow = aWire.body_bytes();
+  if (answer.m_outcome == CallOutcome::Answered &&
+      !IsValidResponse(answer.m_response)) {
+    answer.m_outcome = CallOutcome::Unknown;
+    answer.m_reason = RefusalReason::AnswerLost;
+    answer.m_response = {};
+  }
   answer.m_retryAfter = std::chrono::milliseconds{ aWire.retry_after_ms() };
   answer.m_load = aWire.load();
   answer.m_reachedWorker = aWire.reached_worker();
--- a/tests/transport/codec.cpp
+++ b/tests/transport/codec.cpp
@@ -320,6 +320,43 @@
   }
 }
 
+TEST_CASE("a broken response from another daemon is a lost answer")
+{
+  // Guards against a response that a daemon of an earlier version passes on.
+  const auto roundTrip = [](HttpResponse aResponse) {
+    CallAnswer answer;
+    answer.m_call = 7;
+    answer.m_outcome = CallOutcome::Answered;
+    answer.m_reachedWorker = true;
+    answer.m_response = std::move(aResponse);
+    answer.m_response.m_body = std::string{ "ok" };
+    return std::get<CallAnswer>(RoundTrip(answer));
+  };
+  const std::vector<HttpResponse> broken = {
+    { .m_status = 0 },
+    { .m_status = 101 },
+    { .m_status = 600 },
+    { .m_status = 200, .m_headers = { { "X Foo", "a" } } },
+    { .m_status = 200, .m_headers = { { "", "a" } } },
+    { .m_status = 200, .m_headers = { { "X-Foo", "a\r\nX-Bar: b" } } },
+    { .m_status = 200, .m_headers = { { "X-Foo", std::string(1, '\0') } } },
+  };
+  for (const HttpResponse& each : broken) {
+    const CallAnswer got = roundTrip(each);
+    CHECK(got.m_call == 7);
+    CHECK(got.m_outcome == CallOutcome::Unknown);
+    CHECK(got.m_reason == RefusalReason::AnswerLost);
+    CHECK(got.m_reachedWorker);
+    CHECK(got.m_response.m_headers.empty());
+    CHECK(got.m_response.m_body.Size() == 0);
+  }
+  const CallAnswer sound =
+    roundTrip({ .m_status = 599, .m_headers = { { "X-Name", "Bj\xf6rn\t" } } });
+  CHECK(sound.m_outcome == CallOutcome::Answered);
+  CHECK(sound.m_response.m_headers.size() == 1);
+  CHECK(sound.m_response.m_body.View() == "ok");
+}
+
 TEST_CASE("a call's workspace and weight survive encoding and decoding")
 {
   CallRequest request;
