Count and log broken answers with their reason

What operators saw: an answer that is not taken is a run_lost with answer-lost, as is any connection that breaks; nothing told that a worker sends broken answers.

Change: the client of backend servers gives the fault of a lost response: status-line, field-name, line-end, reset-while-sending, or syntax for all other errors. The daemon counts it (greengagehub_broken_answers_total by reason) and logs answer_broken with the request's id and the instance, for health checks without an id.

Evidence: "a broken answer is counted and logged with its reason": 4 forms, 16 answers each, 16 counted, the line in the trace of a request.

--- a/include/greengagehub/daemon/request_log.hpp
+++ b/include/greengagehub/daemon/request_log.hpp
@@ -3,6 +3,7 @@
 #include "greengagehub/calls/call.hpp"
 #include "greengagehub/calls/worker_signals.hpp"
 #include "greengagehub/core/version.hpp"
+#include "greengagehub/http/response_fault.hpp"
 #include "greengagehub/observe/log.hpp"
 #include "greengagehub/observe/log_rate_limiter.hpp"
 #include "greengagehub/quarantine/crash_detector.hpp"
@@ -20,6 +21,7 @@
 /// | run_answered     | worker's daemon     | a sample, and calls that were  |
 /// |                  |                     | routed by an older version     |
 /// | run_lost         | worker's daemon     | run started, answer lost       |
+/// | answer_broken    | worker's daemon     | bytes that are no response     |
 /// | request_held     | either              | fingerprint is quarantined     |
 /// | run_cancelled    | worker's daemon     | answer no longer needed        |
 /// | worker_ended     | worker's daemon     | process exited during runs     |
@@ -122,6 +124,11 @@
                  RefusalReason aReason,
                  Duration aRunTime,
                  const WorkerState& aState);
+  /// \param aId of the request; empty for a health check.
+  void OnBrokenAnswer(TimePoint aNow,
+                      std::string_view aId,
+                      std::string_view aInstance,
+                      ResponseFault aFault);
   /// \brief Logs the exit of the backend server's process with the fingerprints
   /// of its runs, without a rate limit.
   void OnWorkerExit(std::string_view aInstance,
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -185,6 +185,9 @@
                  Fingerprint aFingerprint,
                  const Refusal& aRefusal);
   void OnBackendResult(CallKey aKey, BackendResult aResult);
+  /// \brief Reports bytes that are no response, if there are any.
+  /// \param aId of the request; empty for a health check.
+  void ReportFault(const BackendResult& aResult, std::string_view aId);
   /// \brief Applies what the backend server states about itself in the
   /// response to a run.
   void ApplySignals(const ActiveRun& aRun, const HttpResponse& aResponse);
--- a/include/greengagehub/http/backend_client.hpp
+++ b/include/greengagehub/http/backend_client.hpp
@@ -3,6 +3,7 @@
 #include "greengagehub/core/byte_budget.hpp"
 #include "greengagehub/core/clock.hpp"
 #include "greengagehub/http/http_message.hpp"
+#include "greengagehub/http/response_fault.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -52,6 +53,8 @@
 
   Kind m_kind{ Kind::NotSent };
   HttpResponse m_response{};
+  /// Of a lost response, if it was received at least in part.
+  ResponseFault m_fault{ ResponseFault::None };
   /// A reused connection was lost before any byte of a response; most likely
   /// the backend server had closed it while it was idle.
   bool m_wasStale{ false };
--- a/include/greengagehub/http/http.hpp
+++ b/include/greengagehub/http/http.hpp
@@ -6,3 +6,4 @@
 #include "greengagehub/http/http_client.hpp"
 #include "greengagehub/http/http_message.hpp"
 #include "greengagehub/http/http_server.hpp"
+#include "greengagehub/http/response_fault.hpp"
--- a/include/greengagehub/observe/metrics.hpp
+++ b/include/greengagehub/observe/metrics.hpp
@@ -26,6 +26,8 @@
   void CountWorkerCrash();
   /// \brief Counts a request sent to the local worker.
   void CountWorkerRequest();
+  /// \brief Counts bytes of the local worker that are no response.
+  void CountBrokenAnswer(std::string_view aReason);
   /// \brief Counts the close of a caller's connection.
   void CountClosedConnection(std::string_view aState, std::string_view aCause);
   void CountRejectedReport(std::string_view aReason);
--- a/src/daemon/request_log.cpp
+++ b/src/daemon/request_log.cpp
@@ -171,6 +171,21 @@
                { "running", std::uint64_t{ aState.m_running } } });
 }
 
+void
+RequestLog::OnBrokenAnswer(TimePoint aNow,
+                           std::string_view aId,
+                           std::string_view aInstance,
+                           ResponseFault aFault)
+{
+  if (m_budget.TryAcquire(aNow)) {
+    m_log.Warning(kComponent,
+                  "answer_broken",
+                  { { "request", aId },
+                    { "instance", aInstance },
+                    { "reason", NameOf(aFault) } });
+  }
+}
+
 void
 RequestLog::OnWorkerExit(std::string_view aInstance,
                          bool aIsDraining,
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -206,6 +206,7 @@
   }
   const RunActions next = m_runs.Finish(Clock::now(), aKey);
   if (m_activeRuns.contains(aKey)) {
+    ReportFault(aResult, RequestIdOf(run->second.m_request));
     if (aResult.m_kind == BackendResult::Kind::Answered) {
       m_crashDetector.OnAlive();
     }
--- a/src/daemon/run_service_answers.cpp
+++ b/src/daemon/run_service_answers.cpp
@@ -20,6 +20,16 @@
          HeaderValue(aResponse.m_headers, m_deps.m_dialect.m_seal).empty();
 }
 
+void
+RunService::ReportFault(const BackendResult& aResult, std::string_view aId)
+{
+  if (aResult.m_fault != ResponseFault::None) {
+    m_deps.m_metrics.CountBrokenAnswer(NameOf(aResult.m_fault));
+    m_deps.m_requestLog.OnBrokenAnswer(
+      Clock::now(), aId, m_incarnation.m_id, aResult.m_fault);
+  }
+}
+
 CallAnswer
 RunService::AnswerFrom(CallKey aKey, HttpResponse aResponse)
 {
--- a/src/daemon/run_service_worker.cpp
+++ b/src/daemon/run_service_worker.cpp
@@ -109,6 +109,7 @@
   m_client.Send(
     std::move(request),
     [this, sentAt, done = std::move(aDone)](const BackendResult& aResult) {
+      ReportFault(aResult, {});
       const HttpResponse& response = aResult.m_response;
       const bool isHealthy = aResult.m_kind == BackendResult::Kind::Answered &&
                              IsSuccess(response.m_status);
--- a/src/http/backend_connection.hpp
+++ b/src/http/backend_connection.hpp
@@ -325,7 +325,9 @@
         return;
       }
       if (status != MessageParser::Status::Complete) {
-        CompleteRequest({ BackendResult::Kind::Lost }, true);
+        BackendResult result{ BackendResult::Kind::Lost };
+        result.m_fault = m_parser.Fault();
+        CompleteRequest(std::move(result), true);
         return;
       }
       if (IsExpectedResponse()) {
@@ -409,16 +411,17 @@
     if (m_isSendComplete) {
       OnResponse(true);
     } else if (m_hasSendFailed) {
-      CompleteLost();
+      CompleteLost(ResponseFault::ResetWhileSending);
     } else {
       m_awaitsSend = true;
     }
   }
 
-  void CompleteLost()
+  void CompleteLost(ResponseFault aFault = ResponseFault::None)
   {
     BackendResult result{ m_isSendStarted ? BackendResult::Kind::Lost
                                           : BackendResult::Kind::NotSent };
+    result.m_fault = aFault;
     result.m_wasStale = m_wasUsedBefore && !m_hasReceivedBytes;
     result.m_closed = m_isSendStarted;
     result.m_connectedAt = m_openedAt;
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -28,11 +28,12 @@
 
   static int OnName(http_parser* aParser, const char* aData, size_t aSize)
   {
+    MessageParser& self = Self(aParser);
     // http_parser is built without its strict mode and accepts blanks.
     if (!HasOnlyTokenChars({ aData, aSize })) {
+      self.m_fault = ResponseFault::FieldName;
       return -1;
     }
-    MessageParser& self = Self(aParser);
     if (self.m_hasHead) {
       // A trailer; it is not forwarded.
       return 0;
@@ -158,8 +159,9 @@
     return;
   }
   const auto size = static_cast<std::size_t>(aEnd - m_unchecked);
-  if (!m_lineEnds.Accept({ m_unchecked, size })) {
-    m_hasBadLineEnd = true;
+  const bool isValid = m_lineEnds.Accept({ m_unchecked, size });
+  if (!isValid && m_fault == ResponseFault::None) {
+    m_fault = ResponseFault::LineEnd;
   }
 }
 
@@ -226,7 +228,7 @@
   m_isComplete = false;
   m_keepsAlive = false;
   m_isBodyTooLarge = false;
-  m_hasBadLineEnd = false;
+  m_fault = ResponseFault::None;
   m_isInValue = false;
 }
 
@@ -236,7 +238,7 @@
   m_hasBegun = m_hasBegun || !aBytes.empty();
   if (m_side == Side::Responses && !m_statusLine.Accept(aBytes)) {
     aConsumed = 0;
-    return Status::Malformed;
+    return Malformed(ResponseFault::StatusLine);
   }
   const bool hadHead = m_hasHead;
   m_unchecked = aBytes.data();
@@ -244,7 +246,7 @@
     &m_parser, &Callbacks::ParserSettings(), aBytes.data(), aBytes.size());
   m_messageBytes += aConsumed;
   CheckLineEnds(aBytes.data() + aConsumed);
-  if (m_hasBadLineEnd) {
+  if (m_fault != ResponseFault::None) {
     return Status::Malformed;
   }
   if (m_isBodyTooLarge) {
@@ -266,10 +268,17 @@
   if (error == HPE_HEADER_OVERFLOW) {
     return Status::HeadTooLarge;
   }
-  if (m_hasHead && HasTooMuchFraming()) {
-    return Status::Malformed;
+  if (error != HPE_OK || (m_hasHead && HasTooMuchFraming())) {
+    return Malformed(ResponseFault::Syntax);
   }
-  return error == HPE_OK ? Status::NeedsMore : Status::Malformed;
+  return Status::NeedsMore;
+}
+
+MessageParser::Status
+MessageParser::Malformed(ResponseFault aFault) noexcept
+{
+  m_fault = aFault;
+  return Status::Malformed;
 }
 
 MessageParser::Status
--- a/src/http/message_parser.hpp
+++ b/src/http/message_parser.hpp
@@ -2,6 +2,7 @@
 
 #include "greengagehub/core/body.hpp"
 #include "greengagehub/http/http_message.hpp"
+#include "greengagehub/http/response_fault.hpp"
 
 #include "line_end_check.hpp"
 #include "status_line_check.hpp"
@@ -98,6 +99,8 @@
   {
     return static_cast<std::uint16_t>(m_parser.status_code);
   }
+  /// \returns The cause of Status::Malformed.
+  [[nodiscard]] ResponseFault Fault() const noexcept { return m_fault; }
   [[nodiscard]] std::string Method() const;
   [[nodiscard]] std::string& Target() noexcept { return m_target; }
   [[nodiscard]] std::vector<HttpHeader>& Headers() noexcept
@@ -128,6 +131,7 @@
   void CheckLineEnds(const char* aEnd) noexcept;
   void AppendToBody(std::string_view aBytes);
   void AwaitRoom(std::size_t aBytes) noexcept;
+  Status Malformed(ResponseFault aFault) noexcept;
 
   /// \returns Whether chunk extensions or trailers outweigh the body.
   [[nodiscard]] bool HasTooMuchFraming() const noexcept
@@ -144,6 +148,7 @@
   LineEndCheck m_lineEnds;
   /// Within the bytes of the current Feed().
   const char* m_unchecked{ nullptr };
+  ResponseFault m_fault{ ResponseFault::None };
   std::string m_target;
   std::vector<HttpHeader> m_headers;
   BodyBuffer m_body;
@@ -157,7 +162,6 @@
   bool m_isComplete{ false };
   bool m_keepsAlive{ false };
   bool m_isBodyTooLarge{ false };
-  bool m_hasBadLineEnd{ false };
   /// The last callback was for a header value, so the next name starts a new
   /// header.
   bool m_isInValue{ false };
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -44,6 +44,11 @@
       .Help("Requests sent to the own worker, health checks included")
       .Register(m_registry)
       .Add({});
+  prometheus::Family<prometheus::Counter>& m_brokenAnswers =
+    prometheus::BuildCounter()
+      .Name("greengagehub_broken_answers_total")
+      .Help("Answers of the own worker that were not taken, by reason")
+      .Register(m_registry);
   prometheus::Family<prometheus::Counter>& m_closedConnections =
     prometheus::BuildCounter()
       .Name("greengagehub_connections_closed_total")
@@ -112,6 +117,13 @@
   m_impl->m_workerRequests.Increment();
 }
 
+void
+Metrics::CountBrokenAnswer(std::string_view aReason)
+{
+  m_impl->m_brokenAnswers.Add({ { "reason", std::string{ aReason } } })
+    .Increment();
+}
+
 void
 Metrics::CountClosedConnection(std::string_view aState, std::string_view aCause)
 {
--- a/tests/end_to_end/broken_answers.cpp
+++ b/tests/end_to_end/broken_answers.cpp
@@ -1,5 +1,6 @@
 #include "platform_fleet.hpp"
 
+#include <fmt/format.h>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,12 @@
   WaitForLockers(aFleet);
 }
 
+std::string
+RequestId(const std::string& aForm, const std::string& aSlot, int aNumber)
+{
+  return fmt::format("{}-{}-{}", aForm, aSlot, aNumber);
+}
+
 std::vector<CallResult>
 SendRequests(const Fleet& aFleet,
              const std::string& aForm,
@@ -42,14 +49,14 @@
 {
   aFleet.ControlWorker("lockers-1", { { "requests", aForm } });
   std::vector<CallResult> results;
+  results.reserve(kRequests);
   for (int i = 0; i < kRequests; ++i) {
     results.push_back(
       aFleet.Call(aSlot,
                   "POST",
                   "/release/1",
                   { { "Host", "a.example" },
-                    { "X-Greengagehub-Request-Id",
-                      aForm + "-" + aSlot + "-" + std::to_string(i) },
+                    { "X-Greengagehub-Request-Id", RequestId(aForm, aSlot, i) },
                     { "X-Greengagehub-Deadline-Ms", kDeadlineMs } },
                   std::string(aBodyBytes, 'x')));
   }
@@ -164,3 +171,56 @@
     CheckAllLost(fleet, form);
   }
 }
+
+TEST_CASE("a broken answer is counted and logged with its reason")
+{
+  // Guards against lost answers whose cause an operator cannot find.
+  struct Case
+  {
+    const char* m_form;
+    std::string m_reason;
+    std::size_t m_bodyBytes{ 0 };
+  };
+  Fleet fleet;
+  StartWithFaulty(fleet);
+  for (const Case& each :
+       { Case{ "status-000", "status-line" },
+         Case{ "name-with-blank", "field-name" },
+         Case{ "name-behind-cr", "line-end" },
+         Case{ "unframed-late-reset", "reset-while-sending", kUploadBytes } }) {
+    CAPTURE(each.m_reason);
+    CheckAllLost(fleet, each.m_form, each.m_bodyBytes);
+    const CallResult metrics =
+      fleet.CallOperatorsApi("lockers-1", "GET", "/metrics");
+    const std::string line = fmt::format(
+      "greengagehub_broken_answers_total{{reason=\"{}\"}} 16", each.m_reason);
+    CHECK(metrics.m_result.m_response.m_body.View().find(line) !=
+          std::string_view::npos);
+    const std::string id = RequestId(each.m_form, "desk-1", 0);
+    std::string trace;
+    CHECK(WaitUntil([&] {
+      trace = fleet.Trace(id).m_output;
+      return trace.find("answer_broken") != std::string::npos;
+    }));
+    CHECK(trace.find(each.m_reason) != std::string::npos);
+  }
+}
+
+TEST_CASE("a broken answer to a health check says nothing about the worker")
+{
+  // Guards against an id or a departure that is believed from such an answer.
+  for (const std::string form :
+       { "status-000", "name-with-blank", "name-behind-lf", "version-2" }) {
+    CAPTURE(form);
+    // A fleet for each form, as a daemon checks a reported worker once.
+    Fleet fleet;
+    StartWithFaulty(fleet);
+    fleet.ControlWorker("lockers-1", { { "health", form } });
+    ReportAnotherService(fleet, "lockers-1");
+    CHECK(WaitUntil(
+      [&] { return fleet.WorkerCounts("lockers-1")["answers"] > 0; }));
+    for (const CallResult& each : SendRequests(fleet, "", "desk-1", 0)) {
+      CHECK(each.Status() == 200);
+    }
+  }
+}
--- a/tests/end_to_end/endless_answers.cpp
+++ b/tests/end_to_end/endless_answers.cpp
@@ -63,27 +63,6 @@
   WaitForLockers(aFleet);
 }
 
-/// Has the daemon send a health check to its worker.
-void
-ReportAnotherService(const Fleet& aFleet, const std::string& aSlot)
-{
-  constexpr std::string_view kScheme = "http://";
-  HttpClientRequest request;
-  request.m_method = "PUT";
-  request.m_url = aFleet.HeartbeatsUrl(aSlot) + "/instances/i-other";
-  request.m_body = Json{
-    { "service", "ledger" },
-    { "address", aFleet.BackendUrl(aSlot).substr(kScheme.size()) },
-    { "zone", "solna" },
-    { "version", "v1" },
-    { "slots", 1 },
-    { "state", "ready" },
-    { "cold_left_ms", 0 },
-    { "seq", 1 }
-  }.dump();
-  CHECK(SendAndWait(std::move(request)).m_response.m_status == 200);
-}
-
 struct Load
 {
   std::atomic<int> m_served{ 0 };
--- a/tests/end_to_end/platform_fleet.hpp
+++ b/tests/end_to_end/platform_fleet.hpp
@@ -87,6 +87,27 @@
                        { "X-Greengagehub-Deadline-Ms", aDeadline } });
 }
 
+/// Has the daemon send a health check to its worker.
+inline void
+ReportAnotherService(const Fleet& aFleet, const std::string& aSlot)
+{
+  constexpr std::string_view kScheme = "http://";
+  HttpClientRequest request;
+  request.m_method = "PUT";
+  request.m_url = aFleet.HeartbeatsUrl(aSlot) + "/instances/i-other";
+  request.m_body = Json{
+    { "service", "ledger" },
+    { "address", aFleet.BackendUrl(aSlot).substr(kScheme.size()) },
+    { "zone", "solna" },
+    { "version", "v1" },
+    { "slots", 1 },
+    { "state", "ready" },
+    { "cold_left_ms", 0 },
+    { "seq", 1 }
+  }.dump();
+  CHECK(SendAndWait(std::move(request)).m_response.m_status == 200);
+}
+
 /// \returns A field of /proc/PID/status, in KiB.
 inline std::uint64_t
 MemoryField(const Process& aProcess, const std::string& aField)
--- a/tests/http/broken_answers.cpp
+++ b/tests/http/broken_answers.cpp
@@ -145,12 +145,13 @@
 {
   // Guards against libcurl taking a reset for the end of an answer.
   const std::string answer = "HTTP/1.1 200 OK\r\n\r\npart";
-  using Kind = HttpClientResult::Kind;
-  CHECK(Fetch(answer, Ending::Reset).m_kind == Kind::Lost);
-  CHECK(Fetch(answer, Ending::Reset, kUploadBytes).m_kind == Kind::Lost);
+  CHECK(Fetch(answer, Ending::Reset).m_kind == HttpClientResult::Kind::Lost);
+  CHECK(Fetch(answer, Ending::Reset, kUploadBytes).m_kind ==
+        HttpClientResult::Kind::Lost);
   CHECK(Fetch(answer, Ending::OrderlyThenReset, kUploadBytes).m_kind ==
-        Kind::Lost);
-  CHECK(Fetch(answer, Ending::Orderly).m_kind == Kind::Answered);
+        HttpClientResult::Kind::Lost);
+  CHECK(Fetch(answer, Ending::Orderly).m_kind ==
+        HttpClientResult::Kind::Answered);
 }
 
 TEST_CASE("an answer without a valid status line is lost")
@@ -262,26 +263,27 @@
 {
   // Guards against a head or chunk that ends where the server did not end it,
   // which makes another body of the answer.
-  const std::string head = "HTTP/1.1 200 OK\r\n";
-  const std::string rest = "X-Note: a\r\nContent-Length: 2\r\n\r\nok";
-  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
-  for (const std::string& answer : { head + "\r" + rest,
-                                     head + "\n" + rest,
-                                     head + "X-First: a\r\n\r" + rest,
-                                     head + "X-First: a\r\n\n" + rest,
-                                     "HTTP/1.1 200\rX\r\n" + rest,
-                                     "HTTP/1.1 200 O\rX\r\n" + rest }) {
-    CAPTURE(answer);
+  for (const std::string start : { "HTTP/1.1 200 OK\r\n\r",
+                                   "HTTP/1.1 200 OK\r\n\n",
+                                   "HTTP/1.1 200 OK\r\nX-First: a\r\n\r",
+                                   "HTTP/1.1 200 OK\r\nX-First: a\r\n\n",
+                                   "HTTP/1.1 200\rX\r\n",
+                                   "HTTP/1.1 200 O\rX\r\n" }) {
+    CAPTURE(start);
+    const std::string answer =
+      start + "X-Note: a\r\nContent-Length: 2\r\n\r\nok";
     CHECK(SendTo(answer, Ending::Orderly).m_kind == Kind::Lost);
     CHECK(Fetch(answer, Ending::Orderly).m_kind ==
           HttpClientResult::Kind::Lost);
   }
-  for (const std::string& answer : { chunked + "2\r\nokXY0\r\n\r\n",
-                                     chunked + "2\r\nok\rX0\r\n\r\n",
-                                     chunked + "2\rXok\r\n0\r\n\r\n",
-                                     chunked + "2\r\nok\r\n0\rX\r\n",
-                                     chunked + "2\r\nok\r\n0\r\n\rX" }) {
-    CAPTURE(answer);
+  for (const std::string chunks : { "2\r\nokXY0\r\n\r\n",
+                                    "2\r\nok\rX0\r\n\r\n",
+                                    "2\rXok\r\n0\r\n\r\n",
+                                    "2\r\nok\r\n0\rX\r\n",
+                                    "2\r\nok\r\n0\r\n\rX" }) {
+    CAPTURE(chunks);
+    const std::string answer =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks;
     CHECK(SendTo(answer, Ending::Orderly).m_kind == Kind::Lost);
   }
 }
