Tests of broken answers: a deadline that no slow machine reaches

An upload of 32 MiB had to pass within 1 s, and a time-out of the store's client counted as the loss that was expected.

--- a/tests/http/broken_answers.cpp
+++ b/tests/http/broken_answers.cpp
@@ -18,24 +18,31 @@
 /// More than the buffers of a loopback connection hold.
 constexpr std::size_t kUploadBytes = 32UL * 1024 * 1024;
 
+/// Longer than any test takes, so that a time-out is not taken for a loss.
+constexpr auto kTimeout = std::chrono::seconds{ 20 };
+
 BackendRequest
-Upload(std::size_t aBodyBytes = kUploadBytes)
+Upload(std::size_t aBodyBytes = kUploadBytes,
+       std::chrono::milliseconds aTimeout = kTimeout)
 {
   BackendRequest request;
   request.m_method = "POST";
   request.m_body = Body{ std::string(aBodyBytes, 'x') };
-  request.m_deadline = Clock::now() + 1s;
+  request.m_deadline = Clock::now() + aTimeout;
   return request;
 }
 
 BackendResult
-SendTo(const std::string& aAnswer, Ending aEnding, std::size_t aBodyBytes = 0)
+SendTo(const std::string& aAnswer,
+       Ending aEnding,
+       std::size_t aBodyBytes = 0,
+       std::chrono::milliseconds aTimeout = kTimeout)
 {
   asio::io_context loop;
   ScriptedServer server{ loop, aAnswer, aEnding };
   BackendClient client{ loop, { .m_address = server.Address() } };
   std::optional<BackendResult> result;
-  client.Send(Upload(aBodyBytes),
+  client.Send(Upload(aBodyBytes, aTimeout),
               [&](BackendResult aResult) { result = std::move(aResult); });
   while (!result) {
     loop.run_one();
@@ -56,7 +63,7 @@
   request.m_url =
     "http://127.0.0.1:" + std::to_string(server.Address().port()) + "/";
   request.m_body = std::string(aBodyBytes, 'x');
-  request.m_timeout = 1s;
+  request.m_timeout = kTimeout;
   std::optional<HttpClientResult> result;
   client.Send(std::move(request),
               [&](HttpClientResult aResult) { result = std::move(aResult); });
@@ -98,7 +105,8 @@
   // resets the connection.
   CHECK(SendTo("HTTP/1.1 200 OK\r\n\r\npart of the body",
                Ending::OrderlyUnread,
-               kUploadBytes)
+               kUploadBytes,
+               200ms)
           .m_kind == Kind::TimedOut);
 }
 
