Show the age of cancelled runs and what became of each cancellation

Callers' side: requests that ran for clients that had left. Of the three hypotheses in docs/incidents/work-after-disconnect.md, logs could tell none apart: run_cancelled held no times, and a cancellation that met a closed link vanished.

run_cancelled states waited_us and ran_us: runs cancelled just after their start were read with the close behind them. greengagehub_cancellations_total{delivery} counts sent, withdrawn and unsent ones. LinkPool::SendIfOpen, used for cancellations only, is now Cancel and returns the delivery. No decision changes.

Tests: transport 'a request that is canceled while the link opens' checks the result.

--- a/include/greengagehub/daemon/request_log.hpp
+++ b/include/greengagehub/daemon/request_log.hpp
@@ -139,7 +139,12 @@
                        std::string_view aInstance,
                        const WorkerSignals& aPrevious,
                        const WorkerSignals& aCurrent);
-  void OnRunCancelled(TimePoint aNow, std::string_view aId, bool aStarted);
+  /// \param aWaited from the arrival of the attempt to its start.
+  /// \param aRan since its start.
+  void OnRunCancelled(TimePoint aNow,
+                      std::string_view aId,
+                      Duration aWaited,
+                      Duration aRan);
 
   /// \brief Logs the number of omitted lines, if any.
   void OnTick();
--- a/include/greengagehub/observe/metrics.hpp
+++ b/include/greengagehub/observe/metrics.hpp
@@ -30,6 +30,9 @@
   void CountBrokenAnswer(std::string_view aReason);
   /// \brief Counts the close of a caller's connection.
   void CountClosedConnection(std::string_view aState, std::string_view aCause);
+  /// \brief Counts the cancellation of an attempt at another daemon whose
+  /// answer is no longer needed.
+  void CountCancellation(std::string_view aDelivery);
   void CountRejectedReport(std::string_view aReason);
   /// \brief Sets the total of control traffic, in bytes since start.
   void SetBytes(std::string_view aPurpose,
--- a/include/greengagehub/transport/link_pool.hpp
+++ b/include/greengagehub/transport/link_pool.hpp
@@ -27,6 +27,21 @@
   std::chrono::milliseconds m_idleTimeout{ std::chrono::seconds{ 60 } };
 };
 
+/// \brief What became of a cancellation.
+enum class CancelDelivery : std::uint8_t
+{
+  /// Written to the link.
+  Sent,
+  /// The link was opening; the request that waited for it is removed.
+  Withdrawn,
+  /// The link is not open, and the request is not waiting for it.
+  Unsent,
+};
+
+/// \returns The name used in metrics, such as "withdrawn".
+[[nodiscard]] std::string_view
+NameOf(CancelDelivery aDelivery) noexcept;
+
 /// \brief Client side of call links: one persistent link to the daemon of each
 /// called worker, opened on the first call.
 class LinkPool
@@ -70,9 +85,9 @@
   void Send(const std::string& aSlot,
             const MemberAddress& aAddress,
             LinkFrame aFrame);
-  /// \brief Sends if the link is open. If it is not, a cancellation removes
-  /// the queued request and other frames are dropped.
-  void SendIfOpen(const std::string& aSlot, const LinkFrame& aFrame);
+  /// \brief Sends a cancellation if the link is open; otherwise removes the
+  /// queued request.
+  CancelDelivery Cancel(const std::string& aSlot, const LinkCancel& aCancel);
   /// \brief Sets the pacer for connections opened from now on.
   void UsePacer(LinkPacer& aPacer) noexcept { m_pacer = &aPacer; }
   /// \brief Sets what holds the bodies that arrive on connections opened from
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -272,8 +272,11 @@
     static_cast<void>(m_runService.OnCancel(key, aCancel.m_abandon));
     return;
   }
-  m_pool.SendIfOpen(aCancel.m_slot,
-                    LinkCancel{ aCancel.m_attempt, aCancel.m_abandon });
+  const CancelDelivery delivery = m_pool.Cancel(
+    aCancel.m_slot, LinkCancel{ aCancel.m_attempt, aCancel.m_abandon });
+  if (aCancel.m_abandon) {
+    m_deps.m_metrics.CountCancellation(NameOf(delivery));
+  }
 }
 
 void
--- a/src/daemon/request_log.cpp
+++ b/src/daemon/request_log.cpp
@@ -236,12 +236,18 @@
 }
 
 void
-RequestLog::OnRunCancelled(TimePoint aNow, std::string_view aId, bool aStarted)
+RequestLog::OnRunCancelled(TimePoint aNow,
+                           std::string_view aId,
+                           Duration aWaited,
+                           Duration aRan)
 {
   if (m_budget.TryAcquire(aNow)) {
     m_log.Info(kComponent,
                "run_cancelled",
-               { { "request", aId }, { "started", aStarted } });
+               { { "request", aId },
+                 { "started", true },
+                 { "waited_us", Micros(aWaited) },
+                 { "ran_us", Micros(aRan) } });
   }
 }
 
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -340,8 +340,13 @@
     // A non-idempotent run continues: if it were aborted, a later cancellation
     // could not return its answer.
     if (run != m_activeRuns.end() && run->second.m_request.m_idempotent) {
-      m_deps.m_requestLog.OnRunCancelled(
-        Clock::now(), RequestIdOf(run->second.m_request), true);
+      const CallRequest& request = run->second.m_request;
+      const TimePoint now = Clock::now();
+      m_deps.m_requestLog.OnRunCancelled(now,
+                                         RequestIdOf(request),
+                                         run->second.m_startedAt -
+                                           request.m_receivedAt,
+                                         now - run->second.m_startedAt);
       // Closes the connection, which cancels the request at the worker.
       m_client.Abandon(run->second.m_ticket);
       m_activeRuns.erase(run);
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -54,6 +54,12 @@
       .Name("greengagehub_connections_closed_total")
       .Help("Closed connections of callers, by state and cause")
       .Register(m_registry);
+  prometheus::Family<prometheus::Counter>& m_cancellations =
+    prometheus::BuildCounter()
+      .Name("greengagehub_cancellations_total")
+      .Help(
+        "Cancelled attempts at other daemons, by what became of the message")
+      .Register(m_registry);
   prometheus::Family<prometheus::Counter>& m_rejectedReports =
     prometheus::BuildCounter()
       .Name("greengagehub_refused_reports_total")
@@ -133,6 +139,13 @@
     .Increment();
 }
 
+void
+Metrics::CountCancellation(std::string_view aDelivery)
+{
+  m_impl->m_cancellations.Add({ { "delivery", std::string{ aDelivery } } })
+    .Increment();
+}
+
 void
 Metrics::CountRejectedReport(std::string_view aReason)
 {
--- a/src/transport/link_pool.cpp
+++ b/src/transport/link_pool.cpp
@@ -26,6 +26,20 @@
   TimePoint m_nextReconnectAt{};
 };
 
+std::string_view
+NameOf(CancelDelivery aDelivery) noexcept
+{
+  switch (aDelivery) {
+    case CancelDelivery::Sent:
+      return "sent";
+    case CancelDelivery::Withdrawn:
+      return "withdrawn";
+    case CancelDelivery::Unsent:
+      return "unsent";
+  }
+  return "unsent";
+}
+
 LinkPool::LinkPool(asio::io_context& aLoop,
                    LinkHello aSelf,
                    LinkPoolSettings aSettings,
@@ -102,23 +116,24 @@
   }
 }
 
-void
-LinkPool::SendIfOpen(const std::string& aSlot, const LinkFrame& aFrame)
+CancelDelivery
+LinkPool::Cancel(const std::string& aSlot, const LinkCancel& aCancel)
 {
   const auto found = m_links.find(aSlot);
   if (found == m_links.end()) {
-    return;
+    return CancelDelivery::Unsent;
   }
   Link& link = *found->second;
   if (link.m_isReady) {
-    link.m_connection->Send(aFrame);
-  } else if (const auto* cancel = std::get_if<LinkCancel>(&aFrame)) {
-    // The caller canceled while the link was opening; drop its request.
-    std::erase_if(link.m_pendingFrames, [cancel](const LinkFrame& aEach) {
+    link.m_connection->Send(aCancel);
+    return CancelDelivery::Sent;
+  }
+  const std::size_t withdrawn =
+    std::erase_if(link.m_pendingFrames, [&aCancel](const LinkFrame& aEach) {
       const auto* request = std::get_if<CallRequest>(&aEach);
-      return request != nullptr && request->m_call == cancel->m_call;
+      return request != nullptr && request->m_call == aCancel.m_call;
     });
-  }
+  return withdrawn > 0 ? CancelDelivery::Withdrawn : CancelDelivery::Unsent;
 }
 
 void
--- a/tests/transport/link_pool.cpp
+++ b/tests/transport/link_pool.cpp
@@ -205,7 +205,7 @@
   CallRequest request;
   request.m_call = 7;
   pool.Send("callee", address, request);
-  pool.SendIfOpen("callee", LinkCancel{ 7, true });
+  CHECK(pool.Cancel("callee", { 7, true }) == CancelDelivery::Withdrawn);
   request.m_call = 8;
   pool.Send("callee", address, request);
   while (received.empty() && loop.run_one_for(std::chrono::seconds{ 10 }) > 0) {
