Repeat cancellations on the next link until the peer has confirmed them

What callers' side saw: workers went on with requests for callers that had left, where a link between two daemons had broken; beside that, two runs of one call.

Cause: a cancellation was sent once, over a link that was up, or never. For an attempt in doubt the dispatcher sent none; on a closed link it vanished; one written to a link that the peer no longer read was lost with it; and the attempt that OnLinkLost had repeated at another worker was forgotten.

Change: the dispatcher abandons the attempt in every state, and the one it replaces. The pool keeps cancellations per link until a pong confirms them, the deadline of the call passes or another process answers; the next link to the same process repeats them first. Receiving one twice has no effect: the run table marks an attempt that it does not know as refused. Queries, whose answer is needed, are neither kept nor repeated. Runs that are not idempotent go on as before.

--- a/include/greengagehub/calls/dispatcher.hpp
+++ b/include/greengagehub/calls/dispatcher.hpp
@@ -60,6 +60,8 @@
   std::string m_slot;
   /// The answer is no longer needed.
   bool m_abandon{ false };
+  /// The deadline of the call.
+  TimePoint m_until{};
 };
 
 /// \brief State of an attempt, as reported by the worker's daemon.
@@ -243,6 +245,8 @@
   [[nodiscard]] bool MayRetry(TimePoint aNow,
                               Call& aCall,
                               const CallAnswer& aAnswer);
+  /// \brief Cancels the current attempt, whose answer is no longer needed.
+  void Abandon(DispatchActions& aOut, const Call& aCall) const;
   void EndAttempt(TimePoint aNow,
                   Call& aCall,
                   WorkerTable::Verdict aVerdict,
--- a/include/greengagehub/transport/link_pool.hpp
+++ b/include/greengagehub/transport/link_pool.hpp
@@ -34,7 +34,11 @@
   Sent,
   /// The link was opening; the request that waited for it is removed.
   Withdrawn,
-  /// The link is not open, and the request is not waiting for it.
+  /// The link is lost; sent when it is open again.
+  Kept,
+  /// Kept, or not confirmed by the peer, and written to a new link.
+  Resent,
+  /// The link is lost, and the call has expired or too many are kept.
   Unsent,
 };
 
@@ -63,6 +67,8 @@
       m_onSent;
     /// A request was never written to a connection.
     std::function<void(std::uint64_t aAttempt)> m_onSendFailed;
+    /// A cancellation was sent again on a new link; may be empty.
+    std::function<void()> m_onCancelResent{};
     /// An open connection was closed by either side; may be empty.
     std::function<void(const std::string& aSlot, const LinkClose&)>
       m_onClosed{};
@@ -86,8 +92,13 @@
             const MemberAddress& aAddress,
             LinkFrame aFrame);
   /// \brief Sends a cancellation if the link is open; otherwise removes the
-  /// queued request.
-  CancelDelivery Cancel(const std::string& aSlot, const LinkCancel& aCancel);
+  /// queued request, or keeps the cancellation until the link is open again. It
+  /// is repeated if the link is lost before the peer has confirmed it. A query,
+  /// whose answer is still needed, is neither kept nor repeated.
+  /// \param aUntil the deadline of the call.
+  CancelDelivery Cancel(const std::string& aSlot,
+                        const LinkCancel& aCancel,
+                        TimePoint aUntil);
   /// \brief Sets the pacer for connections opened from now on.
   void UsePacer(LinkPacer& aPacer) noexcept { m_pacer = &aPacer; }
   /// \brief Sets what holds the bodies that arrive on connections opened from
@@ -119,6 +130,7 @@
   void OnHello(const LinkPtr& aLink, const LinkHello& aHello);
   void FailPendingFrames(const LinkPtr& aLink);
   void Write(Link& aLink, const LinkFrame& aFrame);
+  void ResendCancels(Link& aLink);
 
   asio::io_context& m_loop;
   LinkHello m_self;
--- a/src/calls/dispatcher.cpp
+++ b/src/calls/dispatcher.cpp
@@ -48,6 +48,14 @@
   aOut.emplace_back(FinishCall{ call, std::move(aAnswer) });
 }
 
+template<RoutingPolicy Policy>
+void
+BasicDispatcher<Policy>::Abandon(DispatchActions& aOut, const Call& aCall) const
+{
+  aOut.emplace_back(
+    SendCancel{ aCall.m_attempt, aCall.m_slot, true, aCall.m_plan.m_deadline });
+}
+
 template<RoutingPolicy Policy>
 void
 BasicDispatcher<Policy>::EndAttempt(TimePoint aNow,
@@ -390,6 +398,8 @@
       call.m_inDoubt = true; // the state is queried on the next connection
       continue;
     }
+    // Its worker may be running it.
+    Abandon(out, call);
     EndAttempt(aNow, call, Verdict::Failed, std::nullopt);
     RetryOrFinish(aNow,
                   out,
@@ -415,7 +425,8 @@
   for (const std::uint64_t id : inDoubt) {
     Call& call = m_calls.at(id);
     if (call.m_process == aProcess) {
-      out.emplace_back(SendCancel{ call.m_attempt, aSlot, false });
+      out.emplace_back(
+        SendCancel{ call.m_attempt, aSlot, false, call.m_plan.m_deadline });
       continue;
     }
     EndAttempt(aNow, call, Verdict::Failed, std::nullopt);
@@ -453,9 +464,7 @@
     return out;
   }
   Call& call = found->second;
-  if (!call.m_inDoubt) {
-    out.emplace_back(SendCancel{ call.m_attempt, call.m_slot, true });
-  }
+  Abandon(out, call);
   EndAttempt(aNow, call, Verdict::Good, std::nullopt);
   Finish(
     out, call, Refuse(aCall, CallOutcome::Unknown, RefusalReason::Cancelled));
@@ -470,9 +479,7 @@
   while (!m_deadlines.empty() && m_deadlines.begin()->m_at <= aUntil) {
     const std::uint64_t id = m_deadlines.begin()->m_call;
     Call& call = m_calls.at(id);
-    if (!call.m_inDoubt) {
-      out.emplace_back(SendCancel{ call.m_attempt, call.m_slot, true });
-    }
+    Abandon(out, call);
     EndAttempt(aNow, call, Verdict::Failed, std::nullopt);
     Finish(out,
            call,
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -173,6 +173,9 @@
   handlers.m_onSendFailed = [this](std::uint64_t aAttempt) {
     Execute(m_dispatcher.OnSendFailed(Clock::now(), aAttempt));
   };
+  handlers.m_onCancelResent = [this] {
+    m_deps.m_metrics.CountCancellation(NameOf(CancelDelivery::Resent));
+  };
   handlers.m_onClosed = [this](const std::string& aSlot,
                                const LinkClose& aClose) {
     m_deps.m_connectionLog.OnLinkClosed("out", aSlot, aClose);
@@ -273,8 +276,10 @@
     static_cast<void>(m_runService.OnCancel(key, aCancel.m_abandon));
     return;
   }
-  const CancelDelivery delivery = m_pool.Cancel(
-    aCancel.m_slot, LinkCancel{ aCancel.m_attempt, aCancel.m_abandon });
+  const CancelDelivery delivery =
+    m_pool.Cancel(aCancel.m_slot,
+                  LinkCancel{ aCancel.m_attempt, aCancel.m_abandon },
+                  aCancel.m_until);
   if (aCancel.m_abandon) {
     m_deps.m_metrics.CountCancellation(NameOf(delivery));
   }
--- a/src/transport/link_pool.cpp
+++ b/src/transport/link_pool.cpp
@@ -1,5 +1,7 @@
 #include "greengagehub/transport/link_pool.hpp"
 
+#include "greengagehub/transport/unconfirmed_cancels.hpp"
+
 #include <asio/ip/address.hpp>
 #include <asio/post.hpp>
 
@@ -18,6 +20,8 @@
   /// Connected, and the hello of the peer was received.
   bool m_isReady{ false };
   std::vector<LinkFrame> m_pendingFrames;
+  /// Sent to m_process, or to be sent to it.
+  UnconfirmedCancels m_cancels;
   TimePoint m_connectStartedAt{};
   TimePoint m_lastUsedAt{};
   TimePoint m_lastPingAt{};
@@ -34,6 +38,10 @@
       return "sent";
     case CancelDelivery::Withdrawn:
       return "withdrawn";
+    case CancelDelivery::Kept:
+      return "kept";
+    case CancelDelivery::Resent:
+      return "resent";
     case CancelDelivery::Unsent:
       return "unsent";
   }
@@ -117,15 +125,21 @@
 }
 
 CancelDelivery
-LinkPool::Cancel(const std::string& aSlot, const LinkCancel& aCancel)
+LinkPool::Cancel(const std::string& aSlot,
+                 const LinkCancel& aCancel,
+                 TimePoint aUntil)
 {
   const auto found = m_links.find(aSlot);
   if (found == m_links.end()) {
     return CancelDelivery::Unsent;
   }
   Link& link = *found->second;
+  const TimePoint now = Clock::now();
   if (link.m_isReady) {
     link.m_connection->Send(aCancel);
+    if (aCancel.m_abandon) {
+      link.m_cancels.Add(now, aCancel.m_call, aUntil);
+    }
     return CancelDelivery::Sent;
   }
   const std::size_t withdrawn =
@@ -133,7 +147,23 @@
       const auto* request = std::get_if<CallRequest>(&aEach);
       return request != nullptr && request->m_call == aCancel.m_call;
     });
-  return withdrawn > 0 ? CancelDelivery::Withdrawn : CancelDelivery::Unsent;
+  if (withdrawn > 0) {
+    return CancelDelivery::Withdrawn;
+  }
+  const bool isKept =
+    aCancel.m_abandon && link.m_cancels.Add(now, aCancel.m_call, aUntil);
+  return isKept ? CancelDelivery::Kept : CancelDelivery::Unsent;
+}
+
+void
+LinkPool::ResendCancels(Link& aLink)
+{
+  for (const std::uint64_t call : aLink.m_cancels.Resend(Clock::now())) {
+    aLink.m_connection->Send(LinkCancel{ call, true });
+    if (m_handlers.m_onCancelResent) {
+      m_handlers.m_onCancelResent();
+    }
+  }
 }
 
 void
@@ -210,6 +240,7 @@
 {
   FailPendingFrames(aLink);
   if (aRefused) {
+    aLink->m_cancels.Clear();
     m_handlers.m_onProcessLost(aLink->m_slot);
   }
   aLink->m_nextReconnectAt = Clock::now() + m_settings.m_reconnectInterval;
@@ -232,8 +263,12 @@
     aLink->m_connection->SetCrossesDomains();
   }
   aLink->m_isReady = true;
+  if (aLink->m_process != aHello.m_process) {
+    aLink->m_cancels.Clear();
+  }
   aLink->m_process = aHello.m_process;
   aLink->m_reconnectUntil.reset();
+  ResendCancels(*aLink);
   m_handlers.m_onConnected(aLink->m_slot, aHello.m_process);
   std::vector<LinkFrame> waiting;
   waiting.swap(aLink->m_pendingFrames);
@@ -254,7 +289,8 @@
     OnHello(aLink, *hello);
     return;
   }
-  if (std::holds_alternative<LinkPong>(aFrame)) {
+  if (const auto* pong = std::get_if<LinkPong>(&aFrame)) {
+    aLink->m_cancels.OnPong(pong->m_number);
     return;
   }
   m_handlers.m_onFrame(aLink->m_slot, std::move(aFrame));
@@ -323,6 +359,7 @@
       } else if (aNow - link->m_lastPingAt > m_settings.m_heartbeatInterval) {
         link->m_lastPingAt = aNow;
         link->m_connection->Send(LinkPing{ ++m_lastPingNumber });
+        link->m_cancels.OnPing(m_lastPingNumber);
       }
     }
     const bool idle = !link->m_connectingSocket && !link->m_connection;
--- a/tests/transport/link_pool.cpp
+++ b/tests/transport/link_pool.cpp
@@ -205,7 +205,8 @@
   CallRequest request;
   request.m_call = 7;
   pool.Send("callee", address, request);
-  CHECK(pool.Cancel("callee", { 7, true }) == CancelDelivery::Withdrawn);
+  CHECK(pool.Cancel("callee", { 7, true }, TimePoint::max()) ==
+        CancelDelivery::Withdrawn);
   request.m_call = 8;
   pool.Send("callee", address, request);
   while (received.empty() && loop.run_one_for(std::chrono::seconds{ 10 }) > 0) {
