Links: start attempts once what follows them has been read

What callers' side would see: a daemon that is late runs attempts whose cancellations are in the same socket, and attempts of a link that the caller's daemon has closed.

Cause: the same as for the requests of clients: a frame was acted upon as soon as it could be read. ResumeFilter covered pauses of 0.3 s that a tick shows, not a loop that is late by itself.

Change: LinkServer holds the attempts of a link until nothing is unread on it, at most 256 KiB, so that no call waits behind the body of another one. A cancellation takes a held attempt back; the end of the stream drops all, which the caller's daemon treats as not run or asks for. In the usual case, one read with one attempt, it costs a peek at the socket and no time.

--- a/include/greengagehub/transport/link_connection.hpp
+++ b/include/greengagehub/transport/link_connection.hpp
@@ -2,8 +2,10 @@
 
 #include "greengagehub/core/clock.hpp"
 #include "greengagehub/core/link_pacer.hpp"
+#include "greengagehub/net/pending_input.hpp"
 #include "greengagehub/net/socket_queues.hpp"
 #include "greengagehub/transport/body_assembler.hpp"
+#include "greengagehub/transport/held_attempts.hpp"
 #include "greengagehub/transport/link_deflate.hpp"
 #include "greengagehub/transport/link_frame.hpp"
 #include "greengagehub/transport/traffic_meter.hpp"
@@ -65,6 +67,8 @@
   using Pointer = boost::intrusive_ptr<LinkConnection>;
   using FrameHandler = std::function<void(LinkConnection&, LinkFrame)>;
   using ClosedHandler = std::function<void(LinkConnection&)>;
+  /// Called when the complete frames of a read have been passed on.
+  using ReadHandler = std::function<void(LinkConnection&, std::size_t aBytes)>;
 
   /// \param aPacer shared by all connections of the daemon; nullptr sends
   /// large frames without pacing.
@@ -92,9 +96,18 @@
   /// Hello of the peer; valid once m_helloReceived is set.
   LinkHello m_peer{};
   bool m_helloReceived{ false };
+  /// Of the peer, not started yet.
+  HeldAttempts m_heldAttempts{};
   TimePoint m_openedAt{};
 
-  void Start(FrameHandler aOnFrame, ClosedHandler aOnClosed);
+  void Start(FrameHandler aOnFrame,
+             ClosedHandler aOnClosed,
+             ReadHandler aOnRead = {});
+  /// \returns What the next read would return.
+  [[nodiscard]] PendingInput Unread() noexcept
+  {
+    return PendingInputOf(m_socket);
+  }
   /// \returns Whether the peer takes a frame of this size; it closes the link
   /// on one that it does not take.
   [[nodiscard]] bool CanSend(const LinkFrame& aFrame) const noexcept;
@@ -127,7 +140,7 @@
   static constexpr std::size_t kReadBytes = 16UL * 1024;
 
   void Read();
-  void OnRead();
+  void OnRead(std::size_t aBytes);
   void ResizeReadBuffer();
   void Write();
   /// \brief Begins the next large frame when the pacer allows it.
@@ -157,6 +170,7 @@
   asio::ip::tcp::socket m_socket;
   FrameHandler m_onFrame;
   ClosedHandler m_onClosed;
+  ReadHandler m_onRead;
   /// The first m_unparsedBytes bytes are received and not yet decoded.
   std::string m_readBuffer;
   std::size_t m_unparsedBytes{ 0 };
--- a/include/greengagehub/transport/link_server.hpp
+++ b/include/greengagehub/transport/link_server.hpp
@@ -15,6 +15,9 @@
 /// epoch. Before requests of a newer connection are read, the older one is
 /// closed and m_onNewEpoch is called. The owner then drops unstarted requests
 /// of older epochs, so that the caller may treat them as not run.
+///
+/// A cancellation that has arrived behind a request takes it back before it is
+/// passed on.
 class LinkServer
 {
 public:
@@ -78,6 +81,11 @@
   void AddConnection(asio::ip::tcp::socket aSocket);
   void OnFrame(LinkConnection& aConnection, LinkFrame aFrame);
   void OnHello(LinkConnection& aConnection, const LinkHello& aHello);
+  /// \brief Passes the held attempts on if nothing that could cancel them is
+  /// unread; drops them if the peer has closed the link, as it then treats them
+  /// as not run or asks for their state.
+  /// \param aBytes of the latest read.
+  void StartHeldAttempts(LinkConnection& aConnection, std::size_t aBytes);
 
   asio::ip::tcp::acceptor m_acceptor;
   asio::steady_timer m_acceptTimer;
--- a/src/transport/link_connection.cpp
+++ b/src/transport/link_connection.cpp
@@ -66,10 +66,13 @@
 }
 
 void
-LinkConnection::Start(FrameHandler aOnFrame, ClosedHandler aOnClosed)
+LinkConnection::Start(FrameHandler aOnFrame,
+                      ClosedHandler aOnClosed,
+                      ReadHandler aOnRead)
 {
   m_onFrame = std::move(aOnFrame);
   m_onClosed = std::move(aOnClosed);
+  m_onRead = std::move(aOnRead);
   m_openedAt = Clock::now();
   m_lastReceived = m_openedAt;
   asio::error_code ignored;
@@ -106,12 +109,12 @@
         return;
       }
       self->m_unparsedBytes += aSize;
-      self->OnRead();
+      self->OnRead(aSize);
     });
 }
 
 void
-LinkConnection::OnRead()
+LinkConnection::OnRead(std::size_t aBytes)
 {
   m_lastReceived = Clock::now();
   const std::string_view received{ m_readBuffer.data(), m_unparsedBytes };
@@ -147,6 +150,9 @@
   }
   m_unparsedBytes -= at;
   std::memmove(m_readBuffer.data(), m_readBuffer.data() + at, m_unparsedBytes);
+  if (m_isOpen && m_onRead) {
+    m_onRead(*this, aBytes);
+  }
   if (m_isOpen) {
     Read();
   }
@@ -462,6 +468,7 @@
   m_isCloseReported = true;
   const ClosedHandler onClosed = std::move(m_onClosed);
   m_onFrame = nullptr;
+  m_onRead = nullptr;
   if (onClosed) {
     onClosed(*this);
   }
--- a/src/transport/link_server.cpp
+++ b/src/transport/link_server.cpp
@@ -96,6 +96,9 @@
         m_currentByProcess.erase(current);
       }
       m_connections.erase(LinkConnection::Pointer{ &aConnection });
+    },
+    [this](LinkConnection& aConnection, std::size_t aBytes) {
+      StartHeldAttempts(aConnection, aBytes);
     });
 }
 
@@ -145,9 +148,37 @@
     aConnection.Send(LinkPong{ ping->m_number });
     return;
   }
+  if (auto* attempt = std::get_if<CallRequest>(&aFrame)) {
+    aConnection.m_heldAttempts.Add(std::move(*attempt));
+    return;
+  }
+  if (const auto* cancel = std::get_if<LinkCancel>(&aFrame)) {
+    aConnection.m_heldAttempts.Remove(cancel->m_call);
+  }
   m_handlers.m_onFrame(aConnection, std::move(aFrame));
 }
 
+void
+LinkServer::StartHeldAttempts(LinkConnection& aConnection, std::size_t aBytes)
+{
+  HeldAttempts& held = aConnection.m_heldAttempts;
+  held.RecordRead(aBytes);
+  if (held.IsEmpty()) {
+    return;
+  }
+  const PendingInput unread = aConnection.Unread();
+  if (unread == PendingInput::Bytes && !held.IsFull()) {
+    return;
+  }
+  std::vector<CallRequest> attempts = held.TakeAll();
+  if (unread == PendingInput::End) {
+    return;
+  }
+  for (CallRequest& each : attempts) {
+    m_handlers.m_onFrame(aConnection, std::move(each));
+  }
+}
+
 bool
 LinkServer::HasUnsent() const
 {
