End work for daemons that are gone and cancel nothing

What callers' side would see: a worker that goes on for callers whose daemon was killed or cut off, and requests of such callers that start after that.

Cause: the third way in which an abandonment is lost: there is nobody to send it. The worker's daemon kept what a broken link had brought, queued or running, to the deadline. Found by looking for the cause elsewhere. Evidence: the caller's daemon killed while its call ran for 9 s at another instance: the run went on to its end; a queued call started.

Change: the end of a process's current link drops what it left in the queue: the next link would refuse that in any case, and 'not run' stays true, since a dropped attempt never starts and a query finds it refused. Idempotent runs end once their caller's daemon has not been heard from for 3 s. A live daemon is heard from every 0.5 s and opens a new link 1.5 s after one has fallen silent; its calls in doubt without another worker are answered as before. A pause of this daemon does not count as silence of others. Runs that are not idempotent are never ended. Ruled out: ending runs at once when a link closes (calls in doubt fetch their answers on the next one), and when another process of the same slot says hello (a late hello of the old one would end the runs of the new one).

--- a/include/greengagehub/daemon/call_gateway.hpp
+++ b/include/greengagehub/daemon/call_gateway.hpp
@@ -246,6 +246,11 @@
   void Execute(const SendCancel& aCancel);
   void Execute(FinishCall& aFinish);
   void OnServerFrame(LinkConnection& aConnection, LinkFrame aFrame);
+  /// \brief Drops the queued attempts of a closed link. The next link of the
+  /// same process would do so too; there may be none.
+  void DropQueuedOf(const LinkConnection& aClosed);
+  /// \brief Ends the runs for daemons that can no longer cancel them.
+  void EndRunsOfSilentCallers(TimePoint aNow);
   void OnPoolFrame(const std::string& aSlot, LinkFrame aFrame);
   /// \returns Whether a call of another daemon is routed by a version that
   /// should not be in force any more, to a service that the newer version does
@@ -302,6 +307,8 @@
   StartBuffer m_startBuffer;
   TokenQueue m_tokenQueue;
   ResumeFilter m_resumeFilter;
+  /// End of the latest long pause of this process.
+  TimePoint m_resumedAt{};
   asio::steady_timer m_filterTimer;
 };
 
--- a/include/greengagehub/daemon/run_service.hpp
+++ b/include/greengagehub/daemon/run_service.hpp
@@ -84,7 +84,10 @@
   /// \returns The state of the attempt: Running also if its kept answer was
   /// sent again, Finished if its answer is lost.
   [[nodiscard]] CancelResult OnCancel(CallKey aKey, bool aAbandon);
+  /// \brief Drops the queued attempts from older connections of a process.
   void OnEpoch(std::uint64_t aProcess, std::uint64_t aEpoch);
+  /// \brief Ends the idempotent runs for other daemons that are gone.
+  void EndRunsOf(const std::function<bool(std::uint64_t aProcess)>& aIsGone);
   /// \brief Sets the limit of answers whose length is announced.
   void SetMaxAnnouncedBytes(std::size_t aBytes) noexcept
   {
@@ -174,6 +177,8 @@
   };
 
   void StartRun(CallKey aKey);
+  /// \brief Ends a run without an answer if it may be repeated.
+  void EndRepeatableRun(CallKey aKey);
   /// \returns Nothing if a request with the fingerprint may run.
   [[nodiscard]] std::optional<Refusal> CheckRefusal(
     TimePoint aNow,
--- a/include/greengagehub/transport/link_server.hpp
+++ b/include/greengagehub/transport/link_server.hpp
@@ -5,6 +5,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace greengagehub {
@@ -51,6 +52,11 @@
   /// \returns Current connection of a caller process, or nullptr.
   [[nodiscard]] LinkConnection* Find(std::uint64_t aProcess) const;
 
+  /// \returns When a caller process was last heard from; nothing if it has not
+  /// been connected lately.
+  [[nodiscard]] std::optional<TimePoint> LastReceived(
+    std::uint64_t aProcess) const;
+
   /// \returns Whether any connection has queued frames.
   [[nodiscard]] bool HasUnsent() const;
   [[nodiscard]] LinkCounts Counts() const;
@@ -81,6 +87,7 @@
   void AddConnection(asio::ip::tcp::socket aSocket);
   void OnFrame(LinkConnection& aConnection, LinkFrame aFrame);
   void OnHello(LinkConnection& aConnection, const LinkHello& aHello);
+  void OnClosed(LinkConnection& aConnection);
   /// \brief Passes the held attempts on if nothing that could cancel them is
   /// unread; drops them if the peer has closed the link, as it then treats them
   /// as not run or asks for their state.
@@ -97,6 +104,8 @@
   Handlers m_handlers;
   std::set<LinkConnection::Pointer> m_connections;
   std::map<std::uint64_t, LinkConnection::Pointer> m_currentByProcess;
+  /// Of processes whose current connection was closed lately.
+  std::map<std::uint64_t, TimePoint> m_lastReceived;
 };
 
 }
--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -139,6 +139,7 @@
              },
            .m_onClosed =
              [this](const LinkConnection& aConnection) {
+               DropQueuedOf(aConnection);
                m_deps.m_connectionLog.OnLinkClosed(
                  "in", aConnection.m_peer.m_slot, aConnection.AtClose());
              } };
@@ -380,6 +381,7 @@
   ReleaseStartBuffer(aNow);
   m_pool.OnTick(aNow);
   m_http.SetMaxConnections(MaxCallerConnections());
+  EndRunsOfSilentCallers(aNow);
   m_runService.OnTick(aNow);
   m_dispatcher.SetRetryLimits(RetryLimitsNow());
 }
--- a/src/daemon/call_gateway_links.cpp
+++ b/src/daemon/call_gateway_links.cpp
@@ -21,6 +21,10 @@
 /// have the older one.
 constexpr int kMisroutedDivisor = 2;
 
+/// A daemon whose caller still waits is heard from sooner: it opens a new link
+/// 1.5 s after one has fallen silent.
+constexpr auto kMaxCallerSilence = std::chrono::seconds{ 3 };
+
 bool
 LeadsTo(const Route& aRoute, const std::string& aService)
 {
@@ -102,6 +106,26 @@
   }
 }
 
+void
+CallGateway::DropQueuedOf(const LinkConnection& aClosed)
+{
+  const LinkHello& peer = aClosed.m_peer;
+  if (m_server.Find(peer.m_process) == &aClosed) {
+    m_resumeFilter.CloseEpochs(peer.m_process, peer.m_epoch + 1);
+    m_runService.OnEpoch(peer.m_process, peer.m_epoch + 1);
+  }
+}
+
+void
+CallGateway::EndRunsOfSilentCallers(TimePoint aNow)
+{
+  m_runService.EndRunsOf([&](std::uint64_t aProcess) {
+    const auto lastReceived = m_server.LastReceived(aProcess);
+    return !lastReceived ||
+           aNow - std::max(*lastReceived, m_resumedAt) > kMaxCallerSilence;
+  });
+}
+
 void
 CallGateway::OnPoolFrame(const std::string& aSlot, LinkFrame aFrame)
 {
@@ -271,6 +295,7 @@
 void
 CallGateway::OnProcessResumed()
 {
+  m_resumedAt = Clock::now();
   m_resumeFilter.DropAll();
   m_server.CloseAll();
 }
--- a/src/daemon/run_service.cpp
+++ b/src/daemon/run_service.cpp
@@ -336,22 +336,7 @@
     return result;
   }
   if (result == CancelResult::Running && aAbandon) {
-    const auto run = m_activeRuns.find(aKey);
-    // A non-idempotent run continues: if it were aborted, a later cancellation
-    // could not return its answer.
-    if (run != m_activeRuns.end() && run->second.m_request.m_idempotent) {
-      const CallRequest& request = run->second.m_request;
-      const TimePoint now = Clock::now();
-      m_deps.m_requestLog.OnRunCancelled(now,
-                                         RequestIdOf(request),
-                                         run->second.m_startedAt -
-                                           request.m_receivedAt,
-                                         now - run->second.m_startedAt);
-      // Closes the connection, which cancels the request at the worker.
-      m_client.Abandon(run->second.m_ticket);
-      m_activeRuns.erase(run);
-      Execute(m_runs.Finish(Clock::now(), aKey));
-    }
+    EndRepeatableRun(aKey);
   }
   if (result == CancelResult::Finished && !aAbandon) {
     for (const KeptAnswer& each : m_keptAnswers) {
@@ -366,6 +351,43 @@
   return result;
 }
 
+void
+RunService::EndRepeatableRun(CallKey aKey)
+{
+  const auto found = m_activeRuns.find(aKey);
+  // A non-idempotent run continues: if it were aborted, a later cancellation
+  // could not return its answer.
+  if (found == m_activeRuns.end() || !found->second.m_request.m_idempotent) {
+    return;
+  }
+  const ActiveRun& run = found->second;
+  const TimePoint now = Clock::now();
+  m_deps.m_requestLog.OnRunCancelled(now,
+                                     RequestIdOf(run.m_request),
+                                     run.m_startedAt -
+                                       run.m_request.m_receivedAt,
+                                     now - run.m_startedAt);
+  // Closes the connection, which cancels the request at the worker.
+  m_client.Abandon(run.m_ticket);
+  m_activeRuns.erase(found);
+  Execute(m_runs.Finish(now, aKey));
+}
+
+void
+RunService::EndRunsOf(const std::function<bool(std::uint64_t)>& aIsGone)
+{
+  std::vector<CallKey> ended;
+  for (const auto& [key, run] : m_activeRuns) {
+    if (run.m_ticket != 0 && run.m_request.m_idempotent &&
+        key.m_process != m_deps.m_process && aIsGone(key.m_process)) {
+      ended.push_back(key);
+    }
+  }
+  for (const CallKey& each : ended) {
+    EndRepeatableRun(each);
+  }
+}
+
 void
 RunService::OnEpoch(std::uint64_t aProcess, std::uint64_t aEpoch)
 {
--- a/src/transport/link_server.cpp
+++ b/src/transport/link_server.cpp
@@ -13,6 +13,8 @@
 /// Three heartbeats of a peer.
 constexpr auto kSilenceTimeout = std::chrono::milliseconds{ 1500 };
 constexpr auto kAcceptRetryInterval = std::chrono::milliseconds{ 50 };
+/// How long it is known when a process was last heard from.
+constexpr auto kClosedRetention = std::chrono::seconds{ 10 };
 
 }
 
@@ -85,23 +87,42 @@
     [this](LinkConnection& aConnection, LinkFrame aFrame) {
       OnFrame(aConnection, std::move(aFrame));
     },
-    [this](LinkConnection& aConnection) {
-      if (m_handlers.m_onClosed) {
-        m_handlers.m_onClosed(aConnection);
-      }
-      const auto current =
-        m_currentByProcess.find(aConnection.m_peer.m_process);
-      if (current != m_currentByProcess.end() &&
-          current->second.get() == &aConnection) {
-        m_currentByProcess.erase(current);
-      }
-      m_connections.erase(LinkConnection::Pointer{ &aConnection });
-    },
+    [this](LinkConnection& aConnection) { OnClosed(aConnection); },
     [this](LinkConnection& aConnection, std::size_t aBytes) {
       StartHeldAttempts(aConnection, aBytes);
     });
 }
 
+void
+LinkServer::OnClosed(LinkConnection& aConnection)
+{
+  if (m_handlers.m_onClosed) {
+    m_handlers.m_onClosed(aConnection);
+  }
+  const std::uint64_t process = aConnection.m_peer.m_process;
+  const auto current = m_currentByProcess.find(process);
+  if (current != m_currentByProcess.end() &&
+      current->second.get() == &aConnection) {
+    m_currentByProcess.erase(current);
+    std::erase_if(m_lastReceived, [now = Clock::now()](const auto& aEach) {
+      return now - aEach.second > kClosedRetention;
+    });
+    m_lastReceived[process] = aConnection.LastReceived();
+  }
+  m_connections.erase(LinkConnection::Pointer{ &aConnection });
+}
+
+std::optional<TimePoint>
+LinkServer::LastReceived(std::uint64_t aProcess) const
+{
+  if (const LinkConnection* current = Find(aProcess)) {
+    return current->LastReceived();
+  }
+  const auto closed = m_lastReceived.find(aProcess);
+  return closed == m_lastReceived.end() ? std::nullopt
+                                        : std::optional{ closed->second };
+}
+
 void
 LinkServer::OnHello(LinkConnection& aConnection, const LinkHello& aHello)
 {
--- a/tests/end_to_end/disconnected_callers.cpp
+++ b/tests/end_to_end/disconnected_callers.cpp
@@ -21,6 +21,7 @@
 /// A daemon with so few descriptors accepts fewer connections.
 constexpr int kOccupants = 40;
 constexpr int kLeavers = 40;
+constexpr std::string_view kLookup = "/status/1";
 /// Silence after which a daemon gives up a link, with a margin.
 constexpr auto kLinkLossTime = 2500ms;
 
@@ -41,11 +42,12 @@
   {
     asio::write(m_socket, asio::buffer(aBytes));
   }
-  void SendLookup(const std::string& aId)
+  void SendRequest(std::string_view aTarget, const std::string& aId)
   {
-    Send(fmt::format("GET /status/1 HTTP/1.1\r\nHost: a.example\r\n"
+    Send(fmt::format("GET {} HTTP/1.1\r\nHost: a.example\r\n"
                      "X-Greengagehub-Request-Id: {}\r\n"
                      "X-Greengagehub-Deadline-Ms: 20000\r\n\r\n",
+                     aTarget,
                      aId));
   }
   void Disconnect() { m_socket.close(); }
@@ -91,10 +93,12 @@
                  .m_service = "lockers",
                  .m_onPlatform = true });
   }
-  Json rule = Rule("status", "safe", "/status/");
-  rule["target_latency_ms"] = 20'000;
-  rule["action"]["timeout_ms"] = 20'000;
-  aFleet.PutPlatformConfig(Document("0000000c", Json::array({ rule })));
+  Json rules = kRules;
+  for (Json& each : rules) {
+    each["target_latency_ms"] = 20'000;
+    each["action"]["timeout_ms"] = 20'000;
+  }
+  aFleet.PutPlatformConfig(Document("0000000c", rules));
   WaitForLockers(aFleet);
   aFleet.ControlWorker("lockers-1", { { "draining", true } });
   REQUIRE(WaitUntil([&] {
@@ -127,7 +131,7 @@
   }
   for (int i = 0; i < kLeavers; ++i) {
     Client leaver{ fleet, "lockers-1" };
-    leaver.SendLookup(LeaverId(i));
+    leaver.SendRequest(kLookup, LeaverId(i));
     leaver.Disconnect();
   }
   occupants.clear();
@@ -156,7 +160,7 @@
   }
   StartSlowLockers(fleet, workers);
   Client leaver{ fleet, "lockers-1" };
-  leaver.SendLookup("left");
+  leaver.SendRequest(kLookup, "left");
   REQUIRE(WaitUntil([&] { return !RunningWorker(fleet).empty(); }));
   const std::string first = RunningWorker(fleet);
   fleet.Daemon(first).Signal(SIGSTOP);
@@ -176,3 +180,61 @@
   REQUIRE(WaitUntil([&] { return Count(fleet, first, "running") == 0; }));
   CHECK(Count(fleet, first, "broken_off") == 1);
 }
+
+TEST_CASE(
+  "runs for a daemon that was killed end, unless they may run only once")
+{
+  // Guards against work that nobody can cancel any more.
+  Fleet fleet;
+  StartSlowLockers(fleet, 2);
+  std::string_view target = kLookup;
+  SUBCASE("idempotent") {}
+  SUBCASE("not idempotent")
+  {
+    target = "/release/1";
+  }
+  Client leaver{ fleet, "lockers-1" };
+  leaver.SendRequest(target, "left");
+  REQUIRE(WaitUntil([&] { return RunningWorker(fleet) == "lockers-2"; }));
+  fleet.Daemon("lockers-1").Signal(SIGKILL);
+  REQUIRE(WaitUntil([&] { return Count(fleet, "lockers-2", "running") == 0; }));
+  const std::uint64_t ended = target == kLookup ? 1 : 0;
+  CHECK(Count(fleet, "lockers-2", "broken_off") == ended);
+}
+
+TEST_CASE("attempts queued for a daemon that was killed do not start")
+{
+  // Guards against requests that reach a worker after their callers are gone.
+  Fleet fleet;
+  fleet.Add(
+    { .m_slot = "lockers-1", .m_service = "lockers", .m_onPlatform = true });
+  fleet.Add({ .m_slot = "lockers-2",
+              .m_service = "lockers",
+              .m_slots = 1,
+              .m_onPlatform = true });
+  Json rule = Rule("status", "safe", "/status/");
+  rule["target_latency_ms"] = 20'000;
+  rule["action"]["timeout_ms"] = 20'000;
+  fleet.PutPlatformConfig(Document("0000000c", Json::array({ rule })));
+  WaitForLockers(fleet);
+  fleet.ControlWorker("lockers-1", { { "draining", true } });
+  REQUIRE(WaitUntil([&] {
+    return fleet.WorkerCounts("lockers-1").value("drain_acknowledged", false);
+  }));
+  fleet.ControlWorker("lockers-2", { { "service_ms", 1500 } });
+  Client running{ fleet, "lockers-2" };
+  running.SendRequest(kLookup, "running");
+  REQUIRE(WaitUntil([&] { return RunningWorker(fleet) == "lockers-2"; }));
+  Client leaver{ fleet, "lockers-1" };
+  leaver.SendRequest(kLookup, "left");
+  REQUIRE(WaitUntil([&] {
+    const Json status = fleet.Status("lockers-2");
+    return status.is_object() && status.value("queued", 0) == 1;
+  }));
+  fleet.Daemon("lockers-1").Signal(SIGKILL);
+  REQUIRE(WaitUntil([&] { return Count(fleet, "lockers-2", "running") == 0; }));
+  CHECK(SendRequest(fleet, "lockers-2", "GET", "/status/1", "after", "20000")
+          .Status() == 200);
+  CHECK(Runs(fleet, "left") == 0);
+  CHECK(Runs(fleet, "running") == 1);
+}
