Do not repeat a call whose caller has disconnected unread

What callers' side would see: a daemon that is late reads the failure of an attempt, sends the call to a second worker, and only then reads that its client has left.

Cause: the same as for requests that are read late, at another place where a call waits. Found by looking for the cause elsewhere.

Change: the gateway asks the caller's socket before it sends a repetition, as HttpServer does before the first attempt. It costs a system call for each repetition.

Test: end_to_end 'a call whose caller has disconnected is not repeated' failed as above and passes.

--- a/src/daemon/call_gateway.cpp
+++ b/src/daemon/call_gateway.cpp
@@ -237,6 +237,12 @@
     return;
   }
   PendingCall& pending = call->second;
+  // The disconnect may be unread behind the answer that led to the repetition.
+  if (pending.m_attempts > 0 && m_http.HasClientClosed(pending.m_connection)) {
+    CountAbandoned(AbandonedStage::InFlight);
+    Execute(m_dispatcher.OnCallerDisconnected(Clock::now(), aAttempt.m_call));
+    return;
+  }
   pending.m_slot = aAttempt.m_slot;
   if (++pending.m_attempts > 1) {
     m_deps.m_requestLog.OnRetried(Clock::now(),
--- a/tests/end_to_end/disconnected_callers.cpp
+++ b/tests/end_to_end/disconnected_callers.cpp
@@ -238,3 +238,45 @@
   CHECK(Runs(fleet, "left") == 0);
   CHECK(Runs(fleet, "running") == 1);
 }
+
+TEST_CASE("a call whose caller has disconnected is not repeated")
+{
+  // Guards against a daemon that reads the failure of an attempt before the
+  // disconnect behind it.
+  Fleet fleet;
+  StartSlowLockers(fleet, 3);
+  const auto setWorkers = [&](int aServiceMs, bool aFails) {
+    for (const char* each : { "lockers-2", "lockers-3" }) {
+      fleet.ControlWorker(each,
+                          { { "service_ms", aServiceMs }, { "fail", aFails } });
+    }
+  };
+  setWorkers(2, false);
+  int sent = 0;
+  // Opens the links to both workers.
+  REQUIRE(WaitUntil([&] {
+    static_cast<void>(SendRequest(fleet,
+                                  "lockers-1",
+                                  "GET",
+                                  "/status/1",
+                                  fmt::format("before-{}", ++sent)));
+    return !fleet.WorkerCounts("lockers-2")["runs"].empty() &&
+           !fleet.WorkerCounts("lockers-3")["runs"].empty();
+  }));
+  setWorkers(300, true);
+  Client leaver{ fleet, "lockers-1" };
+  leaver.SendRequest(kLookup, "left");
+  REQUIRE(WaitUntil([&] { return !RunningWorker(fleet).empty(); }));
+  const std::string first = RunningWorker(fleet);
+  fleet.Daemon("lockers-1").Signal(SIGSTOP);
+  REQUIRE(
+    WaitUntil([&] { return fleet.Status(first).value("running", 1) == 0; }));
+  leaver.Disconnect();
+  fleet.Daemon("lockers-1").Signal(SIGCONT);
+  setWorkers(2, false);
+  CHECK(WaitUntil([&] {
+    return SendRequest(fleet, "lockers-1", "GET", "/status/1", "after")
+             .Status() == 200;
+  }));
+  CHECK(Runs(fleet, "left") == 1);
+}
