--- a/tests/calls/abandoned_calls.cpp
+++ b/tests/calls/abandoned_calls.cpp
@@ -73,3 +73,22 @@
           call.m_dispatcher.OnLinkUp(kStart, call.m_slot, SingleCall::kProcess))
           .empty());
 }
+
+TEST_CASE("a call that its only worker did not start before the link was lost "
+          "returns to it")
+{
+  // Guards against refusing what was queued, although its worker is there.
+  SingleCall call{ true };
+  const std::string slot = call.m_slot;
+  const std::string other = slot == "a" ? "b" : "a";
+  call.m_dispatcher.Workers().MarkUnavailable(other);
+  call.Apply(call.m_dispatcher.OnLinkLost(kStart, slot));
+  call.Apply(call.m_dispatcher.OnLinkUp(kStart, slot, SingleCall::kProcess));
+  const std::uint64_t first = call.m_attempt;
+  call.Apply(
+    call.m_dispatcher.OnCancelResult(kStart, first, AttemptState::NotStarted));
+  CHECK_FALSE(call.m_final);
+  CHECK(call.m_sends == 2);
+  CHECK(call.m_slot == slot);
+  CHECK(call.m_attempt != first);
+}
