Tests of links share how they run a loop; abandoned requests state how long they waited

The http test checks that the system tells how long a discarded request had waited to be read. No change of behaviour.

--- a/tests/http/abandoned_requests.cpp
+++ b/tests/http/abandoned_requests.cpp
@@ -76,6 +76,7 @@
   REQUIRE(server.RunUntil([&] { return server.m_abandoned.size() == 1; }));
   CHECK(server.m_requests.front().m_target == "/next");
   CHECK(server.m_abandoned.front().m_requests == 0);
+  CHECK(server.m_abandoned.front().m_unreadFor.has_value());
   CHECK(server.m_closedConnections.empty());
 }
 
--- a/tests/transport/read_ahead.cpp
+++ b/tests/transport/read_ahead.cpp
@@ -1,5 +1,6 @@
 #include "greengagehub/transport/codec.hpp"
 #include "greengagehub/transport/link_server.hpp"
+#include "run_until.hpp"
 
 #include <asio/connect.hpp>
 #include <asio/io_context.hpp>
@@ -49,11 +50,7 @@
   template<class Condition>
   [[nodiscard]] bool RunUntil(Condition aCondition)
   {
-    const TimePoint limit = Clock::now() + 10s;
-    while (!aCondition() && Clock::now() < limit) {
-      m_loop.run_one_for(20ms);
-    }
-    return aCondition();
+    return greengagehub::RunUntil(m_loop, aCondition);
   }
 
   asio::io_context m_loop;
--- a/tests/transport/unconfirmed_cancels.cpp
+++ b/tests/transport/unconfirmed_cancels.cpp
@@ -1,6 +1,7 @@
 #include "greengagehub/transport/unconfirmed_cancels.hpp"
 #include "greengagehub/transport/link_pool.hpp"
 #include "greengagehub/transport/link_server.hpp"
+#include "run_until.hpp"
 
 #include <asio/io_context.hpp>
 #include <doctest/doctest.h>
@@ -51,11 +52,7 @@
   template<class Condition>
   [[nodiscard]] bool RunUntil(Condition aCondition)
   {
-    const TimePoint limit = Clock::now() + 10s;
-    while (!aCondition() && Clock::now() < limit) {
-      m_loop.run_one_for(20ms);
-    }
-    return aCondition();
+    return greengagehub::RunUntil(m_loop, aCondition);
   }
 
   asio::io_context m_loop;
