--- a/src/calls/dispatcher_links.hpp
+++ b/src/calls/dispatcher_links.hpp
@@ -55,7 +55,7 @@
       call.m_inDoubt = true; // the state is queried on the next connection
       continue;
     }
-    // Its worker may be running it.
+    // Otherwise its worker could run it beside the repetition.
     Abandon(out, call);
     EndAttempt(aNow, call, WorkerTable::Verdict::Failed, std::nullopt);
     RetryOrFinish(aNow,
@@ -82,8 +82,7 @@
   for (const std::uint64_t id : inDoubt) {
     Call& call = m_calls.at(id);
     if (call.m_process == aProcess) {
-      out.emplace_back(
-        SendCancel{ call.m_attempt, aSlot, false, call.m_plan.m_deadline });
+      out.emplace_back(SendCancel{ call.m_attempt, aSlot });
       continue;
     }
     EndAttempt(aNow, call, WorkerTable::Verdict::Failed, std::nullopt);
