Test of abandoned requests: no pending read outlives its client

Found by a run of the new tests under the address sanitizer: a client went out of scope with its read pending. The http tests are clean under it now, the transport tests were; daemon_test reports a destruction order in an older test of run_service.cpp, not changed here.

--- a/tests/http/abandoned_requests.cpp
+++ b/tests/http/abandoned_requests.cpp
@@ -89,10 +89,9 @@
   Client busy{ server.m_loop, server.m_port };
   busy.Send(kGet);
   REQUIRE(server.RunUntil([&] { return server.m_requests.size() == 1; }));
-  {
-    Client leaver{ server.m_loop, server.m_port };
-    leaver.Send(kGet);
-  }
+  Client leaver{ server.m_loop, server.m_port };
+  leaver.Send(kGet);
+  leaver.m_socket.close();
   Client caller{ server.m_loop, server.m_port };
   caller.Send(kNext);
   busy.m_socket.close();
