--- a/include/greengagehub/http/http_server.hpp
+++ b/include/greengagehub/http/http_server.hpp
@@ -117,7 +117,7 @@
   /// Time in the state.
   Duration m_age{ 0 };
   /// Of an abandoned request: how long its last bytes waited to be read; empty
-  /// if the system does not tell.
+  /// if unknown.
   std::optional<std::chrono::milliseconds> m_unreadFor{};
 };
 
--- a/include/greengagehub/net/pending_input.hpp
+++ b/include/greengagehub/net/pending_input.hpp
@@ -22,7 +22,7 @@
 PendingInputOf(asio::ip::tcp::socket& aSocket) noexcept;
 
 /// \returns Time since the system received the latest bytes from the peer, read
-/// or not; nothing if it does not tell.
+/// or not; nothing if it is unknown.
 [[nodiscard]] std::optional<std::chrono::milliseconds>
 TimeSinceLastInput(asio::ip::tcp::socket& aSocket) noexcept;
 
--- a/include/greengagehub/transport/link_server.hpp
+++ b/include/greengagehub/transport/link_server.hpp
@@ -52,8 +52,8 @@
   /// \returns Current connection of a caller process, or nullptr.
   [[nodiscard]] LinkConnection* Find(std::uint64_t aProcess) const;
 
-  /// \returns When a caller process was last heard from; nothing if it has not
-  /// been connected lately.
+  /// \returns When bytes of a caller process were last received; nothing if it
+  /// has not been connected lately.
   [[nodiscard]] std::optional<TimePoint> LastReceived(
     std::uint64_t aProcess) const;
 
--- a/src/daemon/call_gateway_links.cpp
+++ b/src/daemon/call_gateway_links.cpp
@@ -21,8 +21,8 @@
 /// have the older one.
 constexpr int kMisroutedDivisor = 2;
 
-/// A daemon whose caller still waits is heard from sooner: it opens a new link
-/// 1.5 s after one has fallen silent.
+/// A daemon whose caller still waits sends something sooner: it opens a new
+/// link 1.5 s after one has become silent.
 constexpr auto kMaxCallerSilence = std::chrono::seconds{ 3 };
 
 bool
--- a/src/http/http_connection.hpp
+++ b/src/http/http_connection.hpp
@@ -12,7 +12,6 @@
 #include <array>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
-#include <fmt/format.h>
 
 namespace greengagehub {
 
@@ -110,8 +109,6 @@
                                   : m_state != State::Lingering;
   }
 
-  /// \returns Whether the client has closed the connection and everything
-  /// before that is read.
   [[nodiscard]] bool HasPeerClosed() noexcept
   {
     return PendingInputOf(m_socket) == PendingInput::End;
@@ -173,7 +170,6 @@
 
 private:
   static constexpr std::uint16_t kRequestTimeout = 408;
-  static constexpr std::uint16_t kBodyTooLarge = 413;
 
   void DropInput()
   {
@@ -283,8 +279,6 @@
   /// \returns Whether to continue parsing the received bytes.
   bool OnParsed(MessageParser::Status aStatus)
   {
-    constexpr std::uint16_t kBadRequest = 400;
-    constexpr std::uint16_t kHeadTooLarge = 431;
     switch (aStatus) {
       case MessageParser::Status::NeedsMore:
         CountHead();
@@ -297,13 +291,9 @@
         DispatchRequest();
         return m_server != nullptr;
       case MessageParser::Status::HeadTooLarge:
-        Refuse(kHeadTooLarge);
-        return false;
       case MessageParser::Status::BodyTooLarge:
-        Refuse(kBodyTooLarge);
-        return false;
       case MessageParser::Status::Malformed:
-        Refuse(kBadRequest);
+        Refuse(RefusalStatusOf(aStatus));
         return false;
     }
     return false;
@@ -336,7 +326,7 @@
     const std::size_t missing = m_parser.MissingRoom();
     const ByteUse use = m_parser.UseOf(missing);
     if (m_parser.BodyBytes() + missing > budget.LimitFor(use)) {
-      Refuse(kBodyTooLarge);
+      Refuse(RefusalStatusOf(MessageParser::Status::BodyTooLarge));
       return;
     }
     if (budget.WaitingBytes() > budget.Limit()) {
@@ -428,14 +418,7 @@
     Read();
   }
 
-  void RefuseForRoom()
-  {
-    constexpr std::uint16_t kUnavailable = 503;
-    const std::chrono::duration<double> seconds = ByteBudget::kRetryAfter;
-    Refuse(HttpResponse{
-      kUnavailable,
-      { HttpHeader{ "Retry-After", fmt::format("{}", seconds.count()) } } });
-  }
+  void RefuseForRoom() { Refuse(NoRoomResponse()); }
 
   void Write(std::string aHead, Body aBody)
   {
--- a/src/http/http_server_impl.hpp
+++ b/src/http/http_server_impl.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "message_parser.hpp"
+
 #include "greengagehub/http/http_server.hpp"
 
 #include <asio/ip/tcp.hpp>
@@ -29,6 +31,23 @@
 inline constexpr std::size_t kUncountedHeadBytes = 2UL * 1024;
 inline constexpr auto kHttpWriteTimeout = std::chrono::seconds{ 60 };
 
+/// \returns The HTTP status for a request that the parser does not accept.
+[[nodiscard]] constexpr std::uint16_t
+RefusalStatusOf(MessageParser::Status aStatus) noexcept
+{
+  constexpr std::uint16_t kBadRequest = 400;
+  constexpr std::uint16_t kBodyTooLarge = 413;
+  constexpr std::uint16_t kHeadTooLarge = 431;
+  switch (aStatus) {
+    case MessageParser::Status::HeadTooLarge:
+      return kHeadTooLarge;
+    case MessageParser::Status::BodyTooLarge:
+      return kBodyTooLarge;
+    default:
+      return kBadRequest;
+  }
+}
+
 struct HttpServer::Impl
   : public boost::intrusive_ref_counter<Impl, boost::thread_unsafe_counter>
 {
--- a/src/http/message_text.cpp
+++ b/src/http/message_text.cpp
@@ -1,5 +1,7 @@
 #include "message_text.hpp"
 
+#include "greengagehub/core/byte_budget.hpp"
+
 #include <fmt/format.h>
 #include <http_parser.h>
 
@@ -41,6 +43,16 @@
   return out;
 }
 
+HttpResponse
+NoRoomResponse()
+{
+  constexpr std::uint16_t kUnavailable = 503;
+  const std::chrono::duration<double> seconds = ByteBudget::kRetryAfter;
+  return { kUnavailable,
+           { HttpHeader{ "Retry-After",
+                         fmt::format("{}", seconds.count()) } } };
+}
+
 std::string
 RequestHead(const BackendRequest& aRequest)
 {
--- a/src/http/message_text.hpp
+++ b/src/http/message_text.hpp
@@ -13,6 +13,10 @@
 [[nodiscard]] std::string
 ResponseHead(const HttpResponse& aResponse, bool aClose);
 
+/// \returns The response to a request that there is no room for.
+[[nodiscard]] HttpResponse
+NoRoomResponse();
+
 [[nodiscard]] std::string
 RequestHead(const BackendRequest& aRequest);
 
--- a/src/transport/link_server.cpp
+++ b/src/transport/link_server.cpp
@@ -13,7 +13,7 @@
 /// Three heartbeats of a peer.
 constexpr auto kSilenceTimeout = std::chrono::milliseconds{ 1500 };
 constexpr auto kAcceptRetryInterval = std::chrono::milliseconds{ 50 };
-/// How long it is known when a process was last heard from.
+/// How long the last receipt of a process is stored after its link was closed.
 constexpr auto kClosedRetention = std::chrono::seconds{ 10 };
 
 }
